--- /dev/null
+++ b/balancer/balancer.go
@@ -0,0 +1,94 @@
+package balancer
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/placement"
+	"github.com/vaneyoke/vaneyoke/retry"
+)
+
+// noUpstreamRetry is when a caller should come back where no upstream is live.
+const noUpstreamRetry = 2 * time.Second
+
+// Balancer chooses upstreams for the sessions of one node.
+type Balancer struct {
+	mu     sync.Mutex
+	state  *placement.State
+	budget *retry.Budget
+	rng    *rand.Rand
+}
+
+// New returns a balancer over the given state.
+func New(state *placement.State, budget *retry.Budget, rng *rand.Rand) *Balancer {
+	return &Balancer{state: state, budget: budget, rng: rng}
+}
+
+// SetUpstreams takes in the fleet's upstreams.
+func (b *Balancer) SetUpstreams(upstreams []vaneyoke.Upstream) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state.SetUpstreams(upstreams)
+}
+
+// Place returns an upstream and notes that an attempt goes to it.
+func (b *Balancer) Place(need placement.Need, isRetry bool) (vaneyoke.Upstream, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	if !isRetry {
+		b.budget.Admit()
+	} else if !b.budget.Take(now) {
+		return vaneyoke.Upstream{}, vaneyoke.ErrRetryAfter(vaneyoke.CodeRetryExhausted, noUpstreamRetry, "the node's retry budget is spent")
+	}
+	upstream, ok := b.state.Pick(now, b.rng, need)
+	if !ok {
+		return vaneyoke.Upstream{}, b.unplaced(need)
+	}
+	b.state.Sent(now, upstream.ID)
+	return upstream, nil
+}
+
+func (b *Balancer) unplaced(need placement.Need) error {
+	if !b.state.Offers(need) {
+		return vaneyoke.Err(vaneyoke.CodeUnknownModel, "no upstream offers %s%s", need.Model, need.Service)
+	}
+	return vaneyoke.ErrRetryAfter(vaneyoke.CodeNoUpstream, noUpstreamRetry, "no upstream is live")
+}
+
+// Offers reports whether any upstream offers what the need asks for.
+func (b *Balancer) Offers(need placement.Need) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state.Offers(need)
+}
+
+// Resumed notes that an attempt was attached again to an upstream that it had lost.
+func (b *Balancer) Resumed(id vaneyoke.UpstreamID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state.Sent(time.Now(), id)
+}
+
+// Ended notes how an attempt on a placed upstream came out.
+func (b *Balancer) Ended(id vaneyoke.UpstreamID, outcome placement.Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state.Ended(time.Now(), id, outcome)
+}
+
+// Models returns the models that engines offer.
+func (b *Balancer) Models() []vaneyoke.ModelID {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state.Models()
+}
+
+// Loads returns what the node sees of each upstream.
+func (b *Balancer) Loads() []placement.Load {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state.Loads()
+}
--- /dev/null
+++ b/callerapi/error.go
@@ -0,0 +1,109 @@
+package callerapi
+
+import (
+	"encoding/json"
+	"errors"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"github.com/danielgtaylor/huma/v2"
+
+	"github.com/vaneyoke/vaneyoke"
+)
+
+// ErrorBody is the body of every answer that tells of a failure, in the form that OpenAI's clients read.
+type ErrorBody struct {
+	Failure ErrorDetail `json:"error"`
+	status  int
+	header  http.Header
+}
+
+// ErrorDetail says what failed.
+type ErrorDetail struct {
+	Code         string `json:"code" doc:"Numbered result code; docs/RESULT-CODES.md lists them."`
+	Type         string `json:"type" doc:"Name of the result code."`
+	Message      string `json:"message"`
+	Param        string `json:"param,omitempty" doc:"Field of the request that is wrong."`
+	NotRun       bool   `json:"not_run" doc:"True where the request was certainly not run."`
+	RetryAfterMS int64  `json:"retry_after_ms,omitempty" doc:"When to come back."`
+}
+
+// Error returns the message.
+func (e *ErrorBody) Error() string { return e.Failure.Message }
+
+// GetStatus returns the HTTP status.
+func (e *ErrorBody) GetStatus() int { return e.status }
+
+// GetHeaders returns the headers that go with the status.
+func (e *ErrorBody) GetHeaders() http.Header { return e.header }
+
+// newErrorBody gives an error the form in which callers see it.
+func newErrorBody(err error) *ErrorBody {
+	if body, ok := errors.AsType[*ErrorBody](err); ok {
+		return body
+	}
+	info := vaneyoke.CodeOf(err).Info()
+	message := err.Error()
+	if info.Code == vaneyoke.CodeInternal {
+		message = info.Text
+	}
+	body := &ErrorBody{status: info.Status, header: http.Header{}}
+	body.Failure = ErrorDetail{
+		Code:    strconv.Itoa(int(info.Code)),
+		Type:    info.Name,
+		Message: message,
+		Param:   vaneyoke.FieldOf(err),
+		NotRun:  info.NotRun,
+	}
+	if after := vaneyoke.RetryAfterOf(err); after > 0 {
+		body.Failure.RetryAfterMS = after.Milliseconds()
+		body.header.Set("Retry-After", strconv.Itoa(int(math.Ceil(after.Seconds()))))
+	}
+	return body
+}
+
+// writeError answers with an error outside of huma's operations.
+func writeError(w http.ResponseWriter, err error) {
+	body := newErrorBody(err)
+	for name, values := range body.header {
+		w.Header()[name] = values
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(body.status)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+// fail returns err in the form that huma answers with.
+func fail(err error) error { return newErrorBody(err) }
+
+func init() { huma.NewError = humaError }
+
+// humaError gives a result code to the errors that huma itself finds.
+func humaError(status int, message string, errs ...error) huma.StatusError {
+	code := codeOfStatus(status)
+	var field string
+	for _, err := range errs {
+		if detail, ok := errors.AsType[*huma.ErrorDetail](err); ok && field == "" {
+			field = detail.Location
+		}
+		if err != nil {
+			message += ": " + strings.TrimSpace(err.Error())
+		}
+	}
+	return newErrorBody(vaneyoke.ErrField(code, field, "%s", message))
+}
+
+func codeOfStatus(status int) vaneyoke.Code {
+	switch {
+	case status == http.StatusRequestEntityTooLarge:
+		return vaneyoke.CodeBodyTooLarge
+	case status == http.StatusNotFound:
+		return vaneyoke.CodeNotFound
+	case status >= http.StatusInternalServerError:
+		return vaneyoke.CodeInternal
+	default:
+		return vaneyoke.CodeBadRequest
+	}
+}
--- /dev/null
+++ b/catalog/doc.go
@@ -0,0 +1,2 @@
+// Package catalog holds the fleet's configuration, its upstreams and workspaces, as the platform's table keeps it.
+package catalog
--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,96 @@
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/callerapi"
+	"github.com/vaneyoke/vaneyoke/openai"
+)
+
+// Client sends requests to one node.
+type Client struct {
+	http *http.Client
+	url  string
+	key  string
+}
+
+// New returns a client of the node at url that shows the given key.
+func New(client *http.Client, url, key string) *Client {
+	return &Client{http: client, url: url, key: key}
+}
+
+// Request is a generation as a caller asks for it.
+type Request struct {
+	Model     vaneyoke.ModelID `json:"model"`
+	Messages  []openai.Message `json:"messages"`
+	MaxTokens vaneyoke.Tokens  `json:"max_tokens,omitempty"`
+	Stop      []string         `json:"stop,omitempty"`
+	Stream    bool             `json:"stream"`
+}
+
+// FailedError is a node's answer that tells of a failure.
+type FailedError struct {
+	Status int
+	Detail callerapi.ErrorDetail
+}
+
+// Error returns the result code and the message.
+func (e *FailedError) Error() string { return e.Detail.Code + " " + e.Detail.Type + ": " + e.Detail.Message }
+
+// Generate starts a streamed chat; header may add headers of its own.
+func (c *Client) Generate(ctx context.Context, req Request, header http.Header) (*Stream, error) {
+	req.Stream = true
+	body, err := json.Marshal(req)
+	if err != nil {
+		return nil, err
+	}
+	res, err := c.post(ctx, openai.PathChat, body, header)
+	if err != nil {
+		return nil, err
+	}
+	return newStream(res), nil
+}
+
+// Call calls a plain service and returns its answer.
+func (c *Client) Call(ctx context.Context, service vaneyoke.ServiceID, call string, body []byte, header http.Header) ([]byte, error) {
+	res, err := c.post(ctx, "/v1/services/"+string(service)+"/"+call, body, header)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	return io.ReadAll(res.Body)
+}
+
+func (c *Client) post(ctx context.Context, path string, body []byte, header http.Header) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.url+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	req.Header.Set("Content-Type", "application/json")
+	res, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if res.StatusCode == http.StatusOK {
+		return res, nil
+	}
+	defer func() { _ = res.Body.Close() }()
+	return nil, readFailure(res)
+}
+
+func readFailure(res *http.Response) error {
+	var body callerapi.ErrorBody
+	if err := json.NewDecoder(res.Body).Decode(&body); err != nil {
+		return err
+	}
+	return &FailedError{Status: res.StatusCode, Detail: body.Failure}
+}
--- /dev/null
+++ b/cmd/vaneyoke/demo.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/check"
+	"github.com/vaneyoke/vaneyoke/client"
+	"github.com/vaneyoke/vaneyoke/fleet"
+	"github.com/vaneyoke/vaneyoke/openai"
+	"github.com/vaneyoke/vaneyoke/standin"
+)
+
+const (
+	demoTokens   = 160
+	demoKillAt   = 0.5 // share of the answer after which its engine is killed
+	demoPrompt   = "Reconcile the night manifest of the Derby depot with the sorting rules."
+	demoTimeout  = 30 * time.Second
+	demoOrder    = `{"order":"carpet-17"}`
+	demoNodes    = 3
+	demoEngines  = 4
+	demoServices = 1
+)
+
+func demoCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "demo",
+		Usage: "stream a generation on embedded stand-ins, kill its engine in the middle, and check the answer",
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			ctx, cancel := context.WithTimeout(ctx, demoTimeout)
+			defer cancel()
+			return runDemo(ctx, cmd.Root().Writer)
+		},
+	}
+}
+
+// demo is one run of the demonstration.
+type demo struct {
+	out     io.Writer
+	fleet   *fleet.Fleet
+	text    strings.Builder
+	last    time.Time
+	longest time.Duration // longest time between two pieces of the answer
+	killed  bool
+}
+
+func runDemo(ctx context.Context, out io.Writer) error {
+	f, err := fleet.Start(ctx, fleet.Config{
+		Nodes: demoNodes, Engines: demoEngines, Services: demoServices,
+		Engine:   standin.DefaultEngineConfig(),
+		Recovery: vaneyoke.RecoverFast,
+		Log:      io.Discard, LogLevel: "info", Trace: "off",
+	})
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	d := &demo{out: out, fleet: f}
+	fmt.Fprintf(out, "%d nodes, %d engines, %d service and the platform run in this process.\n\n", demoNodes, demoEngines, demoServices)
+	if err := d.generate(ctx); err != nil {
+		return err
+	}
+	if err := d.report(); err != nil {
+		return err
+	}
+	return d.callOnce(ctx)
+}
+
+func (d *demo) client(node int) *client.Client {
+	return client.New(http.DefaultClient, d.fleet.Nodes[node].URL(), fleet.CallerKey)
+}
+
+func (d *demo) request() client.Request {
+	content := fmt.Sprintf("%s length=%d", demoPrompt, demoTokens)
+	return client.Request{Model: fleet.Model, Messages: []openai.Message{{Role: "user", Content: content}}}
+}
+
+func (d *demo) generate(ctx context.Context) error {
+	stream, err := d.client(0).Generate(ctx, d.request(), nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = stream.Close() }()
+	for {
+		piece, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return vaneyoke.WrapErr(vaneyoke.CodeCheckViolation, err, "the stream broke off")
+		}
+		d.take(piece)
+	}
+}
+
+// take shows a piece of the answer, and kills the engine in the middle.
+func (d *demo) take(piece client.Piece) {
+	now := time.Now()
+	if !d.last.IsZero() {
+		d.longest = max(d.longest, now.Sub(d.last))
+	}
+	d.last = now
+	d.text.WriteString(piece.Text)
+	fmt.Fprint(d.out, piece.Text)
+	if engine := d.fleet.Engine(); !d.killed && engine != nil && d.text.Len() > demoTokens*demoKillAt*tokenBytes {
+		fmt.Fprint(d.out, " [engine killed] ")
+		engine.Kill(nil)
+		d.killed = true
+	}
+}
+
+// tokenBytes is the length of a stand-in token's text.
+const tokenBytes = 8
+
+func (d *demo) report() error {
+	prompt := check.Tokenize(standin.ChatPrompt(d.request().Messages))
+	report, err := check.Answer(prompt, d.text.String())
+	if err != nil {
+		return vaneyoke.WrapErr(vaneyoke.CodeCheckViolation, err, "the answer breaks a promise")
+	}
+	if len(report.Seams) == 0 {
+		return vaneyoke.Err(vaneyoke.CodeCheckViolation, "the answer shows no seam although its engine was killed")
+	}
+	var decoded, prefilled int64
+	for _, e := range d.fleet.Engines {
+		decoded += e.Stats().Decode
+		prefilled += e.Stats().Prefill
+	}
+	fmt.Fprintf(d.out, "\n\ntokens            %d, each in its place\n", report.Tokens)
+	fmt.Fprintf(d.out, "seam              at token %d\n", report.Seams[0])
+	fmt.Fprintf(d.out, "resume latency    %s between two pieces, engine prefill included\n", d.longest.Round(time.Microsecond))
+	fmt.Fprintf(d.out, "extra decoded     %d tokens\n", decoded-int64(report.Tokens))
+	fmt.Fprintf(d.out, "extra prefilled   %d tokens\n", prefilled-int64(len(prompt)))
+	return nil
+}
+
+// callOnce makes a call that may run at most once through another node.
+func (d *demo) callOnce(ctx context.Context) error {
+	answer, err := d.client(1).Call(ctx, fleet.Service, "reserve", []byte(demoOrder), nil)
+	if err != nil {
+		return codedFailure(err)
+	}
+	fmt.Fprintf(d.out, "service call      %s", answer)
+	for order, runs := range d.fleet.Services[0].Orders() {
+		if runs != 1 {
+			return vaneyoke.Err(vaneyoke.CodeCheckViolation, "order %s ran %d times", order, runs)
+		}
+	}
+	fmt.Fprintln(d.out, "promises checked  none missing, none repeated, none mixed, at most once")
+	return nil
+}
--- /dev/null
+++ b/cmd/vaneyoke/dev.go
@@ -0,0 +1,125 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/urfave/cli/v3"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/fleet"
+	"github.com/vaneyoke/vaneyoke/node"
+	"github.com/vaneyoke/vaneyoke/settings"
+	"github.com/vaneyoke/vaneyoke/standin"
+)
+
+const devGrace = 30 * time.Second
+
+func devCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "dev",
+		Usage: "keep a fleet of nodes and stand-ins up until it is interrupted",
+		Flags: []cli.Flag{
+			&cli.IntFlag{Name: "nodes", Value: 3, Usage: "number of nodes", Validator: atLeast(1)},
+			&cli.IntFlag{Name: "engines", Value: 4, Usage: "number of stand-in engines", Validator: atLeast(1)},
+			&cli.IntFlag{Name: "services", Value: 1, Usage: "number of stand-in services", Validator: atLeast(0)},
+			&cli.IntFlag{Name: "port", Usage: "first port of the nodes, 0 for any", Validator: atLeast(0)},
+			&cli.DurationFlag{Name: "gap", Value: standin.DefaultEngineConfig().Gap, Usage: "time between an engine's tokens"},
+			&cli.StringFlag{Name: "recovery", Value: string(vaneyoke.RecoverFast), Usage: "recovery of the workspace: fast or frugal", Validator: checkRecovery},
+			&cli.StringFlag{Name: "log-level", Value: "info", Usage: "debug, info, warning or error"},
+			&cli.StringFlag{Name: "trace", Value: "off", Usage: "off, stdout or the path of a file"},
+			&cli.BoolFlag{Name: "json", Usage: "print one JSON line once the fleet is ready"},
+		},
+		Action: runDev,
+	}
+}
+
+func atLeast(least int) func(int) error {
+	return func(n int) error {
+		if n < least {
+			return fmt.Errorf("must be at least %d, got %d", least, n)
+		}
+		return nil
+	}
+}
+
+func checkRecovery(text string) error {
+	switch vaneyoke.Recovery(text) {
+	case vaneyoke.RecoverFast, vaneyoke.RecoverFrugal:
+		return nil
+	default:
+		return fmt.Errorf("must be fast or frugal, got %q", text)
+	}
+}
+
+// ready tells programs where the parts of a fleet are.
+type ready struct {
+	Nodes       []string  `json:"nodes"`
+	Admin       []string  `json:"admin"`
+	Engines     []address `json:"engines"`
+	Services    []address `json:"services"`
+	Platform    string    `json:"platform"`
+	CallerKey   string    `json:"caller_key"`
+	OperatorKey string    `json:"operator_key"`
+}
+
+type address struct {
+	Name string `json:"name"`
+	URL  string `json:"url"`
+}
+
+func runDev(ctx context.Context, cmd *cli.Command) error {
+	config := fleet.Config{
+		Nodes:    cmd.Int("nodes"),
+		Engines:  cmd.Int("engines"),
+		Services: cmd.Int("services"),
+		Port:     cmd.Int("port"),
+		Engine:   standin.DefaultEngineConfig(),
+		Recovery: vaneyoke.Recovery(cmd.String("recovery")),
+		Log:      os.Stderr,
+		LogLevel: cmd.String("log-level"),
+		Trace:    cmd.String("trace"),
+		Adjust:   func(s *settings.Settings) { s.Node.Grace = devGrace },
+	}
+	config.Engine.Gap = cmd.Duration("gap")
+	f, err := fleet.Start(ctx, config)
+	if err != nil {
+		return err
+	}
+	if err := announce(cmd, f); err != nil {
+		f.Close()
+		return err
+	}
+	<-ctx.Done()
+	return f.Stop(context.WithoutCancel(ctx))
+}
+
+func announce(cmd *cli.Command, f *fleet.Fleet) error {
+	r := describe(f)
+	out := cmd.Root().Writer
+	if cmd.Bool("json") {
+		return json.NewEncoder(out).Encode(r)
+	}
+	_, err := fmt.Fprintf(out, "nodes     %v\nadmin     %v\nengines   %v\nservices  %v\nplatform  %s\nkey       %s\n",
+		r.Nodes, r.Admin, r.Engines, r.Services, r.Platform, r.CallerKey)
+	return err
+}
+
+func describe(f *fleet.Fleet) ready {
+	r := ready{Platform: f.Platform.URL(), CallerKey: fleet.CallerKey, OperatorKey: fleet.OperatorKey, Services: []address{}}
+	r.Nodes = lo.Map(f.Nodes, func(n *node.Node, _ int) string { return n.URL() })
+	r.Admin = lo.Map(f.Nodes, func(n *node.Node, _ int) string { return n.AdminURL() })
+	for _, u := range f.Upstreams() {
+		entry := address{Name: string(u.ID), URL: u.URL}
+		if u.Kind == vaneyoke.KindEngine {
+			r.Engines = append(r.Engines, entry)
+		} else {
+			r.Services = append(r.Services, entry)
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/cmd/vaneyoke/main.go
@@ -0,0 +1,60 @@
+// Command vaneyoke is the command line of callers and operators; it also holds the demonstration and the stand-ins.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/vaneyoke/vaneyoke"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	err := command().Run(ctx, os.Args)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "vaneyoke:", err)
+		os.Exit(exitStatus(err))
+	}
+}
+
+// exitStatus returns the result code of err; an error of the command line has none of its own.
+func exitStatus(err error) int {
+	code := vaneyoke.CodeOf(err)
+	if code == vaneyoke.CodeInternal {
+		code = vaneyoke.CodeUsage
+	}
+	return int(code)
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:                  "vaneyoke",
+		Usage:                 "call and operate a fleet of vaneyoke nodes",
+		Version:               vaneyoke.Version,
+		EnableShellCompletion: true,
+		Commands: []*cli.Command{
+			demoCommand(),
+			devCommand(),
+			generateCommand(),
+			standinCommand(),
+			versionCommand(),
+		},
+	}
+}
+
+func versionCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "version",
+		Usage: "print the version",
+		Action: func(_ context.Context, cmd *cli.Command) error {
+			_, err := fmt.Fprintln(cmd.Root().Writer, vaneyoke.Version)
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/cmd/vaneyoked/main.go
@@ -0,0 +1,74 @@
+// Command vaneyoked runs one node.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/node"
+	"github.com/vaneyoke/vaneyoke/settings"
+	"github.com/vaneyoke/vaneyoke/telemetry"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	err := command().Run(ctx, os.Args)
+	stop()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "vaneyoked:", err)
+		os.Exit(exitStatus(err))
+	}
+}
+
+// exitStatus returns the result code of err; an error of the command line has none of its own.
+func exitStatus(err error) int {
+	code := vaneyoke.CodeOf(err)
+	if code == vaneyoke.CodeInternal {
+		code = vaneyoke.CodeUsage
+	}
+	return int(code)
+}
+
+func command() *cli.Command {
+	return &cli.Command{
+		Name:                  "vaneyoked",
+		Usage:                 "run one node of vaneyoke",
+		Version:               vaneyoke.Version,
+		EnableShellCompletion: true,
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "INI `FILE` with the node's settings", Required: true},
+			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
+		},
+		Action: run,
+	}
+}
+
+func run(ctx context.Context, cmd *cli.Command) error {
+	s, err := settings.Load(cmd.String("config"))
+	if err != nil {
+		return err
+	}
+	if cmd.Bool("check") {
+		fmt.Fprintln(cmd.Root().Writer, "settings are good")
+		return nil
+	}
+	log, err := telemetry.NewLogger(os.Stderr, s.Log.Level)
+	if err != nil {
+		return vaneyoke.WrapErr(vaneyoke.CodeSettingsValue, err, "[log] level")
+	}
+	n, err := node.Build(s, log)
+	if err != nil {
+		return err
+	}
+	if err := n.Start(ctx); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return n.Stop(context.WithoutCancel(ctx))
+}
--- /dev/null
+++ b/code.go
@@ -0,0 +1,114 @@
+package vaneyoke
+
+import (
+	"net/http"
+	"strconv"
+)
+
+// Code is a numbered result code; it stands in answers, logs, traces and exit statuses, and docs/RESULT-CODES.md lists all of them.
+type Code int
+
+// The result codes.
+const (
+	CodeOK Code = 0
+
+	CodeUsage          Code = 10
+	CodeSettingsFile   Code = 11
+	CodeSettingsKey    Code = 12
+	CodeSettingsValue  Code = 13
+	CodeListen         Code = 14
+	CodeCheckViolation Code = 15
+
+	CodeBadRequest   Code = 20
+	CodeBodyTooLarge Code = 21
+	CodeUnsupported  Code = 22
+	CodeUnknownModel Code = 23
+	CodeNotFound     Code = 24
+	CodeConflict     Code = 25
+
+	CodeNoKey      Code = 40
+	CodeUnknownKey Code = 41
+	CodeForbidden  Code = 42
+
+	CodeStopping       Code = 60
+	CodeNoUpstream     Code = 61
+	CodeWaitExceeded   Code = 62
+	CodeLimited        Code = 63
+	CodeNotFresh       Code = 64
+	CodeRefused        Code = 65
+	CodeRetryExhausted Code = 66
+
+	CodeInterrupted Code = 80
+	CodeMayHaveRun  Code = 81
+	CodeAnswerLost  Code = 82
+	CodeUpstream    Code = 83
+	CodeSuperseded  Code = 84
+	CodeCallerGone  Code = 85
+
+	CodeStoreDown    Code = 100
+	CodeStoreRace    Code = 101
+	CodeStoreUnknown Code = 102
+
+	CodeInternal Code = 200
+)
+
+// CodeInfo describes a result code.
+type CodeInfo struct {
+	Code   Code
+	Name   string
+	Status int    // HTTP status; 0 where the code never reaches HTTP
+	NotRun bool   // whether the code promises that nothing was run
+	Text   string // what happened, in one sentence
+}
+
+var codeTable = []CodeInfo{
+	{CodeOK, "ok", http.StatusOK, false, "The request was carried out."},
+	{CodeUsage, "usage", 0, true, "The command line is wrong."},
+	{CodeSettingsFile, "settings_file", 0, true, "The settings file cannot be read."},
+	{CodeSettingsKey, "settings_key", 0, true, "The settings hold an unknown key, or lack a needed one."},
+	{CodeSettingsValue, "settings_value", 0, true, "A setting has a value that is out of its range."},
+	{CodeListen, "listen", 0, true, "A listening address cannot be opened."},
+	{CodeCheckViolation, "check_violation", 0, false, "A check of the promises found a violation."},
+	{CodeBadRequest, "bad_request", http.StatusBadRequest, true, "The body or a field of it is wrong."},
+	{CodeBodyTooLarge, "body_too_large", http.StatusRequestEntityTooLarge, true, "The body is over the limit."},
+	{CodeUnsupported, "unsupported", http.StatusBadRequest, true, "The request asks for something that the node does not offer."},
+	{CodeUnknownModel, "unknown_model", http.StatusNotFound, true, "No upstream offers the model or service."},
+	{CodeNotFound, "not_found", http.StatusNotFound, true, "The path or the named thing does not exist."},
+	{CodeConflict, "conflict", http.StatusConflict, true, "The request contradicts an earlier one."},
+	{CodeNoKey, "no_key", http.StatusUnauthorized, true, "The request carries no bearer key."},
+	{CodeUnknownKey, "unknown_key", http.StatusUnauthorized, true, "The bearer key is unknown or revoked."},
+	{CodeForbidden, "forbidden", http.StatusForbidden, true, "The key's role does not allow the request."},
+	{CodeStopping, "stopping", http.StatusServiceUnavailable, true, "The node is stopping and takes no new request."},
+	{CodeNoUpstream, "no_upstream", http.StatusServiceUnavailable, true, "No upstream can take the request now."},
+	{CodeWaitExceeded, "wait_exceeded", http.StatusServiceUnavailable, true, "The request could not start within its wait."},
+	{CodeLimited, "limited", http.StatusTooManyRequests, true, "The workspace is over its limit."},
+	{CodeNotFresh, "not_fresh", http.StatusServiceUnavailable, true, "The node does not know the fleet's configuration well enough to take new work."},
+	{CodeRefused, "refused", http.StatusBadRequest, true, "The upstream refused the request as wrong."},
+	{CodeRetryExhausted, "retry_exhausted", http.StatusServiceUnavailable, true, "The retry budget is spent and nothing has been run."},
+	{CodeInterrupted, "interrupted", http.StatusBadGateway, false, "The answer broke off and could not be continued."},
+	{CodeMayHaveRun, "may_have_run", http.StatusBadGateway, false, "The request was sent to an upstream and its outcome is unknown."},
+	{CodeAnswerLost, "answer_lost", http.StatusGone, false, "The answer was given before and is no longer held."},
+	{CodeUpstream, "upstream", http.StatusBadGateway, false, "The upstream failed while it ran the request."},
+	{CodeSuperseded, "superseded", http.StatusConflict, false, "Another node has taken the request over."},
+	{CodeCallerGone, "caller_gone", 499, false, "The caller closed the connection."},
+	{CodeStoreDown, "store_down", http.StatusServiceUnavailable, true, "The platform's store cannot be reached."},
+	{CodeStoreRace, "store_race", http.StatusConflict, true, "Another writer changed the row first."},
+	{CodeStoreUnknown, "store_unknown", http.StatusBadGateway, false, "The store's reply was lost, so the write may have taken effect."},
+	{CodeInternal, "internal", http.StatusInternalServerError, false, "The node found a fault in itself."},
+}
+
+// Codes returns every result code in rising order.
+func Codes() []CodeInfo { return codeTable }
+
+// Info returns the description of c, or that of CodeInternal for a number that is not in the table.
+func (c Code) Info() CodeInfo {
+	for _, info := range codeTable {
+		if info.Code == c {
+			return info
+		}
+	}
+	return CodeInternal.Info()
+}
+
+// String returns the code's number and name.
+func (c Code) String() string { return strconv.Itoa(int(c)) + " " + c.Info().Name }
--- /dev/null
+++ b/engine/client.go
@@ -0,0 +1,138 @@
+package engine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/openai"
+)
+
+const (
+	// HeaderRequestID names the run, so that its stream can be resumed or cancelled.
+	HeaderRequestID = "X-Request-Id"
+	// HeaderLastEventID says which tokens of a resumed stream are held already.
+	HeaderLastEventID = "Last-Event-ID"
+
+	pathStreams      = "/v1/streams/"
+	maxAnswerBytes   = 32 << 20
+	maxRefusalBytes  = 64 << 10
+	mediaTypeJSON    = "application/json"
+	headerMediaType  = "Content-Type"
+	headerTraceState = "traceparent"
+)
+
+// Client sends runs to engines and calls to services.
+type Client struct {
+	http *http.Client
+}
+
+// New returns a client that uses the given HTTP client, which must not retry or time out streams.
+func New(client *http.Client) *Client { return &Client{http: client} }
+
+// StreamID names a run on an engine.
+func StreamID(id vaneyoke.RequestID, attempt vaneyoke.Attempt) string {
+	return string(id) + "." + strconv.Itoa(int(attempt))
+}
+
+// Start sends an attempt and returns its stream, whose first token has the index from.
+func (c *Client) Start(ctx context.Context, url, stream string, run openai.Run, from vaneyoke.Tokens) (*Stream, error) {
+	body, err := json.Marshal(run.Fields)
+	if err != nil {
+		return nil, &RefusedError{Status: http.StatusBadRequest, Body: []byte(err.Error())}
+	}
+	header := http.Header{HeaderRequestID: {stream}, headerMediaType: {mediaTypeJSON}}
+	res, err := c.send(ctx, http.MethodPost, url+run.Path, header, body)
+	if err != nil {
+		return nil, err
+	}
+	if res.StatusCode != http.StatusOK {
+		return nil, readFailure(res)
+	}
+	return newStream(res.Body, from, from), nil
+}
+
+// Resume attaches to a run's stream; base is the answer's index of the run's first token, from that of the first token to be sent.
+func (c *Client) Resume(ctx context.Context, url, stream string, base, from vaneyoke.Tokens) (*Stream, error) {
+	header := http.Header{HeaderLastEventID: {strconv.Itoa(int(from - base))}}
+	res, err := c.send(ctx, http.MethodGet, url+pathStreams+stream, header, nil)
+	if err != nil {
+		return nil, err
+	}
+	switch res.StatusCode {
+	case http.StatusOK:
+		return newStream(res.Body, base, from), nil
+	case http.StatusNotFound, http.StatusGone:
+		_ = res.Body.Close()
+		return nil, &NoStreamError{}
+	default:
+		return nil, readFailure(res)
+	}
+}
+
+// Cancel asks an engine to stop a run; an engine that does not know the run is not an error.
+func (c *Client) Cancel(ctx context.Context, url, stream string) error {
+	res, err := c.send(ctx, http.MethodDelete, url+pathStreams+stream, http.Header{}, nil)
+	if err != nil {
+		return err
+	}
+	return res.Body.Close()
+}
+
+// Answer is a whole answer to a call.
+type Answer struct {
+	Status    int
+	MediaType string
+	Body      []byte
+}
+
+// Call sends a body and returns the whole answer, whatever its status.
+func (c *Client) Call(ctx context.Context, url, id string, body []byte) (Answer, error) {
+	header := http.Header{HeaderRequestID: {id}, headerMediaType: {mediaTypeJSON}}
+	res, err := c.send(ctx, http.MethodPost, url, header, body)
+	if err != nil {
+		return Answer{}, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	answer, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
+	if err != nil {
+		return Answer{}, &ClosedError{Err: err}
+	}
+	if len(answer) > maxAnswerBytes {
+		return Answer{}, &MalformedError{Reason: "answer is too large"}
+	}
+	return Answer{Status: res.StatusCode, MediaType: res.Header.Get(headerMediaType), Body: answer}, nil
+}
+
+func (c *Client) send(ctx context.Context, method, url string, header http.Header, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, &NotSentError{Reason: err.Error()}
+	}
+	req.GetBody = nil // keeps the transport from sending the request a second time
+	header[headerTraceState] = traceParent(ctx)
+	req.Header = header
+	res, err := c.http.Do(req)
+	if err != nil {
+		return nil, sendFailure(err)
+	}
+	return res, nil
+}
+
+// Generated tells an engine's whole answer from a failure that its status stands for.
+func (a Answer) Generated() error {
+	if a.Status == http.StatusOK {
+		return nil
+	}
+	return statusFailure(a.Status, a.Body)
+}
+
+func readFailure(res *http.Response) error {
+	defer func() { _ = res.Body.Close() }()
+	body, _ := io.ReadAll(io.LimitReader(res.Body, maxRefusalBytes))
+	return statusFailure(res.StatusCode, body)
+}
--- /dev/null
+++ b/engine/doc.go
@@ -0,0 +1,2 @@
+// Package engine speaks to model engines: it starts, resumes and cancels runs and reads their streams.
+package engine
--- /dev/null
+++ b/engine/failure.go
@@ -0,0 +1,64 @@
+package engine
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+)
+
+// NotSentError says that the engine did not run the request.
+type NotSentError struct{ Reason string }
+
+// RefusedError says that the engine refused the request as wrong.
+type RefusedError struct {
+	Status int
+	Body   []byte
+}
+
+// NoStreamError says that the engine holds no such stream.
+type NoStreamError struct{}
+
+// MalformedError says that the engine's answer broke the protocol.
+type MalformedError struct{ Reason string }
+
+// ClosedError says that the connection ended before the answer did.
+type ClosedError struct{ Err error }
+
+// Error returns the reason.
+func (e *NotSentError) Error() string { return "engine did not run the request: " + e.Reason }
+
+// Error returns the engine's status.
+func (e *RefusedError) Error() string { return fmt.Sprintf("engine refused with status %d", e.Status) }
+
+// Error says that the stream is unknown.
+func (e *NoStreamError) Error() string { return "engine holds no such stream" }
+
+// Error returns the reason.
+func (e *MalformedError) Error() string { return "engine broke its protocol: " + e.Reason }
+
+// Error returns the cause.
+func (e *ClosedError) Error() string { return "engine closed the stream: " + e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *ClosedError) Unwrap() error { return e.Err }
+
+// sendFailure tells a request that cannot have reached the engine from one that may have.
+func sendFailure(err error) error {
+	if op, ok := errors.AsType[*net.OpError](err); ok && op.Op == "dial" {
+		return &NotSentError{Reason: op.Err.Error()}
+	}
+	return &ClosedError{Err: err}
+}
+
+// statusFailure reads an engine's status other than 200.
+func statusFailure(status int, body []byte) error {
+	switch {
+	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
+		return &NotSentError{Reason: http.StatusText(status)}
+	case status >= http.StatusInternalServerError:
+		return &ClosedError{Err: fmt.Errorf("status %d", status)}
+	default:
+		return &RefusedError{Status: status, Body: body}
+	}
+}
--- /dev/null
+++ b/engine/stream.go
@@ -0,0 +1,210 @@
+package engine
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"strconv"
+
+	"github.com/valyala/fastjson"
+
+	"github.com/vaneyoke/vaneyoke"
+)
+
+const (
+	readBufferBytes = 8 << 10
+	maxEventBytes   = 1 << 20
+)
+
+var (
+	fieldData  = []byte("data:")
+	fieldID    = []byte("id:")
+	endOfData  = []byte("[DONE]")
+	errNoEnd   = errors.New("stream ended without a finish reason")
+	errTooLong = &MalformedError{Reason: "event is too long"}
+)
+
+// Stream reads the server-sent events of one run.
+type Stream struct {
+	body   io.ReadCloser
+	reader *bufio.Reader
+	parser fastjson.Parser
+	base   vaneyoke.Tokens // index within the answer of the run's first token
+	next   vaneyoke.Tokens // index within the answer of the next token
+	line   []byte          // a line that is longer than the reader's buffer
+	lastID []byte
+	tokens Tokens
+	ids    []vaneyoke.TokenID
+	text   []byte
+	queue  []Message // messages of an event that says several things
+	head   int       // the first of them that was not returned
+	ended  bool
+}
+
+func newStream(body io.ReadCloser, base, next vaneyoke.Tokens) *Stream {
+	return &Stream{body: body, reader: bufio.NewReaderSize(body, readBufferBytes), base: base, next: next}
+}
+
+// Close ends the connection.
+func (s *Stream) Close() error { return s.body.Close() }
+
+// Next returns the next message, or io.EOF after End.
+func (s *Stream) Next() (Message, error) {
+	for {
+		if s.head < len(s.queue) {
+			s.head++
+			return s.queue[s.head-1], nil
+		}
+		if s.ended {
+			return nil, io.EOF
+		}
+		data, err := s.event()
+		if err != nil {
+			return nil, err
+		}
+		if err := s.read(data); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// event returns the data of the next event.
+func (s *Stream) event() ([]byte, error) {
+	s.lastID = s.lastID[:0]
+	for {
+		line, err := s.readLine()
+		if err != nil {
+			return nil, err
+		}
+		if value, ok := bytes.CutPrefix(line, fieldID); ok {
+			s.lastID = append(s.lastID, bytes.TrimSpace(value)...)
+		}
+		value, ok := bytes.CutPrefix(line, fieldData)
+		if !ok {
+			continue
+		}
+		value = bytes.TrimSpace(value)
+		if bytes.Equal(value, endOfData) {
+			return nil, &ClosedError{Err: errNoEnd}
+		}
+		return value, nil
+	}
+}
+
+// readLine returns the next line, which is valid until the next call.
+func (s *Stream) readLine() ([]byte, error) {
+	s.line = s.line[:0]
+	for {
+		part, err := s.reader.ReadSlice('\n')
+		if err == nil && len(s.line) == 0 {
+			return part, nil
+		}
+		s.line = append(s.line, part...)
+		if err == nil {
+			return s.line, nil
+		}
+		if !errors.Is(err, bufio.ErrBufferFull) {
+			return nil, &ClosedError{Err: err}
+		}
+		if len(s.line) > maxEventBytes {
+			return nil, errTooLong
+		}
+	}
+}
+
+// read turns an event's data into messages.
+func (s *Stream) read(data []byte) error {
+	value, err := s.parser.ParseBytes(data)
+	if err != nil {
+		return &MalformedError{Reason: "event is not JSON"}
+	}
+	if value.Exists("error") {
+		return &ClosedError{Err: errors.New("engine reported an error in mid-stream")}
+	}
+	s.queue = s.queue[:0]
+	s.head = 0
+	choice := value.Get("choices", "0")
+	if err := s.readPrompt(value, choice); err != nil {
+		return err
+	}
+	if choice == nil {
+		return nil
+	}
+	if err := s.readTokens(choice); err != nil {
+		return err
+	}
+	if reason := choice.GetStringBytes("finish_reason"); len(reason) > 0 {
+		s.ended = true
+		s.queue = append(s.queue, End{Reason: vaneyoke.FinishReason(reason)})
+	}
+	return nil
+}
+
+// readPrompt looks for the prompt's ids where either endpoint puts them.
+func (s *Stream) readPrompt(value, choice *fastjson.Value) error {
+	list := value.GetArray("prompt_token_ids")
+	if list == nil && choice != nil {
+		list = choice.GetArray("prompt_token_ids")
+	}
+	if list == nil {
+		return nil
+	}
+	ids, err := appendIDs(make([]vaneyoke.TokenID, 0, len(list)), list)
+	if err != nil {
+		return err
+	}
+	s.queue = append(s.queue, Prompt{IDs: ids})
+	return nil
+}
+
+func (s *Stream) readTokens(choice *fastjson.Value) error {
+	list := choice.GetArray("token_ids")
+	text := choice.GetStringBytes("text")
+	if text == nil {
+		text = choice.GetStringBytes("delta", "content")
+	}
+	if len(list) == 0 {
+		if len(text) > 0 {
+			return &MalformedError{Reason: "text without token ids"}
+		}
+		return nil
+	}
+	ids, err := appendIDs(s.ids[:0], list)
+	if err != nil {
+		return err
+	}
+	s.ids = ids
+	s.text = append(s.text[:0], text...)
+	first, err := s.first(vaneyoke.Tokens(len(ids)))
+	if err != nil {
+		return err
+	}
+	s.tokens.Batch = vaneyoke.Batch{First: first, IDs: s.ids, Text: s.text}
+	s.next = s.tokens.Batch.End()
+	s.queue = append(s.queue, &s.tokens)
+	return nil
+}
+
+// first returns the index of the event's first token: the event id counts the run's tokens up to its end, and without one the tokens are counted here.
+func (s *Stream) first(count vaneyoke.Tokens) (vaneyoke.Tokens, error) {
+	if len(s.lastID) == 0 {
+		return s.next, nil
+	}
+	end, err := strconv.Atoi(string(s.lastID))
+	if err != nil {
+		return 0, &MalformedError{Reason: "event id is not a number"}
+	}
+	return s.base + vaneyoke.Tokens(end) - count, nil
+}
+
+func appendIDs(ids []vaneyoke.TokenID, list []*fastjson.Value) ([]vaneyoke.TokenID, error) {
+	for _, v := range list {
+		id, err := v.Int()
+		if err != nil {
+			return nil, &MalformedError{Reason: "token id is not a number"}
+		}
+		ids = append(ids, vaneyoke.TokenID(id))
+	}
+	return ids, nil
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,238 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/catalog"
+	"github.com/vaneyoke/vaneyoke/node"
+	"github.com/vaneyoke/vaneyoke/settings"
+	"github.com/vaneyoke/vaneyoke/standin"
+	"github.com/vaneyoke/vaneyoke/telemetry"
+)
+
+// Names of what a fleet starts with.
+const (
+	Model       vaneyoke.ModelID   = "reconcile-1"
+	Service     vaneyoke.ServiceID = "stock"
+	CallerKey                      = "caller-key"
+	OperatorKey                    = "operator-key"
+	loopback                       = "127.0.0.1"
+)
+
+var halls = []vaneyoke.HallID{"hall-a", "hall-b", "hall-c"}
+
+// Config says how large a fleet is.
+type Config struct {
+	Nodes    int
+	Engines  int
+	Services int
+	Port     int // first port of the nodes; 0 for any
+	Engine   standin.EngineConfig
+	Recovery vaneyoke.Recovery
+	Log      io.Writer
+	LogLevel string
+	Trace    string // output of the nodes' traces
+	Adjust   func(*settings.Settings)
+}
+
+// Fleet is a running set of nodes and stand-ins.
+type Fleet struct {
+	Platform *standin.Platform
+	Engines  []*standin.Engine
+	Services []*standin.Service
+	Nodes    []*node.Node
+	config   Config
+	log      *logrus.Logger
+}
+
+// Start brings up a fleet whose nodes are ready.
+func Start(ctx context.Context, config Config) (*Fleet, error) {
+	log, err := telemetry.NewLogger(config.Log, config.LogLevel)
+	if err != nil {
+		return nil, vaneyoke.WrapErr(vaneyoke.CodeUsage, err, "log level")
+	}
+	f := &Fleet{config: config, log: log}
+	if err := f.start(ctx); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) start(ctx context.Context) error {
+	if err := f.startStandins(); err != nil {
+		return err
+	}
+	if err := f.configure(ctx); err != nil {
+		return err
+	}
+	for i := range f.config.Nodes {
+		if err := f.StartNode(ctx, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startStandins() error {
+	address := net.JoinHostPort(loopback, "0")
+	var err error
+	if f.Platform, err = standin.NewPlatform(address); err != nil {
+		return err
+	}
+	for range f.config.Engines {
+		e, err := standin.NewEngine(address, f.config.Engine)
+		if err != nil {
+			return err
+		}
+		f.Engines = append(f.Engines, e)
+	}
+	for range f.config.Services {
+		s, err := standin.NewService(address)
+		if err != nil {
+			return err
+		}
+		f.Services = append(f.Services, s)
+	}
+	return nil
+}
+
+// configure registers the upstreams and the workspace.
+func (f *Fleet) configure(ctx context.Context) error {
+	var changes []catalog.Change
+	for _, u := range f.Upstreams() {
+		changes = append(changes, catalog.Change{Partition: catalog.PartitionUpstreams, ID: string(u.ID), Value: u})
+	}
+	workspace := vaneyoke.Workspace{
+		ID:       "souk",
+		Recovery: f.config.Recovery,
+		Keys: []vaneyoke.Key{
+			{Hash: catalog.HashKey(CallerKey), Role: vaneyoke.RoleCaller},
+			{Hash: catalog.HashKey(OperatorKey), Role: vaneyoke.RoleOperator},
+		},
+	}
+	changes = append(changes, catalog.Change{Partition: catalog.PartitionWorkspaces, ID: string(workspace.ID), Value: workspace})
+	_, err := catalog.Apply(ctx, f.Platform.Memory, changes...)
+	return err
+}
+
+// Upstreams returns the fleet's upstreams.
+func (f *Fleet) Upstreams() []vaneyoke.Upstream {
+	var list []vaneyoke.Upstream
+	for i, e := range f.Engines {
+		list = append(list, vaneyoke.Upstream{
+			ID:     vaneyoke.UpstreamID(fmt.Sprintf("engine-%d", i)),
+			Kind:   vaneyoke.KindEngine,
+			URL:    e.URL(),
+			Hall:   halls[i%len(halls)],
+			State:  vaneyoke.StateLive,
+			Models: []vaneyoke.ModelID{Model},
+			Slots:  f.config.Engine.Slots,
+		})
+	}
+	for i, s := range f.Services {
+		list = append(list, vaneyoke.Upstream{
+			ID:      vaneyoke.UpstreamID(fmt.Sprintf("service-%d", i)),
+			Kind:    vaneyoke.KindService,
+			URL:     s.URL(),
+			Hall:    halls[i%len(halls)],
+			State:   vaneyoke.StateLive,
+			Service: Service,
+		})
+	}
+	return list
+}
+
+// Settings returns the settings of node i.
+func (f *Fleet) Settings(i int) (settings.Settings, error) {
+	text := fmt.Sprintf(`
+[node]
+vm = vm-%d
+hall = %s
+listen = %s
+admin = %s
+[platform]
+table_url = %s
+object_url = %s
+vms_url = %s
+`, i, halls[i%len(halls)], f.address(2*i), f.address(2*i+1), f.Platform.URL(), f.Platform.ObjectURL(), f.Platform.VMsURL())
+	s, err := settings.Parse([]byte(text), "fleet")
+	s.Trace.Output = f.config.Trace
+	if f.config.Adjust != nil {
+		f.config.Adjust(&s)
+	}
+	return s, err
+}
+
+func (f *Fleet) address(offset int) string {
+	if f.config.Port == 0 {
+		return net.JoinHostPort(loopback, "0")
+	}
+	return net.JoinHostPort(loopback, strconv.Itoa(f.config.Port+offset))
+}
+
+// StartNode starts node i, or starts it anew after its death.
+func (f *Fleet) StartNode(ctx context.Context, i int) error {
+	s, err := f.Settings(i)
+	if err != nil {
+		return err
+	}
+	n, err := node.Build(s, f.log)
+	if err != nil {
+		return err
+	}
+	if err := n.Start(ctx); err != nil {
+		return err
+	}
+	if i < len(f.Nodes) {
+		f.Nodes[i] = n
+		return nil
+	}
+	f.Nodes = append(f.Nodes, n)
+	return nil
+}
+
+// Engine returns the engine that runs something, or nil.
+func (f *Fleet) Engine() *standin.Engine {
+	for _, e := range f.Engines {
+		if e.Stats().Open > 0 {
+			return e
+		}
+	}
+	return nil
+}
+
+// Stop stops the nodes in a planned way, and then closes the stand-ins.
+func (f *Fleet) Stop(ctx context.Context) error {
+	var errs []error
+	for _, n := range f.Nodes {
+		errs = append(errs, n.Stop(ctx))
+	}
+	f.Nodes = nil
+	f.Close()
+	return errors.Join(errs...)
+}
+
+// Close ends everything at once.
+func (f *Fleet) Close() {
+	for _, n := range f.Nodes {
+		n.Kill()
+	}
+	for _, e := range f.Engines {
+		_ = e.Close()
+	}
+	for _, s := range f.Services {
+		_ = s.Close()
+	}
+	if f.Platform != nil {
+		_ = f.Platform.Close()
+	}
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,93 @@
+package fleet_test
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/check"
+	"github.com/vaneyoke/vaneyoke/client"
+	"github.com/vaneyoke/vaneyoke/fleet"
+	"github.com/vaneyoke/vaneyoke/openai"
+	"github.com/vaneyoke/vaneyoke/standin"
+)
+
+func start(t *testing.T, adjust func(*fleet.Config)) *fleet.Fleet {
+	t.Helper()
+	config := fleet.Config{
+		Nodes: 2, Engines: 3, Services: 1,
+		Engine:   standin.DefaultEngineConfig(),
+		Recovery: vaneyoke.RecoverFast,
+		Log:      t.Output(), LogLevel: "warning", Trace: "off",
+	}
+	if adjust != nil {
+		adjust(&config)
+	}
+	f, err := fleet.Start(t.Context(), config)
+	must.NoError(t, err)
+	t.Cleanup(f.Close)
+	return f
+}
+
+func prompt(text string) (client.Request, []vaneyoke.TokenID) {
+	messages := []openai.Message{{Role: "user", Content: text}}
+	return client.Request{Model: fleet.Model, Messages: messages}, check.Tokenize(standin.ChatPrompt(messages))
+}
+
+// read reads an answer to its end and calls at with the number of pieces read so far.
+func read(t *testing.T, s *client.Stream, at func(int)) (string, vaneyoke.FinishReason) {
+	t.Helper()
+	var text strings.Builder
+	var reason vaneyoke.FinishReason
+	for n := 1; ; n++ {
+		piece, err := s.Next()
+		if errors.Is(err, io.EOF) {
+			return text.String(), reason
+		}
+		must.NoError(t, err)
+		text.WriteString(piece.Text)
+		reason = piece.Reason
+		if at != nil {
+			at(n)
+		}
+	}
+}
+
+func TestAnswerGoesOnAfterAnEngineFault(t *testing.T) {
+	const tokens = 120
+	faults := map[string]struct {
+		fault func(*standin.Engine)
+		seams int
+	}{
+		"none":      {func(*standin.Engine) {}, 0},
+		"kill":      {func(e *standin.Engine) { e.Kill(nil) }, 1},
+		"cut links": {func(e *standin.Engine) { e.CutLinks() }, 0},
+		"pause":     {func(e *standin.Engine) { e.Pause(); time.AfterFunc(time.Second, e.Continue) }, 1},
+		"malformed": {func(e *standin.Engine) { e.Spoil(1) }, 1},
+		"error":     {func(e *standin.Engine) { e.FailEvents(1) }, 0},
+	}
+	for name, tc := range faults {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, nil)
+			req, ids := prompt("reconcile the manifest of depot seven length=120")
+			s, err := client.New(http.DefaultClient, f.Nodes[0].URL(), fleet.CallerKey).Generate(t.Context(), req, nil)
+			must.NoError(t, err)
+			text, reason := read(t, s, func(n int) {
+				if n == 30 {
+					tc.fault(f.Engine())
+				}
+			})
+			report, err := check.Answer(ids, text)
+			must.NoError(t, err)
+			must.Between(t, tokens, report.Tokens, tokens+1)
+			must.EqOp(t, vaneyoke.FinishStop, reason)
+			must.SliceLen(t, tc.seams, report.Seams)
+		})
+	}
+}
--- /dev/null
+++ b/generation/config.go
@@ -0,0 +1,52 @@
+package generation
+
+import (
+	"time"
+
+	"github.com/vaneyoke/vaneyoke"
+)
+
+// Config holds what a generation is decided by; it does not change while the generation runs.
+type Config struct {
+	MaxTokens  vaneyoke.Tokens // 0 where the answer has no limit of its own
+	Stop       Stop
+	Repeatable bool              // false where no second run may be started
+	Recovery   vaneyoke.Recovery // how a silent attempt is weighed
+	MaxWait    time.Duration     // longest time without progress before the generation is given up
+	MaxLosses  int               // losses in a row without a token between them before it is given up
+	Silence    Silence           // when silence is taken for a loss
+	Backoff    Backoff           // pause before the second and later losses in a row are mended
+}
+
+// Silence holds the bounds of the silence judgement.
+type Silence struct {
+	FirstToken time.Duration // silence before an attempt's first token that makes it suspect
+	Floor      time.Duration // shortest silence between tokens that makes an attempt suspect
+	Ceiling    time.Duration // longest silence between tokens that does not
+	Deviations float64       // mean deviations over the mean gap that make an attempt suspect
+	Patience   float64       // how many times the suspect silence a frugal attempt is waited for
+}
+
+// Backoff holds the bounds of the pause between tries.
+type Backoff struct {
+	Base time.Duration
+	Cap  time.Duration
+}
+
+// DefaultConfig returns the settings that the nodes start from.
+func DefaultConfig() Config {
+	return Config{
+		Repeatable: true,
+		Recovery:   vaneyoke.RecoverFast,
+		MaxWait:    30 * time.Second,
+		MaxLosses:  8,
+		Silence: Silence{
+			FirstToken: 3 * time.Second,
+			Floor:      300 * time.Millisecond,
+			Ceiling:    2 * time.Second,
+			Deviations: 8,
+			Patience:   4,
+		},
+		Backoff: Backoff{Base: 25 * time.Millisecond, Cap: time.Second},
+	}
+}
--- /dev/null
+++ b/generation/event.go
@@ -0,0 +1,104 @@
+package generation
+
+import (
+	"time"
+
+	"github.com/vaneyoke/vaneyoke"
+)
+
+// Event is something that happened to a generation.
+type Event interface{ event() }
+
+// Admitted says that the request may start; it is the first event.
+type Admitted struct{}
+
+// Placed names the upstream that was chosen for an attempt.
+type Placed struct {
+	Attempt  vaneyoke.Attempt
+	Upstream vaneyoke.UpstreamID
+	Expect   time.Duration // expected time to the first token; 0 where unknown
+}
+
+// NotPlaced says that no upstream can take an attempt now.
+type NotPlaced struct {
+	Attempt    vaneyoke.Attempt
+	Code       vaneyoke.Code
+	RetryAfter time.Duration // 0 where the placement gives no time
+}
+
+// PromptRead gives the prompt's token ids as an attempt's engine read them.
+type PromptRead struct {
+	Attempt vaneyoke.Attempt
+	IDs     []vaneyoke.TokenID
+}
+
+// Received is a batch of tokens from an attempt's stream.
+type Received struct {
+	Attempt vaneyoke.Attempt
+	Batch   vaneyoke.Batch
+}
+
+// Ended says that an attempt's stream came to its own end.
+type Ended struct {
+	Attempt vaneyoke.Attempt
+	Reason  vaneyoke.FinishReason
+}
+
+// Lost says that an attempt's stream broke off.
+type Lost struct {
+	Attempt vaneyoke.Attempt
+	Cause   Cause
+}
+
+// Rejected says that an engine refused the request as wrong, which no other engine would mend.
+type Rejected struct {
+	Attempt vaneyoke.Attempt
+	Detail  string
+}
+
+// CallerGone says that nobody waits for the answer any more.
+type CallerGone struct{}
+
+// Tick says that the time returned by Deadline has come.
+type Tick struct{}
+
+func (Admitted) event()   {}
+func (Placed) event()     {}
+func (NotPlaced) event()  {}
+func (PromptRead) event() {}
+func (*Received) event()  {}
+func (Ended) event()      {}
+func (Lost) event()       {}
+func (Rejected) event()   {}
+func (CallerGone) event() {}
+func (Tick) event()       {}
+
+// Cause says how an attempt was lost.
+type Cause int
+
+// The causes of a loss.
+const (
+	CauseNotSent   Cause = iota + 1 // the engine never got the request, or said that it did not run it
+	CauseClosed                     // the stream closed before its end
+	CauseMalformed                  // the stream broke its protocol
+	CauseNoStream                   // the engine knows no such stream to resume
+	CauseSilent                     // the stream fell silent
+)
+
+// String returns the cause as it stands in logs.
+func (c Cause) String() string {
+	switch c {
+	case CauseNotSent:
+		return "not_sent"
+	case CauseClosed:
+		return "closed"
+	case CauseMalformed:
+		return "malformed"
+	case CauseNoStream:
+		return "no_stream"
+	case CauseSilent:
+		return "silent"
+	default:
+		return "unknown"
+	}
+}
--- /dev/null
+++ b/generation/recover.go
@@ -0,0 +1,233 @@
+package generation
+
+import (
+	"slices"
+	"time"
+
+	"github.com/vaneyoke/vaneyoke"
+)
+
+const (
+	jitterShare  = 0.5 // share of a pause that is random
+	expectFactor = 3   // times the expected time to the first token that a run may be silent
+)
+
+// place asks for an upstream for a new attempt.
+func (s *State) place(now time.Time, after time.Duration, retry bool) {
+	s.attempt++
+	s.runs = append(s.runs, run{attempt: s.attempt, stream: s.attempt, stage: stagePlacing, placedAt: now})
+	s.do(Place{Attempt: s.attempt, Avoid: slices.Clone(s.avoid), After: after, Retry: retry})
+}
+
+func (s *State) placed(now time.Time, ev Placed) {
+	r := s.find(ev.Attempt)
+	if r == nil || r.stage != stagePlacing {
+		return
+	}
+	r.stage = stageStarted
+	r.upstream = ev.Upstream
+	r.placedAt = now
+	r.expect = ev.Expect
+	s.sent++
+	s.stats.Attempts++
+	start := Start{Attempt: r.attempt, Upstream: r.upstream, From: s.answer.Len()}
+	if s.answer.Len() > 0 {
+		start.Prefix = s.answer.Prefix()
+		s.stats.Reprefills += vaneyoke.Tokens(len(start.Prefix))
+	}
+	s.do(start)
+}
+
+// notPlaced tries again later, or gives up where the caller's wait is over.
+func (s *State) notPlaced(now time.Time, ev NotPlaced) {
+	if s.find(ev.Attempt) == nil {
+		return
+	}
+	s.remove(ev.Attempt)
+	s.lastCode = ev.Code
+	s.retryHint = ev.RetryAfter
+	if len(s.runs) > 0 {
+		return
+	}
+	if ev.Code == vaneyoke.CodeUnknownModel && s.answer.Len() == 0 {
+		s.fail(s.giveUp())
+		return
+	}
+	s.losses++
+	s.placeAgain(now)
+}
+
+// lost mends the loss of a live attempt.
+func (s *State) lost(now time.Time, ev Lost) {
+	if r := s.find(ev.Attempt); r != nil {
+		s.lose(now, r, ev.Cause)
+	}
+}
+
+// lose fences a run and chooses the way on: its own stream where that may still run, another engine otherwise.
+func (s *State) lose(now time.Time, r *run, cause Cause) {
+	old := *r
+	resumable := s.canResume(&old, cause)
+	s.cancel(r, !resumable && (cause != CauseNotSent || old.resumed), cause)
+	s.remove(old.attempt)
+	s.countLoss(&old, cause)
+	if s.complete() {
+		s.finish(vaneyoke.FinishLength)
+		return
+	}
+	if resumable {
+		s.resume(now, &old)
+		return
+	}
+	s.avoid = append(s.avoid, old.upstream)
+	if !s.cfg.Repeatable && (cause != CauseNotSent || old.resumed) {
+		s.fail(Fail{Code: vaneyoke.CodeMayHaveRun, Detail: cause.String()})
+		return
+	}
+	if len(s.runs) > 0 {
+		return
+	}
+	s.losses++
+	s.placeAgain(now)
+}
+
+func (s *State) countLoss(old *run, cause Cause) {
+	if cause != CauseNotSent {
+		s.stats.Losses++
+		return
+	}
+	if !old.resumed {
+		s.sent--
+	}
+}
+
+// canResume reports whether the run's engine may still hold its stream.
+func (s *State) canResume(r *run, cause Cause) bool {
+	return cause == CauseClosed && r.stage == stageStreaming
+}
+
+// resume attaches a new attempt to the old one's stream; held back tokens are asked for again.
+func (s *State) resume(now time.Time, old *run) {
+	s.attempt++
+	s.stats.Attempts++
+	s.runs = append(s.runs, run{
+		attempt:  s.attempt,
+		stream:   old.stream,
+		upstream: old.upstream,
+		stage:    stageStarted,
+		resumed:  true,
+		placedAt: now,
+	})
+	s.do(Resume{Attempt: s.attempt, Upstream: old.upstream, Stream: old.stream, From: s.answer.Len()})
+}
+
+// placeAgain starts another attempt after a pause, or gives up.
+func (s *State) placeAgain(now time.Time) {
+	if s.answer.Len() > 0 && s.answer.Prompt == nil {
+		s.fail(Fail{Code: vaneyoke.CodeInterrupted, Detail: "the engine did not tell the prompt's token ids"})
+		return
+	}
+	pause := s.pause()
+	waited := now.Sub(s.progress)
+	if s.losses > s.cfg.MaxLosses || waited+pause > s.cfg.MaxWait {
+		s.fail(s.giveUp())
+		return
+	}
+	s.place(now, pause, s.Sent())
+}
+
+// pause returns 0 after the first loss in a row and a growing, jittered time after later ones.
+func (s *State) pause() time.Duration {
+	if s.losses <= 1 {
+		return 0
+	}
+	full := s.cfg.Backoff.Cap
+	if shift := s.losses - 2; shift < 16 {
+		full = min(s.cfg.Backoff.Base<<shift, s.cfg.Backoff.Cap)
+	}
+	jitter := s.rng.Float64() * jitterShare
+	return time.Duration(float64(full) * (1 - jitter))
+}
+
+// giveUp returns the failure that says truly whether anything was run.
+func (s *State) giveUp() Fail {
+	f := Fail{Code: vaneyoke.CodeUpstream, RetryAfter: s.retryHint}
+	switch {
+	case s.answer.Len() > 0:
+		f.Code = vaneyoke.CodeInterrupted
+	case !s.Sent() && s.lastCode != vaneyoke.CodeOK:
+		f.Code = s.lastCode
+	case !s.Sent():
+		f.Code = vaneyoke.CodeNoUpstream
+	}
+	return f
+}
+
+// Deadline returns when Tick is due, or the zero time where nothing is waited for.
+func (s *State) Deadline() time.Time {
+	var due time.Time
+	for i := range s.runs {
+		at := s.silentAt(&s.runs[i])
+		if due.IsZero() || at.Before(due) {
+			due = at
+		}
+	}
+	return due
+}
+
+// silentAt returns when a run's silence calls for a decision.
+func (s *State) silentAt(r *run) time.Time {
+	since := r.gaps.last
+	if r.gaps.count == 0 {
+		since = r.placedAt
+	}
+	if r.stage == stagePlacing {
+		return since.Add(s.cfg.MaxWait)
+	}
+	limit := r.gaps.limit(s.cfg.Silence)
+	if r.gaps.count == 0 {
+		limit = max(limit, expectFactor*r.expect)
+	}
+	if r.resumed && r.gaps.count == 0 {
+		limit = s.cfg.Silence.Floor
+	}
+	if r.suspect || s.cfg.Recovery == vaneyoke.RecoverFrugal || !s.cfg.Repeatable {
+		limit = time.Duration(float64(limit) * s.cfg.Silence.Patience)
+	}
+	return since.Add(limit)
+}
+
+// tick judges the silence of each run.
+func (s *State) tick(now time.Time) {
+	for _, r := range slices.Clone(s.runs) {
+		if s.ended || now.Before(s.silentAt(&r)) {
+			continue
+		}
+		if live := s.find(r.attempt); live != nil {
+			s.silent(now, live)
+		}
+	}
+}
+
+// silent races a fast generation's silent run with a second attempt, and replaces any other.
+func (s *State) silent(now time.Time, r *run) {
+	if r.stage == stagePlacing {
+		s.remove(r.attempt)
+		s.losses++
+		s.placeAgain(now)
+		return
+	}
+	s.stats.Suspected++
+	race := s.cfg.Recovery == vaneyoke.RecoverFast && s.cfg.Repeatable && !r.suspect
+	if !race || len(s.runs) > 1 {
+		s.lose(now, r, CauseSilent)
+		return
+	}
+	if s.answer.Len() > 0 && s.answer.Prompt == nil {
+		r.suspect = true
+		return
+	}
+	r.suspect = true
+	s.avoid = append(s.avoid, r.upstream)
+	s.place(now, 0, true)
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,144 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/callerapi"
+	"github.com/vaneyoke/vaneyoke/catalog"
+	"github.com/vaneyoke/vaneyoke/settings"
+	"github.com/vaneyoke/vaneyoke/telemetry"
+)
+
+const (
+	headerTimeout  = 10 * time.Second
+	drainPoll      = 50 * time.Millisecond
+	stopRetryAfter = time.Second
+)
+
+// Node is one running entry process.
+type Node struct {
+	settings settings.Settings
+	api      *callerapi.API
+	follower *catalog.Follower
+	vars     *expvar.Map
+	tracing  *telemetry.Tracing
+	log      logrus.FieldLogger
+
+	stopping *atomic.Bool
+	stop     context.CancelFunc
+	work     sync.WaitGroup
+	caller   *http.Server
+	admin    *http.Server
+	callerAt net.Listener
+	adminAt  net.Listener
+}
+
+// New returns a node that has not started; stopping is shared with the parts that refuse new work.
+func New(s settings.Settings, api *callerapi.API, follower *catalog.Follower, vars *expvar.Map, tracing *telemetry.Tracing, log logrus.FieldLogger, stopping *atomic.Bool) *Node {
+	return &Node{settings: s, api: api, follower: follower, vars: vars, tracing: tracing, log: log, stopping: stopping}
+}
+
+// Start opens the node's addresses and begins to serve.
+func (n *Node) Start(ctx context.Context) error {
+	var err error
+	if n.callerAt, err = listen(n.settings.Node.Listen); err != nil {
+		return err
+	}
+	if n.adminAt, err = listen(n.settings.Node.Admin); err != nil {
+		_ = n.callerAt.Close()
+		return err
+	}
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	n.stop = stop
+	if err := n.follower.Poll(ctx); err != nil {
+		n.log.WithField("error", err).Warn("configuration_read_failed")
+	}
+	n.work.Go(func() { n.follower.Run(run) })
+	n.caller = &http.Server{Handler: n.api.Handler(), ReadHeaderTimeout: headerTimeout}
+	n.admin = &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: headerTimeout}
+	n.serve(n.caller, n.callerAt)
+	n.serve(n.admin, n.adminAt)
+	n.log.WithFields(logrus.Fields{
+		"vm": n.settings.Node.VM, "hall": n.settings.Node.Hall,
+		"listen": n.callerAt.Addr(), "admin": n.adminAt.Addr(),
+	}).Info("node_started")
+	return nil
+}
+
+func listen(address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	return l, vaneyoke.WrapErr(vaneyoke.CodeListen, err, "listen on %s", address)
+}
+
+func (n *Node) serve(server *http.Server, l net.Listener) {
+	n.work.Go(func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			n.log.WithField("error", err).Error("server_failed")
+		}
+	})
+}
+
+// adminHandler serves metrics and profiles.
+func (n *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write([]byte(n.vars.String()))
+	})
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+	return mux
+}
+
+// URL returns the address that callers use.
+func (n *Node) URL() string { return "http://" + n.callerAt.Addr().String() }
+
+// AdminURL returns the address of metrics and profiles.
+func (n *Node) AdminURL() string { return "http://" + n.adminAt.Addr().String() }
+
+// Stop refuses new requests, lets the open ones finish within the grace, and closes the node.
+// It returns an error where requests were cut off.
+func (n *Node) Stop(ctx context.Context) error {
+	n.stopping.Store(true)
+	n.log.WithField("open", n.api.Open()).Info("node_stopping")
+	ctx, cancel := context.WithTimeout(ctx, n.settings.Node.Grace)
+	defer cancel()
+	err := n.drain(ctx)
+	n.Kill()
+	n.log.WithField("cut_off", err != nil).Info("node_stopped")
+	return errors.Join(err, n.tracing.Close(context.WithoutCancel(ctx)))
+}
+
+// drain waits until no request is open.
+func (n *Node) drain(ctx context.Context) error {
+	for n.api.Open() > 0 {
+		timer := time.NewTimer(drainPoll)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return vaneyoke.Err(vaneyoke.CodeInterrupted, "%d requests were cut off at the end of the grace", n.api.Open())
+		case <-timer.C:
+		}
+	}
+	return nil
+}
+
+// Kill closes the node at once, as the death of its process would.
+func (n *Node) Kill() {
+	n.stop()
+	_ = n.caller.Close()
+	_ = n.admin.Close()
+	n.work.Wait()
+}
--- /dev/null
+++ b/openai/run.go
@@ -0,0 +1,76 @@
+package openai
+
+import "github.com/vaneyoke/vaneyoke"
+
+// Paths of the engines' API.
+const (
+	PathChat        = "/v1/chat/completions"
+	PathCompletions = "/v1/completions"
+	PathModels      = "/v1/models"
+)
+
+// Run is the body of one attempt and the path that it goes to.
+type Run struct {
+	Path   string
+	Fields vaneyoke.Fields
+}
+
+// notForEngine names the members that the node carries out itself.
+var notForEngine = []string{"stop", "include_stop_str_in_output", "stream_options", "user", "priority"}
+
+// chatOnly names the members that the completions endpoint does not know.
+var chatOnly = []string{
+	"messages", "max_completion_tokens", "chat_template", "chat_template_kwargs", "add_generation_prompt",
+	"continue_final_message", "tools", "tool_choice", "response_format", "documents",
+}
+
+// StreamRun returns the attempt that gives the answer from index given on; prefix is empty for the first token on.
+func StreamRun(req *vaneyoke.Request, prefix []vaneyoke.TokenID, given vaneyoke.Tokens) Run {
+	fields := req.Fields.Clone()
+	for _, name := range notForEngine {
+		delete(fields, name)
+	}
+	fields.Set("stream", true)
+	fields.Set("return_token_ids", true)
+	if req.MaxTokens > 0 {
+		setLimit(fields, req.MaxTokens-given)
+	}
+	if len(prefix) == 0 {
+		return Run{Path: path(req.Endpoint), Fields: fields}
+	}
+	return continued(req, fields, prefix, given)
+}
+
+func continued(req *vaneyoke.Request, fields vaneyoke.Fields, prefix []vaneyoke.TokenID, given vaneyoke.Tokens) Run {
+	for _, name := range chatOnly {
+		delete(fields, name)
+	}
+	fields.Set("prompt", prefix)
+	fields.Set("add_special_tokens", false)
+	if req.MinTokens > 0 {
+		fields.Set("min_tokens", max(req.MinTokens-given, 0))
+	}
+	return Run{Path: PathCompletions, Fields: fields}
+}
+
+// setLimit keeps the limit under the one name that both endpoints know.
+func setLimit(fields vaneyoke.Fields, limit vaneyoke.Tokens) {
+	delete(fields, "max_completion_tokens")
+	fields.Set("max_tokens", limit)
+}
+
+// WholeRun returns the attempt that gives the whole answer in one body.
+func WholeRun(req *vaneyoke.Request) Run {
+	fields := req.Fields.Clone()
+	delete(fields, "stream_options")
+	delete(fields, "priority")
+	fields.Set("stream", false)
+	return Run{Path: path(req.Endpoint), Fields: fields}
+}
+
+func path(endpoint vaneyoke.Endpoint) string {
+	if endpoint == vaneyoke.EndpointChat {
+		return PathChat
+	}
+	return PathCompletions
+}
--- /dev/null
+++ b/placement/state.go
@@ -0,0 +1,177 @@
+package placement
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/retry"
+)
+
+// Need says what an attempt asks of its upstream.
+type Need struct {
+	Kind    vaneyoke.UpstreamKind
+	Model   vaneyoke.ModelID   // of an engine
+	Service vaneyoke.ServiceID // of a service
+	Avoid   []vaneyoke.UpstreamID
+}
+
+// Outcome says how an attempt on an upstream ended.
+type Outcome int
+
+// The outcomes of an attempt.
+const (
+	OutcomeDone    Outcome = iota + 1 // the upstream did its part
+	OutcomeFailed                     // the upstream was lost or refused for reasons of its own
+	OutcomeDropped                    // the node ended the attempt
+)
+
+// entry is what the node knows of one upstream.
+type entry struct {
+	upstream vaneyoke.Upstream
+	inFlight int // attempts of this node
+	breaker  *retry.Breaker
+}
+
+// load returns the node's own work on the upstream for each of its slots.
+func (e *entry) load() float64 {
+	slots := max(e.upstream.Slots, 1)
+	return float64(e.inFlight) / float64(slots)
+}
+
+// State holds the upstreams and the node's own work on each.
+type State struct {
+	hall    vaneyoke.HallID
+	breaker retry.BreakerConfig
+	entries map[vaneyoke.UpstreamID]*entry
+	order   []*entry // by id, so that a choice depends on the random numbers alone
+	scratch []*entry
+}
+
+// New returns a state without upstreams for a node in the given hall.
+func New(hall vaneyoke.HallID, breaker retry.BreakerConfig) *State {
+	return &State{hall: hall, breaker: breaker, entries: map[vaneyoke.UpstreamID]*entry{}}
+}
+
+// SetUpstreams takes in the fleet's upstreams; what is known of those that stay is kept.
+func (s *State) SetUpstreams(upstreams []vaneyoke.Upstream) {
+	entries := make(map[vaneyoke.UpstreamID]*entry, len(upstreams))
+	order := make([]*entry, 0, len(upstreams))
+	for _, u := range upstreams {
+		e, ok := s.entries[u.ID]
+		if !ok {
+			e = &entry{breaker: retry.NewBreaker(s.breaker)}
+		}
+		e.upstream = u
+		entries[u.ID] = e
+		order = append(order, e)
+	}
+	slices.SortFunc(order, func(a, b *entry) int { return cmp.Compare(a.upstream.ID, b.upstream.ID) })
+	s.entries = entries
+	s.order = order
+}
+
+// Offers reports whether any upstream, live or not, offers what the need asks for.
+func (s *State) Offers(need Need) bool {
+	return slices.ContainsFunc(s.order, func(e *entry) bool { return offers(&e.upstream, need) })
+}
+
+// Models returns the models that engines offer, sorted.
+func (s *State) Models() []vaneyoke.ModelID {
+	models := lo.Uniq(lo.FlatMap(s.order, func(e *entry, _ int) []vaneyoke.ModelID { return e.upstream.Models }))
+	slices.Sort(models)
+	return models
+}
+
+// Pick chooses between two random candidates by load; upstreams to avoid are taken only where there is no other.
+func (s *State) Pick(now time.Time, rng *rand.Rand, need Need) (vaneyoke.Upstream, bool) {
+	candidates := s.candidates(now, need, false)
+	if len(candidates) == 0 {
+		candidates = s.candidates(now, need, true)
+	}
+	if len(candidates) == 0 {
+		return vaneyoke.Upstream{}, false
+	}
+	chosen := s.better(candidates[rng.IntN(len(candidates))], candidates[rng.IntN(len(candidates))])
+	return chosen.upstream, true
+}
+
+func (s *State) candidates(now time.Time, need Need, avoided bool) []*entry {
+	s.scratch = s.scratch[:0]
+	for _, e := range s.order {
+		if e.upstream.State != vaneyoke.StateLive || !offers(&e.upstream, need) || !e.breaker.Allows(now) {
+			continue
+		}
+		if slices.Contains(need.Avoid, e.upstream.ID) == avoided {
+			s.scratch = append(s.scratch, e)
+		}
+	}
+	return s.scratch
+}
+
+// better returns the less loaded upstream; between equals, the one in the node's own hall.
+func (s *State) better(a, b *entry) *entry {
+	if a.load() != b.load() {
+		if b.load() < a.load() {
+			return b
+		}
+		return a
+	}
+	if b.upstream.Hall == s.hall {
+		return b
+	}
+	return a
+}
+
+func offers(u *vaneyoke.Upstream, need Need) bool {
+	if u.Kind != need.Kind {
+		return false
+	}
+	if need.Kind == vaneyoke.KindEngine {
+		return slices.Contains(u.Models, need.Model)
+	}
+	return u.Service == need.Service
+}
+
+// Sent notes that an attempt goes to an upstream.
+func (s *State) Sent(now time.Time, id vaneyoke.UpstreamID) {
+	if e, ok := s.entries[id]; ok {
+		e.inFlight++
+		e.breaker.Sent(now)
+	}
+}
+
+// Ended notes how an attempt that was sent came out.
+func (s *State) Ended(now time.Time, id vaneyoke.UpstreamID, outcome Outcome) {
+	e, ok := s.entries[id]
+	if !ok {
+		return
+	}
+	e.inFlight = max(e.inFlight-1, 0)
+	switch outcome {
+	case OutcomeDone:
+		e.breaker.Succeeded()
+	case OutcomeFailed:
+		e.breaker.Failed(now)
+	case OutcomeDropped:
+		e.breaker.Dropped()
+	}
+}
+
+// Load describes one upstream as the node sees it.
+type Load struct {
+	Upstream vaneyoke.Upstream
+	InFlight int
+	Open     bool // whether the breaker holds work back
+}
+
+// Loads returns what the node sees of each upstream, by id.
+func (s *State) Loads() []Load {
+	return lo.Map(s.order, func(e *entry, _ int) Load {
+		return Load{Upstream: e.upstream, InFlight: e.inFlight, Open: e.breaker.Open()}
+	})
+}
--- /dev/null
+++ b/relay/attempt.go
@@ -0,0 +1,270 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/engine"
+	"github.com/vaneyoke/vaneyoke/generation"
+	"github.com/vaneyoke/vaneyoke/openai"
+	"github.com/vaneyoke/vaneyoke/placement"
+)
+
+// cancelTimeout bounds the order to an engine to stop a run.
+const cancelTimeout = 2 * time.Second
+
+// place waits for the pause that was asked for, and chooses an upstream.
+func (s *Session) place(e generation.Place) {
+	if e.After > 0 && !sleep(s.ctx, e.After) {
+		return
+	}
+	need := s.need
+	need.Avoid = e.Avoid
+	upstream, err := s.relay.placer.Place(need, e.Retry)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if err != nil {
+		s.handleLocked(now, generation.NotPlaced{
+			Attempt:    e.Attempt,
+			Code:       vaneyoke.CodeOf(err),
+			RetryAfter: vaneyoke.RetryAfterOf(err),
+		})
+		return
+	}
+	s.links[e.Attempt] = &link{upstream: upstream, cancel: func() {}}
+	s.handleLocked(now, generation.Placed{Attempt: e.Attempt, Upstream: upstream.ID})
+	s.settleUnused(e.Attempt)
+}
+
+// settleUnused gives back an upstream that was placed for an attempt that had been fenced meanwhile.
+func (s *Session) settleUnused(attempt vaneyoke.Attempt) {
+	if l := s.links[attempt]; l != nil && !l.started {
+		s.settle(attempt, placement.OutcomeDropped)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// start opens the attempt's link and follows it in a goroutine.
+func (s *Session) start(e generation.Start) {
+	l := s.links[e.Attempt]
+	l.base = e.From
+	ctx := s.open(l, e.Attempt, "attempt")
+	s.relay.metrics.Attempts.Add(1)
+	switch m := s.mode.(type) {
+	case *streamed:
+		run := openai.StreamRun(m.req, e.Prefix, e.From)
+		go s.follow(ctx, e.Attempt, func() (*engine.Stream, error) {
+			return s.relay.engines.Start(ctx, l.upstream.URL, s.streamID(e.Attempt), run, e.From)
+		})
+	case *whole:
+		go s.call(ctx, e.Attempt, l.upstream.URL+m.path, m.body)
+	}
+}
+
+// resume opens a link to the stream of an earlier attempt.
+func (s *Session) resume(e generation.Resume) {
+	old := s.links[e.Stream]
+	l := &link{upstream: old.upstream, base: old.base}
+	s.relay.placer.Resumed(old.upstream.ID)
+	s.links[e.Attempt] = l
+	ctx := s.open(l, e.Attempt, "resume")
+	s.relay.metrics.Attempts.Add(1)
+	go s.follow(ctx, e.Attempt, func() (*engine.Stream, error) {
+		return s.relay.engines.Resume(ctx, l.upstream.URL, s.streamID(e.Stream), l.base, e.From)
+	})
+}
+
+func (s *Session) open(l *link, attempt vaneyoke.Attempt, name string) context.Context {
+	ctx, cancel := context.WithCancel(s.ctx)
+	ctx, span := s.relay.tracer.Start(ctx, name, trace.WithAttributes(
+		attribute.Int("attempt", int(attempt)),
+		attribute.String("upstream", string(l.upstream.ID)),
+	))
+	l.started = true
+	l.cancel = func() {
+		cancel()
+		span.End()
+	}
+	return ctx
+}
+
+func (s *Session) streamID(attempt vaneyoke.Attempt) string {
+	return engine.StreamID(s.req.ID, attempt)
+}
+
+// cancel closes an attempt's link and, where asked, tells the engine to stop the run.
+func (s *Session) cancel(e generation.Cancel) {
+	l := s.links[e.Attempt]
+	if l == nil {
+		return
+	}
+	l.cancel()
+	l.fenced = true
+	outcome := placement.OutcomeDropped
+	if e.Cause == generation.CauseSilent {
+		outcome = placement.OutcomeFailed
+	}
+	s.settle(e.Attempt, outcome)
+	if e.Stop {
+		go s.stopRun(l.upstream, e.Stream)
+	}
+}
+
+func (s *Session) stopRun(upstream vaneyoke.Upstream, stream vaneyoke.Attempt) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), cancelTimeout)
+	defer cancel()
+	if err := s.relay.engines.Cancel(ctx, upstream.URL, s.streamID(stream)); err != nil {
+		s.logAttempt(stream, upstream.ID).WithField("error", err).Debug("cancel_failed")
+	}
+}
+
+// settle tells the placer once how an attempt came out.
+func (s *Session) settle(attempt vaneyoke.Attempt, outcome placement.Outcome) {
+	l := s.links[attempt]
+	if l == nil || l.settled {
+		return
+	}
+	l.settled = true
+	s.relay.placer.Ended(l.upstream.ID, outcome)
+}
+
+// follow reads an attempt's stream to its end.
+func (s *Session) follow(ctx context.Context, attempt vaneyoke.Attempt, open func() (*engine.Stream, error)) {
+	stream, err := open()
+	if err != nil {
+		s.failed(attempt, err)
+		return
+	}
+	defer func() { _ = stream.Close() }()
+	received := &generation.Received{Attempt: attempt}
+	for {
+		message, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			s.failed(attempt, err)
+			return
+		}
+		s.take(attempt, received, message)
+		if ctx.Err() != nil {
+			return
+		}
+	}
+}
+
+// take gives one message of a stream to the state machine.
+func (s *Session) take(attempt vaneyoke.Attempt, received *generation.Received, message engine.Message) {
+	now := time.Now()
+	switch m := message.(type) {
+	case engine.Prompt:
+		s.handle(now, generation.PromptRead{Attempt: attempt, IDs: m.IDs})
+	case *engine.Tokens:
+		received.Batch = m.Batch
+		s.handle(now, received)
+	case engine.End:
+		s.ended(now, attempt, m.Reason)
+	}
+}
+
+func (s *Session) ended(now time.Time, attempt vaneyoke.Attempt, reason vaneyoke.FinishReason) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settle(attempt, placement.OutcomeDone)
+	s.handleLocked(now, generation.Ended{Attempt: attempt, Reason: reason})
+	s.close(attempt)
+}
+
+// close frees the link of an attempt that needs no cancelling.
+func (s *Session) close(attempt vaneyoke.Attempt) {
+	if l := s.links[attempt]; l != nil {
+		l.cancel()
+	}
+}
+
+// call sends a whole call; its answer counts as one token.
+func (s *Session) call(ctx context.Context, attempt vaneyoke.Attempt, url string, body []byte) {
+	answer, err := s.relay.engines.Call(ctx, url, s.streamID(attempt), body)
+	if err == nil && s.need.Kind == vaneyoke.KindEngine {
+		err = answer.Generated()
+	}
+	if err != nil {
+		s.failed(attempt, err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.settle(attempt, placement.OutcomeDone)
+	if !s.result.Ended {
+		s.answer = answer
+	}
+	now := time.Now()
+	batch := vaneyoke.Batch{IDs: []vaneyoke.TokenID{0}, Text: answer.Body}
+	s.handleLocked(now, &generation.Received{Attempt: attempt, Batch: batch})
+	s.handleLocked(now, generation.Ended{Attempt: attempt, Reason: vaneyoke.FinishStop})
+	s.close(attempt)
+}
+
+// failed tells the state machine why an attempt's link broke.
+func (s *Session) failed(attempt vaneyoke.Attempt, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.links[attempt]
+	if l.fenced {
+		return
+	}
+	if refused, ok := errors.AsType[*engine.RefusedError](err); ok {
+		s.settle(attempt, placement.OutcomeDone)
+		s.handleLocked(time.Now(), generation.Rejected{Attempt: attempt, Detail: refusal(refused)})
+		s.close(attempt)
+		return
+	}
+	cause := causeOf(err)
+	s.logAttempt(attempt, l.upstream.ID).WithFields(logrus.Fields{"cause": cause, "error": err}).Warn("attempt_lost")
+	s.relay.metrics.Losses.Add(cause.String(), 1)
+	s.settle(attempt, placement.OutcomeFailed)
+	s.handleLocked(time.Now(), generation.Lost{Attempt: attempt, Cause: cause})
+	s.close(attempt)
+}
+
+func refusal(err *engine.RefusedError) string {
+	const most = 300
+	body := err.Body[:min(len(err.Body), most)]
+	return "status " + strconv.Itoa(err.Status) + ": " + string(body)
+}
+
+func causeOf(err error) generation.Cause {
+	switch err.(type) {
+	case *engine.NotSentError:
+		return generation.CauseNotSent
+	case *engine.NoStreamError:
+		return generation.CauseNoStream
+	case *engine.MalformedError:
+		return generation.CauseMalformed
+	default:
+		return generation.CauseClosed
+	}
+}
+
+func (s *Session) logAttempt(attempt vaneyoke.Attempt, upstream vaneyoke.UpstreamID) *logrus.Entry {
+	return s.relay.log.WithFields(logrus.Fields{"request": s.req.ID, "attempt": int(attempt), "upstream": upstream})
+}
--- /dev/null
+++ b/relay/metrics.go
@@ -0,0 +1,38 @@
+package relay
+
+import "expvar"
+
+// Metrics counts what sessions do.
+type Metrics struct {
+	Sessions  *expvar.Int // started
+	Open      *expvar.Int // running now
+	Tokens    *expvar.Int // let through
+	Attempts  *expvar.Int // runs started on upstreams
+	Losses    *expvar.Map // attempts lost, by cause
+	Discarded *expvar.Int // tokens received and not let through
+	Reprefill *expvar.Int // tokens given again to engines as prefix
+	Results   *expvar.Map // sessions ended, by result code
+}
+
+// NewMetrics returns counters under the given names' prefix in vars.
+func NewMetrics(vars *expvar.Map) *Metrics {
+	m := &Metrics{
+		Sessions:  new(expvar.Int),
+		Open:      new(expvar.Int),
+		Tokens:    new(expvar.Int),
+		Attempts:  new(expvar.Int),
+		Losses:    new(expvar.Map).Init(),
+		Discarded: new(expvar.Int),
+		Reprefill: new(expvar.Int),
+		Results:   new(expvar.Map).Init(),
+	}
+	vars.Set("sessions_total", m.Sessions)
+	vars.Set("sessions_open", m.Open)
+	vars.Set("tokens_total", m.Tokens)
+	vars.Set("attempts_total", m.Attempts)
+	vars.Set("losses_total", m.Losses)
+	vars.Set("discarded_tokens_total", m.Discarded)
+	vars.Set("reprefill_tokens_total", m.Reprefill)
+	vars.Set("results_total", m.Results)
+	return m
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,94 @@
+package relay
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/engine"
+	"github.com/vaneyoke/vaneyoke/generation"
+	"github.com/vaneyoke/vaneyoke/openai"
+	"github.com/vaneyoke/vaneyoke/placement"
+)
+
+// Placer chooses upstreams and keeps account of what was sent to them.
+type Placer interface {
+	// Place returns an upstream, or an error with a result code; a retry counts against the retry budget.
+	Place(need placement.Need, retry bool) (vaneyoke.Upstream, error)
+	// Resumed notes that an attempt was attached again to an upstream that it had lost.
+	Resumed(id vaneyoke.UpstreamID)
+	// Ended notes how an attempt on a placed upstream came out.
+	Ended(id vaneyoke.UpstreamID, outcome placement.Outcome)
+}
+
+// Relay starts sessions.
+type Relay struct {
+	engines *engine.Client
+	placer  Placer
+	tracer  trace.Tracer
+	metrics *Metrics
+	log     logrus.FieldLogger
+	config  Config
+}
+
+// Config holds what all sessions share.
+type Config struct {
+	Generation  generation.Config
+	CallSilence time.Duration // silence of a service that makes a call suspect
+	WholeLimit  time.Duration // longest time that an engine may take for an answer that is not streamed
+}
+
+// New returns a relay.
+func New(engines *engine.Client, placer Placer, tracer trace.Tracer, metrics *Metrics, log logrus.FieldLogger, config Config) *Relay {
+	return &Relay{engines: engines, placer: placer, tracer: tracer, metrics: metrics, log: log, config: config}
+}
+
+// Generate starts a generation; its session runs until it ends or is abandoned, whatever becomes of ctx.
+func (r *Relay) Generate(ctx context.Context, req *vaneyoke.Request) *Session {
+	need := placement.Need{Kind: vaneyoke.KindEngine, Model: req.Model}
+	if !req.Continuable {
+		run := openai.WholeRun(req)
+		return r.begin(ctx, req, need, &whole{path: run.Path, body: encode(run.Fields)})
+	}
+	return r.begin(ctx, req, need, &streamed{req: req})
+}
+
+// Call starts a call to a plain service.
+func (r *Relay) Call(ctx context.Context, req *vaneyoke.Request, service vaneyoke.ServiceID, path string, body []byte) *Session {
+	need := placement.Need{Kind: vaneyoke.KindService, Service: service}
+	return r.begin(ctx, req, need, &whole{path: path, body: body})
+}
+
+func (r *Relay) begin(ctx context.Context, req *vaneyoke.Request, need placement.Need, m mode) *Session {
+	config := r.configOf(req, need, m)
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	s := newSession(context.WithoutCancel(ctx), r, req, need, m, generation.New(config, rng))
+	r.metrics.Sessions.Add(1)
+	s.handle(time.Now(), generation.Admitted{})
+	return s
+}
+
+// configOf returns what a request's generation is decided by.
+func (r *Relay) configOf(req *vaneyoke.Request, need placement.Need, m mode) generation.Config {
+	config := r.config.Generation
+	config.Repeatable = req.Repeatable
+	config.Recovery = req.Recovery
+	if req.MaxWait > 0 {
+		config.MaxWait = req.MaxWait
+	}
+	switch m.(type) {
+	case *streamed:
+		config.MaxTokens = req.MaxTokens
+		config.Stop = generation.Stop{Strings: req.Stop, Include: req.IncludeStop}
+	case *whole:
+		config.Silence.FirstToken = r.config.WholeLimit
+		if need.Kind == vaneyoke.KindService {
+			config.Silence.FirstToken = r.config.CallSilence
+		}
+	}
+	return config
+}
--- /dev/null
+++ b/settings/doc.go
@@ -0,0 +1,2 @@
+// Package settings reads and checks a node's INI file.
+package settings
--- /dev/null
+++ b/settings/load.go
@@ -0,0 +1,96 @@
+package settings
+
+import (
+	"reflect"
+	"strings"
+
+	"gopkg.in/ini.v1"
+
+	"github.com/vaneyoke/vaneyoke"
+)
+
+// Load reads and checks a file; an error names the file, the key and the reason.
+func Load(path string) (Settings, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{}, path)
+	if err != nil {
+		return Settings{}, vaneyoke.WrapErr(vaneyoke.CodeSettingsFile, err, "%s", path)
+	}
+	return read(file, path)
+}
+
+// Parse reads and checks the text of a file; name stands for its path in errors.
+func Parse(text []byte, name string) (Settings, error) {
+	file, err := ini.Load(text)
+	if err != nil {
+		return Settings{}, vaneyoke.WrapErr(vaneyoke.CodeSettingsFile, err, "%s", name)
+	}
+	return read(file, name)
+}
+
+func read(file *ini.File, name string) (Settings, error) {
+	var s Settings
+	if err := checkNames(file, name); err != nil {
+		return Settings{}, err
+	}
+	root := reflect.ValueOf(&s).Elem()
+	for i := range root.NumField() {
+		section := root.Type().Field(i).Tag.Get("ini")
+		if err := readSection(file.Section(section), root.Field(i), name); err != nil {
+			return Settings{}, err
+		}
+	}
+	return s, nil
+}
+
+func readSection(section *ini.Section, fields reflect.Value, name string) error {
+	for i := range fields.NumField() {
+		field := fields.Type().Field(i)
+		key := field.Tag.Get("ini")
+		text := field.Tag.Get("default")
+		if section.HasKey(key) {
+			text = section.Key(key).String()
+		}
+		if err := set(fields.Field(i), field.Tag, text); err != nil {
+			return vaneyoke.Err(codeOf(text), "%s: [%s] %s: %s", name, section.Name(), key, err)
+		}
+	}
+	return nil
+}
+
+func codeOf(text string) vaneyoke.Code {
+	if text == "" {
+		return vaneyoke.CodeSettingsKey
+	}
+	return vaneyoke.CodeSettingsValue
+}
+
+// checkNames looks for sections and keys that do not exist.
+func checkNames(file *ini.File, name string) error {
+	known := keysBySection()
+	for _, section := range file.Sections() {
+		keys, ok := known[section.Name()]
+		if !ok && (section.Name() != ini.DefaultSection || len(section.Keys()) > 0) {
+			return vaneyoke.Err(vaneyoke.CodeSettingsKey, "%s: [%s]: unknown section", name, section.Name())
+		}
+		for _, key := range section.KeyStrings() {
+			if !strings.Contains(keys, " "+key+" ") {
+				return vaneyoke.Err(vaneyoke.CodeSettingsKey, "%s: [%s] %s: unknown key; known are%s", name, section.Name(), key, strings.TrimRight(keys, " "))
+			}
+		}
+	}
+	return nil
+}
+
+// keysBySection returns each section's keys, separated and surrounded by spaces.
+func keysBySection() map[string]string {
+	known := map[string]string{}
+	root := reflect.TypeFor[Settings]()
+	for section := range root.Fields() {
+		keys := " "
+		for field := range section.Type.Fields() {
+			keys += field.Tag.Get("ini") + " "
+		}
+		known[section.Tag.Get("ini")] = keys
+	}
+	return known
+}
--- /dev/null
+++ b/settings/markdown.go
@@ -0,0 +1,39 @@
+package settings
+
+import (
+	"fmt"
+	"reflect"
+	"strings"
+)
+
+// Markdown returns the tables of docs/SETTINGS.md.
+func Markdown() string {
+	var b strings.Builder
+	for section := range reflect.TypeFor[Settings]().Fields() {
+		fmt.Fprintf(&b, "\n## [%s]\n\n%s\n\n", section.Tag.Get("ini"), section.Tag.Get("doc"))
+		b.WriteString("| key | default | bounds | meaning |\n| --- | --- | --- | --- |\n")
+		for field := range section.Type.Fields() {
+			fmt.Fprintf(&b, "| `%s` | %s | %s | %s |\n", field.Tag.Get("ini"), defaultOf(field), boundsOf(field.Tag), field.Tag.Get("doc"))
+		}
+	}
+	return b.String()
+}
+
+func defaultOf(field reflect.StructField) string {
+	text, ok := field.Tag.Lookup("default")
+	if !ok {
+		return "(must be set)"
+	}
+	return "`" + text + "`"
+}
+
+func boundsOf(tag reflect.StructTag) string {
+	var parts []string
+	if least := tag.Get("min"); least != "" {
+		parts = append(parts, "≥ "+least)
+	}
+	if most := tag.Get("max"); most != "" {
+		parts = append(parts, "≤ "+most)
+	}
+	return strings.Join(parts, ", ")
+}
--- /dev/null
+++ b/settings/settings.go
@@ -0,0 +1,76 @@
+package settings
+
+import "time"
+
+// Settings is a node's whole configuration; docs/SETTINGS.md is written from its tags.
+type Settings struct {
+	Node     Node     `ini:"node" doc:"Who and where the node is."`
+	Platform Platform `ini:"platform" doc:"Where the platform's service is."`
+	Limits   Limits   `ini:"limits" doc:"Bounds on what callers may ask for."`
+	Recovery Recovery `ini:"recovery" doc:"When an attempt is taken for lost, and what follows."`
+	Retry    Retry    `ini:"retry" doc:"Bounds on retries, so that failures do not multiply the load."`
+	Log      Log      `ini:"log" doc:"Log lines."`
+	Trace    Trace    `ini:"trace" doc:"Traces."`
+}
+
+// Node says who and where the node is.
+type Node struct {
+	VM     string        `ini:"vm" check:"required" doc:"Name of the VM on the platform's list of VMs."`
+	Hall   string        `ini:"hall" check:"required" doc:"Hall that the VM stands in."`
+	Listen string        `ini:"listen" default:"127.0.0.1:8080" check:"address" doc:"IP number and port for callers."`
+	Admin  string        `ini:"admin" default:"127.0.0.1:8081" check:"address" doc:"IP number and port for metrics and profiles."`
+	Grace  time.Duration `ini:"grace" default:"15m" min:"1s" doc:"Longest time that a stopping node lets its requests finish."`
+}
+
+// Platform says where the platform's service is.
+type Platform struct {
+	TableURL  string        `ini:"table_url" check:"url" doc:"Address of the transactional table (DynamoDB's protocol)."`
+	ObjectURL string        `ini:"object_url" check:"url" doc:"Address of the object store (S3's protocol)."`
+	VMsURL    string        `ini:"vms_url" check:"url" doc:"Address of the list of VMs (JSON)."`
+	Region    string        `ini:"region" default:"local" doc:"Region that requests to the platform are signed for."`
+	AccessKey string        `ini:"access_key" default:"vaneyoke" doc:"Access key for the platform."`
+	SecretKey string        `ini:"secret_key" default:"vaneyoke" secret:"true" doc:"Secret key for the platform."`
+	Table     string        `ini:"table" default:"vaneyoke" doc:"Name of the table."`
+	Bucket    string        `ini:"bucket" default:"vaneyoke" doc:"Name of the bucket."`
+	Poll      time.Duration `ini:"poll" default:"1s" min:"100ms" max:"2s" doc:"Period of reading the configuration's revision."`
+}
+
+// Limits bounds what callers may ask for.
+type Limits struct {
+	BodyBytes    int64         `ini:"body_bytes" default:"4194304" min:"1024" doc:"Largest request body in bytes."`
+	MaxWait      time.Duration `ini:"max_wait" default:"30s" min:"10ms" doc:"Longest time without progress before a request is given up."`
+	WriteTimeout time.Duration `ini:"write_timeout" default:"30s" min:"100ms" doc:"Longest time that a caller may take to read a piece of its answer."`
+	CallSilence  time.Duration `ini:"call_silence" default:"5s" min:"10ms" doc:"Silence of a service that makes a call suspect."`
+	WholeLimit   time.Duration `ini:"whole_limit" default:"10m" min:"1s" doc:"Longest time that an engine may take for an answer that is not streamed."`
+}
+
+// Recovery says when an attempt is taken for lost.
+type Recovery struct {
+	FirstToken time.Duration `ini:"first_token" default:"3s" min:"10ms" doc:"Silence before the first token that makes an attempt suspect."`
+	Floor      time.Duration `ini:"floor" default:"300ms" min:"10ms" doc:"Shortest silence between tokens that makes an attempt suspect."`
+	Ceiling    time.Duration `ini:"ceiling" default:"2s" min:"10ms" doc:"Longest silence between tokens that does not."`
+	Deviations float64       `ini:"deviations" default:"8" min:"1" doc:"Mean deviations over the mean gap that make an attempt suspect."`
+	Patience   float64       `ini:"patience" default:"4" min:"1" doc:"Times the suspect silence that a frugal workspace's attempt is waited for."`
+	MaxLosses  int           `ini:"max_losses" default:"8" min:"1" doc:"Losses in a row without a token between them before a request is given up."`
+}
+
+// Retry bounds the retries of the node.
+type Retry struct {
+	Ratio     float64       `ini:"ratio" default:"0.2" min:"0" doc:"Retries allowed for each admitted request."`
+	PerSecond float64       `ini:"per_second" default:"10" min:"0" doc:"Retries allowed each second whatever the traffic."`
+	Burst     float64       `ini:"burst" default:"500" min:"1" doc:"Retries that can be saved up."`
+	Failures  int           `ini:"failures" default:"3" min:"1" doc:"Failures in a row that open an upstream's circuit breaker."`
+	OpenFor   time.Duration `ini:"open_for" default:"500ms" min:"10ms" doc:"First pause before an open breaker lets a trial through."`
+	OpenMax   time.Duration `ini:"open_max" default:"15s" min:"10ms" doc:"Longest pause before an open breaker lets a trial through."`
+}
+
+// Log says what is logged.
+type Log struct {
+	Level string `ini:"level" default:"info" check:"level" doc:"Least severe level that is logged: debug, info, warning or error."`
+}
+
+// Trace says where traces go.
+type Trace struct {
+	Output string  `ini:"output" default:"off" doc:"off, stdout, or the path of a file that spans are appended to."`
+	Ratio  float64 `ini:"ratio" default:"1" min:"0" max:"1" doc:"Share of requests that are traced where the caller does not say."`
+}
--- /dev/null
+++ b/settings/value.go
@@ -0,0 +1,85 @@
+package settings
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"reflect"
+	"slices"
+	"strconv"
+	"time"
+)
+
+var levels = []string{"debug", "info", "warning", "error"}
+
+// set parses and checks the text of one setting.
+func set(field reflect.Value, tag reflect.StructTag, text string) error {
+	switch p := field.Addr().Interface().(type) {
+	case *string:
+		*p = text
+		return checkText(tag.Get("check"), text)
+	case *time.Duration:
+		return setNumber(p, tag, text, time.ParseDuration, "a duration such as 250ms or 2s")
+	case *int:
+		return setNumber(p, tag, text, strconv.Atoi, "a whole number")
+	case *int64:
+		return setNumber(p, tag, text, parseInt64, "a whole number")
+	case *float64:
+		return setNumber(p, tag, text, parseFloat, "a number")
+	default:
+		return fmt.Errorf("settings of type %s cannot be read", field.Type())
+	}
+}
+
+func parseInt64(text string) (int64, error) { return strconv.ParseInt(text, 10, 64) }
+
+func parseFloat(text string) (float64, error) { return strconv.ParseFloat(text, 64) }
+
+// setNumber parses a value and holds it against the tag's bounds.
+func setNumber[T cmp.Ordered](p *T, tag reflect.StructTag, text string, parse func(string) (T, error), form string) error {
+	value, err := parse(text)
+	if err != nil {
+		return fmt.Errorf("must be %s, got %q", form, text)
+	}
+	if least, err := parse(tag.Get("min")); err == nil && value < least {
+		return fmt.Errorf("must be at least %s, got %s", tag.Get("min"), text)
+	}
+	if most, err := parse(tag.Get("max")); err == nil && value > most {
+		return fmt.Errorf("must be at most %s, got %s", tag.Get("max"), text)
+	}
+	*p = value
+	return nil
+}
+
+func checkText(check, text string) error {
+	switch check {
+	case "required":
+		if text == "" {
+			return errors.New("is missing")
+		}
+	case "address":
+		if _, err := netip.ParseAddrPort(text); err != nil {
+			return fmt.Errorf("must be an IP number and a port, got %q", text)
+		}
+	case "url":
+		return checkURL(text)
+	case "level":
+		if !slices.Contains(levels, text) {
+			return fmt.Errorf("must be one of %v, got %q", levels, text)
+		}
+	}
+	return nil
+}
+
+func checkURL(text string) error {
+	if text == "" {
+		return errors.New("is missing")
+	}
+	u, err := url.Parse(text)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		return fmt.Errorf("must be an http or https address, got %q", text)
+	}
+	return nil
+}
--- /dev/null
+++ b/telemetry/doc.go
@@ -0,0 +1,2 @@
+// Package telemetry sets up logs, traces and metrics.
+package telemetry
--- /dev/null
+++ b/telemetry/log.go
@@ -0,0 +1,20 @@
+package telemetry
+
+import (
+	"io"
+
+	"github.com/sirupsen/logrus"
+)
+
+// NewLogger returns a logger that writes one line of key=value pairs for each event.
+func NewLogger(out io.Writer, level string) (*logrus.Logger, error) {
+	parsed, err := logrus.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	log := logrus.New()
+	log.SetOutput(out)
+	log.SetLevel(parsed)
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	return log, nil
+}
