--- a/callerapi/generate.go
+++ b/callerapi/generate.go
@@ -14,9 +14,6 @@
 	"github.com/vaneyoke/vaneyoke/openai"
 )
 
-// headerRepeatable says whether a request may be run more than once.
-const headerRepeatable = "Vaneyoke-Repeatable"
-
 // CallInput is what every request that runs something has.
 type CallInput struct {
 	Authorization string `header:"Authorization" doc:"Bearer key of a workspace."`
--- a/client/client.go
+++ b/client/client.go
@@ -40,7 +40,9 @@
 }
 
 // Error returns the result code and the message.
-func (e *FailedError) Error() string { return e.Detail.Code + " " + e.Detail.Type + ": " + e.Detail.Message }
+func (e *FailedError) Error() string {
+	return e.Detail.Code + " " + e.Detail.Type + ": " + e.Detail.Message
+}
 
 // Generate starts a streamed chat; header may add headers of its own.
 func (c *Client) Generate(ctx context.Context, req Request, header http.Header) (*Stream, error) {
@@ -49,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	res, err := c.post(ctx, openai.PathChat, body, header)
+	res, err := c.post(ctx, openai.PathChat, body, header) //nolint:bodyclose // the stream closes it
 	if err != nil {
 		return nil, err
 	}
--- a/client/stream.go
+++ b/client/stream.go
@@ -34,7 +34,6 @@
 	body   io.ReadCloser
 	lines  *bufio.Scanner
 	cursor string
-	reason vaneyoke.FinishReason
 }
 
 func newStream(res *http.Response) *Stream {
--- a/engine/client.go
+++ b/engine/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/openai"
@@ -18,6 +19,9 @@
 	// HeaderLastEventID says which tokens of a resumed stream are held already.
 	HeaderLastEventID = "Last-Event-ID"
 
+	// PathDetokenize gives the text of tokens.
+	PathDetokenize = "/detokenize"
+
 	pathStreams      = "/v1/streams/"
 	maxAnswerBytes   = 32 << 20
 	maxRefusalBytes  = 64 << 10
@@ -46,7 +50,7 @@
 		return nil, &RefusedError{Status: http.StatusBadRequest, Body: []byte(err.Error())}
 	}
 	header := http.Header{HeaderRequestID: {stream}, headerMediaType: {mediaTypeJSON}}
-	res, err := c.send(ctx, http.MethodPost, url+run.Path, header, body)
+	res, err := c.send(ctx, http.MethodPost, url+run.Path, header, body) //nolint:bodyclose // the stream closes it
 	if err != nil {
 		return nil, err
 	}
@@ -74,6 +78,51 @@
 	}
 }
 
+// Held asks an engine how many of the last ids stand for an unfinished character; an engine that cannot tell answers 0.
+func (c *Client) Held(ctx context.Context, url string, model vaneyoke.ModelID, ids []vaneyoke.TokenID) (vaneyoke.Tokens, error) {
+	for held := range vaneyoke.Tokens(min(maxHeld, len(ids))) {
+		text, err := c.detokenize(ctx, url, detokenizeBody{Model: model, Tokens: ids[max(0, len(ids)-contextIDs) : len(ids)-int(held)]})
+		if err != nil || !strings.HasSuffix(text, replacement) {
+			return held, err
+		}
+	}
+	return 0, nil
+}
+
+const (
+	maxHeld     = 4 // an unfinished character has at most so many tokens
+	contextIDs  = 16
+	replacement = "\uFFFD"
+)
+
+// detokenizeBody is the body of a request for the text of tokens.
+type detokenizeBody struct {
+	Model  vaneyoke.ModelID   `json:"model"`
+	Tokens []vaneyoke.TokenID `json:"tokens"`
+}
+
+// detokenizeReply is the answer to it.
+type detokenizeReply struct {
+	Prompt string `json:"prompt"`
+}
+
+// detokenize returns the text of tokens, "" where the engine cannot tell.
+func (c *Client) detokenize(ctx context.Context, url string, body detokenizeBody) (string, error) {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return "", err
+	}
+	answer, err := c.Call(ctx, url+PathDetokenize, "", raw)
+	if err != nil || answer.Status != http.StatusOK {
+		return "", err
+	}
+	var reply detokenizeReply
+	if err := json.Unmarshal(answer.Body, &reply); err != nil {
+		return "", &MalformedError{Reason: "detokenizer's answer is not JSON"}
+	}
+	return reply.Prompt, nil
+}
+
 // Cancel asks an engine to stop a run; an engine that does not know the run is not an error.
 func (c *Client) Cancel(ctx context.Context, url, stream string) error {
 	res, err := c.send(ctx, http.MethodDelete, url+pathStreams+stream, http.Header{}, nil)
--- a/errors.go
+++ b/errors.go
@@ -27,7 +27,7 @@
 	return oops.Code(code).With(locationField, field).Errorf(format, args...)
 }
 
-// WrapErr gives err a result code and a message; nil stays nil.
+// WrapErr gives err a message and, where it has none yet, a result code; nil stays nil.
 func WrapErr(code Code, err error, format string, args ...any) error {
 	return oops.Code(code).Wrapf(err, format, args...)
 }
--- a/generation/effect.go
+++ b/generation/effect.go
@@ -17,6 +17,13 @@
 	Retry   bool                  // whether the attempt counts against the retry budget
 }
 
+// Inspect asks an engine how many of the answer's last tokens stand for text that was held back as an unfinished character.
+type Inspect struct {
+	Attempt  vaneyoke.Attempt
+	Upstream vaneyoke.UpstreamID
+	IDs      []vaneyoke.TokenID // the answer so far
+}
+
 // Start sends an attempt to its upstream.
 type Start struct {
 	Attempt  vaneyoke.Attempt
@@ -58,10 +65,11 @@
 	Detail     string
 }
 
-func (Place) effect()  {}
-func (Start) effect()  {}
-func (Resume) effect() {}
-func (Cancel) effect() {}
-func (Given) effect()  {}
-func (Finish) effect() {}
-func (Fail) effect()   {}
+func (Place) effect()   {}
+func (Inspect) effect() {}
+func (Start) effect()   {}
+func (Resume) effect()  {}
+func (Cancel) effect()  {}
+func (Given) effect()   {}
+func (Finish) effect()  {}
+func (Fail) effect()    {}
--- a/generation/event.go
+++ b/generation/event.go
@@ -19,6 +19,12 @@
 	Expect   time.Duration // expected time to the first token; 0 where unknown
 }
 
+// Inspected answers Inspect.
+type Inspected struct {
+	Attempt vaneyoke.Attempt
+	Held    vaneyoke.Tokens // tokens at the end whose text was held back
+}
+
 // NotPlaced says that no upstream can take an attempt now.
 type NotPlaced struct {
 	Attempt    vaneyoke.Attempt
@@ -64,6 +70,7 @@
 
 func (Admitted) event()   {}
 func (Placed) event()     {}
+func (Inspected) event()  {}
 func (NotPlaced) event()  {}
 func (PromptRead) event() {}
 func (*Received) event()  {}
--- a/generation/recover.go
+++ b/generation/recover.go
@@ -28,6 +28,27 @@
 	r.upstream = ev.Upstream
 	r.placedAt = now
 	r.expect = ev.Expect
+	if s.answer.unsure && s.answer.Len() > 0 {
+		s.do(Inspect{Attempt: r.attempt, Upstream: r.upstream, IDs: s.answer.IDs})
+		return
+	}
+	s.start(r)
+}
+
+// inspected takes off the tokens whose text the lost engine held back, so that the next one shows it.
+func (s *State) inspected(ev Inspected) {
+	r := s.find(ev.Attempt)
+	if r == nil {
+		return
+	}
+	if s.answer.unsure {
+		s.stats.Discarded += s.answer.trim(ev.Held)
+	}
+	s.start(r)
+}
+
+func (s *State) start(r *run) {
+	r.sent = true
 	s.sent++
 	s.stats.Attempts++
 	start := Start{Attempt: r.attempt, Upstream: r.upstream, From: s.answer.Len()}
@@ -96,7 +117,7 @@
 		s.stats.Losses++
 		return
 	}
-	if !old.resumed {
+	if old.sent {
 		s.sent--
 	}
 }
--- a/generation/run.go
+++ b/generation/run.go
@@ -21,6 +21,7 @@
 	stream   vaneyoke.Attempt // the attempt whose number the engine knows the stream by
 	upstream vaneyoke.UpstreamID
 	stage    stage
+	sent     bool               // whether an engine may have started it
 	resumed  bool               // attached to a stream that was started before
 	pending  []vaneyoke.TokenID // received, but held back by an unfinished character
 	placedAt time.Time
--- a/generation/state.go
+++ b/generation/state.go
@@ -66,6 +66,8 @@
 		s.place(now, 0, false)
 	case Placed:
 		s.placed(now, ev)
+	case Inspected:
+		s.inspected(ev)
 	case NotPlaced:
 		s.notPlaced(now, ev)
 	case PromptRead:
@@ -157,9 +159,9 @@
 func (s *State) letThrough(now time.Time, r *run, b vaneyoke.Batch) {
 	s.fenceOthers(r.attempt)
 	r = s.find(r.attempt)
-	ids := append(r.pending, b.IDs...)
+	s.answer.IDs = append(s.answer.IDs, r.pending...)
 	r.pending = nil
-	matched := s.answer.add(ids, b.Text, s.cfg.Stop)
+	matched := s.answer.add(b.IDs, b.Text, s.cfg.Stop)
 	s.progress = now
 	s.losses = 0
 	s.avoid = s.avoid[:0]
--- a/generation/transcript.go
+++ b/generation/transcript.go
@@ -12,6 +12,8 @@
 	IDs     []vaneyoke.TokenID
 	Text    []byte // text of all ids; it only grows, except that a stop string cuts its end off
 	Visible int    // bytes of Text that no stop string can still take back
+
+	unsure bool // whether the last id may stand for text that the engine still holds back
 }
 
 // Len returns the number of tokens.
@@ -32,6 +34,7 @@
 // add appends a batch and reports whether its text completes a stop string.
 func (t *Transcript) add(ids []vaneyoke.TokenID, text []byte, stop Stop) bool {
 	t.IDs = append(t.IDs, ids...)
+	t.unsure = len(ids) > 1
 	t.Text = append(t.Text, text...)
 	end, matched := stop.match(t.Text, t.Visible)
 	if matched {
@@ -41,6 +44,14 @@
 	return matched
 }
 
+// trim takes off ids whose text was held back, and returns how many there were.
+func (t *Transcript) trim(held vaneyoke.Tokens) vaneyoke.Tokens {
+	held = max(min(held, t.Len()), 0)
+	t.IDs = t.IDs[:t.Len()-held]
+	t.unsure = false
+	return held
+}
+
 // close makes the whole text visible.
 func (t *Transcript) close() { t.Visible = len(t.Text) }
 
--- a/node/node.go
+++ b/node/node.go
@@ -52,10 +52,10 @@
 // Start opens the node's addresses and begins to serve.
 func (n *Node) Start(ctx context.Context) error {
 	var err error
-	if n.callerAt, err = listen(n.settings.Node.Listen); err != nil {
+	if n.callerAt, err = listen(ctx, n.settings.Node.Listen); err != nil {
 		return err
 	}
-	if n.adminAt, err = listen(n.settings.Node.Admin); err != nil {
+	if n.adminAt, err = listen(ctx, n.settings.Node.Admin); err != nil {
 		_ = n.callerAt.Close()
 		return err
 	}
@@ -76,8 +76,8 @@
 	return nil
 }
 
-func listen(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	l, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
 	return l, vaneyoke.WrapErr(vaneyoke.CodeListen, err, "listen on %s", address)
 }
 
--- a/openai/request.go
+++ b/openai/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 
 	"github.com/vaneyoke/vaneyoke"
 )
@@ -176,7 +177,7 @@
 
 // badBody turns an error of the JSON decoder into one for the caller, with the field where it is known.
 func badBody(err error) error {
-	if e, ok := err.(*json.UnmarshalTypeError); ok {
+	if e, ok := errors.AsType[*json.UnmarshalTypeError](err); ok {
 		return vaneyoke.ErrField(vaneyoke.CodeBadRequest, "body."+e.Field, "must be of another type, got %s", e.Value)
 	}
 	return vaneyoke.ErrField(vaneyoke.CodeBadRequest, "body", "is not a JSON object: %s", err)
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -63,6 +63,16 @@
 	}
 }
 
+// inspect asks an engine where the lost engine's shown text ended.
+func (s *Session) inspect(e generation.Inspect, upstream vaneyoke.Upstream) {
+	held, err := s.relay.engines.Held(s.ctx, upstream.URL, s.req.Model, e.IDs)
+	if err != nil {
+		s.failed(e.Attempt, &engine.NotSentError{Reason: err.Error()})
+		return
+	}
+	s.handle(time.Now(), generation.Inspected{Attempt: e.Attempt, Held: held})
+}
+
 // start opens the attempt's link and follows it in a goroutine.
 func (s *Session) start(e generation.Start) {
 	l := s.links[e.Attempt]
@@ -253,16 +263,16 @@
 }
 
 func causeOf(err error) generation.Cause {
-	switch err.(type) {
-	case *engine.NotSentError:
+	if _, ok := errors.AsType[*engine.NotSentError](err); ok {
 		return generation.CauseNotSent
-	case *engine.NoStreamError:
+	}
+	if _, ok := errors.AsType[*engine.NoStreamError](err); ok {
 		return generation.CauseNoStream
-	case *engine.MalformedError:
+	}
+	if _, ok := errors.AsType[*engine.MalformedError](err); ok {
 		return generation.CauseMalformed
-	default:
-		return generation.CauseClosed
 	}
+	return generation.CauseClosed
 }
 
 func (s *Session) logAttempt(attempt vaneyoke.Attempt, upstream vaneyoke.UpstreamID) *logrus.Entry {
--- a/relay/session.go
+++ b/relay/session.go
@@ -190,6 +190,8 @@
 	switch e := effect.(type) {
 	case generation.Place:
 		go s.place(e)
+	case generation.Inspect:
+		go s.inspect(e, s.links[e.Attempt].upstream)
 	case generation.Start:
 		s.start(e)
 	case generation.Resume:
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,70 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/settings"
+)
+
+const good = `
+[node]
+vm = vm-1
+hall = hall-a
+[platform]
+table_url = http://127.0.0.1:1
+object_url = http://127.0.0.1:2
+vms_url = http://127.0.0.1:3/vms
+`
+
+func TestParse(t *testing.T) {
+	cases := map[string]struct {
+		text string
+		code vaneyoke.Code
+		want string // part of the error
+	}{
+		"good":            {good, vaneyoke.CodeOK, ""},
+		"unknown key":     {good + "[limits]\nbody = 1", vaneyoke.CodeSettingsKey, "node.ini: [limits] body: unknown key; known are"},
+		"unknown section": {good + "[limit]\nbody = 1", vaneyoke.CodeSettingsKey, "[limit]: unknown section"},
+		"stray key":       {"grace = 1s\n" + good, vaneyoke.CodeSettingsKey, "unknown section"},
+		"missing":         {strings.Replace(good, "vm = vm-1", "", 1), vaneyoke.CodeSettingsKey, "[node] vm: is missing"},
+		"no duration":     {good + "[limits]\nmax_wait = 3", vaneyoke.CodeSettingsValue, "[limits] max_wait: must be a duration"},
+		"too small":       {good + "[recovery]\nfloor = 1ms", vaneyoke.CodeSettingsValue, "[recovery] floor: must be at least 10ms, got 1ms"},
+		"too large":       {good + "[trace]\nratio = 1.5", vaneyoke.CodeSettingsValue, "[trace] ratio: must be at most 1, got 1.5"},
+		"no address":      {strings.Replace(good, "hall-a", "hall-a\nlisten = localhost:80", 1), vaneyoke.CodeSettingsValue, "must be an IP number and a port"},
+		"no url":          {strings.Replace(good, "http://127.0.0.1:2", "ftp://x", 1), vaneyoke.CodeSettingsValue, "must be an http or https address"},
+		"no level":        {good + "[log]\nlevel = loud", vaneyoke.CodeSettingsValue, "must be one of"},
+		"no INI":          {"[node", vaneyoke.CodeSettingsFile, "node.ini"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s, err := settings.Parse([]byte(tc.text), "node.ini")
+			must.EqOp(t, tc.code, vaneyoke.CodeOf(err))
+			if err != nil {
+				must.StrContains(t, err.Error(), tc.want)
+				return
+			}
+			must.EqOp(t, "vm-1", s.Node.VM)
+			must.EqOp(t, 15*time.Minute, s.Node.Grace)
+		})
+	}
+}
+
+func TestLoadNamesTheMissingFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "none.ini")
+	_, err := settings.Load(path)
+	must.EqOp(t, vaneyoke.CodeSettingsFile, vaneyoke.CodeOf(err))
+	must.StrContains(t, err.Error(), path)
+}
+
+func TestDocsListEverySetting(t *testing.T) {
+	doc, err := os.ReadFile("../docs/SETTINGS.md")
+	must.NoError(t, err)
+	must.StrContains(t, string(doc), settings.Markdown())
+}
--- a/standin/server.go
+++ b/standin/server.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"context"
 	"encoding/json"
 	"maps"
 	"net"
@@ -29,7 +30,7 @@
 
 // start serves handler on address; faults go to a handler of their own, which also answers while the stand-in is dead.
 func (s *server) start(address string, handler, faults http.Handler) error {
-	listener, err := net.Listen("tcp", address)
+	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return err
 	}
--- a/standin/whole.go
+++ b/standin/whole.go
@@ -37,7 +37,7 @@
 	Arguments string `json:"arguments"`
 }
 
-func (r *engineRun) whole(text string, reason vaneyoke.FinishReason, tokens int, tools bool) wholeAnswer {
+func (r *engineRun) wholeAnswer(text string, reason vaneyoke.FinishReason, tokens int, tools bool) wholeAnswer {
 	prompt, completion := vaneyoke.Tokens(len(r.prompt)), vaneyoke.Tokens(tokens)
 	choice := wholeChoice{FinishReason: reason, Text: text}
 	answer := wholeAnswer{ID: "run", Object: "text_completion"}
