--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 PACKAGES = ./... ./cmd/vaneyoke/... ./cmd/vaneyoked/...
 
-.PHONY: demo test bench generate
+.PHONY: demo test bench tidy generate
 
 # Runs the main job on embedded stand-ins.
 demo:
@@ -13,3 +13,14 @@
 # Runs the benchmarks.
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
+
+# Tidies all three modules.
+tidy:
+	go mod tidy
+	cd cmd/vaneyoke && GOWORK=off go mod tidy
+	cd cmd/vaneyoked && GOWORK=off go mod tidy
+
+# Generates the code of the peer API; needs protoc, protoc-gen-go and protoc-gen-twirp.
+generate:
+	protoc -I peer/peerpb --go_out=peer/peerpb --go_opt=paths=source_relative \
+		--twirp_out=peer/peerpb --twirp_opt=paths=source_relative peer/peerpb/peer.proto
--- a/callerapi/answer.go
+++ b/callerapi/answer.go
@@ -9,6 +9,7 @@
 	"github.com/danielgtaylor/huma/v2"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/failover"
 	"github.com/vaneyoke/vaneyoke/openai"
 	"github.com/vaneyoke/vaneyoke/relay"
 )
@@ -19,26 +20,28 @@
 	mediaEvents   = "text/event-stream"
 )
 
-// answer gives a session's answer to one caller.
+// answer gives an answer to one caller.
 type answer struct {
-	api     *API
-	session *relay.Session
-	req     *vaneyoke.Request
+	api    *API
+	reader *failover.Reader
+	req    *vaneyoke.Request
 }
 
 // whole waits for the end of the session and answers in one body.
 func (a *answer) whole(ctx context.Context) (*huma.StreamResponse, error) {
-	result, err := a.session.Wait(ctx)
+	session := a.reader.Session()
+	result, err := session.Wait(ctx)
+	a.reader.Close(err != nil)
 	if err != nil {
-		a.session.Abandon()
 		return nil, err
 	}
 	if err := result.Err(); err != nil {
 		return nil, err
 	}
-	body := a.session.Answer().Body
+	a.reader.Seal(ctx)
+	body := session.Answer().Body
 	if a.req.Continuable {
-		whole := openai.NewWhole(a.req, a.req.ReceivedAt, string(a.session.Text()), result.Reason, result.Usage)
+		whole := openai.NewWhole(a.req, a.req.ReceivedAt, string(session.Text()), result.Reason, result.Usage)
 		if body, err = json.Marshal(whole); err != nil {
 			return nil, vaneyoke.WrapErr(vaneyoke.CodeInternal, err, "encode answer")
 		}
@@ -58,12 +61,13 @@
 
 // stream waits for the first text, and then answers as server-sent events.
 func (a *answer) stream(ctx context.Context) (*huma.StreamResponse, error) {
-	text, result, err := a.session.Read(ctx, 0)
-	if err != nil {
-		a.session.Abandon()
-		return nil, err
+	resumed := a.reader.Resumed()
+	piece, result, err := a.reader.Read(ctx)
+	if err == nil && !resumed {
+		err = result.Err()
 	}
-	if err := result.Err(); err != nil {
+	if err != nil {
+		a.reader.Close(true)
 		return nil, err
 	}
 	return &huma.StreamResponse{Body: func(hc huma.Context) {
@@ -72,12 +76,11 @@
 		hc.SetHeader(headerRequest, string(a.req.ID))
 		w, ok := hc.BodyWriter().(http.ResponseWriter)
 		if !ok {
+			a.reader.Close(true)
 			return
 		}
 		s := &sender{answer: a, http: w, control: http.NewResponseController(w), writer: openai.NewWriter(a.req, a.req.ReceivedAt)}
-		if err := s.send(ctx, text, result); err != nil {
-			a.session.Abandon()
-		}
+		a.reader.Close(s.send(ctx, piece, result, resumed) != nil)
 	}}, nil
 }
 
@@ -90,48 +93,47 @@
 }
 
 // send writes the answer to its end; an error says that the caller is gone.
-func (s *sender) send(ctx context.Context, text []byte, result relay.Result) error {
+func (s *sender) send(ctx context.Context, piece failover.Piece, result relay.Result, resumed bool) error {
 	if !s.req.Continuable {
 		return s.sendWhole(ctx, result)
 	}
-	if s.writer.Chat() {
+	if s.writer.Chat() && !resumed {
 		if err := s.write(s.writer.Role(), false); err != nil {
 			return err
 		}
 	}
-	sent := 0
 	for !result.Ended {
-		if err := s.write(s.writer.Text("", text), true); err != nil {
+		if err := s.write(s.writer.Text(piece.Cursor, piece.Text), true); err != nil {
 			return err
 		}
-		sent += len(text)
 		var err error
-		if text, result, err = s.session.Read(ctx, sent); err != nil {
+		if piece, result, err = s.reader.Read(ctx); err != nil {
 			return err
 		}
 	}
-	return s.finish(result)
+	return s.finish(ctx, result)
 }
 
 // sendWhole writes an answer that came from the engine in one body.
 func (s *sender) sendWhole(ctx context.Context, result relay.Result) error {
 	var err error
 	if !result.Ended {
-		if result, err = s.session.Wait(ctx); err != nil {
+		if result, err = s.reader.Session().Wait(ctx); err != nil {
 			return err
 		}
 	}
 	if result.Err() != nil {
-		return s.finish(result)
+		return s.finish(ctx, result)
 	}
-	events, err := s.writer.Chunks(s.session.Answer().Body, s.req.IncludeUsage)
+	events, err := s.writer.Chunks(s.reader.Session().Answer().Body, s.req.IncludeUsage)
 	if err != nil {
 		return s.writeFailure(err)
 	}
 	return s.write(append(events, openai.EndOfStream...), true)
 }
 
-func (s *sender) finish(result relay.Result) error {
+func (s *sender) finish(ctx context.Context, result relay.Result) error {
+	s.reader.Seal(ctx)
 	if err := result.Err(); err != nil {
 		return s.writeFailure(err)
 	}
--- a/callerapi/generate.go
+++ b/callerapi/generate.go
@@ -11,6 +11,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/failover"
 	"github.com/vaneyoke/vaneyoke/openai"
 )
 
@@ -20,6 +21,8 @@
 	TraceParent   string `header:"traceparent" doc:"W3C trace context of the caller."`
 	Repeatable    string `header:"Vaneyoke-Repeatable" enum:"true,false," doc:"Whether the request may be run again after a failure."`
 	MaxWaitMS     int    `header:"Vaneyoke-Max-Wait-Ms" minimum:"0" doc:"Longest wait for an upstream; 0 for the node's setting."`
+	Key           string `header:"Idempotency-Key" maxLength:"200" doc:"The caller's own key, by which it may come back for the answer."`
+	Cursor        string `header:"Last-Event-ID" maxLength:"8192" doc:"Id of the last event that the caller holds."`
 	RawBody       []byte `contentType:"application/json"`
 }
 
@@ -69,8 +72,12 @@
 	req.Repeatable = in.Repeatable != "false"
 	ctx, span := a.startSpan(ctx, "caller", in.TraceParent)
 	defer span.End()
-	session := a.relay.Generate(ctx, &req)
-	answer := &answer{api: a, session: session, req: &req}
+	ask := failover.Ask{Request: &req, Body: in.RawBody, Key: in.Key, Cursor: in.Cursor}
+	reader, err := a.failover.Open(ctx, ask)
+	if err != nil {
+		return nil, err
+	}
+	answer := &answer{api: a, reader: reader, req: &req}
 	if req.Stream {
 		return answer.stream(ctx)
 	}
--- a/engine/client.go
+++ b/engine/client.go
@@ -38,9 +38,9 @@
 // New returns a client that uses the given HTTP client, which must not retry or time out streams.
 func New(client *http.Client) *Client { return &Client{http: client} }
 
-// StreamID names a run on an engine.
-func StreamID(id vaneyoke.RequestID, attempt vaneyoke.Attempt) string {
-	return string(id) + "." + strconv.Itoa(int(attempt))
+// StreamName names a run on an engine; attempts are counted anew by each owner of a request.
+func StreamName(id vaneyoke.RequestID, epoch uint64, attempt vaneyoke.Attempt) string {
+	return string(id) + "." + strconv.FormatUint(epoch, 10) + "." + strconv.Itoa(int(attempt))
 }
 
 // Start sends an attempt and returns its stream, whose first token has the index from.
--- /dev/null
+++ b/failover/doc.go
@@ -0,0 +1,2 @@
+// Package failover lets callers that lost their connection go on reading the same answer at any node.
+package failover
--- /dev/null
+++ b/failover/manager.go
@@ -0,0 +1,190 @@
+package failover
+
+import (
+	"context"
+	"crypto/sha256"
+	"expvar"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/cursor"
+	"github.com/vaneyoke/vaneyoke/journal"
+	"github.com/vaneyoke/vaneyoke/membership"
+	"github.com/vaneyoke/vaneyoke/relay"
+)
+
+// Peers carries what a node says to the others.
+type Peers interface {
+	// Open reserves a key at a peer for an owner, or returns who owns it.
+	Open(ctx context.Context, p membership.Peer, key journal.Key, entry journal.Entry) (journal.Entry, bool, error)
+	// Push adds deltas to the journals that a peer keeps.
+	Push(ctx context.Context, p membership.Peer, deltas []journal.Delta) ([]journal.PushState, error)
+	// TakeOver makes owner the owner of a session, and returns what the peer holds of it.
+	TakeOver(ctx context.Context, p membership.Peer, key journal.Key, owner vaneyoke.NodeID, fromOwner bool) (journal.Delta, bool, error)
+}
+
+// Fleet says what the node knows of the others and of the upstreams.
+type Fleet interface {
+	// View returns the nodes that take part.
+	View() *membership.View
+	// Upstream returns an upstream of the present configuration.
+	Upstream(id vaneyoke.UpstreamID) (vaneyoke.Upstream, bool)
+}
+
+// Config holds the bounds of failover.
+type Config struct {
+	PushPeriod time.Duration // between pushes to a backup
+	AckWait    time.Duration // longest wait for a backup before another is tried
+	Linger     time.Duration // how long a session runs on after its caller has gone
+	Retention  time.Duration // how long a finished answer is kept
+	TailIDs    int           // most tokens that a cursor carries
+}
+
+// Manager keeps the node's sessions whose callers may come back.
+type Manager struct {
+	self    vaneyoke.NodeID
+	hall    vaneyoke.HallID
+	config  Config
+	ring    *cursor.Keyring
+	peers   Peers
+	fleet   Fleet
+	relay   *relay.Relay
+	metrics *Metrics
+	log     logrus.FieldLogger
+	kick    chan struct{} // asks for a push at once
+
+	mu       sync.Mutex
+	sessions map[journal.Key]*session
+}
+
+// New returns a manager; Run has to be called for its journals to be pushed.
+func New(self vaneyoke.NodeID, hall vaneyoke.HallID, config Config, ring *cursor.Keyring, peers Peers, fleet Fleet, r *relay.Relay, metrics *Metrics, log logrus.FieldLogger) *Manager {
+	return &Manager{
+		self: self, hall: hall, config: config, ring: ring, peers: peers, fleet: fleet, relay: r, metrics: metrics, log: log,
+		kick:     make(chan struct{}, 1),
+		sessions: map[journal.Key]*session{},
+	}
+}
+
+// Metrics counts what failover does.
+type Metrics struct {
+	TakenOver  *expvar.Map // sessions taken over, by where from
+	Superseded *expvar.Int // sessions that another node took over
+	Lost       *expvar.Int // answers that could not be rebuilt
+	Pushes     *expvar.Int
+	PushBytes  *expvar.Int // token text and ids pushed
+	NoBackup   *expvar.Int // sessions that had to go on without a backup
+}
+
+// NewMetrics returns counters in vars.
+func NewMetrics(vars *expvar.Map) *Metrics {
+	m := &Metrics{
+		TakenOver: new(expvar.Map).Init(), Superseded: new(expvar.Int), Lost: new(expvar.Int),
+		Pushes: new(expvar.Int), PushBytes: new(expvar.Int), NoBackup: new(expvar.Int),
+	}
+	vars.Set("taken_over_total", m.TakenOver)
+	vars.Set("superseded_total", m.Superseded)
+	vars.Set("answers_lost_total", m.Lost)
+	vars.Set("journal_pushes_total", m.Pushes)
+	vars.Set("journal_push_bytes_total", m.PushBytes)
+	vars.Set("sessions_without_backup_total", m.NoBackup)
+	return m
+}
+
+// Ask is a request whose caller may come back.
+type Ask struct {
+	Request *vaneyoke.Request
+	Body    []byte
+	Key     string // the caller's key for the request, "" where it will not come back
+	Cursor  string // the last mark that the caller holds, "" for the answer from its beginning
+}
+
+// Open starts the request, or finds the answer that was begun before.
+func (m *Manager) Open(ctx context.Context, ask Ask) (*Reader, error) {
+	if ask.Key == "" {
+		if ask.Cursor != "" {
+			return nil, vaneyoke.ErrField(vaneyoke.CodeBadRequest, "header.Last-Event-ID", "needs an Idempotency-Key")
+		}
+		return &Reader{manager: m, relay: m.relay.Generate(ctx, ask.Request)}, nil
+	}
+	mark, err := m.readCursor(ask)
+	if err != nil {
+		return nil, err
+	}
+	key := journal.Key{Workspace: ask.Request.Workspace, Key: ask.Key}
+	digest := bodyDigest(ask.Body)
+	if s := m.find(key); s != nil {
+		return s.read(digest, mark)
+	}
+	s, err := m.openFleetWide(ctx, ask, key, digest, mark)
+	if err != nil {
+		return nil, err
+	}
+	return s.read(digest, mark)
+}
+
+// readCursor checks the caller's mark and that it belongs to the caller.
+func (m *Manager) readCursor(ask Ask) (*cursor.Cursor, error) {
+	if ask.Cursor == "" {
+		return nil, nil
+	}
+	mark, err := m.ring.Decode(ask.Cursor)
+	if err != nil {
+		return nil, err
+	}
+	if mark.Workspace != ask.Request.Workspace {
+		return nil, vaneyoke.Err(vaneyoke.CodeForbidden, "the cursor belongs to another workspace")
+	}
+	return &mark, nil
+}
+
+func bodyDigest(body []byte) string {
+	sum := sha256.Sum256(body)
+	return string(sum[:])
+}
+
+func (m *Manager) find(key journal.Key) *session {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.sessions[key]
+}
+
+// add registers a session; where another was registered meanwhile, that one is returned.
+func (m *Manager) add(s *session) *session {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if old, ok := m.sessions[s.key]; ok {
+		return old
+	}
+	m.sessions[s.key] = s
+	return s
+}
+
+func (m *Manager) forget(s *session) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.sessions[s.key] == s {
+		delete(m.sessions, s.key)
+	}
+}
+
+// GiveUp ends a session here and returns it whole for its next owner; a finished one is returned as it is.
+func (m *Manager) GiveUp(key journal.Key, owner vaneyoke.NodeID) (journal.Delta, bool) {
+	s := m.find(key)
+	if s == nil {
+		return journal.Delta{}, false
+	}
+	if s.relay.Running() {
+		m.forget(s)
+		m.metrics.Superseded.Add(1)
+		d := s.delta(s.relay.HandOver(), 0, 0)
+		d.Entry.Owner = owner
+		d.Entry.Epoch++
+		m.log.WithFields(logrus.Fields{"request": d.Entry.Request, "peer": owner.VM}).Info("session_given_up")
+		return d, true
+	}
+	return s.delta(s.relay.Save(), 0, 0), true
+}
--- /dev/null
+++ b/failover/session.go
@@ -0,0 +1,216 @@
+package failover
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/cursor"
+	"github.com/vaneyoke/vaneyoke/journal"
+	"github.com/vaneyoke/vaneyoke/membership"
+	"github.com/vaneyoke/vaneyoke/relay"
+)
+
+// session is one of the node's own sessions, with what its backup is known to hold.
+type session struct {
+	manager *Manager
+	key     journal.Key
+	entry   journal.Entry
+	relay   *relay.Session
+
+	mu      sync.Mutex
+	changed *sync.Cond
+	backup  membership.Peer
+	backed  bool // whether there is a backup
+	acked   acked
+	tried   []vaneyoke.VMID // backups that failed
+	readers int
+	idle    time.Time // since when nobody reads
+	pushing bool
+}
+
+// acked is what a backup has confirmed.
+type acked struct {
+	ids    int
+	text   int
+	prompt bool
+	result bool
+}
+
+func newSession(m *Manager, key journal.Key, entry journal.Entry, r *relay.Session) *session {
+	s := &session{manager: m, key: key, entry: entry, relay: r, idle: time.Now()}
+	s.changed = sync.NewCond(&s.mu)
+	s.chooseBackup()
+	return s
+}
+
+// chooseBackup takes the best node that has not failed yet.
+func (s *session) chooseBackup() {
+	self := membership.Peer{VM: s.manager.self.VM, Hall: s.manager.hall}
+	s.backup, s.backed = s.manager.fleet.View().Backup(homeKey(s.key), self, s.tried)
+	s.acked = acked{}
+	if !s.backed {
+		s.manager.metrics.NoBackup.Add(1)
+	}
+}
+
+// homeKey is what the nodes rank one another by for a session.
+func homeKey(key journal.Key) string { return string(key.Workspace) + "\x00" + key.Key }
+
+// dropBackup gives up a backup that failed and chooses another.
+func (s *session) dropBackup(failed vaneyoke.VMID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.backed || s.backup.VM != failed {
+		return
+	}
+	s.tried = append(s.tried, failed)
+	s.chooseBackup()
+	s.changed.Broadcast()
+}
+
+// delta returns what comes after the given index and offset.
+func (s *session) delta(saved relay.Saved, ids, text int) journal.Delta {
+	r := saved.Restored
+	d := journal.Delta{
+		Key: s.key, Entry: s.entry,
+		From: vaneyoke.Tokens(ids), TextFrom: text,
+		IDs: r.IDs[ids:], Text: r.Text[min(text, len(r.Text)):],
+		Prompt: r.Prompt,
+		Stream: journal.Stream{Name: saved.StreamName, Upstream: r.Upstream, Base: saved.StreamBase},
+	}
+	if saved.Result != nil {
+		d.Result = &journal.Result{
+			Code: saved.Result.Code, Detail: saved.Result.Detail, Reason: saved.Result.Reason,
+			Status: saved.Answer.Status, MediaType: saved.Answer.MediaType, Body: saved.Answer.Body,
+		}
+	}
+	return d
+}
+
+// pending returns what the backup does not hold yet.
+func (s *session) pending() (journal.Delta, membership.Peer, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.backed || s.pushing || s.acked.result {
+		return journal.Delta{}, membership.Peer{}, false
+	}
+	saved := s.relay.Save()
+	r := saved.Restored
+	first := !s.acked.prompt
+	if !first && len(r.IDs) == s.acked.ids && saved.Result == nil {
+		return journal.Delta{}, membership.Peer{}, false
+	}
+	if first && len(r.IDs) == 0 && saved.Result == nil {
+		return journal.Delta{}, membership.Peer{}, false
+	}
+	d := s.delta(saved, s.acked.ids, s.acked.text)
+	if s.acked.prompt {
+		d.Prompt = nil
+	}
+	s.pushing = true
+	return d, s.backup, true
+}
+
+// pushed takes in what became of a delta.
+func (s *session) pushed(d journal.Delta, to vaneyoke.VMID, state journal.PushState) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pushing = false
+	if s.backup.VM != to {
+		return
+	}
+	switch state {
+	case journal.PushKept:
+		s.acked = acked{
+			ids:    int(d.From) + len(d.IDs),
+			text:   d.TextFrom + len(d.Text),
+			prompt: true,
+			result: d.Result != nil,
+		}
+	case journal.PushGap:
+		s.acked = acked{}
+	case journal.PushSuperseded:
+	}
+	s.changed.Broadcast()
+}
+
+func (s *session) pushFailed(to vaneyoke.VMID) {
+	s.mu.Lock()
+	s.pushing = false
+	s.mu.Unlock()
+	s.dropBackup(to)
+}
+
+// cursor returns the mark for a caller that holds the text up to offset.
+// Where the backup lags by more than a cursor can carry, it waits for the backup, and gives the backup up where that takes too long.
+func (s *session) cursor(ctx context.Context, offset int, digest uint64) string {
+	c := cursor.Cursor{
+		Workspace: s.key.Workspace,
+		Request:   s.entry.Request,
+		Owner:     s.manager.self.VM,
+		Offset:    offset,
+		Digest:    digest,
+	}
+	s.waitBacked(ctx)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.backed {
+		r := s.relay.Save().Restored
+		c.Backup = s.backup.VM
+		c.TailFrom, c.TailAt = vaneyoke.Tokens(s.acked.ids), s.acked.text
+		c.TailIDs, c.TailText = r.IDs[s.acked.ids:], r.Text[min(s.acked.text, len(r.Text)):]
+	}
+	return s.manager.ring.Encode(c)
+}
+
+// waitBacked waits until the backup holds all but a short tail, or there is no backup.
+func (s *session) waitBacked(ctx context.Context) {
+	for !s.nearlyAcked() {
+		limit, cancel := context.WithTimeout(ctx, s.manager.config.AckWait)
+		slow := s.waitChange(limit)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		if slow != "" {
+			s.dropBackup(slow)
+		}
+	}
+}
+
+func (s *session) nearlyAcked() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.backed {
+		return true
+	}
+	r := s.relay.Save().Restored
+	tail := len(r.IDs) - s.acked.ids
+	return s.acked.prompt && tail <= s.manager.config.TailIDs && len(r.Text)-s.acked.text <= maxTailText
+}
+
+// maxTailText is the longest text that a cursor carries.
+const maxTailText = 1 << 10
+
+// waitChange asks for a push and waits for its outcome; it returns the backup's name where that did not answer in time.
+func (s *session) waitChange(ctx context.Context) vaneyoke.VMID {
+	s.manager.kickPush()
+	stop := context.AfterFunc(ctx, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.changed.Broadcast()
+	})
+	defer stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before, backup := s.acked, s.backup.VM
+	for s.acked == before && s.backup.VM == backup && ctx.Err() == nil {
+		s.changed.Wait()
+	}
+	if ctx.Err() != nil && s.acked == before {
+		return backup
+	}
+	return ""
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -13,6 +13,7 @@
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/catalog"
 	"github.com/vaneyoke/vaneyoke/node"
+	"github.com/vaneyoke/vaneyoke/platform"
 	"github.com/vaneyoke/vaneyoke/settings"
 	"github.com/vaneyoke/vaneyoke/standin"
 	"github.com/vaneyoke/vaneyoke/telemetry"
@@ -27,6 +28,9 @@
 	loopback                       = "127.0.0.1"
 )
 
+// portsEach is the number of ports that a node listens on.
+const portsEach = 3
+
 var halls = []vaneyoke.HallID{"hall-a", "hall-b", "hall-c"}
 
 // Config says how large a fleet is.
@@ -159,11 +163,14 @@
 hall = %s
 listen = %s
 admin = %s
+[peers]
+listen = %s
+keys = fleet-key
 [platform]
 table_url = %s
 object_url = %s
 vms_url = %s
-`, i, halls[i%len(halls)], f.address(2*i), f.address(2*i+1), f.Platform.URL(), f.Platform.ObjectURL(), f.Platform.VMsURL())
+`, i, halls[i%len(halls)], f.address(portsEach*i), f.address(portsEach*i+1), f.address(portsEach*i+2), f.Platform.URL(), f.Platform.ObjectURL(), f.Platform.VMsURL())
 	s, err := settings.Parse([]byte(text), "fleet")
 	s.Trace.Output = f.config.Trace
 	if f.config.Adjust != nil {
@@ -194,12 +201,25 @@
 	}
 	if i < len(f.Nodes) {
 		f.Nodes[i] = n
-		return nil
+	} else {
+		f.Nodes = append(f.Nodes, n)
 	}
-	f.Nodes = append(f.Nodes, n)
+	f.listVMs()
 	return nil
 }
 
+// listVMs tells the platform which VMs there are, and the nodes to read its list.
+func (f *Fleet) listVMs() {
+	var vms []platform.VM
+	for _, n := range f.Nodes {
+		vms = append(vms, n.VM())
+	}
+	f.Platform.Memory.SetVMs(vms)
+	for _, n := range f.Nodes {
+		n.ReadVMs(context.Background())
+	}
+}
+
 // Engine returns the engine that runs something, or nil.
 func (f *Fleet) Engine() *standin.Engine {
 	for _, e := range f.Engines {
--- a/generation/event.go
+++ b/generation/event.go
@@ -65,6 +65,9 @@
 // CallerGone says that nobody waits for the answer any more.
 type CallerGone struct{}
 
+// Superseded says that another node goes on with the answer.
+type Superseded struct{}
+
 // Tick says that the time returned by Deadline has come.
 type Tick struct{}
 
@@ -78,6 +81,7 @@
 func (Lost) event()       {}
 func (Rejected) event()   {}
 func (CallerGone) event() {}
+func (Superseded) event() {}
 func (Tick) event()       {}
 
 // Cause says how an attempt was lost.
--- a/generation/state.go
+++ b/generation/state.go
@@ -50,6 +50,16 @@
 // Transcript returns the answer so far; the caller must not change it.
 func (s *State) Transcript() *Transcript { return &s.answer }
 
+// Current returns the attempt whose stream gives the answer's tokens now, or -1 where none does.
+func (s *State) Current() vaneyoke.Attempt {
+	for i := range s.runs {
+		if s.runs[i].stage == stageStreaming || s.runs[i].resumed {
+			return s.runs[i].attempt
+		}
+	}
+	return -1
+}
+
 // Sent reports whether any engine may have started a run.
 func (s *State) Sent() bool { return s.sent > 0 }
 
@@ -82,6 +92,8 @@
 		s.rejected(ev)
 	case CallerGone:
 		s.fail(Fail{Code: vaneyoke.CodeCallerGone})
+	case Superseded:
+		s.supersede()
 	case Tick:
 		s.tick(now)
 	}
@@ -217,6 +229,15 @@
 	s.do(Finish{Reason: reason, Usage: s.answer.Usage()})
 }
 
+// supersede ends the answer here without stopping its run, which the new owner may read on.
+func (s *State) supersede() {
+	for i := range s.runs {
+		s.cancel(&s.runs[i], false, 0)
+	}
+	s.runs = s.runs[:0]
+	s.fail(Fail{Code: vaneyoke.CodeSuperseded})
+}
+
 func (s *State) fail(f Fail) {
 	s.ended = true
 	s.cancelAll()
--- /dev/null
+++ b/membership/view.go
@@ -0,0 +1,112 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/vaneyoke/vaneyoke"
+)
+
+// homes is the number of nodes that know who owns a session.
+const homes = 2
+
+// Peer is a node as the list of VMs tells of it.
+type Peer struct {
+	VM      vaneyoke.VMID
+	Hall    vaneyoke.HallID
+	Address string // IP number and port of the peer API
+}
+
+// View is the set of nodes that take part in keeping journals.
+type View struct {
+	peers []Peer
+	halls []vaneyoke.HallID
+}
+
+// NewView returns a view of the given nodes, the own one among them.
+func NewView(peers []Peer) *View {
+	v := &View{peers: slices.Clone(peers)}
+	slices.SortFunc(v.peers, func(a, b Peer) int { return cmp.Compare(a.VM, b.VM) })
+	for _, p := range v.peers {
+		if !slices.Contains(v.halls, p.Hall) {
+			v.halls = append(v.halls, p.Hall)
+		}
+	}
+	return v
+}
+
+// Len returns the number of nodes.
+func (v *View) Len() int { return len(v.peers) }
+
+// Find returns the node on a VM.
+func (v *View) Find(vm vaneyoke.VMID) (Peer, bool) {
+	i, ok := slices.BinarySearchFunc(v.peers, vm, func(p Peer, vm vaneyoke.VMID) int { return cmp.Compare(p.VM, vm) })
+	if !ok {
+		return Peer{}, false
+	}
+	return v.peers[i], true
+}
+
+// Homes returns the nodes that know who owns a session: one in each of two halls, or as many as there are.
+// Every node with the same view gives the same answer, and a change of the view moves few sessions.
+func (v *View) Homes(key string) []Peer {
+	ranked := slices.Clone(v.halls)
+	slices.SortFunc(ranked, func(a, b vaneyoke.HallID) int { return byScore(key, string(a), string(b)) })
+	var found []Peer
+	for _, hall := range ranked[:min(homes, len(ranked))] {
+		found = append(found, v.best(key, hall))
+	}
+	if len(found) == 1 && len(v.peers) > 1 {
+		found = append(found, v.second(key, found[0].VM))
+	}
+	return found
+}
+
+// best returns the hall's node with the highest score.
+func (v *View) best(key string, hall vaneyoke.HallID) Peer {
+	return v.bestOf(key, func(p Peer) bool { return p.Hall == hall })
+}
+
+func (v *View) second(key string, first vaneyoke.VMID) Peer {
+	return v.bestOf(key, func(p Peer) bool { return p.VM != first })
+}
+
+// Backup returns the node for a session's journal: the first home outside the owner's hall, or else one on another VM.
+func (v *View) Backup(key string, owner Peer, avoid []vaneyoke.VMID) (Peer, bool) {
+	usable := func(p Peer) bool { return p.VM != owner.VM && !slices.Contains(avoid, p.VM) }
+	for _, p := range v.Homes(key) {
+		if usable(p) && p.Hall != owner.Hall {
+			return p, true
+		}
+	}
+	if p := v.bestOf(key, func(p Peer) bool { return usable(p) && p.Hall != owner.Hall }); p.VM != "" {
+		return p, true
+	}
+	p := v.bestOf(key, usable)
+	return p, p.VM != ""
+}
+
+func (v *View) bestOf(key string, usable func(Peer) bool) Peer {
+	var found Peer
+	var top uint64
+	for _, p := range v.peers {
+		if s := score(key, string(p.VM)); usable(p) && (found.VM == "" || s > top) {
+			found, top = p, s
+		}
+	}
+	return found
+}
+
+func byScore(key, a, b string) int { return cmp.Compare(score(key, b), score(key, a)) }
+
+// score ranks a name for a key by rendezvous hashing.
+func score(key, name string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(key)
+	_, _ = d.WriteString("\x00")
+	_, _ = d.WriteString(name)
+	return d.Sum64()
+}
--- a/node/config.go
+++ b/node/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/vaneyoke/vaneyoke/callerapi"
+	"github.com/vaneyoke/vaneyoke/failover"
 	"github.com/vaneyoke/vaneyoke/generation"
 	"github.com/vaneyoke/vaneyoke/relay"
 	"github.com/vaneyoke/vaneyoke/retry"
@@ -33,3 +34,13 @@
 func apiConfig(s settings.Limits) callerapi.Config {
 	return callerapi.Config{BodyBytes: s.BodyBytes, MaxWait: s.MaxWait, WriteTimeout: s.WriteTimeout}
 }
+
+func failoverConfig(s settings.Peers) failover.Config {
+	return failover.Config{
+		PushPeriod: s.PushPeriod,
+		AckWait:    s.AckWait,
+		Linger:     s.Linger,
+		Retention:  s.Retention,
+		TailIDs:    s.TailTokens,
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,9 @@
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/callerapi"
 	"github.com/vaneyoke/vaneyoke/catalog"
+	"github.com/vaneyoke/vaneyoke/failover"
+	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/relay"
 	"github.com/vaneyoke/vaneyoke/settings"
 	"github.com/vaneyoke/vaneyoke/telemetry"
 )
@@ -31,6 +34,10 @@
 	settings settings.Settings
 	api      *callerapi.API
 	follower *catalog.Follower
+	roster   *roster
+	relay    *relay.Relay
+	failover *failover.Manager
+	peerAPI  http.Handler
 	vars     *expvar.Map
 	tracing  *telemetry.Tracing
 	log      logrus.FieldLogger
@@ -38,25 +45,16 @@
 	stopping *atomic.Bool
 	stop     context.CancelFunc
 	work     sync.WaitGroup
-	caller   *http.Server
-	admin    *http.Server
+	servers  []*http.Server
 	callerAt net.Listener
 	adminAt  net.Listener
-}
-
-// New returns a node that has not started; stopping is shared with the parts that refuse new work.
-func New(s settings.Settings, api *callerapi.API, follower *catalog.Follower, vars *expvar.Map, tracing *telemetry.Tracing, log logrus.FieldLogger, stopping *atomic.Bool) *Node {
-	return &Node{settings: s, api: api, follower: follower, vars: vars, tracing: tracing, log: log, stopping: stopping}
+	peerAt   net.Listener
 }
 
 // Start opens the node's addresses and begins to serve.
 func (n *Node) Start(ctx context.Context) error {
-	var err error
-	if n.callerAt, err = listen(ctx, n.settings.Node.Listen); err != nil {
-		return err
-	}
-	if n.adminAt, err = listen(ctx, n.settings.Node.Admin); err != nil {
-		_ = n.callerAt.Close()
+	if err := n.open(ctx); err != nil {
+		n.closeListeners()
 		return err
 	}
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -64,24 +62,48 @@
 	if err := n.follower.Poll(ctx); err != nil {
 		n.log.WithField("error", err).Warn("configuration_read_failed")
 	}
+	n.roster.read(ctx)
 	n.work.Go(func() { n.follower.Run(run) })
-	n.caller = &http.Server{Handler: n.api.Handler(), ReadHeaderTimeout: headerTimeout}
-	n.admin = &http.Server{Handler: n.adminHandler(), ReadHeaderTimeout: headerTimeout}
-	n.serve(n.caller, n.callerAt)
-	n.serve(n.admin, n.adminAt)
+	n.work.Go(func() { n.roster.run(run) })
+	n.work.Go(func() { n.failover.Run(run) })
+	n.serve(n.api.Handler(), n.callerAt)
+	n.serve(n.adminHandler(), n.adminAt)
+	n.serve(n.peerAPI, n.peerAt)
 	n.log.WithFields(logrus.Fields{
 		"vm": n.settings.Node.VM, "hall": n.settings.Node.Hall,
-		"listen": n.callerAt.Addr(), "admin": n.adminAt.Addr(),
+		"listen": n.callerAt.Addr(), "admin": n.adminAt.Addr(), "peer": n.peerAt.Addr(),
 	}).Info("node_started")
 	return nil
 }
 
+func (n *Node) open(ctx context.Context) error {
+	var err error
+	if n.callerAt, err = listen(ctx, n.settings.Node.Listen); err != nil {
+		return err
+	}
+	if n.adminAt, err = listen(ctx, n.settings.Node.Admin); err != nil {
+		return err
+	}
+	n.peerAt, err = listen(ctx, n.settings.Peers.Listen)
+	return err
+}
+
+func (n *Node) closeListeners() {
+	for _, l := range []net.Listener{n.callerAt, n.adminAt, n.peerAt} {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
 func listen(ctx context.Context, address string) (net.Listener, error) {
 	l, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
 	return l, vaneyoke.WrapErr(vaneyoke.CodeListen, err, "listen on %s", address)
 }
 
-func (n *Node) serve(server *http.Server, l net.Listener) {
+func (n *Node) serve(handler http.Handler, l net.Listener) {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	n.servers = append(n.servers, server)
 	n.work.Go(func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			n.log.WithField("error", err).Error("server_failed")
@@ -108,6 +130,18 @@
 // AdminURL returns the address of metrics and profiles.
 func (n *Node) AdminURL() string { return "http://" + n.adminAt.Addr().String() }
 
+// VM returns the node's entry on the list of VMs.
+func (n *Node) VM() platform.VM {
+	return platform.VM{
+		ID:      vaneyoke.VMID(n.settings.Node.VM),
+		Hall:    vaneyoke.HallID(n.settings.Node.Hall),
+		Address: n.peerAt.Addr().String(),
+	}
+}
+
+// ReadVMs reads the platform's list of VMs at once.
+func (n *Node) ReadVMs(ctx context.Context) { n.roster.read(ctx) }
+
 // Stop refuses new requests, lets the open ones finish within the grace, and closes the node.
 // It returns an error where requests were cut off.
 func (n *Node) Stop(ctx context.Context) error {
@@ -116,6 +150,7 @@
 	ctx, cancel := context.WithTimeout(ctx, n.settings.Node.Grace)
 	defer cancel()
 	err := n.drain(ctx)
+	n.failover.Flush(ctx)
 	n.Kill()
 	n.log.WithField("cut_off", err != nil).Info("node_stopped")
 	return errors.Join(err, n.tracing.Close(context.WithoutCancel(ctx)))
@@ -138,7 +173,9 @@
 // Kill closes the node at once, as the death of its process would.
 func (n *Node) Kill() {
 	n.stop()
-	_ = n.caller.Close()
-	_ = n.admin.Close()
+	n.relay.Close()
+	for _, server := range n.servers {
+		_ = server.Close()
+	}
 	n.work.Wait()
 }
--- a/node/wire.go
+++ b/node/wire.go
@@ -15,9 +15,12 @@
 	"github.com/vaneyoke/vaneyoke/balancer"
 	"github.com/vaneyoke/vaneyoke/callerapi"
 	"github.com/vaneyoke/vaneyoke/catalog"
+	"github.com/vaneyoke/vaneyoke/cursor"
 	"github.com/vaneyoke/vaneyoke/engine"
+	"github.com/vaneyoke/vaneyoke/failover"
+	"github.com/vaneyoke/vaneyoke/journal"
+	"github.com/vaneyoke/vaneyoke/peer"
 	"github.com/vaneyoke/vaneyoke/placement"
-	"github.com/vaneyoke/vaneyoke/platform"
 	"github.com/vaneyoke/vaneyoke/platform/aws"
 	"github.com/vaneyoke/vaneyoke/relay"
 	"github.com/vaneyoke/vaneyoke/retry"
@@ -41,10 +44,13 @@
 	do.ProvideValue(i, new(expvar.Map).Init())
 	do.ProvideValue(i, new(atomic.Bool))
 	do.Provide(i, provideTracing)
-	do.Provide(i, provideTable)
+	do.Provide(i, providePlatform)
 	do.Provide(i, provideBalancer)
 	do.Provide(i, provideFollower)
+	do.Provide(i, provideRoster)
+	do.Provide(i, provideJournals)
 	do.Provide(i, provideRelay)
+	do.Provide(i, provideFailover)
 	do.Provide(i, provideAPI)
 	do.Provide(i, provideNode)
 	return do.Invoke[*Node](i)
@@ -55,7 +61,7 @@
 	return telemetry.NewTracing(s.Output, s.Ratio)
 }
 
-func provideTable(i do.Injector) (platform.Table, error) {
+func providePlatform(i do.Injector) (*aws.Client, error) {
 	s := do.MustInvoke[settings.Settings](i).Platform
 	config := aws.Config{
 		TableURL:  s.TableURL,
@@ -81,7 +87,7 @@
 	s := do.MustInvoke[settings.Settings](i)
 	b := do.MustInvoke[*balancer.Balancer](i)
 	apply := func(snapshot *catalog.Snapshot) { b.SetUpstreams(snapshot.Upstreams) }
-	f := catalog.NewFollower(do.MustInvoke[platform.Table](i), s.Platform.Poll, do.MustInvoke[logrus.FieldLogger](i), apply)
+	f := catalog.NewFollower(do.MustInvoke[*aws.Client](i), s.Platform.Poll, do.MustInvoke[logrus.FieldLogger](i), apply)
 	do.MustInvoke[*expvar.Map](i).Set("policy_revision", expvar.Func(func() any { return f.Current().Revision }))
 	return f, nil
 }
@@ -107,23 +113,66 @@
 		apiConfig(do.MustInvoke[settings.Settings](i).Limits),
 		dir,
 		do.MustInvoke[*relay.Relay](i),
+		do.MustInvoke[*failover.Manager](i),
 		do.MustInvoke[*telemetry.Tracing](i).Tracer,
 		do.MustInvoke[logrus.FieldLogger](i),
 	), nil
 }
 
-func provideNode(i do.Injector) (*Node, error) {
-	return New(
-		do.MustInvoke[settings.Settings](i),
-		do.MustInvoke[*callerapi.API](i),
+func provideRoster(i do.Injector) (*roster, error) {
+	return newRoster(
+		do.MustInvoke[*aws.Client](i),
 		do.MustInvoke[*catalog.Follower](i),
-		do.MustInvoke[*expvar.Map](i),
-		do.MustInvoke[*telemetry.Tracing](i),
+		do.MustInvoke[settings.Settings](i).Platform.Poll,
 		do.MustInvoke[logrus.FieldLogger](i),
-		do.MustInvoke[*atomic.Bool](i),
 	), nil
 }
 
+func provideJournals(i do.Injector) (*peer.Journals, error) {
+	s := do.MustInvoke[settings.Settings](i).Peers
+	journals := peer.NewJournals(journal.New(journal.Config{Bytes: s.Bytes, Retention: s.Retention}))
+	vars := do.MustInvoke[*expvar.Map](i)
+	vars.Set("journal_bytes", expvar.Func(func() any { return journals.Bytes() }))
+	vars.Set("journals", expvar.Func(func() any { return journals.Len() }))
+	return journals, nil
+}
+
+func provideFailover(i do.Injector) (*failover.Manager, error) {
+	s := do.MustInvoke[settings.Settings](i)
+	keys := s.Peers.KeyList()
+	vm := vaneyoke.VMID(s.Node.VM)
+	client := peer.NewClient(vm, do.MustInvoke[*peer.Journals](i), newUpstreamClient(), keys[0], s.Peers.CallTimeout)
+	return failover.New(
+		vaneyoke.NodeID{VM: vm, Incarnation: vaneyoke.Incarnation(time.Now().UnixNano())},
+		vaneyoke.HallID(s.Node.Hall),
+		failoverConfig(s.Peers),
+		cursor.NewKeyring(keys...),
+		client,
+		do.MustInvoke[*roster](i),
+		do.MustInvoke[*relay.Relay](i),
+		failover.NewMetrics(do.MustInvoke[*expvar.Map](i)),
+		do.MustInvoke[logrus.FieldLogger](i),
+	), nil
+}
+
+func provideNode(i do.Injector) (*Node, error) {
+	s := do.MustInvoke[settings.Settings](i)
+	manager := do.MustInvoke[*failover.Manager](i)
+	return &Node{
+		settings: s,
+		api:      do.MustInvoke[*callerapi.API](i),
+		follower: do.MustInvoke[*catalog.Follower](i),
+		roster:   do.MustInvoke[*roster](i),
+		relay:    do.MustInvoke[*relay.Relay](i),
+		failover: manager,
+		peerAPI:  peer.Handler(do.MustInvoke[*peer.Journals](i), manager, s.Peers.KeyList()),
+		vars:     do.MustInvoke[*expvar.Map](i),
+		tracing:  do.MustInvoke[*telemetry.Tracing](i),
+		log:      do.MustInvoke[logrus.FieldLogger](i),
+		stopping: do.MustInvoke[*atomic.Bool](i),
+	}, nil
+}
+
 // newUpstreamClient returns an HTTP client that neither retries nor times out a running stream.
 func newUpstreamClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,132 @@
+package peer
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/twitchtv/twirp"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/journal"
+	"github.com/vaneyoke/vaneyoke/membership"
+	"github.com/vaneyoke/vaneyoke/peer/peerpb"
+)
+
+const (
+	bearer = "Bearer "
+	// suspectFor is how long a peer that did not answer is left alone.
+	suspectFor = time.Second
+)
+
+// Client calls other nodes; calls to the own node go straight to its journals.
+type Client struct {
+	self     vaneyoke.VMID
+	journals *Journals
+	http     *http.Client
+	key      string
+	timeout  time.Duration
+
+	mu       sync.Mutex
+	peers    map[string]peerpb.Peer // by address
+	suspects map[string]time.Time   // by address, until when
+}
+
+// NewClient returns a client that shows the given key and waits for an answer no longer than timeout.
+func NewClient(self vaneyoke.VMID, journals *Journals, client *http.Client, key string, timeout time.Duration) *Client {
+	return &Client{
+		self: self, journals: journals, http: client, key: key, timeout: timeout,
+		peers: map[string]peerpb.Peer{}, suspects: map[string]time.Time{},
+	}
+}
+
+// Open reserves a key at a peer for an owner, or returns who owns it.
+func (c *Client) Open(ctx context.Context, p membership.Peer, key journal.Key, entry journal.Entry) (journal.Entry, bool, error) {
+	if p.VM == c.self {
+		existing, found := c.journals.open(key, entry)
+		return existing, found, nil
+	}
+	in := &peerpb.OpenRequest{Key: keyToWire(key), Entry: entryToWire(entry)}
+	out, err := call(ctx, c, p, peerpb.Peer.Open, in)
+	if err != nil || out.GetExisting() == nil {
+		return journal.Entry{}, false, err
+	}
+	return entryOf(out.GetExisting()), true, nil
+}
+
+// Push adds deltas to the journals that a peer keeps.
+func (c *Client) Push(ctx context.Context, p membership.Peer, deltas []journal.Delta) ([]journal.PushState, error) {
+	if p.VM == c.self {
+		return c.journals.push(deltas), nil
+	}
+	in := &peerpb.PushRequest{Deltas: lo.Map(deltas, func(d journal.Delta, _ int) *peerpb.Delta { return deltaToWire(d) })}
+	out, err := call(ctx, c, p, peerpb.Peer.Push, in)
+	if err != nil {
+		return nil, err
+	}
+	if len(out.GetStates()) != len(deltas) {
+		return nil, vaneyoke.Err(vaneyoke.CodeInternal, "peer %s answered %d of %d deltas", p.VM, len(out.GetStates()), len(deltas))
+	}
+	return lo.Map(out.GetStates(), func(s peerpb.PushState, _ int) journal.PushState { return journal.PushState(s) }), nil
+}
+
+// TakeOver makes owner the owner of a session, and returns what the peer holds of it as its owner or in a journal.
+func (c *Client) TakeOver(ctx context.Context, p membership.Peer, key journal.Key, owner vaneyoke.NodeID, fromOwner bool) (journal.Delta, bool, error) {
+	if p.VM == c.self {
+		if fromOwner {
+			return journal.Delta{}, false, nil
+		}
+		d, ok := c.journals.takeOver(key, owner)
+		return d, ok, nil
+	}
+	in := &peerpb.TakeOverRequest{Key: keyToWire(key), Owner: nodeToWire(owner), FromOwner: fromOwner}
+	out, err := call(ctx, c, p, peerpb.Peer.TakeOver, in)
+	if err != nil || !out.GetFound() {
+		return journal.Delta{}, false, err
+	}
+	return deltaOf(out.GetSession()), true, nil
+}
+
+// call makes one call within the client's timeout; a peer that does not answer is left alone for a while.
+func call[In, Out any](ctx context.Context, c *Client, p membership.Peer, method func(peerpb.Peer, context.Context, *In) (*Out, error), in *In) (*Out, error) {
+	if c.suspected(time.Now(), p.Address) {
+		return nil, vaneyoke.Err(vaneyoke.CodeNotFresh, "peer %s did not answer a moment ago", p.VM)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	ctx, err := twirp.WithHTTPRequestHeaders(ctx, http.Header{"Authorization": {bearer + c.key}})
+	if err != nil {
+		return nil, vaneyoke.WrapErr(vaneyoke.CodeInternal, err, "peer header")
+	}
+	out, err := method(c.peer(p.Address), ctx, in)
+	if err != nil {
+		c.suspect(time.Now(), p.Address)
+		return nil, vaneyoke.WrapErr(vaneyoke.CodeNotFresh, err, "peer %s", p.VM)
+	}
+	return out, nil
+}
+
+func (c *Client) peer(address string) peerpb.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.peers[address]
+	if !ok {
+		p = peerpb.NewPeerProtobufClient("http://"+address, c.http)
+		c.peers[address] = p
+	}
+	return p
+}
+
+func (c *Client) suspected(now time.Time, address string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Before(c.suspects[address])
+}
+
+func (c *Client) suspect(now time.Time, address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.suspects[address] = now.Add(suspectFor)
+}
--- /dev/null
+++ b/peer/convert.go
@@ -0,0 +1,96 @@
+package peer
+
+import (
+	"github.com/samber/lo"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/journal"
+	"github.com/vaneyoke/vaneyoke/peer/peerpb"
+)
+
+func keyToWire(k journal.Key) *peerpb.Key {
+	return &peerpb.Key{Workspace: string(k.Workspace), Key: k.Key}
+}
+
+func keyOf(k *peerpb.Key) journal.Key {
+	return journal.Key{Workspace: vaneyoke.WorkspaceID(k.GetWorkspace()), Key: k.GetKey()}
+}
+
+func nodeToWire(n vaneyoke.NodeID) *peerpb.Node {
+	return &peerpb.Node{Vm: string(n.VM), Incarnation: uint64(n.Incarnation)}
+}
+
+func nodeOf(n *peerpb.Node) vaneyoke.NodeID {
+	return vaneyoke.NodeID{VM: vaneyoke.VMID(n.GetVm()), Incarnation: vaneyoke.Incarnation(n.GetIncarnation())}
+}
+
+func entryToWire(e journal.Entry) *peerpb.Entry {
+	return &peerpb.Entry{
+		Request:    string(e.Request),
+		Owner:      nodeToWire(e.Owner),
+		Epoch:      uint64(e.Epoch),
+		BodyDigest: []byte(e.BodyDigest),
+	}
+}
+
+func entryOf(e *peerpb.Entry) journal.Entry {
+	return journal.Entry{
+		Request:    vaneyoke.RequestID(e.GetRequest()),
+		Owner:      nodeOf(e.GetOwner()),
+		Epoch:      journal.Epoch(e.GetEpoch()),
+		BodyDigest: string(e.GetBodyDigest()),
+	}
+}
+
+func deltaToWire(d journal.Delta) *peerpb.Delta {
+	wire := &peerpb.Delta{
+		Key:      keyToWire(d.Key),
+		Entry:    entryToWire(d.Entry),
+		From:     int64(d.From),
+		TextFrom: int64(d.TextFrom),
+		Ids:      idsToWire(d.IDs),
+		Text:     d.Text,
+		Prompt:   idsToWire(d.Prompt),
+		Stream:   &peerpb.Stream{Name: d.Stream.Name, Upstream: string(d.Stream.Upstream), Base: int64(d.Stream.Base)},
+	}
+	if r := d.Result; r != nil {
+		wire.Result = &peerpb.Result{
+			Code: int32(r.Code), Detail: r.Detail, Reason: string(r.Reason),
+			Status: int32(r.Status), MediaType: r.MediaType, Body: r.Body,
+		}
+	}
+	return wire
+}
+
+func deltaOf(w *peerpb.Delta) journal.Delta {
+	d := journal.Delta{
+		Key:      keyOf(w.GetKey()),
+		Entry:    entryOf(w.GetEntry()),
+		From:     vaneyoke.Tokens(max(w.GetFrom(), 0)),
+		TextFrom: int(max(w.GetTextFrom(), 0)),
+		IDs:      idsOf(w.GetIds()),
+		Text:     w.GetText(),
+		Prompt:   idsOf(w.GetPrompt()),
+	}
+	if s := w.GetStream(); s != nil {
+		d.Stream = journal.Stream{Name: s.GetName(), Upstream: vaneyoke.UpstreamID(s.GetUpstream()), Base: vaneyoke.Tokens(s.GetBase())}
+	}
+	if r := w.GetResult(); r != nil {
+		d.Result = &journal.Result{
+			Code: vaneyoke.Code(r.GetCode()), Detail: r.GetDetail(), Reason: vaneyoke.FinishReason(r.GetReason()),
+			Status: int(r.GetStatus()), MediaType: r.GetMediaType(), Body: r.GetBody(),
+		}
+	}
+	return d
+}
+
+func idsToWire(ids []vaneyoke.TokenID) []int32 {
+	return lo.Map(ids, func(id vaneyoke.TokenID, _ int) int32 { return int32(id) })
+}
+
+func idsOf(ids []int32) []vaneyoke.TokenID {
+	if len(ids) == 0 {
+		return nil
+	}
+	return lo.Map(ids, func(id int32, _ int) vaneyoke.TokenID { return vaneyoke.TokenID(id) })
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,125 @@
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/twitchtv/twirp"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/journal"
+	"github.com/vaneyoke/vaneyoke/peer/peerpb"
+)
+
+// Sessions gives up the sessions that the node itself owns.
+type Sessions interface {
+	// GiveUp ends a session here and returns it whole for its next owner; a finished one is returned as it is.
+	GiveUp(key journal.Key, owner vaneyoke.NodeID) (journal.Delta, bool)
+}
+
+// Journals is a journal.Store under a lock.
+type Journals struct {
+	mu    sync.Mutex
+	store *journal.Store
+}
+
+// NewJournals returns journals in the given store.
+func NewJournals(store *journal.Store) *Journals { return &Journals{store: store} }
+
+func (j *Journals) open(key journal.Key, entry journal.Entry) (journal.Entry, bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.store.Open(time.Now(), key, entry)
+}
+
+func (j *Journals) push(deltas []journal.Delta) []journal.PushState {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	now := time.Now()
+	return lo.Map(deltas, func(d journal.Delta, _ int) journal.PushState { return j.store.Push(now, d) })
+}
+
+func (j *Journals) takeOver(key journal.Key, owner vaneyoke.NodeID) (journal.Delta, bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.store.TakeOver(time.Now(), key, owner)
+}
+
+// Bytes returns the estimated memory of the journals.
+func (j *Journals) Bytes() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.store.Bytes()
+}
+
+// Len returns the number of journals.
+func (j *Journals) Len() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.store.Len()
+}
+
+// Server answers the other nodes.
+type Server struct {
+	journals *Journals
+	sessions Sessions
+}
+
+var _ peerpb.Peer = (*Server)(nil)
+
+// Handler returns the HTTP handler of the peer API, open to holders of one of the keys.
+func Handler(journals *Journals, sessions Sessions, keys []string) http.Handler {
+	api := peerpb.NewPeerServer(&Server{journals: journals, sessions: sessions})
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !authorized(r, keys) {
+			_ = twirp.WriteError(w, twirp.Unauthenticated.Error("the peer key is wrong"))
+			return
+		}
+		api.ServeHTTP(w, r)
+	})
+}
+
+func authorized(r *http.Request, keys []string) bool {
+	shown := strings.TrimPrefix(r.Header.Get("Authorization"), bearer)
+	good := false
+	for _, key := range keys {
+		good = subtle.ConstantTimeCompare([]byte(shown), []byte(key)) == 1 || good
+	}
+	return good
+}
+
+// Open reserves a caller's key for an owner, or tells who owns it.
+func (s *Server) Open(_ context.Context, in *peerpb.OpenRequest) (*peerpb.OpenReply, error) {
+	existing, found := s.journals.open(keyOf(in.GetKey()), entryOf(in.GetEntry()))
+	if !found {
+		return &peerpb.OpenReply{}, nil
+	}
+	return &peerpb.OpenReply{Existing: entryToWire(existing)}, nil
+}
+
+// Push adds to the journals that this node keeps for others.
+func (s *Server) Push(_ context.Context, in *peerpb.PushRequest) (*peerpb.PushReply, error) {
+	deltas := lo.Map(in.GetDeltas(), func(d *peerpb.Delta, _ int) journal.Delta { return deltaOf(d) })
+	states := s.journals.push(deltas)
+	return &peerpb.PushReply{States: lo.Map(states, func(p journal.PushState, _ int) peerpb.PushState {
+		return peerpb.PushState(p)
+	})}, nil
+}
+
+// TakeOver makes the sender the owner of a session.
+func (s *Server) TakeOver(_ context.Context, in *peerpb.TakeOverRequest) (*peerpb.TakeOverReply, error) {
+	take := s.journals.takeOver
+	if in.GetFromOwner() {
+		take = s.sessions.GiveUp
+	}
+	d, ok := take(keyOf(in.GetKey()), nodeOf(in.GetOwner()))
+	if !ok {
+		return &peerpb.TakeOverReply{}, nil
+	}
+	return &peerpb.TakeOverReply{Found: true, Session: deltaToWire(d)}, nil
+}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -77,29 +77,30 @@
 func (s *Session) start(e generation.Start) {
 	l := s.links[e.Attempt]
 	l.base = e.From
+	l.name = engine.StreamName(s.req.ID, s.epoch, e.Attempt)
 	ctx := s.open(l, e.Attempt, "attempt")
 	s.relay.metrics.Attempts.Add(1)
 	switch m := s.mode.(type) {
 	case *streamed:
 		run := openai.StreamRun(m.req, e.Prefix, e.From)
 		go s.follow(ctx, e.Attempt, func() (*engine.Stream, error) {
-			return s.relay.engines.Start(ctx, l.upstream.URL, s.streamID(e.Attempt), run, e.From)
+			return s.relay.engines.Start(ctx, l.upstream.URL, l.name, run, e.From)
 		})
 	case *whole:
-		go s.call(ctx, e.Attempt, l.upstream.URL+m.path, m.body)
+		go s.call(ctx, e.Attempt, l, m)
 	}
 }
 
 // resume opens a link to the stream of an earlier attempt.
 func (s *Session) resume(e generation.Resume) {
 	old := s.links[e.Stream]
-	l := &link{upstream: old.upstream, base: old.base}
+	l := &link{upstream: old.upstream, base: old.base, name: old.name}
 	s.relay.placer.Resumed(old.upstream.ID)
 	s.links[e.Attempt] = l
 	ctx := s.open(l, e.Attempt, "resume")
 	s.relay.metrics.Attempts.Add(1)
 	go s.follow(ctx, e.Attempt, func() (*engine.Stream, error) {
-		return s.relay.engines.Resume(ctx, l.upstream.URL, s.streamID(e.Stream), l.base, e.From)
+		return s.relay.engines.Resume(ctx, l.upstream.URL, l.name, l.base, e.From)
 	})
 }
 
@@ -117,10 +118,6 @@
 	return ctx
 }
 
-func (s *Session) streamID(attempt vaneyoke.Attempt) string {
-	return engine.StreamID(s.req.ID, attempt)
-}
-
 // cancel closes an attempt's link and, where asked, tells the engine to stop the run.
 func (s *Session) cancel(e generation.Cancel) {
 	l := s.links[e.Attempt]
@@ -135,15 +132,16 @@
 	}
 	s.settle(e.Attempt, outcome)
 	if e.Stop {
-		go s.stopRun(l.upstream, e.Stream)
+		go s.stopRun(l.upstream, l.name)
 	}
 }
 
-func (s *Session) stopRun(upstream vaneyoke.Upstream, stream vaneyoke.Attempt) {
+func (s *Session) stopRun(upstream vaneyoke.Upstream, name string) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), cancelTimeout)
 	defer cancel()
-	if err := s.relay.engines.Cancel(ctx, upstream.URL, s.streamID(stream)); err != nil {
-		s.logAttempt(stream, upstream.ID).WithField("error", err).Debug("cancel_failed")
+	if err := s.relay.engines.Cancel(ctx, upstream.URL, name); err != nil {
+		fields := logrus.Fields{"request": s.req.ID, "upstream": upstream.ID, "stream": name, "error": err}
+		s.relay.log.WithFields(fields).Debug("cancel_failed")
 	}
 }
 
@@ -212,8 +210,8 @@
 }
 
 // call sends a whole call; its answer counts as one token.
-func (s *Session) call(ctx context.Context, attempt vaneyoke.Attempt, url string, body []byte) {
-	answer, err := s.relay.engines.Call(ctx, url, s.streamID(attempt), body)
+func (s *Session) call(ctx context.Context, attempt vaneyoke.Attempt, l *link, m *whole) {
+	answer, err := s.relay.engines.Call(ctx, l.upstream.URL+m.path, l.name, m.body)
 	if err == nil && s.need.Kind == vaneyoke.KindEngine {
 		err = answer.Generated()
 	}
@@ -239,7 +237,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.links[attempt]
-	if l.fenced {
+	if l.fenced || s.relay.ctx.Err() != nil {
 		return
 	}
 	if refused, ok := errors.AsType[*engine.RefusedError](err); ok {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -33,6 +33,8 @@
 	metrics *Metrics
 	log     logrus.FieldLogger
 	config  Config
+	ctx     context.Context // ends when the relay is closed
+	stop    context.CancelFunc
 }
 
 // Config holds what all sessions share.
@@ -44,17 +46,28 @@
 
 // New returns a relay.
 func New(engines *engine.Client, placer Placer, tracer trace.Tracer, metrics *Metrics, log logrus.FieldLogger, config Config) *Relay {
-	return &Relay{engines: engines, placer: placer, tracer: tracer, metrics: metrics, log: log, config: config}
+	ctx, stop := context.WithCancel(context.Background())
+	return &Relay{
+		engines: engines, placer: placer, tracer: tracer, metrics: metrics, log: log, config: config,
+		ctx: ctx, stop: stop,
+	}
 }
 
+// Close drops all sessions where they stand, as the death of the process would.
+func (r *Relay) Close() { r.stop() }
+
 // Generate starts a generation; its session runs until it ends or is abandoned, whatever becomes of ctx.
 func (r *Relay) Generate(ctx context.Context, req *vaneyoke.Request) *Session {
 	need := placement.Need{Kind: vaneyoke.KindEngine, Model: req.Model}
-	if !req.Continuable {
-		run := openai.WholeRun(req)
-		return r.begin(ctx, req, need, &whole{path: run.Path, body: encode(run.Fields)})
+	return r.begin(ctx, req, need, modeOf(req))
+}
+
+func modeOf(req *vaneyoke.Request) mode {
+	if req.Continuable {
+		return &streamed{req: req}
 	}
-	return r.begin(ctx, req, need, &streamed{req: req})
+	run := openai.WholeRun(req)
+	return &whole{path: run.Path, body: encode(run.Fields)}
 }
 
 // Call starts a call to a plain service.
@@ -65,13 +78,15 @@
 
 func (r *Relay) begin(ctx context.Context, req *vaneyoke.Request, need placement.Need, m mode) *Session {
 	config := r.configOf(req, need, m)
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	s := newSession(context.WithoutCancel(ctx), r, req, need, m, generation.New(config, rng))
+	s := newSession(ctx, r, req, need, m, generation.New(config, newRand()))
+	s.epoch = 1
 	r.metrics.Sessions.Add(1)
 	s.handle(time.Now(), generation.Admitted{})
 	return s
 }
 
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 // configOf returns what a request's generation is decided by.
 func (r *Relay) configOf(req *vaneyoke.Request, need placement.Need, m mode) generation.Config {
 	config := r.config.Generation
--- a/relay/session.go
+++ b/relay/session.go
@@ -32,12 +32,14 @@
 	timer   *time.Timer
 	result  Result
 	answer  engine.Answer // of a whole session
+	epoch   uint64        // counts the request's owners from 1
 }
 
 // link is the shell's side of one attempt.
 type link struct {
 	cancel   context.CancelFunc
 	upstream vaneyoke.Upstream
+	name     string          // by which the engine knows the run
 	base     vaneyoke.Tokens // answer's index of the first token of the run on the engine
 	started  bool            // whether anything was sent
 	fenced   bool            // whether the attempt was cancelled
@@ -68,7 +70,7 @@
 }
 
 func newSession(ctx context.Context, r *Relay, req *vaneyoke.Request, need placement.Need, m mode, state *generation.State) *Session {
-	ctx, stop := context.WithCancel(ctx)
+	ctx, stop := context.WithCancel(trace.ContextWithSpan(r.ctx, trace.SpanFromContext(ctx)))
 	ctx, span := r.tracer.Start(ctx, "session", trace.WithAttributes(
 		attribute.String("request", string(req.ID)),
 		attribute.String("workspace", string(req.Workspace)),
@@ -167,6 +169,9 @@
 }
 
 func (s *Session) handleLocked(now time.Time, ev generation.Event) {
+	if s.relay.ctx.Err() != nil {
+		return
+	}
 	for _, effect := range s.state.Handle(now, ev) {
 		s.apply(effect)
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -1,11 +1,15 @@
 package settings
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // Settings is a node's whole configuration; docs/SETTINGS.md is written from its tags.
 type Settings struct {
 	Node     Node     `ini:"node" doc:"Who and where the node is."`
 	Platform Platform `ini:"platform" doc:"Where the platform's service is."`
+	Peers    Peers    `ini:"peers" doc:"How the nodes of a fleet back one another up."`
 	Limits   Limits   `ini:"limits" doc:"Bounds on what callers may ask for."`
 	Recovery Recovery `ini:"recovery" doc:"When an attempt is taken for lost, and what follows."`
 	Retry    Retry    `ini:"retry" doc:"Bounds on retries, so that failures do not multiply the load."`
@@ -35,6 +39,19 @@
 	Poll      time.Duration `ini:"poll" default:"1s" min:"100ms" max:"2s" doc:"Period of reading the configuration's revision."`
 }
 
+// Peers says how the nodes of a fleet back one another up.
+type Peers struct {
+	Listen      string        `ini:"listen" default:"127.0.0.1:8082" check:"address" doc:"IP number and port for other nodes; the platform's list of VMs has to name it."`
+	Keys        string        `ini:"keys" check:"keys" secret:"true" doc:"Keys that nodes show one another and sign cursors with, parted by commas; the first is used, and all are taken, so that they can be rolled."`
+	PushPeriod  time.Duration `ini:"push_period" default:"50ms" min:"1ms" doc:"Time between pushes of journals to their backups."`
+	AckWait     time.Duration `ini:"ack_wait" default:"250ms" min:"1ms" doc:"Longest wait for a backup before another is tried."`
+	CallTimeout time.Duration `ini:"call_timeout" default:"300ms" min:"1ms" doc:"Longest wait for another node's answer."`
+	Linger      time.Duration `ini:"linger" default:"30s" min:"0s" doc:"How long a request whose caller may come back runs on after the caller has gone."`
+	Retention   time.Duration `ini:"retention" default:"10m" min:"1s" doc:"How long a finished answer is kept for a repeat of its request."`
+	Bytes       int           `ini:"bytes" default:"67108864" min:"1048576" doc:"Estimated memory in bytes of the journals kept for other nodes."`
+	TailTokens  int           `ini:"tail_tokens" default:"32" min:"1" max:"500" doc:"Most tokens that an event id carries because the backup has not confirmed them."`
+}
+
 // Limits bounds what callers may ask for.
 type Limits struct {
 	BodyBytes    int64         `ini:"body_bytes" default:"4194304" min:"1024" doc:"Largest request body in bytes."`
@@ -74,3 +91,14 @@
 	Output string  `ini:"output" default:"off" doc:"off, stdout, or the path of a file that spans are appended to."`
 	Ratio  float64 `ini:"ratio" default:"1" min:"0" max:"1" doc:"Share of requests that are traced where the caller does not say."`
 }
+
+// KeyList returns the peers' keys, the one in use first.
+func (p Peers) KeyList() []string {
+	var keys []string
+	for key := range strings.SplitSeq(p.Keys, ",") {
+		if key = strings.TrimSpace(key); key != "" {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -17,6 +17,8 @@
 [node]
 vm = vm-1
 hall = hall-a
+[peers]
+keys = new,old
 [platform]
 table_url = http://127.0.0.1:1
 object_url = http://127.0.0.1:2
@@ -34,6 +36,7 @@
 		"unknown section": {good + "[limit]\nbody = 1", vaneyoke.CodeSettingsKey, "[limit]: unknown section"},
 		"stray key":       {"grace = 1s\n" + good, vaneyoke.CodeSettingsKey, "unknown section"},
 		"missing":         {strings.Replace(good, "vm = vm-1", "", 1), vaneyoke.CodeSettingsKey, "[node] vm: is missing"},
+		"no keys":         {strings.Replace(good, "new,old", ",", 1), vaneyoke.CodeSettingsValue, "[peers] keys: is missing"},
 		"no duration":     {good + "[limits]\nmax_wait = 3", vaneyoke.CodeSettingsValue, "[limits] max_wait: must be a duration"},
 		"too small":       {good + "[recovery]\nfloor = 1ms", vaneyoke.CodeSettingsValue, "[recovery] floor: must be at least 10ms, got 1ms"},
 		"too large":       {good + "[trace]\nratio = 1.5", vaneyoke.CodeSettingsValue, "[trace] ratio: must be at most 1, got 1.5"},
--- a/settings/value.go
+++ b/settings/value.go
@@ -59,6 +59,10 @@
 		if text == "" {
 			return errors.New("is missing")
 		}
+	case "keys":
+		if len((Peers{Keys: text}).KeyList()) == 0 {
+			return errors.New("is missing")
+		}
 	case "address":
 		if _, err := netip.ParseAddrPort(text); err != nil {
 			return fmt.Errorf("must be an IP number and a port, got %q", text)
