--- a/cmd/vaneyoke/main.go
+++ b/cmd/vaneyoke/main.go
@@ -42,6 +42,7 @@
 			demoCommand(),
 			devCommand(),
 			generateCommand(),
+			loadCommand(),
 			standinCommand(),
 			versionCommand(),
 		},
--- /dev/null
+++ b/relay/bench_test.go
@@ -0,0 +1,88 @@
+package relay_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/engine"
+	"github.com/vaneyoke/vaneyoke/generation"
+	"github.com/vaneyoke/vaneyoke/openai"
+)
+
+const streamTokens = 1000
+
+// streamBody returns an engine's stream of streamTokens events.
+func streamBody() []byte {
+	var b bytes.Buffer
+	for i := range streamTokens {
+		fmt.Fprintf(&b, "id: %d\ndata: {\"id\":\"run\",\"choices\":[{\"index\":0,\"token_ids\":[%d],\"text\":\" word%d\",\"finish_reason\":null}]}\n\n", i+1, 1000+i, i)
+	}
+	b.WriteString("data: {\"choices\":[{\"index\":0,\"token_ids\":[],\"text\":\"\",\"finish_reason\":\"stop\"}]}\n\n")
+	return b.Bytes()
+}
+
+// fixedBody answers every request with the same stream.
+type fixedBody struct{ body []byte }
+
+func (f fixedBody) RoundTrip(*http.Request) (*http.Response, error) {
+	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(f.body))}, nil
+}
+
+// relayStream carries one stream through parser, state machine and encoder, and returns the tokens given.
+func relayStream(tb testing.TB, client *engine.Client, out io.Writer) vaneyoke.Tokens {
+	req := &vaneyoke.Request{ID: "r", Endpoint: vaneyoke.EndpointChat, Model: "m"}
+	state := generation.New(generation.DefaultConfig(), rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(1, 0)
+	state.Handle(now, generation.Admitted{})
+	state.Handle(now, generation.Placed{Attempt: 1, Upstream: "e"})
+	stream, err := client.Start(tb.Context(), "http://engine", "r.1", openai.Run{Path: openai.PathChat}, 0)
+	must.NoError(tb, err)
+	writer := openai.NewWriter(req, now)
+	received := &generation.Received{Attempt: 1}
+	sent := 0
+	for {
+		message, err := stream.Next()
+		if err != nil {
+			return state.Transcript().Len()
+		}
+		switch m := message.(type) {
+		case *engine.Tokens:
+			received.Batch = m.Batch
+			now = now.Add(time.Millisecond)
+			state.Handle(now, received)
+			t := state.Transcript()
+			_, _ = out.Write(writer.Text("", t.Text[sent:t.Visible]))
+			sent = t.Visible
+		case engine.End:
+			state.Handle(now, generation.Ended{Attempt: 1, Reason: m.Reason})
+		}
+	}
+}
+
+// BenchmarkToken is the processor time of one token within a node, sockets apart.
+func BenchmarkToken(b *testing.B) {
+	client := engine.New(&http.Client{Transport: fixedBody{streamBody()}})
+	tokens := 0
+	b.ReportAllocs()
+	for b.Loop() {
+		tokens += int(relayStream(b, client, io.Discard))
+	}
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(tokens), "ns/token")
+}
+
+// TestTokenAllocations bounds the allocations of a token, which do not depend on the machine's speed.
+func TestTokenAllocations(t *testing.T) {
+	const most = 3
+	client := engine.New(&http.Client{Transport: fixedBody{streamBody()}})
+	must.EqOp(t, streamTokens, relayStream(t, client, io.Discard))
+	perStream := testing.AllocsPerRun(20, func() { relayStream(t, client, io.Discard) })
+	must.Less(t, most, perStream/streamTokens)
+}
--- a/relay/session.go
+++ b/relay/session.go
@@ -101,23 +101,27 @@
 // Read waits until the answer's text is longer than from bytes or has ended, and returns the new text.
 // The text must not be changed. Result is zero until the last text has been read.
 func (s *Session) Read(ctx context.Context, from int) ([]byte, Result, error) {
-	wake := context.AfterFunc(ctx, s.wake)
-	defer wake()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for {
-		t := s.state.Transcript()
-		if t.Visible > from {
-			return t.Text[from:t.Visible:t.Visible], Result{}, nil
-		}
-		if s.result.Ended {
-			return nil, s.result, nil
-		}
+	if !s.readable(from) {
+		stop := context.AfterFunc(ctx, s.wake)
+		defer stop()
+	}
+	for !s.readable(from) {
 		if ctx.Err() != nil {
 			return nil, Result{}, vaneyoke.WrapErr(vaneyoke.CodeCallerGone, ctx.Err(), "caller is gone")
 		}
 		s.changed.Wait()
 	}
+	t := s.state.Transcript()
+	if t.Visible > from {
+		return t.Text[from:t.Visible:t.Visible], Result{}, nil
+	}
+	return nil, s.result, nil
+}
+
+func (s *Session) readable(from int) bool {
+	return s.state.Transcript().Visible > from || s.result.Ended
 }
 
 // Wait waits until the session has ended.
