Claim requests that may run at most once in the platform's table

Cause: a repeat by key of a call that may not be repeated could run again at another node, or be told "not run" while it had run.

Change: the claim core (insert before dispatch, never lapses; done keeps the answer; revoked is final) and its shell, which batches writes of 3 ms into one transaction and settles unknown writes by their nonce. Calls that may run once go out on a connection of their own, so that a connection the other side had closed is told as "not run" and not as "may have run". Waiting for a backup now checks its condition under one lock.

Found by the property test: a claim revoked by one connection and claimed again by another lets "not run" cross with "done"; so a revoked key never runs, and its caller takes a new one. Found by thought and kept as a mutant: with the store down, "not run" would be a guess about earlier requests, so the caller is told claim_unknown (86). Found by the fleet test: sealing an answer could miss the wake-up and wait the whole ack time; with a minute of patience it took 60 s.

Eleven stories over three nodes, a service and the platform. Two writes for each claimed call (claim, answer), one on the caller's path.

While the store is down, keyed calls wait and others go on.

--- a/callerapi/answer.go
+++ b/callerapi/answer.go
@@ -133,10 +133,10 @@
 }
 
 func (s *sender) finish(ctx context.Context, result relay.Result) error {
-	s.reader.Seal(ctx)
 	if err := result.Err(); err != nil {
 		return s.writeFailure(err)
 	}
+	s.reader.Seal(ctx)
 	end := append([]byte(nil), s.writer.Finish(result.Reason)...)
 	if s.req.IncludeUsage {
 		end = append(end, s.writer.Usage(result.Usage)...)
--- a/callerapi/api.go
+++ b/callerapi/api.go
@@ -12,6 +12,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/catalog"
+	"github.com/vaneyoke/vaneyoke/claims"
 	"github.com/vaneyoke/vaneyoke/failover"
 	"github.com/vaneyoke/vaneyoke/relay"
 )
@@ -39,14 +40,15 @@
 	directory Directory
 	relay     *relay.Relay
 	failover  *failover.Manager
+	claims    *claims.Claims
 	tracer    trace.Tracer
 	log       logrus.FieldLogger
 	open      atomic.Int64 // requests being answered
 }
 
 // New returns an API; Handler gives its HTTP form.
-func New(config Config, directory Directory, r *relay.Relay, f *failover.Manager, tracer trace.Tracer, log logrus.FieldLogger) *API {
-	return &API{config: config, directory: directory, relay: r, failover: f, tracer: tracer, log: log}
+func New(config Config, directory Directory, r *relay.Relay, f *failover.Manager, c *claims.Claims, tracer trace.Tracer, log logrus.FieldLogger) *API {
+	return &API{config: config, directory: directory, relay: r, failover: f, claims: c, tracer: tracer, log: log}
 }
 
 // Open returns the number of requests being answered.
--- a/callerapi/service.go
+++ b/callerapi/service.go
@@ -2,11 +2,16 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
 	"net/http"
 
 	"github.com/danielgtaylor/huma/v2"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/claim"
+	"github.com/vaneyoke/vaneyoke/claims"
 )
 
 // serviceInput is a call to a plain service.
@@ -46,15 +51,48 @@
 	a.complete(&req, workspace, &in.CallInput)
 	ctx, span := a.startSpan(ctx, "caller", in.TraceParent)
 	defer span.End()
-	session := a.relay.Call(ctx, &req, in.Service, "/"+in.Call, in.RawBody)
+	if in.Key == "" || req.Repeatable {
+		answer, err := a.runCall(ctx, &req, in)
+		return respondWith(answer, &req), err
+	}
+	answer, err := a.claims.Once(ctx, claims.Request{
+		Workspace: workspace.ID, Key: in.Key, ID: req.ID, BodyDigest: callDigest(in),
+	}, func(ctx context.Context) claims.Outcome { return outcomeOf(a.runCall(ctx, &req, in)) })
+	return respondWith(answer, &req), err
+}
+
+// callDigest tells one call from another, so that a key is not used for two.
+func callDigest(in *serviceInput) string {
+	h := sha256.New()
+	_, _ = fmt.Fprintf(h, "%s\x00%s\x00", in.Service, in.Call)
+	_, _ = h.Write(in.RawBody)
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// runCall sends the call and waits for its answer.
+func (a *API) runCall(ctx context.Context, req *vaneyoke.Request, in *serviceInput) (claim.Answer, error) {
+	session := a.relay.Call(ctx, req, in.Service, "/"+in.Call, in.RawBody)
 	result, err := session.Wait(ctx)
 	if err != nil {
 		session.Abandon()
-		return nil, err
-	}
-	if err := result.Err(); err != nil {
-		return nil, err
+		return claim.Answer{}, err
 	}
 	answer := session.Answer()
-	return respond(answer.Status, answer.MediaType, string(req.ID), answer.Body), nil
+	return claim.Answer{Status: answer.Status, MediaType: answer.MediaType, Body: answer.Body}, result.Err()
+}
+
+// outcomeOf says whether a call that failed may have run.
+func outcomeOf(answer claim.Answer, err error) claims.Outcome {
+	switch code := vaneyoke.CodeOf(err); {
+	case err == nil:
+		return claims.Outcome{Answer: &answer}
+	case code.Info().NotRun:
+		return claims.Outcome{NotRun: code}
+	default:
+		return claims.Outcome{Lost: true}
+	}
+}
+
+func respondWith(answer claim.Answer, req *vaneyoke.Request) *huma.StreamResponse {
+	return respond(answer.Status, answer.MediaType, string(req.ID), answer.Body)
 }
--- /dev/null
+++ b/claim/record.go
@@ -0,0 +1,42 @@
+package claim
+
+import (
+	"time"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/platform"
+)
+
+// Stage is how far a claimed request has come.
+type Stage string
+
+// The stages of a claim as the table keeps them.
+const (
+	StageClaimed Stage = "claimed" // it may have been sent to an upstream
+	StageDone    Stage = "done"    // it ran and its answer is kept
+	StageRevoked Stage = "revoked" // it was not run, and never will be under this key
+)
+
+// Answer is the upstream's answer to a request that ran.
+type Answer struct {
+	Status    int    `json:"status"`
+	MediaType string `json:"media_type"`
+	Body      []byte `json:"body"`
+}
+
+// Record is the row of a claim.
+type Record struct {
+	Stage      Stage              `json:"stage"`
+	Owner      vaneyoke.NodeID    `json:"owner"`
+	Request    vaneyoke.RequestID `json:"request"`
+	BodyDigest string             `json:"body_digest"`
+	ClaimedAt  time.Time          `json:"claimed_at"`
+	Answer     *Answer            `json:"answer,omitempty"`
+	NotRun     vaneyoke.Code      `json:"not_run,omitempty"` // why a revoked request was not run
+}
+
+// Versioned is a record with the version of its row.
+type Versioned struct {
+	Record
+	Version platform.Version
+}
--- a/code.go
+++ b/code.go
@@ -45,6 +45,8 @@
 	CodeSuperseded  Code = 84
 	CodeCallerGone  Code = 85
 
+	CodeClaimUnknown Code = 86
+
 	CodeStoreDown    Code = 100
 	CodeStoreRace    Code = 101
 	CodeStoreUnknown Code = 102
@@ -91,6 +93,7 @@
 	{CodeUpstream, "upstream", http.StatusBadGateway, false, "The upstream failed while it ran the request."},
 	{CodeSuperseded, "superseded", http.StatusConflict, false, "Another node has taken the request over."},
 	{CodeCallerGone, "caller_gone", 499, false, "The caller closed the connection."},
+	{CodeClaimUnknown, "claim_unknown", http.StatusServiceUnavailable, false, "The store cannot be asked whether the request was run before; ask again with the same key."},
 	{CodeStoreDown, "store_down", http.StatusServiceUnavailable, true, "The platform's store cannot be reached."},
 	{CodeStoreRace, "store_race", http.StatusConflict, true, "Another writer changed the row first."},
 	{CodeStoreUnknown, "store_unknown", http.StatusBadGateway, false, "The store's reply was lost, so the write may have taken effect."},
--- a/engine/client.go
+++ b/engine/client.go
@@ -32,11 +32,14 @@
 
 // Client sends runs to engines and calls to services.
 type Client struct {
-	http *http.Client
+	http  *http.Client
+	fresh *http.Client
 }
 
-// New returns a client that uses the given HTTP client, which must not retry or time out streams.
-func New(client *http.Client) *Client { return &Client{http: client} }
+// New returns a client that uses the given HTTP clients, which must not retry or time out streams.
+// The second one must open a connection for each request, so that a request on a connection that the other side
+// has closed meanwhile is never taken for one that may have run.
+func New(client, fresh *http.Client) *Client { return &Client{http: client, fresh: fresh} }
 
 // StreamName names a run on an engine; attempts are counted anew by each owner of a request.
 func StreamName(id vaneyoke.RequestID, epoch uint64, attempt vaneyoke.Attempt) string {
@@ -141,8 +144,17 @@
 
 // Call sends a body and returns the whole answer, whatever its status.
 func (c *Client) Call(ctx context.Context, url, id string, body []byte) (Answer, error) {
+	return c.call(ctx, c.http, url, id, body)
+}
+
+// CallOnce is Call on a connection of its own, for requests that may run at most once.
+func (c *Client) CallOnce(ctx context.Context, url, id string, body []byte) (Answer, error) {
+	return c.call(ctx, c.fresh, url, id, body)
+}
+
+func (c *Client) call(ctx context.Context, via *http.Client, url, id string, body []byte) (Answer, error) {
 	header := http.Header{HeaderRequestID: {id}, headerMediaType: {mediaTypeJSON}}
-	res, err := c.send(ctx, http.MethodPost, url, header, body)
+	res, err := send(ctx, via, http.MethodPost, url, header, body)
 	if err != nil {
 		return Answer{}, err
 	}
@@ -158,6 +170,10 @@
 }
 
 func (c *Client) send(ctx context.Context, method, url string, header http.Header, body []byte) (*http.Response, error) {
+	return send(ctx, c.http, method, url, header, body)
+}
+
+func send(ctx context.Context, via *http.Client, method, url string, header http.Header, body []byte) (*http.Response, error) {
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
 		return nil, &NotSentError{Reason: err.Error()}
@@ -165,7 +181,7 @@
 	req.GetBody = nil // keeps the transport from sending the request a second time
 	header[headerTraceState] = traceParent(ctx)
 	req.Header = header
-	res, err := c.http.Do(req)
+	res, err := via.Do(req)
 	if err != nil {
 		return nil, sendFailure(err)
 	}
--- a/failover/manager.go
+++ b/failover/manager.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/claims"
 	"github.com/vaneyoke/vaneyoke/cursor"
 	"github.com/vaneyoke/vaneyoke/journal"
 	"github.com/vaneyoke/vaneyoke/membership"
@@ -26,6 +27,12 @@
 	TakeOver(ctx context.Context, p membership.Peer, key journal.Key, owner vaneyoke.NodeID, fromOwner bool) (journal.Delta, bool, error)
 }
 
+// Claims holds requests that may run at most once.
+type Claims interface {
+	// Hold claims a request for good; only where it returns nil may the request be run.
+	Hold(ctx context.Context, req claims.Request) error
+}
+
 // Fleet says what the node knows of the others and of the upstreams.
 type Fleet interface {
 	// View returns the nodes that take part.
@@ -52,6 +59,7 @@
 	peers   Peers
 	fleet   Fleet
 	relay   *relay.Relay
+	claims  Claims
 	metrics *Metrics
 	log     logrus.FieldLogger
 	kick    chan struct{} // asks for a push at once
@@ -61,9 +69,9 @@
 }
 
 // New returns a manager; Run has to be called for its journals to be pushed.
-func New(self vaneyoke.NodeID, hall vaneyoke.HallID, config Config, ring *cursor.Keyring, peers Peers, fleet Fleet, r *relay.Relay, metrics *Metrics, log logrus.FieldLogger) *Manager {
+func New(self vaneyoke.NodeID, hall vaneyoke.HallID, config Config, ring *cursor.Keyring, peers Peers, fleet Fleet, r *relay.Relay, c Claims, metrics *Metrics, log logrus.FieldLogger) *Manager {
 	return &Manager{
-		self: self, hall: hall, config: config, ring: ring, peers: peers, fleet: fleet, relay: r, metrics: metrics, log: log,
+		self: self, hall: hall, config: config, ring: ring, peers: peers, fleet: fleet, relay: r, claims: c, metrics: metrics, log: log,
 		kick:     make(chan struct{}, 1),
 		sessions: map[journal.Key]*session{},
 	}
@@ -163,12 +171,17 @@
 	return s
 }
 
+// forget takes a session off the list; nothing of it is pushed any more.
 func (m *Manager) forget(s *session) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	if m.sessions[s.key] == s {
 		delete(m.sessions, s.key)
 	}
+	m.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.backed = false
+	s.changed.Broadcast()
 }
 
 // GiveUp ends a session here and returns it whole for its next owner; a finished one is returned as it is.
--- a/failover/open.go
+++ b/failover/open.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/hex"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/claims"
 	"github.com/vaneyoke/vaneyoke/cursor"
 	"github.com/vaneyoke/vaneyoke/engine"
 	"github.com/vaneyoke/vaneyoke/generation"
@@ -28,7 +30,7 @@
 		return nil, err
 	}
 	if len(existing) == 0 && mark == nil {
-		return m.start(ctx, ask, key, entry), nil
+		return m.startFirst(ctx, ask, key, entry)
 	}
 	for _, e := range existing {
 		if e.BodyDigest != digest {
@@ -61,6 +63,19 @@
 	return existing, ctx.Err()
 }
 
+// startFirst starts a request whose key is new; one that may run at most once has to be claimed in the table besides.
+func (m *Manager) startFirst(ctx context.Context, ask Ask, key journal.Key, entry journal.Entry) (*session, error) {
+	if !ask.Request.Repeatable {
+		err := m.claims.Hold(ctx, claims.Request{
+			Workspace: key.Workspace, Key: key.Key, ID: entry.Request, BodyDigest: hex.EncodeToString([]byte(entry.BodyDigest)),
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	return m.start(ctx, ask, key, entry), nil
+}
+
 func (m *Manager) start(ctx context.Context, ask Ask, key journal.Key, entry journal.Entry) *session {
 	s := newSession(m, key, entry, m.relay.Generate(ctx, ask.Request))
 	kept := m.add(s)
--- a/failover/push.go
+++ b/failover/push.go
@@ -130,17 +130,15 @@
 	return running
 }
 
-// Flush pushes what the backups lack and waits until they hold it or ctx ends.
+// Flush waits until the backups hold the finished answers, or ctx ends.
 func (m *Manager) Flush(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, m.config.AckWait)
+	defer cancel()
 	var wait sync.WaitGroup
 	for _, s := range m.all() {
-		wait.Go(func() {
-			for !s.sealed() && !s.relay.Running() && ctx.Err() == nil {
-				limit, cancel := context.WithTimeout(ctx, m.config.AckWait)
-				s.waitChange(limit)
-				cancel()
-			}
-		})
+		if !s.relay.Running() {
+			wait.Go(func() { s.waitUntil(ctx, s.sealed) })
+		}
 	}
 	wait.Wait()
 }
--- a/failover/reader.go
+++ b/failover/reader.go
@@ -86,15 +86,7 @@
 	}
 	limit, cancel := context.WithTimeout(ctx, r.manager.config.AckWait)
 	defer cancel()
-	for !r.session.sealed() && limit.Err() == nil {
-		r.session.waitChange(limit)
-	}
-}
-
-func (s *session) sealed() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return !s.backed || s.acked.result
+	r.session.waitUntil(limit, r.session.sealed)
 }
 
 // Close ends the reading; gone says that the caller left before the end of the answer.
--- a/failover/session.go
+++ b/failover/session.go
@@ -167,22 +167,21 @@
 
 // waitBacked waits until the backup holds all but a short tail, or there is no backup.
 func (s *session) waitBacked(ctx context.Context) {
-	for !s.nearlyAcked() {
+	for ctx.Err() == nil {
 		limit, cancel := context.WithTimeout(ctx, s.manager.config.AckWait)
-		slow := s.waitChange(limit)
+		slow, ok := s.waitUntil(limit, s.nearlyAcked)
 		cancel()
-		if ctx.Err() != nil {
+		if ok {
 			return
 		}
-		if slow != "" {
+		if ctx.Err() == nil {
 			s.dropBackup(slow)
 		}
 	}
 }
 
+// nearlyAcked reports whether the backup holds all but a short tail, or there is no backup.
 func (s *session) nearlyAcked() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if !s.backed {
 		return true
 	}
@@ -191,12 +190,14 @@
 	return s.acked.prompt && tail <= s.manager.config.TailIDs && len(r.Text)-s.acked.text <= maxTailText
 }
 
+// sealed reports whether the backup holds the whole answer, or there is no backup.
+func (s *session) sealed() bool { return !s.backed || s.acked.result }
+
 // maxTailText is the longest text that a cursor carries.
 const maxTailText = 1 << 10
 
-// waitChange asks for a push and waits for its outcome; it returns the backup's name where that did not answer in time.
-func (s *session) waitChange(ctx context.Context) vaneyoke.VMID {
-	s.manager.kickPush()
+// waitUntil has the session pushed until done, which is called under the lock, is true; otherwise it returns the backup that took too long.
+func (s *session) waitUntil(ctx context.Context, done func() bool) (slow vaneyoke.VMID, ok bool) {
 	stop := context.AfterFunc(ctx, func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -205,12 +206,12 @@
 	defer stop()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	before, backup := s.acked, s.backup.VM
-	for s.acked == before && s.backup.VM == backup && ctx.Err() == nil {
+	for !done() {
+		if ctx.Err() != nil {
+			return s.backup.VM, false
+		}
+		s.manager.kickPush()
 		s.changed.Wait()
 	}
-	if ctx.Err() != nil && s.acked == before {
-		return backup
-	}
-	return ""
+	return "", true
 }
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -36,9 +36,10 @@
 	return f
 }
 
-// patient keeps nodes from judging silence.
+// patient keeps nodes from judging silence and slowness.
 func patient(s *settings.Settings) {
 	s.Recovery.FirstToken, s.Recovery.Floor, s.Recovery.Ceiling = time.Hour, time.Hour, time.Hour
+	s.Peers.AckWait, s.Peers.CallTimeout = time.Minute, time.Minute
 }
 
 func prompt(text string) (client.Request, []vaneyoke.TokenID) {
--- /dev/null
+++ b/fleet/once_test.go
@@ -0,0 +1,118 @@
+package fleet_test
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/vaneyoke/vaneyoke/client"
+	"github.com/vaneyoke/vaneyoke/fleet"
+	"github.com/vaneyoke/vaneyoke/settings"
+	"github.com/vaneyoke/vaneyoke/standin"
+)
+
+// told is the result code's name that a caller gets for an order, "ok" for an answer.
+func told(t *testing.T, f *fleet.Fleet, node int, key, order string) string {
+	t.Helper()
+	c := client.New(http.DefaultClient, f.Nodes[node].URL(), fleet.CallerKey)
+	header := http.Header{}
+	if key != "" {
+		header.Set("Idempotency-Key", key)
+	}
+	raw, err := c.Call(t.Context(), fleet.Service, "reserve", []byte(`{"order":"`+order+`"}`), header)
+	if failed, ok := errors.AsType[*client.FailedError](err); ok {
+		return failed.Detail.Type
+	}
+	must.NoError(t, err)
+	var answer standin.ServiceAnswer
+	must.NoError(t, json.Unmarshal(raw, &answer))
+	must.EqOp(t, order, answer.Order)
+	must.EqOp(t, 1, answer.Runs)
+	return "ok"
+}
+
+const neverAnswers = "service never answers"
+
+// call is one call of a story: what is broken before it, where it goes, and what its caller has to be told.
+type call struct {
+	before func(f *fleet.Fleet)
+	node   int
+	key    string
+	order  string
+	want   string
+}
+
+func TestRunsAtMostOnce(t *testing.T) {
+	nothing := func(*fleet.Fleet) {}
+	die := func(f *fleet.Fleet) { postFault(t, f.Services[0].URL(), `{"fault":"kill"}`) }
+	revive := func(f *fleet.Fleet) { postFault(t, f.Services[0].URL(), `{"fault":"restore"}`) }
+	down := func(f *fleet.Fleet) { f.Platform.SetDown(true) }
+	up := func(f *fleet.Fleet) { f.Platform.SetDown(false) }
+	lose := func(f *fleet.Fleet) { f.Platform.LoseReplies(1) }
+	slow := func(f *fleet.Fleet) { f.Services[0].SetDelay(time.Hour) }
+	gone := func(f *fleet.Fleet) { _ = f.Services[0].Close() }
+	cases := map[string]struct {
+		calls []call
+		runs  int
+	}{
+		"repeat at the same node":     {[]call{{nothing, 0, "k", "a", "ok"}, {nothing, 0, "k", "a", "ok"}}, 1},
+		"repeat at another node":      {[]call{{nothing, 0, "k", "a", "ok"}, {nothing, 1, "k", "a", "ok"}}, 1},
+		"key for another order":       {[]call{{nothing, 0, "k", "a", "ok"}, {nothing, 1, "k", "b", "conflict"}}, 1},
+		"reply of the claim is lost":  {[]call{{lose, 0, "k", "a", "ok"}, {nothing, 1, "k", "a", "ok"}}, 1},
+		"store is down":               {[]call{{down, 0, "k", "a", "claim_unknown"}, {down, 1, "k", "a", "claim_unknown"}}, 0},
+		"store was down":              {[]call{{down, 0, "k", "a", "claim_unknown"}, {up, 1, "k2", "a", "ok"}}, 1},
+		"service dies in the call":    {[]call{{die, 0, "k", "a", "may_have_run"}, {revive, 1, "k", "a", "may_have_run"}}, 0},
+		neverAnswers:                  {[]call{{slow, 0, "k", "a", "may_have_run"}, {nothing, 1, "k", "a", "may_have_run"}}, 1},
+		"service cannot be reached":   {[]call{{gone, 0, "k", "a", "no_upstream"}, {nothing, 1, "k", "a", "no_upstream"}}, 0},
+		"without a key, service dies": {[]call{{die, 0, "", "a", "may_have_run"}}, 0},
+		"without a key, store down":   {[]call{{down, 0, "", "a", "ok"}}, 1},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, func(c *fleet.Config) {
+				c.Adjust = func(s *settings.Settings) {
+					s.Limits.MaxWait = 300 * time.Millisecond
+					s.Limits.CallSilence = time.Hour
+					if name == neverAnswers {
+						s.Limits.CallSilence, s.Recovery.Patience = 200*time.Millisecond, 1
+					}
+				}
+			})
+			for i, c := range tc.calls {
+				c.before(f)
+				must.EqOp(t, c.want, told(t, f, c.node, c.key, c.order), must.Sprintf("call %d", i))
+				waitSaved(t, f, c)
+			}
+			total := 0
+			for _, runs := range f.Services[0].Orders() {
+				total += runs
+			}
+			must.EqOp(t, tc.runs, total)
+		})
+	}
+}
+
+// waitSaved waits until an answer stands in the table, which its own caller does not wait for.
+func waitSaved(t *testing.T, f *fleet.Fleet, c call) {
+	t.Helper()
+	if c.want != "ok" || c.key == "" {
+		return
+	}
+	for !f.Platform.Holds("claim", "souk/"+c.key, "done") {
+		must.NoError(t, t.Context().Err())
+		time.Sleep(time.Millisecond)
+	}
+}
+
+func postFault(t *testing.T, url, body string) {
+	t.Helper()
+	res, err := http.Post(url+"/standin/fault", "application/json", strings.NewReader(body))
+	must.NoError(t, err)
+	must.EqOp(t, http.StatusOK, res.StatusCode)
+	_ = res.Body.Close()
+}
--- a/node/node.go
+++ b/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/callerapi"
 	"github.com/vaneyoke/vaneyoke/catalog"
+	"github.com/vaneyoke/vaneyoke/claims"
 	"github.com/vaneyoke/vaneyoke/failover"
 	"github.com/vaneyoke/vaneyoke/platform"
 	"github.com/vaneyoke/vaneyoke/relay"
@@ -37,6 +38,7 @@
 	roster   *roster
 	relay    *relay.Relay
 	failover *failover.Manager
+	claims   *claims.Claims
 	peerAPI  http.Handler
 	vars     *expvar.Map
 	tracing  *telemetry.Tracing
@@ -66,6 +68,7 @@
 	n.work.Go(func() { n.follower.Run(run) })
 	n.work.Go(func() { n.roster.run(run) })
 	n.work.Go(func() { n.failover.Run(run) })
+	n.work.Go(func() { n.claims.Run(run) })
 	n.serve(n.api.Handler(), n.callerAt)
 	n.serve(n.adminHandler(), n.adminAt)
 	n.serve(n.peerAPI, n.peerAt)
--- a/node/wire.go
+++ b/node/wire.go
@@ -15,6 +15,7 @@
 	"github.com/vaneyoke/vaneyoke/balancer"
 	"github.com/vaneyoke/vaneyoke/callerapi"
 	"github.com/vaneyoke/vaneyoke/catalog"
+	"github.com/vaneyoke/vaneyoke/claims"
 	"github.com/vaneyoke/vaneyoke/cursor"
 	"github.com/vaneyoke/vaneyoke/engine"
 	"github.com/vaneyoke/vaneyoke/failover"
@@ -43,6 +44,10 @@
 	do.ProvideValue(i, log)
 	do.ProvideValue(i, new(expvar.Map).Init())
 	do.ProvideValue(i, new(atomic.Bool))
+	do.ProvideValue(i, vaneyoke.NodeID{
+		VM:          vaneyoke.VMID(s.Node.VM),
+		Incarnation: vaneyoke.Incarnation(time.Now().UnixNano()),
+	})
 	do.Provide(i, provideTracing)
 	do.Provide(i, providePlatform)
 	do.Provide(i, provideBalancer)
@@ -50,6 +55,7 @@
 	do.Provide(i, provideRoster)
 	do.Provide(i, provideJournals)
 	do.Provide(i, provideRelay)
+	do.Provide(i, provideClaims)
 	do.Provide(i, provideFailover)
 	do.Provide(i, provideAPI)
 	do.Provide(i, provideNode)
@@ -94,7 +100,7 @@
 
 func provideRelay(i do.Injector) (*relay.Relay, error) {
 	return relay.New(
-		engine.New(newUpstreamClient()),
+		engine.New(newUpstreamClient(), newOnceClient()),
 		do.MustInvoke[*balancer.Balancer](i),
 		do.MustInvoke[*telemetry.Tracing](i).Tracer,
 		relay.NewMetrics(do.MustInvoke[*expvar.Map](i)),
@@ -114,6 +120,7 @@
 		dir,
 		do.MustInvoke[*relay.Relay](i),
 		do.MustInvoke[*failover.Manager](i),
+		do.MustInvoke[*claims.Claims](i),
 		do.MustInvoke[*telemetry.Tracing](i).Tracer,
 		do.MustInvoke[logrus.FieldLogger](i),
 	), nil
@@ -137,19 +144,28 @@
 	return journals, nil
 }
 
+func provideClaims(i do.Injector) (*claims.Claims, error) {
+	s := do.MustInvoke[settings.Settings](i).Claims
+	table := do.MustInvoke[*aws.Client](i)
+	batch := claims.NewBatcher(table, s.Window, do.MustInvoke[*expvar.Map](i))
+	config := claims.Config{Wait: s.Wait, SaveWait: s.SaveWait, SettleEvery: s.SettleEvery}
+	return claims.New(do.MustInvoke[vaneyoke.NodeID](i), config, table, batch, do.MustInvoke[logrus.FieldLogger](i)), nil
+}
+
 func provideFailover(i do.Injector) (*failover.Manager, error) {
 	s := do.MustInvoke[settings.Settings](i)
 	keys := s.Peers.KeyList()
 	vm := vaneyoke.VMID(s.Node.VM)
 	client := peer.NewClient(vm, do.MustInvoke[*peer.Journals](i), newUpstreamClient(), keys[0], s.Peers.CallTimeout)
 	return failover.New(
-		vaneyoke.NodeID{VM: vm, Incarnation: vaneyoke.Incarnation(time.Now().UnixNano())},
+		do.MustInvoke[vaneyoke.NodeID](i),
 		vaneyoke.HallID(s.Node.Hall),
 		failoverConfig(s.Peers),
 		cursor.NewKeyring(keys...),
 		client,
 		do.MustInvoke[*roster](i),
 		do.MustInvoke[*relay.Relay](i),
+		do.MustInvoke[*claims.Claims](i),
 		failover.NewMetrics(do.MustInvoke[*expvar.Map](i)),
 		do.MustInvoke[logrus.FieldLogger](i),
 	), nil
@@ -165,6 +181,7 @@
 		roster:   do.MustInvoke[*roster](i),
 		relay:    do.MustInvoke[*relay.Relay](i),
 		failover: manager,
+		claims:   do.MustInvoke[*claims.Claims](i),
 		peerAPI:  peer.Handler(do.MustInvoke[*peer.Journals](i), manager, s.Peers.KeyList()),
 		vars:     do.MustInvoke[*expvar.Map](i),
 		tracing:  do.MustInvoke[*telemetry.Tracing](i),
@@ -173,6 +190,12 @@
 	}, nil
 }
 
+// newOnceClient returns an HTTP client that opens a connection for each request.
+func newOnceClient() *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}}
+}
+
 // newUpstreamClient returns an HTTP client that neither retries nor times out a running stream.
 func newUpstreamClient() *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -211,7 +211,11 @@
 
 // call sends a whole call; its answer counts as one token.
 func (s *Session) call(ctx context.Context, attempt vaneyoke.Attempt, l *link, m *whole) {
-	answer, err := s.relay.engines.Call(ctx, l.upstream.URL+m.path, l.name, m.body)
+	send := s.relay.engines.Call
+	if !s.req.Repeatable {
+		send = s.relay.engines.CallOnce
+	}
+	answer, err := send(ctx, l.upstream.URL+m.path, l.name, m.body)
 	if err == nil && s.need.Kind == vaneyoke.KindEngine {
 		err = answer.Generated()
 	}
--- a/relay/bench_test.go
+++ b/relay/bench_test.go
@@ -36,6 +36,11 @@
 	return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(bytes.NewReader(f.body))}, nil
 }
 
+func newClient() *engine.Client {
+	client := &http.Client{Transport: fixedBody{streamBody()}}
+	return engine.New(client, client)
+}
+
 // relayStream carries one stream through parser, state machine and encoder, and returns the tokens given.
 func relayStream(tb testing.TB, client *engine.Client, out io.Writer) vaneyoke.Tokens {
 	req := &vaneyoke.Request{ID: "r", Endpoint: vaneyoke.EndpointChat, Model: "m"}
@@ -69,7 +74,7 @@
 
 // BenchmarkToken is the processor time of one token within a node, sockets apart.
 func BenchmarkToken(b *testing.B) {
-	client := engine.New(&http.Client{Transport: fixedBody{streamBody()}})
+	client := newClient()
 	tokens := 0
 	b.ReportAllocs()
 	for b.Loop() {
@@ -81,7 +86,7 @@
 // TestTokenAllocations bounds the allocations of a token, which do not depend on the machine's speed.
 func TestTokenAllocations(t *testing.T) {
 	const most = 3
-	client := engine.New(&http.Client{Transport: fixedBody{streamBody()}})
+	client := newClient()
 	must.EqOp(t, streamTokens, relayStream(t, client, io.Discard))
 	perStream := testing.AllocsPerRun(20, func() { relayStream(t, client, io.Discard) })
 	must.Less(t, most, perStream/streamTokens)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -10,6 +10,7 @@
 	Node     Node     `ini:"node" doc:"Who and where the node is."`
 	Platform Platform `ini:"platform" doc:"Where the platform's service is."`
 	Peers    Peers    `ini:"peers" doc:"How the nodes of a fleet back one another up."`
+	Claims   Claims   `ini:"claims" doc:"How requests that may run at most once are claimed in the platform's table."`
 	Limits   Limits   `ini:"limits" doc:"Bounds on what callers may ask for."`
 	Recovery Recovery `ini:"recovery" doc:"When an attempt is taken for lost, and what follows."`
 	Retry    Retry    `ini:"retry" doc:"Bounds on retries, so that failures do not multiply the load."`
@@ -52,6 +53,14 @@
 	TailTokens  int           `ini:"tail_tokens" default:"32" min:"1" max:"500" doc:"Most tokens that an event id carries because the backup has not confirmed them."`
 }
 
+// Claims says how requests that may run at most once are claimed.
+type Claims struct {
+	Window      time.Duration `ini:"window" default:"3ms" min:"0s" max:"1s" doc:"Time for which writes are gathered into one transaction."`
+	Wait        time.Duration `ini:"wait" default:"2s" min:"10ms" doc:"Longest wait for a claim to stand before the request is refused."`
+	SaveWait    time.Duration `ini:"save_wait" default:"10s" min:"10ms" doc:"Longest try to keep an answer for those who ask again."`
+	SettleEvery time.Duration `ini:"settle_every" default:"1s" min:"10ms" doc:"Pause between tries to revoke a claim whose write has an unknown outcome."`
+}
+
 // Limits bounds what callers may ask for.
 type Limits struct {
 	BodyBytes    int64         `ini:"body_bytes" default:"4194304" min:"1024" doc:"Largest request body in bytes."`
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -155,3 +156,9 @@
 	}
 	_, _ = w.Write(data)
 }
+
+// Holds reports whether a row exists and its value contains a text.
+func (p *Platform) Holds(partition, id, text string) bool {
+	row, err := p.Memory.Get(context.Background(), platform.Key{Partition: partition, ID: id})
+	return err == nil && bytes.Contains(row.Value, []byte(text))
+}
