--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -26,11 +26,19 @@
 	return &Balancer{state: state, budget: budget, rng: rng}
 }
 
-// SetUpstreams takes in the fleet's upstreams.
-func (b *Balancer) SetUpstreams(upstreams []vaneyoke.Upstream) {
+// SetUpstreams takes in the fleet's upstreams and those of them that are drained.
+func (b *Balancer) SetUpstreams(upstreams []vaneyoke.Upstream, drained []vaneyoke.Selector) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.state.SetUpstreams(upstreams)
+	b.state.SetDrained(drained)
+}
+
+// SetDrained takes in which upstreams are drained.
+func (b *Balancer) SetDrained(drained []vaneyoke.Selector) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state.SetDrained(drained)
 }
 
 // Place returns an upstream and notes that an attempt goes to it.
--- a/callerapi/answer.go
+++ b/callerapi/answer.go
@@ -146,7 +146,7 @@
 
 // writeFailure ends a stream that has begun with an event that tells why.
 func (s *sender) writeFailure(err error) error {
-	body, encodeErr := json.Marshal(newErrorBody(err))
+	body, encodeErr := json.Marshal(NewErrorBody(err))
 	if encodeErr != nil {
 		return encodeErr
 	}
--- a/callerapi/api.go
+++ b/callerapi/api.go
@@ -14,6 +14,7 @@
 	"github.com/vaneyoke/vaneyoke/catalog"
 	"github.com/vaneyoke/vaneyoke/claims"
 	"github.com/vaneyoke/vaneyoke/failover"
+	"github.com/vaneyoke/vaneyoke/policy"
 	"github.com/vaneyoke/vaneyoke/relay"
 )
 
@@ -30,6 +31,10 @@
 	Current() *catalog.Snapshot
 	// Ready returns nil where the node may take new work.
 	Ready() error
+	// Decide returns what the policies say about a request.
+	Decide(now time.Time, q policy.Query) policy.Decision
+	// Hall returns the hall that the node stands in.
+	Hall() vaneyoke.HallID
 	// Models returns the models that engines offer.
 	Models() []vaneyoke.ModelID
 }
--- a/callerapi/auth.go
+++ b/callerapi/auth.go
@@ -33,7 +33,8 @@
 	if err := mayCall(holder); err != nil {
 		return vaneyoke.Workspace{}, err
 	}
-	return snapshot.Workspaces[holder.Workspace], nil
+	workspace, _ := snapshot.Workspace(holder.Workspace)
+	return workspace, nil
 }
 
 func mayCall(holder catalog.Holder) error {
--- a/callerapi/generate.go
+++ b/callerapi/generate.go
@@ -13,6 +13,7 @@
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/failover"
 	"github.com/vaneyoke/vaneyoke/openai"
+	"github.com/vaneyoke/vaneyoke/policy"
 )
 
 // CallInput is what every request that runs something has.
@@ -20,6 +21,7 @@
 	Authorization string `header:"Authorization" doc:"Bearer key of a workspace."`
 	TraceParent   string `header:"traceparent" doc:"W3C trace context of the caller."`
 	Repeatable    string `header:"Vaneyoke-Repeatable" enum:"true,false," doc:"Whether the request may be run again after a failure."`
+	Kind          string `header:"Vaneyoke-Kind" maxLength:"64" doc:"Kind of request, as the operators' policies know it."`
 	MaxWaitMS     int    `header:"Vaneyoke-Max-Wait-Ms" minimum:"0" doc:"Longest wait for an upstream; 0 for the node's setting."`
 	Key           string `header:"Idempotency-Key" maxLength:"200" doc:"The caller's own key, by which it may come back for the answer."`
 	Cursor        string `header:"Last-Event-ID" maxLength:"8192" doc:"Id of the last event that the caller holds."`
@@ -68,7 +70,7 @@
 	if err != nil {
 		return nil, err
 	}
-	a.complete(&req, workspace, in)
+	a.complete(&req, workspace, "", in)
 	req.Repeatable = in.Repeatable != "false"
 	ctx, span := a.startSpan(ctx, "caller", in.TraceParent)
 	defer span.End()
@@ -85,14 +87,32 @@
 }
 
 // complete fills in what the body does not say.
-func (a *API) complete(req *vaneyoke.Request, workspace vaneyoke.Workspace, in *CallInput) {
+func (a *API) complete(req *vaneyoke.Request, workspace vaneyoke.Workspace, service vaneyoke.ServiceID, in *CallInput) {
 	req.ID = vaneyoke.RequestID(uuid.NewString())
 	req.Workspace = workspace.ID
 	req.Recovery = workspace.Recovery
 	req.ReceivedAt = time.Now()
+	req.Kind = in.Kind
 	req.MaxWait = a.config.MaxWait
+	a.decide(req, service)
 	if in.MaxWaitMS > 0 {
-		req.MaxWait = min(time.Duration(in.MaxWaitMS)*time.Millisecond, a.config.MaxWait)
+		req.MaxWait = min(time.Duration(in.MaxWaitMS)*time.Millisecond, req.MaxWait)
+	}
+}
+
+// decide has the policies say where the request may run and how long it may wait.
+// What is decided at admission holds for the whole request; drains and withdrawals of upstreams count at each attempt.
+func (a *API) decide(req *vaneyoke.Request, service vaneyoke.ServiceID) {
+	d := a.directory.Decide(req.ReceivedAt, policy.Query{
+		Workspace: string(req.Workspace), Kind: req.Kind, Model: string(req.Model), Service: string(service),
+		PromptBytes: req.PromptBytes, Hall: string(a.directory.Hall()),
+	})
+	req.Rule, req.Order, req.Priority = d.Rule, d.Order, d.Priority
+	if d.MaxWait > 0 {
+		req.MaxWait = d.MaxWait
+	}
+	if d.Recovery != "" {
+		req.Recovery = d.Recovery
 	}
 }
 
--- /dev/null
+++ b/catalog/accept.go
@@ -0,0 +1,57 @@
+package catalog
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/freshness"
+)
+
+// confirmPause is the time between two rounds of questions whether a change is in force.
+const confirmPause = 50 * time.Millisecond
+
+// AwaitAccepted asks the members until a majority has a revision in force; only then may the change be told as accepted.
+// It returns the revision of each member that answered.
+func (f *Follower) AwaitAccepted(ctx context.Context, revision vaneyoke.Revision) (map[vaneyoke.VMID]vaneyoke.Revision, error) {
+	f.Nudge()
+	for {
+		members, have := f.InForce(ctx, revision)
+		if freshness.Accepted(members, have, revision) {
+			return have, nil
+		}
+		timer := time.NewTimer(confirmPause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return have, vaneyoke.Err(vaneyoke.CodeNotConfirmed, "revision %d is committed and in force at %d of %d nodes", revision, len(have), len(members))
+		case <-timer.C:
+		}
+	}
+}
+
+// InForce asks all members once which revision they have in force; they are told of the given one.
+func (f *Follower) InForce(ctx context.Context, revision vaneyoke.Revision) ([]vaneyoke.VMID, map[vaneyoke.VMID]vaneyoke.Revision) {
+	current := f.Current()
+	members := current.Members()
+	have := map[vaneyoke.VMID]vaneyoke.Revision{f.self.VM: current.Revision}
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	for _, vm := range members {
+		if vm == f.self.VM {
+			continue
+		}
+		wait.Go(func() {
+			got, _, err := f.peers.Confirm(ctx, vm, revision, false)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			have[vm] = got
+		})
+	}
+	wait.Wait()
+	return members, have
+}
--- a/catalog/change.go
+++ b/catalog/change.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"time"
 
 	"github.com/google/uuid"
 
@@ -10,35 +12,137 @@
 	"github.com/vaneyoke/vaneyoke/platform"
 )
 
+// applyTries bounds how often a change is tried again because another one took its revision.
+const applyTries = 30
+
 // Change is one write to the configuration, guarded by the version that its author saw.
 type Change struct {
 	Partition string
 	ID        string
-	Value     any // nil deletes the row
-	Seen      platform.Version
+	Value     any              // nil deletes the row
+	Seen      platform.Version // 0 for a row that must not exist
+}
+
+// Note says who made a change and why it is made; it goes into the audit trail.
+type Note struct {
+	Actor  string
+	Action string
+	Once   string // the author's own key for the change, "" for none
+}
+
+// AuditEntry is one accepted change in the audit trail.
+type AuditEntry struct {
+	Revision vaneyoke.Revision `json:"revision"`
+	Actor    string            `json:"actor"`
+	Action   string            `json:"action"`
+	At       time.Time         `json:"at"`
 }
 
 // Apply commits changes together with the next revision, and returns that revision.
-// A race is told with CodeStoreRace, and a change whose outcome is not known with CodeStoreUnknown.
+// A row that is not as its author saw it is told with CodeConflict, and a change whose outcome is not known with CodeStoreUnknown.
 func Apply(ctx context.Context, table platform.Table, changes ...Change) (vaneyoke.Revision, error) {
+	return ApplyNoted(ctx, table, time.Now(), Note{}, changes...)
+}
+
+// ApplyNoted is Apply with an entry in the audit trail; a change with the same key of its author is made once.
+func ApplyNoted(ctx context.Context, table platform.Table, now time.Time, note Note, changes ...Change) (vaneyoke.Revision, error) {
+	for range applyTries {
+		revision, err := applyOnce(ctx, table, now, note, changes)
+		if vaneyoke.CodeOf(err) != vaneyoke.CodeStoreRace {
+			return revision, err
+		}
+		if done, ok, err := made(ctx, table, note); ok || err != nil {
+			return done, err
+		}
+		if err := unchanged(ctx, table, changes); err != nil {
+			return 0, err
+		}
+	}
+	return 0, vaneyoke.Err(vaneyoke.CodeStoreRace, "too many changes at once")
+}
+
+func applyOnce(ctx context.Context, table platform.Table, now time.Time, note Note, changes []Change) (vaneyoke.Revision, error) {
 	revision, err := ReadRevision(ctx, table)
 	if err != nil {
 		return 0, err
 	}
+	next := revision + 1
 	tx := platform.Tx{Nonce: platform.Nonce(uuid.NewString())}
-	next := platform.Condition{Version: platform.Version(revision)}
-	tx.Writes = append(tx.Writes, platform.Put{Key: RevisionKey, Value: []byte("{}"), If: next})
-	for _, c := range changes {
+	cond := platform.Condition{Version: platform.Version(revision)}
+	tx.Writes = append(tx.Writes, platform.Put{Key: RevisionKey, Value: []byte("{}"), If: cond})
+	for _, c := range append(changes[:len(changes):len(changes)], note.changes(now, next)...) {
 		write, err := c.write()
 		if err != nil {
 			return 0, err
 		}
 		tx.Writes = append(tx.Writes, write)
 	}
-	if err := platform.CommitSettled(ctx, table, tx); err != nil {
-		return 0, err
+	return next, platform.CommitSettled(ctx, table, tx)
+}
+
+// changes returns the rows that a note adds to a transaction.
+func (n Note) changes(now time.Time, revision vaneyoke.Revision) []Change {
+	if n.Actor == "" {
+		return nil
+	}
+	entry := AuditEntry{Revision: revision, Actor: n.Actor, Action: n.Action, At: now}
+	list := []Change{{Partition: PartitionAudit, ID: auditID(revision), Value: entry}}
+	if n.Once != "" {
+		list = append(list, Change{Partition: PartitionOnce, ID: n.onceID(), Value: entry})
+	}
+	return list
+}
+
+// auditID orders the entries of the audit trail by revision.
+func auditID(revision vaneyoke.Revision) string { return fmt.Sprintf("%020d", revision) }
+
+func (n Note) onceID() string { return n.Actor + "/" + n.Once }
+
+// made returns the revision of a change that was made before under the same key.
+func made(ctx context.Context, table platform.Table, note Note) (vaneyoke.Revision, bool, error) {
+	if note.Once == "" {
+		return 0, false, nil
+	}
+	row, err := table.Get(ctx, platform.Key{Partition: PartitionOnce, ID: note.onceID()})
+	if vaneyoke.CodeOf(err) == vaneyoke.CodeNotFound {
+		return 0, false, nil
+	}
+	if err != nil {
+		return 0, false, err
+	}
+	var entry AuditEntry
+	if err := json.Unmarshal(row.Value, &entry); err != nil {
+		return 0, false, vaneyoke.WrapErr(vaneyoke.CodeInternal, err, "operator key")
+	}
+	if entry.Action != note.Action {
+		return 0, false, vaneyoke.Err(vaneyoke.CodeConflict, "the key was used for another change: %s", entry.Action)
+	}
+	return entry.Revision, true, nil
+}
+
+// unchanged returns an error where a row is not as its author saw it.
+func unchanged(ctx context.Context, table platform.Table, changes []Change) error {
+	for _, c := range changes {
+		row, err := table.Get(ctx, platform.Key{Partition: c.Partition, ID: c.ID})
+		if err != nil && vaneyoke.CodeOf(err) != vaneyoke.CodeNotFound {
+			return err
+		}
+		if row.Version != c.Seen {
+			return vaneyoke.Err(vaneyoke.CodeConflict, "%s %s has version %d and not %d%s", c.Partition, c.ID, row.Version, c.Seen, winner(row))
+		}
+	}
+	return nil
+}
+
+// winner names who changed a row that tells so.
+func winner(row platform.Row) string {
+	var author struct {
+		By string `json:"by"`
+	}
+	if json.Unmarshal(row.Value, &author) != nil || author.By == "" {
+		return ""
 	}
-	return revision + 1, nil
+	return "; it was changed by " + author.By
 }
 
 func (c Change) write() (platform.Write, error) {
--- a/catalog/read.go
+++ b/catalog/read.go
@@ -22,11 +22,7 @@
 	if err != nil {
 		return nil, err
 	}
-	upstreams, err := readAll[vaneyoke.Upstream](ctx, table, PartitionUpstreams)
-	if err != nil {
-		return nil, err
-	}
-	workspaces, err := readAll[vaneyoke.Workspace](ctx, table, PartitionWorkspaces)
+	content, err := readContent(ctx, table)
 	if err != nil {
 		return nil, err
 	}
@@ -37,7 +33,24 @@
 	if after != before {
 		return nil, vaneyoke.Err(vaneyoke.CodeStoreRace, "revision went from %d to %d while it was read", before, after)
 	}
-	return New(after, upstreams, workspaces), nil
+	content.Revision = after
+	return New(content), nil
+}
+
+func readContent(ctx context.Context, table platform.Table) (Content, error) {
+	var c Content
+	var err error
+	if c.Upstreams, err = readAll[vaneyoke.Upstream](ctx, table, PartitionUpstreams); err != nil {
+		return c, err
+	}
+	if c.Workspaces, err = readAll[vaneyoke.Workspace](ctx, table, PartitionWorkspaces); err != nil {
+		return c, err
+	}
+	if c.Policies, err = readAll[Policy](ctx, table, PartitionPolicies); err != nil {
+		return c, err
+	}
+	c.Nodes, err = readAll[Node](ctx, table, PartitionNodes)
+	return c, err
 }
 
 func readAll[T any](ctx context.Context, table platform.Table, partition string) ([]T, error) {
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -4,6 +4,9 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"time"
+
+	"github.com/samber/lo"
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/platform"
@@ -14,6 +17,10 @@
 	PartitionFleet      = "fleet"
 	PartitionUpstreams  = "upstream"
 	PartitionWorkspaces = "workspace"
+	PartitionPolicies   = "policy"
+	PartitionNodes      = "node"
+	PartitionAudit      = "audit"
+	PartitionOnce       = "operator-key"
 )
 
 // RevisionKey is the row that every accepted change writes.
@@ -21,16 +28,40 @@
 
 // Snapshot is the configuration as of one revision.
 type Snapshot struct {
-	Revision   vaneyoke.Revision
-	Upstreams  []vaneyoke.Upstream
-	Workspaces map[vaneyoke.WorkspaceID]vaneyoke.Workspace
-	holders    map[vaneyoke.KeyHash]Holder
+	Content
+	byID    map[vaneyoke.WorkspaceID]vaneyoke.Workspace
+	holders map[vaneyoke.KeyHash]Holder
+}
+
+// Content is what a snapshot holds, in the form in which nodes tell it to one another.
+type Content struct {
+	Revision   vaneyoke.Revision    `json:"revision"`
+	Upstreams  []vaneyoke.Upstream  `json:"upstreams"`
+	Workspaces []vaneyoke.Workspace `json:"workspaces"`
+	Policies   []Policy             `json:"policies"`
+	Nodes      []Node               `json:"nodes"`
+}
+
+// Policy is the program of one policy.
+type Policy struct {
+	Name string    `json:"name"`
+	Text string    `json:"text"`
+	By   string    `json:"by"` // who changed it last
+	At   time.Time `json:"at"`
+}
+
+// Node is a member of the fleet, whose confirmation counts when changes are accepted.
+type Node struct {
+	VM   vaneyoke.VMID   `json:"vm"`
+	Hall vaneyoke.HallID `json:"hall"`
 }
 
 // Holder is whom a key speaks for.
 type Holder struct {
 	Workspace vaneyoke.WorkspaceID
 	Role      vaneyoke.Role
+	Scope     []vaneyoke.WorkspaceID // that an operator's rights are bound to; nil for all
+	Hash      vaneyoke.KeyHash
 }
 
 // HashKey returns the form in which a caller's key is kept.
@@ -40,22 +71,32 @@
 }
 
 // New returns a snapshot of the given configuration.
-func New(revision vaneyoke.Revision, upstreams []vaneyoke.Upstream, workspaces []vaneyoke.Workspace) *Snapshot {
+func New(content Content) *Snapshot {
 	s := &Snapshot{
-		Revision:   revision,
-		Upstreams:  upstreams,
-		Workspaces: make(map[vaneyoke.WorkspaceID]vaneyoke.Workspace, len(workspaces)),
-		holders:    map[vaneyoke.KeyHash]Holder{},
+		Content: content,
+		byID:    make(map[vaneyoke.WorkspaceID]vaneyoke.Workspace, len(content.Workspaces)),
+		holders: map[vaneyoke.KeyHash]Holder{},
 	}
-	for _, w := range workspaces {
-		s.Workspaces[w.ID] = w
+	for _, w := range content.Workspaces {
+		s.byID[w.ID] = w
 		for _, k := range w.Keys {
-			s.holders[k.Hash] = Holder{Workspace: w.ID, Role: k.Role}
+			s.holders[k.Hash] = Holder{Workspace: w.ID, Role: k.Role, Scope: k.Scope, Hash: k.Hash}
 		}
 	}
 	return s
 }
 
+// Workspace returns a workspace by its id.
+func (s *Snapshot) Workspace(id vaneyoke.WorkspaceID) (vaneyoke.Workspace, bool) {
+	w, ok := s.byID[id]
+	return w, ok
+}
+
+// Members returns the VMs whose confirmation counts when changes are accepted.
+func (s *Snapshot) Members() []vaneyoke.VMID {
+	return lo.Map(s.Nodes, func(n Node, _ int) vaneyoke.VMID { return n.VM })
+}
+
 // Holder returns whom a caller's key speaks for.
 func (s *Snapshot) Holder(key string) (Holder, bool) {
 	h, ok := s.holders[HashKey(key)]
--- a/code.go
+++ b/code.go
@@ -25,6 +25,7 @@
 	CodeUnknownModel Code = 23
 	CodeNotFound     Code = 24
 	CodeConflict     Code = 25
+	CodeBadPolicy    Code = 26
 
 	CodeNoKey      Code = 40
 	CodeUnknownKey Code = 41
@@ -46,6 +47,7 @@
 	CodeCallerGone  Code = 85
 
 	CodeClaimUnknown Code = 86
+	CodeNotConfirmed Code = 87
 
 	CodeStoreDown    Code = 100
 	CodeStoreRace    Code = 101
@@ -77,6 +79,7 @@
 	{CodeUnknownModel, "unknown_model", http.StatusNotFound, true, "No upstream offers the model or service."},
 	{CodeNotFound, "not_found", http.StatusNotFound, true, "The path or the named thing does not exist."},
 	{CodeConflict, "conflict", http.StatusConflict, true, "The request contradicts an earlier one."},
+	{CodeBadPolicy, "bad_policy", http.StatusUnprocessableEntity, true, "The policy's program has problems."},
 	{CodeNoKey, "no_key", http.StatusUnauthorized, true, "The request carries no bearer key."},
 	{CodeUnknownKey, "unknown_key", http.StatusUnauthorized, true, "The bearer key is unknown or revoked."},
 	{CodeForbidden, "forbidden", http.StatusForbidden, true, "The key's role does not allow the request."},
@@ -94,6 +97,7 @@
 	{CodeSuperseded, "superseded", http.StatusConflict, false, "Another node has taken the request over."},
 	{CodeCallerGone, "caller_gone", 499, false, "The caller closed the connection."},
 	{CodeClaimUnknown, "claim_unknown", http.StatusServiceUnavailable, false, "The store cannot be asked whether the request was run before; ask again with the same key."},
+	{CodeNotConfirmed, "not_confirmed", http.StatusGatewayTimeout, false, "The change is committed and comes in force, but a majority of the nodes has not confirmed it yet."},
 	{CodeStoreDown, "store_down", http.StatusServiceUnavailable, true, "The platform's store cannot be reached."},
 	{CodeStoreRace, "store_race", http.StatusConflict, true, "Another writer changed the row first."},
 	{CodeStoreUnknown, "store_unknown", http.StatusBadGateway, false, "The store's reply was lost, so the write may have taken effect."},
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -25,6 +25,7 @@
 	Service     vaneyoke.ServiceID = "stock"
 	CallerKey                      = "caller-key"
 	OperatorKey                    = "operator-key"
+	AdminKey                       = "administrator-key"
 	loopback                       = "127.0.0.1"
 )
 
@@ -121,6 +122,7 @@
 		Keys: []vaneyoke.Key{
 			{Hash: catalog.HashKey(CallerKey), Role: vaneyoke.RoleCaller},
 			{Hash: catalog.HashKey(OperatorKey), Role: vaneyoke.RoleOperator},
+			{Hash: catalog.HashKey(AdminKey), Role: vaneyoke.RoleAdministrator},
 		},
 	}
 	changes = append(changes, catalog.Change{Partition: catalog.PartitionWorkspaces, ID: string(workspace.ID), Value: workspace})
@@ -205,6 +207,9 @@
 		f.Nodes = append(f.Nodes, n)
 	}
 	f.listVMs()
+	for _, n := range f.Nodes {
+		n.Refresh(ctx)
+	}
 	return nil
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -40,6 +40,7 @@
 func patient(s *settings.Settings) {
 	s.Recovery.FirstToken, s.Recovery.Floor, s.Recovery.Ceiling = time.Hour, time.Hour, time.Hour
 	s.Peers.AckWait, s.Peers.CallTimeout = time.Minute, time.Minute
+	s.Platform.Fresh = time.Hour
 }
 
 func prompt(text string) (client.Request, []vaneyoke.TokenID) {
--- a/fleet/once_test.go
+++ b/fleet/once_test.go
@@ -78,6 +78,7 @@
 				c.Adjust = func(s *settings.Settings) {
 					s.Limits.MaxWait = 300 * time.Millisecond
 					s.Limits.CallSilence = time.Hour
+					s.Platform.Fresh = time.Hour
 					if name == neverAnswers {
 						s.Limits.CallSilence, s.Recovery.Patience = 200*time.Millisecond, 1
 					}
--- a/node/directory.go
+++ b/node/directory.go
@@ -2,16 +2,20 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/balancer"
 	"github.com/vaneyoke/vaneyoke/catalog"
+	"github.com/vaneyoke/vaneyoke/policy"
 )
 
 // directory tells the caller API what the node knows.
 type directory struct {
 	follower *catalog.Follower
+	policies *policies
 	balancer *balancer.Balancer
+	hall     vaneyoke.HallID
 	stopping *atomic.Bool
 }
 
@@ -26,8 +30,16 @@
 	if d.stopping.Load() {
 		return vaneyoke.ErrRetryAfter(vaneyoke.CodeStopping, stopRetryAfter, "the node is stopping; another takes the request")
 	}
-	if d.Current().Revision == 0 {
-		return vaneyoke.ErrRetryAfter(vaneyoke.CodeNotFresh, stopRetryAfter, "the node has not read the configuration yet")
+	if !d.follower.Fresh(time.Now()) {
+		return vaneyoke.ErrRetryAfter(vaneyoke.CodeNotFresh, stopRetryAfter, "neither the store nor a majority of the nodes confirms the node's configuration")
 	}
 	return nil
 }
+
+// Hall returns the hall that the node stands in.
+func (d *directory) Hall() vaneyoke.HallID { return d.hall }
+
+// Decide returns what the policies say about a request.
+func (d *directory) Decide(now time.Time, q policy.Query) policy.Decision {
+	return d.policies.set().Decide(now, q)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/vaneyoke/vaneyoke/catalog"
 	"github.com/vaneyoke/vaneyoke/claims"
 	"github.com/vaneyoke/vaneyoke/failover"
+	"github.com/vaneyoke/vaneyoke/operatorapi"
 	"github.com/vaneyoke/vaneyoke/platform"
 	"github.com/vaneyoke/vaneyoke/relay"
 	"github.com/vaneyoke/vaneyoke/settings"
@@ -28,6 +29,7 @@
 	headerTimeout  = 10 * time.Second
 	drainPoll      = 50 * time.Millisecond
 	stopRetryAfter = time.Second
+	leaveTimeout   = 2 * time.Second
 )
 
 // Node is one running entry process.
@@ -35,10 +37,12 @@
 	settings settings.Settings
 	api      *callerapi.API
 	follower *catalog.Follower
+	policies *policies
 	roster   *roster
 	relay    *relay.Relay
 	failover *failover.Manager
 	claims   *claims.Claims
+	operator *operatorapi.API
 	peerAPI  http.Handler
 	vars     *expvar.Map
 	tracing  *telemetry.Tracing
@@ -61,12 +65,11 @@
 	}
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	n.stop = stop
-	if err := n.follower.Poll(ctx); err != nil {
-		n.log.WithField("error", err).Warn("configuration_read_failed")
-	}
-	n.roster.read(ctx)
+	n.roster.readOrLog(ctx)
+	n.follower.Poll(ctx)
 	n.work.Go(func() { n.follower.Run(run) })
 	n.work.Go(func() { n.roster.run(run) })
+	n.work.Go(func() { n.policies.run(run) })
 	n.work.Go(func() { n.failover.Run(run) })
 	n.work.Go(func() { n.claims.Run(run) })
 	n.serve(n.api.Handler(), n.callerAt)
@@ -114,9 +117,10 @@
 	})
 }
 
-// adminHandler serves metrics and profiles.
+// adminHandler serves operators, metrics and profiles.
 func (n *Node) adminHandler() http.Handler {
 	mux := http.NewServeMux()
+	n.operator.Register(mux)
 	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write([]byte(n.vars.String()))
@@ -143,7 +147,10 @@
 }
 
 // ReadVMs reads the platform's list of VMs at once.
-func (n *Node) ReadVMs(ctx context.Context) { n.roster.read(ctx) }
+func (n *Node) ReadVMs(ctx context.Context) { n.roster.readOrLog(ctx) }
+
+// Refresh reads the configuration at once.
+func (n *Node) Refresh(ctx context.Context) { n.follower.Poll(ctx) }
 
 // Stop refuses new requests, lets the open ones finish within the grace, and closes the node.
 // It returns an error where requests were cut off.
@@ -154,11 +161,21 @@
 	defer cancel()
 	err := n.drain(ctx)
 	n.failover.Flush(ctx)
+	n.leave(ctx)
 	n.Kill()
 	n.log.WithField("cut_off", err != nil).Info("node_stopped")
 	return errors.Join(err, n.tracing.Close(context.WithoutCancel(ctx)))
 }
 
+// leave takes the node off the list of members; where that fails, the others do so when the VM is gone.
+func (n *Node) leave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if err := n.follower.Leave(ctx); err != nil {
+		n.log.WithField("error", err).Warn("leave_failed")
+	}
+}
+
 // drain waits until no request is open.
 func (n *Node) drain(ctx context.Context) error {
 	for n.api.Open() > 0 {
--- /dev/null
+++ b/node/policies.go
@@ -0,0 +1,61 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vaneyoke/vaneyoke/balancer"
+	"github.com/vaneyoke/vaneyoke/catalog"
+	"github.com/vaneyoke/vaneyoke/policy"
+)
+
+// drainPeriod is how often the policies are asked which upstreams are to be drained.
+const drainPeriod = time.Second
+
+// policies holds the policies in force at the node.
+type policies struct {
+	balancer *balancer.Balancer
+	log      logrus.FieldLogger
+	current  atomic.Pointer[policy.Set]
+}
+
+func newPolicies(b *balancer.Balancer, log logrus.FieldLogger) *policies {
+	p := &policies{balancer: b, log: log}
+	p.current.Store(policy.NewSet(nil))
+	return p
+}
+
+func (p *policies) set() *policy.Set { return p.current.Load() }
+
+// apply puts a configuration in force.
+func (p *policies) apply(snapshot *catalog.Snapshot) {
+	var compiled []*policy.Policy
+	for _, row := range snapshot.Policies {
+		c, problems := policy.Compile([]byte(row.Text))
+		if len(problems) > 0 {
+			// Programs are checked before they are accepted, so that only an older node can come here.
+			p.log.WithFields(logrus.Fields{"policy": row.Name, "problem": problems[0].String()}).Error("policy_not_understood")
+			continue
+		}
+		compiled = append(compiled, c)
+	}
+	p.current.Store(policy.NewSet(compiled))
+	p.balancer.SetUpstreams(snapshot.Upstreams, p.set().Drained(time.Now()))
+}
+
+// run keeps the drains up to the time of day, until ctx ends.
+func (p *policies) run(ctx context.Context) {
+	ticker := time.NewTicker(drainPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			p.balancer.SetDrained(p.set().Drained(now))
+		}
+	}
+}
--- a/node/roster.go
+++ b/node/roster.go
@@ -11,24 +11,33 @@
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/catalog"
 	"github.com/vaneyoke/vaneyoke/membership"
+	"github.com/vaneyoke/vaneyoke/peer"
 	"github.com/vaneyoke/vaneyoke/platform"
 )
 
 // roster follows the platform's list of VMs.
 type roster struct {
 	vms      platform.VMs
+	peers    *peer.Client
 	follower *catalog.Follower
+	members  *catalog.Members
 	period   time.Duration
 	log      logrus.FieldLogger
 	view     atomic.Pointer[membership.View]
 }
 
-func newRoster(vms platform.VMs, follower *catalog.Follower, period time.Duration, log logrus.FieldLogger) *roster {
-	r := &roster{vms: vms, follower: follower, period: period, log: log}
+func newRoster(vms platform.VMs, peers *peer.Client, period time.Duration, log logrus.FieldLogger) *roster {
+	r := &roster{vms: vms, peers: peers, period: period, log: log}
 	r.view.Store(membership.NewView(nil))
 	return r
 }
 
+// follow gives the roster the configuration, which itself is confirmed by the roster's nodes.
+func (r *roster) follow(f *catalog.Follower) {
+	r.follower = f
+	r.members = catalog.NewMembers(f)
+}
+
 // View returns the nodes that take part.
 func (r *roster) View() *membership.View { return r.view.Load() }
 
@@ -45,14 +54,26 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			r.read(ctx)
+		case now := <-ticker.C:
+			if vms, err := r.read(ctx); err == nil {
+				r.tend(ctx, now, vms)
+			}
 		}
 	}
 }
 
+// readOrLog reads the list once; a failure is in the log.
+func (r *roster) readOrLog(ctx context.Context) { _, _ = r.read(ctx) }
+
+// tend keeps the list of members, within one period.
+func (r *roster) tend(ctx context.Context, now time.Time, vms []platform.VM) {
+	ctx, cancel := context.WithTimeout(ctx, r.period)
+	defer cancel()
+	r.members.Tend(ctx, now, vms)
+}
+
 // read takes in the list; without an answer the last one stands.
-func (r *roster) read(ctx context.Context) {
+func (r *roster) read(ctx context.Context) ([]platform.VM, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	vms, err := r.vms.List(ctx)
@@ -60,7 +81,7 @@
 		if ctx.Err() == nil {
 			r.log.WithField("error", err).Warn("vms_read_failed")
 		}
-		return
+		return nil, err
 	}
 	var peers []membership.Peer
 	for _, vm := range vms {
@@ -69,4 +90,14 @@
 		}
 	}
 	r.view.Store(membership.NewView(peers))
+	return vms, nil
+}
+
+// Confirm asks the node on a VM which configuration it has in force.
+func (r *roster) Confirm(ctx context.Context, vm vaneyoke.VMID, revision vaneyoke.Revision, want bool) (vaneyoke.Revision, []byte, error) {
+	p, ok := r.View().Find(vm)
+	if !ok {
+		return 0, nil, vaneyoke.Err(vaneyoke.CodeNotFresh, "%s is not on the list of VMs", vm)
+	}
+	return r.peers.Confirm(ctx, p, revision, want)
 }
--- a/node/wire.go
+++ b/node/wire.go
@@ -20,6 +20,7 @@
 	"github.com/vaneyoke/vaneyoke/engine"
 	"github.com/vaneyoke/vaneyoke/failover"
 	"github.com/vaneyoke/vaneyoke/journal"
+	"github.com/vaneyoke/vaneyoke/operatorapi"
 	"github.com/vaneyoke/vaneyoke/peer"
 	"github.com/vaneyoke/vaneyoke/placement"
 	"github.com/vaneyoke/vaneyoke/platform/aws"
@@ -51,6 +52,8 @@
 	do.Provide(i, provideTracing)
 	do.Provide(i, providePlatform)
 	do.Provide(i, provideBalancer)
+	do.Provide(i, providePeers)
+	do.Provide(i, providePolicies)
 	do.Provide(i, provideFollower)
 	do.Provide(i, provideRoster)
 	do.Provide(i, provideJournals)
@@ -91,11 +94,22 @@
 
 func provideFollower(i do.Injector) (*catalog.Follower, error) {
 	s := do.MustInvoke[settings.Settings](i)
-	b := do.MustInvoke[*balancer.Balancer](i)
-	apply := func(snapshot *catalog.Snapshot) { b.SetUpstreams(snapshot.Upstreams) }
-	f := catalog.NewFollower(do.MustInvoke[*aws.Client](i), s.Platform.Poll, do.MustInvoke[logrus.FieldLogger](i), apply)
-	do.MustInvoke[*expvar.Map](i).Set("policy_revision", expvar.Func(func() any { return f.Current().Revision }))
-	return f, nil
+	self := catalog.Node{VM: vaneyoke.VMID(s.Node.VM), Hall: vaneyoke.HallID(s.Node.Hall)}
+	r := do.MustInvoke[*roster](i)
+	r.follow(catalog.NewFollower(
+		self, do.MustInvoke[*aws.Client](i), r, s.Platform.Poll, s.Platform.Fresh,
+		do.MustInvoke[logrus.FieldLogger](i), do.MustInvoke[*policies](i).apply,
+	))
+	vars := do.MustInvoke[*expvar.Map](i)
+	vars.Set("policy_revision", expvar.Func(func() any { return r.follower.Current().Revision }))
+	vars.Set("fresh", expvar.Func(func() any { return r.follower.Fresh(time.Now()) }))
+	return r.follower, nil
+}
+
+func providePolicies(i do.Injector) (*policies, error) {
+	p := newPolicies(do.MustInvoke[*balancer.Balancer](i), do.MustInvoke[logrus.FieldLogger](i))
+	do.MustInvoke[*expvar.Map](i).Set("policy_failures_total", expvar.Func(func() any { return p.set().Failures() }))
+	return p, nil
 }
 
 func provideRelay(i do.Injector) (*relay.Relay, error) {
@@ -112,7 +126,9 @@
 func provideAPI(i do.Injector) (*callerapi.API, error) {
 	dir := &directory{
 		follower: do.MustInvoke[*catalog.Follower](i),
+		policies: do.MustInvoke[*policies](i),
 		balancer: do.MustInvoke[*balancer.Balancer](i),
+		hall:     vaneyoke.HallID(do.MustInvoke[settings.Settings](i).Node.Hall),
 		stopping: do.MustInvoke[*atomic.Bool](i),
 	}
 	return callerapi.New(
@@ -129,12 +145,18 @@
 func provideRoster(i do.Injector) (*roster, error) {
 	return newRoster(
 		do.MustInvoke[*aws.Client](i),
-		do.MustInvoke[*catalog.Follower](i),
+		do.MustInvoke[*peer.Client](i),
 		do.MustInvoke[settings.Settings](i).Platform.Poll,
 		do.MustInvoke[logrus.FieldLogger](i),
 	), nil
 }
 
+func providePeers(i do.Injector) (*peer.Client, error) {
+	s := do.MustInvoke[settings.Settings](i)
+	journals := do.MustInvoke[*peer.Journals](i)
+	return peer.NewClient(vaneyoke.VMID(s.Node.VM), journals, newUpstreamClient(), s.Peers.KeyList()[0], s.Peers.CallTimeout), nil
+}
+
 func provideJournals(i do.Injector) (*peer.Journals, error) {
 	s := do.MustInvoke[settings.Settings](i).Peers
 	journals := peer.NewJournals(journal.New(journal.Config{Bytes: s.Bytes, Retention: s.Retention}))
@@ -155,14 +177,12 @@
 func provideFailover(i do.Injector) (*failover.Manager, error) {
 	s := do.MustInvoke[settings.Settings](i)
 	keys := s.Peers.KeyList()
-	vm := vaneyoke.VMID(s.Node.VM)
-	client := peer.NewClient(vm, do.MustInvoke[*peer.Journals](i), newUpstreamClient(), keys[0], s.Peers.CallTimeout)
 	return failover.New(
 		do.MustInvoke[vaneyoke.NodeID](i),
 		vaneyoke.HallID(s.Node.Hall),
 		failoverConfig(s.Peers),
 		cursor.NewKeyring(keys...),
-		client,
+		do.MustInvoke[*peer.Client](i),
 		do.MustInvoke[*roster](i),
 		do.MustInvoke[*relay.Relay](i),
 		do.MustInvoke[*claims.Claims](i),
@@ -174,15 +194,18 @@
 func provideNode(i do.Injector) (*Node, error) {
 	s := do.MustInvoke[settings.Settings](i)
 	manager := do.MustInvoke[*failover.Manager](i)
+	follower := do.MustInvoke[*catalog.Follower](i)
 	return &Node{
 		settings: s,
 		api:      do.MustInvoke[*callerapi.API](i),
-		follower: do.MustInvoke[*catalog.Follower](i),
+		follower: follower,
+		policies: do.MustInvoke[*policies](i),
 		roster:   do.MustInvoke[*roster](i),
 		relay:    do.MustInvoke[*relay.Relay](i),
 		failover: manager,
 		claims:   do.MustInvoke[*claims.Claims](i),
-		peerAPI:  peer.Handler(do.MustInvoke[*peer.Journals](i), manager, s.Peers.KeyList()),
+		operator: operatorapi.New(do.MustInvoke[*aws.Client](i), follower, do.MustInvoke[*balancer.Balancer](i), do.MustInvoke[logrus.FieldLogger](i)),
+		peerAPI:  peer.Handler(do.MustInvoke[*peer.Journals](i), manager, follower, s.Peers.KeyList()),
 		vars:     do.MustInvoke[*expvar.Map](i),
 		tracing:  do.MustInvoke[*telemetry.Tracing](i),
 		log:      do.MustInvoke[logrus.FieldLogger](i),
--- a/openai/run.go
+++ b/openai/run.go
@@ -32,6 +32,7 @@
 	}
 	fields.Set("stream", true)
 	fields.Set("return_token_ids", true)
+	setPriority(fields, req)
 	if req.MaxTokens > 0 {
 		setLimit(fields, req.MaxTokens-given)
 	}
@@ -53,6 +54,13 @@
 	return Run{Path: PathCompletions, Fields: fields}
 }
 
+// setPriority tells the engine the priority that a policy gave.
+func setPriority(fields vaneyoke.Fields, req *vaneyoke.Request) {
+	if req.Priority != 0 {
+		fields.Set("priority", req.Priority)
+	}
+}
+
 // setLimit keeps the limit under the one name that both endpoints know.
 func setLimit(fields vaneyoke.Fields, limit vaneyoke.Tokens) {
 	delete(fields, "max_completion_tokens")
@@ -65,6 +73,7 @@
 	delete(fields, "stream_options")
 	delete(fields, "priority")
 	fields.Set("stream", false)
+	setPriority(fields, req)
 	return Run{Path: path(req.Endpoint), Fields: fields}
 }
 
--- /dev/null
+++ b/operatorapi/doc.go
@@ -0,0 +1,2 @@
+// Package operatorapi is the HTTP interface by which operators administer a fleet.
+package operatorapi
--- /dev/null
+++ b/operatorapi/policies.go
@@ -0,0 +1,220 @@
+package operatorapi
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/danielgtaylor/huma/v2"
+	"github.com/samber/lo"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/catalog"
+	"github.com/vaneyoke/vaneyoke/policy"
+)
+
+type policyName struct {
+	Caller
+	Name string `path:"name"`
+}
+
+type policyInput struct {
+	Changer
+	Name string `path:"name"`
+	Body struct {
+		Text string `json:"text" doc:"The program."`
+	}
+}
+
+type policyRemoval struct {
+	Changer
+	Name string `path:"name"`
+}
+
+type policyOutput struct {
+	ETag string `header:"ETag"`
+	Body catalog.Policy
+}
+
+type policyList struct {
+	Body struct {
+		Revision vaneyoke.Revision `json:"revision"`
+		Policies []catalog.Policy  `json:"policies"`
+	}
+}
+
+type checkInput struct {
+	Caller
+	Body struct {
+		Text string `json:"text"`
+	}
+}
+
+type checkOutput struct {
+	Body struct {
+		Good     bool             `json:"good"`
+		Problems []policy.Problem `json:"problems"`
+	}
+}
+
+type explainInput struct {
+	Caller
+	Body struct {
+		Workspace   string    `json:"workspace"`
+		Kind        string    `json:"kind,omitempty"`
+		Model       string    `json:"model,omitempty"`
+		Service     string    `json:"service,omitempty"`
+		PromptBytes int       `json:"prompt_bytes,omitempty"`
+		Hall        string    `json:"hall,omitempty"`
+		At          time.Time `json:"at,omitempty" doc:"Time to decide for; now where it is left out."`
+	}
+}
+
+type explainOutput struct {
+	Body struct {
+		Rule     string              `json:"rule" doc:"Policy and rule that decide; empty for the default."`
+		Order    []vaneyoke.Selector `json:"upstreams"`
+		MaxWait  string              `json:"wait,omitempty"`
+		Priority int                 `json:"priority"`
+		Recovery vaneyoke.Recovery   `json:"recovery,omitempty"`
+		Steps    []policy.Step       `json:"steps" doc:"Each rule that was looked at, in order."`
+		Drained  []vaneyoke.Selector `json:"drained" doc:"Upstreams that take no new work at the time."`
+	}
+}
+
+func (a *API) registerPolicies(api huma.API) {
+	register(api, http.MethodGet, "/v1/policies", "List the policies in force.", a.listPolicies)
+	register(api, http.MethodGet, "/v1/policies/{name}", "Get a policy.", a.getPolicy)
+	register(api, http.MethodPut, "/v1/policies/{name}", "Submit or revise a policy.", a.putPolicy)
+	register(api, http.MethodDelete, "/v1/policies/{name}", "Withdraw a policy.", a.deletePolicy)
+	register(api, http.MethodPost, "/v1/check", "Check a program without submitting it.", a.checkPolicy)
+	register(api, http.MethodPost, "/v1/explain", "Tell which rule decides for a request.", a.explain)
+}
+
+func (a *API) listPolicies(_ context.Context, in *Caller) (*policyList, error) {
+	if _, err := a.allow(*in, vaneyoke.RoleViewer); err != nil {
+		return nil, err
+	}
+	current := a.follower.Current()
+	out := &policyList{}
+	out.Body.Revision = current.Revision
+	out.Body.Policies = lo.Ternary(current.Policies == nil, []catalog.Policy{}, current.Policies)
+	return out, nil
+}
+
+func (a *API) getPolicy(ctx context.Context, in *policyName) (*policyOutput, error) {
+	if _, err := a.allow(in.Caller, vaneyoke.RoleViewer); err != nil {
+		return nil, err
+	}
+	p, version, err := get[catalog.Policy](ctx, a, catalog.PartitionPolicies, in.Name)
+	return &policyOutput{ETag: etag(version), Body: p}, err
+}
+
+func (a *API) putPolicy(ctx context.Context, in *policyInput) (*Accepted, error) {
+	holder, err := a.allow(in.Caller, vaneyoke.RoleOperator)
+	if err != nil {
+		return nil, err
+	}
+	compiled, problems := a.check(in.Body.Text)
+	if compiled != nil && compiled.Name != in.Name {
+		problems = append(problems, policy.Problem{Section: "policy", Key: "name", Message: "is " + compiled.Name + " and not " + in.Name})
+	}
+	if len(problems) > 0 {
+		return nil, vaneyoke.ErrField(vaneyoke.CodeBadPolicy, "body.text", "%s", problemText(problems))
+	}
+	if err := within(holder, compiled.Workspaces()); err != nil {
+		return nil, err
+	}
+	seen, err := in.seen()
+	if err != nil {
+		return nil, err
+	}
+	value := catalog.Policy{Name: in.Name, Text: in.Body.Text, By: actor(holder), At: time.Now()}
+	change := catalog.Change{Partition: catalog.PartitionPolicies, ID: in.Name, Value: value, Seen: seen}
+	return a.commit(ctx, holder, in.Changer, "put policy "+in.Name, change)
+}
+
+func problemText(problems []policy.Problem) string {
+	return lo.Reduce(problems, func(text string, p policy.Problem, i int) string {
+		return text + lo.Ternary(i > 0, "; ", "") + p.String()
+	}, "")
+}
+
+func (a *API) deletePolicy(ctx context.Context, in *policyRemoval) (*Accepted, error) {
+	holder, err := a.allow(in.Caller, vaneyoke.RoleOperator)
+	if err != nil {
+		return nil, err
+	}
+	p, version, err := get[catalog.Policy](ctx, a, catalog.PartitionPolicies, in.Name)
+	if err != nil {
+		return nil, err
+	}
+	if compiled, _ := policy.Compile([]byte(p.Text)); compiled != nil {
+		if err := within(holder, compiled.Workspaces()); err != nil {
+			return nil, err
+		}
+	}
+	if seen, err := in.seen(); err != nil {
+		return nil, err
+	} else if seen > 0 {
+		version = seen
+	}
+	change := catalog.Change{Partition: catalog.PartitionPolicies, ID: in.Name, Seen: version}
+	return a.commit(ctx, holder, in.Changer, "withdraw policy "+in.Name, change)
+}
+
+// check compiles a program and holds it against the fleet, with the policies that are in force beside it.
+func (a *API) check(text string) (*policy.Policy, []policy.Problem) {
+	compiled, problems := policy.Compile([]byte(text))
+	if compiled == nil {
+		return nil, problems
+	}
+	current := a.follower.Current()
+	beside := []*policy.Policy{compiled}
+	for _, row := range current.Policies {
+		if other, _ := policy.Compile([]byte(row.Text)); other != nil && other.Name != compiled.Name {
+			beside = append(beside, other)
+		}
+	}
+	workspaces := lo.Map(current.Workspaces, func(w vaneyoke.Workspace, _ int) vaneyoke.WorkspaceID { return w.ID })
+	return compiled, policy.Check(time.Now(), beside, compiled.Name, current.Upstreams, workspaces)
+}
+
+func (a *API) checkPolicy(_ context.Context, in *checkInput) (*checkOutput, error) {
+	if _, err := a.allow(in.Caller, vaneyoke.RoleViewer); err != nil {
+		return nil, err
+	}
+	_, problems := a.check(in.Body.Text)
+	out := &checkOutput{}
+	out.Body.Good = len(problems) == 0
+	out.Body.Problems = lo.Ternary(problems == nil, []policy.Problem{}, problems)
+	return out, nil
+}
+
+func (a *API) explain(_ context.Context, in *explainInput) (*explainOutput, error) {
+	if _, err := a.allow(in.Caller, vaneyoke.RoleViewer); err != nil {
+		return nil, err
+	}
+	at := in.Body.At
+	if at.IsZero() {
+		at = time.Now()
+	}
+	var compiled []*policy.Policy
+	for _, row := range a.follower.Current().Policies {
+		if p, _ := policy.Compile([]byte(row.Text)); p != nil {
+			compiled = append(compiled, p)
+		}
+	}
+	set := policy.NewSet(compiled)
+	d, steps := set.Explain(at, policy.Query{
+		Workspace: in.Body.Workspace, Kind: in.Body.Kind, Model: in.Body.Model, Service: in.Body.Service,
+		PromptBytes: in.Body.PromptBytes, Hall: in.Body.Hall,
+	})
+	out := &explainOutput{}
+	out.Body.Rule, out.Body.Order, out.Body.Priority, out.Body.Recovery = d.Rule, d.Order, d.Priority, d.Recovery
+	out.Body.Steps, out.Body.Drained = steps, set.Drained(at)
+	if d.MaxWait > 0 {
+		out.Body.MaxWait = d.MaxWait.String()
+	}
+	return out, nil
+}
--- a/peer/client.go
+++ b/peer/client.go
@@ -89,6 +89,16 @@
 	return deltaOf(out.GetSession()), true, nil
 }
 
+// Confirm returns a peer's revision, and its configuration as JSON where that is wanted and newer.
+func (c *Client) Confirm(ctx context.Context, p membership.Peer, revision vaneyoke.Revision, want bool) (vaneyoke.Revision, []byte, error) {
+	in := &peerpb.ConfirmRequest{Revision: uint64(revision), WantSnapshot: want}
+	out, err := call(ctx, c, p, peerpb.Peer.Confirm, in)
+	if err != nil {
+		return 0, nil, err
+	}
+	return vaneyoke.Revision(out.GetRevision()), out.GetSnapshot(), nil
+}
+
 // call makes one call within the client's timeout; a peer that does not answer is left alone for a while.
 func call[In, Out any](ctx context.Context, c *Client, p membership.Peer, method func(peerpb.Peer, context.Context, *In) (*Out, error), in *In) (*Out, error) {
 	if c.suspected(time.Now(), p.Address) {
--- a/peer/server.go
+++ b/peer/server.go
@@ -22,6 +22,12 @@
 	GiveUp(key journal.Key, owner vaneyoke.NodeID) (journal.Delta, bool)
 }
 
+// Configuration tells which configuration is in force at the node.
+type Configuration interface {
+	// Answer returns the node's revision, and its configuration as JSON where that is wanted and newer than known.
+	Answer(ctx context.Context, known vaneyoke.Revision, want bool) (vaneyoke.Revision, []byte)
+}
+
 // Journals is a journal.Store under a lock.
 type Journals struct {
 	mu    sync.Mutex
@@ -68,13 +74,14 @@
 type Server struct {
 	journals *Journals
 	sessions Sessions
+	config   Configuration
 }
 
 var _ peerpb.Peer = (*Server)(nil)
 
 // Handler returns the HTTP handler of the peer API, open to holders of one of the keys.
-func Handler(journals *Journals, sessions Sessions, keys []string) http.Handler {
-	api := peerpb.NewPeerServer(&Server{journals: journals, sessions: sessions})
+func Handler(journals *Journals, sessions Sessions, config Configuration, keys []string) http.Handler {
+	api := peerpb.NewPeerServer(&Server{journals: journals, sessions: sessions, config: config})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !authorized(r, keys) {
 			_ = twirp.WriteError(w, twirp.Unauthenticated.Error("the peer key is wrong"))
@@ -111,6 +118,12 @@
 	})}, nil
 }
 
+// Confirm tells which configuration is in force here.
+func (s *Server) Confirm(ctx context.Context, in *peerpb.ConfirmRequest) (*peerpb.ConfirmReply, error) {
+	revision, snapshot := s.config.Answer(ctx, vaneyoke.Revision(in.GetRevision()), in.GetWantSnapshot())
+	return &peerpb.ConfirmReply{Revision: uint64(revision), Snapshot: snapshot}, nil
+}
+
 // TakeOver makes the sender the owner of a session.
 func (s *Server) TakeOver(_ context.Context, in *peerpb.TakeOverRequest) (*peerpb.TakeOverReply, error) {
 	take := s.journals.takeOver
--- a/placement/state.go
+++ b/placement/state.go
@@ -15,8 +15,9 @@
 // Need says what an attempt asks of its upstream.
 type Need struct {
 	Kind    vaneyoke.UpstreamKind
-	Model   vaneyoke.ModelID   // of an engine
-	Service vaneyoke.ServiceID // of a service
+	Model   vaneyoke.ModelID    // of an engine
+	Service vaneyoke.ServiceID  // of a service
+	Order   []vaneyoke.Selector // upstreams in the order of preference; nil for any
 	Avoid   []vaneyoke.UpstreamID
 }
 
@@ -34,6 +35,7 @@
 type entry struct {
 	upstream vaneyoke.Upstream
 	inFlight int // attempts of this node
+	drained  bool
 	breaker  *retry.Breaker
 }
 
@@ -75,6 +77,17 @@
 	s.order = order
 }
 
+// SetDrained takes in which upstreams are drained by policy.
+func (s *State) SetDrained(drained []vaneyoke.Selector) {
+	for _, e := range s.order {
+		e.drained = matchesAny(drained, &e.upstream)
+	}
+}
+
+func matchesAny(selectors []vaneyoke.Selector, u *vaneyoke.Upstream) bool {
+	return slices.ContainsFunc(selectors, func(s vaneyoke.Selector) bool { return s.Matches(u) })
+}
+
 // Offers reports whether any upstream, live or not, offers what the need asks for.
 func (s *State) Offers(need Need) bool {
 	return slices.ContainsFunc(s.order, func(e *entry) bool { return offers(&e.upstream, need) })
@@ -87,23 +100,32 @@
 	return models
 }
 
-// Pick chooses between two random candidates by load; upstreams to avoid are taken only where there is no other.
+// anyUpstream is the order of a request for which no policy names one.
+var anyUpstream = []vaneyoke.Selector{vaneyoke.SelectAll}
+
+// Pick chooses between two random candidates by load, from the first set in the order that has any.
+// Upstreams to avoid are taken only where there is no other.
 func (s *State) Pick(now time.Time, rng *rand.Rand, need Need) (vaneyoke.Upstream, bool) {
-	candidates := s.candidates(now, need, false)
-	if len(candidates) == 0 {
-		candidates = s.candidates(now, need, true)
+	order := need.Order
+	if len(order) == 0 {
+		order = anyUpstream
 	}
-	if len(candidates) == 0 {
-		return vaneyoke.Upstream{}, false
+	for _, avoided := range []bool{false, true} {
+		for _, selector := range order {
+			candidates := s.candidates(now, need, selector, avoided)
+			if len(candidates) > 0 {
+				a, b := candidates[rng.IntN(len(candidates))], candidates[rng.IntN(len(candidates))]
+				return s.better(a, b).upstream, true
+			}
+		}
 	}
-	chosen := s.better(candidates[rng.IntN(len(candidates))], candidates[rng.IntN(len(candidates))])
-	return chosen.upstream, true
+	return vaneyoke.Upstream{}, false
 }
 
-func (s *State) candidates(now time.Time, need Need, avoided bool) []*entry {
+func (s *State) candidates(now time.Time, need Need, selector vaneyoke.Selector, avoided bool) []*entry {
 	s.scratch = s.scratch[:0]
 	for _, e := range s.order {
-		if e.upstream.State != vaneyoke.StateLive || !offers(&e.upstream, need) || !e.breaker.Allows(now) {
+		if !e.takesWork(now) || !offers(&e.upstream, need) || !selector.Matches(&e.upstream) {
 			continue
 		}
 		if slices.Contains(need.Avoid, e.upstream.ID) == avoided {
@@ -113,6 +135,11 @@
 	return s.scratch
 }
 
+// takesWork reports whether the upstream may be given new work.
+func (e *entry) takesWork(now time.Time) bool {
+	return e.upstream.State == vaneyoke.StateLive && !e.drained && e.breaker.Allows(now)
+}
+
 // better returns the less loaded upstream; between equals, the one in the node's own hall.
 func (s *State) better(a, b *entry) *entry {
 	if a.load() != b.load() {
@@ -167,11 +194,12 @@
 	Upstream vaneyoke.Upstream
 	InFlight int
 	Open     bool // whether the breaker holds work back
+	Drained  bool // whether a policy drains it
 }
 
 // Loads returns what the node sees of each upstream, by id.
 func (s *State) Loads() []Load {
 	return lo.Map(s.order, func(e *entry, _ int) Load {
-		return Load{Upstream: e.upstream, InFlight: e.inFlight, Open: e.breaker.Open()}
+		return Load{Upstream: e.upstream, InFlight: e.inFlight, Open: e.breaker.Open(), Drained: e.drained}
 	})
 }
--- /dev/null
+++ b/policy/doc.go
@@ -0,0 +1,2 @@
+// Package policy reads, checks and evaluates the programs by which operators say what runs where, without I/O.
+package policy
--- /dev/null
+++ b/policy/env.go
@@ -0,0 +1,48 @@
+package policy
+
+import (
+	"strings"
+	"time"
+)
+
+// Env is what the condition of a rule sees; the tags are the names in programs.
+type Env struct {
+	Workspace   string `expr:"workspace"`    // name of the workspace
+	Kind        string `expr:"kind"`         // kind of request, as the caller names it
+	Model       string `expr:"model"`        // model, "" for a call to a service
+	Service     string `expr:"service"`      // service, "" for a generation
+	PromptBytes int    `expr:"prompt_bytes"` // size of the prompt as sent
+	Hall        string `expr:"hall"`         // hall of the node that decides
+	Clock       int    `expr:"clock"`        // minutes since midnight in the policy's zone
+	Hour        int    `expr:"hour"`         // hour of the day in the policy's zone
+	Weekday     string `expr:"weekday"`      // mon, tue, wed, thu, fri, sat or sun
+	Weekend     bool   `expr:"weekend"`      // whether it is Saturday or Sunday
+}
+
+const weekdayLetters = 3
+
+// setTime fills in what depends on the time in a zone.
+func (e *Env) setTime(local time.Time) {
+	day := local.Weekday()
+	e.Hour = local.Hour()
+	e.Clock = e.Hour*60 + local.Minute()
+	e.Weekday = strings.ToLower(day.String()[:weekdayLetters])
+	e.Weekend = day == time.Saturday || day == time.Sunday
+}
+
+// Query is what has to be decided for one request.
+type Query struct {
+	Workspace   string
+	Kind        string
+	Model       string
+	Service     string
+	PromptBytes int
+	Hall        string
+}
+
+func (q Query) env() Env {
+	return Env{
+		Workspace: q.Workspace, Kind: q.Kind, Model: q.Model, Service: q.Service,
+		PromptBytes: q.PromptBytes, Hall: q.Hall,
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -58,7 +58,7 @@
 
 // Generate starts a generation; its session runs until it ends or is abandoned, whatever becomes of ctx.
 func (r *Relay) Generate(ctx context.Context, req *vaneyoke.Request) *Session {
-	need := placement.Need{Kind: vaneyoke.KindEngine, Model: req.Model}
+	need := placement.Need{Kind: vaneyoke.KindEngine, Model: req.Model, Order: req.Order}
 	return r.begin(ctx, req, need, modeOf(req))
 }
 
@@ -72,7 +72,7 @@
 
 // Call starts a call to a plain service.
 func (r *Relay) Call(ctx context.Context, req *vaneyoke.Request, service vaneyoke.ServiceID, path string, body []byte) *Session {
-	need := placement.Need{Kind: vaneyoke.KindService, Service: service}
+	need := placement.Need{Kind: vaneyoke.KindService, Service: service, Order: req.Order}
 	return r.begin(ctx, req, need, &whole{path: path, body: body})
 }
 
--- a/relay/session.go
+++ b/relay/session.go
@@ -239,6 +239,7 @@
 	s.relay.log.WithFields(logrus.Fields{
 		"request":   s.req.ID,
 		"workspace": s.req.Workspace,
+		"policy":    s.req.Rule,
 		"code":      int(s.result.Code),
 		"tokens":    s.state.Transcript().Len(),
 		"attempts":  stats.Attempts,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -37,7 +37,8 @@
 	SecretKey string        `ini:"secret_key" default:"vaneyoke" secret:"true" doc:"Secret key for the platform."`
 	Table     string        `ini:"table" default:"vaneyoke" doc:"Name of the table."`
 	Bucket    string        `ini:"bucket" default:"vaneyoke" doc:"Name of the bucket."`
-	Poll      time.Duration `ini:"poll" default:"1s" min:"100ms" max:"2s" doc:"Period of reading the configuration's revision."`
+	Poll      time.Duration `ini:"poll" default:"800ms" min:"50ms" max:"2s" doc:"Period of reading the configuration's revision."`
+	Fresh     time.Duration `ini:"fresh" default:"2s" min:"500ms" max:"3s" doc:"How long a confirmation of the configuration counts, by the store or by a majority of the nodes; changes are in force everywhere within this time."`
 }
 
 // Peers says how the nodes of a fleet back one another up.
--- a/workspace.go
+++ b/workspace.go
@@ -18,6 +18,8 @@
 type Key struct {
 	Hash KeyHash `json:"hash"`
 	Role Role    `json:"role"`
+	// Scope holds the workspaces that an operator's rights are bound to; nil for all.
+	Scope []WorkspaceID `json:"scope,omitempty"`
 }
 
 // Workspace is a customer of the fleet, with the keys that speak for it.
