Give operators a command line, bind their rights, and count control bytes

The list of VMs is read with its ETag; upstreams on a leaving VM get no new work. Nodes count the bytes they exchange with the platform and with one another.

Found by the test of a bound operator: a node that had not applied a revision yet counted the majority among the members it knew, none, and told the change as accepted. Whose confirmation counts is now read from the revision itself.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -19,6 +19,8 @@
 	state  *placement.State
 	budget *retry.Budget
 	rng    *rand.Rand
+
+	leaving []vaneyoke.VMID
 }
 
 // New returns a balancer over the given state.
@@ -32,6 +34,15 @@
 	defer b.mu.Unlock()
 	b.state.SetUpstreams(upstreams)
 	b.state.SetDrained(drained)
+	b.state.SetLeaving(b.leaving)
+}
+
+// SetLeaving takes in which VMs are leaving.
+func (b *Balancer) SetLeaving(vms []vaneyoke.VMID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.leaving = vms
+	b.state.SetLeaving(vms)
 }
 
 // SetDrained takes in which upstreams are drained.
--- a/catalog/accept.go
+++ b/catalog/accept.go
@@ -15,10 +15,13 @@
 // AwaitAccepted asks the members until a majority has a revision in force; only then may the change be told as accepted.
 // It returns the revision of each member that answered.
 func (f *Follower) AwaitAccepted(ctx context.Context, revision vaneyoke.Revision) (map[vaneyoke.VMID]vaneyoke.Revision, error) {
-	f.Nudge()
 	for {
+		if f.Current().Revision < revision {
+			f.Nudge()
+		}
 		members, have := f.InForce(ctx, revision)
-		if freshness.Accepted(members, have, revision) {
+		// Whose confirmation counts is told by the revision itself, so the own node has to have it first.
+		if have[f.self.VM] >= revision && freshness.Accepted(members, have, revision) {
 			return have, nil
 		}
 		timer := time.NewTimer(confirmPause)
--- /dev/null
+++ b/cmd/vaneyoke/admin.go
@@ -0,0 +1,187 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"text/tabwriter"
+
+	"github.com/google/uuid"
+	"github.com/urfave/cli/v3"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/callerapi"
+	"github.com/vaneyoke/vaneyoke/client"
+	"github.com/vaneyoke/vaneyoke/operatorapi"
+)
+
+// adminFlags are the flags of every command that speaks to the operator API.
+func adminFlags(more ...cli.Flag) []cli.Flag {
+	return append([]cli.Flag{
+		&cli.StringFlag{Name: "admin", Value: "http://127.0.0.1:8081", Usage: "address of a node's operator API", Sources: cli.EnvVars("VANEYOKE_ADMIN")},
+		&cli.StringFlag{Name: "key", Usage: "operator key", Sources: cli.EnvVars("VANEYOKE_OPERATOR_KEY"), Required: true},
+		&cli.BoolFlag{Name: "json", Usage: "print the answer as JSON"},
+	}, more...)
+}
+
+// ifMatchFlag guards a change by the version that its author saw.
+func ifMatchFlag() cli.Flag {
+	return &cli.StringFlag{Name: "if-match", Usage: "version of what is changed, as get tells it"}
+}
+
+// adminCall is one call of the operator API.
+type adminCall struct {
+	method  string
+	path    string
+	body    any
+	ifMatch string
+}
+
+// call makes a call and decodes its answer into out; it returns the answer's ETag.
+func call(ctx context.Context, cmd *cli.Command, c adminCall, out any) (string, error) {
+	var body io.Reader = http.NoBody
+	if c.body != nil {
+		raw, err := json.Marshal(c.body)
+		if err != nil {
+			return "", err
+		}
+		body = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, c.method, cmd.String("admin")+c.path, body)
+	if err != nil {
+		return "", vaneyoke.WrapErr(vaneyoke.CodeUsage, err, "--admin")
+	}
+	req.Header.Set("Authorization", "Bearer "+cmd.String("key"))
+	req.Header.Set("Content-Type", "application/json")
+	if c.ifMatch != "" {
+		req.Header.Set("If-Match", c.ifMatch)
+	}
+	if c.method != http.MethodGet {
+		req.Header.Set("Idempotency-Key", uuid.NewString())
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return "", vaneyoke.WrapErr(vaneyoke.CodeNotFresh, err, "the node cannot be reached")
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode >= http.StatusBadRequest {
+		var failure callerapi.ErrorBody
+		if err := json.NewDecoder(res.Body).Decode(&failure); err != nil {
+			return "", err
+		}
+		return "", codedFailure(&client.FailedError{Status: res.StatusCode, Detail: failure.Failure})
+	}
+	return res.Header.Get("ETag"), json.NewDecoder(res.Body).Decode(out)
+}
+
+// printJSON prints a value for programs where the command was asked to, and reports whether it was.
+func printJSON(cmd *cli.Command, v any) (bool, error) {
+	if !cmd.Bool("json") {
+		return false, nil
+	}
+	encoder := json.NewEncoder(cmd.Root().Writer)
+	return true, encoder.Encode(v)
+}
+
+// table prints rows for people.
+func table(cmd *cli.Command, head string, rows func(w io.Writer)) error {
+	w := tabwriter.NewWriter(cmd.Root().Writer, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, head)
+	rows(w)
+	return w.Flush()
+}
+
+// accepted is the answer to a change.
+type accepted struct {
+	Revision vaneyoke.Revision `json:"revision"`
+	InForce  int               `json:"in_force"`
+	Nodes    int               `json:"nodes"`
+}
+
+// change makes a change and tells how far it is in force; with --wait it waits for all nodes.
+func change(ctx context.Context, cmd *cli.Command, c adminCall) error {
+	var out accepted
+	etag, err := call(ctx, cmd, c, &out)
+	if err != nil {
+		return err
+	}
+	if cmd.Bool("wait") {
+		if out.InForce, err = waitForAll(ctx, cmd, out.Revision); err != nil {
+			return err
+		}
+	}
+	if done, err := printJSON(cmd, out); done {
+		return err
+	}
+	_, err = fmt.Fprintf(cmd.Root().Writer, "accepted as revision %d, in force at %d of %d nodes, version %s\n", out.Revision, out.InForce, out.Nodes, etag)
+	return err
+}
+
+func waitFlag() cli.Flag {
+	return &cli.BoolFlag{Name: "wait", Usage: "wait until the change is in force at every node that can be reached"}
+}
+
+// statusBody is the answer to a question for the status.
+type statusBody struct {
+	Revision vaneyoke.Revision        `json:"revision"`
+	Fresh    bool                     `json:"fresh"`
+	Nodes    []operatorapi.NodeStatus `json:"nodes"`
+}
+
+func statusCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "status",
+		Usage: "tell which revision each node has in force",
+		Flags: adminFlags(),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			var out statusBody
+			if _, err := call(ctx, cmd, adminCall{method: http.MethodGet, path: "/v1/status"}, &out); err != nil {
+				return err
+			}
+			if done, err := printJSON(cmd, out); done {
+				return err
+			}
+			return table(cmd, "VM\tHALL\tREACHED\tREVISION\tBEHIND", func(w io.Writer) {
+				for _, n := range out.Nodes {
+					fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%d\n", n.VM, n.Hall, n.Reached, n.Revision, n.Behind)
+				}
+			})
+		},
+	}
+}
+
+// auditBody is a page of the audit trail.
+type auditBody struct {
+	Entries []struct {
+		Revision vaneyoke.Revision `json:"revision"`
+		Actor    string            `json:"actor"`
+		Action   string            `json:"action"`
+		At       string            `json:"at"`
+	} `json:"entries"`
+	Next string `json:"next"`
+}
+
+func auditCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "audit",
+		Usage: "list who changed what",
+		Flags: adminFlags(&cli.StringFlag{Name: "after", Usage: "entry after which the list begins"}),
+		Action: func(ctx context.Context, cmd *cli.Command) error {
+			var out auditBody
+			if _, err := call(ctx, cmd, adminCall{method: http.MethodGet, path: "/v1/audit?after=" + cmd.String("after")}, &out); err != nil {
+				return err
+			}
+			if done, err := printJSON(cmd, out); done {
+				return err
+			}
+			return table(cmd, "REVISION\tAT\tACTOR\tACTION", func(w io.Writer) {
+				for _, e := range out.Entries {
+					fmt.Fprintf(w, "%d\t%s\t%s\t%s\n", e.Revision, e.At, e.Actor, e.Action)
+				}
+			})
+		},
+	}
+}
--- a/cmd/vaneyoke/main.go
+++ b/cmd/vaneyoke/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	_ "time/tzdata" // VMs may have no time zones of their own
 
 	"github.com/urfave/cli/v3"
 
@@ -44,6 +45,12 @@
 			generateCommand(),
 			loadCommand(),
 			standinCommand(),
+			policyCommand(),
+			upstreamCommand(),
+			workspaceCommand(),
+			statusCommand(),
+			auditCommand(),
+			bootstrapCommand(),
 			versionCommand(),
 		},
 	}
--- a/cmd/vaneyoked/main.go
+++ b/cmd/vaneyoked/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	_ "time/tzdata" // VMs may have no time zones of their own
 
 	"github.com/urfave/cli/v3"
 
--- /dev/null
+++ b/node/control.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+
+	"github.com/samber/do/v2"
+)
+
+// controlClient is the HTTP client for the platform and the other nodes; it counts the bytes of both ways.
+type controlClient struct {
+	http *http.Client
+}
+
+func provideControlClient(i do.Injector) (*controlClient, error) {
+	sent, received := new(expvar.Int), new(expvar.Int)
+	vars := do.MustInvoke[*expvar.Map](i)
+	vars.Set("control_sent_bytes_total", sent)
+	vars.Set("control_received_bytes_total", received)
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: idleConnsEach,
+		IdleConnTimeout:     idleTimeout,
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := dialer.DialContext(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: conn, sent: sent, received: received}, nil
+		},
+	}
+	return &controlClient{http: &http.Client{Transport: transport, Timeout: platformTimeout}}, nil
+}
+
+// countedConn counts the bytes of a connection.
+type countedConn struct {
+	net.Conn
+	sent, received *expvar.Int
+}
+
+// Read reads and counts.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+// Write writes and counts.
+func (c *countedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.sent.Add(int64(n))
+	return n, err
+}
--- a/node/roster.go
+++ b/node/roster.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/balancer"
 	"github.com/vaneyoke/vaneyoke/catalog"
 	"github.com/vaneyoke/vaneyoke/membership"
 	"github.com/vaneyoke/vaneyoke/peer"
@@ -19,6 +20,7 @@
 type roster struct {
 	vms      platform.VMs
 	peers    *peer.Client
+	balancer *balancer.Balancer
 	follower *catalog.Follower
 	members  *catalog.Members
 	period   time.Duration
@@ -26,8 +28,8 @@
 	view     atomic.Pointer[membership.View]
 }
 
-func newRoster(vms platform.VMs, peers *peer.Client, period time.Duration, log logrus.FieldLogger) *roster {
-	r := &roster{vms: vms, peers: peers, period: period, log: log}
+func newRoster(vms platform.VMs, peers *peer.Client, b *balancer.Balancer, period time.Duration, log logrus.FieldLogger) *roster {
+	r := &roster{vms: vms, peers: peers, balancer: b, period: period, log: log}
 	r.view.Store(membership.NewView(nil))
 	return r
 }
@@ -84,12 +86,16 @@
 		return nil, err
 	}
 	var peers []membership.Peer
+	var leaving []vaneyoke.VMID
 	for _, vm := range vms {
-		if !vm.Leaving {
+		if vm.Leaving {
+			leaving = append(leaving, vm.ID)
+		} else {
 			peers = append(peers, membership.Peer{VM: vm.ID, Hall: vm.Hall, Address: vm.Address})
 		}
 	}
 	r.view.Store(membership.NewView(peers))
+	r.balancer.SetLeaving(leaving)
 	return vms, nil
 }
 
--- a/node/wire.go
+++ b/node/wire.go
@@ -50,6 +50,7 @@
 		Incarnation: vaneyoke.Incarnation(time.Now().UnixNano()),
 	})
 	do.Provide(i, provideTracing)
+	do.Provide(i, provideControlClient)
 	do.Provide(i, providePlatform)
 	do.Provide(i, provideBalancer)
 	do.Provide(i, providePeers)
@@ -71,7 +72,15 @@
 }
 
 func providePlatform(i do.Injector) (*aws.Client, error) {
-	s := do.MustInvoke[settings.Settings](i).Platform
+	return newPlatform(do.MustInvoke[settings.Settings](i).Platform, do.MustInvoke[*controlClient](i).http), nil
+}
+
+// NewPlatform returns a client of the platform that the settings name.
+func NewPlatform(s settings.Platform) *aws.Client {
+	return newPlatform(s, &http.Client{Timeout: platformTimeout})
+}
+
+func newPlatform(s settings.Platform, client *http.Client) *aws.Client {
 	config := aws.Config{
 		TableURL:  s.TableURL,
 		ObjectURL: s.ObjectURL,
@@ -82,7 +91,7 @@
 		Table:     s.Table,
 		Bucket:    s.Bucket,
 	}
-	return aws.New(config, &http.Client{Timeout: platformTimeout}), nil
+	return aws.New(config, client)
 }
 
 func provideBalancer(i do.Injector) (*balancer.Balancer, error) {
@@ -146,6 +155,7 @@
 	return newRoster(
 		do.MustInvoke[*aws.Client](i),
 		do.MustInvoke[*peer.Client](i),
+		do.MustInvoke[*balancer.Balancer](i),
 		do.MustInvoke[settings.Settings](i).Platform.Poll,
 		do.MustInvoke[logrus.FieldLogger](i),
 	), nil
@@ -154,7 +164,7 @@
 func providePeers(i do.Injector) (*peer.Client, error) {
 	s := do.MustInvoke[settings.Settings](i)
 	journals := do.MustInvoke[*peer.Journals](i)
-	return peer.NewClient(vaneyoke.VMID(s.Node.VM), journals, newUpstreamClient(), s.Peers.KeyList()[0], s.Peers.CallTimeout), nil
+	return peer.NewClient(vaneyoke.VMID(s.Node.VM), journals, do.MustInvoke[*controlClient](i).http, s.Peers.KeyList()[0], s.Peers.CallTimeout), nil
 }
 
 func provideJournals(i do.Injector) (*peer.Journals, error) {
--- a/placement/state.go
+++ b/placement/state.go
@@ -36,6 +36,7 @@
 	upstream vaneyoke.Upstream
 	inFlight int // attempts of this node
 	drained  bool
+	leaving  bool // whether its VM is leaving
 	breaker  *retry.Breaker
 }
 
@@ -84,6 +85,13 @@
 	}
 }
 
+// SetLeaving takes in which VMs are leaving.
+func (s *State) SetLeaving(vms []vaneyoke.VMID) {
+	for _, e := range s.order {
+		e.leaving = e.upstream.VM != "" && slices.Contains(vms, e.upstream.VM)
+	}
+}
+
 func matchesAny(selectors []vaneyoke.Selector, u *vaneyoke.Upstream) bool {
 	return slices.ContainsFunc(selectors, func(s vaneyoke.Selector) bool { return s.Matches(u) })
 }
@@ -137,7 +145,7 @@
 
 // takesWork reports whether the upstream may be given new work.
 func (e *entry) takesWork(now time.Time) bool {
-	return e.upstream.State == vaneyoke.StateLive && !e.drained && e.breaker.Allows(now)
+	return e.upstream.State == vaneyoke.StateLive && !e.drained && !e.leaving && e.breaker.Allows(now)
 }
 
 // better returns the less loaded upstream; between equals, the one in the node's own hall.
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -3,6 +3,9 @@
 import (
 	"bytes"
 	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
 	"io"
 	"net/http"
 	"strings"
@@ -132,7 +135,14 @@
 	if !lagging {
 		vms, _ = p.Memory.List(r.Context())
 	}
-	writeJSON(w, http.StatusOK, vms)
+	raw, err := json.Marshal(vms)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	sum := sha256.Sum256(raw)
+	w.Header().Set("ETag", `"`+hex.EncodeToString(sum[:8])+`"`)
+	http.ServeContent(w, r, "vms.json", time.Time{}, bytes.NewReader(raw))
 }
 
 func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
@@ -162,3 +172,13 @@
 	row, err := p.Memory.Get(context.Background(), platform.Key{Partition: partition, ID: id})
 	return err == nil && bytes.Contains(row.Value, []byte(text))
 }
+
+// Rows returns the ids of a partition's rows.
+func (p *Platform) Rows(partition string) []string {
+	rows, _ := platform.ScanAll(context.Background(), p.Memory, partition)
+	var ids []string
+	for _, row := range rows {
+		ids = append(ids, row.Key.ID)
+	}
+	return ids
+}
