Catch up with the configuration by reading just the rows that changed

Cause: each change had every node read the whole configuration.

Change: each accepted change leaves a row that names the rows it wrote; a node up to 50 revisions behind reads those only, checks the revision again, and reads all where rows are missing. Fleets for measurement start as members.

--- a/catalog/change.go
+++ b/catalog/change.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/samber/lo"
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/platform"
@@ -70,7 +71,8 @@
 	tx := platform.Tx{Nonce: platform.Nonce(uuid.NewString())}
 	cond := platform.Condition{Version: platform.Version(revision)}
 	tx.Writes = append(tx.Writes, platform.Put{Key: RevisionKey, Value: []byte("{}"), If: cond})
-	for _, c := range append(changes[:len(changes):len(changes)], note.changes(now, next)...) {
+	all := append(changes[:len(changes):len(changes)], note.changes(now, next)...)
+	for _, c := range append(all, trace(changes, next)) {
 		write, err := c.write()
 		if err != nil {
 			return 0, err
@@ -80,6 +82,16 @@
 	return next, platform.CommitSettled(ctx, table, tx)
 }
 
+// touched is the row that tells which rows a revision changed, so that nodes need not read all of them.
+type touched struct {
+	Keys []platform.Key `json:"keys"`
+}
+
+func trace(changes []Change, revision vaneyoke.Revision) Change {
+	keys := lo.Map(changes, func(c Change, _ int) platform.Key { return platform.Key{Partition: c.Partition, ID: c.ID} })
+	return Change{Partition: PartitionChanges, ID: auditID(revision), Value: touched{Keys: keys}}
+}
+
 // changes returns the rows that a note adds to a transaction.
 func (n Note) changes(now time.Time, revision vaneyoke.Revision) []Change {
 	if n.Actor == "" {
--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -111,7 +111,7 @@
 		return err
 	}
 	if revision > f.Current().Revision {
-		snapshot, err := Read(ctx, f.table)
+		snapshot, err := Read(ctx, f.table, f.Current())
 		if err != nil {
 			return err
 		}
--- a/catalog/read.go
+++ b/catalog/read.go
@@ -2,6 +2,10 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
+
+	"github.com/samber/lo"
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/platform"
@@ -16,13 +20,17 @@
 	return vaneyoke.Revision(row.Version), err
 }
 
-// Read returns the configuration as of one revision; a change in the middle of the reading is told as a race.
-func Read(ctx context.Context, table platform.Table) (*Snapshot, error) {
+// maxBehind is how many revisions a node catches up with by reading just the rows that they changed.
+const maxBehind = 50
+
+// Read returns the configuration as of one revision, for a node that has old in force.
+// A change in the middle of the reading is told as a race.
+func Read(ctx context.Context, table platform.Table, old *Snapshot) (*Snapshot, error) {
 	before, err := ReadRevision(ctx, table)
 	if err != nil {
 		return nil, err
 	}
-	content, err := readContent(ctx, table)
+	content, err := readFrom(ctx, table, old, before)
 	if err != nil {
 		return nil, err
 	}
@@ -37,6 +45,74 @@
 	return New(content), nil
 }
 
+// readFrom reads what changed since old, or all where that would be much or is not known.
+func readFrom(ctx context.Context, table platform.Table, old *Snapshot, revision vaneyoke.Revision) (Content, error) {
+	behind := revision - old.Revision
+	if old.Revision == 0 || behind > maxBehind {
+		return readContent(ctx, table)
+	}
+	page, err := table.Scan(ctx, PartitionChanges, auditID(old.Revision), maxBehind+1)
+	if err != nil {
+		return Content{}, err
+	}
+	if vaneyoke.Revision(len(page.Rows)) != behind {
+		return readContent(ctx, table)
+	}
+	traces, err := Decode[touched](page.Rows)
+	if err != nil {
+		return Content{}, err
+	}
+	return patch(ctx, table, old.Content, traces)
+}
+
+// patch reads the touched rows and puts them into a copy of the old content.
+func patch(ctx context.Context, table platform.Table, content Content, traces []touched) (Content, error) {
+	keys := lo.Uniq(lo.FlatMap(traces, func(t touched, _ int) []platform.Key { return t.Keys }))
+	for _, key := range keys {
+		row, err := table.Get(ctx, key)
+		if err != nil && vaneyoke.CodeOf(err) != vaneyoke.CodeNotFound {
+			return Content{}, err
+		}
+		if err := content.put(key, row); err != nil {
+			return Content{}, err
+		}
+	}
+	return content, nil
+}
+
+// put replaces, adds or removes one row; lists are copied, because older snapshots hold them too.
+func (c *Content) put(key platform.Key, row platform.Row) error {
+	var err error
+	switch key.Partition {
+	case PartitionUpstreams:
+		c.Upstreams, err = replace(c.Upstreams, key.ID, row, func(u vaneyoke.Upstream) string { return string(u.ID) })
+	case PartitionWorkspaces:
+		c.Workspaces, err = replace(c.Workspaces, key.ID, row, func(w vaneyoke.Workspace) string { return string(w.ID) })
+	case PartitionPolicies:
+		c.Policies, err = replace(c.Policies, key.ID, row, func(p Policy) string { return p.Name })
+	case PartitionNodes:
+		c.Nodes, err = replace(c.Nodes, key.ID, row, func(n Node) string { return string(n.VM) })
+	}
+	return err
+}
+
+// replace returns a copy of a list that is sorted by id, with one member as its row says; a row without a value removes it.
+func replace[T any](list []T, id string, row platform.Row, idOf func(T) string) ([]T, error) {
+	at, found := slices.BinarySearchFunc(list, id, func(v T, id string) int { return strings.Compare(idOf(v), id) })
+	rest := list[at:]
+	if found {
+		rest = list[at+1:]
+	}
+	if row.Value == nil {
+		return slices.Concat(list[:at], rest), nil
+	}
+	values, err := Decode[T]([]platform.Row{row})
+	if err != nil {
+		return nil, err
+	}
+	return slices.Concat(list[:at], values, rest), nil
+}
+
 func readContent(ctx context.Context, table platform.Table) (Content, error) {
 	var c Content
 	var err error
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -20,6 +20,7 @@
 	PartitionPolicies   = "policy"
 	PartitionNodes      = "node"
 	PartitionAudit      = "audit"
+	PartitionChanges    = "change"
 	PartitionOnce       = "operator-key"
 )
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -42,6 +42,7 @@
 	Port     int // first port of the nodes; 0 for any
 	Engine   standin.EngineConfig
 	Recovery vaneyoke.Recovery
+	Members  bool // whether the nodes are members from the start, without joining one by one
 	Log      io.Writer
 	LogLevel string
 	Trace    string // output of the nodes' traces
@@ -80,13 +81,16 @@
 		return err
 	}
 	for i := range f.config.Nodes {
-		if err := f.StartNode(ctx, i); err != nil {
+		if err := f.startNode(ctx, i); err != nil {
 			return err
 		}
 	}
+	f.listVMs(ctx)
 	return nil
 }
 
+func vmName(i int) vaneyoke.VMID { return vaneyoke.VMID(fmt.Sprintf("vm-%d", i)) }
+
 func (f *Fleet) startStandins() error {
 	address := net.JoinHostPort(loopback, "0")
 	var err error
@@ -126,6 +130,12 @@
 		},
 	}
 	changes = append(changes, catalog.Change{Partition: catalog.PartitionWorkspaces, ID: string(workspace.ID), Value: workspace})
+	for i := range f.config.Nodes {
+		if f.config.Members {
+			node := catalog.Node{VM: vmName(i), Hall: halls[i%len(halls)]}
+			changes = append(changes, catalog.Change{Partition: catalog.PartitionNodes, ID: string(node.VM), Value: node})
+		}
+	}
 	_, err := catalog.Apply(ctx, f.Platform.Memory, changes...)
 	return err
 }
@@ -161,7 +171,7 @@
 func (f *Fleet) Settings(i int) (settings.Settings, error) {
 	text := fmt.Sprintf(`
 [node]
-vm = vm-%d
+vm = %s
 hall = %s
 listen = %s
 admin = %s
@@ -172,7 +182,7 @@
 table_url = %s
 object_url = %s
 vms_url = %s
-`, i, halls[i%len(halls)], f.address(portsEach*i), f.address(portsEach*i+1), f.address(portsEach*i+2), f.Platform.URL(), f.Platform.ObjectURL(), f.Platform.VMsURL())
+`, vmName(i), halls[i%len(halls)], f.address(portsEach*i), f.address(portsEach*i+1), f.address(portsEach*i+2), f.Platform.URL(), f.Platform.ObjectURL(), f.Platform.VMsURL())
 	s, err := settings.Parse([]byte(text), "fleet")
 	s.Trace.Output = f.config.Trace
 	if f.config.Adjust != nil {
@@ -190,6 +200,14 @@
 
 // StartNode starts node i, or starts it anew after its death.
 func (f *Fleet) StartNode(ctx context.Context, i int) error {
+	if err := f.startNode(ctx, i); err != nil {
+		return err
+	}
+	f.listVMs(ctx)
+	return nil
+}
+
+func (f *Fleet) startNode(ctx context.Context, i int) error {
 	s, err := f.Settings(i)
 	if err != nil {
 		return err
@@ -206,22 +224,19 @@
 	} else {
 		f.Nodes = append(f.Nodes, n)
 	}
-	f.listVMs()
-	for _, n := range f.Nodes {
-		n.Refresh(ctx)
-	}
 	return nil
 }
 
 // listVMs tells the platform which VMs there are, and the nodes to read its list.
-func (f *Fleet) listVMs() {
+func (f *Fleet) listVMs(ctx context.Context) {
 	var vms []platform.VM
 	for _, n := range f.Nodes {
 		vms = append(vms, n.VM())
 	}
 	f.Platform.Memory.SetVMs(vms)
 	for _, n := range f.Nodes {
-		n.ReadVMs(context.Background())
+		n.ReadVMs(ctx)
+		n.Refresh(ctx)
 	}
 }
 
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -53,6 +53,7 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /", p.table)
 	mux.HandleFunc("GET "+pathVMs, p.vms)
+	mux.HandleFunc("PUT "+pathVMs, p.putVMs)
 	mux.HandleFunc("PUT "+pathObjects+"{bucket}/{name...}", p.putObject)
 	mux.HandleFunc("GET "+pathObjects+"{bucket}/{name...}", p.getObject)
 	guarded := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { p.outage(w, r, mux) })
@@ -145,6 +146,16 @@
 	http.ServeContent(w, r, "vms.json", time.Time{}, bytes.NewReader(raw))
 }
 
+// putVMs sets the list of VMs.
+func (p *Platform) putVMs(w http.ResponseWriter, r *http.Request) {
+	var vms []platform.VM
+	if err := json.NewDecoder(r.Body).Decode(&vms); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	p.Memory.SetVMs(vms)
+}
+
 func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
 	data, err := io.ReadAll(r.Body)
 	if err != nil {
