Name pushed sessions by handles, push them four times a second, and keep a tail to its run

Change: the first push of a session gives it a number, and later ones leave key, entry and stream out; 250 ms between pushes in place of 50 (the cursor carries the lag, so no caller waits). Cursors are encoded with pooled codes.

--- a/cursor/cursor.go
+++ b/cursor/cursor.go
@@ -5,6 +5,9 @@
 	"crypto/sha256"
 	"encoding/base64"
 	"encoding/binary"
+	"hash"
+	"strings"
+	"sync"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -29,27 +32,42 @@
 	TailIDs   []vaneyoke.TokenID // tokens that the backup had not confirmed
 	TailAt    int                // offset of the tail's text
 	TailText  []byte
+	Stream    uint64 // digest of the name of the engine's stream that gave the last token, 0 where there is none
 }
 
 // Digest returns the digest of the text that a caller holds.
 func Digest(text []byte) uint64 { return xxhash.Sum64(text) }
 
+// StreamDigest returns the digest of an engine's stream, 0 for none.
+func StreamDigest(name string) uint64 {
+	if name == "" {
+		return 0
+	}
+	return xxhash.Sum64String(name)
+}
+
 // Keyring holds the fleet's secrets: the first signs, and all are taken in checks, so that they can be rolled.
-type Keyring struct{ keys [][]byte }
+type Keyring struct{ macs []*sync.Pool } // of hash.Hash, one pool for each secret
+
+const (
+	encodedBytes = 256 // room for a usual cursor
+	macRoom      = sha256.Size
+)
 
 // NewKeyring returns a keyring of the given secrets.
 func NewKeyring(keys ...string) *Keyring {
 	ring := &Keyring{}
 	for _, key := range keys {
 		sum := sha256.Sum256([]byte("vaneyoke cursor " + key))
-		ring.keys = append(ring.keys, sum[:])
+		ring.macs = append(ring.macs, &sync.Pool{New: func() any { return hmac.New(sha256.New, sum[:]) }})
 	}
 	return ring
 }
 
 // Encode returns the cursor in the form that callers see.
 func (k *Keyring) Encode(c Cursor) string {
-	buf := []byte{formatVersion}
+	buf := make([]byte, 0, encodedBytes)
+	buf = append(buf, formatVersion)
 	buf = appendText(buf, string(c.Workspace))
 	buf = appendText(buf, string(c.Request))
 	buf = appendText(buf, string(c.Owner))
@@ -63,7 +81,9 @@
 	}
 	buf = binary.AppendUvarint(buf, uint64(c.TailAt))
 	buf = appendText(buf, string(c.TailText))
-	return base64.RawURLEncoding.EncodeToString(append(buf, mac(k.keys[0], buf)...))
+	buf = binary.LittleEndian.AppendUint64(buf, c.Stream)
+	buf = appendMAC(buf, k.macs[0], buf)
+	return base64.RawURLEncoding.EncodeToString(buf)
 }
 
 func appendText(buf []byte, text string) []byte {
@@ -71,16 +91,23 @@
 	return append(buf, text...)
 }
 
-func mac(key, data []byte) []byte {
-	h := hmac.New(sha256.New, key)
-	h.Write(data)
-	return h.Sum(nil)[:macBytes]
+// appendMAC appends the code that only a holder of the secret can find for data.
+func appendMAC(buf []byte, secret *sync.Pool, data []byte) []byte {
+	h, ok := secret.Get().(hash.Hash)
+	if !ok {
+		return buf
+	}
+	defer secret.Put(h)
+	h.Reset()
+	_, _ = h.Write(data)
+	var sum [macRoom]byte
+	return append(buf, h.Sum(sum[:0])[:macBytes]...)
 }
 
 // Decode checks and reads a cursor that a caller showed.
 func (k *Keyring) Decode(text string) (Cursor, error) {
-	raw, err := base64.RawURLEncoding.DecodeString(text)
-	if err != nil || len(raw) <= macBytes {
+	raw, err := base64.RawURLEncoding.Strict().DecodeString(text)
+	if err != nil || len(raw) <= macBytes || strings.ContainsAny(text, "\r\n") {
 		return Cursor{}, errBadCursor()
 	}
 	data, sum := raw[:len(raw)-macBytes], raw[len(raw)-macBytes:]
@@ -99,8 +126,8 @@
 }
 
 func (k *Keyring) signed(data, sum []byte) bool {
-	for _, key := range k.keys {
-		if hmac.Equal(mac(key, data), sum) {
+	for _, secret := range k.macs {
+		if hmac.Equal(appendMAC(nil, secret, data), sum) {
 			return true
 		}
 	}
@@ -137,6 +164,7 @@
 	}
 	c.TailAt = r.number()
 	c.TailText = []byte(r.text())
+	c.Stream = r.digest()
 	return c
 }
 
--- /dev/null
+++ b/cursor/cursor_test.go
@@ -0,0 +1,54 @@
+package cursor_test
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/cursor"
+)
+
+func full() cursor.Cursor {
+	return cursor.Cursor{
+		Workspace: "weavers", Request: "r-1", Owner: "vm-1", Backup: "vm-2", Offset: 70, Digest: 1 << 63,
+		TailFrom: 9, TailIDs: []vaneyoke.TokenID{1, 1 << 30}, TailAt: 60, TailText: []byte("é tail"), Stream: 5,
+	}
+}
+
+func TestRoundTripAndRolledKeys(t *testing.T) {
+	old, rolling, rolled := cursor.NewKeyring("old"), cursor.NewKeyring("new", "old"), cursor.NewKeyring("new")
+	for _, ring := range []*cursor.Keyring{old, rolling} {
+		got, err := ring.Decode(old.Encode(full()))
+		must.NoError(t, err)
+		must.Eq(t, full(), got)
+	}
+	_, err := rolled.Decode(old.Encode(full()))
+	must.EqOp(t, vaneyoke.CodeBadRequest, vaneyoke.CodeOf(err))
+	_, err = rolled.Decode(rolling.Encode(full()))
+	must.NoError(t, err)
+}
+
+// FuzzDecode looks for marks that are taken although no node wrote them, and for panics.
+func FuzzDecode(f *testing.F) {
+	ring := cursor.NewKeyring("key")
+	good := ring.Encode(full())
+	f.Add(good)
+	f.Add("")
+	f.Add(good[:len(good)-1])
+	f.Add(cursor.NewKeyring("other").Encode(full()))
+	f.Fuzz(func(t *testing.T, text string) {
+		c, err := ring.Decode(text)
+		if err == nil {
+			must.EqOp(t, text, ring.Encode(c))
+		}
+	})
+}
+
+func BenchmarkEncode(b *testing.B) {
+	ring := cursor.NewKeyring("key")
+	b.ReportAllocs()
+	for b.Loop() {
+		ring.Encode(full())
+	}
+}
--- a/failover/manager.go
+++ b/failover/manager.go
@@ -66,6 +66,7 @@
 
 	mu       sync.Mutex
 	sessions map[journal.Key]*session
+	handles  uint64 // the last number given to a session
 }
 
 // New returns a manager; Run has to be called for its journals to be pushed.
@@ -154,6 +155,14 @@
 	return string(sum[:])
 }
 
+// handle returns a number that no other session of the node has.
+func (m *Manager) handle() journal.Handle {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.handles++
+	return journal.Handle{Owner: m.self, Number: m.handles}
+}
+
 func (m *Manager) find(key journal.Key) *session {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -193,11 +202,11 @@
 	if s.relay.Running() {
 		m.forget(s)
 		m.metrics.Superseded.Add(1)
-		d := s.delta(s.relay.HandOver(), 0, 0)
+		d := s.whole(s.relay.HandOver())
 		d.Entry.Owner = owner
 		d.Entry.Epoch++
 		m.log.WithFields(logrus.Fields{"request": d.Entry.Request, "peer": owner.VM}).Info("session_given_up")
 		return d, true
 	}
-	return s.delta(s.relay.Save(), 0, 0), true
+	return s.whole(s.relay.Save()), true
 }
--- a/failover/open.go
+++ b/failover/open.go
@@ -205,6 +205,7 @@
 
 // mend adds the tokens that only the caller's mark holds, and reports whether the answer is what the caller saw.
 func mend(d *journal.Delta, mark *cursor.Cursor) bool {
+	held := len(d.IDs)
 	if int(mark.TailFrom) <= len(d.IDs) && mark.TailAt <= len(d.Text) {
 		if skip := len(d.IDs) - int(mark.TailFrom); skip < len(mark.TailIDs) {
 			d.IDs = append(d.IDs[:len(d.IDs):len(d.IDs)], mark.TailIDs[skip:]...)
@@ -213,19 +214,31 @@
 			d.Text = append(d.Text[:len(d.Text):len(d.Text)], mark.TailText[skip:]...)
 		}
 	}
+	if added := len(d.IDs) - held; added > 0 && cursor.StreamDigest(streamName(d)) != mark.Stream {
+		d.Stream = nil // the tail came from another run, whose tokens the journal's run does not go on from
+	}
 	return mark.Offset <= len(d.Text) && cursor.Digest(d.Text[:mark.Offset]) == mark.Digest
 }
 
+// streamName returns the name of a session's run on an engine, "" where it has none.
+func streamName(d *journal.Delta) string {
+	if d.Stream == nil {
+		return ""
+	}
+	return d.Stream.Name
+}
+
 // saved returns a journal's session as the relay goes on with it.
 func (m *Manager) saved(d journal.Delta) relay.Saved {
 	saved := relay.Saved{
-		Epoch:      uint64(d.Entry.Epoch),
-		Restored:   generation.Restored{Prompt: d.Prompt, IDs: d.IDs, Text: d.Text, Upstream: d.Stream.Upstream},
-		StreamName: d.Stream.Name,
-		StreamBase: d.Stream.Base,
+		Epoch:    uint64(d.Entry.Epoch),
+		Restored: generation.Restored{Prompt: d.Prompt, IDs: d.IDs, Text: d.Text},
 	}
-	if upstream, ok := m.fleet.Upstream(d.Stream.Upstream); ok {
-		saved.Upstream = upstream
+	if s := d.Stream; s != nil {
+		saved.Restored.Upstream, saved.StreamName, saved.StreamBase = s.Upstream, s.Name, s.Base
+		if upstream, ok := m.fleet.Upstream(s.Upstream); ok {
+			saved.Upstream = upstream
+		}
 	}
 	if r := d.Result; r != nil {
 		usage := vaneyoke.Usage{Prompt: vaneyoke.Tokens(len(d.Prompt)), Completion: vaneyoke.Tokens(len(d.IDs))}
--- a/failover/session.go
+++ b/failover/session.go
@@ -17,6 +17,7 @@
 	manager *Manager
 	key     journal.Key
 	entry   journal.Entry
+	handle  journal.Handle
 	relay   *relay.Session
 
 	mu      sync.Mutex
@@ -36,10 +37,11 @@
 	text   int
 	prompt bool
 	result bool
+	stream journal.Stream
 }
 
 func newSession(m *Manager, key journal.Key, entry journal.Entry, r *relay.Session) *session {
-	s := &session{manager: m, key: key, entry: entry, relay: r, idle: time.Now()}
+	s := &session{manager: m, key: key, entry: entry, handle: m.handle(), relay: r, idle: time.Now()}
 	s.changed = sync.NewCond(&s.mu)
 	s.chooseBackup()
 	return s
@@ -70,15 +72,26 @@
 	s.changed.Broadcast()
 }
 
-// delta returns what comes after the given index and offset.
-func (s *session) delta(saved relay.Saved, ids, text int) journal.Delta {
+// whole returns the session from its beginning.
+func (s *session) whole(saved relay.Saved) journal.Delta {
+	d := s.since(saved, acked{})
+	d.Key, d.Entry = s.key, s.entry
+	return d
+}
+
+// since returns what a backup that has confirmed so much lacks; only the first push names the session by its key.
+func (s *session) since(saved relay.Saved, have acked) journal.Delta {
 	r := saved.Restored
 	d := journal.Delta{
-		Key: s.key, Entry: s.entry,
-		From: vaneyoke.Tokens(ids), TextFrom: text,
-		IDs: r.IDs[ids:], Text: r.Text[min(text, len(r.Text)):],
-		Prompt: r.Prompt,
-		Stream: journal.Stream{Name: saved.StreamName, Upstream: r.Upstream, Base: saved.StreamBase},
+		Handle: s.handle,
+		From:   vaneyoke.Tokens(have.ids), TextFrom: have.text,
+		IDs: r.IDs[have.ids:], Text: r.Text[min(have.text, len(r.Text)):],
+	}
+	if !have.prompt {
+		d.Key, d.Entry, d.Prompt = s.key, s.entry, r.Prompt
+	}
+	if stream := streamOf(saved); !have.prompt || stream != have.stream {
+		d.Stream = &stream
 	}
 	if saved.Result != nil {
 		d.Result = &journal.Result{
@@ -89,6 +102,10 @@
 	return d
 }
 
+func streamOf(saved relay.Saved) journal.Stream {
+	return journal.Stream{Name: saved.StreamName, Upstream: saved.Restored.Upstream, Base: saved.StreamBase}
+}
+
 // pending returns what the backup does not hold yet.
 func (s *session) pending() (journal.Delta, membership.Peer, bool) {
 	s.mu.Lock()
@@ -105,12 +122,8 @@
 	if first && len(r.IDs) == 0 && saved.Result == nil {
 		return journal.Delta{}, membership.Peer{}, false
 	}
-	d := s.delta(saved, s.acked.ids, s.acked.text)
-	if s.acked.prompt {
-		d.Prompt = nil
-	}
 	s.pushing = true
-	return d, s.backup, true
+	return s.since(saved, s.acked), s.backup, true
 }
 
 // pushed takes in what became of a delta.
@@ -123,11 +136,12 @@
 	}
 	switch state {
 	case journal.PushKept:
-		s.acked = acked{
-			ids:    int(d.From) + len(d.IDs),
-			text:   d.TextFrom + len(d.Text),
-			prompt: true,
-			result: d.Result != nil,
+		s.acked.ids = int(d.From) + len(d.IDs)
+		s.acked.text = d.TextFrom + len(d.Text)
+		s.acked.prompt = true
+		s.acked.result = d.Result != nil
+		if d.Stream != nil {
+			s.acked.stream = *d.Stream
 		}
 	case journal.PushGap:
 		s.acked = acked{}
@@ -157,7 +171,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.backed {
-		r := s.relay.Save().Restored
+		saved := s.relay.Save()
+		r := saved.Restored
+		c.Stream = cursor.StreamDigest(saved.StreamName)
 		c.Backup = s.backup.VM
 		c.TailFrom, c.TailAt = vaneyoke.Tokens(s.acked.ids), s.acked.text
 		c.TailIDs, c.TailText = r.IDs[s.acked.ids:], r.Text[min(s.acked.text, len(r.Text)):]
--- a/journal/record.go
+++ b/journal/record.go
@@ -48,16 +48,23 @@
 	Body      []byte
 }
 
+// Handle names a session towards the node that keeps its journal, in place of its key and entry.
+type Handle struct {
+	Owner  vaneyoke.NodeID
+	Number uint64
+}
+
 // Delta is a part of a session, from an index on or whole.
 type Delta struct {
-	Key      Key
+	Handle   Handle
+	Key      Key // zero, as is Entry, where the handle is known to the receiver
 	Entry    Entry
 	From     vaneyoke.Tokens // index of the first of IDs
 	TextFrom int             // offset of Text
 	IDs      []vaneyoke.TokenID
 	Text     []byte
 	Prompt   []vaneyoke.TokenID // nil where it is not known or was sent before
-	Stream   Stream             // the run that gave the last tokens; the zero value where nothing runs
+	Stream   *Stream            // the run that gave the last tokens, the zero value where nothing runs; nil for no change
 	Result   *Result            // nil while the session runs
 }
 
--- a/journal/store.go
+++ b/journal/store.go
@@ -27,6 +27,7 @@
 type Store struct {
 	config  Config
 	records map[Key]*list.Element // of *record, in the order of their last change
+	handles map[Handle]Key
 	order   *list.List
 	used    int
 	evicted int
@@ -34,7 +35,7 @@
 
 // New returns an empty store.
 func New(config Config) *Store {
-	return &Store{config: config, records: map[Key]*list.Element{}, order: list.New()}
+	return &Store{config: config, records: map[Key]*list.Element{}, handles: map[Handle]Key{}, order: list.New()}
 }
 
 // Bytes returns the estimated memory of all records.
@@ -67,6 +68,9 @@
 // Push adds a delta to the session's record.
 func (s *Store) Push(now time.Time, d Delta) PushState {
 	s.expire(now)
+	if d.Key == (Key{}) {
+		return s.pushKnown(now, d)
+	}
 	r := s.find(d.Key)
 	if r == nil {
 		return s.pushNew(now, d)
@@ -78,6 +82,30 @@
 		s.remove(d.Key)
 		return s.pushNew(now, d)
 	}
+	s.handles[d.Handle] = d.Key
+	return s.extend(now, r, d)
+}
+
+// pushKnown adds a delta that names its session by a handle.
+func (s *Store) pushKnown(now time.Time, d Delta) PushState {
+	key, ok := s.handles[d.Handle]
+	if !ok {
+		return PushGap
+	}
+	r := s.find(key)
+	if r == nil {
+		delete(s.handles, d.Handle)
+		return PushGap
+	}
+	if r.Entry.Owner != d.Handle.Owner {
+		return PushSuperseded
+	}
+	d.Key, d.Entry = r.Key, r.Entry
+	return s.extend(now, r, d)
+}
+
+// extend adds a delta to a record whose owner sent it.
+func (s *Store) extend(now time.Time, r *record, d Delta) PushState {
 	if d.From > vaneyoke.Tokens(len(r.IDs)) || d.TextFrom > len(r.Text) {
 		return PushGap
 	}
@@ -93,6 +121,7 @@
 	if d.From > 0 || d.TextFrom > 0 {
 		return PushGap
 	}
+	s.handles[d.Handle] = d.Key
 	s.add(now, &record{Delta: d, pushed: true})
 	return PushKept
 }
@@ -109,7 +138,10 @@
 		r.Prompt = d.Prompt
 	}
 	r.Entry = d.Entry
-	r.Stream = d.Stream
+	r.Handle = d.Handle
+	if d.Stream != nil {
+		r.Stream = d.Stream
+	}
 	r.Result = d.Result
 	r.pushed = true
 }
@@ -184,6 +216,7 @@
 		return
 	}
 	s.used -= recordOf(e).size()
+	delete(s.handles, recordOf(e).Handle)
 	s.order.Remove(e)
 	delete(s.records, key)
 }
--- /dev/null
+++ b/journal/store_test.go
@@ -0,0 +1,123 @@
+package journal_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/journal"
+)
+
+var (
+	now   = time.Unix(1000, 0)
+	key   = journal.Key{Workspace: "w", Key: "k"}
+	nodeA = vaneyoke.NodeID{VM: "a", Incarnation: 1}
+	nodeB = vaneyoke.NodeID{VM: "b", Incarnation: 1}
+)
+
+func entry(owner vaneyoke.NodeID, epoch journal.Epoch) journal.Entry {
+	return journal.Entry{Request: "r", Owner: owner, Epoch: epoch}
+}
+
+// whole is a push that names its session by the key, part one that names it by the handle.
+func whole(owner vaneyoke.NodeID, epoch journal.Epoch, text string) journal.Delta {
+	d := part(owner, 0, text)
+	d.Key, d.Entry = key, entry(owner, epoch)
+	d.Stream = &journal.Stream{Name: "s1"}
+	return d
+}
+
+func part(owner vaneyoke.NodeID, from int, text string) journal.Delta {
+	d := journal.Delta{Handle: journal.Handle{Owner: owner, Number: 7}, From: vaneyoke.Tokens(from), TextFrom: from, Text: []byte(text)}
+	for _, b := range []byte(text) {
+		d.IDs = append(d.IDs, vaneyoke.TokenID(b))
+	}
+	return d
+}
+
+func takeOver(owner vaneyoke.NodeID) func(*journal.Store) journal.PushState {
+	return func(s *journal.Store) journal.PushState {
+		s.TakeOver(now, key, owner)
+		return journal.PushKept
+	}
+}
+
+func push(d journal.Delta) func(*journal.Store) journal.PushState {
+	return func(s *journal.Store) journal.PushState { return s.Push(now, d) }
+}
+
+func TestPush(t *testing.T) {
+	done := part(nodeA, 2, "c")
+	done.Result = &journal.Result{}
+	moved := part(nodeA, 2, "c")
+	moved.Stream = &journal.Stream{Name: "s2"}
+	cases := map[string]struct {
+		steps  []func(*journal.Store) journal.PushState
+		last   journal.PushState
+		text   string
+		stream string
+		owner  vaneyoke.NodeID
+	}{
+		"parts":                {[]func(*journal.Store) journal.PushState{push(whole(nodeA, 1, "ab")), push(part(nodeA, 2, "c"))}, journal.PushKept, "abc", "s1", nodeA},
+		"part comes twice":     {[]func(*journal.Store) journal.PushState{push(whole(nodeA, 1, "ab")), push(part(nodeA, 2, "c")), push(part(nodeA, 2, "c"))}, journal.PushKept, "abc", "s1", nodeA},
+		"parts overlap":        {[]func(*journal.Store) journal.PushState{push(whole(nodeA, 1, "ab")), push(part(nodeA, 1, "bcd"))}, journal.PushKept, "abcd", "s1", nodeA},
+		"part is missing":      {[]func(*journal.Store) journal.PushState{push(whole(nodeA, 1, "ab")), push(part(nodeA, 3, "d"))}, journal.PushGap, "ab", "s1", nodeA},
+		"handle is unknown":    {[]func(*journal.Store) journal.PushState{push(whole(nodeA, 1, "ab")), push(part(nodeB, 2, "c"))}, journal.PushGap, "ab", "s1", nodeA},
+		"stream changes":       {[]func(*journal.Store) journal.PushState{push(whole(nodeA, 1, "ab")), push(moved)}, journal.PushKept, "abc", "s2", nodeA},
+		"owner was superseded": {[]func(*journal.Store) journal.PushState{push(whole(nodeA, 1, "ab")), takeOver(nodeB), push(part(nodeA, 2, "c"))}, journal.PushSuperseded, "ab", "s1", nodeB},
+		"old owner sends all":  {[]func(*journal.Store) journal.PushState{push(whole(nodeA, 1, "ab")), takeOver(nodeB), push(whole(nodeA, 1, "abc"))}, journal.PushSuperseded, "ab", "s1", nodeB},
+		"new owner goes on":    {[]func(*journal.Store) journal.PushState{push(whole(nodeA, 1, "ab")), takeOver(nodeB), push(whole(nodeB, 2, "abx"))}, journal.PushKept, "abx", "s1", nodeB},
+		"later epoch replaces": {[]func(*journal.Store) journal.PushState{push(whole(nodeA, 1, "abc")), push(whole(nodeB, 3, "ay"))}, journal.PushKept, "ay", "s1", nodeB},
+		"finished stays owned": {[]func(*journal.Store) journal.PushState{push(whole(nodeA, 1, "ab")), push(done), takeOver(nodeB)}, journal.PushKept, "abc", "s1", nodeA},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := journal.New(journal.Config{Bytes: 1 << 20, Retention: time.Hour})
+			var last journal.PushState
+			for _, step := range tc.steps {
+				last = step(s)
+			}
+			must.EqOp(t, tc.last, last)
+			d, ok := s.Get(now, key)
+			must.True(t, ok)
+			must.EqOp(t, tc.text, string(d.Text))
+			must.SliceLen(t, len(tc.text), d.IDs)
+			must.EqOp(t, tc.stream, d.Stream.Name)
+			must.EqOp(t, tc.owner, d.Entry.Owner)
+		})
+	}
+}
+
+func TestOpenTellsWhoOwnsAKey(t *testing.T) {
+	s := journal.New(journal.Config{Bytes: 1 << 20, Retention: time.Minute})
+	_, found := s.Open(now, key, entry(nodeA, 1))
+	must.False(t, found)
+	_, held := s.Get(now, key)
+	must.False(t, held)
+	other := journal.Entry{Request: "other", Owner: nodeB, Epoch: 1}
+	existing, found := s.Open(now, key, other)
+	must.True(t, found)
+	must.EqOp(t, nodeA, existing.Owner)
+	_, found = s.Open(now.Add(time.Minute), key, other)
+	must.False(t, found)
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	const bytes = 100_000
+	s := journal.New(journal.Config{Bytes: bytes, Retention: time.Hour})
+	for i := range 400 {
+		d := whole(nodeA, 1, string(make([]byte, 500)))
+		d.Key.Key = time.Duration(i).String()
+		d.Handle.Number = uint64(i)
+		if i%2 == 0 {
+			d.Result = &journal.Result{}
+		}
+		s.Push(now, d)
+		must.LessEq(t, bytes, s.Bytes())
+	}
+	must.Greater(t, 0, s.Evicted())
+	_, ok := s.Get(now, journal.Key{Workspace: "w", Key: time.Duration(399).String()})
+	must.True(t, ok)
+}
--- /dev/null
+++ b/measure/claims.go
@@ -0,0 +1,95 @@
+package measure
+
+import (
+	"context"
+	"expvar"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/claim"
+	"github.com/vaneyoke/vaneyoke/claims"
+	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/platform/memory"
+)
+
+func newTable() platform.Table { return memory.New() }
+
+// countedCommits counts transactions and the writes in them.
+type countedCommits struct {
+	platform.Table
+	mu            sync.Mutex
+	calls, writes int
+}
+
+// Commit commits and counts; it takes as long as a store nearby.
+func (c *countedCommits) Commit(ctx context.Context, tx platform.Tx) error {
+	c.mu.Lock()
+	c.calls++
+	c.writes += len(tx.Writes)
+	c.mu.Unlock()
+	time.Sleep(storeTime)
+	return c.Table.Commit(ctx, tx)
+}
+
+const storeTime = 2 * time.Millisecond
+
+// claimWrites is what claimed calls cost the store.
+func claimWrites(ctx context.Context) ([]Series, error) {
+	writes := Series{Name: "claim_writes", X: "claimed calls", Y: "rows written"}
+	calls := Series{Name: "claim_transactions", X: "claimed calls", Y: "transactions"}
+	for _, count := range []int{50, 200, 800} {
+		table := &countedCommits{Table: newTable()}
+		if err := claimAll(ctx, table, count); err != nil {
+			return nil, err
+		}
+		writes.Points = append(writes.Points, Point{float64(count), float64(table.writes)})
+		calls.Points = append(calls.Points, Point{float64(count), float64(table.calls)})
+	}
+	return []Series{writes, calls}, nil
+}
+
+// claimAll makes claimed calls, 200 a second, and waits until their answers are kept.
+func claimAll(ctx context.Context, table *countedCommits, count int) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	batch := claims.NewBatcher(table, 3*time.Millisecond, new(expvar.Map).Init())
+	config := claims.Config{Wait: 10 * time.Second, SaveWait: 10 * time.Second, SettleEvery: time.Second}
+	c := claims.New(vaneyoke.NodeID{VM: "vm-1"}, config, table, batch, log)
+	go c.Run(ctx)
+	var wait sync.WaitGroup
+	errs := make(chan error, count)
+	for i := range count {
+		time.Sleep(5 * time.Millisecond)
+		wait.Go(func() {
+			req := claims.Request{Workspace: "w", Key: fmt.Sprint(i), ID: vaneyoke.RequestID(fmt.Sprint(i))}
+			_, err := c.Once(ctx, req, func(context.Context) claims.Outcome {
+				return claims.Outcome{Answer: &claim.Answer{Status: 200}}
+			})
+			errs <- err
+		})
+	}
+	wait.Wait()
+	close(errs)
+	for err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	for table.written() < 2*count && ctx.Err() == nil {
+		time.Sleep(storeTime)
+	}
+	return ctx.Err()
+}
+
+func (c *countedCommits) written() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writes
+}
--- /dev/null
+++ b/measure/run.go
@@ -0,0 +1,43 @@
+package measure
+
+import (
+	"context"
+	"fmt"
+	"io"
+)
+
+// Numbers of nodes that fleets are measured at; in an outage each node holds a connection to each other one.
+var (
+	idleSizes   = []int{6, 25, 50, 100}
+	outageSizes = []int{6, 12, 20}
+)
+
+// Run carries out all measurements and tells progress to w.
+func Run(ctx context.Context, w io.Writer) (*Report, error) {
+	report := &Report{}
+	for _, one := range []func(context.Context) Series{
+		tokenTime, sessionMemory, journalBytes, journalTime, journalMemory, placementTime, policyTime, configurationMemory,
+	} {
+		report.add(w, one(ctx))
+	}
+	for _, several := range []func(context.Context) ([]Series, error){
+		changeBytes, claimWrites,
+		func(ctx context.Context) ([]Series, error) { return idleFleet(ctx, idleSizes) },
+		func(ctx context.Context) ([]Series, error) { return outageFleet(ctx, outageSizes) },
+	} {
+		list, err := several(ctx)
+		if err != nil {
+			return nil, err
+		}
+		for _, s := range list {
+			report.add(w, s)
+		}
+	}
+	return report, ctx.Err()
+}
+
+func (r *Report) add(w io.Writer, s Series) {
+	s.fit()
+	r.Series = append(r.Series, s)
+	fmt.Fprintf(w, "%-22s %12.4g + %10.4g for each of: %s (r2 %.3f): %s\n", s.Name, s.Intercept, s.Slope, s.X, s.R2, s.Y)
+}
--- a/node/wire.go
+++ b/node/wire.go
@@ -164,7 +164,7 @@
 func providePeers(i do.Injector) (*peer.Client, error) {
 	s := do.MustInvoke[settings.Settings](i)
 	journals := do.MustInvoke[*peer.Journals](i)
-	return peer.NewClient(vaneyoke.VMID(s.Node.VM), journals, do.MustInvoke[*controlClient](i).http, s.Peers.KeyList()[0], s.Peers.CallTimeout), nil
+	return peer.NewClient(do.MustInvoke[vaneyoke.NodeID](i), journals, do.MustInvoke[*controlClient](i).http, s.Peers.KeyList()[0], s.Peers.CallTimeout), nil
 }
 
 func provideJournals(i do.Injector) (*peer.Journals, error) {
--- a/peer/client.go
+++ b/peer/client.go
@@ -23,7 +23,7 @@
 
 // Client calls other nodes; calls to the own node go straight to its journals.
 type Client struct {
-	self     vaneyoke.VMID
+	self     vaneyoke.NodeID
 	journals *Journals
 	http     *http.Client
 	key      string
@@ -35,7 +35,7 @@
 }
 
 // NewClient returns a client that shows the given key and waits for an answer no longer than timeout.
-func NewClient(self vaneyoke.VMID, journals *Journals, client *http.Client, key string, timeout time.Duration) *Client {
+func NewClient(self vaneyoke.NodeID, journals *Journals, client *http.Client, key string, timeout time.Duration) *Client {
 	return &Client{
 		self: self, journals: journals, http: client, key: key, timeout: timeout,
 		peers: map[string]peerpb.Peer{}, suspects: map[string]time.Time{},
@@ -44,7 +44,7 @@
 
 // Open reserves a key at a peer for an owner, or returns who owns it.
 func (c *Client) Open(ctx context.Context, p membership.Peer, key journal.Key, entry journal.Entry) (journal.Entry, bool, error) {
-	if p.VM == c.self {
+	if p.VM == c.self.VM {
 		existing, found := c.journals.open(key, entry)
 		return existing, found, nil
 	}
@@ -58,10 +58,10 @@
 
 // Push adds deltas to the journals that a peer keeps.
 func (c *Client) Push(ctx context.Context, p membership.Peer, deltas []journal.Delta) ([]journal.PushState, error) {
-	if p.VM == c.self {
+	if p.VM == c.self.VM {
 		return c.journals.push(deltas), nil
 	}
-	in := &peerpb.PushRequest{Deltas: lo.Map(deltas, func(d journal.Delta, _ int) *peerpb.Delta { return deltaToWire(d) })}
+	in := &peerpb.PushRequest{Sender: nodeToWire(c.self), Deltas: lo.Map(deltas, func(d journal.Delta, _ int) *peerpb.Delta { return deltaToWire(d) })}
 	out, err := call(ctx, c, p, peerpb.Peer.Push, in)
 	if err != nil {
 		return nil, err
@@ -74,7 +74,7 @@
 
 // TakeOver makes owner the owner of a session, and returns what the peer holds of it as its owner or in a journal.
 func (c *Client) TakeOver(ctx context.Context, p membership.Peer, key journal.Key, owner vaneyoke.NodeID, fromOwner bool) (journal.Delta, bool, error) {
-	if p.VM == c.self {
+	if p.VM == c.self.VM {
 		if fromOwner {
 			return journal.Delta{}, false, nil
 		}
@@ -86,7 +86,7 @@
 	if err != nil || !out.GetFound() {
 		return journal.Delta{}, false, err
 	}
-	return deltaOf(out.GetSession()), true, nil
+	return deltaOf(out.GetSession(), c.self), true, nil
 }
 
 // Confirm returns a peer's revision, and its configuration as JSON where that is wanted and newer.
--- a/peer/convert.go
+++ b/peer/convert.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/samber/lo"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/journal"
@@ -44,14 +45,18 @@
 
 func deltaToWire(d journal.Delta) *peerpb.Delta {
 	wire := &peerpb.Delta{
-		Key:      keyToWire(d.Key),
-		Entry:    entryToWire(d.Entry),
+		Handle:   d.Handle.Number,
 		From:     int64(d.From),
 		TextFrom: int64(d.TextFrom),
 		Ids:      idsToWire(d.IDs),
 		Text:     d.Text,
 		Prompt:   idsToWire(d.Prompt),
-		Stream:   &peerpb.Stream{Name: d.Stream.Name, Upstream: string(d.Stream.Upstream), Base: int64(d.Stream.Base)},
+	}
+	if d.Key != (journal.Key{}) {
+		wire.Key, wire.Entry = keyToWire(d.Key), entryToWire(d.Entry)
+	}
+	if s := d.Stream; s != nil {
+		wire.Stream = &peerpb.Stream{Name: s.Name, Upstream: string(s.Upstream), Base: int64(s.Base)}
 	}
 	if r := d.Result; r != nil {
 		wire.Result = &peerpb.Result{
@@ -62,18 +67,20 @@
 	return wire
 }
 
-func deltaOf(w *peerpb.Delta) journal.Delta {
+func deltaOf(w *peerpb.Delta, sender vaneyoke.NodeID) journal.Delta {
 	d := journal.Delta{
-		Key:      keyOf(w.GetKey()),
-		Entry:    entryOf(w.GetEntry()),
+		Handle:   journal.Handle{Owner: sender, Number: w.GetHandle()},
 		From:     vaneyoke.Tokens(max(w.GetFrom(), 0)),
 		TextFrom: int(max(w.GetTextFrom(), 0)),
 		IDs:      idsOf(w.GetIds()),
 		Text:     w.GetText(),
 		Prompt:   idsOf(w.GetPrompt()),
 	}
+	if w.GetKey() != nil {
+		d.Key, d.Entry = keyOf(w.GetKey()), entryOf(w.GetEntry())
+	}
 	if s := w.GetStream(); s != nil {
-		d.Stream = journal.Stream{Name: s.GetName(), Upstream: vaneyoke.UpstreamID(s.GetUpstream()), Base: vaneyoke.Tokens(s.GetBase())}
+		d.Stream = &journal.Stream{Name: s.GetName(), Upstream: vaneyoke.UpstreamID(s.GetUpstream()), Base: vaneyoke.Tokens(s.GetBase())}
 	}
 	if r := w.GetResult(); r != nil {
 		d.Result = &journal.Result{
@@ -94,3 +101,15 @@
 	}
 	return lo.Map(ids, func(id int32, _ int) vaneyoke.TokenID { return vaneyoke.TokenID(id) })
 }
+
+// WireDelta returns a delta in the form in which it is pushed.
+func WireDelta(d journal.Delta) *peerpb.Delta { return deltaToWire(d) }
+
+// ReadDelta reads a delta that was pushed; one that cannot be read is empty.
+func ReadDelta(raw []byte) journal.Delta {
+	var wire peerpb.Delta
+	if err := proto.Unmarshal(raw, &wire); err != nil {
+		return journal.Delta{}
+	}
+	return deltaOf(&wire, vaneyoke.NodeID{})
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -111,7 +111,8 @@
 
 // Push adds to the journals that this node keeps for others.
 func (s *Server) Push(_ context.Context, in *peerpb.PushRequest) (*peerpb.PushReply, error) {
-	deltas := lo.Map(in.GetDeltas(), func(d *peerpb.Delta, _ int) journal.Delta { return deltaOf(d) })
+	sender := nodeOf(in.GetSender())
+	deltas := lo.Map(in.GetDeltas(), func(d *peerpb.Delta, _ int) journal.Delta { return deltaOf(d, sender) })
 	states := s.journals.push(deltas)
 	return &peerpb.PushReply{States: lo.Map(states, func(p journal.PushState, _ int) peerpb.PushState {
 		return peerpb.PushState(p)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -45,7 +45,7 @@
 type Peers struct {
 	Listen      string        `ini:"listen" default:"127.0.0.1:8082" check:"address" doc:"IP number and port for other nodes; the platform's list of VMs has to name it."`
 	Keys        string        `ini:"keys" check:"keys" secret:"true" doc:"Keys that nodes show one another and sign cursors with, parted by commas; the first is used, and all are taken, so that they can be rolled."`
-	PushPeriod  time.Duration `ini:"push_period" default:"50ms" min:"1ms" doc:"Time between pushes of journals to their backups."`
+	PushPeriod  time.Duration `ini:"push_period" default:"250ms" min:"1ms" doc:"Time between pushes of journals to their backups."`
 	AckWait     time.Duration `ini:"ack_wait" default:"250ms" min:"1ms" doc:"Longest wait for a backup before another is tried."`
 	CallTimeout time.Duration `ini:"call_timeout" default:"300ms" min:"1ms" doc:"Longest wait for another node's answer."`
 	Linger      time.Duration `ini:"linger" default:"30s" min:"0s" doc:"How long a request whose caller may come back runs on after the caller has gone."`
