--- a/cmd/vaneyoke/main.go
+++ b/cmd/vaneyoke/main.go
@@ -44,6 +44,7 @@
 			devCommand(),
 			generateCommand(),
 			loadCommand(),
+			measureCommand(),
 			standinCommand(),
 			policyCommand(),
 			upstreamCommand(),
--- /dev/null
+++ b/measure/page.go
@@ -0,0 +1,187 @@
+package measure
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Marks between which the page's tables stand.
+const (
+	PageBegin = "<!-- tables: written by vaneyoke measure -->"
+	PageEnd   = "<!-- end of tables -->"
+)
+
+// Size is a fleet and its load at the peak.
+type Size struct {
+	Name       string
+	Nodes      float64
+	Engines    float64
+	Workspaces float64
+	Requests   float64 // a second
+	Tokens     float64 // generated a second
+	Changes    float64 // of the configuration a day
+}
+
+const (
+	tokenGap    = 0.029 // seconds between the tokens of a stream
+	pushPeriod  = 0.25  // seconds
+	retention   = 600   // seconds that a finished answer is kept
+	claimShare  = 0.05  // of requests that are claimed calls, an assumption
+	usPerSecond = 1e6
+	nsPerSecond = 1e9
+	daySeconds  = 86_400
+	megabyte    = 1 << 20
+	storeWrites = 300 // the store's "some hundred writes" a second
+	storeReads  = 2000
+	boundMemory = 128 // megabytes
+)
+
+// Letter is the size that the users expect within two years.
+func Letter() Size {
+	return Size{Name: "letter", Nodes: 410, Engines: 690, Workspaces: 5300, Requests: 1500, Tokens: 520_000, Changes: 770}
+}
+
+// Today is a deployment of today; its load is the letter's, scaled by engines, which is an assumption.
+func Today() Size {
+	const engines = 27
+	letter := Letter()
+	share := engines / letter.Engines
+	return Size{
+		Name: "today", Nodes: 7, Engines: engines, Workspaces: 10,
+		Requests: letter.Requests * share, Tokens: letter.Tokens * share, Changes: letter.Changes * share,
+	}
+}
+
+// BadHour is the letter's size after one of its eight data centres was lost at the peak, with all of its load left.
+func BadHour() Size {
+	const left = 7.0 / 8
+	size := Letter()
+	size.Name = "data centre lost"
+	size.Nodes *= left
+	size.Engines *= left
+	return size
+}
+
+func (s Size) streams() float64 { return s.Tokens * tokenGap }
+
+// row is one figure of the page.
+type row struct {
+	role, figure, unit, mechanism, source string
+	bound                                 float64 // 0 for none
+	at                                    func(Size) float64
+}
+
+// rows returns the figures of the page, each worked out from a slope.
+func (r *Report) rows() []row {
+	slope := func(name string) float64 { return r.Find(name).Slope }
+	at := func(name string, x float64) float64 { return r.Find(name).At(x) }
+	perNode := func(s Size, total float64) float64 { return total / s.Nodes }
+	return []row{
+		{"caller front, generation owner", "processor", "% of a core", "relay: parser, state machine, encoder", "token_time", 0, func(s Size) float64 {
+			return 100 * perNode(s, s.Tokens) * slope("token_time") / tokensEach / usPerSecond
+		}},
+		{"generation owner", "memory", "MB", "session: transcript and links", "session_memory", 0, func(s Size) float64 {
+			return perNode(s, s.streams()) * slope("session_memory") / megabyte
+		}},
+		{"generation owner", "journal pushes, if every request has a key", "bytes/s", "push of deltas by handle each 250 ms", "journal_wire", BoundBytes, func(s Size) float64 {
+			return perNode(s, s.Tokens) * slope("journal_wire")
+		}},
+		{"backup", "processor", "% of a core", "journal store, encoding among it", "journal_time", BoundCore, func(s Size) float64 {
+			return 100 * perNode(s, s.streams()) / pushPeriod * slope("journal_time") / usPerSecond
+		}},
+		{"backup", "memory, finished answers for 10 min", "MB", "journal store, oldest finished first", "journal_memory", boundMemory, func(s Size) float64 {
+			return perNode(s, s.streams()+s.Requests*retention) * slope("journal_memory") / megabyte
+		}},
+		{"placement", "processor", "% of a core", "choice of two among the candidates", "placement_time", BoundCore, func(s Size) float64 {
+			return 100 * perNode(s, s.Requests) * at("placement_time", s.Engines) / nsPerSecond
+		}},
+		{"policy follower", "processor of decisions", "% of a core", "decision remembered for a minute", "policy_time", BoundCore, func(s Size) float64 {
+			return 100 * perNode(s, s.Requests) * at("policy_time", s.Workspaces) / nsPerSecond
+		}},
+		{"policy follower, membership", "bytes, store up", "bytes/s", "revision and list of VMs, each 0.8 s, with ETag", "idle_bytes", BoundBytes, func(s Size) float64 { return at("idle_bytes", s.Nodes) }},
+		{"policy follower", "bytes of changes, on average", "bytes/s", "rows that changed", "change_caught_up", BoundBytes, func(s Size) float64 {
+			return s.Changes / daySeconds * at("change_caught_up", s.Workspaces)
+		}},
+		{"policy follower", "the same, if all rows were read", "bytes/s", "(rejected)", "change_whole", BoundBytes, func(s Size) float64 {
+			return s.Changes / daySeconds * at("change_whole", s.Workspaces)
+		}},
+		{"policy follower, membership", "processor, store up", "% of a core", "polls", "idle_core", BoundCore, func(s Size) float64 { return max(at("idle_core", s.Nodes), 0) }},
+		{"policy follower", "memory of the configuration", "MB", "snapshot", "configuration_memory", boundMemory, func(s Size) float64 {
+			return at("configuration_memory", s.Workspaces) / megabyte
+		}},
+		{"node", "memory when idle", "MB", "all parts", "idle_memory", boundMemory, func(Size) float64 { return slope("idle_memory") / megabyte }},
+		{"policy follower", "bytes, store down", "bytes/s", "each node asks each other one", "outage_bytes", BoundBytes, func(s Size) float64 { return at("outage_bytes", s.Nodes) }},
+		{"policy follower", "processor, store down", "% of a core", "each node asks each other one", "outage_core", BoundCore, func(s Size) float64 { return at("outage_core", s.Nodes) }},
+		{"platform's table", "reads, all nodes", "reads/s", "polls of the revision", "idle_reads", storeReads, func(s Size) float64 { return at("idle_reads", s.Nodes) }},
+		{"claim writer, platform's table", "writes, if 5% of requests are claimed", "rows/s", "claim and kept answer", "claim_writes", storeWrites, func(s Size) float64 {
+			return s.Requests * claimShare * slope("claim_writes")
+		}},
+		{"operator API, platform's table", "writes at the busiest", "rows/s", "revision, row, trace, audit for each change", "-", storeWrites, func(s Size) float64 {
+			const rowsEach, busiest = 4, 100 // a hundred times the day's average
+			return s.Changes / daySeconds * rowsEach * busiest
+		}},
+	}
+}
+
+// Tables returns the tables of docs/CAPACITY.md.
+func (r *Report) Tables() string {
+	var b strings.Builder
+	sizes := []Size{Today(), Letter(), BadHour()}
+	b.WriteString("| role | figure for one node, if not said otherwise | unit | today | letter | data centre lost | bound | mechanism | slope |\n")
+	b.WriteString("| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, row := range r.rows() {
+		fmt.Fprintf(&b, "| %s | %s | %s |", row.role, row.figure, row.unit)
+		for _, size := range sizes {
+			fmt.Fprintf(&b, " %s |", mark(row.at(size), row.bound))
+		}
+		fmt.Fprintf(&b, " %s | %s | `%s` |\n", boundText(row.bound), row.mechanism, row.source)
+	}
+	b.WriteString("\n| slope | size | measured at | cost at size 0 | for each more | r² | spread | cost |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, s := range r.Series {
+		var at []string
+		for _, p := range s.Points {
+			at = append(at, fmt.Sprintf("%g", p.X))
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s | %.4g | %.4g | %.3f | %.0f%% | %s |\n", s.Name, s.X, strings.Join(at, ", "), s.Intercept, s.Slope, s.R2, 100*s.Spread, s.Y)
+	}
+	fmt.Fprintf(&b, "\nWith the store down, the bound on bytes is reached at %.0f nodes and the bound on processor time at %.0f.\n",
+		sizeAt(r.Find("outage_bytes"), BoundBytes), sizeAt(r.Find("outage_core"), BoundCore))
+	return b.String()
+}
+
+// mark writes a figure, in bold where it is over its bound.
+func mark(v, bound float64) string {
+	text := fmt.Sprintf("%.3g", v)
+	if v >= 1000 {
+		text = fmt.Sprintf("%.0f", v)
+	}
+	if bound > 0 && v > bound {
+		return "**" + text + "**"
+	}
+	return text
+}
+
+func boundText(bound float64) string {
+	if bound == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%g", bound)
+}
+
+// sizeAt returns the size at which a cost reaches a bound.
+func sizeAt(s *Series, bound float64) float64 {
+	if s.Slope == 0 {
+		return 0
+	}
+	return (bound - s.Intercept) / s.Slope
+}
+
+// ReplaceTables returns the page with new tables.
+func (r *Report) ReplaceTables(page string) string {
+	head, rest, found := strings.Cut(page, PageBegin)
+	_, tail, ended := strings.Cut(rest, PageEnd)
+	if !found || !ended {
+		return page
+	}
+	return head + PageBegin + "\n\n" + r.Tables() + "\n" + PageEnd + tail
+}
--- a/node/control.go
+++ b/node/control.go
@@ -11,7 +11,8 @@
 
 // controlClient is the HTTP client for the platform and the other nodes; it counts the bytes of both ways.
 type controlClient struct {
-	http *http.Client
+	http           *http.Client
+	sent, received *expvar.Int
 }
 
 func provideControlClient(i do.Injector) (*controlClient, error) {
@@ -31,7 +32,27 @@
 			return &countedConn{Conn: conn, sent: sent, received: received}, nil
 		},
 	}
-	return &controlClient{http: &http.Client{Transport: transport, Timeout: platformTimeout}}, nil
+	return &controlClient{http: &http.Client{Transport: transport, Timeout: platformTimeout}, sent: sent, received: received}, nil
+}
+
+// count has the bytes of a listener's connections counted too.
+func (c *controlClient) count(l net.Listener) net.Listener {
+	return &countedListener{Listener: l, control: c}
+}
+
+// countedListener accepts counted connections.
+type countedListener struct {
+	net.Listener
+	control *controlClient
+}
+
+// Accept accepts and counts.
+func (l *countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn, sent: l.control.sent, received: l.control.received}, nil
 }
 
 // countedConn counts the bytes of a connection.
--- a/node/node.go
+++ b/node/node.go
@@ -43,6 +43,7 @@
 	failover *failover.Manager
 	claims   *claims.Claims
 	operator *operatorapi.API
+	control  *controlClient
 	peerAPI  http.Handler
 	vars     *expvar.Map
 	tracing  *telemetry.Tracing
@@ -74,7 +75,7 @@
 	n.work.Go(func() { n.claims.Run(run) })
 	n.serve(n.api.Handler(), n.callerAt)
 	n.serve(n.adminHandler(), n.adminAt)
-	n.serve(n.peerAPI, n.peerAt)
+	n.serve(n.peerAPI, n.control.count(n.peerAt))
 	n.log.WithFields(logrus.Fields{
 		"vm": n.settings.Node.VM, "hall": n.settings.Node.Hall,
 		"listen": n.callerAt.Addr(), "admin": n.adminAt.Addr(), "peer": n.peerAt.Addr(),
--- a/node/wire.go
+++ b/node/wire.go
@@ -212,6 +212,7 @@
 		policies: do.MustInvoke[*policies](i),
 		roster:   do.MustInvoke[*roster](i),
 		relay:    do.MustInvoke[*relay.Relay](i),
+		control:  do.MustInvoke[*controlClient](i),
 		failover: manager,
 		claims:   do.MustInvoke[*claims.Claims](i),
 		operator: operatorapi.New(do.MustInvoke[*aws.Client](i), follower, do.MustInvoke[*balancer.Balancer](i), do.MustInvoke[logrus.FieldLogger](i)),
