--- a/client/stream.go
+++ b/client/stream.go
@@ -34,14 +34,18 @@
 	body   io.ReadCloser
 	lines  *bufio.Scanner
 	cursor string
+	id     string
 }
 
 func newStream(res *http.Response) *Stream {
 	lines := bufio.NewScanner(res.Body)
 	lines.Buffer(make([]byte, lineBytes), maxLineBytes)
-	return &Stream{body: res.Body, lines: lines}
+	return &Stream{body: res.Body, lines: lines, id: res.Header.Get("X-Request-Id")}
 }
 
+// Request returns the id that the node gave the request.
+func (s *Stream) Request() string { return s.id }
+
 // Close ends the connection.
 func (s *Stream) Close() error { return s.body.Close() }
 
--- a/engine/client.go
+++ b/engine/client.go
@@ -28,6 +28,8 @@
 	mediaTypeJSON    = "application/json"
 	headerMediaType  = "Content-Type"
 	headerTraceState = "traceparent"
+	// headerReplay without a value is not sent; it lets the transport replay a request.
+	headerReplay = "Idempotency-Key"
 )
 
 // Client sends runs to engines and calls to services.
@@ -47,12 +49,16 @@
 }
 
 // Start sends an attempt and returns its stream, whose first token has the index from.
-func (c *Client) Start(ctx context.Context, url, stream string, run openai.Run, from vaneyoke.Tokens) (*Stream, error) {
+// An attempt that may be replayed is sent again where a kept connection turns out to be closed.
+func (c *Client) Start(ctx context.Context, url, stream string, run openai.Run, from vaneyoke.Tokens, replay bool) (*Stream, error) {
 	body, err := json.Marshal(run.Fields)
 	if err != nil {
 		return nil, &RefusedError{Status: http.StatusBadRequest, Body: []byte(err.Error())}
 	}
 	header := http.Header{HeaderRequestID: {stream}, headerMediaType: {mediaTypeJSON}}
+	if replay {
+		header[headerReplay] = nil
+	}
 	res, err := c.send(ctx, http.MethodPost, url+run.Path, header, body) //nolint:bodyclose // the stream closes it
 	if err != nil {
 		return nil, err
@@ -178,7 +184,9 @@
 	if err != nil {
 		return nil, &NotSentError{Reason: err.Error()}
 	}
-	req.GetBody = nil // keeps the transport from sending the request a second time
+	if _, replay := header[headerReplay]; !replay {
+		req.GetBody = nil // keeps the transport from sending the request a second time
+	}
 	header[headerTraceState] = traceParent(ctx)
 	req.Header = header
 	res, err := via.Do(req)
--- a/measure/page.go
+++ b/measure/page.go
@@ -23,6 +23,10 @@
 }
 
 const (
+	pollPeriod = 0.72 // seconds, with its jitter
+	pollsEach  = 2    // of the revision and of the list of VMs
+	homesEach  = 2    // nodes that are told of a key
+
 	tokenGap   = 0.029 // seconds between the tokens of a stream
 	pushPeriod = 0.25  // seconds
 	// pushOverhead is what HTTP adds to a push and its answer in bytes, as the questions of an outage have it.
@@ -114,6 +118,19 @@
 		{"node", "memory when idle", "MB", "all parts", "idle_memory", boundMemory, func(Size) float64 { return slope("idle_memory") / megabyte }},
 		{"policy follower", "bytes, store down", "bytes/s", "each node asks each other one", "outage_bytes", BoundBytes, func(s Size) float64 { return at("outage_bytes", s.Nodes) }},
 		{"policy follower", "processor, store down", "% of a core", "each node asks each other one", "outage_core", BoundCore, func(s Size) float64 { return at("outage_core", s.Nodes) }},
+		{"generation owner", "messages to other nodes, if every request has a key", "messages/s", "two homes for each key, a push each 250 ms", "settings", 0, func(s Size) float64 {
+			return homesEach*perNode(s, s.Requests) + 1/pushPeriod
+		}},
+		{"backup, home", "messages from other nodes, if every request has a key", "messages/s", "the same, seen from the other side", "settings", 0, func(s Size) float64 {
+			return homesEach*perNode(s, s.Requests) + 1/pushPeriod
+		}},
+		{"policy follower, membership", "messages, store up", "messages/s", "revision and list of VMs", "settings", 0, func(Size) float64 {
+			return pollsEach / pollPeriod
+		}},
+		{"policy follower", "messages, store down", "messages/s", "each node asks each other one", "settings", 0, func(s Size) float64 {
+			return (s.Nodes - 1) / pollPeriod
+		}},
+		{"caller front", "requests", "requests/s", "balancer of the platform", "settings", 0, func(s Size) float64 { return perNode(s, s.Requests) }},
 		{"platform's table", "reads, all nodes", "reads/s", "polls of the revision", "idle_reads", storeReads, func(s Size) float64 { return at("idle_reads", s.Nodes) }},
 		{"claim writer, platform's table", "writes, if 5% of requests are claimed", "rows/s", "claim and kept answer", "claim_writes", storeWrites, func(s Size) float64 {
 			return s.Requests * claimShare * slope("claim_writes")
--- a/node/wire.go
+++ b/node/wire.go
@@ -164,7 +164,7 @@
 func providePeers(i do.Injector) (*peer.Client, error) {
 	s := do.MustInvoke[settings.Settings](i)
 	journals := do.MustInvoke[*peer.Journals](i)
-	return peer.NewClient(do.MustInvoke[vaneyoke.NodeID](i), journals, do.MustInvoke[*controlClient](i).http, s.Peers.KeyList()[0], s.Peers.CallTimeout), nil
+	return peer.NewClient(do.MustInvoke[vaneyoke.NodeID](i), journals, do.MustInvoke[*controlClient](i).http, s.Peers.KeyList()[0], s.Peers.CallTimeout, do.MustInvoke[*telemetry.Tracing](i).Tracer), nil
 }
 
 func provideJournals(i do.Injector) (*peer.Journals, error) {
@@ -216,7 +216,7 @@
 		failover: manager,
 		claims:   do.MustInvoke[*claims.Claims](i),
 		operator: operatorapi.New(do.MustInvoke[*aws.Client](i), follower, do.MustInvoke[*balancer.Balancer](i), do.MustInvoke[logrus.FieldLogger](i)),
-		peerAPI:  peer.Handler(do.MustInvoke[*peer.Journals](i), manager, follower, s.Peers.KeyList()),
+		peerAPI:  peer.Handler(do.MustInvoke[*peer.Journals](i), manager, follower, s.Peers.KeyList(), do.MustInvoke[*telemetry.Tracing](i).Tracer),
 		vars:     do.MustInvoke[*expvar.Map](i),
 		tracing:  do.MustInvoke[*telemetry.Tracing](i),
 		log:      do.MustInvoke[logrus.FieldLogger](i),
--- a/peer/client.go
+++ b/peer/client.go
@@ -8,6 +8,9 @@
 
 	"github.com/samber/lo"
 	"github.com/twitchtv/twirp"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/journal"
@@ -28,6 +31,7 @@
 	http     *http.Client
 	key      string
 	timeout  time.Duration
+	tracer   trace.Tracer
 
 	mu       sync.Mutex
 	peers    map[string]peerpb.Peer // by address
@@ -35,9 +39,9 @@
 }
 
 // NewClient returns a client that shows the given key and waits for an answer no longer than timeout.
-func NewClient(self vaneyoke.NodeID, journals *Journals, client *http.Client, key string, timeout time.Duration) *Client {
+func NewClient(self vaneyoke.NodeID, journals *Journals, client *http.Client, key string, timeout time.Duration, tracer trace.Tracer) *Client {
 	return &Client{
-		self: self, journals: journals, http: client, key: key, timeout: timeout,
+		self: self, journals: journals, http: client, key: key, timeout: timeout, tracer: tracer,
 		peers: map[string]peerpb.Peer{}, suspects: map[string]time.Time{},
 	}
 }
@@ -106,7 +110,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	ctx, err := twirp.WithHTTPRequestHeaders(ctx, http.Header{"Authorization": {bearer + c.key}})
+	ctx, span := c.tracer.Start(ctx, "peer", trace.WithAttributes(attribute.String("peer", string(p.VM))))
+	defer span.End()
+	header := http.Header{"Authorization": {bearer + c.key}}
+	propagation.TraceContext{}.Inject(ctx, propagation.HeaderCarrier(header))
+	ctx, err := twirp.WithHTTPRequestHeaders(ctx, header)
 	if err != nil {
 		return nil, vaneyoke.WrapErr(vaneyoke.CodeInternal, err, "peer header")
 	}
--- a/peer/server.go
+++ b/peer/server.go
@@ -10,6 +10,8 @@
 
 	"github.com/samber/lo"
 	"github.com/twitchtv/twirp"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/journal"
@@ -80,14 +82,17 @@
 var _ peerpb.Peer = (*Server)(nil)
 
 // Handler returns the HTTP handler of the peer API, open to holders of one of the keys.
-func Handler(journals *Journals, sessions Sessions, config Configuration, keys []string) http.Handler {
+func Handler(journals *Journals, sessions Sessions, config Configuration, keys []string, tracer trace.Tracer) http.Handler {
 	api := peerpb.NewPeerServer(&Server{journals: journals, sessions: sessions, config: config})
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !authorized(r, keys) {
 			_ = twirp.WriteError(w, twirp.Unauthenticated.Error("the peer key is wrong"))
 			return
 		}
-		api.ServeHTTP(w, r)
+		ctx := propagation.TraceContext{}.Extract(r.Context(), propagation.HeaderCarrier(r.Header))
+		ctx, span := tracer.Start(ctx, "peer", trace.WithSpanKind(trace.SpanKindServer))
+		defer span.End()
+		api.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
 
--- a/placement/state.go
+++ b/placement/state.go
@@ -211,11 +211,12 @@
 	}
 }
 
-// FirstToken notes that an attempt's first token came after a while.
+// FirstToken notes that an attempt's first token came after a while, which closes the breaker.
 func (s *State) FirstToken(now time.Time, id vaneyoke.UpstreamID, took time.Duration, promptBytes int) {
 	if e, ok := s.entries[id]; ok {
 		e.waiting = max(e.waiting-1, 0)
 		e.first.add(now, took, promptBytes)
+		e.breaker.Succeeded()
 	}
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -88,7 +88,7 @@
 	case *streamed:
 		run := openai.StreamRun(m.req, e.Prefix, e.From)
 		go s.follow(ctx, e.Attempt, func() (*engine.Stream, error) {
-			return s.relay.engines.Start(ctx, l.upstream.URL, l.name, run, e.From)
+			return s.relay.engines.Start(ctx, l.upstream.URL, l.name, run, e.From, m.req.Repeatable)
 		})
 	case *whole:
 		go s.call(ctx, e.Attempt, l, m)
@@ -98,7 +98,7 @@
 // resume opens a link to the stream of an earlier attempt.
 func (s *Session) resume(e generation.Resume) {
 	old := s.links[e.Stream]
-	l := &link{upstream: old.upstream, base: old.base, name: old.name, begun: true}
+	l := &link{upstream: old.upstream, base: old.base, name: old.name, begun: true, resumed: true}
 	s.relay.placer.Resumed(old.upstream.ID)
 	s.links[e.Attempt] = l
 	ctx := s.open(l, e.Attempt, "resume")
@@ -280,11 +280,19 @@
 	cause := causeOf(err)
 	s.logAttempt(attempt, l.upstream.ID).WithFields(logrus.Fields{"cause": cause, "error": err}).Warn("attempt_lost")
 	s.relay.metrics.Losses.Add(cause.String(), 1)
-	s.settle(attempt, placement.OutcomeFailed)
+	s.settle(attempt, l.lossOutcome())
 	s.handleLocked(time.Now(), generation.Lost{Attempt: attempt, Cause: cause})
 	s.close(attempt)
 }
 
+// lossOutcome returns what a loss says of the upstream; a stream that could not be resumed was counted when it broke.
+func (l *link) lossOutcome() placement.Outcome {
+	if l.resumed {
+		return placement.OutcomeDropped
+	}
+	return placement.OutcomeFailed
+}
+
 func refusal(err *engine.RefusedError) string {
 	const most = 300
 	body := err.Body[:min(len(err.Body), most)]
--- a/relay/session.go
+++ b/relay/session.go
@@ -43,6 +43,7 @@
 	base     vaneyoke.Tokens // answer's index of the first token of the run on the engine
 	started  bool            // whether anything was sent
 	sentAt   time.Time       // when the run was started, zero for a resumed stream
+	resumed  bool            // whether it is attached to an earlier attempt's stream
 	begun    bool            // whether its first token has come
 	fenced   bool            // whether the attempt was cancelled
 	settled  bool            // whether the placer knows how the attempt came out
