Start nodes while the table is down, ask only a majority in an outage

Cause: a node that starts while the table is down knew no members and so asked nobody; in an outage each node asked each other one, which broke the bound on bytes at 12 nodes.

Change: a node without configuration takes one from any node on the list of VMs and is then confirmed by that one's members; an outage's questions go to a majority and one more, drawn anew each time, and to the rest where that does not suffice. Salts follow one another in a process. The measured sizes go to 200 nodes (store up) and 40 (down); the picture's legend stands free.

--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,8 @@
 
 // Peers asks other nodes which configuration they have in force.
 type Peers interface {
+	// Known returns the VMs of all nodes that the platform lists.
+	Known() []vaneyoke.VMID
 	// Confirm returns a node's revision, and its configuration as JSON where that is wanted and newer.
 	Confirm(ctx context.Context, vm vaneyoke.VMID, revision vaneyoke.Revision, want bool) (vaneyoke.Revision, []byte, error)
 }
@@ -136,10 +139,25 @@
 	f.log.WithField("policy", uint64(snapshot.Revision)).Info("configuration_applied")
 }
 
-// askPeers asks the members, of which a majority confirms the node.
+// askPeers asks as many of the members, drawn anew each time, as are a majority with the own node and one more,
+// and the rest where those do not confirm the node for long enough.
+// A node that has no configuration yet gets one from any node that it knows, and asks that one's members after.
 func (f *Follower) askPeers(ctx context.Context) {
+	if f.Current().Revision == 0 {
+		f.askEach(ctx, f.peers.Known())
+	}
+	members := slices.DeleteFunc(f.Current().Members(), func(vm vaneyoke.VMID) bool { return vm == f.self.VM })
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	enough := min(freshness.Majority(len(members)+1), len(members))
+	f.askEach(ctx, members[:enough])
+	if !f.Fresh(time.Now().Add(f.period)) {
+		f.askEach(ctx, members[enough:])
+	}
+}
+
+func (f *Follower) askEach(ctx context.Context, vms []vaneyoke.VMID) {
 	var wait sync.WaitGroup
-	for _, vm := range f.Current().Members() {
+	for _, vm := range vms {
 		if vm != f.self.VM {
 			wait.Go(func() { f.askPeer(ctx, vm) })
 		}
--- a/cmd/vaneyoke/measure.go
+++ b/cmd/vaneyoke/measure.go
@@ -20,7 +20,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "out", Value: "docs/slopes.json", Usage: "`FILE` for the slopes"},
 			&cli.StringFlag{Name: "page", Value: "docs/CAPACITY.md", Usage: "`FILE` whose tables are replaced"},
-			&cli.BoolFlag{Name: "tables-only", Usage: "measure nothing, and write the page's tables anew from the file of slopes"},
+			&cli.BoolFlag{Name: "tables-only", Usage: "measure nothing, and write the page's tables and the picture anew from the file of slopes"},
 			&cli.StringFlag{Name: "plot", Value: "docs/capacity.svg", Usage: "`FILE` for the picture"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
@@ -56,6 +56,9 @@
 	if err := json.Unmarshal(raw, &report); err != nil {
 		return vaneyoke.WrapErr(vaneyoke.CodeUsage, err, "--out")
 	}
+	if err := report.Plot(cmd.String("plot")); err != nil {
+		return err
+	}
 	return writePage(cmd.String("page"), &report)
 }
 
--- a/fleet/operator_test.go
+++ b/fleet/operator_test.go
@@ -15,6 +15,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/client"
 	"github.com/vaneyoke/vaneyoke/fleet"
 	"github.com/vaneyoke/vaneyoke/settings"
 )
@@ -213,3 +214,27 @@
 	}
 	must.StrContains(t, err.Error(), vaneyoke.CodeNotFresh.Info().Name)
 }
+
+// TestNodeStartsWhileTheTableIsDown has a new node take the configuration from the others.
+func TestNodeStartsWhileTheTableIsDown(t *testing.T) {
+	f := startMembers(t, 3, nil)
+	f.Platform.SetTableDown(true)
+	must.NoError(t, f.StartNode(t.Context(), 3))
+	c := newCaller(t, f, "new-1")
+	var s *client.Stream
+	err := io.EOF
+	for err != nil {
+		must.NoError(t, t.Context().Err())
+		s, err = c.connect(3)
+	}
+	c.readAll(s)
+}
+
+// TestNodeThatKnowsNobodyTakesNoWork starts a node while the whole platform is down.
+func TestNodeThatKnowsNobodyTakesNoWork(t *testing.T) {
+	f := startMembers(t, 3, nil)
+	f.Platform.SetDown(true)
+	must.NoError(t, f.StartNode(t.Context(), 3))
+	_, err := newCaller(t, f, "new-2").connect(3)
+	must.ErrorContains(t, err, vaneyoke.CodeNotFresh.Info().Name)
+}
--- a/measure/page.go
+++ b/measure/page.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 )
 
@@ -77,63 +78,87 @@
 	at                                    func(Size) float64
 }
 
+// slope returns what one more costs in a series.
+func (r *Report) slope(name string) float64 { return r.Find(name).Slope }
+
+// at returns the cost of a size in a series.
+func (r *Report) at(name string, x float64) float64 { return r.Find(name).At(x) }
+
+// perNode parts a load over the nodes.
+func perNode(s Size, total float64) float64 { return total / s.Nodes }
+
 // rows returns the figures of the page, each worked out from a slope.
 func (r *Report) rows() []row {
-	slope := func(name string) float64 { return r.Find(name).Slope }
-	at := func(name string, x float64) float64 { return r.Find(name).At(x) }
-	perNode := func(s Size, total float64) float64 { return total / s.Nodes }
+	return slices.Concat(r.requestRows(), r.controlRows(), r.storeRows())
+}
+
+// requestRows returns the figures that grow with requests and tokens.
+func (r *Report) requestRows() []row {
 	return []row{
 		{"caller front, generation owner", "processor", "% of a core", "relay: parser, state machine, encoder", "token_time", 0, func(s Size) float64 {
-			return 100 * perNode(s, s.Tokens) * slope("token_time") / tokensEach / usPerSecond
+			return 100 * perNode(s, s.Tokens) * r.slope("token_time") / tokensEach / usPerSecond
 		}},
 		{"generation owner", "memory", "MB", "session: transcript and links", "session_memory", 0, func(s Size) float64 {
-			return perNode(s, s.streams()) * slope("session_memory") / megabyte
+			return perNode(s, s.streams()) * r.slope("session_memory") / megabyte
 		}},
 		{"generation owner", "journal pushes, if every request has a key", "bytes/s", "push of deltas by handle each 250 ms", "journal_wire", BoundBytes, func(s Size) float64 {
-			return perNode(s, s.Tokens)*slope("journal_wire") + pushOverhead/pushPeriod
+			return perNode(s, s.Tokens)*r.slope("journal_wire") + pushOverhead/pushPeriod
 		}},
 		{"backup", "processor", "% of a core", "journal store, encoding among it", "journal_time", BoundCore, func(s Size) float64 {
-			return 100 * perNode(s, s.streams()) / pushPeriod * slope("journal_time") / usPerSecond
+			return 100 * perNode(s, s.streams()) / pushPeriod * r.slope("journal_time") / usPerSecond
 		}},
 		{"backup", "memory, finished answers for 10 min", "MB", "journal store, oldest finished first", "journal_memory", boundMemory, func(s Size) float64 {
-			return perNode(s, s.streams()+s.Requests*retention) * slope("journal_memory") / megabyte
+			return perNode(s, s.streams()+s.Requests*retention) * r.slope("journal_memory") / megabyte
 		}},
 		{"placement", "processor", "% of a core", "choice of two among the candidates", "placement_time", BoundCore, func(s Size) float64 {
-			return 100 * perNode(s, s.Requests) * at("placement_time", s.Engines) / nsPerSecond
+			return 100 * perNode(s, s.Requests) * r.at("placement_time", s.Engines) / nsPerSecond
+		}},
+		{"generation owner", "messages to other nodes, if every request has a key", "messages/s", "two homes for each key, a push each 250 ms", "settings", 0, func(s Size) float64 {
+			return homesEach*perNode(s, s.Requests) + 1/pushPeriod
+		}},
+		{"backup, home", "messages from other nodes, if every request has a key", "messages/s", "the same, seen from the other side", "settings", 0, func(s Size) float64 {
+			return homesEach*perNode(s, s.Requests) + 1/pushPeriod
 		}},
+		{"caller front", "requests", "requests/s", "balancer of the platform", "settings", 0, func(s Size) float64 { return perNode(s, s.Requests) }},
+	}
+}
+
+// controlRows returns the figures of a node that no caller asks anything.
+func (r *Report) controlRows() []row {
+	return []row{
 		{"policy follower", "processor of decisions", "% of a core", "decision remembered for a minute", "policy_time", BoundCore, func(s Size) float64 {
-			return 100 * perNode(s, s.Requests) * at("policy_time", s.Workspaces) / nsPerSecond
+			return 100 * perNode(s, s.Requests) * r.at("policy_time", s.Workspaces) / nsPerSecond
 		}},
-		{"policy follower, membership", "bytes, store up", "bytes/s", "revision and list of VMs, each 0.8 s, with ETag", "idle_bytes", BoundBytes, func(s Size) float64 { return at("idle_bytes", s.Nodes) }},
+		{"policy follower, membership", "bytes, store up", "bytes/s", "revision and list of VMs, each 0.8 s, with ETag", "idle_bytes", BoundBytes, func(s Size) float64 { return r.at("idle_bytes", s.Nodes) }},
 		{"policy follower", "bytes of changes, on average", "bytes/s", "rows that changed", "change_caught_up", BoundBytes, func(s Size) float64 {
-			return s.Changes / daySeconds * at("change_caught_up", s.Workspaces)
+			return s.Changes / daySeconds * r.at("change_caught_up", s.Workspaces)
 		}},
 		{"policy follower", "the same, if all rows were read", "bytes/s", "(rejected)", "change_whole", BoundBytes, func(s Size) float64 {
-			return s.Changes / daySeconds * at("change_whole", s.Workspaces)
+			return s.Changes / daySeconds * r.at("change_whole", s.Workspaces)
 		}},
-		{"policy follower, membership", "processor, store up", "% of a core", "polls", "idle_core", BoundCore, func(s Size) float64 { return max(at("idle_core", s.Nodes), 0) }},
+		{"policy follower, membership", "processor, store up", "% of a core", "polls", "idle_core", BoundCore, func(s Size) float64 { return max(r.at("idle_core", s.Nodes), 0) }},
 		{"policy follower", "memory of the configuration", "MB", "snapshot", "configuration_memory", boundMemory, func(s Size) float64 {
-			return at("configuration_memory", s.Workspaces) / megabyte
-		}},
-		{"node", "memory when idle", "MB", "all parts", "idle_memory", boundMemory, func(Size) float64 { return slope("idle_memory") / megabyte }},
-		{"policy follower", "bytes, store down", "bytes/s", "each node asks each other one", "outage_bytes", BoundBytes, func(s Size) float64 { return at("outage_bytes", s.Nodes) }},
-		{"policy follower", "processor, store down", "% of a core", "each node asks each other one", "outage_core", BoundCore, func(s Size) float64 { return at("outage_core", s.Nodes) }},
-		{"generation owner", "messages to other nodes, if every request has a key", "messages/s", "two homes for each key, a push each 250 ms", "settings", 0, func(s Size) float64 {
-			return homesEach*perNode(s, s.Requests) + 1/pushPeriod
-		}},
-		{"backup, home", "messages from other nodes, if every request has a key", "messages/s", "the same, seen from the other side", "settings", 0, func(s Size) float64 {
-			return homesEach*perNode(s, s.Requests) + 1/pushPeriod
+			return r.at("configuration_memory", s.Workspaces) / megabyte
 		}},
+		{"node", "memory when idle", "MB", "all parts", "idle_memory", boundMemory, func(Size) float64 { return r.slope("idle_memory") / megabyte }},
+		{"policy follower", "bytes, store down", "bytes/s", "each node asks a majority", "outage_bytes", BoundBytes, func(s Size) float64 { return r.at("outage_bytes", s.Nodes) }},
+		{"policy follower", "processor, store down", "% of a core", "each node asks a majority", "outage_core", BoundCore, func(s Size) float64 { return r.at("outage_core", s.Nodes) }},
 		{"policy follower, membership", "messages, store up", "messages/s", "revision and list of VMs", "settings", 0, func(Size) float64 {
 			return pollsEach / pollPeriod
 		}},
-		{"policy follower", "messages, store down", "messages/s", "each node asks each other one", "settings", 0, func(s Size) float64 {
-			return (s.Nodes - 1) / pollPeriod
+		{"policy follower", "messages, store down", "messages/s", "each node asks a majority", "settings", 0, func(s Size) float64 {
+			const share = 0.5 // a majority is asked
+			return share * s.Nodes / pollPeriod
 		}},
-		{"caller front", "requests", "requests/s", "balancer of the platform", "settings", 0, func(s Size) float64 { return perNode(s, s.Requests) }},
-		{"platform's table", "reads, all nodes", "reads/s", "polls of the revision", "idle_reads", storeReads, func(s Size) float64 { return at("idle_reads", s.Nodes) }},
+	}
+}
+
+// storeRows returns the figures of the platform's table.
+func (r *Report) storeRows() []row {
+	return []row{
+		{"platform's table", "reads, all nodes", "reads/s", "polls of the revision", "idle_reads", storeReads, func(s Size) float64 { return r.at("idle_reads", s.Nodes) }},
 		{"claim writer, platform's table", "writes, if 5% of requests are claimed", "rows/s", "claim and kept answer", "claim_writes", storeWrites, func(s Size) float64 {
-			return s.Requests * claimShare * slope("claim_writes")
+			return s.Requests * claimShare * r.slope("claim_writes")
 		}},
 		{"operator API, platform's table", "writes at the busiest", "rows/s", "revision, row, trace, audit for each change", "-", storeWrites, func(s Size) float64 {
 			const rowsEach, busiest = 4, 100 // a hundred times the day's average
--- a/measure/plot.go
+++ b/measure/plot.go
@@ -19,7 +19,9 @@
 const (
 	plotWidth  = 8 * vg.Inch
 	plotHeight = 5 * vg.Inch
-	full       = 100.0
+	// legendHeight keeps the legend between the lines that are near 0 and the bound.
+	legendHeight = 1.2 * vg.Inch
+	full         = 100.0
 )
 
 // Plot writes a picture of the cost against the number of nodes, as a share of the bounds, to a file whose ending names its form.
@@ -42,8 +44,7 @@
 	bound.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
 	p.Add(bound, plotter.NewGrid())
 	p.Legend.Add("bound", bound)
-	p.Legend.Top = true
-	p.Legend.Left = true
+	p.Legend.YOffs = legendHeight
 	p.X.Min, p.X.Max = 0, LetterNodes
 	p.Y.Min, p.Y.Max = 0, 2*full
 	return p.Save(plotWidth, plotHeight, path)
--- a/measure/run.go
+++ b/measure/run.go
@@ -8,8 +8,8 @@
 
 // Numbers of nodes that fleets are measured at; in an outage each node holds a connection to each other one.
 var (
-	idleSizes   = []int{6, 25, 50, 100}
-	outageSizes = []int{6, 12, 20}
+	idleSizes   = []int{6, 25, 50, 100, 200}
+	outageSizes = []int{6, 12, 25, 40}
 )
 
 // Run carries out all measurements and tells progress to w.
--- a/membership/view.go
+++ b/membership/view.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 
 	"github.com/vaneyoke/vaneyoke"
 )
@@ -40,6 +41,11 @@
 // Len returns the number of nodes.
 func (v *View) Len() int { return len(v.peers) }
 
+// VMs returns the VMs of all nodes.
+func (v *View) VMs() []vaneyoke.VMID {
+	return lo.Map(v.peers, func(p Peer, _ int) vaneyoke.VMID { return p.VM })
+}
+
 // Find returns the node on a VM.
 func (v *View) Find(vm vaneyoke.VMID) (Peer, bool) {
 	i, ok := slices.BinarySearchFunc(v.peers, vm, func(p Peer, vm vaneyoke.VMID) int { return cmp.Compare(p.VM, vm) })
--- a/node/roster.go
+++ b/node/roster.go
@@ -99,6 +99,9 @@
 	return vms, nil
 }
 
+// Known returns the VMs of all nodes that the platform lists.
+func (r *roster) Known() []vaneyoke.VMID { return r.View().VMs() }
+
 // Confirm asks the node on a VM which configuration it has in force.
 func (r *roster) Confirm(ctx context.Context, vm vaneyoke.VMID, revision vaneyoke.Revision, want bool) (vaneyoke.Revision, []byte, error) {
 	p, ok := r.View().Find(vm)
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -73,6 +73,13 @@
 	return e, err
 }
 
+// salts counts the runs of all engines in this process; runs that follow one another have different salts.
+var salts atomic.Uint32
+
+func init() { salts.Store(rand.Uint32()) }
+
+func nextSalt() check.Salt { return check.Salt(salts.Add(1)) }
+
 func (e *Engine) faults() faultList {
 	return faultList{
 		"kill":      func(r *http.Request, _ Fault) { e.Kill(r) },
@@ -157,7 +164,7 @@
 	e.runsMu.Unlock()
 	e.started.Add(1)
 	go func() {
-		run.generate(check.Salt(rand.Uint32()))
+		run.generate(nextSalt())
 		time.AfterFunc(e.config.Orphan, func() { e.forget(id, run) })
 	}()
 	if body.Stream {
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -31,6 +31,7 @@
 	Memory *memory.Platform
 
 	down      atomic.Bool
+	tableDown atomic.Bool
 	delay     atomic.Int64 // nanoseconds before each reply
 	loseReply atomic.Int64 // writes whose reply will be lost
 	reads     atomic.Int64
@@ -64,7 +65,8 @@
 func (p *Platform) faults() faultList {
 	return faultList{
 		"down":       func(*http.Request, Fault) { p.SetDown(true) },
-		"up":         func(*http.Request, Fault) { p.SetDown(false) },
+		"up":         func(*http.Request, Fault) { p.SetDown(false); p.SetTableDown(false) },
+		"table-down": func(*http.Request, Fault) { p.SetTableDown(true) },
 		"slow":       func(_ *http.Request, f Fault) { p.delay.Store(int64(f.Factor * float64(slowReply))) },
 		"lose-reply": func(_ *http.Request, f Fault) { p.LoseReplies(max(f.Count, 1)) },
 		"pause":      func(*http.Request, Fault) { p.pause() },
@@ -77,6 +79,9 @@
 // SetDown makes every request fail, or ends that.
 func (p *Platform) SetDown(down bool) { p.down.Store(down) }
 
+// SetTableDown makes every request to the table fail, or ends that; the list of VMs can still be read.
+func (p *Platform) SetTableDown(down bool) { p.tableDown.Store(down) }
+
 // LoseReplies makes the replies to the next writes get lost although the writes take effect.
 func (p *Platform) LoseReplies(count int) { p.loseReply.Store(int64(count)) }
 
@@ -91,6 +96,7 @@
 // Restore ends all faults.
 func (p *Platform) Restore() {
 	p.SetDown(false)
+	p.SetTableDown(false)
 	p.SetLag(false)
 	p.delay.Store(0)
 	p.loseReply.Store(0)
@@ -117,7 +123,7 @@
 			return
 		}
 	}
-	if p.down.Load() {
+	if p.down.Load() || (p.tableDown.Load() && r.Method == http.MethodPost) {
 		http.Error(w, "service unavailable", http.StatusServiceUnavailable)
 		return
 	}
