Prove that leaving upstreams get no new work, and end answers whose finish was lost

Cause: no test held "an upstream that is leaving receives no new work" against a running fleet. And under load with two processors one answer of 21 tokens had 23: its last event, with the last token and the finish, had been replaced by an error event.

Cause of the 23: the stand-in engine, asked to resume at the end of a stream, closed it without the finish, and a stand-in asked to go on from a whole answer generated one token more. Ruled out in the node: indexes and prefixes were right, each token followed its prefix. A model's engine would give its end token again.

Change: both ways of the stand-in give the finish; a test loses the finish with the engine alive and dead. Drains by operator, policy and list of VMs and removal are each tested: no new run at the engine from any node, and the answer that runs there ends without a seam.

How soon work stops is bounded by polls, not by the test.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -105,6 +105,13 @@
 	b.state.FirstToken(time.Now(), id, took, promptBytes)
 }
 
+// TakesWork reports whether an upstream may be given new work.
+func (b *Balancer) TakesWork(id vaneyoke.UpstreamID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state.TakesWork(time.Now(), id)
+}
+
 // Models returns the models that engines offer.
 func (b *Balancer) Models() []vaneyoke.ModelID {
 	b.mu.Lock()
--- a/engine/client.go
+++ b/engine/client.go
@@ -90,7 +90,7 @@
 // Held asks an engine how many of the last ids stand for an unfinished character; an engine that cannot tell answers 0.
 func (c *Client) Held(ctx context.Context, url string, model vaneyoke.ModelID, ids []vaneyoke.TokenID) (vaneyoke.Tokens, error) {
 	for held := range vaneyoke.Tokens(min(maxHeld, len(ids))) {
-		text, err := c.detokenize(ctx, url, detokenizeBody{Model: model, Tokens: ids[max(0, len(ids)-contextIDs) : len(ids)-int(held)]})
+		text, err := c.detokenize(ctx, url, DetokenizeBody{Model: model, Tokens: ids[max(0, len(ids)-contextIDs) : len(ids)-int(held)]})
 		if err != nil || !strings.HasSuffix(text, replacement) {
 			return held, err
 		}
@@ -104,19 +104,19 @@
 	replacement = "\uFFFD"
 )
 
-// detokenizeBody is the body of a request for the text of tokens.
-type detokenizeBody struct {
+// DetokenizeBody is the body of a request for the text of tokens.
+type DetokenizeBody struct {
 	Model  vaneyoke.ModelID   `json:"model"`
 	Tokens []vaneyoke.TokenID `json:"tokens"`
 }
 
-// detokenizeReply is the answer to it.
-type detokenizeReply struct {
+// DetokenizeReply is the answer to it.
+type DetokenizeReply struct {
 	Prompt string `json:"prompt"`
 }
 
 // detokenize returns the text of tokens, "" where the engine cannot tell.
-func (c *Client) detokenize(ctx context.Context, url string, body detokenizeBody) (string, error) {
+func (c *Client) detokenize(ctx context.Context, url string, body DetokenizeBody) (string, error) {
 	raw, err := json.Marshal(body)
 	if err != nil {
 		return "", err
@@ -125,7 +125,7 @@
 	if err != nil || answer.Status != http.StatusOK {
 		return "", err
 	}
-	var reply detokenizeReply
+	var reply DetokenizeReply
 	if err := json.Unmarshal(answer.Body, &reply); err != nil {
 		return "", &MalformedError{Reason: "detokenizer's answer is not JSON"}
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -114,3 +114,28 @@
 		})
 	}
 }
+
+// TestAnswerEndsWhereItsFinishWasLost loses the event that holds the last token and the finish reason.
+func TestAnswerEndsWhereItsFinishWasLost(t *testing.T) {
+	for name, restored := range map[string]bool{"engine lives": true, "engine dies": false} {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, func(c *fleet.Config) { c.Adjust = patient })
+			req, ids := prompt("reconcile the manifest of depot eight length=40")
+			s, err := client.New(http.DefaultClient, f.Nodes[0].URL(), fleet.CallerKey).Generate(t.Context(), req, nil)
+			must.NoError(t, err)
+			broken := f.Engine()
+			text, reason := read(t, s, func(n int) {
+				if n == 38 {
+					broken.FailEvents(2)
+				}
+				if n == 39 && !restored {
+					broken.Kill(nil)
+				}
+			})
+			report, err := check.Answer(ids, text)
+			must.NoError(t, err)
+			must.Between(t, 40, report.Tokens, 41)
+			must.EqOp(t, vaneyoke.FinishStop, reason)
+		})
+	}
+}
--- /dev/null
+++ b/fleet/leaving_test.go
@@ -0,0 +1,104 @@
+package fleet_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/catalog"
+	"github.com/vaneyoke/vaneyoke/fleet"
+	"github.com/vaneyoke/vaneyoke/platform"
+)
+
+// TestLeavingUpstreamGetsNoNewWork has engine 0 leave in each way while it runs an answer.
+func TestLeavingUpstreamGetsNoNewWork(t *testing.T) {
+	drain := func(t *testing.T, f *fleet.Fleet) {
+		code, body := operate(t, f, 1, ordered{method: http.MethodPost, path: "/v1/upstreams/engine-0/drain", key: fleet.OperatorKey})
+		must.EqOp(t, "ok", code, must.Sprint(string(body)))
+	}
+	byPolicy := func(t *testing.T, f *fleet.Fleet) {
+		o := submit("evening", "5s")
+		o.body = map[string]string{"text": "[policy]\nname = evening\n[drain.now]\nupstreams = engine-0\n"}
+		code, body := operate(t, f, 1, o)
+		must.EqOp(t, "ok", code, must.Sprint(string(body)))
+	}
+	byList := func(t *testing.T, f *fleet.Fleet) {
+		vms, err := f.Platform.Memory.List(t.Context())
+		must.NoError(t, err)
+		f.Platform.Memory.SetVMs(append(vms, platform.VM{ID: "engine-vm-0", Hall: "hall-a", Leaving: true}))
+	}
+	remove := func(t *testing.T, f *fleet.Fleet) {
+		code, _ := operate(t, f, 1, ordered{method: http.MethodDelete, path: "/v1/upstreams/engine-0", key: fleet.AdminKey})
+		must.EqOp(t, "ok", code)
+	}
+	for name, leave := range map[string]func(*testing.T, *fleet.Fleet){"drained": drain, "by policy": byPolicy, "by the list of VMs": byList, "removed": remove} {
+		t.Run(name, func(t *testing.T) {
+			f := startMembers(t, 3, nil)
+			running := answerOnEngine0(t, f)
+			leave(t, f)
+			waitUntilAvoided(t, f)
+			before := f.Engines[0].Stats().Runs
+			for i := range 24 {
+				c := newCaller(t, f, fmt.Sprintf("after-%d", i))
+				c.req.MaxTokens = 5
+				s, err := c.connect(i % len(f.Nodes))
+				must.NoError(t, err)
+				must.ErrorIs(t, c.read(s, 100), io.EOF)
+			}
+			must.EqOp(t, before, f.Engines[0].Stats().Runs)
+			running()
+		})
+	}
+}
+
+// answerOnEngine0 starts an answer on engine 0, and returns a function that reads its rest and checks that nothing was cut off.
+func answerOnEngine0(t *testing.T, f *fleet.Fleet) func() {
+	t.Helper()
+	setVM(t, f)
+	for i := 0; ; i++ {
+		before := f.Engines[0].Stats().Runs
+		c := newCaller(t, f, fmt.Sprintf("before-%d", i))
+		s, err := c.connect(0)
+		must.NoError(t, err)
+		must.NoError(t, c.read(s, 2))
+		if f.Engines[0].Stats().Runs > before {
+			return func() { must.SliceEmpty(t, c.readAll(s).Seams) }
+		}
+		_ = s.Close()
+	}
+}
+
+// setVM names the VM that engine 0 runs on.
+func setVM(t *testing.T, f *fleet.Fleet) {
+	t.Helper()
+	u := f.Upstreams()[0]
+	u.VM = "engine-vm-0"
+	row, err := f.Platform.Memory.Get(t.Context(), platform.Key{Partition: catalog.PartitionUpstreams, ID: string(u.ID)})
+	must.NoError(t, err)
+	revision, err := catalog.Apply(t.Context(), f.Platform.Memory, catalog.Change{
+		Partition: catalog.PartitionUpstreams, ID: string(u.ID), Value: u, Seen: row.Version,
+	})
+	must.NoError(t, err)
+	for _, n := range f.Nodes {
+		for n.Revision() < revision {
+			must.NoError(t, t.Context().Err())
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// waitUntilAvoided waits until no node would send engine 0 new work, and bounds that by the polls and not by a clock.
+func waitUntilAvoided(t *testing.T, f *fleet.Fleet) {
+	t.Helper()
+	for _, n := range f.Nodes {
+		for n.TakesWork(vaneyoke.UpstreamID("engine-0")) {
+			must.NoError(t, t.Context().Err())
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
--- a/load/caller.go
+++ b/load/caller.go
@@ -200,7 +200,7 @@
 
 // order makes a call that may run at most once; it is not repeated.
 func (c *caller) order(ctx context.Context) {
-	body, err := json.Marshal(map[string]string{"order": c.id})
+	body, err := json.Marshal(standin.ServiceCall{Order: c.id})
 	if err != nil {
 		panic("load: order does not encode: " + err.Error())
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -150,6 +150,12 @@
 // ReadVMs reads the platform's list of VMs at once.
 func (n *Node) ReadVMs(ctx context.Context) { n.roster.readOrLog(ctx) }
 
+// Revision returns the revision in force at the node.
+func (n *Node) Revision() vaneyoke.Revision { return n.follower.Current().Revision }
+
+// TakesWork reports whether the node would send an upstream new work.
+func (n *Node) TakesWork(id vaneyoke.UpstreamID) bool { return n.policies.balancer.TakesWork(id) }
+
 // Refresh reads the configuration at once.
 func (n *Node) Refresh(ctx context.Context) { n.follower.Poll(ctx) }
 
--- a/placement/state.go
+++ b/placement/state.go
@@ -157,6 +157,12 @@
 	return s.scratch
 }
 
+// TakesWork reports whether an upstream may be given new work.
+func (s *State) TakesWork(now time.Time, id vaneyoke.UpstreamID) bool {
+	e, ok := s.entries[id]
+	return ok && e.takesWork(now)
+}
+
 // takesWork reports whether the upstream may be given new work.
 func (e *entry) takesWork(now time.Time) bool {
 	return e.upstream.State == vaneyoke.StateLive && !e.drained && !e.leaving && e.breaker.Allows(now)
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -199,9 +199,7 @@
 
 // detokenize returns the text of generated tokens, as a whole string.
 func (e *Engine) detokenize(w http.ResponseWriter, r *http.Request) {
-	var body struct {
-		Tokens []vaneyoke.TokenID `json:"tokens"`
-	}
+	var body engine.DetokenizeBody
 	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -210,7 +208,7 @@
 	for _, id := range body.Tokens {
 		text = check.AppendText(text, id)
 	}
-	writeJSON(w, http.StatusOK, map[string]string{"prompt": string(text)})
+	writeJSON(w, http.StatusOK, engine.DetokenizeReply{Prompt: string(text)})
 }
 
 func (e *Engine) find(id string) *engineRun {
--- a/standin/run.go
+++ b/standin/run.go
@@ -66,6 +66,10 @@
 	defer ticker.Stop()
 	length, held, natural := check.Length(r.prompt)
 	chain, last := check.ChainOf(r.prompt), r.prompt[len(r.prompt)-1]
+	if natural && held > 0 && held >= length && !check.Opens(last) {
+		r.end(vaneyoke.FinishStop) // the prefix is the whole answer already
+		return
+	}
 	for n := vaneyoke.Tokens(1); r.step(ticker); n++ {
 		last = check.Next(chain, last, salt)
 		chain = chain.Append(last)
@@ -114,6 +118,14 @@
 	r.changed.Broadcast()
 }
 
+// end finishes the run without a further token.
+func (r *engineRun) end(reason vaneyoke.FinishReason) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.reason = reason
+	r.changed.Broadcast()
+}
+
 // attach counts a reader until the returned function is called.
 func (r *engineRun) attach() func() {
 	r.mu.Lock()
@@ -168,6 +180,9 @@
 		if !ok || !r.engine.alive(req) {
 			panic(http.ErrAbortHandler)
 		}
+		if len(tokens) == 0 {
+			_, _ = w.Write(r.finish(event[:0], reason))
+		}
 		for len(tokens) > 0 {
 			chunk := tokens[:min(max(r.engine.config.Chunk, 1), len(tokens))]
 			tokens = tokens[len(chunk):]
--- a/standin/service.go
+++ b/standin/service.go
@@ -18,8 +18,8 @@
 	orders map[string]int
 }
 
-// serviceCall is the body of a call.
-type serviceCall struct {
+// ServiceCall is the body of a call.
+type ServiceCall struct {
 	Order string `json:"order"`
 }
 
@@ -64,7 +64,7 @@
 
 func (s *Service) call(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(r.Body)
-	var call serviceCall
+	var call ServiceCall
 	if err != nil || json.Unmarshal(body, &call) != nil {
 		http.Error(w, "body must be a JSON object", http.StatusBadRequest)
 		return
