Let a home's stale reservation give way, so that a session taken over is not superseded by it

Cause, found by reading: a node that came back with a cursor reserved the key under a request id of its own at homes that had forgotten it. If its backup was such a home, the session it then took over was refused there as superseded, and ended although nobody else owned it.

Change: a node with a cursor only asks (epoch 0, the cursor's request); a reservation gives way to its own owner's next word, and a record to a later owner of its request.

Figures: seven cases and the push over a reservation, which failed before.

--- a/failover/open.go
+++ b/failover/open.go
@@ -32,6 +32,9 @@
 	if backup, ok := m.backup(nil); ok {
 		entry.Backup = backup.VM
 	}
+	if mark != nil {
+		entry.Request, entry.Epoch = mark.Request, 0 // only asks who owns it
+	}
 	existing, err := m.reserve(ctx, key, entry)
 	if err != nil {
 		return nil, err
--- a/journal/store.go
+++ b/journal/store.go
@@ -47,7 +47,8 @@
 // Evicted returns how many records were given up for lack of memory.
 func (s *Store) Evicted() int { return s.evicted }
 
-// Open notes the owner of a key; where another request holds the key it returns that one's entry instead.
+// Open notes the owner of a key; where another owner holds the key it returns that one's entry instead.
+// An entry of epoch 0 only asks: it gives way to any other.
 func (s *Store) Open(now time.Time, key Key, entry Entry) (Entry, bool) {
 	s.expire(now)
 	r := s.find(key)
@@ -55,16 +56,25 @@
 		s.add(now, &record{Delta: Delta{Key: key, Entry: entry}})
 		return Entry{}, false
 	}
-	if r.Entry.Request != entry.Request {
+	if !r.yields(entry) {
 		return r.Entry, true
 	}
-	if entry.newer(r.Entry) || (entry.Owner == r.Entry.Owner && entry.Epoch == r.Entry.Epoch) {
-		r.Entry = entry
-		s.touch(now, key)
-	}
+	r.Entry = entry
+	s.touch(now, key)
 	return Entry{}, false
 }
 
+// yields reports whether the record gives way to an entry: to its own owner's next word, and to a later owner of its request.
+func (r *record) yields(entry Entry) bool {
+	if !r.pushed && r.Entry.Owner == entry.Owner {
+		return true
+	}
+	if r.Entry.Request != entry.Request {
+		return false
+	}
+	return entry.newer(r.Entry) || (entry.Owner == r.Entry.Owner && entry.Epoch == r.Entry.Epoch)
+}
+
 // Push adds a delta to the session's record.
 func (s *Store) Push(now time.Time, d Delta) PushState {
 	s.expire(now)
@@ -75,10 +85,10 @@
 	if r == nil {
 		return s.pushNew(now, d)
 	}
-	if r.Entry.Request != d.Entry.Request || r.Entry.newer(d.Entry) {
+	if !r.yields(d.Entry) {
 		return PushSuperseded
 	}
-	if d.From == 0 && d.TextFrom == 0 && d.Entry.newer(r.Entry) {
+	if d.From == 0 && d.TextFrom == 0 && (d.Entry.newer(r.Entry) || d.Entry.Request != r.Entry.Request) {
 		s.remove(d.Key)
 		return s.pushNew(now, d)
 	}
--- a/journal/store_test.go
+++ b/journal/store_test.go
@@ -104,6 +104,38 @@
 	must.False(t, found)
 }
 
+func TestReservationsGiveWay(t *testing.T) {
+	cases := map[string]struct {
+		first, next journal.Entry
+		found       bool
+	}{
+		"the same owner's next request":    {journal.Entry{Request: "x", Owner: nodeB, Epoch: 1}, entry(nodeB, 2), false},
+		"a question, then the owner":       {journal.Entry{Request: "r", Owner: nodeB, Epoch: 0}, entry(nodeA, 1), false},
+		"a question about a known request": {entry(nodeA, 1), journal.Entry{Request: "r", Owner: nodeB, Epoch: 0}, true},
+		"a later owner":                    {entry(nodeA, 1), entry(nodeB, 2), false},
+		"an older owner":                   {entry(nodeB, 2), entry(nodeA, 1), true},
+		"another owner's request":          {journal.Entry{Request: "x", Owner: nodeA, Epoch: 1}, entry(nodeB, 2), true},
+		"the owner moves its journal":      {entry(nodeA, 1), journal.Entry{Request: "r", Owner: nodeA, Epoch: 1, Backup: "c"}, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := journal.New(journal.Config{Bytes: 1 << 20, Retention: time.Minute})
+			s.Open(now, key, tc.first)
+			_, found := s.Open(now, key, tc.next)
+			must.EqOp(t, tc.found, found)
+			kept, _ := s.Entry(now, key)
+			must.EqOp(t, !found, kept == tc.next)
+		})
+	}
+	t.Run("a session taken over by another way is pushed over it", func(t *testing.T) {
+		s := journal.New(journal.Config{Bytes: 1 << 20, Retention: time.Minute})
+		s.Open(now, key, journal.Entry{Request: "x", Owner: nodeB, Epoch: 1})
+		must.EqOp(t, journal.PushKept, s.Push(now, whole(nodeB, 2, "ab")))
+		d, _ := s.Get(now, key)
+		must.EqOp(t, "r", string(d.Entry.Request))
+	})
+}
+
 func TestMemoryIsBounded(t *testing.T) {
 	const bytes = 100_000
 	s := journal.New(journal.Config{Bytes: bytes, Retention: time.Hour})
