--- a/fleet/bench_test.go
+++ b/fleet/bench_test.go
@@ -184,3 +184,37 @@
 	b.ReportMetric(float64(latency.ValueAtQuantile(50)), "us-p50")
 	b.ReportMetric(float64(latency.ValueAtQuantile(99)), "us-p99")
 }
+
+// BenchmarkInForce takes the time from a change's submission until it is accepted, and until all nodes have it.
+func BenchmarkInForce(b *testing.B) {
+	for _, nodes := range []int{6, 25, 50} {
+		b.Run(fmt.Sprint(nodes), func(b *testing.B) {
+			f, err := fleet.Start(b.Context(), fleet.Config{
+				Nodes: nodes, Engines: 1, Members: true, Engine: standin.DefaultEngineConfig(), Recovery: vaneyoke.RecoverFast,
+				Log: io.Discard, LogLevel: "error", Trace: "off",
+			})
+			must.NoError(b, err)
+			defer f.Close()
+			accepted := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+			everywhere := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+			n := 0
+			for b.Loop() {
+				n++
+				begun := time.Now()
+				code, body := operate(b, f, n%nodes, submit(fmt.Sprintf("p%d", n), "1s"))
+				must.EqOp(b, "ok", code, must.Sprint(string(body)))
+				_ = accepted.RecordValue(time.Since(begun).Microseconds())
+				newest := f.Nodes[n%nodes].Revision()
+				for _, node := range f.Nodes {
+					for node.Revision() < newest {
+						time.Sleep(100 * time.Microsecond)
+					}
+				}
+				_ = everywhere.RecordValue(time.Since(begun).Microseconds())
+			}
+			b.ReportMetric(float64(accepted.ValueAtQuantile(50))/1000, "ms-accepted-p50")
+			b.ReportMetric(float64(accepted.ValueAtQuantile(99))/1000, "ms-accepted-p99")
+			b.ReportMetric(float64(everywhere.ValueAtQuantile(99))/1000, "ms-everywhere-p99")
+		})
+	}
+}
--- a/fleet/operator_test.go
+++ b/fleet/operator_test.go
@@ -27,7 +27,7 @@
 }
 
 // operate makes a call at a node and returns the name of its result code and the body of its answer.
-func operate(t *testing.T, f *fleet.Fleet, node int, o ordered) (code string, body []byte) {
+func operate(t testing.TB, f *fleet.Fleet, node int, o ordered) (code string, body []byte) {
 	t.Helper()
 	raw, err := json.Marshal(o.body)
 	must.NoError(t, err)
