Write what stood twice once: mutants, exit statuses and reading a stream

Cause: duplicates showed the loop that looks for a mutant in three tests, the exit status in both commands, and the loop over a stream in three places.

Change: internal/mutant.Caught, vaneyoke.ExitStatus, client.Stream.All as an iterator. No behaviour changes.

--- a/claim/property_test.go
+++ b/claim/property_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/claim"
+	"github.com/vaneyoke/vaneyoke/internal/mutant"
 	"github.com/vaneyoke/vaneyoke/platform"
 )
 
@@ -247,16 +248,11 @@
 			return ef
 		}},
 	}
-	for name, mutant := range mutants {
+	for name, rule := range mutants {
 		t.Run(name, func(t *testing.T) {
-			story := rapid.Custom(func(t *rapid.T) bool {
-				return (&world{t: t, now: time.Unix(1, 0), mutant: mutant}).run() != nil
-			})
-			caught := false
-			for seed := 0; seed < stories && !caught; seed++ {
-				caught = story.Example(seed)
-			}
-			must.True(t, caught)
+			must.True(t, mutant.Caught(stories, func(t *rapid.T) bool {
+				return (&world{t: t, now: time.Unix(1, 0), mutant: rule}).run() != nil
+			}))
 		})
 	}
 }
--- a/client/stream.go
+++ b/client/stream.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"io"
+	"iter"
 	"net/http"
 
 	"github.com/vaneyoke/vaneyoke"
@@ -83,6 +85,18 @@
 	return Piece{}, io.ErrUnexpectedEOF
 }
 
+// All returns the pieces up to the end of the answer; an error is the last thing that it gives.
+func (s *Stream) All() iter.Seq2[Piece, error] {
+	return func(yield func(Piece, error) bool) {
+		for {
+			piece, err := s.Next()
+			if errors.Is(err, io.EOF) || !yield(piece, err) || err != nil {
+				return
+			}
+		}
+	}
+}
+
 func (s *Stream) piece(data []byte) (Piece, error) {
 	var e event
 	if err := json.Unmarshal(data, &e); err != nil {
--- a/cmd/vaneyoke/demo.go
+++ b/cmd/vaneyoke/demo.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -89,16 +88,13 @@
 		return err
 	}
 	defer func() { _ = stream.Close() }()
-	for {
-		piece, err := stream.Next()
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
+	for piece, err := range stream.All() {
 		if err != nil {
 			return vaneyoke.WrapErr(vaneyoke.CodeCheckViolation, err, "the stream broke off")
 		}
 		d.take(piece)
 	}
+	return nil
 }
 
 // take shows a piece of the answer, and kills the engine in the middle.
--- a/cmd/vaneyoke/generate.go
+++ b/cmd/vaneyoke/generate.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 
@@ -46,12 +45,7 @@
 		return codedFailure(err)
 	}
 	defer func() { _ = stream.Close() }()
-	for {
-		piece, err := stream.Next()
-		if errors.Is(err, io.EOF) {
-			_, err = fmt.Fprintln(cmd.Root().Writer)
-			return err
-		}
+	for piece, err := range stream.All() {
 		if err != nil {
 			return codedFailure(err)
 		}
@@ -59,6 +53,8 @@
 			return err
 		}
 	}
+	_, err = fmt.Fprintln(cmd.Root().Writer)
+	return err
 }
 
 // codedFailure gives an error the result code that the node told.
--- a/cmd/vaneyoke/main_test.go
+++ b/cmd/vaneyoke/main_test.go
@@ -55,7 +55,7 @@
 		t.Run(name, func(t *testing.T) {
 			_, err := run(t, args...)
 			must.Error(t, err)
-			must.EqOp(t, int(vaneyoke.CodeUsage), exitStatus(err))
+			must.EqOp(t, int(vaneyoke.CodeUsage), vaneyoke.ExitStatus(err))
 		})
 	}
 }
--- a/cmd/vaneyoked/main.go
+++ b/cmd/vaneyoked/main.go
@@ -23,19 +23,10 @@
 	stop()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "vaneyoked:", err)
-		os.Exit(exitStatus(err))
+		os.Exit(vaneyoke.ExitStatus(err))
 	}
 }
 
-// exitStatus returns the result code of err; an error of the command line has none of its own.
-func exitStatus(err error) int {
-	code := vaneyoke.CodeOf(err)
-	if code == vaneyoke.CodeInternal {
-		code = vaneyoke.CodeUsage
-	}
-	return int(code)
-}
-
 func command() *cli.Command {
 	return &cli.Command{
 		Name:                  "vaneyoked",
--- a/cmd/vaneyoked/main_test.go
+++ b/cmd/vaneyoked/main_test.go
@@ -53,7 +53,7 @@
 			err := cmd.Run(t.Context(), append([]string{"vaneyoked", "--config", path}, tc.args...))
 			if err != nil {
 				out.WriteString(err.Error())
-				must.EqOp(t, int(tc.code), exitStatus(err))
+				must.EqOp(t, int(tc.code), vaneyoke.ExitStatus(err))
 			}
 			must.EqOp(t, tc.code, vaneyoke.CodeOf(err))
 			must.StrContains(t, out.String(), tc.want)
@@ -66,5 +66,5 @@
 	cmd.Writer, cmd.ErrWriter = &bytes.Buffer{}, &bytes.Buffer{}
 	err := cmd.Run(t.Context(), []string{"vaneyoked"})
 	must.Error(t, err)
-	must.EqOp(t, int(vaneyoke.CodeUsage), exitStatus(err))
+	must.EqOp(t, int(vaneyoke.CodeUsage), vaneyoke.ExitStatus(err))
 }
--- a/errors.go
+++ b/errors.go
@@ -64,3 +64,12 @@
 	field, _ := e.Context()[locationField].(string)
 	return field
 }
+
+// ExitStatus returns the exit status of a command that ended with err; an error without a result code is one of the command line.
+func ExitStatus(err error) int {
+	code := CodeOf(err)
+	if code == CodeInternal {
+		code = CodeUsage
+	}
+	return int(code)
+}
--- a/freshness/property_test.go
+++ b/freshness/property_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/freshness"
+	"github.com/vaneyoke/vaneyoke/internal/mutant"
 )
 
 const (
@@ -198,14 +199,9 @@
 		"a newer answer counts":             {stale: true},
 		"a read of a newer revision counts": {staleRead: true},
 	}
-	for name, mutant := range mutants {
+	for name, rule := range mutants {
 		t.Run(name, func(t *testing.T) {
-			story := rapid.Custom(func(t *rapid.T) bool { return newWorld(t, mutant).run() != nil })
-			caught := false
-			for seed := 0; seed < stories && !caught; seed++ {
-				caught = story.Example(seed)
-			}
-			must.True(t, caught)
+			must.True(t, mutant.Caught(stories, func(t *rapid.T) bool { return newWorld(t, rule).run() != nil }))
 		})
 	}
 }
--- a/generation/property_test.go
+++ b/generation/property_test.go
@@ -7,6 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/vaneyoke/vaneyoke/generation"
+	"github.com/vaneyoke/vaneyoke/internal/mutant"
 )
 
 func TestPromisesHoldInAnyOrderOfEvents(t *testing.T) {
@@ -30,14 +31,9 @@
 		"losses are told as unsent": {event: unsentLoss},
 		"held back text is let out": {event: letOut},
 	}
-	for name, mutant := range mutants {
+	for name, rule := range mutants {
 		t.Run(name, func(t *testing.T) {
-			story := rapid.Custom(func(t *rapid.T) bool { return newWorld(t, mutant).run() != nil })
-			caught := false
-			for seed := 0; seed < stories && !caught; seed++ {
-				caught = story.Example(seed)
-			}
-			must.True(t, caught)
+			must.True(t, mutant.Caught(stories, func(t *rapid.T) bool { return newWorld(t, rule).run() != nil }))
 		})
 	}
 }
--- a/load/caller.go
+++ b/load/caller.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -118,16 +117,13 @@
 		return err
 	}
 	defer func() { _ = stream.Close() }()
-	for {
-		piece, err := stream.Next()
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
+	for piece, err := range stream.All() {
 		if err != nil {
 			return err
 		}
 		c.take(time.Now(), piece)
 	}
+	return nil
 }
 
 func (c *caller) take(now time.Time, piece client.Piece) {
