Let a claimed call go on when its caller leaves

Cause: a caller that lost its connection in the middle of a claimed call ended the call too; the claim then stood without an answer, and every repeat was told may_have_run for ever, although the service had carried it out.

Change: a claimed call is made apart from its caller's connection, counted as open for a planned stop, and its answer kept; a repeat is told may_have_run while it runs and then gets the answer. Test with a slow service and a caller that leaves; it times out without the change.

Calls without a key still end with their caller.

--- a/callerapi/service.go
+++ b/callerapi/service.go
@@ -55,12 +55,33 @@
 		answer, err := a.runCall(ctx, &req, in)
 		return respondWith(answer, &req), err
 	}
-	answer, err := a.claims.Once(ctx, claims.Request{
-		Workspace: workspace.ID, Key: in.Key, ID: req.ID, BodyDigest: callDigest(in),
-	}, func(ctx context.Context) claims.Outcome { return outcomeOf(a.runCall(ctx, &req, in)) })
+	answer, err := a.detached(ctx, func(ctx context.Context) (claim.Answer, error) {
+		return a.claims.Once(ctx, claims.Request{
+			Workspace: workspace.ID, Key: in.Key, ID: req.ID, BodyDigest: callDigest(in),
+		}, func(ctx context.Context) claims.Outcome { return outcomeOf(a.runCall(ctx, &req, in)) })
+	})
 	return respondWith(answer, &req), err
 }
 
+// detached makes a claimed call that goes on when its caller leaves, so that the answer is there when the caller asks again.
+func (a *API) detached(ctx context.Context, call func(context.Context) (claim.Answer, error)) (claim.Answer, error) {
+	var answer claim.Answer
+	var err error
+	done := make(chan struct{})
+	a.open.Add(1)
+	go func() {
+		defer a.open.Add(-1)
+		defer close(done)
+		answer, err = call(context.WithoutCancel(ctx))
+	}()
+	select {
+	case <-done:
+		return answer, err
+	case <-ctx.Done():
+		return claim.Answer{}, vaneyoke.WrapErr(vaneyoke.CodeCallerGone, ctx.Err(), "caller is gone")
+	}
+}
+
 // callDigest tells one call from another, so that a key is not used for two.
 func callDigest(in *serviceInput) string {
 	h := sha256.New()
--- a/fleet/once_test.go
+++ b/fleet/once_test.go
@@ -1,6 +1,7 @@
 package fleet_test
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
 	"net/http"
@@ -117,3 +118,27 @@
 	must.EqOp(t, http.StatusOK, res.StatusCode)
 	_ = res.Body.Close()
 }
+
+// TestLateAnswerIsThereForACallerThatComesBack has the caller leave while its call runs.
+func TestLateAnswerIsThereForACallerThatComesBack(t *testing.T) {
+	f := start(t, func(c *fleet.Config) {
+		c.Adjust = func(s *settings.Settings) { s.Limits.CallSilence = time.Hour; s.Platform.Fresh = time.Hour }
+	})
+	f.Services[0].SetDelay(300 * time.Millisecond)
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		for len(f.Services[0].Orders()) == 0 && t.Context().Err() == nil {
+			time.Sleep(time.Millisecond)
+		}
+		leave()
+	}()
+	c := client.New(http.DefaultClient, f.Nodes[0].URL(), fleet.CallerKey)
+	_, err := c.Call(ctx, fleet.Service, "reserve", []byte(`{"order":"a"}`), http.Header{"Idempotency-Key": {"k"}})
+	must.ErrorIs(t, err, context.Canceled)
+	for got := ""; got != "ok"; got = told(t, f, 1, "k", "a") {
+		must.SliceContains(t, []string{"", "may_have_run"}, got)
+		must.NoError(t, t.Context().Err())
+		time.Sleep(10 * time.Millisecond)
+	}
+	must.MapEq(t, map[string]int{"a": 1}, f.Services[0].Orders())
+}
