--- a/failover/session.go
+++ b/failover/session.go
@@ -38,6 +38,15 @@
 	prompt bool
 	result bool
 	stream journal.Stream
+	trims  int // of the session when the push was made
+}
+
+// confirmed returns what the backup holds of the session as it is now: nothing, once ids that it holds were taken back.
+func (s *session) confirmed(saved relay.Saved) acked {
+	if s.acked.trims != saved.Trims {
+		return acked{trims: saved.Trims}
+	}
+	return s.acked
 }
 
 func newSession(m *Manager, key journal.Key, entry journal.Entry, r *relay.Session) *session {
@@ -133,6 +142,7 @@
 	}
 	saved := s.relay.Save()
 	r := saved.Restored
+	s.acked = s.confirmed(saved)
 	first := !s.acked.prompt
 	if !first && len(r.IDs) == s.acked.ids && saved.Result == nil {
 		return journal.Delta{}, membership.Peer{}, false
@@ -190,11 +200,11 @@
 	defer s.mu.Unlock()
 	if s.backed {
 		saved := s.relay.Save()
-		r := saved.Restored
+		r, have := saved.Restored, s.confirmed(saved)
 		c.Stream = cursor.StreamDigest(saved.StreamName)
 		c.Backup = s.backup.VM
-		c.TailFrom, c.TailAt = vaneyoke.Tokens(s.acked.ids), s.acked.text
-		c.TailIDs, c.TailText = r.IDs[s.acked.ids:], r.Text[min(s.acked.text, len(r.Text)):]
+		c.TailFrom, c.TailAt = vaneyoke.Tokens(have.ids), have.text
+		c.TailIDs, c.TailText = r.IDs[have.ids:], r.Text[min(have.text, len(r.Text)):]
 	}
 	return s.manager.ring.Encode(c)
 }
@@ -219,9 +229,10 @@
 	if !s.backed {
 		return true
 	}
-	r := s.relay.Save().Restored
-	tail := len(r.IDs) - s.acked.ids
-	return s.acked.prompt && tail <= s.manager.config.TailIDs && len(r.Text)-s.acked.text <= maxTailText
+	saved := s.relay.Save()
+	r, have := saved.Restored, s.confirmed(saved)
+	tail := len(r.IDs) - have.ids
+	return have.prompt && tail <= s.manager.config.TailIDs && len(r.Text)-have.text <= maxTailText
 }
 
 // sealed reports whether the backup holds the whole answer, or there is no backup.
--- a/generation/state.go
+++ b/generation/state.go
@@ -258,8 +258,11 @@
 	}
 	s.remove(ev.Attempt)
 	code := vaneyoke.CodeRefused
-	if s.answer.Len() > 0 {
+	switch {
+	case s.answer.Len() > 0:
 		code = vaneyoke.CodeInterrupted
+	case s.sent > 1:
+		code = vaneyoke.CodeUpstream // this run was refused, but an earlier one may have run
 	}
 	s.fail(Fail{Code: code, Detail: ev.Detail})
 }
--- a/generation/transcript.go
+++ b/generation/transcript.go
@@ -12,6 +12,7 @@
 	IDs     []vaneyoke.TokenID
 	Text    []byte // text of all ids; it only grows, except that a stop string cuts its end off
 	Visible int    // bytes of Text that no stop string can still take back
+	Trims   int    // how often ids at the end were taken back; a copy made before is no prefix any more
 
 	unsure bool // whether the last id may stand for text that the engine still holds back
 }
@@ -47,6 +48,9 @@
 // trim takes off ids whose text was held back, and returns how many there were.
 func (t *Transcript) trim(held vaneyoke.Tokens) vaneyoke.Tokens {
 	held = max(min(held, t.Len()), 0)
+	if held > 0 {
+		t.Trims++
+	}
 	t.IDs = t.IDs[:t.Len()-held]
 	t.unsure = false
 	return held
--- a/generation/world_test.go
+++ b/generation/world_test.go
@@ -116,6 +116,12 @@
 		return w.lose(l, generation.CauseNotSent)
 	case 5:
 		return w.give(&l.last)
+	case 8:
+		if l.next == 0 && !l.told && !l.closed && rapid.Bool().Draw(w.t, "refused") {
+			l.closed = true
+			return w.refuse(l)
+		}
+		return nil
 	case 6:
 		if l.next+1 < len(l.stream.tokens) {
 			return w.deliver(l, l.next+1, 1) // a token gets lost within the link
@@ -153,6 +159,15 @@
 	return w.give(generation.Placed{Attempt: p.Attempt, Upstream: "engine"})
 }
 
+// refuse has an engine refuse a run as wrong, so that this one did not run.
+func (w *world) refuse(l *link) error {
+	if l.stream.sent {
+		l.stream.sent = false
+		w.starts--
+	}
+	return w.give(generation.Rejected{Attempt: l.attempt})
+}
+
 func (w *world) answerInspect() error {
 	inspect := w.inspects[0]
 	w.inspects = w.inspects[1:]
--- a/journal/store.go
+++ b/journal/store.go
@@ -93,6 +93,11 @@
 		return s.pushNew(now, d)
 	}
 	s.handles[d.Handle] = d.Key
+	if d.From == 0 && d.TextFrom == 0 {
+		s.used -= r.size()
+		r.IDs, r.Text = nil, nil // a whole session stands for itself, because its owner may have taken ids back
+		s.used += r.size()
+	}
 	return s.extend(now, r, d)
 }
 
--- a/journal/store_test.go
+++ b/journal/store_test.go
@@ -70,6 +70,7 @@
 		"old owner sends all":  {[]func(*journal.Store) journal.PushState{push(whole(nodeA, 1, "ab")), takeOver(nodeB), push(whole(nodeA, 1, "abc"))}, journal.PushSuperseded, "ab", "s1", nodeB},
 		"new owner goes on":    {[]func(*journal.Store) journal.PushState{push(whole(nodeA, 1, "ab")), takeOver(nodeB), push(whole(nodeB, 2, "abx"))}, journal.PushKept, "abx", "s1", nodeB},
 		"later epoch replaces": {[]func(*journal.Store) journal.PushState{push(whole(nodeA, 1, "abc")), push(whole(nodeB, 3, "ay"))}, journal.PushKept, "ay", "s1", nodeB},
+		"owner takes ids back": {[]func(*journal.Store) journal.PushState{push(whole(nodeA, 1, "abc")), push(whole(nodeA, 1, "ab")), push(part(nodeA, 2, "x"))}, journal.PushKept, "abx", "s1", nodeA},
 		"finished stays owned": {[]func(*journal.Store) journal.PushState{push(whole(nodeA, 1, "ab")), push(done), takeOver(nodeB)}, journal.PushKept, "abc", "s1", nodeA},
 	}
 	for name, tc := range cases {
--- a/relay/restore.go
+++ b/relay/restore.go
@@ -14,6 +14,7 @@
 type Saved struct {
 	Epoch      uint64 // of the owner that goes on with it
 	Restored   generation.Restored
+	Trims      int // how often ids at the end were taken back
 	StreamName string
 	StreamBase vaneyoke.Tokens
 	Upstream   vaneyoke.Upstream // of the stream; its URL is "" where it is not known any more
@@ -42,6 +43,7 @@
 	saved := Saved{
 		Epoch:    s.epoch,
 		Restored: generation.Restored{Prompt: t.Prompt, IDs: t.IDs, Text: t.Text},
+		Trims:    t.Trims,
 		Answer:   s.answer,
 	}
 	if l := s.links[s.state.Current()]; l != nil {
