Tie a key to the mark that a request may run at most once

Cause, found by reading: a request marked as not repeatable and asked for again by its key without the mark counted as the same request, and could be run anew where its first session was held by nobody.

Figures: the row of TestComingBackIsRefused fails without the change and passes with it.

--- a/failover/manager.go
+++ b/failover/manager.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"expvar"
+	"fmt"
 	"sync"
 	"time"
 
@@ -124,7 +125,7 @@
 		return nil, err
 	}
 	key := journal.Key{Workspace: ask.Request.Workspace, Key: ask.Key}
-	digest := bodyDigest(ask.Body)
+	digest := ask.digest()
 	if s := m.find(key); s != nil {
 		return s.read(digest, mark)
 	}
@@ -150,9 +151,12 @@
 	return &mark, nil
 }
 
-func bodyDigest(body []byte) string {
-	sum := sha256.Sum256(body)
-	return string(sum[:])
+// digest tells one request from another, so that a key is not used for two, nor a request that may run once for one that may run again.
+func (a Ask) digest() string {
+	h := sha256.New()
+	_, _ = fmt.Fprintf(h, "%d %t\x00", a.Request.Endpoint, a.Request.Repeatable)
+	_, _ = h.Write(a.Body)
+	return string(h.Sum(nil))
 }
 
 // handle returns a number that no other session of the node has.
--- a/fleet/failover_test.go
+++ b/fleet/failover_test.go
@@ -26,6 +26,7 @@
 	text   strings.Builder
 	cursor string
 	ids    []vaneyoke.TokenID
+	once   bool // whether the request is marked as one that may run at most once
 }
 
 func newCaller(t *testing.T, f *fleet.Fleet, key string) *caller {
@@ -35,6 +36,9 @@
 
 func (c *caller) header() http.Header {
 	header := http.Header{"Idempotency-Key": {c.key}}
+	if c.once {
+		header.Set("Vaneyoke-Repeatable", "false")
+	}
 	if c.cursor != "" {
 		header.Set("Last-Event-ID", c.cursor)
 	}
@@ -158,6 +162,7 @@
 		want   string
 	}{
 		"another body":       {func(c *caller) { c.req.MaxTokens = 7 }, "conflict"},
+		"marked otherwise":   {func(c *caller) { c.once = true; c.cursor = "" }, "conflict"},
 		"forged cursor":      {func(c *caller) { c.cursor = good[:30] + string(good[30]^1) + good[31:] }, "bad_request"},
 		"cut cursor":         {func(c *caller) { c.cursor = good[:40] }, "bad_request"},
 		"cursor without key": {func(c *caller) { c.key = "" }, "bad_request"},
