--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -9,15 +9,15 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/catalog"
-	"github.com/vaneyoke/vaneyoke/platform"
-	"github.com/vaneyoke/vaneyoke/platform/memory"
+	"github.com/vaneyoke/vaneyoke/store"
+	"github.com/vaneyoke/vaneyoke/store/memory"
 )
 
 // TestCatchingUpGivesWhatReadingAllGives makes random changes, and reads after some of them.
 func TestCatchingUpGivesWhatReadingAllGives(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		table := memory.New()
-		seen := map[string]platform.Version{}
+		seen := map[string]store.Version{}
 		held := catalog.New(catalog.Content{})
 		ctx := t.Context()
 		for i := range rapid.IntRange(1, 60).Draw(t, "changes") {
--- a/catalog/change.go
+++ b/catalog/change.go
@@ -11,7 +11,7 @@
 	"github.com/samber/lo"
 
 	"github.com/vaneyoke/vaneyoke"
-	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/store"
 )
 
 // applyTries bounds how often a change is tried again because another one took its revision.
@@ -22,7 +22,7 @@
 	Partition string
 	ID        string
 	Value     any              // nil deletes the row
-	Seen      platform.Version // 0 for a row that must not exist
+	Seen      store.Version // 0 for a row that must not exist
 }
 
 // Note says who made a change and why it is made; it goes into the audit trail.
@@ -42,12 +42,12 @@
 
 // Apply commits changes together with the next revision, and returns that revision.
 // A row that is not as its author saw it is told with CodeConflict, and a change whose outcome is not known with CodeStoreUnknown.
-func Apply(ctx context.Context, table platform.Table, changes ...Change) (vaneyoke.Revision, error) {
+func Apply(ctx context.Context, table store.Table, changes ...Change) (vaneyoke.Revision, error) {
 	return ApplyNoted(ctx, table, time.Now(), Note{}, changes...)
 }
 
 // ApplyNoted is Apply with an entry in the audit trail; a change with the same key of its author is made once.
-func ApplyNoted(ctx context.Context, table platform.Table, now time.Time, note Note, changes ...Change) (vaneyoke.Revision, error) {
+func ApplyNoted(ctx context.Context, table store.Table, now time.Time, note Note, changes ...Change) (vaneyoke.Revision, error) {
 	for range applyTries {
 		revision, err := applyOnce(ctx, table, now, note, changes)
 		if vaneyoke.CodeOf(err) != vaneyoke.CodeStoreRace {
@@ -63,15 +63,15 @@
 	return 0, vaneyoke.Err(vaneyoke.CodeStoreRace, "too many changes at once")
 }
 
-func applyOnce(ctx context.Context, table platform.Table, now time.Time, note Note, changes []Change) (vaneyoke.Revision, error) {
+func applyOnce(ctx context.Context, table store.Table, now time.Time, note Note, changes []Change) (vaneyoke.Revision, error) {
 	revision, err := ReadRevision(ctx, table)
 	if err != nil {
 		return 0, err
 	}
 	next := revision + 1
-	tx := platform.Tx{Nonce: platform.Nonce(uuid.NewString())}
-	cond := platform.Condition{Version: platform.Version(revision)}
-	tx.Writes = append(tx.Writes, platform.Put{Key: RevisionKey, Value: []byte("{}"), If: cond})
+	tx := store.Tx{Nonce: store.Nonce(uuid.NewString())}
+	cond := store.Condition{Version: store.Version(revision)}
+	tx.Writes = append(tx.Writes, store.Put{Key: RevisionKey, Value: []byte("{}"), If: cond})
 	for _, c := range slices.Concat(changes, note.changes(now, next), []Change{trace(changes, next)}) {
 		write, err := c.write()
 		if err != nil {
@@ -79,16 +79,16 @@
 		}
 		tx.Writes = append(tx.Writes, write)
 	}
-	return next, platform.CommitSettled(ctx, table, tx)
+	return next, store.CommitSettled(ctx, table, tx)
 }
 
 // touched is the row that tells which rows a revision changed, so that nodes need not read all of them.
 type touched struct {
-	Keys []platform.Key `json:"keys"`
+	Keys []store.Key `json:"keys"`
 }
 
 func trace(changes []Change, revision vaneyoke.Revision) Change {
-	keys := lo.Map(changes, func(c Change, _ int) platform.Key { return platform.Key{Partition: c.Partition, ID: c.ID} })
+	keys := lo.Map(changes, func(c Change, _ int) store.Key { return store.Key{Partition: c.Partition, ID: c.ID} })
 	return Change{Partition: PartitionChanges, ID: auditID(revision), Value: touched{Keys: keys}}
 }
 
@@ -111,11 +111,11 @@
 func (n Note) onceID() string { return n.Actor + "/" + n.Once }
 
 // made returns the revision of a change that was made before under the same key.
-func made(ctx context.Context, table platform.Table, note Note) (vaneyoke.Revision, bool, error) {
+func made(ctx context.Context, table store.Table, note Note) (vaneyoke.Revision, bool, error) {
 	if note.Once == "" {
 		return 0, false, nil
 	}
-	row, err := table.Get(ctx, platform.Key{Partition: PartitionOnce, ID: note.onceID()})
+	row, err := table.Get(ctx, store.Key{Partition: PartitionOnce, ID: note.onceID()})
 	if vaneyoke.CodeOf(err) == vaneyoke.CodeNotFound {
 		return 0, false, nil
 	}
@@ -133,9 +133,9 @@
 }
 
 // unchanged returns an error where a row is not as its author saw it.
-func unchanged(ctx context.Context, table platform.Table, changes []Change) error {
+func unchanged(ctx context.Context, table store.Table, changes []Change) error {
 	for _, c := range changes {
-		row, err := table.Get(ctx, platform.Key{Partition: c.Partition, ID: c.ID})
+		row, err := table.Get(ctx, store.Key{Partition: c.Partition, ID: c.ID})
 		if err != nil && vaneyoke.CodeOf(err) != vaneyoke.CodeNotFound {
 			return err
 		}
@@ -147,7 +147,7 @@
 }
 
 // winner names who changed a row that tells so.
-func winner(row platform.Row) string {
+func winner(row store.Row) string {
 	var author struct {
 		By string `json:"by"`
 	}
@@ -157,15 +157,15 @@
 	return "; it was changed by " + author.By
 }
 
-func (c Change) write() (platform.Write, error) {
-	key := platform.Key{Partition: c.Partition, ID: c.ID}
-	cond := platform.Condition{Version: c.Seen}
+func (c Change) write() (store.Write, error) {
+	key := store.Key{Partition: c.Partition, ID: c.ID}
+	cond := store.Condition{Version: c.Seen}
 	if c.Value == nil {
-		return platform.Delete{Key: key, If: cond}, nil
+		return store.Delete{Key: key, If: cond}, nil
 	}
 	value, err := json.Marshal(c.Value)
 	if err != nil {
 		return nil, vaneyoke.WrapErr(vaneyoke.CodeBadRequest, err, "%s %s", c.Partition, c.ID)
 	}
-	return platform.Put{Key: key, Value: value, If: cond}, nil
+	return store.Put{Key: key, Value: value, If: cond}, nil
 }
--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -12,7 +12,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/freshness"
-	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/store"
 )
 
 const (
@@ -31,7 +31,7 @@
 // Follower keeps the newest configuration that the node has seen, and knows whether it may still rely on it.
 type Follower struct {
 	self   Node
-	table  platform.Table
+	table  store.Table
 	peers  Peers
 	period time.Duration
 	log    logrus.FieldLogger
@@ -45,7 +45,7 @@
 
 // NewFollower returns a follower that reads the revision once in a period and calls apply with each newer configuration.
 // A confirmation by the store or by a majority of the nodes counts for the time that lasts says.
-func NewFollower(self Node, table platform.Table, peers Peers, period, lasts time.Duration, log logrus.FieldLogger, apply func(*Snapshot)) *Follower {
+func NewFollower(self Node, table store.Table, peers Peers, period, lasts time.Duration, log logrus.FieldLogger, apply func(*Snapshot)) *Follower {
 	return &Follower{
 		self: self, table: table, peers: peers, period: period, log: log, apply: apply,
 		nudge:   make(chan struct{}, 1),
--- a/catalog/member.go
+++ b/catalog/member.go
@@ -9,7 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/vaneyoke/vaneyoke"
-	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/store"
 )
 
 // GoneAfter is how long a member has to be missing from the list of VMs before it is taken for gone for good.
@@ -31,7 +31,7 @@
 }
 
 // Tend adds the own node where it is missing, and takes off members that are gone; listed is the platform's list.
-func (m *Members) Tend(ctx context.Context, now time.Time, listed []platform.VM) {
+func (m *Members) Tend(ctx context.Context, now time.Time, listed []store.VM) {
 	f := m.follower
 	current := f.Current()
 	if current.Revision == 0 {
@@ -47,8 +47,8 @@
 }
 
 // gone returns the members that have not been listed for a long time.
-func (m *Members) gone(now time.Time, members []vaneyoke.VMID, listed []platform.VM) []vaneyoke.VMID {
-	present := lo.Map(listed, func(vm platform.VM, _ int) vaneyoke.VMID { return vm.ID })
+func (m *Members) gone(now time.Time, members []vaneyoke.VMID, listed []store.VM) []vaneyoke.VMID {
+	present := lo.Map(listed, func(vm store.VM, _ int) vaneyoke.VMID { return vm.ID })
 	var gone []vaneyoke.VMID
 	for _, vm := range members {
 		since, missing := m.absent[vm]
@@ -92,7 +92,7 @@
 
 // Remove takes a member off the list.
 func (f *Follower) Remove(ctx context.Context, vm vaneyoke.VMID) error {
-	row, err := f.table.Get(ctx, platform.Key{Partition: PartitionNodes, ID: string(vm)})
+	row, err := f.table.Get(ctx, store.Key{Partition: PartitionNodes, ID: string(vm)})
 	if err != nil {
 		return err
 	}
--- a/catalog/read.go
+++ b/catalog/read.go
@@ -8,11 +8,11 @@
 	"github.com/samber/lo"
 
 	"github.com/vaneyoke/vaneyoke"
-	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/store"
 )
 
 // ReadRevision returns the newest accepted revision, 0 before the first change.
-func ReadRevision(ctx context.Context, table platform.Table) (vaneyoke.Revision, error) {
+func ReadRevision(ctx context.Context, table store.Table) (vaneyoke.Revision, error) {
 	row, err := table.Get(ctx, RevisionKey)
 	if vaneyoke.CodeOf(err) == vaneyoke.CodeNotFound {
 		return 0, nil
@@ -25,7 +25,7 @@
 
 // Read returns the configuration as of one revision, for a node that has old in force.
 // A change in the middle of the reading is told as a race.
-func Read(ctx context.Context, table platform.Table, old *Snapshot) (*Snapshot, error) {
+func Read(ctx context.Context, table store.Table, old *Snapshot) (*Snapshot, error) {
 	before, err := ReadRevision(ctx, table)
 	if err != nil {
 		return nil, err
@@ -46,7 +46,7 @@
 }
 
 // readFrom reads what changed since old, or all where that would be much or is not known.
-func readFrom(ctx context.Context, table platform.Table, old *Snapshot, revision vaneyoke.Revision) (Content, error) {
+func readFrom(ctx context.Context, table store.Table, old *Snapshot, revision vaneyoke.Revision) (Content, error) {
 	behind := revision - old.Revision
 	if old.Revision == 0 || behind > maxBehind {
 		return readContent(ctx, table)
@@ -66,8 +66,8 @@
 }
 
 // patch reads the touched rows and puts them into a copy of the old content.
-func patch(ctx context.Context, table platform.Table, content Content, traces []touched) (Content, error) {
-	keys := lo.Uniq(lo.FlatMap(traces, func(t touched, _ int) []platform.Key { return t.Keys }))
+func patch(ctx context.Context, table store.Table, content Content, traces []touched) (Content, error) {
+	keys := lo.Uniq(lo.FlatMap(traces, func(t touched, _ int) []store.Key { return t.Keys }))
 	for _, key := range keys {
 		row, err := table.Get(ctx, key)
 		if err != nil && vaneyoke.CodeOf(err) != vaneyoke.CodeNotFound {
@@ -81,7 +81,7 @@
 }
 
 // put replaces, adds or removes one row; lists are copied, because older snapshots hold them too.
-func (c *Content) put(key platform.Key, row platform.Row) error {
+func (c *Content) put(key store.Key, row store.Row) error {
 	var err error
 	switch key.Partition {
 	case PartitionUpstreams:
@@ -97,7 +97,7 @@
 }
 
 // replace returns a copy of a list that is sorted by id, with one member as its row says; a row without a value removes it.
-func replace[T any](list []T, id string, row platform.Row, idOf func(T) string) ([]T, error) {
+func replace[T any](list []T, id string, row store.Row, idOf func(T) string) ([]T, error) {
 	at, found := slices.BinarySearchFunc(list, id, func(v T, id string) int { return strings.Compare(idOf(v), id) })
 	rest := list[at:]
 	if found {
@@ -106,14 +106,14 @@
 	if row.Value == nil {
 		return slices.Concat(list[:at], rest), nil
 	}
-	values, err := Decode[T]([]platform.Row{row})
+	values, err := Decode[T]([]store.Row{row})
 	if err != nil {
 		return nil, err
 	}
 	return slices.Concat(list[:at], values, rest), nil
 }
 
-func readContent(ctx context.Context, table platform.Table) (Content, error) {
+func readContent(ctx context.Context, table store.Table) (Content, error) {
 	var c Content
 	var err error
 	if c.Upstreams, err = readAll[vaneyoke.Upstream](ctx, table, PartitionUpstreams); err != nil {
@@ -129,8 +129,8 @@
 	return c, err
 }
 
-func readAll[T any](ctx context.Context, table platform.Table, partition string) ([]T, error) {
-	rows, err := platform.ScanAll(ctx, table, partition)
+func readAll[T any](ctx context.Context, table store.Table, partition string) ([]T, error) {
+	rows, err := store.ScanAll(ctx, table, partition)
 	if err != nil {
 		return nil, err
 	}
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -9,7 +9,7 @@
 	"github.com/samber/lo"
 
 	"github.com/vaneyoke/vaneyoke"
-	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/store"
 )
 
 // Partitions of the table that hold the configuration.
@@ -25,7 +25,7 @@
 )
 
 // RevisionKey is the row that every accepted change writes.
-var RevisionKey = platform.Key{Partition: PartitionFleet, ID: "revision"}
+var RevisionKey = store.Key{Partition: PartitionFleet, ID: "revision"}
 
 // Snapshot is the configuration as of one revision.
 type Snapshot struct {
@@ -105,7 +105,7 @@
 }
 
 // Decode reads the rows of one partition.
-func Decode[T any](rows []platform.Row) ([]T, error) {
+func Decode[T any](rows []store.Row) ([]T, error) {
 	values := make([]T, 0, len(rows))
 	for _, row := range rows {
 		var v T
--- a/claim/event.go
+++ b/claim/event.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
-	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/store"
 )
 
 // Event is something that happened to a claim.
@@ -45,7 +45,7 @@
 // Write stores a record where the row has the given version.
 type Write struct {
 	Record Record
-	If     platform.Condition
+	If     store.Condition
 }
 
 // Run sends the request to an upstream, once.
--- a/claim/record.go
+++ b/claim/record.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
-	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/store"
 )
 
 // Stage is how far a claimed request has come.
@@ -38,5 +38,5 @@
 // Versioned is a record with the version of its row.
 type Versioned struct {
 	Record
-	Version platform.Version
+	Version store.Version
 }
--- a/claim/state.go
+++ b/claim/state.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
-	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/store"
 )
 
 // retryAfter is when a caller should ask again for a request that may still be running.
@@ -26,7 +26,7 @@
 type State struct {
 	own     Record
 	phase   phase
-	version platform.Version // of the row once the claim stands
+	version store.Version // of the row once the claim stands
 	failure vaneyoke.Code    // why the request was not run
 	effects []Effect
 }
@@ -67,7 +67,7 @@
 	}
 	s.phase = phaseClaiming
 	s.own.ClaimedAt = now
-	s.do(Write{Record: s.own, If: platform.IfAbsent()})
+	s.do(Write{Record: s.own, If: store.IfAbsent()})
 	s.version = 1
 }
 
@@ -145,7 +145,7 @@
 	done := s.own
 	done.Stage = StageDone
 	done.Answer = &answer
-	s.do(Write{Record: done, If: platform.IfVersion(s.version)})
+	s.do(Write{Record: done, If: store.IfVersion(s.version)})
 }
 
 // notRun revokes the claim for good: who is told "not run" can rely on it, and asks with a new key to have it run.
@@ -158,7 +158,7 @@
 	revoked := s.own
 	revoked.Stage = StageRevoked
 	revoked.NotRun = code
-	s.do(Write{Record: revoked, If: platform.IfVersion(s.version)})
+	s.do(Write{Record: revoked, If: store.IfVersion(s.version)})
 }
 
 func (s *State) lost() {
--- a/claims/batcher.go
+++ b/claims/batcher.go
@@ -8,7 +8,7 @@
 	"github.com/google/uuid"
 
 	"github.com/vaneyoke/vaneyoke"
-	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/store"
 )
 
 const (
@@ -18,7 +18,7 @@
 
 // Batcher gathers writes for a moment and sends them as one transaction.
 type Batcher struct {
-	table  platform.Table
+	table  store.Table
 	window time.Duration
 	queue  chan pending
 	writes *expvar.Int
@@ -27,12 +27,12 @@
 
 // pending is a write that waits for its outcome.
 type pending struct {
-	put  platform.Put
+	put  store.Put
 	done chan error
 }
 
 // NewBatcher returns a batcher that gathers writes for the given time; Run has to be called for it to send them.
-func NewBatcher(table platform.Table, window time.Duration, vars *expvar.Map) *Batcher {
+func NewBatcher(table store.Table, window time.Duration, vars *expvar.Map) *Batcher {
 	b := &Batcher{table: table, window: window, queue: make(chan pending, queueLength), writes: new(expvar.Int), calls: new(expvar.Int)}
 	vars.Set("claim_writes_total", b.writes)
 	vars.Set("claim_transactions_total", b.calls)
@@ -40,7 +40,7 @@
 }
 
 // Write stores a row; an error tells a race from an outage and from an outcome that is not known.
-func (b *Batcher) Write(ctx context.Context, put platform.Put) error {
+func (b *Batcher) Write(ctx context.Context, put store.Put) error {
 	p := pending{put: put, done: make(chan error, 1)}
 	select {
 	case b.queue <- p:
@@ -71,7 +71,7 @@
 // gather takes what comes within the window; rows stand once in a transaction.
 func (b *Batcher) gather(ctx context.Context, first pending) []pending {
 	batch := []pending{first}
-	keys := map[platform.Key]bool{first.put.Key: true}
+	keys := map[store.Key]bool{first.put.Key: true}
 	timer := time.NewTimer(b.window)
 	defer timer.Stop()
 	for len(batch) < batchWrites {
@@ -107,11 +107,11 @@
 }
 
 func (b *Batcher) commit(ctx context.Context, batch []pending) error {
-	tx := platform.Tx{Nonce: platform.Nonce(uuid.NewString())}
+	tx := store.Tx{Nonce: store.Nonce(uuid.NewString())}
 	for _, p := range batch {
 		tx.Writes = append(tx.Writes, p.put)
 	}
 	b.calls.Add(1)
 	b.writes.Add(int64(len(batch)))
-	return platform.CommitSettled(ctx, b.table, tx)
+	return store.CommitSettled(ctx, b.table, tx)
 }
--- a/claims/claims.go
+++ b/claims/claims.go
@@ -9,7 +9,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/claim"
-	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/store"
 )
 
 // Partition is the table's partition of all claims.
@@ -26,7 +26,7 @@
 type Claims struct {
 	self   vaneyoke.NodeID
 	config Config
-	table  platform.Table
+	table  store.Table
 	batch  *Batcher
 	log    logrus.FieldLogger
 	settle chan settling
@@ -34,14 +34,14 @@
 
 // settling is a claim that has to be revoked if it stands.
 type settling struct {
-	key    platform.Key
+	key    store.Key
 	record claim.Record
 }
 
 const settleQueue = 4096
 
 // New returns claims of the given node; Run has to be called for them to be carried out.
-func New(self vaneyoke.NodeID, config Config, table platform.Table, batch *Batcher, log logrus.FieldLogger) *Claims {
+func New(self vaneyoke.NodeID, config Config, table store.Table, batch *Batcher, log logrus.FieldLogger) *Claims {
 	return &Claims{self: self, config: config, table: table, batch: batch, log: log, settle: make(chan settling, settleQueue)}
 }
 
@@ -79,7 +79,7 @@
 func (c *Claims) newWorker(req Request, run func(context.Context) Outcome) *worker {
 	return &worker{
 		claims: c,
-		key:    platform.Key{Partition: Partition, ID: string(req.Workspace) + "/" + req.Key},
+		key:    store.Key{Partition: Partition, ID: string(req.Workspace) + "/" + req.Key},
 		state:  claim.New(claim.Record{Owner: c.self, Request: req.ID, BodyDigest: req.BodyDigest}),
 		run:    run,
 	}
@@ -127,22 +127,22 @@
 	}
 	s.record.Stage = claim.StageRevoked
 	s.record.NotRun = vaneyoke.CodeStoreDown
-	err = c.put(ctx, s.key, s.record, platform.IfVersion(existing.Version))
+	err = c.put(ctx, s.key, s.record, store.IfVersion(existing.Version))
 	if vaneyoke.CodeOf(err) == vaneyoke.CodeStoreRace {
 		return vaneyoke.Err(vaneyoke.CodeStoreDown, "the row changed meanwhile")
 	}
 	return err
 }
 
-func (c *Claims) put(ctx context.Context, key platform.Key, record claim.Record, cond platform.Condition) error {
+func (c *Claims) put(ctx context.Context, key store.Key, record claim.Record, cond store.Condition) error {
 	value, err := json.Marshal(record)
 	if err != nil {
 		return vaneyoke.WrapErr(vaneyoke.CodeInternal, err, "claim %s", key.ID)
 	}
-	return c.batch.Write(ctx, platform.Put{Key: key, Value: value, If: cond})
+	return c.batch.Write(ctx, store.Put{Key: key, Value: value, If: cond})
 }
 
-func (c *Claims) read(ctx context.Context, key platform.Key) (claim.Versioned, error) {
+func (c *Claims) read(ctx context.Context, key store.Key) (claim.Versioned, error) {
 	row, err := c.table.Get(ctx, key)
 	if err != nil {
 		return claim.Versioned{}, err
--- a/claims/worker.go
+++ b/claims/worker.go
@@ -6,13 +6,13 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/claim"
-	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/store"
 )
 
 // worker carries out the effects of one claim.
 type worker struct {
 	claims *Claims
-	key    platform.Key
+	key    store.Key
 	state  *claim.State
 	run    func(context.Context) Outcome
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -13,7 +13,7 @@
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/catalog"
 	"github.com/vaneyoke/vaneyoke/node"
-	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/store"
 	"github.com/vaneyoke/vaneyoke/settings"
 	"github.com/vaneyoke/vaneyoke/standin"
 	"github.com/vaneyoke/vaneyoke/telemetry"
@@ -229,7 +229,7 @@
 
 // listVMs tells the platform which VMs there are, and the nodes to read its list.
 func (f *Fleet) listVMs(ctx context.Context) {
-	var vms []platform.VM
+	var vms []store.VM
 	for _, n := range f.Nodes {
 		vms = append(vms, n.VM())
 	}
--- a/fleet/leaving_test.go
+++ b/fleet/leaving_test.go
@@ -12,7 +12,7 @@
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/catalog"
 	"github.com/vaneyoke/vaneyoke/fleet"
-	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/store"
 )
 
 // TestLeavingUpstreamGetsNoNewWork has engine 0 leave in each way while it runs an answer.
@@ -30,7 +30,7 @@
 	byList := func(t *testing.T, f *fleet.Fleet) {
 		vms, err := f.Platform.Memory.List(t.Context())
 		must.NoError(t, err)
-		f.Platform.Memory.SetVMs(append(vms, platform.VM{ID: "engine-vm-0", Hall: "hall-a", Leaving: true}))
+		f.Platform.Memory.SetVMs(append(vms, store.VM{ID: "engine-vm-0", Hall: "hall-a", Leaving: true}))
 	}
 	remove := func(t *testing.T, f *fleet.Fleet) {
 		code, _ := operate(t, f, 1, ordered{method: http.MethodDelete, path: "/v1/upstreams/engine-0", key: fleet.AdminKey})
@@ -78,7 +78,7 @@
 	t.Helper()
 	u := f.Upstreams()[0]
 	u.VM = "engine-vm-0"
-	row, err := f.Platform.Memory.Get(t.Context(), platform.Key{Partition: catalog.PartitionUpstreams, ID: string(u.ID)})
+	row, err := f.Platform.Memory.Get(t.Context(), store.Key{Partition: catalog.PartitionUpstreams, ID: string(u.ID)})
 	must.NoError(t, err)
 	revision, err := catalog.Apply(t.Context(), f.Platform.Memory, catalog.Change{
 		Partition: catalog.PartitionUpstreams, ID: string(u.ID), Value: u, Seen: row.Version,
--- a/measure/claims.go
+++ b/measure/claims.go
@@ -13,21 +13,21 @@
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/claim"
 	"github.com/vaneyoke/vaneyoke/claims"
-	"github.com/vaneyoke/vaneyoke/platform"
-	"github.com/vaneyoke/vaneyoke/platform/memory"
+	"github.com/vaneyoke/vaneyoke/store"
+	"github.com/vaneyoke/vaneyoke/store/memory"
 )
 
-func newTable() platform.Table { return memory.New() }
+func newTable() store.Table { return memory.New() }
 
 // countedCommits counts transactions and the writes in them.
 type countedCommits struct {
-	platform.Table
+	store.Table
 	mu            sync.Mutex
 	calls, writes int
 }
 
 // Commit commits and counts; it takes as long as a store nearby.
-func (c *countedCommits) Commit(ctx context.Context, tx platform.Tx) error {
+func (c *countedCommits) Commit(ctx context.Context, tx store.Tx) error {
 	c.mu.Lock()
 	c.calls++
 	c.writes += len(tx.Writes)
--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -11,7 +11,7 @@
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/catalog"
 	"github.com/vaneyoke/vaneyoke/fleet"
-	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/store"
 	"github.com/vaneyoke/vaneyoke/standin"
 )
 
@@ -121,19 +121,19 @@
 
 // countedTable counts the bytes of the rows that are read.
 type countedTable struct {
-	platform.Table
+	store.Table
 	bytes int
 }
 
 // Get reads and counts.
-func (c *countedTable) Get(ctx context.Context, key platform.Key) (platform.Row, error) {
+func (c *countedTable) Get(ctx context.Context, key store.Key) (store.Row, error) {
 	row, err := c.Table.Get(ctx, key)
 	c.bytes += len(row.Value)
 	return row, err
 }
 
 // Scan reads and counts.
-func (c *countedTable) Scan(ctx context.Context, partition, after string, limit int) (platform.Page, error) {
+func (c *countedTable) Scan(ctx context.Context, partition, after string, limit int) (store.Page, error) {
 	page, err := c.Table.Scan(ctx, partition, after, limit)
 	for _, row := range page.Rows {
 		c.bytes += len(row.Value)
@@ -169,7 +169,7 @@
 	return []Series{whole, caught}, nil
 }
 
-func filledTable(ctx context.Context, workspaces int) (platform.Table, error) {
+func filledTable(ctx context.Context, workspaces int) (store.Table, error) {
 	table := newTable()
 	const each = 100
 	list := manyWorkspaces(workspaces)
--- a/node/node.go
+++ b/node/node.go
@@ -19,7 +19,7 @@
 	"github.com/vaneyoke/vaneyoke/claims"
 	"github.com/vaneyoke/vaneyoke/failover"
 	"github.com/vaneyoke/vaneyoke/operatorapi"
-	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/store"
 	"github.com/vaneyoke/vaneyoke/relay"
 	"github.com/vaneyoke/vaneyoke/settings"
 	"github.com/vaneyoke/vaneyoke/telemetry"
@@ -139,8 +139,8 @@
 func (n *Node) AdminURL() string { return "http://" + n.adminAt.Addr().String() }
 
 // VM returns the node's entry on the list of VMs.
-func (n *Node) VM() platform.VM {
-	return platform.VM{
+func (n *Node) VM() store.VM {
+	return store.VM{
 		ID:      vaneyoke.VMID(n.settings.Node.VM),
 		Hall:    vaneyoke.HallID(n.settings.Node.Hall),
 		Address: n.peerAt.Addr().String(),
--- a/node/roster.go
+++ b/node/roster.go
@@ -13,12 +13,12 @@
 	"github.com/vaneyoke/vaneyoke/catalog"
 	"github.com/vaneyoke/vaneyoke/membership"
 	"github.com/vaneyoke/vaneyoke/peer"
-	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/store"
 )
 
 // roster follows the platform's list of VMs.
 type roster struct {
-	vms      platform.VMs
+	vms      store.VMs
 	peers    *peer.Client
 	balancer *balancer.Balancer
 	follower *catalog.Follower
@@ -28,7 +28,7 @@
 	view     atomic.Pointer[membership.View]
 }
 
-func newRoster(vms platform.VMs, peers *peer.Client, b *balancer.Balancer, period time.Duration, log logrus.FieldLogger) *roster {
+func newRoster(vms store.VMs, peers *peer.Client, b *balancer.Balancer, period time.Duration, log logrus.FieldLogger) *roster {
 	r := &roster{vms: vms, peers: peers, balancer: b, period: period, log: log}
 	r.view.Store(membership.NewView(nil))
 	return r
@@ -68,14 +68,14 @@
 func (r *roster) readOrLog(ctx context.Context) { _, _ = r.read(ctx) }
 
 // tend keeps the list of members, within one period.
-func (r *roster) tend(ctx context.Context, now time.Time, vms []platform.VM) {
+func (r *roster) tend(ctx context.Context, now time.Time, vms []store.VM) {
 	ctx, cancel := context.WithTimeout(ctx, r.period)
 	defer cancel()
 	r.members.Tend(ctx, now, vms)
 }
 
 // read takes in the list; without an answer the last one stands.
-func (r *roster) read(ctx context.Context) ([]platform.VM, error) {
+func (r *roster) read(ctx context.Context) ([]store.VM, error) {
 	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	vms, err := r.vms.List(ctx)
--- a/operatorapi/api.go
+++ b/operatorapi/api.go
@@ -16,7 +16,7 @@
 	"github.com/vaneyoke/vaneyoke/callerapi"
 	"github.com/vaneyoke/vaneyoke/catalog"
 	"github.com/vaneyoke/vaneyoke/placement"
-	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/store"
 )
 
 // acceptWait is how long a change may take to be in force at a majority of the nodes.
@@ -29,14 +29,14 @@
 
 // API serves operators.
 type API struct {
-	table    platform.Table
+	table    store.Table
 	follower *catalog.Follower
 	loads    Loads
 	log      logrus.FieldLogger
 }
 
 // New returns an API.
-func New(table platform.Table, follower *catalog.Follower, loads Loads, log logrus.FieldLogger) *API {
+func New(table store.Table, follower *catalog.Follower, loads Loads, log logrus.FieldLogger) *API {
 	return &API{table: table, follower: follower, loads: loads, log: log}
 }
 
@@ -99,7 +99,7 @@
 }
 
 // seen reads the version that a change refers to.
-func (c Changer) seen() (platform.Version, error) {
+func (c Changer) seen() (store.Version, error) {
 	text := strings.Trim(c.IfMatch, `"`)
 	if text == "" {
 		return 0, nil
@@ -108,10 +108,10 @@
 	if err != nil {
 		return 0, vaneyoke.ErrField(vaneyoke.CodeBadRequest, "header.If-Match", "must be a version such as \"3\", got %s", c.IfMatch)
 	}
-	return platform.Version(version), nil
+	return store.Version(version), nil
 }
 
-func etag(version platform.Version) string {
+func etag(version store.Version) string {
 	return `"` + strconv.FormatUint(uint64(version), 10) + `"`
 }
 
@@ -172,13 +172,13 @@
 }
 
 // get returns a row of the configuration and its version.
-func get[T any](ctx context.Context, a *API, partition, id string) (T, platform.Version, error) {
+func get[T any](ctx context.Context, a *API, partition, id string) (T, store.Version, error) {
 	var value T
-	row, err := a.table.Get(ctx, platform.Key{Partition: partition, ID: id})
+	row, err := a.table.Get(ctx, store.Key{Partition: partition, ID: id})
 	if err != nil {
 		return value, 0, err
 	}
-	values, err := catalog.Decode[T]([]platform.Row{row})
+	values, err := catalog.Decode[T]([]store.Row{row})
 	if err != nil {
 		return value, 0, err
 	}
--- a/operatorapi/workspaces.go
+++ b/operatorapi/workspaces.go
@@ -12,7 +12,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/catalog"
-	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/store"
 )
 
 const (
@@ -110,7 +110,7 @@
 	return a.commit(ctx, holder, in.Changer, "put workspace "+string(in.ID), workspaceChange(w, seen))
 }
 
-func workspaceChange(w vaneyoke.Workspace, seen platform.Version) catalog.Change {
+func workspaceChange(w vaneyoke.Workspace, seen store.Version) catalog.Change {
 	return catalog.Change{Partition: catalog.PartitionWorkspaces, ID: string(w.ID), Value: w, Seen: seen}
 }
 
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
-	"github.com/vaneyoke/vaneyoke/platform"
-	"github.com/vaneyoke/vaneyoke/platform/memory"
+	"github.com/vaneyoke/vaneyoke/store"
+	"github.com/vaneyoke/vaneyoke/store/memory"
 )
 
 const (
@@ -38,7 +38,7 @@
 	writes    atomic.Int64
 
 	staleMu sync.Mutex
-	stale   []platform.VM // the list while it lags
+	stale   []store.VM // the list while it lags
 	lagging bool
 }
 
@@ -154,7 +154,7 @@
 
 // putVMs sets the list of VMs.
 func (p *Platform) putVMs(w http.ResponseWriter, r *http.Request) {
-	var vms []platform.VM
+	var vms []store.VM
 	if err := json.NewDecoder(r.Body).Decode(&vms); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
@@ -186,13 +186,13 @@
 
 // Holds reports whether a row exists and its value contains a text.
 func (p *Platform) Holds(partition, id, text string) bool {
-	row, err := p.Memory.Get(context.Background(), platform.Key{Partition: partition, ID: id})
+	row, err := p.Memory.Get(context.Background(), store.Key{Partition: partition, ID: id})
 	return err == nil && bytes.Contains(row.Value, []byte(text))
 }
 
 // Rows returns the ids of a partition's rows.
 func (p *Platform) Rows(partition string) []string {
-	rows, _ := platform.ScanAll(context.Background(), p.Memory, partition)
+	rows, _ := store.ScanAll(context.Background(), p.Memory, partition)
 	var ids []string
 	for _, row := range rows {
 		ids = append(ids, row.Key.ID)
--- a/standin/table.go
+++ b/standin/table.go
@@ -7,8 +7,8 @@
 	"strings"
 
 	"github.com/vaneyoke/vaneyoke"
-	"github.com/vaneyoke/vaneyoke/platform"
-	"github.com/vaneyoke/vaneyoke/platform/aws"
+	"github.com/vaneyoke/vaneyoke/store"
+	"github.com/vaneyoke/vaneyoke/store/aws"
 )
 
 const mediaTable = "application/x-amz-json-1.0"
@@ -28,7 +28,7 @@
 	ExclusiveStartKey         attributes       `json:"ExclusiveStartKey"`
 	ExpressionAttributeValues attributes       `json:"ExpressionAttributeValues"`
 	Limit                     int              `json:"Limit"`
-	ClientRequestToken        platform.Nonce   `json:"ClientRequestToken"`
+	ClientRequestToken        store.Nonce   `json:"ClientRequestToken"`
 	TransactItems             []transactMember `json:"TransactItems"`
 }
 
@@ -105,13 +105,13 @@
 		reply.Items = append(reply.Items, attributesOf(row))
 	}
 	if page.Next != "" {
-		reply.LastEvaluatedKey = keyOf(platform.Key{Partition: partition, ID: page.Next})
+		reply.LastEvaluatedKey = keyOf(store.Key{Partition: partition, ID: page.Next})
 	}
 	writeTable(w, http.StatusOK, reply)
 }
 
 func (p *Platform) transact(w http.ResponseWriter, r *http.Request, req *tableRequest) {
-	tx := platform.Tx{Nonce: req.ClientRequestToken}
+	tx := store.Tx{Nonce: req.ClientRequestToken}
 	for _, member := range req.TransactItems {
 		tx.Writes = append(tx.Writes, member.write())
 	}
@@ -131,35 +131,35 @@
 	writeTable(w, http.StatusOK, tableReply{})
 }
 
-func (m transactMember) write() platform.Write {
+func (m transactMember) write() store.Write {
 	switch {
 	case m.Put != nil:
-		return platform.Put{Key: m.Put.Item.key(), Value: m.Put.Item[aws.AttrValue].B, If: m.Put.condition()}
+		return store.Put{Key: m.Put.Item.key(), Value: m.Put.Item[aws.AttrValue].B, If: m.Put.condition()}
 	case m.Delete != nil:
-		return platform.Delete{Key: m.Delete.Key.key(), If: m.Delete.condition()}
+		return store.Delete{Key: m.Delete.Key.key(), If: m.Delete.condition()}
 	case m.ConditionCheck != nil:
-		return platform.Check{Key: m.ConditionCheck.Key.key(), If: m.ConditionCheck.condition()}
+		return store.Check{Key: m.ConditionCheck.Key.key(), If: m.ConditionCheck.condition()}
 	}
 	return nil
 }
 
-func (w *tableWrite) condition() platform.Condition {
+func (w *tableWrite) condition() store.Condition {
 	if w.ConditionExpression == aws.CondAbsent {
-		return platform.IfAbsent()
+		return store.IfAbsent()
 	}
 	version, _ := strconv.ParseUint(w.ExpressionAttributeValues[aws.ParamVer].N, 10, 64)
-	return platform.IfVersion(platform.Version(version))
+	return store.IfVersion(store.Version(version))
 }
 
-func (a attributes) key() platform.Key {
-	return platform.Key{Partition: a[aws.AttrPartition].S, ID: a[aws.AttrID].S}
+func (a attributes) key() store.Key {
+	return store.Key{Partition: a[aws.AttrPartition].S, ID: a[aws.AttrID].S}
 }
 
-func keyOf(key platform.Key) attributes {
+func keyOf(key store.Key) attributes {
 	return attributes{aws.AttrPartition: {S: key.Partition}, aws.AttrID: {S: key.ID}}
 }
 
-func attributesOf(row platform.Row) attributes {
+func attributesOf(row store.Row) attributes {
 	a := keyOf(row.Key)
 	a[aws.AttrVersion] = attribute{N: strconv.FormatUint(uint64(row.Version), 10)}
 	a[aws.AttrNonce] = attribute{S: string(row.Nonce)}
--- a/platform/aws/client.go
+++ b/store/aws/client.go
@@ -9,7 +9,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/s3"
 
-	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/store"
 )
 
 // Config says where the platform is.
@@ -32,7 +32,7 @@
 	http    *http.Client
 
 	vmsMu sync.Mutex
-	vms   []platform.VM // the last list
+	vms   []store.VM // the last list
 	etag  string        // of the last list
 }
 
--- a/platform/aws/objects.go
+++ b/store/aws/objects.go
@@ -11,13 +11,13 @@
 	"github.com/aws/aws-sdk-go-v2/service/s3/types"
 
 	"github.com/vaneyoke/vaneyoke"
-	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/store"
 )
 
 // Objects is the platform's object store.
 type Objects struct{ client *Client }
 
-var _ platform.Objects = (*Objects)(nil)
+var _ store.Objects = (*Objects)(nil)
 
 // Objects returns the platform's object store.
 func (c *Client) Objects() *Objects { return &Objects{client: c} }
--- a/platform/aws/table.go
+++ b/store/aws/table.go
@@ -12,7 +12,7 @@
 	"github.com/aws/smithy-go"
 
 	"github.com/vaneyoke/vaneyoke"
-	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/store"
 )
 
 // Names of a row's attributes.
@@ -35,26 +35,26 @@
 
 type item = map[string]types.AttributeValue
 
-var _ platform.Table = (*Client)(nil)
+var _ store.Table = (*Client)(nil)
 
 // Get returns the newest committed row.
-func (c *Client) Get(ctx context.Context, key platform.Key) (platform.Row, error) {
+func (c *Client) Get(ctx context.Context, key store.Key) (store.Row, error) {
 	out, err := c.table.GetItem(ctx, &dynamodb.GetItemInput{
 		TableName:      aws.String(c.config.Table),
 		Key:            keyItem(key),
 		ConsistentRead: aws.Bool(true),
 	})
 	if err != nil {
-		return platform.Row{}, vaneyoke.WrapErr(vaneyoke.CodeStoreDown, err, "get %s/%s", key.Partition, key.ID)
+		return store.Row{}, vaneyoke.WrapErr(vaneyoke.CodeStoreDown, err, "get %s/%s", key.Partition, key.ID)
 	}
 	if len(out.Item) == 0 {
-		return platform.Row{}, vaneyoke.Err(vaneyoke.CodeNotFound, "no row %s/%s", key.Partition, key.ID)
+		return store.Row{}, vaneyoke.Err(vaneyoke.CodeNotFound, "no row %s/%s", key.Partition, key.ID)
 	}
 	return rowOf(out.Item), nil
 }
 
 // Scan returns up to limit rows of a partition whose ids come after the given one.
-func (c *Client) Scan(ctx context.Context, partition, after string, limit int) (platform.Page, error) {
+func (c *Client) Scan(ctx context.Context, partition, after string, limit int) (store.Page, error) {
 	in := &dynamodb.QueryInput{
 		TableName:                 aws.String(c.config.Table),
 		KeyConditionExpression:    aws.String(AttrPartition + " = :pk"),
@@ -63,13 +63,13 @@
 		Limit:                     aws.Int32(int32(limit)),
 	}
 	if after != "" {
-		in.ExclusiveStartKey = keyItem(platform.Key{Partition: partition, ID: after})
+		in.ExclusiveStartKey = keyItem(store.Key{Partition: partition, ID: after})
 	}
 	out, err := c.table.Query(ctx, in)
 	if err != nil {
-		return platform.Page{}, vaneyoke.WrapErr(vaneyoke.CodeStoreDown, err, "scan %s", partition)
+		return store.Page{}, vaneyoke.WrapErr(vaneyoke.CodeStoreDown, err, "scan %s", partition)
 	}
-	var page platform.Page
+	var page store.Page
 	for _, i := range out.Items {
 		page.Rows = append(page.Rows, rowOf(i))
 	}
@@ -78,7 +78,7 @@
 }
 
 // Commit carries out all writes of a transaction or none.
-func (c *Client) Commit(ctx context.Context, tx platform.Tx) error {
+func (c *Client) Commit(ctx context.Context, tx store.Tx) error {
 	in := &dynamodb.TransactWriteItemsInput{ClientRequestToken: aws.String(string(tx.Nonce))}
 	for _, w := range tx.Writes {
 		in.TransactItems = append(in.TransactItems, c.writeItem(tx.Nonce, w))
@@ -87,20 +87,20 @@
 	return commitFailure(err)
 }
 
-func (c *Client) writeItem(nonce platform.Nonce, w platform.Write) types.TransactWriteItem {
+func (c *Client) writeItem(nonce store.Nonce, w store.Write) types.TransactWriteItem {
 	table := aws.String(c.config.Table)
 	switch w := w.(type) {
-	case platform.Put:
+	case store.Put:
 		expr, values := condition(w.If)
 		return types.TransactWriteItem{Put: &types.Put{
 			TableName: table, Item: rowItem(nonce, w), ConditionExpression: expr, ExpressionAttributeValues: values,
 		}}
-	case platform.Delete:
+	case store.Delete:
 		expr, values := condition(w.If)
 		return types.TransactWriteItem{Delete: &types.Delete{
 			TableName: table, Key: keyItem(w.Key), ConditionExpression: expr, ExpressionAttributeValues: values,
 		}}
-	case platform.Check:
+	case store.Check:
 		expr, values := condition(w.If)
 		return types.TransactWriteItem{ConditionCheck: &types.ConditionCheck{
 			TableName: table, Key: keyItem(w.Key), ConditionExpression: expr, ExpressionAttributeValues: values,
@@ -109,7 +109,7 @@
 	return types.TransactWriteItem{}
 }
 
-func condition(c platform.Condition) (*string, item) {
+func condition(c store.Condition) (*string, item) {
 	if c.Version == 0 {
 		return aws.String(CondAbsent), nil
 	}
@@ -143,11 +143,11 @@
 	return vaneyoke.CodeStoreDown
 }
 
-func keyItem(key platform.Key) item {
+func keyItem(key store.Key) item {
 	return item{AttrPartition: text(key.Partition), AttrID: text(key.ID)}
 }
 
-func rowItem(nonce platform.Nonce, w platform.Put) item {
+func rowItem(nonce store.Nonce, w store.Put) item {
 	i := keyItem(w.Key)
 	i[AttrVersion] = number(w.If.Version + 1)
 	i[AttrNonce] = text(string(nonce))
@@ -155,14 +155,14 @@
 	return i
 }
 
-func rowOf(i item) platform.Row {
-	row := platform.Row{
-		Key:   platform.Key{Partition: textOf(i[AttrPartition]), ID: textOf(i[AttrID])},
-		Nonce: platform.Nonce(textOf(i[AttrNonce])),
+func rowOf(i item) store.Row {
+	row := store.Row{
+		Key:   store.Key{Partition: textOf(i[AttrPartition]), ID: textOf(i[AttrID])},
+		Nonce: store.Nonce(textOf(i[AttrNonce])),
 	}
 	if n, ok := i[AttrVersion].(*types.AttributeValueMemberN); ok {
 		v, _ := strconv.ParseUint(n.Value, 10, 64)
-		row.Version = platform.Version(v)
+		row.Version = store.Version(v)
 	}
 	if b, ok := i[AttrValue].(*types.AttributeValueMemberB); ok {
 		row.Value = b.Value
@@ -179,6 +179,6 @@
 	return ""
 }
 
-func number(v platform.Version) types.AttributeValue {
+func number(v store.Version) types.AttributeValue {
 	return &types.AttributeValueMemberN{Value: strconv.FormatUint(uint64(v), 10)}
 }
--- a/platform/aws/vms.go
+++ b/store/aws/vms.go
@@ -6,13 +6,13 @@
 	"net/http"
 
 	"github.com/vaneyoke/vaneyoke"
-	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/store"
 )
 
-var _ platform.VMs = (*Client)(nil)
+var _ store.VMs = (*Client)(nil)
 
 // List returns the VMs that the platform knows; a list that has not changed is not sent again.
-func (c *Client) List(ctx context.Context) ([]platform.VM, error) {
+func (c *Client) List(ctx context.Context) ([]store.VM, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.config.VMsURL, nil)
 	if err != nil {
 		return nil, vaneyoke.WrapErr(vaneyoke.CodeSettingsValue, err, "address of the list of VMs")
@@ -38,8 +38,8 @@
 }
 
 // readVMs takes in a list that has changed.
-func (c *Client) readVMs(res *http.Response) ([]platform.VM, error) {
-	var vms []platform.VM
+func (c *Client) readVMs(res *http.Response) ([]store.VM, error) {
+	var vms []store.VM
 	if err := json.NewDecoder(res.Body).Decode(&vms); err != nil {
 		return nil, vaneyoke.WrapErr(vaneyoke.CodeStoreDown, err, "list of VMs")
 	}
--- a/platform/contract/contract_test.go
+++ b/store/contract/contract_test.go
@@ -10,18 +10,18 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/vaneyoke/vaneyoke"
-	"github.com/vaneyoke/vaneyoke/platform"
-	"github.com/vaneyoke/vaneyoke/platform/aws"
-	"github.com/vaneyoke/vaneyoke/platform/memory"
+	"github.com/vaneyoke/vaneyoke/store"
+	"github.com/vaneyoke/vaneyoke/store/aws"
+	"github.com/vaneyoke/vaneyoke/store/memory"
 	"github.com/vaneyoke/vaneyoke/standin"
 )
 
 // subject is one implementation, with the faults that it can be given.
 type subject struct {
-	table   platform.Table
-	objects platform.Objects
-	vms     platform.VMs
-	setVMs  func([]platform.VM)
+	table   store.Table
+	objects store.Objects
+	vms     store.VMs
+	setVMs  func([]store.VM)
 	remote  *standin.Platform // nil for the one in memory
 }
 
@@ -40,16 +40,16 @@
 	}
 }
 
-func put(id, value string, cond platform.Condition) platform.Put {
-	return platform.Put{Key: key(id), Value: []byte(value), If: cond}
+func put(id, value string, cond store.Condition) store.Put {
+	return store.Put{Key: key(id), Value: []byte(value), If: cond}
 }
 
-func key(id string) platform.Key { return platform.Key{Partition: "p", ID: id} }
+func key(id string) store.Key { return store.Key{Partition: "p", ID: id} }
 
 // step is one transaction or read of a case and the code that it must end with.
 type step struct {
-	nonce  platform.Nonce
-	writes []platform.Write
+	nonce  store.Nonce
+	writes []store.Write
 	code   vaneyoke.Code
 }
 
@@ -60,40 +60,40 @@
 	}{
 		"insert once": {
 			[]step{
-				{"1", []platform.Write{put("a", "x", platform.IfAbsent())}, vaneyoke.CodeOK},
-				{"2", []platform.Write{put("a", "y", platform.IfAbsent())}, vaneyoke.CodeStoreRace},
+				{"1", []store.Write{put("a", "x", store.IfAbsent())}, vaneyoke.CodeOK},
+				{"2", []store.Write{put("a", "y", store.IfAbsent())}, vaneyoke.CodeStoreRace},
 			}, map[string]string{"a": "x"},
 		},
 		"update needs the version": {
 			[]step{
-				{"1", []platform.Write{put("a", "x", platform.IfAbsent())}, vaneyoke.CodeOK},
-				{"2", []platform.Write{put("a", "y", platform.IfVersion(1))}, vaneyoke.CodeOK},
-				{"3", []platform.Write{put("a", "z", platform.IfVersion(1))}, vaneyoke.CodeStoreRace},
+				{"1", []store.Write{put("a", "x", store.IfAbsent())}, vaneyoke.CodeOK},
+				{"2", []store.Write{put("a", "y", store.IfVersion(1))}, vaneyoke.CodeOK},
+				{"3", []store.Write{put("a", "z", store.IfVersion(1))}, vaneyoke.CodeStoreRace},
 			}, map[string]string{"a": "y"},
 		},
 		"all or none": {
 			[]step{
-				{"1", []platform.Write{put("a", "x", platform.IfAbsent())}, vaneyoke.CodeOK},
-				{"2", []platform.Write{put("b", "y", platform.IfAbsent()), put("a", "y", platform.IfAbsent())}, vaneyoke.CodeStoreRace},
+				{"1", []store.Write{put("a", "x", store.IfAbsent())}, vaneyoke.CodeOK},
+				{"2", []store.Write{put("b", "y", store.IfAbsent()), put("a", "y", store.IfAbsent())}, vaneyoke.CodeStoreRace},
 			}, map[string]string{"a": "x"},
 		},
 		"check guards another row": {
 			[]step{
-				{"1", []platform.Write{put("a", "x", platform.IfAbsent())}, vaneyoke.CodeOK},
-				{"2", []platform.Write{platform.Check{Key: key("a"), If: platform.IfVersion(2)}, put("b", "y", platform.IfAbsent())}, vaneyoke.CodeStoreRace},
-				{"3", []platform.Write{platform.Check{Key: key("a"), If: platform.IfVersion(1)}, put("b", "y", platform.IfAbsent())}, vaneyoke.CodeOK},
+				{"1", []store.Write{put("a", "x", store.IfAbsent())}, vaneyoke.CodeOK},
+				{"2", []store.Write{store.Check{Key: key("a"), If: store.IfVersion(2)}, put("b", "y", store.IfAbsent())}, vaneyoke.CodeStoreRace},
+				{"3", []store.Write{store.Check{Key: key("a"), If: store.IfVersion(1)}, put("b", "y", store.IfAbsent())}, vaneyoke.CodeOK},
 			}, map[string]string{"a": "x", "b": "y"},
 		},
 		"delete": {
 			[]step{
-				{"1", []platform.Write{put("a", "x", platform.IfAbsent())}, vaneyoke.CodeOK},
-				{"2", []platform.Write{platform.Delete{Key: key("a"), If: platform.IfVersion(1)}}, vaneyoke.CodeOK},
+				{"1", []store.Write{put("a", "x", store.IfAbsent())}, vaneyoke.CodeOK},
+				{"2", []store.Write{store.Delete{Key: key("a"), If: store.IfVersion(1)}}, vaneyoke.CodeOK},
 			}, map[string]string{},
 		},
 		"sent again with the same nonce": {
 			[]step{
-				{"1", []platform.Write{put("a", "x", platform.IfAbsent())}, vaneyoke.CodeOK},
-				{"1", []platform.Write{put("a", "x", platform.IfAbsent())}, vaneyoke.CodeOK},
+				{"1", []store.Write{put("a", "x", store.IfAbsent())}, vaneyoke.CodeOK},
+				{"1", []store.Write{put("a", "x", store.IfAbsent())}, vaneyoke.CodeOK},
 			}, map[string]string{"a": "x"},
 		},
 	}
@@ -101,10 +101,10 @@
 		for kind, s := range subjects(t) {
 			t.Run(kind+"/"+name, func(t *testing.T) {
 				for _, step := range tc.steps {
-					err := s.table.Commit(t.Context(), platform.Tx{Nonce: step.nonce, Writes: step.writes})
+					err := s.table.Commit(t.Context(), store.Tx{Nonce: step.nonce, Writes: step.writes})
 					must.EqOp(t, step.code, vaneyoke.CodeOf(err))
 				}
-				rows, err := platform.ScanAll(t.Context(), s.table, "p")
+				rows, err := store.ScanAll(t.Context(), s.table, "p")
 				must.NoError(t, err)
 				got := map[string]string{}
 				for _, row := range rows {
@@ -121,7 +121,7 @@
 		t.Run(kind, func(t *testing.T) {
 			for i := range 7 {
 				id := fmt.Sprintf("r%d", i)
-				must.NoError(t, s.table.Commit(t.Context(), platform.Tx{Nonce: platform.Nonce(id), Writes: []platform.Write{put(id, id, platform.IfAbsent())}}))
+				must.NoError(t, s.table.Commit(t.Context(), store.Tx{Nonce: store.Nonce(id), Writes: []store.Write{put(id, id, store.IfAbsent())}}))
 			}
 			var ids []string
 			for after := ""; ; {
@@ -151,7 +151,7 @@
 			must.EqOp(t, "data", string(data))
 			_, err = s.objects.Get(t.Context(), "none")
 			must.EqOp(t, vaneyoke.CodeNotFound, vaneyoke.CodeOf(err))
-			vms := []platform.VM{{ID: "vm-1", Hall: "hall-a"}, {ID: "vm-2", Hall: "hall-b", Leaving: true}}
+			vms := []store.VM{{ID: "vm-1", Hall: "hall-a"}, {ID: "vm-2", Hall: "hall-b", Leaving: true}}
 			s.setVMs(vms)
 			got, err := s.vms.List(t.Context())
 			must.NoError(t, err)
@@ -168,9 +168,9 @@
 }
 
 func TestPlatformFaults(t *testing.T) {
-	insert := platform.Tx{Nonce: "n", Writes: []platform.Write{put("a", "x", platform.IfAbsent())}}
+	insert := store.Tx{Nonce: "n", Writes: []store.Write{put("a", "x", store.IfAbsent())}}
 	commit := func(ctx context.Context, s subject) error { return s.table.Commit(ctx, insert) }
-	settled := func(ctx context.Context, s subject) error { return platform.CommitSettled(ctx, s.table, insert) }
+	settled := func(ctx context.Context, s subject) error { return store.CommitSettled(ctx, s.table, insert) }
 	cases := map[string]struct {
 		fault   func(*standin.Platform)
 		act     func(context.Context, subject) error
@@ -195,9 +195,9 @@
 	}
 	t.Run("the list of VMs lags", func(t *testing.T) {
 		s := subjects(t)["aws"]
-		s.setVMs([]platform.VM{{ID: "old"}})
+		s.setVMs([]store.VM{{ID: "old"}})
 		s.remote.SetLag(true)
-		s.setVMs([]platform.VM{{ID: "new"}})
+		s.setVMs([]store.VM{{ID: "new"}})
 		vms, err := s.vms.List(t.Context())
 		must.NoError(t, err)
 		must.EqOp(t, "old", vms[0].ID)
--- a/platform/memory/memory.go
+++ b/store/memory/memory.go
@@ -7,46 +7,46 @@
 	"sync"
 
 	"github.com/vaneyoke/vaneyoke"
-	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/store"
 )
 
 // Platform is a platform in memory; its zero value is not usable.
 type Platform struct {
 	mu      sync.Mutex
-	rows    map[string]map[string]platform.Row
-	done    map[platform.Nonce]error // outcomes of the transactions so far
+	rows    map[string]map[string]store.Row
+	done    map[store.Nonce]error // outcomes of the transactions so far
 	objects map[string][]byte
-	vms     []platform.VM
+	vms     []store.VM
 }
 
 var (
-	_ platform.Table   = (*Platform)(nil)
-	_ platform.Objects = (*Objects)(nil)
-	_ platform.VMs     = (*Platform)(nil)
+	_ store.Table   = (*Platform)(nil)
+	_ store.Objects = (*Objects)(nil)
+	_ store.VMs     = (*Platform)(nil)
 )
 
 // New returns an empty platform.
 func New() *Platform {
 	return &Platform{
-		rows:    map[string]map[string]platform.Row{},
-		done:    map[platform.Nonce]error{},
+		rows:    map[string]map[string]store.Row{},
+		done:    map[store.Nonce]error{},
 		objects: map[string][]byte{},
 	}
 }
 
 // Get returns the newest committed row.
-func (p *Platform) Get(_ context.Context, key platform.Key) (platform.Row, error) {
+func (p *Platform) Get(_ context.Context, key store.Key) (store.Row, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	row, ok := p.rows[key.Partition][key.ID]
 	if !ok {
-		return platform.Row{}, vaneyoke.Err(vaneyoke.CodeNotFound, "no row %s/%s", key.Partition, key.ID)
+		return store.Row{}, vaneyoke.Err(vaneyoke.CodeNotFound, "no row %s/%s", key.Partition, key.ID)
 	}
 	return row, nil
 }
 
 // Scan returns up to limit rows of a partition whose ids come after the given one.
-func (p *Platform) Scan(_ context.Context, partition, after string, limit int) (platform.Page, error) {
+func (p *Platform) Scan(_ context.Context, partition, after string, limit int) (store.Page, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	ids := slices.Sorted(maps.Keys(p.rows[partition]))
@@ -55,7 +55,7 @@
 		start++
 	}
 	end := min(start+limit, len(ids))
-	var page platform.Page
+	var page store.Page
 	for _, id := range ids[start:end] {
 		page.Rows = append(page.Rows, p.rows[partition][id])
 	}
@@ -66,7 +66,7 @@
 }
 
 // Commit carries out all writes of a transaction or none.
-func (p *Platform) Commit(_ context.Context, tx platform.Tx) error {
+func (p *Platform) Commit(_ context.Context, tx store.Tx) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if err, ok := p.done[tx.Nonce]; ok {
@@ -80,7 +80,7 @@
 	return err
 }
 
-func (p *Platform) check(tx platform.Tx) error {
+func (p *Platform) check(tx store.Tx) error {
 	for _, w := range tx.Writes {
 		key, cond := target(w)
 		if p.rows[key.Partition][key.ID].Version != cond.Version {
@@ -90,48 +90,48 @@
 	return nil
 }
 
-func target(w platform.Write) (platform.Key, platform.Condition) {
+func target(w store.Write) (store.Key, store.Condition) {
 	switch w := w.(type) {
-	case platform.Put:
+	case store.Put:
 		return w.Key, w.If
-	case platform.Delete:
+	case store.Delete:
 		return w.Key, w.If
-	case platform.Check:
+	case store.Check:
 		return w.Key, w.If
 	}
-	return platform.Key{}, platform.Condition{}
+	return store.Key{}, store.Condition{}
 }
 
-func (p *Platform) apply(tx platform.Tx) {
+func (p *Platform) apply(tx store.Tx) {
 	for _, w := range tx.Writes {
 		switch w := w.(type) {
-		case platform.Put:
-			p.put(platform.Row{Key: w.Key, Version: w.If.Version + 1, Nonce: tx.Nonce, Value: slices.Clone(w.Value)})
-		case platform.Delete:
+		case store.Put:
+			p.put(store.Row{Key: w.Key, Version: w.If.Version + 1, Nonce: tx.Nonce, Value: slices.Clone(w.Value)})
+		case store.Delete:
 			delete(p.rows[w.Key.Partition], w.Key.ID)
-		case platform.Check:
+		case store.Check:
 		}
 	}
 }
 
-func (p *Platform) put(row platform.Row) {
+func (p *Platform) put(row store.Row) {
 	partition := p.rows[row.Key.Partition]
 	if partition == nil {
-		partition = map[string]platform.Row{}
+		partition = map[string]store.Row{}
 		p.rows[row.Key.Partition] = partition
 	}
 	partition[row.Key.ID] = row
 }
 
 // List returns the VMs.
-func (p *Platform) List(context.Context) ([]platform.VM, error) {
+func (p *Platform) List(context.Context) ([]store.VM, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return slices.Clone(p.vms), nil
 }
 
 // SetVMs replaces the list of VMs.
-func (p *Platform) SetVMs(vms []platform.VM) {
+func (p *Platform) SetVMs(vms []store.VM) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.vms = slices.Clone(vms)
