--- a/catalog/change.go
+++ b/catalog/change.go
@@ -21,7 +21,7 @@
 type Change struct {
 	Partition string
 	ID        string
-	Value     any              // nil deletes the row
+	Value     any           // nil deletes the row
 	Seen      store.Version // 0 for a row that must not exist
 }
 
--- a/claim/state.go
+++ b/claim/state.go
@@ -27,7 +27,7 @@
 	own     Record
 	phase   phase
 	version store.Version // of the row once the claim stands
-	failure vaneyoke.Code    // why the request was not run
+	failure vaneyoke.Code // why the request was not run
 	effects []Effect
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -13,9 +13,9 @@
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/catalog"
 	"github.com/vaneyoke/vaneyoke/node"
-	"github.com/vaneyoke/vaneyoke/store"
 	"github.com/vaneyoke/vaneyoke/settings"
 	"github.com/vaneyoke/vaneyoke/standin"
+	"github.com/vaneyoke/vaneyoke/store"
 	"github.com/vaneyoke/vaneyoke/telemetry"
 )
 
--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -11,8 +11,8 @@
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/catalog"
 	"github.com/vaneyoke/vaneyoke/fleet"
-	"github.com/vaneyoke/vaneyoke/store"
 	"github.com/vaneyoke/vaneyoke/standin"
+	"github.com/vaneyoke/vaneyoke/store"
 )
 
 // watched is how long an idle fleet is watched.
--- a/node/node.go
+++ b/node/node.go
@@ -19,9 +19,9 @@
 	"github.com/vaneyoke/vaneyoke/claims"
 	"github.com/vaneyoke/vaneyoke/failover"
 	"github.com/vaneyoke/vaneyoke/operatorapi"
-	"github.com/vaneyoke/vaneyoke/store"
 	"github.com/vaneyoke/vaneyoke/relay"
 	"github.com/vaneyoke/vaneyoke/settings"
+	"github.com/vaneyoke/vaneyoke/store"
 	"github.com/vaneyoke/vaneyoke/telemetry"
 )
 
--- a/node/wire.go
+++ b/node/wire.go
@@ -23,10 +23,10 @@
 	"github.com/vaneyoke/vaneyoke/operatorapi"
 	"github.com/vaneyoke/vaneyoke/peer"
 	"github.com/vaneyoke/vaneyoke/placement"
-	"github.com/vaneyoke/vaneyoke/store/aws"
 	"github.com/vaneyoke/vaneyoke/relay"
 	"github.com/vaneyoke/vaneyoke/retry"
 	"github.com/vaneyoke/vaneyoke/settings"
+	"github.com/vaneyoke/vaneyoke/store/aws"
 	"github.com/vaneyoke/vaneyoke/telemetry"
 )
 
--- a/standin/table.go
+++ b/standin/table.go
@@ -28,7 +28,7 @@
 	ExclusiveStartKey         attributes       `json:"ExclusiveStartKey"`
 	ExpressionAttributeValues attributes       `json:"ExpressionAttributeValues"`
 	Limit                     int              `json:"Limit"`
-	ClientRequestToken        store.Nonce   `json:"ClientRequestToken"`
+	ClientRequestToken        store.Nonce      `json:"ClientRequestToken"`
 	TransactItems             []transactMember `json:"TransactItems"`
 }
 
--- a/store/aws/client.go
+++ b/store/aws/client.go
@@ -33,7 +33,7 @@
 
 	vmsMu sync.Mutex
 	vms   []store.VM // the last list
-	etag  string        // of the last list
+	etag  string     // of the last list
 }
 
 // New returns a client that uses the given HTTP client; retries are left to the caller.
