--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -84,6 +84,20 @@
 	return b.state.Offers(need)
 }
 
+// Replica returns an upstream that can keep a replica of a run on another, in another hall where there is one.
+func (b *Balancer) Replica(need placement.Need, primary vaneyoke.Upstream) (vaneyoke.Upstream, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state.PickReplica(time.Now(), b.rng, need, primary)
+}
+
+// Released notes that a replica is needed no more.
+func (b *Balancer) Released(replica vaneyoke.UpstreamID, need placement.Need) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state.Released(replica, need)
+}
+
 // Resumed notes that an attempt was attached again to an upstream that it had lost.
 func (b *Balancer) Resumed(id vaneyoke.UpstreamID) {
 	b.mu.Lock()
--- a/cmd/vaneyoked/main.go
+++ b/cmd/vaneyoked/main.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		return vaneyoke.WrapErr(vaneyoke.CodeSettingsValue, err, "[log] level")
 	}
-	n, err := node.Build(s, log)
+	n, err := node.New(s, log)
 	if err != nil {
 		return err
 	}
--- a/code.go
+++ b/code.go
@@ -48,6 +48,7 @@
 
 	CodeClaimUnknown Code = 86
 	CodeNotConfirmed Code = 87
+	CodeTimedOut     Code = 88
 
 	CodeStoreDown    Code = 100
 	CodeStoreRace    Code = 101
@@ -98,6 +99,7 @@
 	{CodeCallerGone, "caller_gone", 499, false, "The caller closed the connection."},
 	{CodeClaimUnknown, "claim_unknown", http.StatusServiceUnavailable, false, "The store cannot be asked whether the request was run before; ask again with the same key."},
 	{CodeNotConfirmed, "not_confirmed", http.StatusGatewayTimeout, false, "The change is committed and comes in force, but a majority of the nodes has not confirmed it yet."},
+	{CodeTimedOut, "timed_out", http.StatusGatewayTimeout, false, "The time for the answer is over, and an upstream may have run the request."},
 	{CodeStoreDown, "store_down", http.StatusServiceUnavailable, true, "The platform's store cannot be reached."},
 	{CodeStoreRace, "store_race", http.StatusConflict, true, "Another writer changed the row first."},
 	{CodeStoreUnknown, "store_unknown", http.StatusBadGateway, false, "The store's reply was lost, so the write may have taken effect."},
--- a/engine/failure.go
+++ b/engine/failure.go
@@ -10,6 +10,12 @@
 // NotSentError says that the engine did not run the request.
 type NotSentError struct{ Reason string }
 
+// DeclinedError says that an upstream got the request and did not run it.
+type DeclinedError struct{ Status int }
+
+// StatusError says that an upstream answered with a status that ends the attempt.
+type StatusError struct{ Status int }
+
 // RefusedError says that the engine refused the request as wrong.
 type RefusedError struct {
 	Status int
@@ -28,6 +34,16 @@
 // Error returns the reason.
 func (e *NotSentError) Error() string { return "engine did not run the request: " + e.Reason }
 
+// Error returns the status.
+func (e *DeclinedError) Error() string {
+	return fmt.Sprintf("upstream declined with status %d", e.Status)
+}
+
+// Error returns the status.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("upstream answered with status %d", e.Status)
+}
+
 // Error returns the engine's status.
 func (e *RefusedError) Error() string { return fmt.Sprintf("engine refused with status %d", e.Status) }
 
--- /dev/null
+++ b/forward/forward.go
@@ -0,0 +1,63 @@
+package forward
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/vaneyoke/vaneyoke"
+)
+
+// Message is a caller's request whose path, query and body are passed on as they are.
+type Message struct {
+	Method string
+	Target string // path and query as the caller wrote them
+	Host   string
+	Header http.Header // without what pertains to one connection or to the caller's key
+	Body   []byte
+}
+
+// Attempt is one sending of a message to an upstream.
+type Attempt struct {
+	Request     vaneyoke.RequestID
+	Message     *Message
+	Upstream    vaneyoke.Upstream
+	Left        time.Duration // what is left of the caller's time
+	Workspace   vaneyoke.WorkspaceID
+	Priority    int
+	Stream      bool              // whether the answer is a series of numbered events
+	After       string            // id of the last event that is held; "" for none
+	Replica     vaneyoke.Upstream // upstream that is to keep a replica of the run's memory; the zero value for none
+	FromReplica bool              // whether the upstream holds a replica of the run that was lost
+}
+
+// Head is the start of an upstream's answer.
+type Head struct {
+	Status int
+	Header http.Header // without what pertains to one connection only
+}
+
+// Event is one numbered event of an answer.
+type Event struct {
+	ID   string
+	Data []byte // the event as it is passed on, its end included
+}
+
+// Exchange is an upstream's answer as it comes in. Its errors are those of package engine.
+type Exchange interface {
+	// Head returns the start of the answer.
+	Head() Head
+	// Events reports whether the answer is a series of events; otherwise Body reads it.
+	Events() bool
+	// Next returns the next whole event, or io.EOF at the end of an answer that is complete.
+	Next() (Event, error)
+	// Body returns the whole body.
+	Body() ([]byte, error)
+	// Close ends the connection, and with it the run of an answer that is not complete.
+	Close() error
+}
+
+// Sender sends attempts; the errors of Send are those of package engine.
+type Sender interface {
+	Send(ctx context.Context, attempt *Attempt) (Exchange, error)
+}
--- /dev/null
+++ b/gateway/gateway.go
@@ -0,0 +1,208 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/forward"
+	"github.com/vaneyoke/vaneyoke/relay"
+	"github.com/vaneyoke/vaneyoke/route"
+)
+
+// Envelope is what a request's headers say.
+type Envelope struct {
+	ID           vaneyoke.RequestID
+	Key          string        // of the workspace; "" for none
+	Wait         time.Duration // how long the caller waits; 0 where it does not say
+	After        string        // id of the last event that the caller holds; "" for none
+	PromptTokens vaneyoke.Tokens
+	Header       http.Header // what is passed on to upstreams
+}
+
+// Codec reads the headers by which callers say what they want.
+type Codec interface {
+	// Decode returns what a request says; an error carries CodeBadRequest.
+	Decode(r *http.Request) (Envelope, error)
+}
+
+// Directory knows the configuration in force.
+type Directory interface {
+	// Routes returns the newest table; nil where none is known yet.
+	Routes() *route.Table
+}
+
+// Config holds the gateway's bounds.
+type Config struct {
+	BodyBytes    int64         // largest body where the configuration names no bound
+	MaxWait      time.Duration // longest time for an answer where neither the route nor the caller names one
+	WriteTimeout time.Duration // longest time that a caller may take to read a piece of its answer
+}
+
+// Gateway serves callers of opaque requests.
+type Gateway struct {
+	config    Config
+	codec     Codec
+	directory Directory
+	relay     *relay.Relay
+	log       logrus.FieldLogger
+	open      atomic.Int64
+	stopping  atomic.Bool
+}
+
+// New returns a gateway.
+func New(config Config, codec Codec, directory Directory, r *relay.Relay, log logrus.FieldLogger) *Gateway {
+	return &Gateway{config: config, codec: codec, directory: directory, relay: r, log: log}
+}
+
+// Open returns the number of requests being answered.
+func (g *Gateway) Open() int { return int(g.open.Load()) }
+
+// Stopping has callers told that their connection will be closed.
+func (g *Gateway) Stopping() { g.stopping.Store(true) }
+
+// Ready reports whether the node takes new connections.
+func (g *Gateway) Ready() bool { return !g.stopping.Load() && g.directory.Routes() != nil }
+
+// ServeReadiness answers whether the node takes new connections.
+func (g *Gateway) ServeReadiness(w http.ResponseWriter, _ *http.Request) {
+	if !g.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// ServeHTTP answers one request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	received := time.Now()
+	g.open.Add(1)
+	defer g.open.Add(-1)
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	req, f, err := g.read(w, r, received)
+	if err != nil {
+		g.refuse(w, r, req, err)
+		return
+	}
+	session := g.relay.Forward(r.Context(), req, f)
+	a := &answer{gateway: g, http: w, control: http.NewResponseController(w), session: session, forwarding: &f}
+	a.give(r.Context())
+}
+
+// read turns a request into what is sent to upstreams.
+func (g *Gateway) read(w http.ResponseWriter, r *http.Request, received time.Time) (*vaneyoke.Request, relay.Forwarding, error) {
+	envelope, err := g.codec.Decode(r)
+	req := &vaneyoke.Request{ID: envelope.ID, ReceivedAt: received}
+	if err != nil {
+		return req, relay.Forwarding{}, err
+	}
+	table := g.directory.Routes()
+	if table == nil {
+		return req, relay.Forwarding{}, vaneyoke.ErrRetryAfter(vaneyoke.CodeNotFresh, retryUnknown, "no configuration is known yet")
+	}
+	found, ok := table.Find(r.Host, r.URL.Path)
+	if !ok {
+		return req, relay.Forwarding{}, vaneyoke.Err(vaneyoke.CodeNotFound, "no route for %s%s", r.Host, r.URL.Path)
+	}
+	workspace, err := table.Workspace(found, envelope.Key)
+	if err != nil {
+		return req, relay.Forwarding{}, err
+	}
+	body, err := g.readBody(w, r, table.Limits())
+	if err != nil {
+		return req, relay.Forwarding{}, err
+	}
+	fill(req, found, workspace, envelope)
+	f := forwardingOf(table, found, envelope)
+	f.Deadline = received.Add(g.longest(found, envelope.Wait))
+	f.Message = &forward.Message{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: envelope.Header, Body: body}
+	return req, f, nil
+}
+
+// fill adds what the configuration says of a request.
+func fill(req *vaneyoke.Request, r *route.Route, workspace route.Workspace, envelope Envelope) {
+	req.Workspace = workspace.ID
+	req.Kind = string(r.ID)
+	req.Repeatable = r.Repeatable()
+	req.Recovery = vaneyoke.RecoverFast
+	req.PromptBytes = int(envelope.PromptTokens)
+	req.Priority = r.Priority
+	if workspace.Priority != nil {
+		req.Priority = *workspace.Priority
+	}
+}
+
+func forwardingOf(table *route.Table, r *route.Route, envelope Envelope) relay.Forwarding {
+	service := table.Service(r.Service(rand.Float64()))
+	return relay.Forwarding{
+		Service:     service.ID,
+		Stream:      r.Kind == route.KindStream,
+		Replicate:   service.Replicas && r.Kind == route.KindStream && r.Resumable,
+		After:       envelope.After,
+		Goal:        r.Goal,
+		Pause:       r.Pause,
+		MaxAttempts: r.MaxAttempts,
+	}
+}
+
+// longest returns how long a request may be held.
+func (g *Gateway) longest(r *route.Route, wait time.Duration) time.Duration {
+	longest := g.config.MaxWait
+	if r.Timeout > 0 {
+		longest = r.Timeout
+	}
+	if wait > 0 {
+		longest = min(longest, wait)
+	}
+	return longest
+}
+
+// readBody returns the whole body; an error carries CodeBodyTooLarge or CodeBadRequest.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, limits route.Limits) ([]byte, error) {
+	most := g.config.BodyBytes
+	if limits.BodyBytes > 0 {
+		most = limits.BodyBytes
+	}
+	if r.ContentLength > most {
+		return nil, vaneyoke.Err(vaneyoke.CodeBodyTooLarge, "the body is larger than %d bytes", most)
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(g.config.MaxWait))
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
+	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
+		return nil, vaneyoke.Err(vaneyoke.CodeBodyTooLarge, "the body is larger than %d bytes", most)
+	}
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	return body, vaneyoke.WrapErr(vaneyoke.CodeBadRequest, err, "read body")
+}
+
+// refuse answers a request that was sent to no upstream.
+func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, req *vaneyoke.Request, err error) {
+	code := vaneyoke.CodeOf(err)
+	g.log.WithFields(logrus.Fields{
+		"request": req.ID, "code": int(code), "host": r.Host, "path": r.URL.Path, "error": err,
+	}).Info("request_refused")
+	writeFailure(w, statusOf(code), vaneyoke.RetryAfterOf(err), err.Error())
+	if code == vaneyoke.CodeBodyTooLarge {
+		discardBody(w, r)
+	}
+}
+
+// discardBody lets a caller that is still sending read the answer, which closing the connection at once would keep from it.
+func discardBody(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	_ = control.Flush()
+	_ = control.SetReadDeadline(time.Now().Add(discardTime))
+	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, discardBytes))
+}
+
+// watchCaller abandons a session whose caller has left.
+func watchCaller(ctx context.Context, session *relay.Session) (stop func() bool) {
+	return context.AfterFunc(ctx, session.Abandon)
+}
--- a/generation/config.go
+++ b/generation/config.go
@@ -8,14 +8,20 @@
 
 // Config holds what a generation is decided by; it does not change while the generation runs.
 type Config struct {
-	MaxTokens  vaneyoke.Tokens // 0 where the answer has no limit of its own
-	Stop       Stop
-	Repeatable bool              // false where no second run may be started
-	Recovery   vaneyoke.Recovery // how a silent attempt is weighed
-	MaxWait    time.Duration     // longest time without progress before the generation is given up
-	MaxLosses  int               // losses in a row without a token between them before it is given up
-	Silence    Silence           // when silence is taken for a loss
-	Backoff    Backoff           // pause before the second and later losses in a row are mended
+	MaxTokens   vaneyoke.Tokens // 0 where the answer has no limit of its own
+	Stop        Stop
+	Repeatable  bool              // false where no second run may be started
+	Recovery    vaneyoke.Recovery // how a silent attempt is weighed
+	MaxWait     time.Duration     // longest time without progress before the generation is given up
+	MaxLosses   int               // losses in a row without a token between them before it is given up
+	Deadline    time.Time         // when the caller stops waiting; the zero time where it never does
+	MaxUnsent   time.Duration     // longest wait for an upstream before anything was run; 0 stands for MaxWait
+	MaxAttempts int               // runs that may be sent to upstreams; 0 for no bound
+	// Opaque says that an attempt goes on from the number of the last piece alone, and that no engine gives a run's
+	// stream a second time.
+	Opaque  bool
+	Silence Silence // when silence is taken for a loss
+	Backoff Backoff // pause before the second and later losses in a row are mended
 }
 
 // Silence holds the bounds of the silence judgement.
--- a/generation/effect.go
+++ b/generation/effect.go
@@ -13,6 +13,7 @@
 type Place struct {
 	Attempt vaneyoke.Attempt
 	Avoid   []vaneyoke.UpstreamID // upstreams that lost this generation since its last token, latest last
+	Prefer  vaneyoke.UpstreamID   // upstream that holds a replica of the lost run; "" for none
 	After   time.Duration         // pause before the choice
 	Retry   bool                  // whether the attempt counts against the retry budget
 }
@@ -26,10 +27,12 @@
 
 // Start sends an attempt to its upstream.
 type Start struct {
-	Attempt  vaneyoke.Attempt
-	Upstream vaneyoke.UpstreamID
-	Prefix   []vaneyoke.TokenID // prompt and answer so far; nil for a run from the caller's own prompt
-	From     vaneyoke.Tokens    // index within the answer of the attempt's first token
+	Attempt     vaneyoke.Attempt
+	Upstream    vaneyoke.UpstreamID
+	Prefix      []vaneyoke.TokenID  // prompt and answer so far; nil for a run from the caller's own prompt
+	From        vaneyoke.Tokens     // index within the answer of the attempt's first token
+	Replica     vaneyoke.UpstreamID // upstream that is to keep a replica of the run's memory; "" for none
+	FromReplica bool                // whether the upstream holds a replica of the lost run
 }
 
 // Resume attaches an attempt to the stream that an earlier attempt started.
--- a/generation/event.go
+++ b/generation/event.go
@@ -16,7 +16,8 @@
 type Placed struct {
 	Attempt  vaneyoke.Attempt
 	Upstream vaneyoke.UpstreamID
-	Expect   time.Duration // expected time to the first token; 0 where unknown
+	Expect   time.Duration       // expected time to the first token; 0 where unknown
+	Replica  vaneyoke.UpstreamID // upstream that is to keep a replica of the run's memory; "" for none
 }
 
 // Inspected answers Inspect.
@@ -94,6 +95,8 @@
 	CauseMalformed                  // the stream broke its protocol
 	CauseNoStream                   // the engine knows no such stream to resume
 	CauseSilent                     // the stream fell silent
+	CauseDeclined                   // the upstream got the request, and said that it did not run it
+	CauseFailed                     // the upstream answered that it failed
 )
 
 // String returns the cause as it stands in logs.
@@ -109,7 +112,14 @@
 		return "no_stream"
 	case CauseSilent:
 		return "silent"
+	case CauseDeclined:
+		return "declined"
+	case CauseFailed:
+		return "failed"
 	default:
 		return "unknown"
 	}
 }
+
+// mayHaveRun reports whether an engine may have run an attempt that was lost for the cause.
+func (c Cause) mayHaveRun() bool { return c != CauseNotSent && c != CauseDeclined }
--- a/generation/recover.go
+++ b/generation/recover.go
@@ -19,7 +19,7 @@
 func (s *State) place(now time.Time, after time.Duration, retry bool) {
 	s.attempt++
 	s.runs = append(s.runs, run{attempt: s.attempt, stream: s.attempt, stage: stagePlacing, placedAt: now})
-	s.do(Place{Attempt: s.attempt, Avoid: slices.Clone(s.avoid), After: after, Retry: retry})
+	s.do(Place{Attempt: s.attempt, Avoid: slices.Clone(s.avoid), Prefer: s.replica, After: after, Retry: retry})
 }
 
 func (s *State) placed(now time.Time, ev Placed) {
@@ -31,6 +31,7 @@
 	r.upstream = ev.Upstream
 	r.placedAt = now
 	r.expect = ev.Expect
+	r.replica = ev.Replica
 	if s.answer.unsure && s.answer.Len() > 0 {
 		s.do(Inspect{Attempt: r.attempt, Upstream: r.upstream, IDs: s.answer.IDs})
 		return
@@ -52,10 +53,14 @@
 
 func (s *State) start(r *run) {
 	r.sent = true
+	r.fromReplica = s.replica != "" && r.upstream == s.replica
 	s.sent++
+	s.arrived++
 	s.stats.Attempts++
-	start := Start{Attempt: r.attempt, Upstream: r.upstream, From: s.answer.Len()}
-	if s.answer.Len() > 0 {
+	start := Start{
+		Attempt: r.attempt, Upstream: r.upstream, From: s.answer.Len(), Replica: r.replica, FromReplica: r.fromReplica,
+	}
+	if s.answer.Len() > 0 && !s.cfg.Opaque {
 		start.Prefix = s.answer.Prefix()
 		s.stats.Reprefills += vaneyoke.Tokens(len(start.Prefix))
 	}
@@ -73,7 +78,7 @@
 	if len(s.runs) > 0 {
 		return
 	}
-	if ev.Code == vaneyoke.CodeUnknownModel && s.answer.Len() == 0 {
+	if ev.Code == vaneyoke.CodeUnknownModel && s.answer.Len() == 0 && !s.cfg.Opaque {
 		s.fail(s.giveUp())
 		return
 	}
@@ -92,7 +97,7 @@
 func (s *State) lose(now time.Time, r *run, cause Cause) {
 	old := *r
 	resumable := s.canResume(&old, cause)
-	s.cancel(r, !resumable && (cause != CauseNotSent || old.resumed), cause)
+	s.cancel(r, !resumable && (cause.mayHaveRun() || old.resumed), cause)
 	s.remove(old.attempt)
 	s.countLoss(&old, cause)
 	if s.complete() {
@@ -103,8 +108,9 @@
 		s.resume(now, &old)
 		return
 	}
+	s.followReplica(&old, cause)
 	s.avoid = append(s.avoid, old.upstream)
-	if !s.cfg.Repeatable && (cause != CauseNotSent || old.resumed) {
+	if !s.cfg.Repeatable && (cause.mayHaveRun() || old.resumed) {
 		s.fail(Fail{Code: vaneyoke.CodeMayHaveRun, Detail: cause.String()})
 		return
 	}
@@ -116,18 +122,31 @@
 }
 
 func (s *State) countLoss(old *run, cause Cause) {
-	if cause != CauseNotSent {
+	if cause.mayHaveRun() {
 		s.stats.Losses++
 		return
 	}
 	if old.sent {
 		s.sent--
 	}
+	if old.sent && cause == CauseNotSent {
+		s.arrived--
+	}
+}
+
+// followReplica keeps in mind where the memory of the run that was lost last can be found.
+func (s *State) followReplica(old *run, cause Cause) {
+	switch {
+	case cause.mayHaveRun():
+		s.replica = old.replica
+	case old.fromReplica:
+		s.replica = ""
+	}
 }
 
 // canResume reports whether the run's engine may still hold its stream.
 func (s *State) canResume(r *run, cause Cause) bool {
-	return cause == CauseClosed && r.stage == stageStreaming
+	return cause == CauseClosed && r.stage == stageStreaming && !s.cfg.Opaque
 }
 
 // resume attaches a new attempt to the old one's stream; held back tokens are asked for again.
@@ -147,17 +166,30 @@
 
 // placeAgain starts another attempt after a pause, or gives up.
 func (s *State) placeAgain(now time.Time) {
-	if s.answer.Len() > 0 && s.answer.Prompt == nil {
+	if s.answer.Len() > 0 && s.answer.Prompt == nil && !s.cfg.Opaque {
 		s.fail(Fail{Code: vaneyoke.CodeInterrupted, Detail: "the engine did not tell the prompt's token ids"})
 		return
 	}
 	pause := s.pause()
-	waited := now.Sub(s.progress)
-	if s.losses > s.cfg.MaxLosses || waited+pause > s.cfg.MaxWait {
+	if s.exhausted(now.Add(pause)) {
 		s.fail(s.giveUp())
 		return
 	}
-	s.place(now, pause, s.Sent())
+	s.place(now, pause, s.arrived > 0)
+}
+
+// exhausted reports whether no further attempt may start at the given time.
+func (s *State) exhausted(at time.Time) bool {
+	switch {
+	case s.losses > s.cfg.MaxLosses || at.Sub(s.progress) > s.cfg.MaxWait:
+		return true
+	case s.cfg.MaxAttempts > 0 && s.arrived >= s.cfg.MaxAttempts:
+		return true
+	case !s.cfg.Deadline.IsZero() && !at.Before(s.cfg.Deadline):
+		return true
+	default:
+		return s.cfg.MaxUnsent > 0 && !s.Sent() && at.Sub(s.admitted) > s.cfg.MaxUnsent
+	}
 }
 
 // pause returns 0 after the first loss in a row and a growing, jittered time after later ones.
@@ -187,9 +219,22 @@
 	return f
 }
 
+// expired returns the failure of an answer whose caller has waited as long as it would.
+func (s *State) expired() Fail {
+	f := s.giveUp()
+	switch {
+	case s.answer.Len() > 0:
+	case s.Sent():
+		f.Code = vaneyoke.CodeTimedOut
+	default:
+		f.Code = vaneyoke.CodeWaitExceeded
+	}
+	return f
+}
+
 // Deadline returns when Tick is due, or the zero time where nothing is waited for.
 func (s *State) Deadline() time.Time {
-	var due time.Time
+	due := s.cfg.Deadline
 	for i := range s.runs {
 		at := s.silentAt(&s.runs[i])
 		if due.IsZero() || at.Before(due) {
@@ -230,6 +275,10 @@
 
 // tick judges the silence of each run.
 func (s *State) tick(now time.Time) {
+	if !s.cfg.Deadline.IsZero() && !now.Before(s.cfg.Deadline) {
+		s.fail(s.expired())
+		return
+	}
 	for _, r := range slices.Clone(s.runs) {
 		if s.ended || now.Before(s.silentAt(&r)) {
 			continue
@@ -249,7 +298,7 @@
 		return
 	}
 	s.stats.Suspected++
-	race := s.cfg.Recovery == vaneyoke.RecoverFast && s.cfg.Repeatable && !r.suspect
+	race := !s.cfg.Opaque && s.cfg.Recovery == vaneyoke.RecoverFast && s.cfg.Repeatable && !r.suspect
 	if !race || len(s.runs) > 1 {
 		s.lose(now, r, CauseSilent)
 		return
--- a/generation/run.go
+++ b/generation/run.go
@@ -17,17 +17,19 @@
 
 // run is one live attempt.
 type run struct {
-	attempt  vaneyoke.Attempt
-	stream   vaneyoke.Attempt // the attempt whose number the engine knows the stream by
-	upstream vaneyoke.UpstreamID
-	stage    stage
-	sent     bool               // whether an engine may have started it
-	resumed  bool               // attached to a stream that was started before
-	pending  []vaneyoke.TokenID // received, but held back by an unfinished character
-	placedAt time.Time
-	expect   time.Duration // expected time to the first token
-	gaps     gapEstimate
-	suspect  bool // silent for so long that a second attempt was started
+	attempt     vaneyoke.Attempt
+	stream      vaneyoke.Attempt // the attempt whose number the engine knows the stream by
+	upstream    vaneyoke.UpstreamID
+	stage       stage
+	sent        bool               // whether an engine may have started it
+	resumed     bool               // attached to a stream that was started before
+	pending     []vaneyoke.TokenID // received, but held back by an unfinished character
+	placedAt    time.Time
+	expect      time.Duration // expected time to the first token
+	gaps        gapEstimate
+	replica     vaneyoke.UpstreamID // keeps a replica of the run's memory; "" for none
+	fromReplica bool                // whether it goes on from a replica of a lost run
+	suspect     bool                // silent for so long that a second attempt was started
 }
 
 // cancel returns the effect that ends the run.
--- a/generation/state.go
+++ b/generation/state.go
@@ -29,7 +29,10 @@
 	avoid     []vaneyoke.UpstreamID
 	losses    int       // in a row, without a token between them
 	progress  time.Time // when the last token was let through, or the request admitted
-	sent      int       // runs that an engine may have started
+	admitted  time.Time
+	sent      int                 // runs that an engine may have started
+	arrived   int                 // runs that were sent and may have reached an engine
+	replica   vaneyoke.UpstreamID // holds a replica of the run that was lost last; "" for none
 	ended     bool
 	lastCode  vaneyoke.Code // why the last attempt was not placed
 	retryHint time.Duration
@@ -73,6 +76,7 @@
 	switch ev := ev.(type) {
 	case Admitted:
 		s.progress = now
+		s.admitted = now
 		s.place(now, 0, false)
 	case Placed:
 		s.placed(now, ev)
--- a/ids.go
+++ b/ids.go
@@ -17,6 +17,9 @@
 // ServiceID names a plain service as callers write it.
 type ServiceID string
 
+// RouteID names a route of the configuration.
+type RouteID string
+
 // VMID names a virtual machine on the platform's list of VMs.
 type VMID string
 
--- a/measure/core.go
+++ b/measure/core.go
@@ -74,6 +74,10 @@
 }
 
 // Resumed does nothing.
+func (onePlacer) Replica(placement.Need, vaneyoke.Upstream) (vaneyoke.Upstream, bool) {
+	return vaneyoke.Upstream{}, false
+}
+func (onePlacer) Released(vaneyoke.UpstreamID, placement.Need) {}
 func (onePlacer) Resumed(vaneyoke.UpstreamID) {}
 
 // Ended does nothing.
@@ -91,7 +95,7 @@
 	// Streams that are held back on purpose are not to be taken for silent.
 	config.Generation.Silence = generation.Silence{FirstToken: time.Hour, Floor: time.Hour, Ceiling: time.Hour}
 	tracer := noop.NewTracerProvider().Tracer("")
-	return relay.New(engine.New(client, client), onePlacer{}, tracer, relay.NewMetrics(new(expvar.Map).Init()), log, config)
+	return relay.New(engine.New(client, client), nil, onePlacer{}, tracer, relay.NewMetrics(new(expvar.Map).Init()), log, config)
 }
 
 func request(i int) *vaneyoke.Request {
--- /dev/null
+++ b/node/gateway.go
@@ -0,0 +1,129 @@
+package node
+
+import (
+	"context"
+	"expvar"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/gateway"
+	"github.com/vaneyoke/vaneyoke/relay"
+	"github.com/vaneyoke/vaneyoke/route"
+	"github.com/vaneyoke/vaneyoke/settings"
+	"github.com/vaneyoke/vaneyoke/telemetry"
+	"github.com/vaneyoke/vaneyoke/watch"
+)
+
+// stopMargin is left of the grace to end what is still open.
+const stopMargin = 300 * time.Millisecond
+
+// GatewayNode is a running process that takes opaque requests.
+type GatewayNode struct {
+	settings  settings.Settings
+	gateway   *gateway.Gateway
+	relay     *relay.Relay
+	tables    *watch.Follower[*route.Table]
+	upstreams *watch.Follower[vaneyoke.Upstream]
+	vars      *expvar.Map
+	tracing   *telemetry.Tracing
+	log       logrus.FieldLogger
+
+	stop    context.CancelFunc
+	work    sync.WaitGroup
+	servers []*http.Server
+}
+
+// Start opens the node's addresses and begins to serve.
+func (n *GatewayNode) Start(ctx context.Context) error {
+	s := n.settings
+	ready := http.NewServeMux()
+	ready.HandleFunc("GET /readyz", n.gateway.ServeReadiness)
+	handlers := map[string]http.Handler{s.Gateway.Listen: n.gateway, s.Gateway.Readiness: ready, s.Node.Admin: n.metrics()}
+	listeners := map[net.Listener]http.Handler{}
+	for address, handler := range handlers {
+		l, err := listen(ctx, address)
+		if err != nil {
+			for opened := range listeners {
+				_ = opened.Close()
+			}
+			return err
+		}
+		listeners[l] = handler
+	}
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	n.stop = stop
+	n.work.Go(func() { n.tables.Run(run) })
+	n.work.Go(func() { n.upstreams.Run(run) })
+	for l, handler := range listeners {
+		n.serve(l, handler)
+	}
+	n.log.WithFields(logrus.Fields{"vm": s.Node.VM, "hall": s.Node.Hall, "listen": s.Gateway.Listen, "admin": s.Node.Admin}).Info("node_started")
+	return nil
+}
+
+func (n *GatewayNode) serve(l net.Listener, handler http.Handler) {
+	s := n.settings.Gateway
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: s.HeaderWait,
+		IdleTimeout:       s.IdleWait,
+		MaxHeaderBytes:    s.HeaderBytes,
+	}
+	n.servers = append(n.servers, server)
+	n.work.Go(func() { _ = server.Serve(l) })
+}
+
+func (n *GatewayNode) metrics() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write([]byte(n.vars.String()))
+	})
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	return mux
+}
+
+// Stop tells that the node is not ready, serves on for a while, and then lets the open requests finish within the grace.
+func (n *GatewayNode) Stop(ctx context.Context) error {
+	grace := n.settings.Node.Grace - stopMargin
+	until := time.Now().Add(grace)
+	n.gateway.Stopping()
+	n.log.WithField("open", n.gateway.Open()).Info("node_stopping")
+	wait(ctx, min(n.settings.Gateway.Lame, grace))
+	ctx, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	var err error
+	for _, server := range n.servers {
+		if shutErr := server.Shutdown(ctx); shutErr != nil {
+			err = vaneyoke.Err(vaneyoke.CodeInterrupted, "%d requests were cut off at the end of the grace", n.gateway.Open())
+		}
+	}
+	n.Kill()
+	n.log.WithField("cut_off", err != nil).Info("node_stopped")
+	return err
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// Kill closes the node at once, as the death of its process would.
+func (n *GatewayNode) Kill() {
+	n.stop()
+	n.relay.Close()
+	for _, server := range n.servers {
+		_ = server.Close()
+	}
+	n.work.Wait()
+}
--- /dev/null
+++ b/node/gateway_wire.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"expvar"
+	"math/rand/v2"
+	"net"
+	"net/http"
+
+	"github.com/samber/do/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/balancer"
+	"github.com/vaneyoke/vaneyoke/gateway"
+	"github.com/vaneyoke/vaneyoke/placement"
+	"github.com/vaneyoke/vaneyoke/platform"
+	"github.com/vaneyoke/vaneyoke/relay"
+	"github.com/vaneyoke/vaneyoke/retry"
+	"github.com/vaneyoke/vaneyoke/route"
+	"github.com/vaneyoke/vaneyoke/settings"
+	"github.com/vaneyoke/vaneyoke/telemetry"
+	"github.com/vaneyoke/vaneyoke/watch"
+)
+
+// BuildGateway puts together a node that takes opaque requests.
+func BuildGateway(s settings.Settings, log logrus.FieldLogger) (*GatewayNode, error) {
+	i := do.New()
+	do.ProvideValue(i, s)
+	do.ProvideValue(i, log)
+	do.ProvideValue(i, new(expvar.Map).Init())
+	do.Provide(i, provideTracing)
+	do.Provide(i, provideBalancer)
+	do.Provide(i, provideStoreClient)
+	do.Provide(i, provideDirectory)
+	do.Provide(i, provideForwarder)
+	do.Provide(i, provideGateway)
+	do.Provide(i, provideGatewayNode)
+	return do.Invoke[*GatewayNode](i)
+}
+
+// storeClient is the HTTP client for the store.
+type storeClient struct{ http *http.Client }
+
+func provideStoreClient(i do.Injector) (*storeClient, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTimeout}
+	return &storeClient{http: &http.Client{Transport: transport}}, nil
+}
+
+func provideDirectory(i do.Injector) (*routes, error) {
+	r := newRoutes(do.MustInvoke[*balancer.Balancer](i), do.MustInvoke[logrus.FieldLogger](i))
+	do.MustInvoke[*expvar.Map](i).Set("configuration_version", expvar.Func(func() any { return r.version() }))
+	return r, nil
+}
+
+func provideForwarder(i do.Injector) (*relay.Relay, error) {
+	s := do.MustInvoke[settings.Settings](i)
+	dialer := &net.Dialer{Timeout: s.Gateway.DialWait}
+	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
+	return relay.New(
+		nil,
+		platform.NewSender(transport),
+		do.MustInvoke[*balancer.Balancer](i),
+		do.MustInvoke[*telemetry.Tracing](i).Tracer,
+		relay.NewMetrics(do.MustInvoke[*expvar.Map](i)),
+		do.MustInvoke[logrus.FieldLogger](i),
+		relayConfig(s),
+	), nil
+}
+
+func provideGateway(i do.Injector) (*gateway.Gateway, error) {
+	s := do.MustInvoke[settings.Settings](i)
+	config := gateway.Config{BodyBytes: s.Limits.BodyBytes, MaxWait: s.Gateway.MaxWait, WriteTimeout: s.Limits.WriteTimeout}
+	return gateway.New(
+		config, platform.Codec{}, do.MustInvoke[*routes](i), do.MustInvoke[*relay.Relay](i), do.MustInvoke[logrus.FieldLogger](i),
+	), nil
+}
+
+func provideGatewayNode(i do.Injector) (*GatewayNode, error) {
+	s := do.MustInvoke[settings.Settings](i)
+	log := do.MustInvoke[logrus.FieldLogger](i)
+	client := do.MustInvoke[*storeClient](i).http
+	directory := do.MustInvoke[*routes](i)
+	config := watch.DefaultConfig()
+	config.Wait = s.Gateway.FeedWait
+	return &GatewayNode{
+		settings:  s,
+		gateway:   do.MustInvoke[*gateway.Gateway](i),
+		relay:     do.MustInvoke[*relay.Relay](i),
+		tables:    watch.New[*route.Table]("routes", platform.NewConfig(client, s.Gateway.Store), config, directory.setTables, log),
+		upstreams: watch.New[vaneyoke.Upstream]("upstreams", platform.NewEngines(client, s.Gateway.Store), config, directory.setUpstreams, log),
+		vars:      do.MustInvoke[*expvar.Map](i),
+		tracing:   do.MustInvoke[*telemetry.Tracing](i),
+		log:       log,
+	}, nil
+}
+
+func newBalancer(s settings.Settings) *balancer.Balancer {
+	state := placement.New(vaneyoke.HallID(s.Node.Hall), breakerConfig(s.Retry))
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return balancer.New(state, retry.NewBudget(budgetConfig(s.Retry)), rng)
+}
--- /dev/null
+++ b/node/process.go
@@ -0,0 +1,25 @@
+package node
+
+import (
+	"context"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vaneyoke/vaneyoke/settings"
+)
+
+// Process is a node that serves callers.
+type Process interface {
+	// Start opens the node's addresses and begins to serve.
+	Start(ctx context.Context) error
+	// Stop lets the open requests finish within the grace, and closes the node.
+	Stop(ctx context.Context) error
+}
+
+// New puts together the node that the settings ask for: one that takes opaque requests, or one with the caller API.
+func New(s settings.Settings, log logrus.FieldLogger) (Process, error) {
+	if s.Gateway.Serves() {
+		return BuildGateway(s, log)
+	}
+	return Build(s, log)
+}
--- a/node/wire.go
+++ b/node/wire.go
@@ -2,7 +2,6 @@
 
 import (
 	"expvar"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync/atomic"
@@ -22,9 +21,7 @@
 	"github.com/vaneyoke/vaneyoke/journal"
 	"github.com/vaneyoke/vaneyoke/operatorapi"
 	"github.com/vaneyoke/vaneyoke/peer"
-	"github.com/vaneyoke/vaneyoke/placement"
 	"github.com/vaneyoke/vaneyoke/relay"
-	"github.com/vaneyoke/vaneyoke/retry"
 	"github.com/vaneyoke/vaneyoke/settings"
 	"github.com/vaneyoke/vaneyoke/store/aws"
 	"github.com/vaneyoke/vaneyoke/telemetry"
@@ -95,10 +92,7 @@
 }
 
 func provideBalancer(i do.Injector) (*balancer.Balancer, error) {
-	s := do.MustInvoke[settings.Settings](i)
-	state := placement.New(vaneyoke.HallID(s.Node.Hall), breakerConfig(s.Retry))
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return balancer.New(state, retry.NewBudget(budgetConfig(s.Retry)), rng), nil
+	return newBalancer(do.MustInvoke[settings.Settings](i)), nil
 }
 
 func provideFollower(i do.Injector) (*catalog.Follower, error) {
@@ -124,6 +118,7 @@
 func provideRelay(i do.Injector) (*relay.Relay, error) {
 	return relay.New(
 		engine.New(newUpstreamClient(), newOnceClient()),
+		nil,
 		do.MustInvoke[*balancer.Balancer](i),
 		do.MustInvoke[*telemetry.Tracing](i).Tracer,
 		relay.NewMetrics(do.MustInvoke[*expvar.Map](i)),
--- a/placement/state.go
+++ b/placement/state.go
@@ -19,12 +19,14 @@
 
 // Need says what an attempt asks of its upstream.
 type Need struct {
-	Kind    vaneyoke.UpstreamKind
-	Model   vaneyoke.ModelID    // of an engine
-	Service vaneyoke.ServiceID  // of a service
-	Order   []vaneyoke.Selector // upstreams in the order of preference; nil for any
-	Avoid   []vaneyoke.UpstreamID
-	Bytes   int // size of the prompt
+	Kind      vaneyoke.UpstreamKind
+	Model     vaneyoke.ModelID    // of an engine
+	Service   vaneyoke.ServiceID  // of a service
+	Order     []vaneyoke.Selector // upstreams in the order of preference; nil for any
+	Avoid     []vaneyoke.UpstreamID
+	Prefer    vaneyoke.UpstreamID // upstream that is taken where it takes work; "" for none
+	Bytes     int                 // size of the prompt
+	Replicate bool                // whether another upstream is to keep a replica of the run
 }
 
 // Outcome says how an attempt on an upstream ended.
@@ -39,13 +41,14 @@
 
 // entry is what the node knows of one upstream.
 type entry struct {
-	upstream vaneyoke.Upstream
-	inFlight int // attempts of this node
-	waiting  int // those of them that have given no token yet
-	first    estimate
-	drained  bool
-	leaving  bool // whether its VM is leaving
-	breaker  *retry.Breaker
+	upstream     vaneyoke.Upstream
+	inFlight     int // attempts of this node
+	waiting      int // those of them that have given no token yet
+	replicaBytes int // of the prompts of the runs whose replicas it keeps for this node
+	first        estimate
+	drained      bool
+	leaving      bool // whether its VM is leaving
+	breaker      *retry.Breaker
 }
 
 // cost weighs one more request: how long first tokens take there, times the node's own work there.
@@ -128,6 +131,9 @@
 // the first token; what other nodes have sent shows in how long first tokens take, so that no reports are needed.
 // Upstreams to avoid are taken only where there is no other.
 func (s *State) Pick(now time.Time, rng *rand.Rand, need Need) (vaneyoke.Upstream, time.Duration, bool) {
+	if e, ok := s.entries[need.Prefer]; ok && e.takesWork(now) && offers(&e.upstream, need) {
+		return e.upstream, e.first.patient(need.Bytes), true
+	}
 	order := need.Order
 	if len(order) == 0 {
 		order = anyUpstream
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -28,6 +28,7 @@
 	}
 	need := s.need
 	need.Avoid = e.Avoid
+	need.Prefer = e.Prefer
 	upstream, expect, err := s.relay.placer.Place(need, e.Retry)
 	if _, ok := s.mode.(*whole); ok {
 		expect = 0 // what is known of first tokens says nothing of whole answers
@@ -43,8 +44,12 @@
 		})
 		return
 	}
-	s.links[e.Attempt] = &link{upstream: upstream, cancel: func() {}}
-	s.handleLocked(now, generation.Placed{Attempt: e.Attempt, Upstream: upstream.ID, Expect: expect})
+	l := &link{upstream: upstream, cancel: func() {}}
+	s.links[e.Attempt] = l
+	if need.Replicate {
+		l.replica, _ = s.relay.placer.Replica(need, upstream)
+	}
+	s.handleLocked(now, generation.Placed{Attempt: e.Attempt, Upstream: upstream.ID, Expect: expect, Replica: l.replica.ID})
 	s.settleUnused(e.Attempt)
 }
 
@@ -92,6 +97,8 @@
 		})
 	case *whole:
 		go s.call(ctx, e.Attempt, l, m)
+	case *forwarded:
+		go s.forward(ctx, e.Attempt, m, s.forwardAttempt(e, l, m))
 	}
 }
 
@@ -135,7 +142,7 @@
 		outcome = placement.OutcomeFailed
 	}
 	s.settle(e.Attempt, outcome)
-	if e.Stop {
+	if _, opaque := s.mode.(*forwarded); e.Stop && !opaque { // closing the connection ends an opaque run
 		go s.stopRun(l.upstream, l.name)
 	}
 }
@@ -156,6 +163,9 @@
 		return
 	}
 	l.settled = true
+	if l.replica.ID != "" {
+		s.relay.placer.Released(l.replica.ID, s.need)
+	}
 	s.relay.placer.Ended(l.upstream.ID, outcome, l.begun)
 }
 
@@ -277,17 +287,23 @@
 		s.close(attempt)
 		return
 	}
-	cause := causeOf(err)
+	s.lostLocked(attempt, causeOf(err), err)
+}
+
+// lostLocked tells the state machine that an attempt was lost.
+func (s *Session) lostLocked(attempt vaneyoke.Attempt, cause generation.Cause, err error) {
+	l := s.links[attempt]
 	s.logAttempt(attempt, l.upstream.ID).WithFields(logrus.Fields{"cause": cause, "error": err}).Warn("attempt_lost")
 	s.relay.metrics.Losses.Add(cause.String(), 1)
-	s.settle(attempt, l.lossOutcome())
+	s.settle(attempt, l.lossOutcome(cause))
 	s.handleLocked(time.Now(), generation.Lost{Attempt: attempt, Cause: cause})
 	s.close(attempt)
 }
 
-// lossOutcome returns what a loss says of the upstream; a stream that could not be resumed was counted when it broke.
-func (l *link) lossOutcome() placement.Outcome {
-	if l.resumed {
+// lossOutcome returns what a loss says of the upstream; a stream that could not be resumed was counted when it broke,
+// and an upstream that declines is well.
+func (l *link) lossOutcome(cause generation.Cause) placement.Outcome {
+	if l.resumed || cause == generation.CauseDeclined {
 		return placement.OutcomeDropped
 	}
 	return placement.OutcomeFailed
@@ -303,6 +319,9 @@
 	if _, ok := errors.AsType[*engine.NotSentError](err); ok {
 		return generation.CauseNotSent
 	}
+	if _, ok := errors.AsType[*engine.DeclinedError](err); ok {
+		return generation.CauseDeclined
+	}
 	if _, ok := errors.AsType[*engine.NoStreamError](err); ok {
 		return generation.CauseNoStream
 	}
--- /dev/null
+++ b/relay/forwarded.go
@@ -0,0 +1,219 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/engine"
+	"github.com/vaneyoke/vaneyoke/forward"
+	"github.com/vaneyoke/vaneyoke/generation"
+	"github.com/vaneyoke/vaneyoke/placement"
+)
+
+// Forwarding is an opaque request, and what its route asks for.
+type Forwarding struct {
+	Message     *forward.Message
+	Service     vaneyoke.ServiceID
+	Stream      bool          // whether the answer is a series of numbered events
+	Replicate   bool          // whether an engine may keep a replica of the run's memory
+	After       string        // id of the last event that the caller holds; "" for none
+	Deadline    time.Time     // when the caller stops waiting
+	Goal        time.Duration // time to the answer, or to its first event, that is aimed at
+	Pause       time.Duration // pause between events that is aimed at
+	MaxAttempts int
+}
+
+// Bounds of the silence judgement of opaque requests, as shares of what their route aims at.
+const (
+	firstGoals   = 0.5  // share of the goal without a stream's first event that makes an attempt suspect
+	callGoals    = 3.0  // share of the goal without an answer to a call that makes an attempt suspect
+	floorPauses  = 0.4  // share of the pause without an event that makes an attempt suspect at the earliest
+	limitPauses  = 0.9  // share of the pause without an event that makes an attempt suspect at the latest
+	unsentGoals  = 0.2  // share of the goal for which an upstream is looked for before the request is refused
+	tellMargin   = 0.02 // share of the time left that the node keeps for itself
+	manyLosses   = 64   // attempts in a row that may fail to reach an upstream
+	shortestTold = time.Millisecond
+	retryPause   = 10 * time.Millisecond
+	retryCap     = 100 * time.Millisecond
+)
+
+// forwarded answers are passed on as they come; a stream goes on after its last event.
+type forwarded struct {
+	Forwarding
+	last   string       // id of the last event that was let through, or that the caller held
+	head   forward.Head // of the first upstream whose answer was let through
+	failed *wholeAnswer // the last answer that told of a failure; nil for none
+}
+
+type wholeAnswer struct {
+	head forward.Head
+	body []byte
+}
+
+func (*forwarded) mode() {}
+
+// Forward starts an opaque request; its session runs until it ends or is abandoned.
+func (r *Relay) Forward(ctx context.Context, req *vaneyoke.Request, f Forwarding) *Session {
+	need := placement.Need{
+		Kind: vaneyoke.KindService, Service: f.Service, Order: req.Order, Bytes: req.PromptBytes, Replicate: f.Replicate,
+	}
+	return r.begin(ctx, req, need, &forwarded{Forwarding: f, last: f.After})
+}
+
+// Head returns the start of the answer; it is known as soon as Read has returned something.
+func (s *Session) Head() forward.Head {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if m, ok := s.mode.(*forwarded); ok {
+		return m.head
+	}
+	return forward.Head{}
+}
+
+// decide adds to the node's bounds what the request's route and caller ask for.
+func (f *Forwarding) decide(config *generation.Config, now time.Time) {
+	config.Opaque = true
+	config.Deadline = f.Deadline
+	config.MaxWait = f.Deadline.Sub(now)
+	config.MaxUnsent = share(f.Goal, unsentGoals)
+	config.MaxAttempts = max(f.MaxAttempts, 1)
+	config.MaxLosses = manyLosses
+	config.Backoff = generation.Backoff{Base: retryPause, Cap: retryCap}
+	config.Silence.Patience = 1
+	switch {
+	case !config.Repeatable:
+		config.Silence.FirstToken = config.MaxWait
+		config.Silence.Floor = config.MaxWait
+		config.Silence.Ceiling = config.MaxWait
+	case f.Stream:
+		config.Silence.FirstToken = share(f.Goal, firstGoals)
+		config.Silence.Floor = share(f.Pause, floorPauses)
+		config.Silence.Ceiling = share(f.Pause, limitPauses)
+	default:
+		config.Silence.FirstToken = share(f.Goal, callGoals)
+		config.Silence.Floor = config.Silence.FirstToken
+	}
+}
+
+func share(d time.Duration, of float64) time.Duration { return time.Duration(float64(d) * of) }
+
+// attempt returns what is sent to an upstream.
+func (s *Session) forwardAttempt(e generation.Start, l *link, m *forwarded) *forward.Attempt {
+	left := time.Until(m.Deadline)
+	return &forward.Attempt{
+		Request:     s.req.ID,
+		Message:     m.Message,
+		Upstream:    l.upstream,
+		Left:        max(left-share(left, tellMargin), shortestTold),
+		Workspace:   s.req.Workspace,
+		Priority:    s.req.Priority,
+		Stream:      m.Stream,
+		After:       m.last,
+		Replica:     l.replica,
+		FromReplica: e.FromReplica,
+	}
+}
+
+// forward sends an attempt and takes in its answer.
+func (s *Session) forward(ctx context.Context, attempt vaneyoke.Attempt, m *forwarded, send *forward.Attempt) {
+	exchange, err := s.relay.sender.Send(ctx, send)
+	if err != nil {
+		s.failed(attempt, err)
+		return
+	}
+	defer func() { _ = exchange.Close() }()
+	if exchange.Events() {
+		s.passEvents(ctx, attempt, m, exchange)
+		return
+	}
+	body, err := exchange.Body()
+	if err != nil {
+		s.failed(attempt, err)
+		return
+	}
+	s.passWhole(attempt, m, wholeAnswer{head: exchange.Head(), body: body})
+}
+
+// passEvents takes in a stream's events.
+func (s *Session) passEvents(ctx context.Context, attempt vaneyoke.Attempt, m *forwarded, exchange forward.Exchange) {
+	received := &generation.Received{Attempt: attempt}
+	received.Batch.IDs = []vaneyoke.TokenID{0}
+	received.Batch.First = s.links[attempt].base
+	for ctx.Err() == nil {
+		event, err := exchange.Next()
+		if errors.Is(err, io.EOF) {
+			s.ended(time.Now(), attempt, vaneyoke.FinishStop)
+			return
+		}
+		if err != nil {
+			s.failed(attempt, err)
+			return
+		}
+		received.Batch.Text = event.Data
+		s.passEvent(received, m, exchange.Head(), event.ID)
+		received.Batch.First++
+	}
+}
+
+// passEvent gives one event to the state machine, and keeps its id where it was let through.
+func (s *Session) passEvent(received *generation.Received, m *forwarded, head forward.Head, id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.begin(now, received.Attempt)
+	before := s.state.Transcript().Len()
+	if m.head.Status == 0 {
+		m.head = head
+	}
+	s.handleLocked(now, received)
+	if s.state.Transcript().Len() > before {
+		m.last = id
+	}
+}
+
+// passWhole gives a whole answer to the state machine; a failure is tried again where that is allowed.
+func (s *Session) passWhole(attempt vaneyoke.Attempt, m *forwarded, answer wholeAnswer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.links[attempt]
+	if l.fenced || s.result.Ended {
+		return
+	}
+	if answer.head.Status >= http.StatusInternalServerError && s.req.Repeatable {
+		m.failed = &answer
+		s.lostLocked(attempt, generation.CauseFailed, &engine.StatusError{Status: answer.head.Status})
+		return
+	}
+	if s.state.Transcript().Len() > 0 { // a stream that has begun cannot end in another answer
+		s.lostLocked(attempt, generation.CauseMalformed, &engine.StatusError{Status: answer.head.Status})
+		return
+	}
+	s.deliver(attempt, m, answer)
+}
+
+// deliver makes a whole answer the request's.
+func (s *Session) deliver(attempt vaneyoke.Attempt, m *forwarded, answer wholeAnswer) {
+	now := time.Now()
+	s.begin(now, attempt)
+	s.settle(attempt, placement.OutcomeDone)
+	m.head = answer.head
+	batch := vaneyoke.Batch{IDs: []vaneyoke.TokenID{0}, Text: answer.body}
+	s.handleLocked(now, &generation.Received{Attempt: attempt, Batch: batch})
+	s.handleLocked(now, generation.Ended{Attempt: attempt, Reason: vaneyoke.FinishStop})
+	s.close(attempt)
+}
+
+// lastFailure returns the upstream's own answer to a request that failed at every try; ok is false where there is none.
+func (s *Session) LastFailure() (head forward.Head, body []byte, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	m, isForwarded := s.mode.(*forwarded)
+	if !isForwarded || m.failed == nil {
+		return forward.Head{}, nil, false
+	}
+	return m.failed.head, m.failed.body, true
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/engine"
+	"github.com/vaneyoke/vaneyoke/forward"
 	"github.com/vaneyoke/vaneyoke/generation"
 	"github.com/vaneyoke/vaneyoke/openai"
 	"github.com/vaneyoke/vaneyoke/placement"
@@ -20,6 +21,10 @@
 	// Place returns an upstream and its expected time to the first token, or an error with a result code.
 	// A retry counts against the retry budget.
 	Place(need placement.Need, retry bool) (vaneyoke.Upstream, time.Duration, error)
+	// Replica returns an upstream that can keep a replica of a run on another; ok is false where there is none.
+	Replica(need placement.Need, primary vaneyoke.Upstream) (replica vaneyoke.Upstream, ok bool)
+	// Released notes that a replica is needed no more.
+	Released(replica vaneyoke.UpstreamID, need placement.Need)
 	// FirstToken notes that an attempt's first token came after a while.
 	FirstToken(id vaneyoke.UpstreamID, took time.Duration, promptBytes int)
 	// Resumed notes that an attempt was attached again to an upstream that it had lost.
@@ -31,6 +36,7 @@
 // Relay starts sessions.
 type Relay struct {
 	engines *engine.Client
+	sender  forward.Sender // nil where no opaque requests are taken
 	placer  Placer
 	tracer  trace.Tracer
 	metrics *Metrics
@@ -48,10 +54,10 @@
 }
 
 // New returns a relay.
-func New(engines *engine.Client, placer Placer, tracer trace.Tracer, metrics *Metrics, log logrus.FieldLogger, config Config) *Relay {
+func New(engines *engine.Client, sender forward.Sender, placer Placer, tracer trace.Tracer, metrics *Metrics, log logrus.FieldLogger, config Config) *Relay {
 	ctx, stop := context.WithCancel(context.Background())
 	return &Relay{
-		engines: engines, placer: placer, tracer: tracer, metrics: metrics, log: log, config: config,
+		engines: engines, sender: sender, placer: placer, tracer: tracer, metrics: metrics, log: log, config: config,
 		ctx: ctx, stop: stop,
 	}
 }
@@ -98,7 +104,7 @@
 	if req.MaxWait > 0 {
 		config.MaxWait = req.MaxWait
 	}
-	switch m.(type) {
+	switch m := m.(type) {
 	case *streamed:
 		config.MaxTokens = req.MaxTokens
 		config.Stop = generation.Stop{Strings: req.Stop, Include: req.IncludeStop}
@@ -107,6 +113,8 @@
 		if need.Kind == vaneyoke.KindService {
 			config.Silence.FirstToken = r.config.CallSilence
 		}
+	case *forwarded:
+		m.decide(&config, time.Now())
 	}
 	return config
 }
--- a/relay/session.go
+++ b/relay/session.go
@@ -39,14 +39,15 @@
 type link struct {
 	cancel   context.CancelFunc
 	upstream vaneyoke.Upstream
-	name     string          // by which the engine knows the run
-	base     vaneyoke.Tokens // answer's index of the first token of the run on the engine
-	started  bool            // whether anything was sent
-	sentAt   time.Time       // when the run was started, zero for a resumed stream
-	resumed  bool            // whether it is attached to an earlier attempt's stream
-	begun    bool            // whether its first token has come
-	fenced   bool            // whether the attempt was cancelled
-	settled  bool            // whether the placer knows how the attempt came out
+	replica  vaneyoke.Upstream // keeps a replica of the run's memory; the zero value for none
+	name     string            // by which the engine knows the run
+	base     vaneyoke.Tokens   // answer's index of the first token of the run on the engine
+	started  bool              // whether anything was sent
+	sentAt   time.Time         // when the run was started, zero for a resumed stream
+	resumed  bool              // whether it is attached to an earlier attempt's stream
+	begun    bool              // whether its first token has come
+	fenced   bool              // whether the attempt was cancelled
+	settled  bool              // whether the placer knows how the attempt came out
 }
 
 // Result says how a session ended; it is zero while the session runs.
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,93 @@
+package route
+
+import (
+	"strings"
+
+	"github.com/vaneyoke/vaneyoke"
+)
+
+// Table is one version of the configuration; it does not change.
+type Table struct {
+	version    vaneyoke.Revision
+	limits     Limits
+	byHost     map[string][]Route
+	services   map[vaneyoke.ServiceID]Service
+	workspaces map[string]Workspace // by key
+	keyed      bool                 // whether requests need a key
+}
+
+// NewTable returns a table of the given routes, services, workspaces and limits.
+func NewTable(version vaneyoke.Revision, routes []Route, services []Service, workspaces []Workspace, limits Limits) *Table {
+	t := &Table{
+		version:    version,
+		limits:     limits,
+		byHost:     map[string][]Route{},
+		services:   map[vaneyoke.ServiceID]Service{},
+		workspaces: map[string]Workspace{},
+		keyed:      len(workspaces) > 0,
+	}
+	for _, r := range routes {
+		host := canonicalHost(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, s := range services {
+		t.services[s.ID] = s
+	}
+	for _, w := range workspaces {
+		for _, key := range w.Keys {
+			t.workspaces[key] = w
+		}
+	}
+	return t
+}
+
+// Version returns the number of the configuration; a later one is higher.
+func (t *Table) Version() vaneyoke.Revision { return t.version }
+
+// Limits returns what callers may send.
+func (t *Table) Limits() Limits { return t.limits }
+
+// Find returns the route of a host whose prefix is the longest that begins the path.
+func (t *Table) Find(host, path string) (*Route, bool) {
+	var found *Route
+	routes := t.byHost[canonicalHost(host)]
+	for i := range routes {
+		r := &routes[i]
+		if strings.HasPrefix(path, r.Prefix) && (found == nil || len(r.Prefix) > len(found.Prefix)) {
+			found = r
+		}
+	}
+	return found, found != nil
+}
+
+// canonicalHost returns a host name in lower case and without a port.
+func canonicalHost(host string) string {
+	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:colon]
+	}
+	return strings.ToLower(host)
+}
+
+// Service returns what is known of a service.
+func (t *Table) Service(id vaneyoke.ServiceID) Service {
+	if s, ok := t.services[id]; ok {
+		return s
+	}
+	return Service{ID: id}
+}
+
+// Workspace returns the workspace that a request on a route is accounted to.
+// An error carries CodeNoKey or CodeUnknownKey; a public route takes any key and none.
+func (t *Table) Workspace(r *Route, key string) (Workspace, error) {
+	if w, ok := t.workspaces[key]; ok {
+		return w, nil
+	}
+	switch {
+	case r.Public || !t.keyed:
+		return Workspace{}, nil
+	case key == "":
+		return Workspace{}, vaneyoke.Err(vaneyoke.CodeNoKey, "the request carries no key")
+	default:
+		return Workspace{}, vaneyoke.Err(vaneyoke.CodeUnknownKey, "the key is unknown or revoked")
+	}
+}
--- a/settings/load.go
+++ b/settings/load.go
@@ -34,12 +34,27 @@
 	}
 	root := reflect.ValueOf(&s).Elem()
 	for i := range root.NumField() {
-		section := root.Type().Field(i).Tag.Get("ini")
+		tag := root.Type().Field(i).Tag
+		section := tag.Get("ini")
+		if tag.Get("only") != "" && s.Gateway.Serves() && !file.HasSection(section) {
+			continue
+		}
 		if err := readSection(file.Section(section), root.Field(i), name); err != nil {
 			return Settings{}, err
 		}
 	}
-	return s, nil
+	return s, s.check(name)
+}
+
+// check looks for settings that must go together.
+func (s *Settings) check(name string) error {
+	g := s.Gateway
+	for key, address := range map[string]string{"readiness": g.Readiness, "store": g.Store} {
+		if g.Serves() && address == "" {
+			return vaneyoke.Err(vaneyoke.CodeSettingsKey, "%s: [gateway] %s: is missing", name, key)
+		}
+	}
+	return nil
 }
 
 func readSection(section *ini.Section, fields reflect.Value, name string) error {
--- a/settings/markdown.go
+++ b/settings/markdown.go
@@ -29,6 +29,9 @@
 
 func defaultOf(field reflect.StructField) string {
 	text, ok := field.Tag.Lookup("default")
+	if !ok && strings.HasPrefix(field.Tag.Get("check"), "optional") {
+		return "(none)"
+	}
 	if !ok {
 		return "(must be set)"
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -8,8 +8,9 @@
 // Settings is a node's whole configuration; docs/SETTINGS.md is written from its tags.
 type Settings struct {
 	Node     Node     `ini:"node" doc:"Who and where the node is."`
-	Platform Platform `ini:"platform" doc:"Where the platform's service is."`
-	Peers    Peers    `ini:"peers" doc:"How the nodes of a fleet back one another up."`
+	Gateway  Gateway  `ini:"gateway" doc:"How opaque requests are taken; a node with a listening address here serves them in place of the caller API, and needs neither [platform] nor [peers]."`
+	Platform Platform `ini:"platform" only:"callers" doc:"Where the platform's service is."`
+	Peers    Peers    `ini:"peers" only:"callers" doc:"How the nodes of a fleet back one another up."`
 	Claims   Claims   `ini:"claims" doc:"How requests that may run at most once are claimed in the platform's table."`
 	Limits   Limits   `ini:"limits" doc:"Bounds on what callers may ask for."`
 	Recovery Recovery `ini:"recovery" doc:"When an attempt is taken for lost, and what follows."`
@@ -27,6 +28,20 @@
 	Grace  time.Duration `ini:"grace" default:"15m" min:"1s" doc:"Longest time that a stopping node lets its requests finish."`
 }
 
+// Gateway says how opaque requests are taken.
+type Gateway struct {
+	Listen      string        `ini:"listen" check:"optional_address" doc:"IP number and port for callers of opaque requests; none where it is empty."`
+	Readiness   string        `ini:"readiness" check:"optional_address" doc:"IP number and port at which the node tells whether it takes new connections."`
+	Store       string        `ini:"store" check:"optional_address" doc:"IP number and port of the store that holds the routes and the list of upstreams; must be set where listen is."`
+	MaxWait     time.Duration `ini:"max_wait" default:"60s" min:"10ms" doc:"Longest time for an answer where neither the route nor the caller names one."`
+	HeaderWait  time.Duration `ini:"header_wait" default:"10s" min:"100ms" doc:"Longest time that a caller may take to send a request's header."`
+	IdleWait    time.Duration `ini:"idle_wait" default:"60s" min:"1s" doc:"How long a connection without a request is kept."`
+	HeaderBytes int           `ini:"header_bytes" default:"65536" min:"1024" doc:"Largest header of a request in bytes."`
+	DialWait    time.Duration `ini:"dial_wait" default:"250ms" min:"1ms" doc:"Longest wait for a connection to an upstream."`
+	FeedWait    time.Duration `ini:"feed_wait" default:"3s" min:"100ms" max:"30s" doc:"How long one call to the store waits for changes."`
+	Lame        time.Duration `ini:"lame" default:"3s" min:"0s" doc:"How long a stopping node still takes requests, while it says that it is not ready."`
+}
+
 // Platform says where the platform's service is.
 type Platform struct {
 	TableURL  string        `ini:"table_url" check:"url" doc:"Address of the transactional table (DynamoDB's protocol)."`
@@ -102,6 +117,9 @@
 	Ratio  float64 `ini:"ratio" default:"1" min:"0" max:"1" doc:"Share of requests that are traced where the caller does not say."`
 }
 
+// Serves reports whether the node takes opaque requests.
+func (g Gateway) Serves() bool { return g.Listen != "" }
+
 // KeyList returns the peers' keys, the one in use first.
 func (p Peers) KeyList() []string {
 	var keys []string
--- a/settings/value.go
+++ b/settings/value.go
@@ -67,6 +67,11 @@
 		if _, err := netip.ParseAddrPort(text); err != nil {
 			return fmt.Errorf("must be an IP number and a port, got %q", text)
 		}
+	case "optional_address":
+		if text == "" {
+			return nil
+		}
+		return checkText("address", text)
 	case "url":
 		return checkURL(text)
 	case "level":
