Wait longer for first events, use replicas of begun runs only, keep retry budgets by service

Ruled out: engines that were slow or down at that time. Silent losses and further attempts are now told in the log.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -15,17 +15,28 @@
 
 // Balancer chooses upstreams for the sessions of one node.
 type Balancer struct {
-	mu     sync.Mutex
-	state  *placement.State
-	budget *retry.Budget
-	rng    *rand.Rand
+	mu      sync.Mutex
+	state   *placement.State
+	limits  retry.BudgetConfig
+	budgets map[vaneyoke.ServiceID]*retry.Budget // of each service, and of all engines under ""
+	rng     *rand.Rand
 
 	leaving []vaneyoke.VMID
 }
 
 // New returns a balancer over the given state.
-func New(state *placement.State, budget *retry.Budget, rng *rand.Rand) *Balancer {
-	return &Balancer{state: state, budget: budget, rng: rng}
+func New(state *placement.State, limits retry.BudgetConfig, rng *rand.Rand) *Balancer {
+	return &Balancer{state: state, limits: limits, budgets: map[vaneyoke.ServiceID]*retry.Budget{}, rng: rng}
+}
+
+// budget returns the retry budget of a service, so that the retries at one do not keep another's from going on.
+func (b *Balancer) budget(service vaneyoke.ServiceID) *retry.Budget {
+	budget := b.budgets[service]
+	if budget == nil {
+		budget = retry.NewBudget(b.limits)
+		b.budgets[service] = budget
+	}
+	return budget
 }
 
 // SetUpstreams takes in the fleet's upstreams and those of them that are drained.
@@ -57,9 +68,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
+	budget := b.budget(need.Service)
 	if !isRetry {
-		b.budget.Admit()
-	} else if !b.budget.Take(now) {
+		budget.Admit()
+	} else if !budget.Take(now) {
 		return vaneyoke.Upstream{}, 0, vaneyoke.ErrRetryAfter(vaneyoke.CodeRetryExhausted, noUpstreamRetry, "the node's retry budget is spent")
 	}
 	upstream, expect, ok := b.state.Pick(now, b.rng, need)
--- a/generation/recover.go
+++ b/generation/recover.go
@@ -138,7 +138,10 @@
 func (s *State) followReplica(old *run, cause Cause) {
 	switch {
 	case cause.mayHaveRun():
-		s.replica = old.replica
+		s.replica = ""
+		if old.stage == stageStreaming {
+			s.replica = old.replica
+		}
 	case old.fromReplica:
 		s.replica = ""
 	}
--- a/node/gateway_wire.go
+++ b/node/gateway_wire.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/samber/do/v2"
 	"github.com/sirupsen/logrus"
@@ -15,7 +16,6 @@
 	"github.com/vaneyoke/vaneyoke/placement"
 	"github.com/vaneyoke/vaneyoke/platform"
 	"github.com/vaneyoke/vaneyoke/relay"
-	"github.com/vaneyoke/vaneyoke/retry"
 	"github.com/vaneyoke/vaneyoke/route"
 	"github.com/vaneyoke/vaneyoke/settings"
 	"github.com/vaneyoke/vaneyoke/telemetry"
@@ -38,6 +38,9 @@
 	return do.Invoke[*GatewayNode](i)
 }
 
+// probes find an upstream that has gone without a word while it owes an answer; seconds are the finest that the system takes.
+var probes = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 1}
+
 // storeClient is the HTTP client for the store.
 type storeClient struct{ http *http.Client }
 
@@ -55,7 +58,7 @@
 
 func provideForwarder(i do.Injector) (*relay.Relay, error) {
 	s := do.MustInvoke[settings.Settings](i)
-	dialer := &net.Dialer{Timeout: s.Gateway.DialWait}
+	dialer := &net.Dialer{Timeout: s.Gateway.DialWait, KeepAliveConfig: probes}
 	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
 	return relay.New(
 		nil,
@@ -98,5 +101,5 @@
 func newBalancer(s settings.Settings) *balancer.Balancer {
 	state := placement.New(vaneyoke.HallID(s.Node.Hall), breakerConfig(s.Retry))
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return balancer.New(state, retry.NewBudget(budgetConfig(s.Retry)), rng)
+	return balancer.New(state, budgetConfig(s.Retry), rng)
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -89,6 +89,11 @@
 	l.name = engine.StreamName(s.req.ID, s.epoch, e.Attempt)
 	ctx := s.open(l, e.Attempt, "attempt")
 	s.relay.metrics.Attempts.Add(1)
+	if e.Attempt > 1 {
+		s.logAttempt(e.Attempt, l.upstream.ID).WithFields(logrus.Fields{
+			"from": e.From, "replica": l.replica.ID, "from_replica": e.FromReplica,
+		}).Info("attempt_started")
+	}
 	switch m := s.mode.(type) {
 	case *streamed:
 		run := openai.StreamRun(m.req, e.Prefix, e.From)
@@ -140,6 +145,10 @@
 	outcome := placement.OutcomeDropped
 	if e.Cause == generation.CauseSilent {
 		outcome = placement.OutcomeFailed
+		s.logAttempt(e.Attempt, l.upstream.ID).WithFields(logrus.Fields{
+			"cause": e.Cause, "begun": l.begun, "age_ms": time.Since(l.sentAt).Milliseconds(),
+		}).Warn("attempt_lost")
+		s.relay.metrics.Losses.Add(e.Cause.String(), 1)
 	}
 	s.settle(e.Attempt, outcome)
 	if _, opaque := s.mode.(*forwarded); e.Stop && !opaque { // closing the connection ends an opaque run
--- a/relay/forwarded.go
+++ b/relay/forwarded.go
@@ -29,7 +29,7 @@
 
 // Bounds of the silence judgement of opaque requests, as shares of what their route aims at.
 const (
-	firstGoals   = 0.5  // share of the goal without a stream's first event that makes an attempt suspect
+	firstGoals   = 1.0  // share of the goal without a stream's first event that makes an attempt suspect
 	callGoals    = 3.0  // share of the goal without an answer to a call that makes an attempt suspect
 	floorPauses  = 0.4  // share of the pause without an event that makes an attempt suspect at the earliest
 	limitPauses  = 0.9  // share of the pause without an event that makes an attempt suspect at the latest
