Probe engines that owe a first event, and learn from refusals which of them are gone

Ruled out: the estimate's decay. Now a probe (a connection, 400 ms apart) tells a dead engine from a busy one, 421 takes the engine off, replica runs give no estimate, and where all breakers are open the engines are used all the same.

--- a/engine/failure.go
+++ b/engine/failure.go
@@ -11,7 +11,10 @@
 type NotSentError struct{ Reason string }
 
 // DeclinedError says that an upstream got the request and did not run it.
-type DeclinedError struct{ Status int }
+type DeclinedError struct {
+	Status int
+	Gone   bool // whether another upstream has its address
+}
 
 // StatusError says that an upstream answered with a status that ends the attempt.
 type StatusError struct{ Status int }
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -60,4 +60,6 @@
 // Sender sends attempts; the errors of Send are those of package engine.
 type Sender interface {
 	Send(ctx context.Context, attempt *Attempt) (Exchange, error)
+	// Probe reports whether an upstream takes connections.
+	Probe(ctx context.Context, upstream vaneyoke.Upstream) bool
 }
--- a/generation/config.go
+++ b/generation/config.go
@@ -17,6 +17,9 @@
 	Deadline    time.Time         // when the caller stops waiting; the zero time where it never does
 	MaxUnsent   time.Duration     // longest wait for an upstream before anything was run; 0 stands for MaxWait
 	MaxAttempts int               // runs that may be sent to upstreams; 0 for no bound
+	// ProbeEvery is the time without a first piece after which an upstream is asked whether it is there, again and again;
+	// 0 for never.
+	ProbeEvery time.Duration
 	// Opaque says that an attempt goes on from the number of the last piece alone, and that no engine gives a run's
 	// stream a second time.
 	Opaque  bool
--- a/generation/effect.go
+++ b/generation/effect.go
@@ -25,6 +25,12 @@
 	IDs      []vaneyoke.TokenID // the answer so far
 }
 
+// Probe asks whether an attempt's upstream is there.
+type Probe struct {
+	Attempt  vaneyoke.Attempt
+	Upstream vaneyoke.UpstreamID
+}
+
 // Start sends an attempt to its upstream.
 type Start struct {
 	Attempt     vaneyoke.Attempt
@@ -70,6 +76,7 @@
 
 func (Place) effect()   {}
 func (Inspect) effect() {}
+func (Probe) effect()   {}
 func (Start) effect()   {}
 func (Resume) effect()  {}
 func (Cancel) effect()  {}
--- a/generation/event.go
+++ b/generation/event.go
@@ -33,6 +33,12 @@
 	RetryAfter time.Duration // 0 where the placement gives no time
 }
 
+// Probed answers Probe.
+type Probed struct {
+	Attempt vaneyoke.Attempt
+	Alive   bool
+}
+
 // PromptRead gives the prompt's token ids as an attempt's engine read them.
 type PromptRead struct {
 	Attempt vaneyoke.Attempt
@@ -75,6 +81,7 @@
 func (Admitted) event()   {}
 func (Placed) event()     {}
 func (Inspected) event()  {}
+func (Probed) event()     {}
 func (NotPlaced) event()  {}
 func (PromptRead) event() {}
 func (*Received) event()  {}
@@ -90,13 +97,14 @@
 
 // The causes of a loss.
 const (
-	CauseNotSent   Cause = iota + 1 // the engine never got the request, or said that it did not run it
-	CauseClosed                     // the stream closed before its end
-	CauseMalformed                  // the stream broke its protocol
-	CauseNoStream                   // the engine knows no such stream to resume
-	CauseSilent                     // the stream fell silent
-	CauseDeclined                   // the upstream got the request, and said that it did not run it
-	CauseFailed                     // the upstream answered that it failed
+	CauseNotSent     Cause = iota + 1 // the engine never got the request, or said that it did not run it
+	CauseClosed                       // the stream closed before its end
+	CauseMalformed                    // the stream broke its protocol
+	CauseNoStream                     // the engine knows no such stream to resume
+	CauseSilent                       // the stream fell silent
+	CauseDeclined                     // the upstream got the request, and said that it did not run it
+	CauseFailed                       // the upstream answered that it failed
+	CauseUnreachable                  // the upstream did not answer a probe
 )
 
 // String returns the cause as it stands in logs.
@@ -116,6 +124,8 @@
 		return "declined"
 	case CauseFailed:
 		return "failed"
+	case CauseUnreachable:
+		return "unreachable"
 	default:
 		return "unknown"
 	}
--- a/generation/recover.go
+++ b/generation/recover.go
@@ -30,6 +30,7 @@
 	r.stage = stageStarted
 	r.upstream = ev.Upstream
 	r.placedAt = now
+	r.aliveAt = now
 	r.expect = ev.Expect
 	r.replica = ev.Replica
 	if s.answer.unsure && s.answer.Len() > 0 {
@@ -239,7 +240,7 @@
 func (s *State) Deadline() time.Time {
 	due := s.cfg.Deadline
 	for i := range s.runs {
-		at := s.silentAt(&s.runs[i])
+		at := s.dueAt(&s.runs[i])
 		if due.IsZero() || at.Before(due) {
 			due = at
 		}
@@ -247,6 +248,31 @@
 	return due
 }
 
+// dueAt returns when a run's silence calls for a decision or a probe.
+func (s *State) dueAt(r *run) time.Time {
+	at := s.silentAt(r)
+	if s.cfg.ProbeEvery == 0 || r.stage != stageStarted || r.probing || r.gaps.count > 0 {
+		return at
+	}
+	if probe := r.aliveAt.Add(s.cfg.ProbeEvery); probe.Before(at) {
+		return probe
+	}
+	return at
+}
+
+// probed goes on waiting for an upstream that is there, and gives up one that is not.
+func (s *State) probed(now time.Time, ev Probed) {
+	r := s.find(ev.Attempt)
+	if r == nil {
+		return
+	}
+	r.probing = false
+	r.aliveAt = now
+	if !ev.Alive && r.stage == stageStarted {
+		s.lose(now, r, CauseUnreachable)
+	}
+}
+
 // silentAt returns when a run's silence calls for a decision.
 func (s *State) silentAt(r *run) time.Time {
 	since := r.gaps.last
@@ -283,10 +309,16 @@
 		return
 	}
 	for _, r := range slices.Clone(s.runs) {
-		if s.ended || now.Before(s.silentAt(&r)) {
+		if s.ended || now.Before(s.dueAt(&r)) {
 			continue
 		}
-		if live := s.find(r.attempt); live != nil {
+		live := s.find(r.attempt)
+		switch {
+		case live == nil:
+		case now.Before(s.silentAt(live)):
+			live.probing = true
+			s.do(Probe{Attempt: live.attempt, Upstream: live.upstream})
+		default:
 			s.silent(now, live)
 		}
 	}
--- a/generation/run.go
+++ b/generation/run.go
@@ -25,6 +25,8 @@
 	resumed     bool               // attached to a stream that was started before
 	pending     []vaneyoke.TokenID // received, but held back by an unfinished character
 	placedAt    time.Time
+	probing     bool          // whether a probe is under way
+	aliveAt     time.Time     // when the upstream last answered a probe, or the run was placed
 	expect      time.Duration // expected time to the first token
 	gaps        gapEstimate
 	replica     vaneyoke.UpstreamID // keeps a replica of the run's memory; "" for none
--- a/generation/state.go
+++ b/generation/state.go
@@ -82,6 +82,8 @@
 		s.placed(now, ev)
 	case Inspected:
 		s.inspected(ev)
+	case Probed:
+		s.probed(now, ev)
 	case NotPlaced:
 		s.notPlaced(now, ev)
 	case PromptRead:
--- a/node/gateway_wire.go
+++ b/node/gateway_wire.go
@@ -59,10 +59,9 @@
 func provideForwarder(i do.Injector) (*relay.Relay, error) {
 	s := do.MustInvoke[settings.Settings](i)
 	dialer := &net.Dialer{Timeout: s.Gateway.DialWait, KeepAliveConfig: probes}
-	transport := &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}
 	return relay.New(
 		nil,
-		platform.NewSender(transport),
+		platform.NewSender(dialer),
 		do.MustInvoke[*balancer.Balancer](i),
 		do.MustInvoke[*telemetry.Tracing](i).Tracer,
 		relay.NewMetrics(do.MustInvoke[*expvar.Map](i)),
--- a/placement/state.go
+++ b/placement/state.go
@@ -34,9 +34,11 @@
 
 // The outcomes of an attempt.
 const (
-	OutcomeDone    Outcome = iota + 1 // the upstream did its part
-	OutcomeFailed                     // the upstream was lost or refused for reasons of its own
-	OutcomeDropped                    // the node ended the attempt
+	OutcomeDone        Outcome = iota + 1 // the upstream did its part
+	OutcomeFailed                         // the upstream was lost or refused for reasons of its own
+	OutcomeDropped                        // the node ended the attempt
+	OutcomeUnreachable                    // the upstream takes no connections
+	OutcomeGone                           // another upstream has its address
 )
 
 // entry is what the node knows of one upstream.
@@ -47,6 +49,7 @@
 	replicaBytes int // of the prompts of the runs whose replicas it keeps for this node
 	first        estimate
 	drained      bool
+	gone         bool // whether another upstream has its address
 	leaving      bool // whether its VM is leaving
 	breaker      *retry.Breaker
 }
@@ -129,7 +132,7 @@
 
 // Pick chooses the best of a few random candidates, from the first set in the order that has any, by the expected time to
 // the first token; what other nodes have sent shows in how long first tokens take, so that no reports are needed.
-// Upstreams to avoid are taken only where there is no other.
+// Upstreams to avoid are taken only where there is no other, and those that failed in a row only after them.
 func (s *State) Pick(now time.Time, rng *rand.Rand, need Need) (vaneyoke.Upstream, time.Duration, bool) {
 	if e, ok := s.entries[need.Prefer]; ok && e.takesWork(now) && offers(&e.upstream, need) {
 		return e.upstream, e.first.patient(need.Bytes), true
@@ -138,9 +141,9 @@
 	if len(order) == 0 {
 		order = anyUpstream
 	}
-	for _, avoided := range []bool{false, true} {
+	for _, t := range tiers {
 		for _, selector := range order {
-			candidates := s.candidates(now, need, selector, avoided)
+			candidates := s.candidates(now, need, selector, t)
 			if len(candidates) > 0 {
 				chosen := s.best(now, rng, candidates)
 				return chosen.upstream, chosen.first.patient(need.Bytes), true
@@ -150,13 +153,21 @@
 	return vaneyoke.Upstream{}, 0, false
 }
 
-func (s *State) candidates(now time.Time, need Need, selector vaneyoke.Selector, avoided bool) []*entry {
+// tier is a set of upstreams that are taken only where the one before it is empty.
+type tier struct {
+	avoided bool // whether they are among those to avoid
+	open    bool // whether breakers are left aside
+}
+
+var tiers = []tier{{}, {avoided: true}, {open: true}, {avoided: true, open: true}}
+
+func (s *State) candidates(now time.Time, need Need, selector vaneyoke.Selector, t tier) []*entry {
 	s.scratch = s.scratch[:0]
 	for _, e := range s.order {
-		if !e.takesWork(now) || !offers(&e.upstream, need) || !selector.Matches(&e.upstream) {
+		if !e.mayWork() || (!t.open && !e.breaker.Allows(now)) || !offers(&e.upstream, need) || !selector.Matches(&e.upstream) {
 			continue
 		}
-		if slices.Contains(need.Avoid, e.upstream.ID) == avoided {
+		if slices.Contains(need.Avoid, e.upstream.ID) == t.avoided {
 			s.scratch = append(s.scratch, e)
 		}
 	}
@@ -169,9 +180,14 @@
 	return ok && e.takesWork(now)
 }
 
+// mayWork reports whether nothing but failures speaks against new work on the upstream.
+func (e *entry) mayWork() bool {
+	return e.upstream.State == vaneyoke.StateLive && !e.drained && !e.leaving && !e.gone
+}
+
 // takesWork reports whether the upstream may be given new work.
 func (e *entry) takesWork(now time.Time) bool {
-	return e.upstream.State == vaneyoke.StateLive && !e.drained && !e.leaving && e.breaker.Allows(now)
+	return e.mayWork() && e.breaker.Allows(now)
 }
 
 // best returns the upstream with the lowest cost among a few random ones.
@@ -249,6 +265,10 @@
 		e.breaker.Failed(now)
 	case OutcomeDropped:
 		e.breaker.Dropped()
+	case OutcomeUnreachable:
+		e.breaker.Open(now)
+	case OutcomeGone:
+		e.gone = true
 	}
 }
 
@@ -263,6 +283,6 @@
 // Loads returns what the node sees of each upstream, by id.
 func (s *State) Loads() []Load {
 	return lo.Map(s.order, func(e *entry, _ int) Load {
-		return Load{Upstream: e.upstream, InFlight: e.inFlight, Open: e.breaker.Open(), Drained: e.drained}
+		return Load{Upstream: e.upstream, InFlight: e.inFlight, Open: e.breaker.IsOpen(), Drained: e.drained}
 	})
 }
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -86,6 +86,7 @@
 	l := s.links[e.Attempt]
 	l.base = e.From
 	l.sentAt = time.Now()
+	l.fromReplica = e.FromReplica
 	l.name = engine.StreamName(s.req.ID, s.epoch, e.Attempt)
 	ctx := s.open(l, e.Attempt, "attempt")
 	s.relay.metrics.Attempts.Add(1)
@@ -143,8 +144,8 @@
 	l.cancel()
 	l.fenced = true
 	outcome := placement.OutcomeDropped
-	if e.Cause == generation.CauseSilent {
-		outcome = placement.OutcomeFailed
+	if e.Cause == generation.CauseSilent || e.Cause == generation.CauseUnreachable {
+		outcome = outcomeOf(e.Cause)
 		s.logAttempt(e.Attempt, l.upstream.ID).WithFields(logrus.Fields{
 			"cause": e.Cause, "begun": l.begun, "age_ms": time.Since(l.sentAt).Milliseconds(),
 		}).Warn("attempt_lost")
@@ -232,7 +233,7 @@
 		return
 	}
 	l.begun = true
-	if !l.sentAt.IsZero() {
+	if !l.sentAt.IsZero() && !l.fromReplica {
 		s.relay.placer.FirstToken(l.upstream.ID, now.Sub(l.sentAt), s.need.Bytes)
 	}
 }
@@ -304,18 +305,32 @@
 	l := s.links[attempt]
 	s.logAttempt(attempt, l.upstream.ID).WithFields(logrus.Fields{"cause": cause, "error": err}).Warn("attempt_lost")
 	s.relay.metrics.Losses.Add(cause.String(), 1)
-	s.settle(attempt, l.lossOutcome(cause))
+	s.settle(attempt, l.lossOutcome(cause, err))
 	s.handleLocked(time.Now(), generation.Lost{Attempt: attempt, Cause: cause})
 	s.close(attempt)
 }
 
-// lossOutcome returns what a loss says of the upstream; a stream that could not be resumed was counted when it broke,
-// and an upstream that declines is well.
-func (l *link) lossOutcome(cause generation.Cause) placement.Outcome {
-	if l.resumed || cause == generation.CauseDeclined {
+// lossOutcome returns what a loss says of the upstream; a stream that could not be resumed was counted when it broke.
+func (l *link) lossOutcome(cause generation.Cause, err error) placement.Outcome {
+	if l.resumed {
 		return placement.OutcomeDropped
 	}
-	return placement.OutcomeFailed
+	if declined, ok := errors.AsType[*engine.DeclinedError](err); ok && declined.Gone {
+		return placement.OutcomeGone
+	}
+	return outcomeOf(cause)
+}
+
+// outcomeOf returns what the cause of a loss says of the upstream; one that declines is well.
+func outcomeOf(cause generation.Cause) placement.Outcome {
+	switch cause {
+	case generation.CauseDeclined:
+		return placement.OutcomeDropped
+	case generation.CauseNotSent, generation.CauseUnreachable:
+		return placement.OutcomeUnreachable
+	default:
+		return placement.OutcomeFailed
+	}
 }
 
 func refusal(err *engine.RefusedError) string {
--- a/relay/forwarded.go
+++ b/relay/forwarded.go
@@ -29,10 +29,12 @@
 
 // Bounds of the silence judgement of opaque requests, as shares of what their route aims at.
 const (
-	firstGoals   = 1.0  // share of the goal without a stream's first event that makes an attempt suspect
-	callGoals    = 3.0  // share of the goal without an answer to a call that makes an attempt suspect
-	floorPauses  = 0.4  // share of the pause without an event that makes an attempt suspect at the earliest
-	limitPauses  = 0.9  // share of the pause without an event that makes an attempt suspect at the latest
+	firstGoals   = 1.0 // share of the goal without a stream's first event that makes an attempt suspect
+	callGoals    = 3.0 // share of the goal without an answer to a call that makes an attempt suspect
+	floorPauses  = 0.4 // share of the pause without an event that makes an attempt suspect at the earliest
+	limitPauses  = 0.9 // share of the pause without an event that makes an attempt suspect at the latest
+	probeGoals   = 0.5 // share of the goal without a first piece after which the upstream is probed
+	longestProbe = 400 * time.Millisecond
 	unsentGoals  = 0.2  // share of the goal for which an upstream is looked for before the request is refused
 	tellMargin   = 0.02 // share of the time left that the node keeps for itself
 	manyLosses   = 64   // attempts in a row that may fail to reach an upstream
@@ -84,8 +86,10 @@
 	config.MaxLosses = manyLosses
 	config.Backoff = generation.Backoff{Base: retryPause, Cap: retryCap}
 	config.Silence.Patience = 1
+	config.ProbeEvery = min(share(f.Goal, probeGoals), longestProbe)
 	switch {
 	case !config.Repeatable:
+		config.ProbeEvery = 0
 		config.Silence.FirstToken = config.MaxWait
 		config.Silence.Floor = config.MaxWait
 		config.Silence.Ceiling = config.MaxWait
@@ -138,6 +142,15 @@
 	s.passWhole(attempt, m, wholeAnswer{head: exchange.Head(), body: body})
 }
 
+// probe asks whether an attempt's upstream is there.
+func (s *Session) probe(e generation.Probe) {
+	s.mu.Lock()
+	l := s.links[e.Attempt]
+	s.mu.Unlock()
+	alive := s.relay.sender.Probe(s.ctx, l.upstream)
+	s.handle(time.Now(), generation.Probed{Attempt: e.Attempt, Alive: alive})
+}
+
 // passEvents takes in a stream's events.
 func (s *Session) passEvents(ctx context.Context, attempt vaneyoke.Attempt, m *forwarded, exchange forward.Exchange) {
 	received := &generation.Received{Attempt: attempt}
--- a/relay/session.go
+++ b/relay/session.go
@@ -32,22 +32,24 @@
 	timer   *time.Timer
 	result  Result
 	answer  engine.Answer // of a whole session
+	pace    pace          // of what was let through
 	epoch   uint64        // counts the request's owners from 1
 }
 
 // link is the shell's side of one attempt.
 type link struct {
-	cancel   context.CancelFunc
-	upstream vaneyoke.Upstream
-	replica  vaneyoke.Upstream // keeps a replica of the run's memory; the zero value for none
-	name     string            // by which the engine knows the run
-	base     vaneyoke.Tokens   // answer's index of the first token of the run on the engine
-	started  bool              // whether anything was sent
-	sentAt   time.Time         // when the run was started, zero for a resumed stream
-	resumed  bool              // whether it is attached to an earlier attempt's stream
-	begun    bool              // whether its first token has come
-	fenced   bool              // whether the attempt was cancelled
-	settled  bool              // whether the placer knows how the attempt came out
+	cancel      context.CancelFunc
+	upstream    vaneyoke.Upstream
+	replica     vaneyoke.Upstream // keeps a replica of the run's memory; the zero value for none
+	name        string            // by which the engine knows the run
+	base        vaneyoke.Tokens   // answer's index of the first token of the run on the engine
+	fromReplica bool              // whether the run goes on from a replica, which says nothing of how long prompts take
+	started     bool              // whether anything was sent
+	sentAt      time.Time         // when the run was started, zero for a resumed stream
+	resumed     bool              // whether it is attached to an earlier attempt's stream
+	begun       bool              // whether its first token has come
+	fenced      bool              // whether the attempt was cancelled
+	settled     bool              // whether the placer knows how the attempt came out
 }
 
 // Result says how a session ended; it is zero while the session runs.
@@ -205,6 +207,8 @@
 		go s.place(e)
 	case generation.Inspect:
 		go s.inspect(e, s.links[e.Attempt].upstream)
+	case generation.Probe:
+		go s.probe(e)
 	case generation.Start:
 		s.start(e)
 	case generation.Resume:
@@ -212,6 +216,7 @@
 	case generation.Cancel:
 		s.cancel(e)
 	case generation.Given:
+		s.pace.add(time.Now())
 		s.changed.Broadcast()
 	case generation.Finish:
 		s.end(Result{Reason: e.Reason, Usage: e.Usage})
@@ -230,6 +235,21 @@
 	s.record()
 }
 
+// pace follows when an answer's pieces were let through.
+type pace struct {
+	first, last time.Time     // zero before the first piece
+	longest     time.Duration // longest pause between two pieces
+}
+
+func (p *pace) add(now time.Time) {
+	if p.first.IsZero() {
+		p.first = now
+	} else {
+		p.longest = max(p.longest, now.Sub(p.last))
+	}
+	p.last = now
+}
+
 // record writes the session's log line, metrics and span.
 func (s *Session) record() {
 	m, stats := s.relay.metrics, s.result.Stats
@@ -249,6 +269,8 @@
 		"attempts":  stats.Attempts,
 		"losses":    stats.Losses,
 		"discarded": stats.Discarded,
+		"first_ms":  s.pace.first.Sub(s.req.ReceivedAt).Milliseconds(),
+		"gap_ms":    s.pace.longest.Milliseconds(),
 		"ms":        time.Since(s.req.ReceivedAt).Milliseconds(),
 	}).Info("session_ended")
 }
--- a/retry/breaker.go
+++ b/retry/breaker.go
@@ -34,8 +34,16 @@
 	return !b.trial && !now.Before(b.until)
 }
 
-// Open reports whether the breaker holds work back.
-func (b *Breaker) Open() bool { return b.opened > 0 }
+// IsOpen reports whether the breaker holds work back.
+func (b *Breaker) IsOpen() bool { return b.opened > 0 }
+
+// Open holds work back at once, whatever came before.
+func (b *Breaker) Open(now time.Time) {
+	if b.opened == 0 {
+		b.failures = b.cfg.Failures
+	}
+	b.Failed(now)
+}
 
 // Sent notes that work was sent; on an open breaker it is the trial.
 func (b *Breaker) Sent(now time.Time) {
