--- a/cmd/vaneyoked/main.go
+++ b/cmd/vaneyoked/main.go
@@ -9,6 +9,7 @@
 	"syscall"
 	_ "time/tzdata" // VMs may have no time zones of their own
 
+	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
 	"github.com/vaneyoke/vaneyoke"
@@ -41,6 +42,26 @@
 	}
 }
 
+// reloadUntil takes in the settings at each SIGHUP until ctx ends; a file with errors is told of and left aside.
+func reloadUntil(ctx context.Context, path string, n node.Process, log logrus.FieldLogger) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangups:
+		}
+		s, err := settings.Load(path)
+		if err != nil {
+			log.WithFields(logrus.Fields{"code": int(vaneyoke.CodeOf(err)), "error": err}).Error("settings_refused")
+			continue
+		}
+		n.Reload(s)
+	}
+}
+
 func run(ctx context.Context, cmd *cli.Command) error {
 	s, err := settings.Load(cmd.String("config"))
 	if err != nil {
@@ -61,6 +82,6 @@
 	if err := n.Start(ctx); err != nil {
 		return err
 	}
-	<-ctx.Done()
+	reloadUntil(ctx, cmd.String("config"), n, log)
 	return n.Stop(context.WithoutCancel(ctx))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	Wait         time.Duration // how long the caller waits; 0 where it does not say
 	After        string        // id of the last event that the caller holds; "" for none
 	PromptTokens vaneyoke.Tokens
+	Prompt       string      // names the prompt; "" where the request does not say
 	Header       http.Header // what is passed on to upstreams
 }
 
@@ -115,6 +116,9 @@
 	if err != nil {
 		return req, relay.Forwarding{}, err
 	}
+	if g.stopping.Load() && found.Kind == route.KindStream {
+		return req, relay.Forwarding{}, vaneyoke.ErrRetryAfter(vaneyoke.CodeStopping, retryElsewhere, "the node is stopping")
+	}
 	body, err := g.readBody(w, r, table.Limits())
 	if err != nil {
 		return req, relay.Forwarding{}, err
@@ -145,6 +149,7 @@
 		Service:     service.ID,
 		Stream:      r.Kind == route.KindStream,
 		Replicate:   service.Replicas && r.Kind == route.KindStream && r.Resumable,
+		Prompt:      envelope.Prompt,
 		After:       envelope.After,
 		Goal:        r.Goal,
 		Pause:       r.Pause,
--- a/node/gateway.go
+++ b/node/gateway.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/pprof"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -25,7 +26,8 @@
 
 // GatewayNode is a running process that takes opaque requests.
 type GatewayNode struct {
-	settings  settings.Settings
+	settings  settings.Settings // as of the start
+	current   atomic.Pointer[settings.Settings]
 	gateway   *gateway.Gateway
 	relay     *relay.Relay
 	tables    *watch.Follower[*route.Table]
@@ -42,6 +44,7 @@
 // Start opens the node's addresses and begins to serve.
 func (n *GatewayNode) Start(ctx context.Context) error {
 	s := n.settings
+	n.current.Store(&s)
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET /readyz", n.gateway.ServeReadiness)
 	handlers := map[string]http.Handler{s.Gateway.Listen: n.gateway, s.Gateway.Readiness: ready, s.Node.Admin: n.metrics()}
@@ -89,13 +92,24 @@
 	return mux
 }
 
+// Reload takes in how long the node may take to stop; all else holds from the next start.
+func (n *GatewayNode) Reload(s settings.Settings) {
+	n.current.Store(&s)
+	restart := s
+	restart.Node.Grace, restart.Gateway.Lame = n.settings.Node.Grace, n.settings.Gateway.Lame
+	n.log.WithFields(logrus.Fields{
+		"taken": true, "grace": s.Node.Grace, "lame": s.Gateway.Lame, "needs_restart": restart != n.settings,
+	}).Info("settings_reloaded")
+}
+
 // Stop tells that the node is not ready, serves on for a while, and then lets the open requests finish within the grace.
 func (n *GatewayNode) Stop(ctx context.Context) error {
-	grace := n.settings.Node.Grace - stopMargin
+	s := n.current.Load()
+	grace := s.Node.Grace - stopMargin
 	until := time.Now().Add(grace)
 	n.gateway.Stopping()
 	n.log.WithField("open", n.gateway.Open()).Info("node_stopping")
-	wait(ctx, min(n.settings.Gateway.Lame, grace))
+	wait(ctx, min(s.Gateway.Lame, grace))
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	var err error
--- a/node/node.go
+++ b/node/node.go
@@ -159,6 +159,11 @@
 // Refresh reads the configuration at once.
 func (n *Node) Refresh(ctx context.Context) { n.follower.Poll(ctx) }
 
+// Reload tells that a node with the caller API takes changed settings at its next start.
+func (n *Node) Reload(settings.Settings) {
+	n.log.WithField("taken", false).Info("settings_reloaded")
+}
+
 // Stop refuses new requests, lets the open ones finish within the grace, and closes the node.
 // It returns an error where requests were cut off.
 func (n *Node) Stop(ctx context.Context) error {
--- a/node/process.go
+++ b/node/process.go
@@ -12,6 +12,8 @@
 type Process interface {
 	// Start opens the node's addresses and begins to serve.
 	Start(ctx context.Context) error
+	// Reload takes in changed settings as far as they can change while the node runs.
+	Reload(s settings.Settings)
 	// Stop lets the open requests finish within the grace, and closes the node.
 	Stop(ctx context.Context) error
 }
--- a/placement/state.go
+++ b/placement/state.go
@@ -24,6 +24,7 @@
 	Service   vaneyoke.ServiceID  // of a service
 	Order     []vaneyoke.Selector // upstreams in the order of preference; nil for any
 	Avoid     []vaneyoke.UpstreamID
+	Affinity  string              // names the prompt, so that it is sent where it may have been read before; "" for none
 	Prefer    vaneyoke.UpstreamID // upstream that is taken where it takes work; "" for none
 	Bytes     int                 // size of the prompt
 	Replicate bool                // whether another upstream is to keep a replica of the run
@@ -145,7 +146,7 @@
 		for _, selector := range order {
 			candidates := s.candidates(now, need, selector, t)
 			if len(candidates) > 0 {
-				chosen := s.best(now, rng, candidates)
+				chosen := s.choose(now, rng, need, candidates)
 				return chosen.upstream, chosen.first.patient(need.Bytes), true
 			}
 		}
@@ -190,6 +191,16 @@
 	return e.mayWork() && e.breaker.Allows(now)
 }
 
+// choose returns the upstream for a need among those that can take it.
+func (s *State) choose(now time.Time, rng *rand.Rand, need Need, candidates []*entry) *entry {
+	if need.Affinity != "" {
+		if e := affine(now, need.Affinity, candidates); e != nil {
+			return e
+		}
+	}
+	return s.best(now, rng, candidates)
+}
+
 // best returns the upstream with the lowest cost among a few random ones.
 func (s *State) best(now time.Time, rng *rand.Rand, candidates []*entry) *entry {
 	chosen := candidates[rng.IntN(len(candidates))]
