--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -63,15 +63,19 @@
 	b.state.SetDrained(drained)
 }
 
+// Admit notes that a request was taken, which earns a share of a retry.
+func (b *Balancer) Admit(need placement.Need) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget(need.Service).Admit()
+}
+
 // Place returns an upstream and its expected time to the first token, and notes that an attempt goes to it.
 func (b *Balancer) Place(need placement.Need, isRetry bool) (vaneyoke.Upstream, time.Duration, error) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := time.Now()
-	budget := b.budget(need.Service)
-	if !isRetry {
-		budget.Admit()
-	} else if !budget.Take(now) {
+	if isRetry && !b.budget(need.Service).Take(now) {
 		return vaneyoke.Upstream{}, 0, vaneyoke.ErrRetryAfter(vaneyoke.CodeRetryExhausted, noUpstreamRetry, "the node's retry budget is spent")
 	}
 	upstream, expect, ok := b.state.Pick(now, b.rng, need)
--- a/generation/event.go
+++ b/generation/event.go
@@ -104,6 +104,7 @@
 	CauseSilent                       // the stream fell silent
 	CauseDeclined                     // the upstream got the request, and said that it did not run it
 	CauseFailed                       // the upstream answered that it failed
+	CauseGone                         // another upstream has the address of the one that was meant
 	CauseUnreachable                  // the upstream did not answer a probe
 )
 
@@ -124,6 +125,8 @@
 		return "declined"
 	case CauseFailed:
 		return "failed"
+	case CauseGone:
+		return "gone"
 	case CauseUnreachable:
 		return "unreachable"
 	default:
@@ -132,4 +135,6 @@
 }
 
 // mayHaveRun reports whether an engine may have run an attempt that was lost for the cause.
-func (c Cause) mayHaveRun() bool { return c != CauseNotSent && c != CauseDeclined }
+func (c Cause) mayHaveRun() bool {
+	return c != CauseNotSent && c != CauseDeclined && c != CauseGone
+}
--- a/generation/recover.go
+++ b/generation/recover.go
@@ -57,6 +57,7 @@
 	r.fromReplica = s.replica != "" && r.upstream == s.replica
 	s.sent++
 	s.arrived++
+	s.tries++
 	s.stats.Attempts++
 	start := Start{
 		Attempt: r.attempt, Upstream: r.upstream, From: s.answer.Len(), Replica: r.replica, FromReplica: r.fromReplica,
@@ -133,6 +134,9 @@
 	if old.sent && cause == CauseNotSent {
 		s.arrived--
 	}
+	if old.sent && cause != CauseDeclined {
+		s.tries--
+	}
 }
 
 // followReplica keeps in mind where the memory of the run that was lost last can be found.
@@ -187,7 +191,7 @@
 	switch {
 	case s.losses > s.cfg.MaxLosses || at.Sub(s.progress) > s.cfg.MaxWait:
 		return true
-	case s.cfg.MaxAttempts > 0 && s.arrived >= s.cfg.MaxAttempts:
+	case s.cfg.MaxAttempts > 0 && s.tries >= s.cfg.MaxAttempts:
 		return true
 	case !s.cfg.Deadline.IsZero() && !at.Before(s.cfg.Deadline):
 		return true
--- a/generation/state.go
+++ b/generation/state.go
@@ -31,6 +31,7 @@
 	progress  time.Time // when the last token was let through, or the request admitted
 	admitted  time.Time
 	sent      int                 // runs that an engine may have started
+	tries     int                 // runs that were sent to the upstream that was meant
 	arrived   int                 // runs that were sent and may have reached an engine
 	replica   vaneyoke.UpstreamID // holds a replica of the run that was lost last; "" for none
 	ended     bool
--- a/measure/core.go
+++ b/measure/core.go
@@ -74,11 +74,12 @@
 }
 
 // Resumed does nothing.
+func (onePlacer) Admit(placement.Need) {}
 func (onePlacer) Replica(placement.Need, vaneyoke.Upstream) (vaneyoke.Upstream, bool) {
 	return vaneyoke.Upstream{}, false
 }
 func (onePlacer) Released(vaneyoke.UpstreamID, placement.Need) {}
-func (onePlacer) Resumed(vaneyoke.UpstreamID) {}
+func (onePlacer) Resumed(vaneyoke.UpstreamID)                  {}
 
 // Ended does nothing.
 func (onePlacer) Ended(vaneyoke.UpstreamID, placement.Outcome, bool) {}
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -14,7 +14,7 @@
 	for _, elsewhere := range []bool{true, false} {
 		s.scratch = s.scratch[:0]
 		for _, e := range s.order {
-			apart := e.upstream.ID != primary.ID && (e.upstream.Hall != primary.Hall) == elsewhere
+			apart := e.upstream.ID != primary.ID && (e.upstream.Hall != primary.Hall && !s.suspect(now, e.upstream.Hall)) == elsewhere
 			if apart && e.takesWork(now) && offers(&e.upstream, need) {
 				s.scratch = append(s.scratch, e)
 			}
--- a/placement/state.go
+++ b/placement/state.go
@@ -38,6 +38,7 @@
 	OutcomeDone        Outcome = iota + 1 // the upstream did its part
 	OutcomeFailed                         // the upstream was lost or refused for reasons of its own
 	OutcomeDropped                        // the node ended the attempt
+	OutcomeLost                           // the upstream fell silent or broke off
 	OutcomeUnreachable                    // the upstream takes no connections
 	OutcomeGone                           // another upstream has its address
 )
@@ -71,13 +72,14 @@
 	hall    vaneyoke.HallID
 	breaker retry.BreakerConfig
 	entries map[vaneyoke.UpstreamID]*entry
+	halls   map[vaneyoke.HallID]*hallState
 	order   []*entry // by id, so that a choice depends on the random numbers alone
 	scratch []*entry
 }
 
 // New returns a state without upstreams for a node in the given hall.
 func New(hall vaneyoke.HallID, breaker retry.BreakerConfig) *State {
-	return &State{hall: hall, breaker: breaker, entries: map[vaneyoke.UpstreamID]*entry{}}
+	return &State{hall: hall, breaker: breaker, entries: map[vaneyoke.UpstreamID]*entry{}, halls: map[vaneyoke.HallID]*hallState{}}
 }
 
 // SetUpstreams takes in the fleet's upstreams; what is known of those that stay is kept.
@@ -157,15 +159,22 @@
 // tier is a set of upstreams that are taken only where the one before it is empty.
 type tier struct {
 	avoided bool // whether they are among those to avoid
+	suspect bool // whether suspect halls are taken too
 	open    bool // whether breakers are left aside
 }
 
-var tiers = []tier{{}, {avoided: true}, {open: true}, {avoided: true, open: true}}
+var tiers = []tier{
+	{},
+	{suspect: true},
+	{avoided: true, suspect: true},
+	{suspect: true, open: true},
+	{avoided: true, suspect: true, open: true},
+}
 
 func (s *State) candidates(now time.Time, need Need, selector vaneyoke.Selector, t tier) []*entry {
 	s.scratch = s.scratch[:0]
 	for _, e := range s.order {
-		if !e.mayWork() || (!t.open && !e.breaker.Allows(now)) || !offers(&e.upstream, need) || !selector.Matches(&e.upstream) {
+		if !e.mayWork() || (!t.open && !e.breaker.Allows(now)) || (!t.suspect && s.suspect(now, e.upstream.Hall)) || !offers(&e.upstream, need) || !selector.Matches(&e.upstream) {
 			continue
 		}
 		if slices.Contains(need.Avoid, e.upstream.ID) == t.avoided {
@@ -274,10 +283,14 @@
 		e.breaker.Succeeded()
 	case OutcomeFailed:
 		e.breaker.Failed(now)
+	case OutcomeLost:
+		e.breaker.Failed(now)
+		s.hallLost(now, &e.upstream)
 	case OutcomeDropped:
 		e.breaker.Dropped()
 	case OutcomeUnreachable:
 		e.breaker.Open(now)
+		s.hallLost(now, &e.upstream)
 	case OutcomeGone:
 		e.gone = true
 	}
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -305,17 +305,17 @@
 	l := s.links[attempt]
 	s.logAttempt(attempt, l.upstream.ID).WithFields(logrus.Fields{"cause": cause, "error": err}).Warn("attempt_lost")
 	s.relay.metrics.Losses.Add(cause.String(), 1)
-	s.settle(attempt, l.lossOutcome(cause, err))
+	s.settle(attempt, l.lossOutcome(cause))
 	s.handleLocked(time.Now(), generation.Lost{Attempt: attempt, Cause: cause})
 	s.close(attempt)
 }
 
 // lossOutcome returns what a loss says of the upstream; a stream that could not be resumed was counted when it broke.
-func (l *link) lossOutcome(cause generation.Cause, err error) placement.Outcome {
+func (l *link) lossOutcome(cause generation.Cause) placement.Outcome {
 	if l.resumed {
 		return placement.OutcomeDropped
 	}
-	if declined, ok := errors.AsType[*engine.DeclinedError](err); ok && declined.Gone {
+	if cause == generation.CauseGone {
 		return placement.OutcomeGone
 	}
 	return outcomeOf(cause)
@@ -328,6 +328,8 @@
 		return placement.OutcomeDropped
 	case generation.CauseNotSent, generation.CauseUnreachable:
 		return placement.OutcomeUnreachable
+	case generation.CauseClosed, generation.CauseSilent:
+		return placement.OutcomeLost
 	default:
 		return placement.OutcomeFailed
 	}
@@ -343,6 +345,9 @@
 	if _, ok := errors.AsType[*engine.NotSentError](err); ok {
 		return generation.CauseNotSent
 	}
+	if declined, ok := errors.AsType[*engine.DeclinedError](err); ok && declined.Gone {
+		return generation.CauseGone
+	}
 	if _, ok := errors.AsType[*engine.DeclinedError](err); ok {
 		return generation.CauseDeclined
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,6 +18,8 @@
 
 // Placer chooses upstreams and keeps account of what was sent to them.
 type Placer interface {
+	// Admit notes that a request was taken, which earns a share of a retry.
+	Admit(need placement.Need)
 	// Place returns an upstream and its expected time to the first token, or an error with a result code.
 	// A retry counts against the retry budget.
 	Place(need placement.Need, retry bool) (vaneyoke.Upstream, time.Duration, error)
@@ -90,6 +92,7 @@
 	s := newSession(ctx, r, req, need, m, generation.New(config, newRand()))
 	s.epoch = 1
 	r.metrics.Sessions.Add(1)
+	r.placer.Admit(need)
 	s.handle(time.Now(), generation.Admitted{})
 	return s
 }
