--- /dev/null
+++ b/cmd/vaneyoked/gateway_test.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/vaneyoke/vaneyoke/platform/platformtest"
+	"github.com/vaneyoke/vaneyoke/settings"
+)
+
+const patient = 20 * time.Second
+
+// freeAddress returns an address on which nothing listens.
+func freeAddress(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// filledTemplate returns the deployed settings as the platform would fill them.
+func filledTemplate(t *testing.T, store, listen, readiness, admin string) string {
+	text, err := os.ReadFile("../../deploy/node.ini")
+	must.NoError(t, err)
+	filled := strings.NewReplacer(
+		"{{nodeName}}", "edge-1", "{{zone}}", "a", "{{ip}}:{{portRange.0}}", admin, "{{bounds.graceS}}", "8",
+		"{{listen.frontend}}", listen, "{{listen.readiness}}", readiness, "{{platform.address}}", store,
+	).Replace(string(text))
+	must.False(t, regexp.MustCompile(`\{\{`).MatchString(filled), must.Sprint(filled))
+	return filled
+}
+
+func TestDeployedSettingsAreGood(t *testing.T) {
+	text := filledTemplate(t, "10.0.0.1:1", "10.0.0.2:1", "10.0.0.2:2", "10.0.0.2:3")
+	s, err := settings.Parse([]byte(text), "node.ini")
+	must.NoError(t, err)
+	must.EqOp(t, 8*time.Second, s.Node.Grace)
+	must.True(t, s.Gateway.Serves())
+}
+
+// TestHangupsAreTaken sends SIGHUP with good and bad settings to a node, which must serve on, and then stops it.
+func TestHangupsAreTaken(t *testing.T) {
+	store := platformtest.NewStore()
+	t.Cleanup(store.Close)
+	store.PutRaw("op", "config", `{"version":1}`)
+	readiness := freeAddress(t)
+	text := filledTemplate(t, store.Address(), "127.0.0.1:0", readiness, "127.0.0.1:0")
+	path := filepath.Join(t.TempDir(), "node.ini")
+	must.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	ctx, stop := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- command().Run(ctx, []string{"vaneyoked", "--config", path}) }()
+	untilReady(t, "http://"+readiness+"/readyz")
+	for _, changed := range []string{strings.Replace(text, "8s", "2s", 1), "[node", text} {
+		must.NoError(t, os.WriteFile(path, []byte(changed), 0o600))
+		must.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+		untilReady(t, "http://"+readiness+"/readyz")
+	}
+	stop()
+	must.NoError(t, <-ended)
+}
+
+func untilReady(t *testing.T, url string) {
+	for start := time.Now(); ; time.Sleep(5 * time.Millisecond) {
+		must.Less(t, patient, time.Since(start))
+		res, err := http.Get(url) //nolint:gosec // the address is the test's own
+		if err != nil {
+			continue
+		}
+		_ = res.Body.Close()
+		if res.StatusCode == http.StatusOK {
+			return
+		}
+	}
+}
--- a/cmd/vaneyoked/main.go
+++ b/cmd/vaneyoked/main.go
@@ -43,10 +43,7 @@
 }
 
 // reloadUntil takes in the settings at each SIGHUP until ctx ends; a file with errors is told of and left aside.
-func reloadUntil(ctx context.Context, path string, n node.Process, log logrus.FieldLogger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func reloadUntil(ctx context.Context, hangups <-chan os.Signal, path string, n node.Process, log logrus.FieldLogger) {
 	for {
 		select {
 		case <-ctx.Done():
@@ -75,6 +72,9 @@
 	if err != nil {
 		return vaneyoke.WrapErr(vaneyoke.CodeSettingsValue, err, "[log] level")
 	}
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	n, err := node.New(s, log)
 	if err != nil {
 		return err
@@ -82,6 +82,6 @@
 	if err := n.Start(ctx); err != nil {
 		return err
 	}
-	reloadUntil(ctx, cmd.String("config"), n, log)
+	reloadUntil(ctx, hangups, cmd.String("config"), n, log)
 	return n.Stop(context.WithoutCancel(ctx))
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,7 +84,8 @@
 	received := time.Now()
 	g.open.Add(1)
 	defer g.open.Add(-1)
-	if g.stopping.Load() {
+	// What follows a chunked body may have been meant as a part of it, where a length was given too.
+	if g.stopping.Load() || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	req, f, err := g.read(w, r, received)
--- a/node/gateway.go
+++ b/node/gateway.go
@@ -36,9 +36,16 @@
 	tracing   *telemetry.Tracing
 	log       logrus.FieldLogger
 
-	stop    context.CancelFunc
-	work    sync.WaitGroup
-	servers []*http.Server
+	stop      context.CancelFunc
+	work      sync.WaitGroup
+	servers   []*http.Server
+	listeners []net.Listener // for callers, readiness and metrics
+}
+
+// port is an address that the node listens on.
+type port struct {
+	address string
+	handler http.Handler
 }
 
 // Start opens the node's addresses and begins to serve.
@@ -47,29 +54,40 @@
 	n.current.Store(&s)
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET /readyz", n.gateway.ServeReadiness)
-	handlers := map[string]http.Handler{s.Gateway.Listen: n.gateway, s.Gateway.Readiness: ready, s.Node.Admin: n.metrics()}
-	listeners := map[net.Listener]http.Handler{}
-	for address, handler := range handlers {
-		l, err := listen(ctx, address)
+	ports := []port{{s.Gateway.Listen, n.gateway}, {s.Gateway.Readiness, ready}, {s.Node.Admin, n.metrics()}}
+	for _, p := range ports {
+		l, err := listen(ctx, p.address)
 		if err != nil {
-			for opened := range listeners {
-				_ = opened.Close()
-			}
+			n.closeListeners()
 			return err
 		}
-		listeners[l] = handler
+		n.listeners = append(n.listeners, l)
 	}
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	n.stop = stop
 	n.work.Go(func() { n.tables.Run(run) })
 	n.work.Go(func() { n.upstreams.Run(run) })
-	for l, handler := range listeners {
-		n.serve(l, handler)
+	for i, p := range ports {
+		n.serve(n.listeners[i], p.handler)
 	}
 	n.log.WithFields(logrus.Fields{"vm": s.Node.VM, "hall": s.Node.Hall, "listen": s.Gateway.Listen, "admin": s.Node.Admin}).Info("node_started")
 	return nil
 }
 
+func (n *GatewayNode) closeListeners() {
+	for _, l := range n.listeners {
+		_ = l.Close()
+	}
+}
+
+// URL returns the address that callers use.
+func (n *GatewayNode) URL() string { return "http://" + n.listeners[0].Addr().String() }
+
+// ReadyURL returns the address at which the node tells whether it takes new connections.
+func (n *GatewayNode) ReadyURL() string {
+	return "http://" + n.listeners[1].Addr().String() + "/readyz"
+}
+
 func (n *GatewayNode) serve(l net.Listener, handler http.Handler) {
 	s := n.settings.Gateway
 	server := &http.Server{
@@ -102,27 +120,39 @@
 	}).Info("settings_reloaded")
 }
 
+// StopTaking tells callers that the node is not ready; it goes on to answer calls.
+func (n *GatewayNode) StopTaking() { n.gateway.Stopping() }
+
 // Stop tells that the node is not ready, serves on for a while, and then lets the open requests finish within the grace.
 func (n *GatewayNode) Stop(ctx context.Context) error {
 	s := n.current.Load()
 	grace := s.Node.Grace - stopMargin
 	until := time.Now().Add(grace)
-	n.gateway.Stopping()
+	n.StopTaking()
 	n.log.WithField("open", n.gateway.Open()).Info("node_stopping")
+	for _, server := range n.servers {
+		server.SetKeepAlivesEnabled(false)
+	}
 	wait(ctx, min(s.Gateway.Lame, grace))
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
-	var err error
-	for _, server := range n.servers {
-		if shutErr := server.Shutdown(ctx); shutErr != nil {
-			err = vaneyoke.Err(vaneyoke.CodeInterrupted, "%d requests were cut off at the end of the grace", n.gateway.Open())
-		}
-	}
+	err := waitForNone(ctx, n.gateway.Open)
 	n.Kill()
 	n.log.WithField("cut_off", err != nil).Info("node_stopped")
 	return err
 }
 
+// waitForNone waits until no request is open, or returns an error where some are left when ctx ends.
+func waitForNone(ctx context.Context, open func() int) error {
+	for open() > 0 {
+		wait(ctx, drainPoll)
+		if ctx.Err() != nil {
+			return vaneyoke.Err(vaneyoke.CodeInterrupted, "%d requests were cut off at the end of the grace", open())
+		}
+	}
+	return nil
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/node/gateway_wire.go
+++ b/node/gateway_wire.go
@@ -44,7 +44,7 @@
 // storeClient is the HTTP client for the store.
 type storeClient struct{ http *http.Client }
 
-func provideStoreClient(i do.Injector) (*storeClient, error) {
+func provideStoreClient(do.Injector) (*storeClient, error) {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTimeout}
 	return &storeClient{http: &http.Client{Transport: transport}}, nil
--- a/node/node.go
+++ b/node/node.go
@@ -171,7 +171,7 @@
 	n.log.WithField("open", n.api.Open()).Info("node_stopping")
 	ctx, cancel := context.WithTimeout(ctx, n.settings.Node.Grace)
 	defer cancel()
-	err := n.drain(ctx)
+	err := waitForNone(ctx, n.api.Open)
 	n.failover.Flush(ctx)
 	n.leave(ctx)
 	n.Kill()
@@ -188,20 +188,6 @@
 	}
 }
 
-// drain waits until no request is open.
-func (n *Node) drain(ctx context.Context) error {
-	for n.api.Open() > 0 {
-		timer := time.NewTimer(drainPoll)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
-			return vaneyoke.Err(vaneyoke.CodeInterrupted, "%d requests were cut off at the end of the grace", n.api.Open())
-		case <-timer.C:
-		}
-	}
-	return nil
-}
-
 // Kill closes the node at once, as the death of its process would.
 func (n *Node) Kill() {
 	n.stop()
--- a/placement/affinity.go
+++ b/placement/affinity.go
@@ -17,9 +17,10 @@
 // The homes are the upstreams with the highest hash of prompt and id, the same on every node: a prompt that comes
 // again, on whatever node, goes to where it was read before.
 func affine(now time.Time, prompt string, candidates []*entry) *entry {
-	limit := slowTimes * float64(medianExpect(now, candidates))
+	usual := usualFirst(now, candidates)
+	limit := slowTimes * float64(usual)
 	for _, e := range homesOf(prompt, candidates) {
-		if e.waiting == 0 && float64(e.first.expect(now)) <= limit {
+		if e.waiting == 0 && float64(e.first.expect(now, usual)) <= limit {
 			return e
 		}
 	}
@@ -43,13 +44,3 @@
 	}
 	return chosen
 }
-
-// medianExpect returns the usual time to the first token.
-func medianExpect(now time.Time, candidates []*entry) time.Duration {
-	times := make([]time.Duration, len(candidates))
-	for i, e := range candidates {
-		times[i] = e.first.expect(now)
-	}
-	slices.Sort(times)
-	return times[len(times)/2]
-}
--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -42,10 +42,14 @@
 	return float64(forgetAfter) / float64(forgetAfter+age)
 }
 
-// expect returns the expected time to a first token, in which waiting counts more than the prompt.
-func (e *estimate) expect(now time.Time) time.Duration {
-	if e.at.IsZero() {
-		return unknownFirst
+// known reports whether any first token has come.
+func (e *estimate) known() bool { return !e.at.IsZero() }
+
+// expect returns the expected time to a first token, in which waiting counts more than the prompt; usual stands for an
+// upstream of which nothing is known.
+func (e *estimate) expect(now time.Time, usual time.Duration) time.Duration {
+	if !e.known() {
+		return usual
 	}
 	return time.Duration(e.mean * e.kept(now))
 }
--- /dev/null
+++ b/placement/opaque_test.go
@@ -0,0 +1,190 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/placement"
+	"github.com/vaneyoke/vaneyoke/retry"
+)
+
+var need = placement.Need{Kind: vaneyoke.KindService, Service: "lm", Bytes: 1000}
+
+// threeHalls returns a state of nine upstreams in three halls.
+func threeHalls() *placement.State { return threeHallsSeenFrom("a") }
+
+func threeHallsSeenFrom(own vaneyoke.HallID) *placement.State {
+	s := placement.New(own, retry.DefaultBreakerConfig())
+	var all []vaneyoke.Upstream
+	for _, hall := range []vaneyoke.HallID{"a", "b", "c"} {
+		for n := range 3 {
+			id := vaneyoke.UpstreamID(fmt.Sprintf("%s%d", hall, n))
+			all = append(all, vaneyoke.Upstream{ID: id, Kind: vaneyoke.KindService, Service: "lm", Hall: hall, State: vaneyoke.StateLive, Slots: 8})
+		}
+	}
+	s.SetUpstreams(all)
+	return s
+}
+
+func rng() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// TestPromptHasAHome picks the same upstream for a prompt on every node, and spreads prompts over all.
+func TestPromptHasAHome(t *testing.T) {
+	now := time.Unix(1000, 0)
+	one, other := threeHalls(), threeHalls()
+	counts := map[vaneyoke.UpstreamID]int{}
+	for n := range 900 {
+		wanted := need
+		wanted.Affinity = fmt.Sprint("prompt", n)
+		first, _, _ := one.Pick(now, rng(), wanted)
+		second, _, _ := other.Pick(now, rand.New(rand.NewPCG(uint64(n), 9)), wanted)
+		must.EqOp(t, first.ID, second.ID)
+		counts[first.ID]++
+	}
+	must.MapLen(t, 9, counts)
+	for id, n := range counts {
+		must.Between(t, 60, n, 140, must.Sprint(id))
+	}
+}
+
+// TestBusyHomeIsPassedOver goes to the next home where the first owes a first token or is slow.
+func TestBusyHomeIsPassedOver(t *testing.T) {
+	now := time.Unix(1000, 0)
+	wanted := need
+	wanted.Affinity = "prompt"
+	for _, why := range []string{"waiting", "slow"} {
+		s := threeHalls()
+		home, _, _ := s.Pick(now, rng(), wanted)
+		for _, u := range s.Loads() {
+			s.Sent(now, u.Upstream.ID)
+			took := 100 * time.Millisecond
+			if why == "slow" && u.Upstream.ID == home.ID {
+				took = time.Second
+			}
+			s.FirstToken(now, u.Upstream.ID, took, need.Bytes)
+			s.Ended(now, u.Upstream.ID, placement.OutcomeDone, true)
+		}
+		if why == "waiting" {
+			s.Sent(now, home.ID)
+		}
+		next, _, ok := s.Pick(now, rng(), wanted)
+		must.True(t, ok)
+		must.NotEqOp(t, home.ID, next.ID, must.Sprint(why))
+	}
+}
+
+// TestHallThatFellIsLeftAside loses upstreams of a hall together; the rest of it gets neither work nor replicas for a while.
+func TestHallThatFellIsLeftAside(t *testing.T) {
+	now := time.Unix(1000, 0)
+	lose := func(s *placement.State, at time.Time, ids ...vaneyoke.UpstreamID) {
+		for _, id := range ids {
+			s.Sent(at, id)
+			s.Ended(at, id, placement.OutcomeLost, true)
+		}
+	}
+	picksHall := func(s *placement.State, at time.Time, hall vaneyoke.HallID) (work, replica bool) {
+		r := rng()
+		for range 200 {
+			u, _, _ := s.Pick(at, r, need)
+			work = work || u.Hall == hall
+			copyAt, _ := s.PickReplica(at, r, need, vaneyoke.Upstream{ID: "a0", Hall: "a"})
+			replica = replica || copyAt.Hall == hall
+		}
+		return work, replica
+	}
+	cases := map[string]struct {
+		lose func(s *placement.State)
+		at   time.Duration // after the losses
+		want bool
+	}{
+		"none":           {func(*placement.State) {}, 0, true},
+		"one":            {func(s *placement.State) { lose(s, now, "b0") }, 0, true},
+		"two":            {func(s *placement.State) { lose(s, now, "b0", "b1") }, 0, false},
+		"two, later":     {func(s *placement.State) { lose(s, now, "b0", "b1") }, 2 * time.Second, true},
+		"one after one":  {func(s *placement.State) { lose(s, now.Add(-time.Second), "b0"); lose(s, now, "b1") }, 0, true},
+		"the same twice": {func(s *placement.State) { lose(s, now, "b0", "b0") }, 0, true},
+		"in all halls":   {func(s *placement.State) { lose(s, now, "a0", "a1", "b0", "b1", "c0", "c1") }, 0, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := threeHallsSeenFrom("b")
+			tc.lose(s)
+			work, replica := picksHall(s, now.Add(tc.at), "b")
+			must.EqOp(t, tc.want, work)
+			must.EqOp(t, tc.want, replica)
+		})
+	}
+}
+
+func TestReplicaIsInAnotherHall(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := threeHalls()
+	r := rng()
+	counts := map[vaneyoke.UpstreamID]int{}
+	for range 60 {
+		u, ok := s.PickReplica(now, r, need, vaneyoke.Upstream{ID: "a0", Hall: "a"})
+		must.True(t, ok)
+		must.NotEqOp(t, "a", u.Hall)
+		counts[u.ID]++
+	}
+	for id, n := range counts {
+		must.Between(t, 6, n, 14, must.Sprint(id)) // the one that keeps the least is taken
+	}
+	s.SetUpstreams([]vaneyoke.Upstream{{ID: "a0", Kind: need.Kind, Service: "lm", Hall: "a", State: vaneyoke.StateLive}})
+	_, ok := s.PickReplica(now, r, need, vaneyoke.Upstream{ID: "a0", Hall: "a"})
+	must.False(t, ok)
+}
+
+// TestUpstreamWhoseAddressAnotherHas gets nothing more, whatever else is left.
+func TestUpstreamWhoseAddressAnotherHas(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := placement.New("a", retry.DefaultBreakerConfig())
+	s.SetUpstreams([]vaneyoke.Upstream{{ID: "a0", Kind: need.Kind, Service: "lm", Hall: "a", State: vaneyoke.StateLive}})
+	s.Sent(now, "a0")
+	s.Ended(now, "a0", placement.OutcomeUnreachable, false)
+	_, _, ok := s.Pick(now, rng(), need)
+	must.True(t, ok) // the last resort
+	s.Sent(now, "a0")
+	s.Ended(now, "a0", placement.OutcomeGone, false)
+	_, _, ok = s.Pick(now, rng(), need)
+	must.False(t, ok)
+}
+
+// TestUnknownUpstreamIsTried starts with one upstream that is known to be fast and one that is not known.
+func TestUnknownUpstreamIsTried(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := threeHalls()
+	for range 10 {
+		s.Sent(now, "a0")
+		s.FirstToken(now, "a0", time.Millisecond, need.Bytes)
+		s.Ended(now, "a0", placement.OutcomeDone, true)
+	}
+	others := 0
+	r := rng()
+	for range 50 {
+		u, _, _ := s.Pick(now, r, need)
+		if u.ID != "a0" {
+			others++
+		}
+	}
+	must.Positive(t, others)
+}
+
+func TestPreferredUpstreamIsTakenWhereItTakesWork(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := threeHalls()
+	wanted := need
+	wanted.Prefer = "c2"
+	wanted.Avoid = []vaneyoke.UpstreamID{"c2"}
+	u, _, _ := s.Pick(now, rng(), wanted)
+	must.EqOp(t, "c2", u.ID)
+	s.Sent(now, "c2")
+	s.Ended(now, "c2", placement.OutcomeUnreachable, false)
+	u, _, _ = s.Pick(now, rng(), wanted)
+	must.NotEqOp(t, "c2", u.ID)
+}
--- a/placement/state.go
+++ b/placement/state.go
@@ -57,8 +57,8 @@
 }
 
 // cost weighs one more request: how long first tokens take there, times the node's own work there.
-func (e *entry) cost(now time.Time) float64 {
-	return float64(e.first.expect(now)) * (ownBase + e.load() + float64(e.waiting))
+func (e *entry) cost(now time.Time, usual time.Duration) float64 {
+	return float64(e.first.expect(now, usual)) * (ownBase + e.load() + float64(e.waiting))
 }
 
 // load returns the node's own work on the upstream for each of its slots.
@@ -213,15 +213,31 @@
 // best returns the upstream with the lowest cost among a few random ones.
 func (s *State) best(now time.Time, rng *rand.Rand, candidates []*entry) *entry {
 	chosen := candidates[rng.IntN(len(candidates))]
+	usual := usualFirst(now, candidates)
 	for range choices - 1 {
-		chosen = s.better(now, chosen, candidates[rng.IntN(len(candidates))])
+		chosen = s.better(now, usual, chosen, candidates[rng.IntN(len(candidates))])
 	}
 	return chosen
 }
 
+// usualFirst returns the mean of the expected times to the first token that are known.
+func usualFirst(now time.Time, candidates []*entry) time.Duration {
+	sum, known := time.Duration(0), time.Duration(0)
+	for _, e := range candidates {
+		if e.first.known() {
+			sum += e.first.expect(now, 0)
+			known++
+		}
+	}
+	if known == 0 {
+		return unknownFirst
+	}
+	return sum / known
+}
+
 // better returns the upstream with the lower cost; between equals, the one in the node's own hall.
-func (s *State) better(now time.Time, a, b *entry) *entry {
-	if costA, costB := a.cost(now), b.cost(now); costA != costB {
+func (s *State) better(now time.Time, usual time.Duration, a, b *entry) *entry {
+	if costA, costB := a.cost(now, usual), b.cost(now, usual); costA != costB {
 		if costB < costA {
 			return b
 		}
--- a/relay/forwarded.go
+++ b/relay/forwarded.go
@@ -198,6 +198,10 @@
 	if l.fenced || s.result.Ended {
 		return
 	}
+	if falsePromise(answer.head.Status) {
+		s.lostLocked(attempt, generation.CauseFailed, &engine.StatusError{Status: answer.head.Status})
+		return
+	}
 	if answer.head.Status >= http.StatusInternalServerError && s.req.Repeatable {
 		m.failed = &answer
 		s.lostLocked(attempt, generation.CauseFailed, &engine.StatusError{Status: answer.head.Status})
@@ -210,6 +214,16 @@
 	s.deliver(attempt, m, answer)
 }
 
+// falsePromise reports whether a status promises that the request was not run, which an upstream that did run it must not say.
+func falsePromise(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // deliver makes a whole answer the request's.
 func (s *Session) deliver(attempt vaneyoke.Attempt, m *forwarded, answer wholeAnswer) {
 	now := time.Now()
@@ -222,7 +236,7 @@
 	s.close(attempt)
 }
 
-// lastFailure returns the upstream's own answer to a request that failed at every try; ok is false where there is none.
+// LastFailure returns the upstream's own answer to a request that failed at every try; ok is false where there is none.
 func (s *Session) LastFailure() (head forward.Head, body []byte, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/server.go
+++ b/standin/server.go
@@ -50,8 +50,12 @@
 // URL returns the stand-in's address.
 func (s *server) URL() string { return "http://" + s.listener.Addr().String() }
 
-// Close ends the stand-in.
-func (s *server) Close() error { return s.http.Close() }
+// Close ends the stand-in; its address refuses connections from then on, also where serving has not begun yet.
+func (s *server) Close() error {
+	err := s.http.Close()
+	_ = s.listener.Close() // where Serve has not taken it over yet
+	return err
+}
 
 func (s *server) track(conn net.Conn, state http.ConnState) {
 	s.mu.Lock()
--- /dev/null
+++ b/standin/server_test.go
@@ -0,0 +1,25 @@
+package standin_test
+
+import (
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/vaneyoke/vaneyoke/standin"
+)
+
+// TestClosedStandinRefusesConnections closes stand-ins right after their start, before they may have begun to serve.
+func TestClosedStandinRefusesConnections(t *testing.T) {
+	for range 200 {
+		p, err := standin.NewPlatform("127.0.0.1:0")
+		must.NoError(t, err)
+		must.NoError(t, p.Close())
+		conn, err := net.Dial("tcp", strings.TrimPrefix(p.URL(), "http://"))
+		if err == nil {
+			_ = conn.Close()
+		}
+		must.Error(t, err)
+	}
+}
