--- a/node/gateway_test.go
+++ b/node/gateway_test.go
@@ -307,11 +307,8 @@
 		t.Run(name, func(t *testing.T) {
 			first, second := newModel("e1", "a"), newModel("e2", "b")
 			s := newSite(t, first, second, newShop("s1"))
-			for _, e := range []*platformtest.Engine{first, second} {
-				e.Spoil(tc.fault)
-			}
-			// Only the first of the two that is asked spoils its answer.
-			got := s.streamWithOneFault("attempt-of-"+strings.ReplaceAll(name, " ", "-"), first, second)
+			platformtest.SpoilFirst(tc.fault, first, second)
+			got := s.call(http.MethodPost, "/tell/x", streamHeader())
 			must.EqOp(t, http.StatusOK, got.status, must.Sprint(got.body))
 			must.NoError(t, got.err)
 			must.EqOp(t, platformtest.StreamText(0), got.body)
@@ -320,34 +317,15 @@
 	}
 }
 
-// streamWithOneFault asks for a stream; as soon as one of two engines has met its fault, the other's is taken back.
-func (s *site) streamWithOneFault(id string, engines ...*platformtest.Engine) answer {
-	done := make(chan answer, 1)
-	go func() { done <- s.call(http.MethodPost, "/tell/x", streamHeader("X-Attempt-Id", id)) }()
-	for {
-		select {
-		case got := <-done:
-			return got
-		case <-time.After(time.Millisecond):
-		}
-		for i, e := range engines {
-			if e.Spoiled() {
-				engines[1-i].Spoil()
-			}
-		}
-	}
-}
-
 // TestStreamGoesOnFromReplica loses the engine of a stream whose memory another one holds.
 func TestStreamGoesOnFromReplica(t *testing.T) {
 	first, second := newModel("e1", "a"), newModel("e2", "b")
 	s := newSite(t, first, second, newShop("s1"))
 	id := "attempt-of-replica"
-	for _, e := range []*platformtest.Engine{first, second} {
-		e.Spoil(platformtest.Fault{BreakAt: 8})
-		e.HoldCopy(id)
-	}
-	got := s.streamWithOneFault(id, first, second)
+	platformtest.SpoilFirst(platformtest.Fault{BreakAt: 8}, first, second)
+	first.HoldCopy(id)
+	second.HoldCopy(id)
+	got := s.call(http.MethodPost, "/tell/x", streamHeader("X-Attempt-Id", id))
 	must.EqOp(t, platformtest.StreamText(0), got.body)
 	var resumed *platformtest.Run
 	for _, run := range s.runs("lm") {
