Let one node of each hall read the store and tell the others (mesh)

Now the nodes register themselves in a table; in a fleet of more than 16 the first in rank of each hall reads the store, the others follow it over a stream of frames that carry how long ago the store confirmed the tables; a node whose word is late or whose tables are older than 1.5 s is left for the next in rank, and with nobody to rely on a node reads the store.

--- /dev/null
+++ b/mesh/hub.go
@@ -0,0 +1,104 @@
+package mesh
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/vaneyoke/vaneyoke/watch"
+)
+
+// Hub holds a copy of the store's tables, and when the store last confirmed them.
+type Hub struct {
+	mu      sync.Mutex
+	tables  map[string]*table
+	changed chan struct{} // closed at the next change
+}
+
+type table struct {
+	rows      watch.Rows
+	version   watch.Version // up to which the rows are complete
+	changed   watch.Version // at which they changed last
+	confirmed time.Time     // as of which the rows are the store's newest
+	apply     func(now time.Time, rows watch.Rows)
+}
+
+// NewHub returns a hub of tables that hold nothing yet; each is given to its function after a change.
+// The functions must not keep or change the rows.
+func NewHub(apply map[string]func(now time.Time, rows watch.Rows)) *Hub {
+	h := &Hub{tables: map[string]*table{}, changed: make(chan struct{})}
+	for name, f := range apply {
+		h.tables[name] = &table{apply: f}
+	}
+	return h
+}
+
+// Set takes in a table's rows as of a version; an older version than the hub's is left aside.
+func (h *Hub) Set(now time.Time, name string, rows watch.Rows, version watch.Version, confirmed time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t := h.tables[name]
+	if t == nil || version < t.version {
+		return
+	}
+	if confirmed.After(t.confirmed) {
+		t.confirmed = confirmed
+	}
+	t.version = version
+	if t.rows != nil && maps.EqualFunc(t.rows, rows, sameVersion) {
+		return
+	}
+	t.rows, t.changed = maps.Clone(rows), version
+	t.apply(now, t.rows)
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
+
+// Confirm notes that the store has confirmed a table up to a version.
+func (h *Hub) Confirm(name string, version watch.Version, confirmed time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t := h.tables[name]
+	if t == nil || t.rows == nil || version < t.version {
+		return
+	}
+	t.version = version
+	if confirmed.After(t.confirmed) {
+		t.confirmed = confirmed
+	}
+}
+
+// Age returns how long ago the store confirmed the table that was confirmed the longest ago, that of the members aside;
+// ok is false where a table holds nothing yet.
+func (h *Hub) Age(now time.Time) (age time.Duration, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ageLocked(now)
+}
+
+func (h *Hub) ageLocked(now time.Time) (time.Duration, bool) {
+	oldest := time.Duration(0)
+	for name, t := range h.tables {
+		if t.rows == nil {
+			return 0, false
+		}
+		if name == MembersTable { // it may lag
+			continue
+		}
+		oldest = max(oldest, now.Sub(t.confirmed))
+	}
+	return oldest, true
+}
+
+func sameVersion(a, b watch.Row) bool { return a.Version == b.Version }
+
+// confirmAll notes that the store has confirmed all tables.
+func (h *Hub) confirmAll(confirmed time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, t := range h.tables {
+		if confirmed.After(t.confirmed) {
+			t.confirmed = confirmed
+		}
+	}
+}
--- /dev/null
+++ b/mesh/mesh_test.go
@@ -0,0 +1,326 @@
+package mesh
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/watch"
+)
+
+const patient = 20 * time.Second
+
+func members(halls ...string) []Member {
+	var all []Member
+	for _, hall := range halls {
+		for n := range 10 {
+			all = append(all, Member{VM: vaneyoke.VMID(fmt.Sprintf("%s-%d", hall, n)), Hall: vaneyoke.HallID(hall)})
+		}
+	}
+	return all
+}
+
+// TestSources holds who asks whom against what the fleet needs: one reader a hall, and no circles.
+func TestSources(t *testing.T) {
+	all := members("a", "b")
+	readers := map[vaneyoke.HallID]int{}
+	for _, self := range all {
+		asked := sources(all, self, 16, 3)
+		must.LessEq(t, 3, len(asked))
+		if len(asked) == 0 {
+			readers[self.Hall]++
+		}
+		before := ^uint64(0)
+		for _, m := range asked {
+			must.EqOp(t, self.Hall, m.Hall)
+			must.Greater(t, rank(self), rank(m))
+			must.Less(t, before, rank(m))
+			before = rank(m)
+		}
+	}
+	must.Eq(t, map[vaneyoke.HallID]int{"a": 1, "b": 1}, readers)
+	must.SliceEmpty(t, sources(all, all[0], 20, 3)) // a small fleet
+	alone := Member{VM: "c-0", Hall: "c"}
+	must.SliceEmpty(t, sources(append(all, alone), alone, 16, 3))
+}
+
+// recorder is a hub of one table, and what was applied last.
+func recorder() (*Hub, *watch.Rows) {
+	got := &watch.Rows{}
+	return NewHub(map[string]func(time.Time, watch.Rows){"t": func(_ time.Time, rows watch.Rows) { *got = rows }}), got
+}
+
+func row(text string, version watch.Version) watch.Row {
+	return watch.Row{Data: []byte(`"` + text + `"`), Version: version}
+}
+
+func TestHubNeverGoesBack(t *testing.T) {
+	now := time.Unix(1000, 0)
+	hub, got := recorder()
+	_, ok := hub.Age(now)
+	must.False(t, ok)
+	hub.Set(now, "t", watch.Rows{"a": row("new", 5)}, 5, now)
+	hub.Set(now, "t", watch.Rows{"a": row("old", 3)}, 4, now.Add(time.Second))
+	must.Eq(t, watch.Rows{"a": row("new", 5)}, *got)
+	hub.Set(now, "none", watch.Rows{}, 9, now)
+	hub.Confirm("t", 4, now.Add(time.Second)) // of an older version
+	age, ok := hub.Age(now.Add(2 * time.Second))
+	must.True(t, ok)
+	must.EqOp(t, 2*time.Second, age)
+	hub.Confirm("t", 7, now.Add(time.Second))
+	age, _ = hub.Age(now.Add(2 * time.Second))
+	must.EqOp(t, time.Second, age)
+}
+
+// TestFramesLeadToTheSameRows tells one hub's tables to another from whatever the other holds.
+func TestFramesLeadToTheSameRows(t *testing.T) {
+	now := time.Unix(1000, 0)
+	cases := map[string]struct {
+		held    watch.Rows
+		version watch.Version // held; 0 for nothing
+		sent    int           // rows in the frame
+	}{
+		"nothing":   {nil, 0, 3},
+		"same":      {watch.Rows{"a": row("1", 1), "b": row("2", 4), "c": row("3", 8)}, 9, 0},
+		"older row": {watch.Rows{"a": row("1", 1), "b": row("0", 2), "c": row("3", 8)}, 8, 0},
+		"all older": {watch.Rows{"a": row("1", 1), "b": row("0", 2)}, 3, 2},
+		"gone row":  {watch.Rows{"a": row("1", 1), "z": row("9", 2)}, 3, 2},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			if name == "older row" {
+				tc.version, tc.sent = 3, 2
+			}
+			from, _ := recorder()
+			from.Set(now, "t", watch.Rows{"a": row("1", 1), "b": row("2", 4), "c": row("3", 8)}, 9, now.Add(-time.Second))
+			to, got := recorder()
+			if tc.version > 0 {
+				to.Set(now, "t", tc.held, tc.version, now.Add(-time.Minute))
+			}
+			before := toldOf(mustQuery(t, to.held()))
+			f, _ := from.next(now, before)
+			sent := 0
+			for _, update := range f.Tables {
+				sent += len(update.Rows)
+			}
+			must.EqOp(t, tc.sent, sent)
+			to.take(now, f)
+			must.Eq(t, watch.Rows{"a": row("1", 1), "b": row("2", 4), "c": row("3", 8)}, *got)
+			age, _ := to.Age(now)
+			must.EqOp(t, time.Second, age)
+
+			from.Set(now, "t", watch.Rows{"a": row("1", 1), "c": row("4", 12)}, 12, now)
+			f, _ = from.next(now, before)
+			must.Len(t, 1, f.Tables[0].Rows)
+			to.take(now, f)
+			must.Eq(t, watch.Rows{"a": row("1", 1), "c": row("4", 12)}, *got)
+			f, _ = from.next(now, before)
+			must.SliceEmpty(t, f.Tables)
+		})
+	}
+}
+
+func mustQuery(t *testing.T, raw string) map[string][]string {
+	r := httptest.NewRequest(http.MethodGet, "/?"+raw, nil)
+	must.NoError(t, r.ParseForm())
+	return r.Form
+}
+
+// source is a store's table whose version tests set; it can be cut off.
+type source struct {
+	version atomic.Int64
+	cut     atomic.Bool
+	reads   atomic.Int64
+}
+
+var errCut = errors.New("cut off")
+
+func (s *source) List(context.Context) (watch.Rows, watch.Version, error) {
+	s.reads.Add(1)
+	if s.cut.Load() {
+		return nil, 0, errCut
+	}
+	version := watch.Version(s.version.Load())
+	return watch.Rows{"a": row(fmt.Sprint(version), version)}, version, nil
+}
+
+func (s *source) Changes(ctx context.Context, after watch.Version, wait time.Duration) ([]watch.Change, watch.Version, error) {
+	s.reads.Add(1)
+	for end := time.Now().Add(wait); ; {
+		if s.cut.Load() {
+			return nil, 0, errCut
+		}
+		version := watch.Version(s.version.Load())
+		if version > after {
+			return []watch.Change{{Key: "a", Row: row(fmt.Sprint(version), version)}}, version, nil
+		}
+		if ctx.Err() != nil || time.Now().After(end) {
+			return nil, after, ctx.Err()
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Put is not used: tests set the members themselves.
+func (s *source) Put(context.Context, string, []byte) error { return nil }
+
+// peer is a node of a small mesh with its own way to the store.
+type peer struct {
+	*Node
+	store   *source
+	version atomic.Int64
+	stop    context.CancelFunc
+	server  *httptest.Server
+}
+
+func startMesh(t *testing.T, count int) []*peer {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	config := DefaultConfig()
+	config.Direct, config.Settle, config.Own = 1, 20*time.Millisecond, 100*time.Millisecond
+	config.Reader.Wait, config.Reader.Slack, config.Reader.Gather = 40*time.Millisecond, 40*time.Millisecond, 0
+	peers := make([]*peer, count)
+	var all []Member
+	for i := range peers {
+		p := &peer{store: &source{}}
+		p.store.version.Store(1)
+		hub := NewHub(map[string]func(time.Time, watch.Rows){"t": func(_ time.Time, rows watch.Rows) { p.version.Store(int64(rows["a"].Version)) }})
+		self := Member{VM: vaneyoke.VMID(fmt.Sprint("vm-", i)), Hall: "a"}
+		p.Node = New(self, config, hub, p.store, map[string]watch.Source{"t": p.store}, http.DefaultClient, log)
+		p.server = httptest.NewServer(p.Handler())
+		self.Address = strings.TrimPrefix(p.server.URL, "http://")
+		p.self.Address = "" // it does not register itself
+		all = append(all, self)
+		peers[i] = p
+	}
+	for _, p := range peers {
+		p.SetMembers(all)
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			p.Run(ctx)
+		}()
+		p.stop = stop
+		t.Cleanup(func() {
+			stop()
+			p.server.CloseClientConnections()
+			p.server.Close()
+			<-done
+		})
+	}
+	return peers
+}
+
+func until(t *testing.T, done func() bool) {
+	t.Helper()
+	for start := time.Now(); !done(); time.Sleep(time.Millisecond) {
+		must.Less(t, patient, time.Since(start))
+	}
+}
+
+// reads returns how often each peer called the store while it made some calls in all.
+func reads(peers []*peer, during func()) []int64 {
+	counts := make([]int64, len(peers))
+	for i, p := range peers {
+		counts[i] = -p.store.reads.Load()
+	}
+	during()
+	for i, p := range peers {
+		counts[i] += p.store.reads.Load()
+	}
+	return counts
+}
+
+func readers(counts []int64) int {
+	n := 0
+	for _, c := range counts {
+		if c > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func allAt(peers []*peer, version int64) func() bool {
+	return func() bool {
+		for _, p := range peers {
+			if p.version.Load() != version {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func setAll(peers []*peer, version int64) {
+	for _, p := range peers {
+		p.store.version.Store(version)
+	}
+}
+
+// TestOneReaderTellsAll counts who reads the store, and loses the reader by each way that there is.
+func TestOneReaderTellsAll(t *testing.T) {
+	peers := startMesh(t, 5)
+	until(t, allAt(peers, 1))
+	settled := func() bool {
+		return readers(reads(peers, func() { time.Sleep(100 * time.Millisecond) })) == 1
+	}
+	until(t, settled)
+	setAll(peers, 2)
+	until(t, allAt(peers, 2))
+
+	// The reader loses its way to the store: its tables grow old, and another one reads for the rest.
+	reader := readerOf(peers)
+	reader.store.cut.Store(true)
+	rest := without(peers, reader)
+	until(t, func() bool {
+		setAll(peers, 3)
+		return allAt(rest, 3)()
+	})
+	reader.store.cut.Store(false)
+	setAll(peers, 4)
+	until(t, allAt(peers, 4))
+	until(t, settled)
+
+	// The reader dies: the next in rank takes its place.
+	reader = readerOf(peers)
+	reader.stop()
+	reader.server.CloseClientConnections()
+	reader.server.Close()
+	rest = without(peers, reader)
+	setAll(peers, 5)
+	until(t, allAt(rest, 5))
+	until(t, settled)
+}
+
+func readerOf(peers []*peer) *peer {
+	best := peers[0]
+	for _, p := range peers {
+		if rank(p.self) > rank(best.self) {
+			best = p
+		}
+	}
+	return best
+}
+
+func without(peers []*peer, one *peer) []*peer {
+	var rest []*peer
+	for _, p := range peers {
+		if p != one {
+			rest = append(rest, p)
+		}
+	}
+	return rest
+}
--- /dev/null
+++ b/mesh/node.go
@@ -0,0 +1,280 @@
+package mesh
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
+
+	"github.com/vaneyoke/vaneyoke/watch"
+)
+
+// Path is where a node tells its tables to others.
+const Path = "/tables"
+
+// MembersTable is the name of the table that holds the members.
+const MembersTable = "members"
+
+// Config holds the bounds of the mesh.
+type Config struct {
+	Direct int           // members up to which every node reads the store itself
+	Most   int           // nodes that are asked in turn before the store is read
+	Settle time.Duration // how long a new node reads the store itself, while the others of a new fleet register
+	Beat   time.Duration // time between two frames without a change
+	Stall  time.Duration // time without a frame after which another node is asked
+	OldAge time.Duration // age of the tables from which a node is not relied on
+	Own    time.Duration // how long a node that found nobody to rely on reads the store itself
+	Reader watch.Config  // of a node that reads the store for others
+	Small  watch.Config  // of the nodes of a fleet so small that each reads the store itself
+	Slow   watch.Config  // of the table of members, which may lag
+}
+
+// DefaultConfig returns the bounds that the nodes start from.
+func DefaultConfig() Config {
+	reader := watch.DefaultConfig()
+	reader.Wait, reader.Slack = 800*time.Millisecond, 300*time.Millisecond
+	slow := watch.DefaultConfig()
+	slow.Wait, slow.Slack, slow.Gather = 10*time.Second, time.Second, time.Second
+	return Config{
+		Direct: 16, Most: 3, Settle: time.Second, Beat: 250 * time.Millisecond, Stall: 800 * time.Millisecond,
+		OldAge: 1500 * time.Millisecond, Own: 3 * time.Second, Reader: reader, Small: watch.DefaultConfig(), Slow: slow,
+	}
+}
+
+// Registry is where members register themselves.
+type Registry interface {
+	// Put writes a member's entry under its VM's name, over any earlier one.
+	Put(ctx context.Context, key string, data []byte) error
+}
+
+// Node is this node's part in the mesh.
+type Node struct {
+	self     Member
+	config   Config
+	hub      *Hub
+	registry Registry
+	sources  map[string]watch.Source // the store's tables
+	client   *http.Client
+	log      logrus.FieldLogger
+
+	mu      sync.Mutex
+	members []Member
+}
+
+// New returns a node's part in the mesh; the hub's tables are those of the sources.
+func New(self Member, config Config, hub *Hub, registry Registry, sources map[string]watch.Source, client *http.Client, log logrus.FieldLogger) *Node {
+	return &Node{self: self, config: config, hub: hub, registry: registry, sources: sources, client: client, log: log}
+}
+
+// SetMembers takes in the members as they are registered.
+func (n *Node) SetMembers(members []Member) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.members = members
+}
+
+// Members returns how many members there are, this node among them.
+func (n *Node) Members() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return max(len(n.members), 1)
+}
+
+// Run keeps the hub's tables up to date until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	n.register(ctx)
+	n.readStore(ctx, n.config.Settle) // a first look, also at who is there
+	for ctx.Err() == nil {
+		n.mu.Lock()
+		above := sources(n.members, n.self, n.config.Direct, n.config.Most)
+		n.mu.Unlock()
+		if len(above) == 0 || !n.followAny(ctx, above) {
+			n.log.WithFields(logrus.Fields{"asked": len(above), "members": n.Members()}).Info("reads_store")
+			n.readStore(ctx, n.config.Own)
+		}
+	}
+}
+
+// register writes the own entry; nobody asks a node that could not.
+func (n *Node) register(ctx context.Context) {
+	const tries = 3
+	if n.self.Address == "" {
+		return
+	}
+	entry, err := json.Marshal(n.self)
+	if err != nil {
+		n.log.WithField("error", err).Error("register_failed")
+		return
+	}
+	for range tries {
+		callCtx, cancel := context.WithTimeout(ctx, n.config.Reader.Wait)
+		err := n.registry.Put(callCtx, string(n.self.VM), entry)
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		n.log.WithField("error", err).Warn("register_failed")
+		pause(ctx, n.config.Reader.Pause)
+	}
+}
+
+// readStore follows the store's tables for a while, and on for as long as this node is to read them anyway.
+func (n *Node) readStore(ctx context.Context, atLeast time.Duration) {
+	ctx, stop := context.WithCancel(ctx)
+	small := n.isSmall()
+	var work sync.WaitGroup
+	for name, source := range n.sources {
+		config := n.config.Reader
+		if small {
+			config = n.config.Small
+		}
+		if name == MembersTable {
+			config = n.config.Slow
+		}
+		work.Go(func() {
+			watch.New(name, source, config, &sink{hub: n.hub, table: name}, n.log).Run(ctx)
+		})
+	}
+	pause(ctx, atLeast)
+	for ctx.Err() == nil && n.isReader() && n.isSmall() == small {
+		pause(ctx, n.config.Own)
+	}
+	stop()
+	work.Wait()
+}
+
+// sink gives the hub what the store tells of a table.
+type sink struct {
+	hub   *Hub
+	table string
+}
+
+// Set takes in all rows.
+func (s *sink) Set(now time.Time, rows watch.Rows, version watch.Version) {
+	s.hub.Set(now, s.table, rows, version, now)
+}
+
+// Confirm notes that the rows have not changed.
+func (s *sink) Confirm(now time.Time, version watch.Version) { s.hub.Confirm(s.table, version, now) }
+
+// isSmall reports whether the fleet is so small that every node reads the store itself.
+func (n *Node) isSmall() bool { return n.Members() <= n.config.Direct }
+
+func (n *Node) isReader() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(sources(n.members, n.self, n.config.Direct, n.config.Most)) == 0
+}
+
+// followAny follows the first of some members that can be relied on, and reports whether there was one.
+func (n *Node) followAny(ctx context.Context, members []Member) bool {
+	for _, m := range members {
+		relied, err := n.follow(ctx, m)
+		if ctx.Err() != nil {
+			return true
+		}
+		n.log.WithFields(logrus.Fields{"peer": m.VM, "relied": relied, "error": err}).Info("peer_lost")
+		if relied {
+			return true
+		}
+	}
+	return false
+}
+
+var (
+	errStalled = errors.New("no word in time")
+	errOld     = errors.New("its tables are old")
+)
+
+// follow takes in what a member tells until it cannot be relied on any more; relied says whether it ever could.
+func (n *Node) follow(ctx context.Context, m Member) (relied bool, err error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stall := time.AfterFunc(n.config.Stall, func() { cancel(errStalled) })
+	defer stall.Stop()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+m.Address+Path+"?"+n.hub.held(), nil)
+	if err != nil {
+		return false, err
+	}
+	res, err := n.client.Do(req)
+	if err != nil {
+		return false, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return false, fmt.Errorf("status %d", res.StatusCode)
+	}
+	return n.takeFrames(json.NewDecoder(bufio.NewReader(res.Body)), stall)
+}
+
+func (n *Node) takeFrames(decoder *json.Decoder, stall *time.Timer) (relied bool, err error) {
+	patience := time.Now().Add(n.config.Stall)
+	for {
+		var f frame
+		if err := decoder.Decode(&f); err != nil {
+			return relied, err
+		}
+		now := time.Now()
+		n.hub.take(now, f)
+		old := !f.Known || time.Duration(f.AgeMs)*time.Millisecond > n.config.OldAge
+		if old && (relied || now.After(patience)) {
+			return relied, errOld
+		}
+		relied = relied || !old
+		stall.Reset(n.config.Stall)
+	}
+}
+
+// Handler returns the handler by which the node tells its tables to others.
+func (n *Node) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+Path, n.tell)
+	return mux
+}
+
+// tell writes a frame at each change, and one now and then without.
+func (n *Node) tell(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	encoder := json.NewEncoder(w)
+	before := toldOf(r.URL.Query())
+	beat := time.NewTicker(n.config.Beat)
+	defer beat.Stop()
+	for {
+		f, changed := n.hub.next(time.Now(), before)
+		_ = control.SetWriteDeadline(time.Now().Add(n.config.Stall))
+		if err := errors.Join(encoder.Encode(f), control.Flush()); err != nil {
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-changed:
+		case <-beat.C:
+		}
+	}
+}
+
+// DecodeMembers returns the members of a table's rows; a row that cannot be read is left out.
+func DecodeMembers(rows watch.Rows) []Member {
+	return lo.FilterMap(lo.Values(rows), func(row watch.Row, _ int) (Member, bool) {
+		var m Member
+		err := json.Unmarshal(row.Data, &m)
+		return m, err == nil && m.Address != ""
+	})
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/node/gateway.go
+++ b/node/gateway.go
@@ -14,11 +14,10 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/gateway"
+	"github.com/vaneyoke/vaneyoke/mesh"
 	"github.com/vaneyoke/vaneyoke/relay"
-	"github.com/vaneyoke/vaneyoke/route"
 	"github.com/vaneyoke/vaneyoke/settings"
 	"github.com/vaneyoke/vaneyoke/telemetry"
-	"github.com/vaneyoke/vaneyoke/watch"
 )
 
 // stopMargin is left of the grace to end what is still open.
@@ -26,20 +25,19 @@
 
 // GatewayNode is a running process that takes opaque requests.
 type GatewayNode struct {
-	settings  settings.Settings // as of the start
-	current   atomic.Pointer[settings.Settings]
-	gateway   *gateway.Gateway
-	relay     *relay.Relay
-	tables    *watch.Follower[*route.Table]
-	upstreams *watch.Follower[vaneyoke.Upstream]
-	vars      *expvar.Map
-	tracing   *telemetry.Tracing
-	log       logrus.FieldLogger
+	settings settings.Settings // as of the start
+	current  atomic.Pointer[settings.Settings]
+	gateway  *gateway.Gateway
+	relay    *relay.Relay
+	mesh     *mesh.Node
+	vars     *expvar.Map
+	tracing  *telemetry.Tracing
+	log      logrus.FieldLogger
 
 	stop      context.CancelFunc
 	work      sync.WaitGroup
 	servers   []*http.Server
-	listeners []net.Listener // for callers, readiness and metrics
+	listeners []net.Listener // for callers, readiness, metrics and, where there are any, other nodes
 }
 
 // port is an address that the node listens on.
@@ -55,6 +53,9 @@
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET /readyz", n.gateway.ServeReadiness)
 	ports := []port{{s.Gateway.Listen, n.gateway}, {s.Gateway.Readiness, ready}, {s.Node.Admin, n.metrics()}}
+	if s.Gateway.Peers != "" {
+		ports = append(ports, port{s.Gateway.Peers, n.mesh.Handler()})
+	}
 	for _, p := range ports {
 		l, err := listen(ctx, p.address)
 		if err != nil {
@@ -65,8 +66,7 @@
 	}
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	n.stop = stop
-	n.work.Go(func() { n.tables.Run(run) })
-	n.work.Go(func() { n.upstreams.Run(run) })
+	n.work.Go(func() { n.mesh.Run(run) })
 	for i, p := range ports {
 		n.serve(n.listeners[i], p.handler)
 	}
--- a/node/gateway_wire.go
+++ b/node/gateway_wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -13,10 +14,10 @@
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/balancer"
 	"github.com/vaneyoke/vaneyoke/gateway"
+	"github.com/vaneyoke/vaneyoke/mesh"
 	"github.com/vaneyoke/vaneyoke/placement"
 	"github.com/vaneyoke/vaneyoke/platform"
 	"github.com/vaneyoke/vaneyoke/relay"
-	"github.com/vaneyoke/vaneyoke/route"
 	"github.com/vaneyoke/vaneyoke/settings"
 	"github.com/vaneyoke/vaneyoke/telemetry"
 	"github.com/vaneyoke/vaneyoke/watch"
@@ -32,6 +33,7 @@
 	do.Provide(i, provideBalancer)
 	do.Provide(i, provideStoreClient)
 	do.Provide(i, provideDirectory)
+	do.Provide(i, provideMesh)
 	do.Provide(i, provideForwarder)
 	do.Provide(i, provideGateway)
 	do.Provide(i, provideGatewayNode)
@@ -41,6 +43,9 @@
 // probes find an upstream that has gone without a word while it owes an answer; seconds are the finest that the system takes.
 var probes = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 1}
 
+// peerDialWait is the longest wait for a connection to another node.
+const peerDialWait = 200 * time.Millisecond
+
 // storeClient is the HTTP client for the store.
 type storeClient struct{ http *http.Client }
 
@@ -80,23 +85,59 @@
 
 func provideGatewayNode(i do.Injector) (*GatewayNode, error) {
 	s := do.MustInvoke[settings.Settings](i)
-	log := do.MustInvoke[logrus.FieldLogger](i)
-	client := do.MustInvoke[*storeClient](i).http
-	directory := do.MustInvoke[*routes](i)
-	config := watch.DefaultConfig()
-	config.Wait = s.Gateway.FeedWait
 	return &GatewayNode{
-		settings:  s,
-		gateway:   do.MustInvoke[*gateway.Gateway](i),
-		relay:     do.MustInvoke[*relay.Relay](i),
-		tables:    watch.New[*route.Table]("routes", platform.NewConfig(client, s.Gateway.Store), config, directory.setTables, log),
-		upstreams: watch.New[vaneyoke.Upstream]("upstreams", platform.NewEngines(client, s.Gateway.Store), config, directory.setUpstreams, log),
-		vars:      do.MustInvoke[*expvar.Map](i),
-		tracing:   do.MustInvoke[*telemetry.Tracing](i),
-		log:       log,
+		settings: s,
+		gateway:  do.MustInvoke[*gateway.Gateway](i),
+		relay:    do.MustInvoke[*relay.Relay](i),
+		mesh:     do.MustInvoke[*mesh.Node](i),
+		vars:     do.MustInvoke[*expvar.Map](i),
+		tracing:  do.MustInvoke[*telemetry.Tracing](i),
+		log:      do.MustInvoke[logrus.FieldLogger](i),
 	}, nil
 }
 
+// Names of the tables that the nodes tell one another.
+const (
+	tableRoutes    = "routes"
+	tableUpstreams = "upstreams"
+)
+
+func provideMesh(i do.Injector) (*mesh.Node, error) {
+	s := do.MustInvoke[settings.Settings](i)
+	client := do.MustInvoke[*storeClient](i).http
+	directory := do.MustInvoke[*routes](i)
+	config := mesh.DefaultConfig()
+	config.Small = config.Reader
+	config.Small.Wait, config.Small.Slack = s.Gateway.FeedWait, watch.DefaultConfig().Slack
+	if s.Gateway.Peers == "" {
+		config.Direct = math.MaxInt
+	}
+	members := platform.NewMembers(client, s.Gateway.Store)
+	sources := map[string]watch.Source{
+		tableRoutes:       platform.NewConfig(client, s.Gateway.Store),
+		tableUpstreams:    platform.NewEngines(client, s.Gateway.Store),
+		mesh.MembersTable: members,
+	}
+	var node *mesh.Node
+	hub := mesh.NewHub(map[string]func(time.Time, watch.Rows){
+		tableRoutes:       directory.setTables,
+		tableUpstreams:    directory.setUpstreams,
+		mesh.MembersTable: func(_ time.Time, rows watch.Rows) { node.SetMembers(mesh.DecodeMembers(rows)) },
+	})
+	self := mesh.Member{VM: vaneyoke.VMID(s.Node.VM), Hall: vaneyoke.HallID(s.Node.Hall), Address: s.Gateway.Peers}
+	node = mesh.New(self, config, hub, members, sources, newPeerClient(), do.MustInvoke[logrus.FieldLogger](i))
+	vars := do.MustInvoke[*expvar.Map](i)
+	vars.Set("members", expvar.Func(func() any { return node.Members() }))
+	vars.Set("tables_age_ms", expvar.Func(func() any { age, _ := hub.Age(time.Now()); return age.Milliseconds() }))
+	return node, nil
+}
+
+// newPeerClient returns the HTTP client for other nodes; it bounds no answer's time, because answers do not end.
+func newPeerClient() *http.Client {
+	dialer := &net.Dialer{Timeout: peerDialWait}
+	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}}
+}
+
 func newBalancer(s settings.Settings) *balancer.Balancer {
 	state := placement.New(vaneyoke.HallID(s.Node.Hall), breakerConfig(s.Retry))
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
--- a/node/routes.go
+++ b/node/routes.go
@@ -1,8 +1,7 @@
 package node
 
 import (
-	"maps"
-	"slices"
+	"bytes"
 	"sync/atomic"
 	"time"
 
@@ -10,19 +9,27 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/balancer"
+	"github.com/vaneyoke/vaneyoke/platform"
 	"github.com/vaneyoke/vaneyoke/route"
 	"github.com/vaneyoke/vaneyoke/watch"
 )
 
 // routes holds the configuration in force at a node that takes opaque requests; it never goes back to an older one.
 type routes struct {
-	balancer *balancer.Balancer
-	log      logrus.FieldLogger
-	current  atomic.Pointer[route.Table]
+	balancer  *balancer.Balancer
+	log       logrus.FieldLogger
+	current   atomic.Pointer[route.Table]
+	tables    decoded[*route.Table]
+	upstreams decoded[vaneyoke.Upstream]
 }
 
 func newRoutes(b *balancer.Balancer, log logrus.FieldLogger) *routes {
-	return &routes{balancer: b, log: log}
+	return &routes{
+		balancer:  b,
+		log:       log,
+		tables:    decoded[*route.Table]{decode: platform.DecodeConfig},
+		upstreams: decoded[vaneyoke.Upstream]{decode: platform.DecodeEngine},
+	}
 }
 
 // Routes returns the newest table; nil where none is known yet.
@@ -35,9 +42,9 @@
 	return 0
 }
 
-// setTables takes in the newest of the tables; it is called by one goroutine.
-func (r *routes) setTables(_ time.Time, rows watch.Rows[*route.Table]) {
-	for _, table := range rows {
+// setTables takes in the newest of the tables; it is not called by two goroutines at once.
+func (r *routes) setTables(_ time.Time, rows watch.Rows) {
+	for _, table := range r.tables.take(rows, r.log) {
 		if table == nil || (r.current.Load() != nil && table.Version() <= r.version()) {
 			continue
 		}
@@ -47,6 +54,46 @@
 }
 
 // setUpstreams takes in the list of upstreams.
-func (r *routes) setUpstreams(_ time.Time, rows watch.Rows[vaneyoke.Upstream]) {
-	r.balancer.SetUpstreams(slices.Collect(maps.Values(rows)), nil)
+func (r *routes) setUpstreams(_ time.Time, rows watch.Rows) {
+	r.balancer.SetUpstreams(r.upstreams.take(rows, r.log), nil)
+}
+
+// decoded keeps what rows were read as, so that a change costs no more than the rows that changed.
+type decoded[T any] struct {
+	decode func(key string, data []byte) (T, error)
+	known  map[string]decodedRow[T]
+}
+
+type decodedRow[T any] struct {
+	data  []byte
+	value T
+	bad   bool // whether the data cannot be read
+}
+
+// take returns the values of all rows that can be read; a row that cannot is logged and keeps the value that it had.
+func (d *decoded[T]) take(rows watch.Rows, log logrus.FieldLogger) []T {
+	known := make(map[string]decodedRow[T], len(rows))
+	values := make([]T, 0, len(rows))
+	for key, stored := range rows {
+		data := stored.Data
+		row, seen := d.known[key]
+		if !seen || !bytes.Equal(row.data, data) {
+			row = d.read(row, seen, key, data, log)
+		}
+		known[key] = row
+		if !row.bad {
+			values = append(values, row.value)
+		}
+	}
+	d.known = known
+	return values
+}
+
+func (d *decoded[T]) read(before decodedRow[T], seen bool, key string, data []byte, log logrus.FieldLogger) decodedRow[T] {
+	value, err := d.decode(key, data)
+	if err == nil {
+		return decodedRow[T]{data: data, value: value}
+	}
+	log.WithFields(logrus.Fields{"key": key, "error": err}).Error("row_unreadable")
+	return decodedRow[T]{data: data, value: before.value, bad: !seen || before.bad}
 }
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -15,23 +15,37 @@
 // Version counts the store's transactions.
 type Version uint64
 
+// Row is a row's data, and the transaction that wrote it.
+type Row struct {
+	Data    []byte
+	Version Version
+}
+
 // Rows are a table's rows by their keys.
-type Rows[T any] map[string]T
+type Rows map[string]Row
 
 // Change is a row that was written or, where Gone, removed.
-type Change[T any] struct {
-	Key   string
-	Value T
-	Gone  bool
+type Change struct {
+	Key  string
+	Row  Row
+	Gone bool
 }
 
 // Source is a table in the store.
-type Source[T any] interface {
+type Source interface {
 	// List returns all rows as of one version.
-	List(ctx context.Context) (Rows[T], Version, error)
+	List(ctx context.Context) (Rows, Version, error)
 	// Changes waits for changes after a version, and returns them in order with the version that they lead to; without
 	// any, it returns after the given time. It returns ErrHistoryLost where the rows have to be listed again.
-	Changes(ctx context.Context, after Version, wait time.Duration) ([]Change[T], Version, error)
+	Changes(ctx context.Context, after Version, wait time.Duration) ([]Change, Version, error)
+}
+
+// Sink takes in a table as it is followed.
+type Sink interface {
+	// Set takes in all rows as of a version; it must not keep or change them.
+	Set(now time.Time, rows Rows, version Version)
+	// Confirm notes that the rows have not changed up to a version.
+	Confirm(now time.Time, version Version)
 }
 
 // Config holds the times of a follower.
@@ -40,44 +54,50 @@
 	Slack time.Duration // how much longer an answer may take before the call is given up
 	Pause time.Duration // longest pause after the first failure in a row; each further one doubles it
 	Most  time.Duration // longest pause after a failure
+	// Gather is the pause after a change, in which further changes come together, so that many cost few calls.
+	Gather time.Duration
 }
 
 // DefaultConfig returns the times that the nodes start from.
 func DefaultConfig() Config {
 	return Config{
 		Wait: 3 * time.Second, Slack: 800 * time.Millisecond, Pause: 100 * time.Millisecond, Most: 800 * time.Millisecond,
+		Gather: 200 * time.Millisecond,
 	}
 }
 
 // Follower keeps a copy of a table's rows.
-type Follower[T any] struct {
+type Follower struct {
 	name   string
-	source Source[T]
+	source Source
 	config Config
-	apply  func(now time.Time, rows Rows[T])
+	sink   Sink
 	log    logrus.FieldLogger
 
-	rows    Rows[T]
+	rows    Rows
 	version Version
 	listed  bool
 	failed  int // calls in a row
 }
 
-// New returns a follower that gives the rows to apply after each change; apply must not keep or change them.
+// New returns a follower that tells the sink of each change.
 // The name stands for the table in the log.
-func New[T any](name string, source Source[T], config Config, apply func(now time.Time, rows Rows[T]), log logrus.FieldLogger) *Follower[T] {
-	return &Follower[T]{name: name, source: source, config: config, apply: apply, log: log}
+func New(name string, source Source, config Config, sink Sink, log logrus.FieldLogger) *Follower {
+	return &Follower{name: name, source: source, config: config, sink: sink, log: log}
 }
 
 // Run follows the table until ctx ends.
-func (f *Follower[T]) Run(ctx context.Context) {
+func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		err := f.step(ctx)
+		changed, err := f.step(ctx)
 		if ctx.Err() != nil {
 			return
 		}
 		if err == nil {
 			f.regained()
+			if changed {
+				sleep(ctx, f.config.Gather)
+			}
 			continue
 		}
 		if errors.Is(err, ErrHistoryLost) {
@@ -90,54 +110,56 @@
 	}
 }
 
-// step makes one call and takes in what it tells.
-func (f *Follower[T]) step(ctx context.Context) error {
+// step makes one call and takes in what it tells; changed says that there was a change.
+func (f *Follower) step(ctx context.Context) (changed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, f.config.Wait+f.config.Slack)
 	defer cancel()
 	if !f.listed {
-		return f.list(ctx)
+		return false, f.list(ctx)
 	}
 	changes, version, err := f.source.Changes(ctx, f.version, f.config.Wait)
 	if err != nil {
-		return err
+		return false, err
 	}
 	f.version = max(f.version, version)
-	if len(changes) > 0 {
-		f.take(changes)
+	if len(changes) == 0 {
+		f.sink.Confirm(time.Now(), f.version)
+		return false, nil
 	}
-	return nil
+	f.take(changes)
+	return true, nil
 }
 
-func (f *Follower[T]) list(ctx context.Context) error {
+func (f *Follower) list(ctx context.Context) error {
 	rows, version, err := f.source.List(ctx)
 	if err != nil {
 		return err
 	}
 	f.rows, f.version, f.listed = rows, version, true
-	f.apply(time.Now(), f.rows)
+	f.sink.Set(time.Now(), f.rows, f.version)
 	return nil
 }
 
-func (f *Follower[T]) take(changes []Change[T]) {
+func (f *Follower) take(changes []Change) {
 	for _, c := range changes {
 		if c.Gone {
 			delete(f.rows, c.Key)
 			continue
 		}
-		f.rows[c.Key] = c.Value
+		f.rows[c.Key] = c.Row
 	}
-	f.apply(time.Now(), f.rows)
+	f.sink.Set(time.Now(), f.rows, f.version)
 }
 
 // lost counts a failure; the first in a row is logged.
-func (f *Follower[T]) lost(err error) {
+func (f *Follower) lost(err error) {
 	f.failed++
 	if f.failed == 1 {
 		f.log.WithFields(logrus.Fields{"table": f.name, "version": f.version, "error": err}).Warn("store_lost")
 	}
 }
 
-func (f *Follower[T]) regained() {
+func (f *Follower) regained() {
 	if f.failed > 0 {
 		f.log.WithFields(logrus.Fields{"table": f.name, "version": f.version, "failures": f.failed}).Info("store_regained")
 		f.failed = 0
@@ -145,7 +167,7 @@
 }
 
 // pause returns a random pause that grows with the failures in a row, so that the nodes do not come back as one.
-func (f *Follower[T]) pause() time.Duration {
+func (f *Follower) pause() time.Duration {
 	full := f.config.Most
 	if shift := f.failed - 1; shift < 16 {
 		full = min(f.config.Pause<<shift, full)
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -14,10 +14,32 @@
 	"github.com/vaneyoke/vaneyoke/watch"
 )
 
+// rows are a table's rows as text.
+type rows map[string]string
+
+func (r rows) raw() watch.Rows {
+	raw := watch.Rows{}
+	for k, v := range r {
+		raw[k] = watch.Row{Data: []byte(v)}
+	}
+	return raw
+}
+
+// Set takes in what a follower tells.
+func (r rows) Set(_ time.Time, raw watch.Rows, _ watch.Version) {
+	clear(r)
+	for k, v := range raw {
+		r[k] = string(v.Data)
+	}
+}
+
+// Confirm is of no interest here.
+func (r rows) Confirm(time.Time, watch.Version) {}
+
 // step is one answer of a scripted source.
 type step struct {
-	list    watch.Rows[string]
-	changes []watch.Change[string]
+	list    rows
+	changes []watch.Change
 	version watch.Version
 	err     error
 	hang    bool // until the caller gives up
@@ -46,12 +68,12 @@
 	return st, st.err
 }
 
-func (s *script) List(ctx context.Context) (watch.Rows[string], watch.Version, error) {
+func (s *script) List(ctx context.Context) (watch.Rows, watch.Version, error) {
 	st, err := s.next(ctx)
-	return st.list, st.version, err
+	return st.list.raw(), st.version, err
 }
 
-func (s *script) Changes(ctx context.Context, after watch.Version, _ time.Duration) ([]watch.Change[string], watch.Version, error) {
+func (s *script) Changes(ctx context.Context, after watch.Version, _ time.Duration) ([]watch.Change, watch.Version, error) {
 	s.after = append(s.after, after)
 	st, err := s.next(ctx)
 	return st.changes, st.version, err
@@ -59,39 +81,33 @@
 
 // TestFollower runs through outages and lost history on a clock of its own.
 func TestFollower(t *testing.T) {
-	list := func() watch.Rows[string] { return watch.Rows[string]{"a": "1", "b": "2"} }
+	list := func() rows { return rows{"a": "1", "b": "2"} }
 	cases := map[string]struct {
 		steps []step
-		want  watch.Rows[string]
+		want  rows
 		after []watch.Version
 	}{
 		"list":           {[]step{{list: list(), version: 5}}, list(), []watch.Version{5}},
-		"change":         {[]step{{list: list(), version: 5}, {changes: []watch.Change[string]{{Key: "a", Value: "3"}}, version: 8}}, watch.Rows[string]{"a": "3", "b": "2"}, []watch.Version{5, 8}},
-		"removal":        {[]step{{list: list(), version: 5}, {changes: []watch.Change[string]{{Key: "b", Gone: true}}, version: 8}}, watch.Rows[string]{"a": "1"}, []watch.Version{5, 8}},
+		"change":         {[]step{{list: list(), version: 5}, {changes: []watch.Change{{Key: "a", Row: watch.Row{Data: []byte("3")}}}, version: 8}}, rows{"a": "3", "b": "2"}, []watch.Version{5, 8}},
+		"removal":        {[]step{{list: list(), version: 5}, {changes: []watch.Change{{Key: "b", Gone: true}}, version: 8}}, rows{"a": "1"}, []watch.Version{5, 8}},
 		"quiet":          {[]step{{list: list(), version: 5}, {version: 9}}, list(), []watch.Version{5, 9}},
 		"older version":  {[]step{{list: list(), version: 5}, {version: 3}}, list(), []watch.Version{5, 5}},
 		"down at first":  {[]step{{err: errDown}, {hang: true}, {list: list(), version: 5}}, list(), []watch.Version{5}},
-		"down later":     {[]step{{list: list(), version: 5}, {err: errDown}, {hang: true}, {changes: []watch.Change[string]{{Key: "a", Gone: true}}, version: 6}}, watch.Rows[string]{"b": "2"}, []watch.Version{5, 5, 5, 6}},
-		"history lost":   {[]step{{list: list(), version: 5}, {err: watch.ErrHistoryLost}, {list: watch.Rows[string]{"c": "4"}, version: 9}}, watch.Rows[string]{"c": "4"}, []watch.Version{5, 9}},
-		"down, then 410": {[]step{{list: list(), version: 5}, {err: errDown}, {err: watch.ErrHistoryLost}, {err: errDown}, {list: watch.Rows[string]{"c": "4"}, version: 9}}, watch.Rows[string]{"c": "4"}, []watch.Version{5, 5, 9}},
+		"down later":     {[]step{{list: list(), version: 5}, {err: errDown}, {hang: true}, {changes: []watch.Change{{Key: "a", Gone: true}}, version: 6}}, rows{"b": "2"}, []watch.Version{5, 5, 5, 6}},
+		"history lost":   {[]step{{list: list(), version: 5}, {err: watch.ErrHistoryLost}, {list: rows{"c": "4"}, version: 9}}, rows{"c": "4"}, []watch.Version{5, 9}},
+		"down, then 410": {[]step{{list: list(), version: 5}, {err: errDown}, {err: watch.ErrHistoryLost}, {err: errDown}, {list: rows{"c": "4"}, version: 9}}, rows{"c": "4"}, []watch.Version{5, 5, 9}},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				source := &script{t: t, steps: tc.steps}
-				got := watch.Rows[string]{}
-				apply := func(_ time.Time, rows watch.Rows[string]) {
-					got = watch.Rows[string]{}
-					for k, v := range rows {
-						got[k] = v
-					}
-				}
+				got := rows{}
 				log := logrus.New()
 				log.SetOutput(io.Discard)
 				ctx, stop := context.WithCancel(t.Context())
 				done := make(chan struct{})
 				go func() {
-					watch.New("rows", source, watch.DefaultConfig(), apply, log).Run(ctx)
+					watch.New("rows", source, watch.DefaultConfig(), got, log).Run(ctx)
 					close(done)
 				}()
 				time.Sleep(15 * time.Second) // of the clock of its own
