--- a/cmd/vaneyoke/main.go
+++ b/cmd/vaneyoke/main.go
@@ -43,6 +43,7 @@
 			statusCommand(),
 			auditCommand(),
 			bootstrapCommand(),
+			explainRequestCommand(),
 			docsCommand(),
 			versionCommand(),
 		},
--- a/cmd/vaneyoked/main.go
+++ b/cmd/vaneyoked/main.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 	_ "time/tzdata" // VMs may have no time zones of their own
 
 	"github.com/sirupsen/logrus"
@@ -18,6 +19,9 @@
 	"github.com/vaneyoke/vaneyoke/telemetry"
 )
 
+// logWait is the longest wait for the reader of the log when the node ends.
+const logWait = 500 * time.Millisecond
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	err := command().Run(ctx, os.Args)
@@ -68,7 +72,9 @@
 		fmt.Fprintln(cmd.Root().Writer, "settings are good")
 		return nil
 	}
-	log, err := telemetry.NewLogger(os.Stderr, s.Log.Level)
+	out := telemetry.NewAsyncWriter(os.Stderr)
+	defer out.Close(logWait)
+	log, err := telemetry.NewLogger(out, s.Log.Level)
 	if err != nil {
 		return vaneyoke.WrapErr(vaneyoke.CodeSettingsValue, err, "[log] level")
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -155,6 +155,7 @@
 		Goal:        r.Goal,
 		Pause:       r.Pause,
 		MaxAttempts: r.MaxAttempts,
+		Version:     table.Version(),
 	}
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -87,6 +87,7 @@
 	l.base = e.From
 	l.sentAt = time.Now()
 	l.fromReplica = e.FromReplica
+	s.last = e.Upstream
 	l.name = engine.StreamName(s.req.ID, s.epoch, e.Attempt)
 	ctx := s.open(l, e.Attempt, "attempt")
 	s.relay.metrics.Attempts.Add(1)
--- a/relay/forwarded.go
+++ b/relay/forwarded.go
@@ -26,6 +26,7 @@
 	Goal        time.Duration // time to the answer, or to its first event, that is aimed at
 	Pause       time.Duration // pause between events that is aimed at
 	MaxAttempts int
+	Version     vaneyoke.Revision // of the configuration that says so
 }
 
 // Bounds of the silence judgement of opaque requests, as shares of what their route aims at.
--- a/relay/metrics.go
+++ b/relay/metrics.go
@@ -1,17 +1,23 @@
 package relay
 
-import "expvar"
+import (
+	"expvar"
+
+	"github.com/vaneyoke/vaneyoke/telemetry"
+)
 
 // Metrics counts what sessions do.
 type Metrics struct {
-	Sessions  *expvar.Int // started
-	Open      *expvar.Int // running now
-	Tokens    *expvar.Int // let through
-	Attempts  *expvar.Int // runs started on upstreams
-	Losses    *expvar.Map // attempts lost, by cause
-	Discarded *expvar.Int // tokens received and not let through
-	Reprefill *expvar.Int // tokens given again to engines as prefix
-	Results   *expvar.Map // sessions ended, by result code
+	Sessions  *expvar.Int          // started
+	Open      *expvar.Int          // running now
+	Tokens    *expvar.Int          // let through
+	Attempts  *expvar.Int          // runs started on upstreams
+	Losses    *expvar.Map          // attempts lost, by cause
+	Discarded *expvar.Int          // tokens received and not let through
+	Reprefill *expvar.Int          // tokens given again to engines as prefix
+	Results   *expvar.Map          // sessions ended, by result code
+	Routes    *expvar.Map          // opaque requests ended, by route and result code
+	Latencies *telemetry.Latencies // of opaque requests that were answered, by route
 }
 
 // NewMetrics returns counters under the given names' prefix in vars.
@@ -25,6 +31,8 @@
 		Discarded: new(expvar.Int),
 		Reprefill: new(expvar.Int),
 		Results:   new(expvar.Map).Init(),
+		Routes:    new(expvar.Map).Init(),
+		Latencies: telemetry.NewLatencies(),
 	}
 	vars.Set("sessions_total", m.Sessions)
 	vars.Set("sessions_open", m.Open)
@@ -34,5 +42,7 @@
 	vars.Set("discarded_tokens_total", m.Discarded)
 	vars.Set("reprefill_tokens_total", m.Reprefill)
 	vars.Set("results_total", m.Results)
+	vars.Set("routes_total", m.Routes)
+	vars.Set("latencies", expvar.Func(func() any { return m.Latencies.Snapshot() }))
 	return m
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -46,17 +47,20 @@
 	config  Config
 	ctx     context.Context // ends when the relay is closed
 	stop    context.CancelFunc
+	plain   atomic.Uint64 // sessions of which nothing is to be told
 }
 
 // Config holds what all sessions share.
 type Config struct {
 	Generation  generation.Config
 	CallSilence time.Duration // silence of a service that makes a call suspect
+	PlainEvery  uint64        // of so many sessions that went well, one is logged
 	WholeLimit  time.Duration // longest time that an engine may take for an answer that is not streamed
 }
 
 // New returns a relay.
 func New(engines *engine.Client, sender forward.Sender, placer Placer, tracer trace.Tracer, metrics *Metrics, log logrus.FieldLogger, config Config) *Relay {
+	config.PlainEvery = max(config.PlainEvery, 1)
 	ctx, stop := context.WithCancel(context.Background())
 	return &Relay{
 		engines: engines, sender: sender, placer: placer, tracer: tracer, metrics: metrics, log: log, config: config,
--- a/relay/session.go
+++ b/relay/session.go
@@ -31,9 +31,10 @@
 	links   map[vaneyoke.Attempt]*link
 	timer   *time.Timer
 	result  Result
-	answer  engine.Answer // of a whole session
-	pace    pace          // of what was let through
-	epoch   uint64        // counts the request's owners from 1
+	answer  engine.Answer       // of a whole session
+	last    vaneyoke.UpstreamID // to which the last attempt was sent
+	pace    pace                // of what was let through
+	epoch   uint64              // counts the request's owners from 1
 }
 
 // link is the shell's side of one attempt.
@@ -250,6 +251,45 @@
 	p.last = now
 }
 
+// measure counts an opaque request at its route.
+func (s *Session) measure() {
+	if _, ok := s.mode.(*forwarded); !ok {
+		return
+	}
+	s.relay.metrics.Routes.Add(s.req.Kind+" "+s.result.Code.Info().Name, 1)
+	if s.result.Code == vaneyoke.CodeOK {
+		s.relay.metrics.Latencies.Add(s.req.Kind, s.pace.first.Sub(s.req.ReceivedAt), s.pace.longest, time.Since(s.req.ReceivedAt))
+	}
+}
+
+// isPlain reports whether nothing is to be told of the session but that it went well.
+func (s *Session) isPlain() bool {
+	stats := s.result.Stats
+	return s.result.Code == vaneyoke.CodeOK && stats.Attempts <= 1 && stats.Losses == 0 && stats.Suspected == 0 && !s.isLate()
+}
+
+// isLate reports whether an opaque answer came later than its route aims at.
+func (s *Session) isLate() bool {
+	m, ok := s.mode.(*forwarded)
+	return ok && (s.pace.first.Sub(s.req.ReceivedAt) > m.Goal || (m.Pause > 0 && s.pace.longest > m.Pause))
+}
+
+// version returns the version of the configuration that an opaque request went by, 0 for any other.
+func (s *Session) version() vaneyoke.Revision {
+	if m, ok := s.mode.(*forwarded); ok {
+		return m.Version
+	}
+	return 0
+}
+
+// leftMs returns what was left of an opaque request's time when it ended, in milliseconds.
+func (s *Session) leftMs() int64 {
+	if m, ok := s.mode.(*forwarded); ok {
+		return time.Until(m.Deadline).Milliseconds()
+	}
+	return 0
+}
+
 // record writes the session's log line, metrics and span.
 func (s *Session) record() {
 	m, stats := s.relay.metrics, s.result.Stats
@@ -258,9 +298,18 @@
 	m.Discarded.Add(int64(stats.Discarded))
 	m.Reprefill.Add(int64(stats.Reprefills))
 	m.Results.Add(s.result.Code.Info().Name, 1)
+	s.measure()
 	s.span.SetAttributes(attribute.Int("code", int(s.result.Code)), attribute.Int("attempts", stats.Attempts))
 	s.span.End()
+	if s.isPlain() && s.relay.plain.Add(1)%s.relay.config.PlainEvery != 0 {
+		return
+	}
 	s.relay.log.WithFields(logrus.Fields{
+		"route":     s.req.Kind,
+		"upstream":  s.last,
+		"version":   s.version(),
+		"prompt":    s.need.Bytes,
+		"left_ms":   s.leftMs(),
 		"request":   s.req.ID,
 		"workspace": s.req.Workspace,
 		"policy":    s.req.Rule,
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -109,7 +109,8 @@
 
 // Log says what is logged.
 type Log struct {
-	Level string `ini:"level" default:"info" check:"level" doc:"Least severe level that is logged: debug, info, warning or error."`
+	PlainEvery int    `ini:"plain_every" default:"1" min:"1" doc:"Of so many requests that went well at the first attempt and in time, one is logged; all others always are."`
+	Level      string `ini:"level" default:"info" check:"level" doc:"Least severe level that is logged: debug, info, warning or error."`
 }
 
 // Trace says where traces go.
--- /dev/null
+++ b/telemetry/events.go
@@ -0,0 +1,67 @@
+package telemetry
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Event is a kind of log line.
+type Event struct {
+	Name string
+	Keys []string // beside time, level and msg
+	Text string   // what happened, in one sentence
+}
+
+// Events returns every kind of log line that a node writes, by name.
+func Events() []Event { return events }
+
+var events = []Event{
+	{"attempt_lost", []string{"request", "attempt", "upstream", "cause", "error", "begun", "age_ms"}, "An attempt on an upstream was lost; cause says how."},
+	{"attempt_started", []string{"request", "attempt", "upstream", "from", "replica", "from_replica"}, "A further attempt was sent; from counts the pieces that the caller has."},
+	{"cancel_failed", []string{"request", "upstream", "stream", "error"}, "An engine could not be told to stop a run."},
+	{"claim_not_settled", []string{"request"}, "A claim whose write has an unknown outcome could not be settled."},
+	{"configuration_applied", []string{"policy"}, "The policies and upstreams of a revision are in force."},
+	{"configuration_changed", []string{"actor", "action", "policy"}, "An operator's change was committed with the revision that policy names."},
+	{"configuration_does_not_encode", []string{"error"}, "The configuration could not be told to another node."},
+	{"configuration_from_peer_broken", []string{"peer", "error"}, "Another node told a configuration that cannot be read."},
+	{"configuration_in_force", []string{"version", "before"}, "The node goes by a newer configuration."},
+	{"configuration_read_failed", []string{"error"}, "The configuration could not be read from the table."},
+	{"history_lost", []string{"table", "version"}, "The store has forgotten the changes since a version, and the table is read anew."},
+	{"homes_not_told", []string{"request", "error"}, "The homes of a request could not be told who owns it."},
+	{"journal_unreachable", []string{"peer", "error"}, "A node that may hold a journal did not answer."},
+	{"leave_failed", []string{"error"}, "A stopping node could not take itself off the members."},
+	{"log_lines_lost", []string{"count"}, "Log lines were lost because nobody read them in time."},
+	{"membership_unchanged", []string{"event", "error"}, "The list of members could not be changed."},
+	{"node_started", []string{"vm", "hall", "listen", "admin", "peer"}, "The node serves."},
+	{"node_stopped", []string{"cut_off"}, "The node has ended; cut_off says whether requests were cut off."},
+	{"node_stopping", []string{"open"}, "The node was told to stop; open counts the requests being answered."},
+	{"open_failed", []string{"peer", "error"}, "A home could not be asked who owns a request."},
+	{"owner_unreachable", []string{"peer", "error"}, "The owner of a request did not answer."},
+	{"peer_lost", []string{"peer", "relied", "error"}, "Another node cannot be relied on for the store's tables any more."},
+	{"policy_not_understood", []string{"policy", "problem"}, "A policy in the table cannot be read; it is left aside."},
+	{"push_failed", []string{"peer", "sessions", "error"}, "Journals could not be pushed to their backup."},
+	{"reads_store", []string{"asked", "members"}, "The node reads the store itself."},
+	{"register_failed", []string{"error"}, "The node could not register itself among the members."},
+	{"request_refused", []string{"request", "code", "host", "path", "error"}, "A request was refused before any upstream was chosen."},
+	{"row_unreadable", []string{"key", "error"}, "A row of the store cannot be read; the value that it had before is kept."},
+	{"server_failed", []string{"error"}, "A listener ended."},
+	{"session_ended", []string{"request", "workspace", "policy", "route", "upstream", "version", "code", "tokens", "attempts", "losses", "discarded", "first_ms", "gap_ms", "ms", "left_ms", "prompt"}, "A request has been answered or has failed."},
+	{"session_given_up", []string{"request", "peer"}, "A session was given to another node that had taken it over."},
+	{"session_superseded", []string{"request"}, "A session ended here because another node goes on with it."},
+	{"session_taken_over", []string{"request", "peer", "tokens", "epoch"}, "A session of another node goes on here."},
+	{"settings_refused", []string{"code", "error"}, "Changed settings have errors and are left aside."},
+	{"settings_reloaded", []string{"taken", "grace", "lame", "needs_restart"}, "Changed settings were taken in."},
+	{"store_lost", []string{"table", "version", "error"}, "The store cannot be read; the node goes on with what it has."},
+	{"store_regained", []string{"table", "version", "failures"}, "The store can be read again."},
+	{"vms_read_failed", []string{"error"}, "The list of VMs could not be read."},
+}
+
+// EventsTable returns the table of events as it stands in docs/OPERATIONS.md.
+func EventsTable() string {
+	var b strings.Builder
+	b.WriteString("| event | keys | meaning |\n| --- | --- | --- |\n")
+	for _, e := range events {
+		fmt.Fprintf(&b, "| `%s` | `%s` | %s |\n", e.Name, strings.Join(e.Keys, "`, `"), e.Text)
+	}
+	return b.String()
+}
