--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -63,6 +63,16 @@
 	b.state.SetDrained(drained)
 }
 
+// SetRetryBurst changes how many retries this node can save up for each service.
+func (b *Balancer) SetRetryBurst(burst float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.limits.Burst = burst
+	for _, budget := range b.budgets {
+		budget.SetBurst(burst)
+	}
+}
+
 // Admit notes that a request was taken, which earns a share of a retry.
 func (b *Balancer) Admit(need placement.Need) {
 	b.mu.Lock()
--- a/cmd/vaneyoked/main.go
+++ b/cmd/vaneyoked/main.go
@@ -81,7 +81,7 @@
 	hangups := make(chan os.Signal, 1)
 	signal.Notify(hangups, syscall.SIGHUP)
 	defer signal.Stop(hangups)
-	n, err := node.New(s, log)
+	n, err := node.New(s, log, out.Lost)
 	if err != nil {
 		return err
 	}
--- a/node/config.go
+++ b/node/config.go
@@ -17,6 +17,23 @@
 	return retry.BudgetConfig{Ratio: s.Ratio, PerSecond: s.PerSecond, Burst: s.Burst}
 }
 
+const (
+	fleetMargin  = 0.8 // share of the fleet's bounds on retries that its nodes use
+	fleetUnknown = 16  // nodes that are assumed before the members are known
+)
+
+// fleetBudgetConfig returns a node's share of the bounds that hold for all nodes together, where such are set.
+func fleetBudgetConfig(s settings.Retry, members int) retry.BudgetConfig {
+	config := budgetConfig(s)
+	if s.FleetRatio > 0 {
+		config.Ratio = s.FleetRatio * fleetMargin
+	}
+	if s.FleetBurst > 0 {
+		config.Burst = max(s.FleetBurst*fleetMargin/float64(max(members, 1)), 1)
+	}
+	return config
+}
+
 func relayConfig(s settings.Settings) relay.Config {
 	config := generation.DefaultConfig()
 	config.MaxWait = s.Limits.MaxWait
--- /dev/null
+++ b/node/config_test.go
@@ -0,0 +1,24 @@
+package node
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/vaneyoke/vaneyoke/settings"
+)
+
+// TestNodesShareTheFleetsRetries holds what all nodes together may save up against the fleet's bound.
+func TestNodesShareTheFleetsRetries(t *testing.T) {
+	s := settings.Retry{Ratio: 0.2, Burst: 500, FleetRatio: 0.8, FleetBurst: 150}
+	for _, members := range []int{1, 3, 7, 12, 88, 120} {
+		config := fleetBudgetConfig(s, members)
+		must.LessEq(t, 150, config.Burst*float64(members))
+		must.Less(t, 0.8, config.Ratio)
+		must.GreaterEq(t, 1, config.Burst)
+	}
+	s.FleetRatio, s.FleetBurst = 0, 0
+	config := fleetBudgetConfig(s, 7)
+	must.EqOp(t, 500, config.Burst)
+	must.EqOp(t, 0.2, config.Ratio)
+}
--- a/node/gateway_wire.go
+++ b/node/gateway_wire.go
@@ -120,9 +120,12 @@
 	}
 	var node *mesh.Node
 	hub := mesh.NewHub(map[string]func(time.Time, watch.Rows){
-		tableRoutes:       directory.setTables,
-		tableUpstreams:    directory.setUpstreams,
-		mesh.MembersTable: func(_ time.Time, rows watch.Rows) { node.SetMembers(mesh.DecodeMembers(rows)) },
+		tableRoutes:    directory.setTables,
+		tableUpstreams: directory.setUpstreams,
+		mesh.MembersTable: func(_ time.Time, rows watch.Rows) {
+			node.SetMembers(mesh.DecodeMembers(rows))
+			directory.balancer.SetRetryBurst(fleetBudgetConfig(s.Retry, node.Members()).Burst)
+		},
 	})
 	self := mesh.Member{VM: vaneyoke.VMID(s.Node.VM), Hall: vaneyoke.HallID(s.Node.Hall), Address: s.Gateway.Peers}
 	node = mesh.New(self, config, hub, members, sources, newPeerClient(), do.MustInvoke[logrus.FieldLogger](i))
@@ -141,5 +144,5 @@
 func newBalancer(s settings.Settings) *balancer.Balancer {
 	state := placement.New(vaneyoke.HallID(s.Node.Hall), breakerConfig(s.Retry))
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	return balancer.New(state, budgetConfig(s.Retry), rng)
+	return balancer.New(state, fleetBudgetConfig(s.Retry, fleetUnknown), rng)
 }
--- a/node/process.go
+++ b/node/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"expvar"
 
 	"github.com/sirupsen/logrus"
 
@@ -19,9 +20,23 @@
 }
 
 // New puts together the node that the settings ask for: one that takes opaque requests, or one with the caller API.
-func New(s settings.Settings, log logrus.FieldLogger) (Process, error) {
+// lostLines tells how many lines of its log were lost.
+func New(s settings.Settings, log logrus.FieldLogger, lostLines func() int64) (Process, error) {
+	lost := expvar.Func(func() any { return lostLines() })
 	if s.Gateway.Serves() {
-		return BuildGateway(s, log)
+		n, err := BuildGateway(s, log)
+		if err != nil {
+			return nil, err
+		}
+		n.vars.Set(lostLinesVar, lost)
+		return n, nil
 	}
-	return Build(s, log)
+	n, err := Build(s, log)
+	if err != nil {
+		return nil, err
+	}
+	n.vars.Set(lostLinesVar, lost)
+	return n, nil
 }
+
+const lostLinesVar = "log_lines_lost_total"
--- a/relay/session.go
+++ b/relay/session.go
@@ -282,6 +282,14 @@
 	return 0
 }
 
+// firstMs returns the time to the first piece in milliseconds, -1 where none has come.
+func (s *Session) firstMs() int64 {
+	if s.pace.first.IsZero() {
+		return -1
+	}
+	return s.pace.first.Sub(s.req.ReceivedAt).Milliseconds()
+}
+
 // leftMs returns what was left of an opaque request's time when it ended, in milliseconds.
 func (s *Session) leftMs() int64 {
 	if m, ok := s.mode.(*forwarded); ok {
@@ -318,7 +326,7 @@
 		"attempts":  stats.Attempts,
 		"losses":    stats.Losses,
 		"discarded": stats.Discarded,
-		"first_ms":  s.pace.first.Sub(s.req.ReceivedAt).Milliseconds(),
+		"first_ms":  s.firstMs(),
 		"gap_ms":    s.pace.longest.Milliseconds(),
 		"ms":        time.Since(s.req.ReceivedAt).Milliseconds(),
 	}).Info("session_ended")
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -26,6 +26,12 @@
 	return &Budget{cfg: cfg, left: cfg.Burst}
 }
 
+// SetBurst changes how many retries can be saved up; what was saved beyond that is lost.
+func (b *Budget) SetBurst(burst float64) {
+	b.cfg.Burst = burst
+	b.left = min(b.left, burst)
+}
+
 // Admit earns the share of a retry that an admitted request brings.
 func (b *Budget) Admit() { b.left = min(b.left+b.cfg.Ratio, b.cfg.Burst) }
 
