Read the store while other nodes are asked for its tables

Ruled out: the store (its answer was in 63 ms) and the node's own link. Now a node reads the store whenever it relies on nobody, also while it asks. A reader's call may take 0.5 s longer than it waits (it was 0.3 s): readers on slow machines were left for a single late answer.

--- a/mesh/node.go
+++ b/mesh/node.go
@@ -26,11 +26,11 @@
 type Config struct {
 	Direct int           // members up to which every node reads the store itself
 	Most   int           // nodes that are asked in turn before the store is read
-	Settle time.Duration // how long a new node reads the store itself, while the others of a new fleet register
+	Settle time.Duration // how long a new node asks nobody, while the others of a new fleet register
 	Beat   time.Duration // time between two frames without a change
 	Stall  time.Duration // time without a frame after which another node is asked
 	OldAge time.Duration // age of the tables from which a node is not relied on
-	Own    time.Duration // how long a node that found nobody to rely on reads the store itself
+	Own    time.Duration // how long a node that found nobody to rely on waits before it asks again
 	Reader watch.Config  // of a node that reads the store for others
 	Small  watch.Config  // of the nodes of a fleet so small that each reads the store itself
 	Slow   watch.Config  // of the table of members, which may lag
@@ -39,7 +39,7 @@
 // DefaultConfig returns the bounds that the nodes start from.
 func DefaultConfig() Config {
 	reader := watch.DefaultConfig()
-	reader.Wait, reader.Slack = 800*time.Millisecond, 300*time.Millisecond
+	reader.Wait, reader.Slack = 800*time.Millisecond, 500*time.Millisecond
 	slow := watch.DefaultConfig()
 	slow.Wait, slow.Slack, slow.Gather = 10*time.Second, time.Second, time.Second
 	return Config{
@@ -87,21 +87,37 @@
 	return max(len(n.members), 1)
 }
 
-// Run keeps the hub's tables up to date until ctx ends.
+// Run keeps the hub's tables up to date until ctx ends. It reads the store whenever there is no other node to rely on,
+// also while it asks others, so that the loss of a reader costs no more than the time to find it out.
 func (n *Node) Run(ctx context.Context) {
 	n.register(ctx)
-	n.readStore(ctx, n.config.Settle) // a first look, also at who is there
+	reading := n.startReading(ctx)
+	defer func() { reading.stop() }()
+	pause(ctx, n.config.Settle)
 	for ctx.Err() == nil {
-		n.mu.Lock()
-		above := sources(n.members, n.self, n.config.Direct, n.config.Most)
-		n.mu.Unlock()
-		if len(above) == 0 || !n.followAny(ctx, above) {
-			n.log.WithFields(logrus.Fields{"asked": len(above), "members": n.Members()}).Info("reads_store")
-			n.readStore(ctx, n.config.Own)
+		if reading.small != n.isSmall() {
+			reading.stop()
+			reading = n.startReading(ctx)
 		}
+		above := n.above()
+		if len(above) == 0 || !n.followAny(ctx, above, func() { reading.stop() }) {
+			pause(ctx, n.config.Own)
+			continue
+		}
+		reading = n.startReading(ctx)
 	}
 }
 
+// above returns the members that this node asks for the tables.
+func (n *Node) above() []Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return sources(n.members, n.self, n.config.Direct, n.config.Most)
+}
+
+// isSmall reports whether the fleet is so small that every node reads the store itself.
+func (n *Node) isSmall() bool { return n.Members() <= n.config.Direct }
+
 // register writes the own entry; nobody asks a node that could not.
 func (n *Node) register(ctx context.Context) {
 	const tries = 3
@@ -125,9 +141,15 @@
 	}
 }
 
-// readStore follows the store's tables for a while, and on for as long as this node is to read them anyway.
-func (n *Node) readStore(ctx context.Context, atLeast time.Duration) {
-	ctx, stop := context.WithCancel(ctx)
+// reading is the following of the store's tables.
+type reading struct {
+	small bool // whether it goes by the times of a small fleet
+	stop  func()
+}
+
+// startReading follows the store's tables until it is stopped.
+func (n *Node) startReading(ctx context.Context) *reading {
+	ctx, cancel := context.WithCancel(ctx)
 	small := n.isSmall()
 	var work sync.WaitGroup
 	for name, source := range n.sources {
@@ -142,12 +164,11 @@
 			watch.New(name, source, config, &sink{hub: n.hub, table: name}, n.log).Run(ctx)
 		})
 	}
-	pause(ctx, atLeast)
-	for ctx.Err() == nil && n.isReader() && n.isSmall() == small {
-		pause(ctx, n.config.Own)
-	}
-	stop()
-	work.Wait()
+	n.log.WithField("members", n.Members()).Info("reads_store")
+	return &reading{small: small, stop: func() {
+		cancel()
+		work.Wait()
+	}}
 }
 
 // sink gives the hub what the store tells of a table.
@@ -164,19 +185,11 @@
 // Confirm notes that the rows have not changed.
 func (s *sink) Confirm(now time.Time, version watch.Version) { s.hub.Confirm(s.table, version, now) }
 
-// isSmall reports whether the fleet is so small that every node reads the store itself.
-func (n *Node) isSmall() bool { return n.Members() <= n.config.Direct }
-
-func (n *Node) isReader() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return len(sources(n.members, n.self, n.config.Direct, n.config.Most)) == 0
-}
-
-// followAny follows the first of some members that can be relied on, and reports whether there was one.
-func (n *Node) followAny(ctx context.Context, members []Member) bool {
+// followAny follows the first of some members that can be relied on, and reports whether there was one; found is called
+// when there is.
+func (n *Node) followAny(ctx context.Context, members []Member, found func()) bool {
 	for _, m := range members {
-		relied, err := n.follow(ctx, m)
+		relied, err := n.follow(ctx, m, found)
 		if ctx.Err() != nil {
 			return true
 		}
@@ -193,8 +206,9 @@
 	errOld     = errors.New("its tables are old")
 )
 
-// follow takes in what a member tells until it cannot be relied on any more; relied says whether it ever could.
-func (n *Node) follow(ctx context.Context, m Member) (relied bool, err error) {
+// follow takes in what a member tells until it cannot be relied on any more; relied says whether it ever could, and
+// found is called when it can.
+func (n *Node) follow(ctx context.Context, m Member, found func()) (relied bool, err error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	stall := time.AfterFunc(n.config.Stall, func() { cancel(errStalled) })
@@ -211,10 +225,10 @@
 	if res.StatusCode != http.StatusOK {
 		return false, fmt.Errorf("status %d", res.StatusCode)
 	}
-	return n.takeFrames(json.NewDecoder(bufio.NewReader(res.Body)), stall)
+	return n.takeFrames(json.NewDecoder(bufio.NewReader(res.Body)), stall, found)
 }
 
-func (n *Node) takeFrames(decoder *json.Decoder, stall *time.Timer) (relied bool, err error) {
+func (n *Node) takeFrames(decoder *json.Decoder, stall *time.Timer, found func()) (relied bool, err error) {
 	patience := time.Now().Add(n.config.Stall)
 	for {
 		var f frame
@@ -227,7 +241,10 @@
 		if old && (relied || now.After(patience)) {
 			return relied, errOld
 		}
-		relied = relied || !old
+		if !old && !relied {
+			relied = true
+			found()
+		}
 		stall.Reset(n.config.Stall)
 	}
 }
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -40,7 +40,7 @@
 	{"peer_lost", []string{"peer", "relied", "error"}, "Another node cannot be relied on for the store's tables any more."},
 	{"policy_not_understood", []string{"policy", "problem"}, "A policy in the table cannot be read; it is left aside."},
 	{"push_failed", []string{"peer", "sessions", "error"}, "Journals could not be pushed to their backup."},
-	{"reads_store", []string{"asked", "members"}, "The node reads the store itself."},
+	{"reads_store", []string{"members"}, "The node reads the store itself."},
 	{"register_failed", []string{"error"}, "The node could not register itself among the members."},
 	{"request_refused", []string{"request", "code", "host", "path", "error"}, "A request was refused before any upstream was chosen."},
 	{"row_unreadable", []string{"key", "error"}, "A row of the store cannot be read; the value that it had before is kept."},
