--- a/generation/opaque_test.go
+++ b/generation/opaque_test.go
@@ -222,3 +222,31 @@
 	must.Greater(t, 9*time.Second, o.state.Deadline().Sub(o.now))
 	must.EqOp(t, vaneyoke.CodeMayHaveRun, find[generation.Fail](t, o.lose(generation.CauseClosed)).Code)
 }
+
+// TestBusyUpstreamIsNotTakenForADeadOne expects a first piece soon, as after fast ones, and gets it late.
+func TestBusyUpstreamIsNotTakenForADeadOne(t *testing.T) {
+	o := newOpaque(t, func(c *generation.Config) { c.Silence.FirstToken = 4 * time.Second })
+	place := find[generation.Place](t, o.handle(generation.Admitted{}))
+	o.last = place.Attempt
+	o.handle(generation.Placed{Attempt: o.last, Upstream: "e1", Expect: 20 * time.Millisecond})
+	placed := o.now
+	for {
+		o.now = o.state.Deadline()
+		effects := o.handle(generation.Tick{})
+		if has[generation.Cancel](effects) {
+			break
+		}
+		find[generation.Probe](t, effects)
+		o.handle(generation.Probed{Attempt: o.last, Alive: true})
+	}
+	must.GreaterEq(t, 4*time.Second, o.now.Sub(placed))
+}
+
+// TestAnotherUpstreamIsTriedAtOnce loses a connection that came not about in longer than an upstream may be looked for.
+func TestAnotherUpstreamIsTriedAtOnce(t *testing.T) {
+	o := newOpaque(t, nil)
+	o.place(o.handle(generation.Admitted{}), "e1", "")
+	o.now = o.now.Add(time.Second)
+	o.place(o.lose(generation.CauseNotSent), "e2", "")
+	o.piece(0)
+}
--- a/generation/recover.go
+++ b/generation/recover.go
@@ -12,6 +12,7 @@
 	// Times the expected time to the first token that a run may be silent, usually and at the least.
 	expectFactor  = 8
 	patientFactor = 3
+	freeLosses    = 3 // losses in a row after which the wait for an upstream counts, where none of them was a refusal to choose one
 	firstFloors   = 3 // times the shortest silence between tokens that a run may be silent before its first
 )
 
@@ -28,6 +29,7 @@
 		return
 	}
 	r.stage = stageStarted
+	s.lastCode = vaneyoke.CodeOK
 	r.upstream = ev.Upstream
 	r.placedAt = now
 	r.aliveAt = now
@@ -195,6 +197,8 @@
 		return true
 	case !s.cfg.Deadline.IsZero() && !at.Before(s.cfg.Deadline):
 		return true
+	case s.lastCode == vaneyoke.CodeOK && s.losses < freeLosses:
+		return false // another upstream may take it at once
 	default:
 		return s.cfg.MaxUnsent > 0 && !s.Sent() && at.Sub(s.admitted) > s.cfg.MaxUnsent
 	}
@@ -303,6 +307,9 @@
 func (s *State) firstLimit(expect time.Duration) time.Duration {
 	silence := s.cfg.Silence
 	most := max(silence.FirstToken, patientFactor*expect)
+	if s.cfg.ProbeEvery > 0 { // a dead upstream is found by the probes, and a busy one is not to be taken for it
+		return most
+	}
 	return min(max(expectFactor*expect, firstFloors*silence.Floor), most)
 }
 
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -234,7 +234,7 @@
 		return
 	}
 	l.begun = true
-	if !l.sentAt.IsZero() && !l.fromReplica {
+	if !l.sentAt.IsZero() && !l.fromReplica && !s.mayBeCached() {
 		s.relay.placer.FirstToken(l.upstream.ID, now.Sub(l.sentAt), s.need.Bytes)
 	}
 }
--- a/relay/forwarded.go
+++ b/relay/forwarded.go
@@ -145,6 +145,13 @@
 	s.passWhole(attempt, m, wholeAnswer{head: exchange.Head(), body: body})
 }
 
+// mayBeCached reports whether the caller comes back with a prompt that was read before, so that the time to its first
+// piece says nothing of how long prompts take.
+func (s *Session) mayBeCached() bool {
+	m, ok := s.mode.(*forwarded)
+	return ok && m.After != ""
+}
+
 // probe asks whether an attempt's upstream is there.
 func (s *Session) probe(e generation.Probe) {
 	s.mu.Lock()
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -38,7 +38,7 @@
 	HeaderWait  time.Duration `ini:"header_wait" default:"10s" min:"100ms" doc:"Longest time that a caller may take to send a request's header."`
 	IdleWait    time.Duration `ini:"idle_wait" default:"60s" min:"1s" doc:"How long a connection without a request is kept."`
 	HeaderBytes int           `ini:"header_bytes" default:"65536" min:"1024" doc:"Largest header of a request in bytes."`
-	DialWait    time.Duration `ini:"dial_wait" default:"250ms" min:"1ms" doc:"Longest wait for a connection to an upstream."`
+	DialWait    time.Duration `ini:"dial_wait" default:"120ms" min:"1ms" doc:"Longest wait for a connection to an upstream."`
 	FeedWait    time.Duration `ini:"feed_wait" default:"3s" min:"100ms" max:"30s" doc:"How long one call to the store waits for changes, in a fleet so small that every node reads it."`
 	Lame        time.Duration `ini:"lame" default:"3s" min:"0s" doc:"How long a stopping node still takes requests, while it says that it is not ready."`
 }
