--- a/mesh/frame.go
+++ b/mesh/frame.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/url"
 	"strconv"
 	"time"
@@ -21,7 +22,8 @@
 	Name    string        `json:"name"`
 	Version watch.Version `json:"version"`
 	Rows    []rowUpdate   `json:"rows,omitempty"`
-	Keys    []string      `json:"keys,omitempty"` // of all rows as of the version
+	// Keys are those of all rows as of the version; nil where no row went since the earlier one.
+	Keys []string `json:"keys"`
 }
 
 // rowUpdate is a row that was written; the rows of these tables are JSON.
@@ -83,6 +85,10 @@
 			update.Rows = append(update.Rows, rowUpdate{Key: key, Data: row.Data, Version: row.Version})
 		}
 	}
+	if had >= t.removed {
+		return update
+	}
+	update.Keys = make([]string, 0, len(t.rows))
 	for key := range t.rows {
 		update.Keys = append(update.Keys, key)
 	}
@@ -105,7 +111,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	rows := watch.Rows{}
-	if t := h.tables[update.Name]; t != nil {
+	t := h.tables[update.Name]
+	switch {
+	case t == nil:
+	case update.Keys == nil:
+		maps.Copy(rows, t.rows)
+	default:
 		for _, key := range update.Keys {
 			if row, ok := t.rows[key]; ok {
 				rows[key] = row
--- a/mesh/hub.go
+++ b/mesh/hub.go
@@ -19,6 +19,7 @@
 	rows      watch.Rows
 	version   watch.Version // up to which the rows are complete
 	changed   watch.Version // at which they changed last
+	removed   watch.Version // at which a row went last; what went before the first look is not known
 	confirmed time.Time     // as of which the rows are the store's newest
 	apply     func(now time.Time, rows watch.Rows)
 }
@@ -48,6 +49,9 @@
 	if t.rows != nil && maps.EqualFunc(t.rows, rows, sameVersion) {
 		return
 	}
+	if t.rows == nil || lacksAny(rows, t.rows) {
+		t.removed = version
+	}
 	t.rows, t.changed = maps.Clone(rows), version
 	t.apply(now, t.rows)
 	close(h.changed)
@@ -90,6 +94,16 @@
 	return oldest, true
 }
 
+// lacksAny reports whether a row of before is not among the rows.
+func lacksAny(rows, before watch.Rows) bool {
+	for key := range before {
+		if _, ok := rows[key]; !ok {
+			return true
+		}
+	}
+	return false
+}
+
 func sameVersion(a, b watch.Row) bool { return a.Version == b.Version }
 
 // confirmAll notes that the store has confirmed all tables.
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -125,8 +125,15 @@
 			must.Len(t, 1, f.Tables[0].Rows)
 			to.take(now, f)
 			must.Eq(t, watch.Rows{"a": row("1", 1), "c": row("4", 12)}, *got)
+			must.Len(t, 2, f.Tables[0].Keys)
 			f, _ = from.next(now, before)
 			must.SliceEmpty(t, f.Tables)
+
+			from.Set(now, "t", watch.Rows{"a": row("5", 14), "c": row("4", 12)}, 14, now)
+			f, _ = from.next(now, before)
+			must.Nil(t, f.Tables[0].Keys) // no row went
+			to.take(now, f)
+			must.Eq(t, watch.Rows{"a": row("5", 14), "c": row("4", 12)}, *got)
 		})
 	}
 }
