Hold retries against the requests of a window, and not against what was saved up

The bound is one on windows, so each node now counts its own window: the sum over the nodes keeps the bound exactly, and a storm may use what its own requests allow.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -77,7 +77,7 @@
 func (b *Balancer) Admit(need placement.Need) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.budget(need.Service).Admit()
+	b.budget(need.Service).Admit(time.Now())
 }
 
 // Place returns an upstream and its expected time to the first token, and notes that an attempt goes to it.
--- a/node/config.go
+++ b/node/config.go
@@ -25,6 +25,7 @@
 // fleetBudgetConfig returns a node's share of the bounds that hold for all nodes together, where such are set.
 func fleetBudgetConfig(s settings.Retry, members int) retry.BudgetConfig {
 	config := budgetConfig(s)
+	config.Window = s.FleetWindow
 	if s.FleetRatio > 0 {
 		config.Ratio = s.FleetRatio * fleetMargin
 	}
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -7,6 +7,9 @@
 	Ratio     float64 // retries allowed for each admitted request
 	PerSecond float64 // retries allowed each second whatever the traffic
 	Burst     float64 // retries that can be saved up
+	// Window is the time over which retries are held against requests, none of which are saved up then beyond Burst;
+	// 0 for no window.
+	Window time.Duration
 }
 
 // DefaultBudgetConfig returns the settings that the nodes start from.
@@ -19,11 +22,15 @@
 	cfg  BudgetConfig
 	left float64
 	last time.Time
+
+	admitted, taken window // where the budget goes by a window
 }
 
 // NewBudget returns a full budget.
 func NewBudget(cfg BudgetConfig) *Budget {
-	return &Budget{cfg: cfg, left: cfg.Burst}
+	b := &Budget{cfg: cfg, left: cfg.Burst}
+	b.admitted.length, b.taken.length = cfg.Window, cfg.Window
+	return b
 }
 
 // SetBurst changes how many retries can be saved up; what was saved beyond that is lost.
@@ -33,10 +40,19 @@
 }
 
 // Admit earns the share of a retry that an admitted request brings.
-func (b *Budget) Admit() { b.left = min(b.left+b.cfg.Ratio, b.cfg.Burst) }
+func (b *Budget) Admit(now time.Time) {
+	if b.cfg.Window > 0 {
+		b.admitted.add(now)
+		return
+	}
+	b.left = min(b.left+b.cfg.Ratio, b.cfg.Burst)
+}
 
 // Take spends one retry and reports whether there was one.
 func (b *Budget) Take(now time.Time) bool {
+	if b.cfg.Window > 0 {
+		return b.takeInWindow(now)
+	}
 	b.refill(now)
 	if b.left < 1 {
 		return false
@@ -51,3 +67,12 @@
 	}
 	b.last = now
 }
+
+// takeInWindow spends a retry where those of the window, this one among them, stay within the share of its requests.
+func (b *Budget) takeInWindow(now time.Time) bool {
+	if b.taken.sum(now)+1 > b.cfg.Burst+b.cfg.Ratio*b.admitted.sum(now) {
+		return false
+	}
+	b.taken.add(now)
+	return true
+}
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -50,7 +50,7 @@
 	retries, now := 0, start
 	for range requests * seconds {
 		now = now.Add(time.Second / requests)
-		b.Admit()
+		b.Admit(now)
 		for range 10 {
 			if b.Take(now) {
 				retries++
@@ -61,3 +61,42 @@
 	must.LessEq(t, requests*seconds/5+10*seconds+500+1, retries)
 	must.Greater(t, requests*seconds/5, retries)
 }
+
+// TestWindowedBudget holds the retries of every span of a window's length against the requests of that span, through a
+// quiet time, a storm and a pause.
+func TestWindowedBudget(t *testing.T) {
+	const window = 10 * time.Second
+	config := retry.BudgetConfig{Ratio: 0.5, Burst: 3, Window: window}
+	b := retry.NewBudget(config)
+	var admitted, taken []time.Time
+	now := start
+	for step := range 60_000 {
+		now = now.Add(time.Millisecond)
+		phase := step / 15_000 // quiet, storm, pause, storm without requests
+		if phase < 2 && step%100 == 0 {
+			b.Admit(now)
+			admitted = append(admitted, now)
+		}
+		if phase%2 == 1 && b.Take(now) {
+			taken = append(taken, now)
+		}
+	}
+	must.Positive(t, len(taken))
+	within := func(times []time.Time, from, to time.Time) (n int) {
+		for _, at := range times {
+			if !at.Before(from) && at.Before(to) {
+				n++
+			}
+		}
+		return n
+	}
+	const slack = 1 // parts of a window are counted whole: up to half a second more of requests
+	for _, at := range taken {
+		requests := within(admitted, at.Add(-window-window/20), at)
+		retries := within(taken, at.Add(-window), at.Add(time.Nanosecond))
+		must.LessEq(t, config.Burst+config.Ratio*float64(requests)+slack, float64(retries))
+	}
+	// The storm uses what its own requests allow, without having saved up for it.
+	storm := within(taken, start.Add(15*time.Second), start.Add(25*time.Second))
+	must.GreaterEq(t, 45, storm)
+}
--- /dev/null
+++ b/retry/window.go
@@ -0,0 +1,42 @@
+package retry
+
+import "time"
+
+// windowSlots is how many parts a window is counted in.
+const windowSlots = 20
+
+// window counts what happened in the last while, part by part.
+type window struct {
+	length time.Duration
+	slots  [windowSlots + 1]float64 // by the number of their part; the part under way is the last
+	part   int64                    // number of the part under way
+}
+
+// add counts something at now.
+func (w *window) add(now time.Time) {
+	w.advance(now)
+	w.slots[w.part%int64(len(w.slots))]++
+}
+
+// sum returns the count over the last whole parts and the one under way: the window and up to a part more.
+func (w *window) sum(now time.Time) float64 {
+	w.advance(now)
+	total := 0.0
+	for _, n := range w.slots {
+		total += n
+	}
+	return total
+}
+
+func (w *window) advance(now time.Time) {
+	part := now.UnixNano() / int64(w.length/windowSlots)
+	if w.part == 0 {
+		w.part = part
+	}
+	for ; w.part < part; w.part++ {
+		if part-w.part > int64(len(w.slots)) {
+			w.part = part - int64(len(w.slots))
+		}
+		w.slots[(w.part+1)%int64(len(w.slots))] = 0
+	}
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -99,14 +99,15 @@
 
 // Retry bounds the retries of the node.
 type Retry struct {
-	Ratio      float64       `ini:"ratio" default:"0.2" min:"0" doc:"Retries allowed for each admitted request."`
-	PerSecond  float64       `ini:"per_second" default:"10" min:"0" doc:"Retries allowed each second whatever the traffic."`
-	Burst      float64       `ini:"burst" default:"500" min:"1" doc:"Retries that can be saved up."`
-	FleetRatio float64       `ini:"fleet_ratio" default:"0" min:"0" doc:"Retries that the upstreams of a service may get for each request, from all nodes together; where it is set, it goes before ratio, with a margin."`
-	FleetBurst float64       `ini:"fleet_burst" default:"0" min:"0" doc:"Retries beyond fleet_ratio that all nodes together may save up for a service; where it is set, each node gets its share of it in place of burst."`
-	Failures   int           `ini:"failures" default:"3" min:"1" doc:"Failures in a row that open an upstream's circuit breaker."`
-	OpenFor    time.Duration `ini:"open_for" default:"500ms" min:"10ms" doc:"First pause before an open breaker lets a trial through."`
-	OpenMax    time.Duration `ini:"open_max" default:"15s" min:"10ms" doc:"Longest pause before an open breaker lets a trial through."`
+	Ratio       float64       `ini:"ratio" default:"0.2" min:"0" doc:"Retries allowed for each admitted request."`
+	PerSecond   float64       `ini:"per_second" default:"10" min:"0" doc:"Retries allowed each second whatever the traffic."`
+	Burst       float64       `ini:"burst" default:"500" min:"1" doc:"Retries that can be saved up."`
+	FleetRatio  float64       `ini:"fleet_ratio" default:"0" min:"0" doc:"Retries that the upstreams of a service may get for each request, from all nodes together; where it is set, it goes before ratio, with a margin."`
+	FleetBurst  float64       `ini:"fleet_burst" default:"0" min:"0" doc:"Retries beyond fleet_ratio that all nodes together may save up for a service; where it is set, each node gets its share of it in place of burst."`
+	FleetWindow time.Duration `ini:"fleet_window" default:"0s" min:"0s" max:"5m" doc:"Time over which fleet_ratio and fleet_burst hold; where it is 0, retries are saved up instead."`
+	Failures    int           `ini:"failures" default:"3" min:"1" doc:"Failures in a row that open an upstream's circuit breaker."`
+	OpenFor     time.Duration `ini:"open_for" default:"500ms" min:"10ms" doc:"First pause before an open breaker lets a trial through."`
+	OpenMax     time.Duration `ini:"open_max" default:"15s" min:"10ms" doc:"Longest pause before an open breaker lets a trial through."`
 }
 
 // Log says what is logged.
