Find a replica at its address after its engine was replaced

Their replicas were at engines that had been replaced, under a new id, at the same address between the start of the run and its loss. Ruled out: that the replicas' halls had fallen (24.0 s: the other hall).

--- a/generation/event.go
+++ b/generation/event.go
@@ -14,10 +14,11 @@
 
 // Placed names the upstream that was chosen for an attempt.
 type Placed struct {
-	Attempt  vaneyoke.Attempt
-	Upstream vaneyoke.UpstreamID
-	Expect   time.Duration       // expected time to the first token; 0 where unknown
-	Replica  vaneyoke.UpstreamID // upstream that is to keep a replica of the run's memory; "" for none
+	Attempt      vaneyoke.Attempt
+	Upstream     vaneyoke.UpstreamID
+	Expect       time.Duration       // expected time to the first token; 0 where unknown
+	HoldsReplica bool                // whether the upstream has the replica that Place asked for
+	Replica      vaneyoke.UpstreamID // upstream that is to keep a replica of the run's memory; "" for none
 }
 
 // Inspected answers Inspect.
--- a/generation/opaque_test.go
+++ b/generation/opaque_test.go
@@ -45,7 +45,10 @@
 func (o *opaque) place(effects []generation.Effect, upstream, replica vaneyoke.UpstreamID) generation.Start {
 	o.t.Helper()
 	o.last = find[generation.Place](o.t, effects).Attempt
-	started := o.handle(generation.Placed{Attempt: o.last, Upstream: upstream, Replica: replica})
+	wanted := find[generation.Place](o.t, effects).Prefer
+	started := o.handle(generation.Placed{
+		Attempt: o.last, Upstream: upstream, Replica: replica, HoldsReplica: wanted != "" && wanted == upstream,
+	})
 	return find[generation.Start](o.t, started)
 }
 
--- a/generation/recover.go
+++ b/generation/recover.go
@@ -35,6 +35,7 @@
 	r.aliveAt = now
 	r.expect = ev.Expect
 	r.replica = ev.Replica
+	r.fromReplica = ev.HoldsReplica && s.replica != ""
 	if s.answer.unsure && s.answer.Len() > 0 {
 		s.do(Inspect{Attempt: r.attempt, Upstream: r.upstream, IDs: s.answer.IDs})
 		return
@@ -56,7 +57,6 @@
 
 func (s *State) start(r *run) {
 	r.sent = true
-	r.fromReplica = s.replica != "" && r.upstream == s.replica
 	s.sent++
 	s.arrived++
 	s.tries++
--- a/placement/opaque_test.go
+++ b/placement/opaque_test.go
@@ -24,7 +24,7 @@
 	for _, hall := range []vaneyoke.HallID{"a", "b", "c"} {
 		for n := range 3 {
 			id := vaneyoke.UpstreamID(fmt.Sprintf("%s%d", hall, n))
-			all = append(all, vaneyoke.Upstream{ID: id, Kind: vaneyoke.KindService, Service: "lm", Hall: hall, State: vaneyoke.StateLive, Slots: 8})
+			all = append(all, vaneyoke.Upstream{ID: id, Kind: vaneyoke.KindService, Service: "lm", Hall: hall, State: vaneyoke.StateLive, Slots: 8, URL: "http://" + string(id)})
 		}
 	}
 	s.SetUpstreams(all)
@@ -179,7 +179,7 @@
 	now := time.Unix(1000, 0)
 	s := threeHalls()
 	wanted := need
-	wanted.Prefer = "c2"
+	wanted.Prefer = vaneyoke.Upstream{ID: "c2", URL: "http://c2"}
 	wanted.Avoid = []vaneyoke.UpstreamID{"c2"}
 	u, _, _ := s.Pick(now, rng(), wanted)
 	must.EqOp(t, "c2", u.ID)
@@ -188,3 +188,16 @@
 	u, _, _ = s.Pick(now, rng(), wanted)
 	must.NotEqOp(t, "c2", u.ID)
 }
+
+// TestReplicaIsFoundUnderANewID replaces the engine that was to keep a replica; the one at its address has the replica.
+func TestReplicaIsFoundUnderANewID(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := threeHalls()
+	wanted := need
+	wanted.Prefer = vaneyoke.Upstream{ID: "old", URL: "http://c2"}
+	u, _, _ := s.Pick(now, rng(), wanted)
+	must.EqOp(t, "c2", u.ID)
+	wanted.Service = "other"
+	_, _, ok := s.Pick(now, rng(), wanted)
+	must.False(t, ok)
+}
--- a/placement/state.go
+++ b/placement/state.go
@@ -24,10 +24,10 @@
 	Service   vaneyoke.ServiceID  // of a service
 	Order     []vaneyoke.Selector // upstreams in the order of preference; nil for any
 	Avoid     []vaneyoke.UpstreamID
-	Affinity  string              // names the prompt, so that it is sent where it may have been read before; "" for none
-	Prefer    vaneyoke.UpstreamID // upstream that is taken where it takes work; "" for none
-	Bytes     int                 // size of the prompt
-	Replicate bool                // whether another upstream is to keep a replica of the run
+	Affinity  string            // names the prompt, so that it is sent where it may have been read before; "" for none
+	Prefer    vaneyoke.Upstream // upstream that is taken where it takes work, also after it was replaced at its address
+	Bytes     int               // size of the prompt
+	Replicate bool              // whether another upstream is to keep a replica of the run
 }
 
 // Outcome says how an attempt on an upstream ended.
@@ -137,7 +137,7 @@
 // the first token; what other nodes have sent shows in how long first tokens take, so that no reports are needed.
 // Upstreams to avoid are taken only where there is no other, and those that failed in a row only after them.
 func (s *State) Pick(now time.Time, rng *rand.Rand, need Need) (vaneyoke.Upstream, time.Duration, bool) {
-	if e, ok := s.entries[need.Prefer]; ok && e.takesWork(now) && offers(&e.upstream, need) {
+	if e := s.preferred(now, need); e != nil {
 		return e.upstream, e.first.patient(need.Bytes), true
 	}
 	order := need.Order
@@ -156,6 +156,19 @@
 	return vaneyoke.Upstream{}, 0, false
 }
 
+// preferred returns the upstream that a need prefers, or the one that has its address now; nil where neither takes work.
+func (s *State) preferred(now time.Time, need Need) *entry {
+	if need.Prefer.URL == "" {
+		return nil
+	}
+	for _, e := range s.order {
+		if e.upstream.URL == need.Prefer.URL && e.takesWork(now) && offers(&e.upstream, need) {
+			return e
+		}
+	}
+	return nil
+}
+
 // tier is a set of upstreams that are taken only where the one before it is empty.
 type tier struct {
 	avoided bool // whether they are among those to avoid
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -28,7 +28,7 @@
 	}
 	need := s.need
 	need.Avoid = e.Avoid
-	need.Prefer = e.Prefer
+	need.Prefer = s.replicaNamed(e.Prefer)
 	upstream, expect, err := s.relay.placer.Place(need, e.Retry)
 	if _, ok := s.mode.(*whole); ok {
 		expect = 0 // what is known of first tokens says nothing of whole answers
@@ -49,10 +49,25 @@
 	if need.Replicate {
 		l.replica, _ = s.relay.placer.Replica(need, upstream)
 	}
-	s.handleLocked(now, generation.Placed{Attempt: e.Attempt, Upstream: upstream.ID, Expect: expect, Replica: l.replica.ID})
+	s.handleLocked(now, generation.Placed{
+		Attempt: e.Attempt, Upstream: upstream.ID, Expect: expect, Replica: l.replica.ID,
+		HoldsReplica: e.Prefer != "" && upstream.URL == need.Prefer.URL,
+	})
 	s.settleUnused(e.Attempt)
 }
 
+// replicaNamed returns the upstream that was to keep a replica of an earlier attempt, the zero value for none.
+func (s *Session) replicaNamed(id vaneyoke.UpstreamID) vaneyoke.Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.links {
+		if id != "" && l.replica.ID == id {
+			return l.replica
+		}
+	}
+	return vaneyoke.Upstream{}
+}
+
 // settleUnused gives back an upstream that was placed for an attempt that had been fenced meanwhile.
 func (s *Session) settleUnused(attempt vaneyoke.Attempt) {
 	if l := s.links[attempt]; l != nil && !l.started {
