--- a/mesh/node.go
+++ b/mesh/node.go
@@ -90,7 +90,9 @@
 // Run keeps the hub's tables up to date until ctx ends. It reads the store whenever there is no other node to rely on,
 // also while it asks others, so that the loss of a reader costs no more than the time to find it out.
 func (n *Node) Run(ctx context.Context) {
-	n.register(ctx)
+	var registering sync.WaitGroup
+	registering.Go(func() { n.register(ctx) })
+	defer registering.Wait()
 	reading := n.startReading(ctx)
 	defer func() { reading.stop() }()
 	pause(ctx, n.config.Settle)
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -54,6 +54,7 @@
 	Slack time.Duration // how much longer an answer may take before the call is given up
 	Pause time.Duration // longest pause after the first failure in a row; each further one doubles it
 	Most  time.Duration // longest pause after a failure
+	First time.Duration // longest pause after a failure while nothing is known of the table yet
 	// Gather is the pause after a change, in which further changes come together, so that many cost few calls.
 	Gather time.Duration
 }
@@ -62,6 +63,7 @@
 func DefaultConfig() Config {
 	return Config{
 		Wait: 3 * time.Second, Slack: 800 * time.Millisecond, Pause: 100 * time.Millisecond, Most: 800 * time.Millisecond,
+		First:  250 * time.Millisecond,
 		Gather: 200 * time.Millisecond,
 	}
 }
@@ -169,6 +171,9 @@
 // pause returns a random pause that grows with the failures in a row, so that the nodes do not come back as one.
 func (f *Follower) pause() time.Duration {
 	full := f.config.Most
+	if f.rows == nil {
+		full = min(full, f.config.First)
+	}
 	if shift := f.failed - 1; shift < 16 {
 		full = min(f.config.Pause<<shift, full)
 	}
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -119,3 +119,43 @@
 		})
 	}
 }
+
+// TestFirstLookIsNotPutOff has the store down for a while, on a clock of its own, before anything is known of a table.
+func TestFirstLookIsNotPutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		source := &outage{until: time.Now().Add(10 * time.Second)}
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() {
+			watch.New("rows", source, watch.DefaultConfig(), rows{}, log).Run(ctx)
+			close(done)
+		}()
+		time.Sleep(15 * time.Second) // of the clock of its own
+		stop()
+		<-done
+		must.LessEq(t, 250*time.Millisecond, source.listed.Sub(source.until))
+		must.LessEq(t, 10*8+4, source.refused) // each call has its price
+	})
+}
+
+// outage is a source that is down up to a time.
+type outage struct {
+	until, listed time.Time
+	refused       int
+}
+
+func (o *outage) List(context.Context) (watch.Rows, watch.Version, error) {
+	if time.Now().Before(o.until) {
+		o.refused++
+		return nil, 0, errDown
+	}
+	o.listed = time.Now()
+	return watch.Rows{}, 1, nil
+}
+
+func (o *outage) Changes(ctx context.Context, _ watch.Version, _ time.Duration) ([]watch.Change, watch.Version, error) {
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
