--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -110,6 +110,13 @@
 	return b.state.Offers(need)
 }
 
+// Reported notes how many prompts an upstream has still to read.
+func (b *Balancer) Reported(id vaneyoke.UpstreamID, prompts int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state.Reported(time.Now(), id, prompts)
+}
+
 // Replica returns an upstream that can keep a replica of a run on another, in another hall where there is one.
 func (b *Balancer) Replica(need placement.Need, primary vaneyoke.Upstream) (vaneyoke.Upstream, bool) {
 	b.mu.Lock()
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -60,6 +60,9 @@
 // Sender sends attempts; the errors of Send are those of package engine.
 type Sender interface {
 	Send(ctx context.Context, attempt *Attempt) (Exchange, error)
+	// Waiting returns how many prompts an upstream has still to read, as of a short while ago; ok is false where it does
+	// not say.
+	Waiting(ctx context.Context, upstream vaneyoke.Upstream) (prompts int, ok bool)
 	// Probe reports whether an upstream takes connections.
 	Probe(ctx context.Context, upstream vaneyoke.Upstream) bool
 }
--- a/measure/core.go
+++ b/measure/core.go
@@ -74,7 +74,8 @@
 }
 
 // Resumed does nothing.
-func (onePlacer) Admit(placement.Need) {}
+func (onePlacer) Reported(vaneyoke.UpstreamID, int) {}
+func (onePlacer) Admit(placement.Need)              {}
 func (onePlacer) Replica(placement.Need, vaneyoke.Upstream) (vaneyoke.Upstream, bool) {
 	return vaneyoke.Upstream{}, false
 }
--- a/node/gateway_test.go
+++ b/node/gateway_test.go
@@ -372,6 +372,27 @@
 	must.EqOp(t, 1, busy)
 }
 
+// TestPromptPassesOverABusyHome has the engine that a prompt goes to say that it has others to read.
+func TestPromptPassesOverABusyHome(t *testing.T) {
+	engines := []*platformtest.Engine{newModel("e1", "a"), newModel("e2", "a"), newModel("e3", "b"), newShop("s1")}
+	s := newSite(t, engines...)
+	must.EqOp(t, http.StatusOK, s.call(http.MethodPost, "/tell/x", streamHeader()).status)
+	for _, e := range engines[:3] {
+		if len(e.Runs()) > 0 {
+			e.SayWaiting(1)
+		}
+	}
+	must.EqOp(t, http.StatusOK, s.call(http.MethodPost, "/tell/x", streamHeader()).status)
+	for _, e := range engines {
+		e.SayWaiting(3)
+	}
+	for _, e := range engines[:3] {
+		must.LessEq(t, 1, len(e.Runs()), must.Sprint(e.ID))
+	}
+	must.EqOp(t, platformtest.StreamText(0), s.call(http.MethodPost, "/tell/x", streamHeader()).body) // where all are busy
+	must.EqOp(t, 0, engines[3].Reports())
+}
+
 // TestRunEndsWhenCallerLeaves closes the caller's connection in the middle of a stream.
 func TestRunEndsWhenCallerLeaves(t *testing.T) {
 	e := newModel("e1", "a")
--- a/placement/state.go
+++ b/placement/state.go
@@ -51,6 +51,8 @@
 	replicaBytes int // of the prompts of the runs whose replicas it keeps for this node
 	first        estimate
 	drained      bool
+	reported     int // prompts that it had still to read when it reported last
+	reportedAt   time.Time
 	gone         bool // whether another upstream has its address
 	leaving      bool // whether its VM is leaving
 	breaker      *retry.Breaker
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -29,7 +29,7 @@
 	need := s.need
 	need.Avoid = e.Avoid
 	need.Prefer = s.replicaNamed(e.Prefer)
-	upstream, expect, err := s.relay.placer.Place(need, e.Retry)
+	upstream, expect, err := s.choose(need, e.Retry)
 	if _, ok := s.mode.(*whole); ok {
 		expect = 0 // what is known of first tokens says nothing of whole answers
 	}
@@ -56,6 +56,32 @@
 	s.settleUnused(e.Attempt)
 }
 
+const (
+	reportWait  = 60 * time.Millisecond // longest wait for an upstream's report
+	reportLooks = 2                     // upstreams that are asked for a report before one is taken as it is
+)
+
+// choose returns an upstream; one for a prompt that says that it has other prompts to read is passed over for the next,
+// because other nodes' prompts meet there.
+func (s *Session) choose(need placement.Need, retry bool) (vaneyoke.Upstream, time.Duration, error) {
+	upstream, expect, err := s.relay.placer.Place(need, retry)
+	if need.Affinity == "" || s.relay.sender == nil {
+		return upstream, expect, err
+	}
+	for look := 0; look < reportLooks && err == nil && upstream.URL != need.Prefer.URL; look++ {
+		ctx, cancel := context.WithTimeout(s.ctx, reportWait)
+		prompts, ok := s.relay.sender.Waiting(ctx, upstream)
+		cancel()
+		if !ok || prompts == 0 {
+			break
+		}
+		s.relay.placer.Reported(upstream.ID, prompts)
+		s.relay.placer.Ended(upstream.ID, placement.OutcomeDropped, false)
+		upstream, expect, err = s.relay.placer.Place(need, false)
+	}
+	return upstream, expect, err
+}
+
 // replicaNamed returns the upstream that was to keep a replica of an earlier attempt, the zero value for none.
 func (s *Session) replicaNamed(id vaneyoke.UpstreamID) vaneyoke.Upstream {
 	s.mu.Lock()
