--- a/cmd/vaneyoked/gateway_test.go
+++ b/cmd/vaneyoked/gateway_test.go
@@ -52,7 +52,7 @@
 func TestHangupsAreTaken(t *testing.T) {
 	store := platformtest.NewStore()
 	t.Cleanup(store.Close)
-	store.PutRaw("op", "config", `{"version":1}`)
+	store.Configure(1, "stall.example", "key")
 	readiness := freeAddress(t)
 	text := filledTemplate(t, store.Address(), "127.0.0.1:0", readiness, "127.0.0.1:0")
 	path := filepath.Join(t.TempDir(), "node.ini")
--- a/cmd/vaneyoked/soak_test.go
+++ b/cmd/vaneyoked/soak_test.go
@@ -33,6 +33,7 @@
 	soakNodes       = 3
 	soakCallers     = 6
 	soakHost        = "stall.example"
+	soakKey         = "key"
 	faultPause      = 100 * time.Millisecond
 )
 
@@ -97,23 +98,16 @@
 	e := platformtest.NewEngine(fmt.Sprintf("i-%d", len(s.engines)), service, zone)
 	s.engines = append(s.engines, e)
 	s.live = append(s.live, e)
-	s.store.Put("servers", e.ID, e.Row("ready"))
+	s.store.ListEngine(e, false)
 }
 
 func (s *soak) configure() {
 	s.version++
-	route := func(name, kind, service string, attempts int) map[string]any {
-		return map[string]any{
-			"name": name, "hostname": soakHost, "pathPrefix": "/" + name + "/", "type": kind, "service": service, "resumable": kind == "streaming",
-			"timeoutMs": 8000, "goalMs": 1000, "itlTargetMs": 700, "maxAttempts": attempts,
-		}
-	}
-	s.store.Put("op", "config", map[string]any{
-		"version":  s.version,
-		"routes":   []any{route("tell", "streaming", "lm", 5), route("look", "idempotent", "shop", 2), route("buy", "non_idempotent", "shop", 1)},
-		"services": []any{map[string]any{"name": "lm", "backend": map[string]any{"replicas": true}}, map[string]any{"name": "shop"}},
-		"tenants":  []any{map[string]any{"name": "weavers", "apiKeys": []string{"key"}}},
-	})
+	s.store.Configure(s.version, soakHost, soakKey,
+		platformtest.Route{Name: "tell", Kind: platformtest.Streaming, Service: "lm", Attempts: 5},
+		platformtest.Route{Name: "look", Kind: platformtest.Repeatable, Service: "shop", Attempts: 2},
+		platformtest.Route{Name: "buy", Kind: platformtest.Once, Service: "shop", Attempts: 1},
+	)
 }
 
 // fault brings about one fault, and undoes it where it would last.
@@ -167,7 +161,7 @@
 	e := s.engine(rng)
 	s.addEngine(e.Service, e.Zone)
 	if announced {
-		s.store.Put("servers", e.ID, e.Row("draining"))
+		s.store.ListEngine(e, true)
 		time.Sleep(faultPause)
 	}
 	s.mu.Lock()
@@ -180,35 +174,30 @@
 	s.mu.Unlock()
 	e.Close()
 	time.Sleep(faultPause)
-	s.store.Delete("servers", e.ID)
+	s.store.UnlistEngine(e)
 }
 
 // send makes one attempt at a random node.
-func (s *soak) send(ctx context.Context, rng *rand.Rand, path string, header http.Header) (id string, res *http.Response, err error) {
-	id = fmt.Sprintf("attempt-%d", s.ids.Add(1))
-	node := s.nodes[rng.IntN(soakNodes)]
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+node.listen+path, strings.NewReader("body"))
+func (s *soak) send(ctx context.Context, rng *rand.Rand, call platformtest.Call) (id string, res *http.Response, err error) {
+	call.ID = fmt.Sprintf("attempt-%d", s.ids.Add(1))
+	call.Host, call.Key = soakHost, soakKey
+	req, err := call.Request(ctx, s.nodes[rng.IntN(soakNodes)].listen)
 	if err != nil {
-		return id, nil, err
+		return call.ID, nil, err
 	}
-	req.Host = soakHost
-	req.Header = header.Clone()
-	req.Header.Set("X-Attempt-Id", id)
-	req.Header.Set("X-Api-Key", "key")
-	req.Header.Set("X-Deadline-Ms", "8000")
 	res, err = http.DefaultTransport.RoundTrip(req)
-	return id, res, err
+	return call.ID, res, err
 }
 
 // call asks a service once, and keeps how it ended where the call may run at most once.
 func (s *soak) call(ctx context.Context, rng *rand.Rand, path string) {
-	id, res, err := s.send(ctx, rng, path, http.Header{})
+	id, res, err := s.send(ctx, rng, platformtest.Call{Path: path})
 	status := 0
 	if err == nil {
 		defer func() { _ = res.Body.Close() }()
 		body, readErr := io.ReadAll(res.Body)
 		status = res.StatusCode
-		if signed := strings.TrimPrefix(res.Header.Get("X-Response-Signature"), "signed-by-"); status == http.StatusOK && readErr == nil {
+		if signed := platformtest.SignedBy(res); status == http.StatusOK && readErr == nil {
 			s.served.Add(1)
 			if string(body) != "answer from "+signed {
 				s.fail("%s %s: answer %q is not that of %q", path, id, body, signed)
@@ -226,11 +215,8 @@
 func (s *soak) stream(ctx context.Context, rng *rand.Rand) {
 	after := 0
 	for try := 0; try < 20 && ctx.Err() == nil; try++ {
-		header := http.Header{"X-Token-Usage": {"900,80"}, "X-Prefix-Hash": {fmt.Sprintf("a:100,%x:800", rng.Uint32())}}
-		if after > 0 {
-			header.Set("Last-Event-Id", fmt.Sprint(after))
-		}
-		id, res, err := s.send(ctx, rng, "/tell/x", header)
+		call := platformtest.Call{Path: "/tell/x", Stream: true, Prompt: fmt.Sprintf("%x", rng.Uint32()), After: after}
+		id, res, err := s.send(ctx, rng, call)
 		if err != nil || res.StatusCode != http.StatusOK {
 			if err == nil {
 				_ = res.Body.Close()
@@ -327,7 +313,7 @@
 	runs := map[string]int{}
 	for _, e := range s.engines {
 		for _, run := range e.Runs() {
-			runs[run.Header.Get("X-Attempt-Id")]++
+			runs[run.ID()]++
 		}
 	}
 	for _, call := range s.once {
