--- a/node/gateway.go
+++ b/node/gateway.go
@@ -44,6 +44,7 @@
 type port struct {
 	address string
 	handler http.Handler
+	spare   bool // whether the node serves without it
 }
 
 // Start opens the node's addresses and begins to serve.
@@ -52,23 +53,33 @@
 	n.current.Store(&s)
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET /readyz", n.gateway.ServeReadiness)
-	ports := []port{{s.Gateway.Listen, n.gateway}, {s.Gateway.Readiness, ready}, {s.Node.Admin, n.metrics()}}
+	ports := []port{
+		{address: s.Gateway.Listen, handler: n.gateway},
+		{address: s.Gateway.Readiness, handler: ready},
+		{address: s.Node.Admin, handler: n.metrics(), spare: true},
+	}
+	var handlers []http.Handler
 	if s.Gateway.Peers != "" {
-		ports = append(ports, port{s.Gateway.Peers, n.mesh.Handler()})
+		ports = append(ports, port{address: s.Gateway.Peers, handler: n.mesh.Handler()})
 	}
 	for _, p := range ports {
 		l, err := listen(ctx, p.address)
+		if err != nil && p.spare {
+			n.log.WithField("error", err).Error("listen_failed")
+			continue
+		}
 		if err != nil {
 			n.closeListeners()
 			return err
 		}
 		n.listeners = append(n.listeners, l)
+		handlers = append(handlers, p.handler)
 	}
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	n.stop = stop
 	n.work.Go(func() { n.mesh.Run(run) })
-	for i, p := range ports {
-		n.serve(n.listeners[i], p.handler)
+	for i, l := range n.listeners {
+		n.serve(l, handlers[i])
 	}
 	n.log.WithFields(logrus.Fields{"vm": s.Node.VM, "hall": s.Node.Hall, "listen": s.Gateway.Listen, "admin": s.Node.Admin}).Info("node_started")
 	return nil
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -30,6 +30,7 @@
 	{"homes_not_told", []string{"request", "error"}, "The homes of a request could not be told who owns it."},
 	{"journal_unreachable", []string{"peer", "error"}, "A node that may hold a journal did not answer."},
 	{"leave_failed", []string{"error"}, "A stopping node could not take itself off the members."},
+	{"listen_failed", []string{"error"}, "The address of metrics and profiles cannot be opened; the node serves without it."},
 	{"log_lines_lost", []string{"count"}, "Log lines were lost because nobody read them in time."},
 	{"membership_unchanged", []string{"event", "error"}, "The list of members could not be changed."},
 	{"node_started", []string{"vm", "hall", "listen", "admin", "peer"}, "The node serves."},
