Take a stream's head from the attempt whose event was let through

Cause, found by reading the change again: (1) the head of a given up attempt whose event came late stayed the answer's head, so that a stream of one engine carried another's signature; (2) the same late answer read the session's map of links without its lock, which can end the process. TestLateAnswerOfAGivenUpAttemptIsNotMixed (a clock of its own, a stubborn upstream) fails on both without the mend.

--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -146,7 +146,7 @@
 	case *whole:
 		go s.call(ctx, e.Attempt, l, m)
 	case *forwarded:
-		go s.forward(ctx, e.Attempt, m, s.forwardAttempt(e, l, m))
+		go s.forward(ctx, e, m, s.forwardAttempt(e, l, m))
 	}
 }
 
--- a/relay/forwarded.go
+++ b/relay/forwarded.go
@@ -108,7 +108,7 @@
 
 func share(d time.Duration, of float64) time.Duration { return time.Duration(float64(d) * of) }
 
-// attempt returns what is sent to an upstream.
+// forwardAttempt returns what is sent to an upstream.
 func (s *Session) forwardAttempt(e generation.Start, l *link, m *forwarded) *forward.Attempt {
 	left := time.Until(m.Deadline)
 	return &forward.Attempt{
@@ -126,7 +126,8 @@
 }
 
 // forward sends an attempt and takes in its answer.
-func (s *Session) forward(ctx context.Context, attempt vaneyoke.Attempt, m *forwarded, send *forward.Attempt) {
+func (s *Session) forward(ctx context.Context, e generation.Start, m *forwarded, send *forward.Attempt) {
+	attempt := e.Attempt
 	exchange, err := s.relay.sender.Send(ctx, send)
 	if err != nil {
 		s.failed(attempt, err)
@@ -134,7 +135,7 @@
 	}
 	defer func() { _ = exchange.Close() }()
 	if exchange.Events() {
-		s.passEvents(ctx, attempt, m, exchange)
+		s.passEvents(ctx, e, m, exchange)
 		return
 	}
 	body, err := exchange.Body()
@@ -162,10 +163,11 @@
 }
 
 // passEvents takes in a stream's events.
-func (s *Session) passEvents(ctx context.Context, attempt vaneyoke.Attempt, m *forwarded, exchange forward.Exchange) {
+func (s *Session) passEvents(ctx context.Context, e generation.Start, m *forwarded, exchange forward.Exchange) {
+	attempt := e.Attempt
 	received := &generation.Received{Attempt: attempt}
 	received.Batch.IDs = []vaneyoke.TokenID{0}
-	received.Batch.First = s.links[attempt].base
+	received.Batch.First = e.From
 	for ctx.Err() == nil {
 		event, err := exchange.Next()
 		if errors.Is(err, io.EOF) {
@@ -182,19 +184,20 @@
 	}
 }
 
-// passEvent gives one event to the state machine, and keeps its id where it was let through.
+// passEvent gives one event to the state machine, and keeps its id, and the head of the first, where it was let through.
 func (s *Session) passEvent(received *generation.Received, m *forwarded, head forward.Head, id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.begin(now, received.Attempt)
 	before := s.state.Transcript().Len()
-	if m.head.Status == 0 {
-		m.head = head
-	}
 	s.handleLocked(now, received)
-	if s.state.Transcript().Len() > before {
-		m.last = id
+	if s.state.Transcript().Len() == before {
+		return
+	}
+	m.last = id
+	if before == 0 {
+		m.head = head
 	}
 }
 
--- /dev/null
+++ b/relay/forwarded_test.go
@@ -0,0 +1,129 @@
+package relay_test
+
+import (
+	"context"
+	"expvar"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+	"go.opentelemetry.io/otel/trace/noop"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/engine"
+	"github.com/vaneyoke/vaneyoke/forward"
+	"github.com/vaneyoke/vaneyoke/generation"
+	"github.com/vaneyoke/vaneyoke/placement"
+	"github.com/vaneyoke/vaneyoke/relay"
+)
+
+// inTurn places attempts on upstreams in their order.
+type inTurn struct {
+	mu   sync.Mutex
+	next int
+}
+
+func (p *inTurn) Place(placement.Need, bool) (vaneyoke.Upstream, time.Duration, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.next++
+	id := vaneyoke.UpstreamID(rune('a' + p.next - 1))
+	return vaneyoke.Upstream{ID: id, URL: "http://" + string(id)}, 0, nil
+}
+
+func (*inTurn) Admit(placement.Need)              {}
+func (*inTurn) Reported(vaneyoke.UpstreamID, int) {}
+func (*inTurn) Replica(placement.Need, vaneyoke.Upstream) (vaneyoke.Upstream, bool) {
+	return vaneyoke.Upstream{}, false
+}
+func (*inTurn) Released(vaneyoke.UpstreamID, placement.Need)       {}
+func (*inTurn) FirstToken(vaneyoke.UpstreamID, time.Duration, int) {}
+func (*inTurn) Resumed(vaneyoke.UpstreamID)                        {}
+func (*inTurn) Ended(vaneyoke.UpstreamID, placement.Outcome, bool) {}
+
+// stubborn is an upstream's answer that goes on after its attempt was given up, as one does whose bytes were already there.
+type stubborn struct {
+	from   string
+	delay  time.Duration // before each event, whatever becomes of the attempt
+	events int
+	given  int
+}
+
+func (s *stubborn) Head() forward.Head {
+	return forward.Head{Status: http.StatusOK, Header: http.Header{"From": {s.from}}}
+}
+func (*stubborn) Events() bool          { return true }
+func (*stubborn) Body() ([]byte, error) { return nil, io.ErrUnexpectedEOF }
+func (*stubborn) Close() error          { return nil }
+func (s *stubborn) Next() (forward.Event, error) {
+	time.Sleep(s.delay)
+	if s.given == s.events {
+		return forward.Event{}, io.EOF
+	}
+	s.given++
+	return forward.Event{ID: string(rune('0' + s.given)), Data: []byte(s.from)}, nil
+}
+
+// sender answers attempts with the exchanges of their upstreams.
+type sender struct {
+	answers map[vaneyoke.UpstreamID]forward.Exchange
+	waits   map[vaneyoke.UpstreamID]time.Duration // before the head comes
+}
+
+func (s *sender) Send(_ context.Context, a *forward.Attempt) (forward.Exchange, error) {
+	time.Sleep(s.waits[a.Upstream.ID])
+	if exchange, ok := s.answers[a.Upstream.ID]; ok {
+		return exchange, nil
+	}
+	return nil, &engine.NotSentError{Reason: "nobody there"}
+}
+
+func (*sender) Waiting(context.Context, vaneyoke.Upstream) (int, bool) { return 0, false }
+func (*sender) Probe(_ context.Context, u vaneyoke.Upstream) bool      { return u.ID != "a" }
+
+func newForwarder(s forward.Sender) *relay.Relay {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	config := relay.Config{Generation: generation.DefaultConfig()}
+	return relay.New(nil, s, &inTurn{}, noop.NewTracerProvider().Tracer(""), relay.NewMetrics(new(expvar.Map).Init()), log, config)
+}
+
+// TestLateAnswerOfAGivenUpAttemptIsNotMixed has the first attempt's answer come after a probe has found its upstream gone:
+// neither its events nor its head may stand in the answer of the second.
+func TestLateAnswerOfAGivenUpAttemptIsNotMixed(t *testing.T) {
+	cases := map[string]struct{ headWait, eventWait time.Duration }{
+		"head was there, event late": {0, 500 * time.Millisecond},
+		"head and event late":        {500 * time.Millisecond, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &sender{
+					answers: map[vaneyoke.UpstreamID]forward.Exchange{
+						"a": &stubborn{from: "a", delay: tc.eventWait, events: 3},
+						"b": &stubborn{from: "b", delay: time.Second, events: 3},
+					},
+					waits: map[vaneyoke.UpstreamID]time.Duration{"a": tc.headWait},
+				}
+				r := newForwarder(s)
+				now := time.Now()
+				session := r.Forward(t.Context(), &vaneyoke.Request{ID: "r", Repeatable: true, ReceivedAt: now}, relay.Forwarding{
+					Message: &forward.Message{}, Service: "lm", Stream: true, Deadline: now.Add(time.Minute),
+					Goal: 10 * time.Second, Pause: 10 * time.Second, MaxAttempts: 3,
+				})
+				result, err := session.Wait(t.Context())
+				must.NoError(t, err)
+				must.EqOp(t, vaneyoke.CodeOK, result.Code)
+				must.EqOp(t, "bbb", string(session.Text()))
+				must.EqOp(t, "b", session.Head().Header.Get("From"))
+				r.Close()
+				synctest.Wait()
+			})
+		})
+	}
+}
