Wait until every node knows the members before a test takes the table away

Cause of TestNodeStartsWhileTheTableIsDown's hang, told by each node's revision while it hung: the test took the table down as soon as the third node had registered, and beside busy processes no node had read that revision yet. All stayed at revision 1, which names no members, and so nobody could confirm the new node: the refusal was right. Ruled out: slow calls between nodes (219 calls, none failed), the time a poll leaves for them (a longer one was tried and taken back), the test's own connections.

--- a/fleet/operator_test.go
+++ b/fleet/operator_test.go
@@ -15,6 +15,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/catalog"
 	"github.com/vaneyoke/vaneyoke/client"
 	"github.com/vaneyoke/vaneyoke/fleet"
 	"github.com/vaneyoke/vaneyoke/settings"
@@ -77,6 +78,14 @@
 		must.NoError(t, t.Context().Err())
 		time.Sleep(time.Millisecond)
 	}
+	joined, err := catalog.ReadRevision(t.Context(), f.Platform.Memory)
+	must.NoError(t, err)
+	for _, n := range f.Nodes { // a node that has not read who the members are cannot be confirmed by them later
+		for n.Revision() < joined {
+			must.NoError(t, t.Context().Err())
+			time.Sleep(time.Millisecond)
+		}
+	}
 	return f
 }
 
