--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -100,3 +100,19 @@
 	storm := within(taken, start.Add(15*time.Second), start.Add(25*time.Second))
 	must.GreaterEq(t, 45, storm)
 }
+
+// TestWindowGoesByTheSteadyClock sets the time of day back and forth, which leaves the steady clock as it is; a window
+// that went by the time of day would stand still or be emptied.
+func TestWindowGoesByTheSteadyClock(t *testing.T) {
+	began := time.Now()
+	set := shifted(began, time.Hour)
+	must.EqOp(t, 0, set.Sub(began))
+	must.EqOp(t, 3600, set.Unix()-began.Unix())
+	b := retry.NewBudget(retry.BudgetConfig{Burst: 2, Window: 10 * time.Second})
+	at := func(steady, timeOfDay time.Duration) time.Time { return shifted(began.Add(steady), timeOfDay) }
+	must.True(t, b.Take(at(0, 0)))
+	must.True(t, b.Take(at(time.Second, time.Hour)))
+	must.False(t, b.Take(at(2*time.Second, time.Hour)))
+	must.False(t, b.Take(at(3*time.Second, -time.Hour)))
+	must.True(t, b.Take(at(12*time.Second, -time.Hour)))
+}
--- a/retry/window.go
+++ b/retry/window.go
@@ -9,6 +9,7 @@
 type window struct {
 	length time.Duration
 	slots  [windowSlots + 1]float64 // by the number of their part; the part under way is the last
+	start  time.Time                // of the count; later times are held against it on the steady clock
 	part   int64                    // number of the part under way
 }
 
@@ -29,10 +30,10 @@
 }
 
 func (w *window) advance(now time.Time) {
-	part := now.UnixNano() / int64(w.length/windowSlots)
-	if w.part == 0 {
-		w.part = part
+	if w.start.IsZero() {
+		w.start = now
 	}
+	part := int64(now.Sub(w.start) / (w.length / windowSlots))
 	for ; w.part < part; w.part++ {
 		if part-w.part > int64(len(w.slots)) {
 			w.part = part - int64(len(w.slots))
