--- a/catalog/accept.go
+++ b/catalog/accept.go
@@ -7,6 +7,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/freshness"
+	"github.com/vaneyoke/vaneyoke/internal/pause"
 )
 
 // confirmPause is the time between two rounds of questions whether a change is in force.
@@ -24,12 +25,8 @@
 		if have[f.self.VM] >= revision && freshness.Accepted(members, have, revision) {
 			return have, nil
 		}
-		timer := time.NewTimer(confirmPause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !pause.For(ctx, confirmPause) {
 			return have, vaneyoke.Err(vaneyoke.CodeNotConfirmed, "revision %d is committed and in force at %d of %d nodes", revision, len(have), len(members))
-		case <-timer.C:
 		}
 	}
 }
--- a/claims/claims.go
+++ b/claims/claims.go
@@ -9,6 +9,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/claim"
+	"github.com/vaneyoke/vaneyoke/internal/pause"
 	"github.com/vaneyoke/vaneyoke/store"
 )
 
@@ -104,12 +105,7 @@
 		if err := c.revoke(ctx, s); err == nil {
 			return
 		}
-		timer := time.NewTimer(c.config.SettleEvery)
-		select {
-		case <-ctx.Done():
-		case <-timer.C:
-		}
-		timer.Stop()
+		pause.For(ctx, c.config.SettleEvery)
 	}
 }
 
--- a/engine/client.go
+++ b/engine/client.go
@@ -191,7 +191,7 @@
 	req.Header = header
 	res, err := via.Do(req)
 	if err != nil {
-		return nil, sendFailure(err)
+		return nil, SendFailure(err)
 	}
 	return res, nil
 }
--- a/engine/failure.go
+++ b/engine/failure.go
@@ -62,8 +62,8 @@
 // Unwrap returns the cause.
 func (e *ClosedError) Unwrap() error { return e.Err }
 
-// sendFailure tells a request that cannot have reached the engine from one that may have.
-func sendFailure(err error) error {
+// SendFailure tells a request that cannot have reached the engine from one that may have.
+func SendFailure(err error) error {
 	if op, ok := errors.AsType[*net.OpError](err); ok && op.Op == "dial" {
 		return &NotSentError{Reason: op.Err.Error()}
 	}
--- a/load/run.go
+++ b/load/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/internal/pause"
 )
 
 const idleConnsEach = 512
@@ -62,7 +63,7 @@
 	next := start
 	for i := 0; ; i++ {
 		next = next.Add(time.Duration(r.rng.ExpFloat64() / r.config.Rate * float64(time.Second)))
-		if next.Sub(start) > r.config.Duration || !sleepUntil(ctx, next) {
+		if next.Sub(start) > r.config.Duration || !pause.For(ctx, time.Until(next)) {
 			return
 		}
 		c := r.newCaller(i)
@@ -79,22 +80,11 @@
 	}
 }
 
-func sleepUntil(ctx context.Context, at time.Time) bool {
-	timer := time.NewTimer(time.Until(at))
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // breakThings carries out the faults at their times.
 func (r *runner) breakThings(ctx context.Context) error {
 	start := time.Now()
 	for _, f := range r.config.Faults {
-		if !sleepUntil(ctx, start.Add(f.At)) {
+		if !pause.For(ctx, time.Until(start.Add(f.At))) {
 			return nil
 		}
 		if err := r.target.Break(ctx, f); err != nil && ctx.Err() == nil {
--- a/membership/view.go
+++ b/membership/view.go
@@ -4,10 +4,10 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/internal/rendezvous"
 )
 
 // homes is the number of nodes that know who owns a session.
@@ -95,21 +95,13 @@
 	var found Peer
 	var top uint64
 	for _, p := range v.peers {
-		if s := score(key, string(p.VM)); usable(p) && (found.VM == "" || s > top) {
+		if s := rendezvous.Score(key, string(p.VM)); usable(p) && (found.VM == "" || s > top) {
 			found, top = p, s
 		}
 	}
 	return found
 }
 
-func byScore(key, a, b string) int { return cmp.Compare(score(key, b), score(key, a)) }
-
-// score ranks a name for a key by rendezvous hashing.
-func score(key, name string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(key)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(name)
-	return d.Sum64()
+func byScore(key, a, b string) int {
+	return cmp.Compare(rendezvous.Score(key, b), rendezvous.Score(key, a))
 }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -13,6 +13,7 @@
 	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 
+	"github.com/vaneyoke/vaneyoke/internal/pause"
 	"github.com/vaneyoke/vaneyoke/watch"
 )
 
@@ -95,7 +96,7 @@
 	defer registering.Wait()
 	reading := n.startReading(ctx)
 	defer func() { reading.stop() }()
-	pause(ctx, n.config.Settle)
+	pause.For(ctx, n.config.Settle)
 	for ctx.Err() == nil {
 		if reading.small != n.isSmall() {
 			reading.stop()
@@ -103,7 +104,7 @@
 		}
 		above := n.above()
 		if len(above) == 0 || !n.followAny(ctx, above, func() { reading.stop() }) {
-			pause(ctx, n.config.Own)
+			pause.For(ctx, n.config.Own)
 			continue
 		}
 		reading = n.startReading(ctx)
@@ -139,7 +140,7 @@
 			return
 		}
 		n.log.WithField("error", err).Warn("register_failed")
-		pause(ctx, n.config.Reader.Pause)
+		pause.For(ctx, n.config.Reader.Pause)
 	}
 }
 
@@ -288,12 +289,3 @@
 		return m, err == nil && m.Address != ""
 	})
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/mesh/rank.go
+++ b/mesh/rank.go
@@ -4,9 +4,8 @@
 	"cmp"
 	"slices"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/internal/rendezvous"
 )
 
 // Member is a node of the fleet as it registered itself in the store.
@@ -33,4 +32,4 @@
 	return above[:min(len(above), most)]
 }
 
-func rank(m Member) uint64 { return xxhash.Sum64String(string(m.VM)) }
+func rank(m Member) uint64 { return rendezvous.Score(string(m.Hall), string(m.VM)) }
--- a/node/gateway.go
+++ b/node/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/gateway"
+	"github.com/vaneyoke/vaneyoke/internal/pause"
 	"github.com/vaneyoke/vaneyoke/mesh"
 	"github.com/vaneyoke/vaneyoke/relay"
 	"github.com/vaneyoke/vaneyoke/settings"
@@ -144,7 +145,7 @@
 	for _, server := range n.servers {
 		server.SetKeepAlivesEnabled(false)
 	}
-	wait(ctx, min(s.Gateway.Lame, grace))
+	pause.For(ctx, min(s.Gateway.Lame, grace))
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	err := waitForNone(ctx, n.gateway.Open)
@@ -156,7 +157,7 @@
 // waitForNone waits until no request is open, or returns an error where some are left when ctx ends.
 func waitForNone(ctx context.Context, open func() int) error {
 	for open() > 0 {
-		wait(ctx, drainPoll)
+		pause.For(ctx, drainPoll)
 		if ctx.Err() != nil {
 			return vaneyoke.Err(vaneyoke.CodeInterrupted, "%d requests were cut off at the end of the grace", open())
 		}
@@ -164,15 +165,6 @@
 	return nil
 }
 
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 // Kill closes the node at once, as the death of its process would.
 func (n *GatewayNode) Kill() {
 	n.stop()
--- a/placement/affinity.go
+++ b/placement/affinity.go
@@ -5,9 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/internal/rendezvous"
 )
 
 const (
@@ -50,7 +49,7 @@
 	}
 	all := make([]ranked, len(candidates))
 	for i, e := range candidates {
-		all[i] = ranked{entry: e, hash: xxhash.Sum64String(prompt + "\x00" + string(e.upstream.ID))}
+		all[i] = ranked{entry: e, hash: rendezvous.Score(prompt, string(e.upstream.ID))}
 	}
 	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.hash, a.hash) })
 	chosen := make([]*entry, min(homes, len(all)))
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -21,97 +20,6 @@
 // cancelTimeout bounds the order to an engine to stop a run.
 const cancelTimeout = 2 * time.Second
 
-// place waits for the pause that was asked for, and chooses an upstream.
-func (s *Session) place(e generation.Place) {
-	if e.After > 0 && !sleep(s.ctx, e.After) {
-		return
-	}
-	need := s.need
-	need.Avoid = e.Avoid
-	need.Prefer = s.replicaNamed(e.Prefer)
-	upstream, expect, err := s.choose(need, e.Retry)
-	if _, ok := s.mode.(*whole); ok {
-		expect = 0 // what is known of first tokens says nothing of whole answers
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	if err != nil {
-		s.handleLocked(now, generation.NotPlaced{
-			Attempt:    e.Attempt,
-			Code:       vaneyoke.CodeOf(err),
-			RetryAfter: vaneyoke.RetryAfterOf(err),
-		})
-		return
-	}
-	l := &link{upstream: upstream, cancel: func() {}}
-	s.links[e.Attempt] = l
-	if need.Replicate {
-		l.replica, _ = s.relay.placer.Replica(need, upstream)
-	}
-	s.handleLocked(now, generation.Placed{
-		Attempt: e.Attempt, Upstream: upstream.ID, Expect: expect, Replica: l.replica.ID,
-		HoldsReplica: e.Prefer != "" && upstream.URL == need.Prefer.URL,
-	})
-	s.settleUnused(e.Attempt)
-}
-
-const (
-	reportWait  = 60 * time.Millisecond // longest wait for an upstream's report
-	reportLooks = 2                     // upstreams that are asked for a report before one is taken as it is
-)
-
-// choose returns an upstream; one for a prompt that says that it has other prompts to read is passed over for the next,
-// because other nodes' prompts meet there.
-func (s *Session) choose(need placement.Need, retry bool) (vaneyoke.Upstream, time.Duration, error) {
-	upstream, expect, err := s.relay.placer.Place(need, retry)
-	if need.Affinity == "" || s.relay.sender == nil {
-		return upstream, expect, err
-	}
-	for look := 0; look < reportLooks && err == nil && upstream.URL != need.Prefer.URL; look++ {
-		ctx, cancel := context.WithTimeout(s.ctx, reportWait)
-		prompts, ok := s.relay.sender.Waiting(ctx, upstream)
-		cancel()
-		if !ok || prompts == 0 {
-			break
-		}
-		s.relay.placer.Reported(upstream.ID, prompts)
-		s.relay.placer.Ended(upstream.ID, placement.OutcomeDropped, false)
-		upstream, expect, err = s.relay.placer.Place(need, false)
-	}
-	return upstream, expect, err
-}
-
-// replicaNamed returns the upstream that was to keep a replica of an earlier attempt, the zero value for none.
-func (s *Session) replicaNamed(id vaneyoke.UpstreamID) vaneyoke.Upstream {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, l := range s.links {
-		if id != "" && l.replica.ID == id {
-			return l.replica
-		}
-	}
-	return vaneyoke.Upstream{}
-}
-
-// settleUnused gives back an upstream that was placed for an attempt that had been fenced meanwhile.
-func (s *Session) settleUnused(attempt vaneyoke.Attempt) {
-	if l := s.links[attempt]; l != nil && !l.started {
-		s.settle(attempt, placement.OutcomeDropped)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // inspect asks an engine where the lost engine's shown text ended.
 func (s *Session) inspect(e generation.Inspect, upstream vaneyoke.Upstream) {
 	held, err := s.relay.engines.Held(s.ctx, upstream.URL, s.req.Model, e.IDs)
@@ -325,83 +233,6 @@
 	s.close(attempt)
 }
 
-// failed tells the state machine why an attempt's link broke.
-func (s *Session) failed(attempt vaneyoke.Attempt, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	l := s.links[attempt]
-	if l.fenced || s.relay.ctx.Err() != nil {
-		return
-	}
-	if refused, ok := errors.AsType[*engine.RefusedError](err); ok {
-		s.settle(attempt, placement.OutcomeDone)
-		s.handleLocked(time.Now(), generation.Rejected{Attempt: attempt, Detail: refusal(refused)})
-		s.close(attempt)
-		return
-	}
-	s.lostLocked(attempt, causeOf(err), err)
-}
-
-// lostLocked tells the state machine that an attempt was lost.
-func (s *Session) lostLocked(attempt vaneyoke.Attempt, cause generation.Cause, err error) {
-	l := s.links[attempt]
-	s.logAttempt(attempt, l.upstream.ID).WithFields(logrus.Fields{"cause": cause, "error": err}).Warn("attempt_lost")
-	s.relay.metrics.Losses.Add(cause.String(), 1)
-	s.settle(attempt, l.lossOutcome(cause))
-	s.handleLocked(time.Now(), generation.Lost{Attempt: attempt, Cause: cause})
-	s.close(attempt)
-}
-
-// lossOutcome returns what a loss says of the upstream; a stream that could not be resumed was counted when it broke.
-func (l *link) lossOutcome(cause generation.Cause) placement.Outcome {
-	if l.resumed {
-		return placement.OutcomeDropped
-	}
-	if cause == generation.CauseGone {
-		return placement.OutcomeGone
-	}
-	return outcomeOf(cause)
-}
-
-// outcomeOf returns what the cause of a loss says of the upstream; one that declines is well.
-func outcomeOf(cause generation.Cause) placement.Outcome {
-	switch cause {
-	case generation.CauseDeclined:
-		return placement.OutcomeDropped
-	case generation.CauseNotSent, generation.CauseUnreachable:
-		return placement.OutcomeUnreachable
-	case generation.CauseClosed, generation.CauseSilent:
-		return placement.OutcomeLost
-	default:
-		return placement.OutcomeFailed
-	}
-}
-
-func refusal(err *engine.RefusedError) string {
-	const most = 300
-	body := err.Body[:min(len(err.Body), most)]
-	return "status " + strconv.Itoa(err.Status) + ": " + string(body)
-}
-
-func causeOf(err error) generation.Cause {
-	if _, ok := errors.AsType[*engine.NotSentError](err); ok {
-		return generation.CauseNotSent
-	}
-	if declined, ok := errors.AsType[*engine.DeclinedError](err); ok && declined.Gone {
-		return generation.CauseGone
-	}
-	if _, ok := errors.AsType[*engine.DeclinedError](err); ok {
-		return generation.CauseDeclined
-	}
-	if _, ok := errors.AsType[*engine.NoStreamError](err); ok {
-		return generation.CauseNoStream
-	}
-	if _, ok := errors.AsType[*engine.MalformedError](err); ok {
-		return generation.CauseMalformed
-	}
-	return generation.CauseClosed
-}
-
 func (s *Session) logAttempt(attempt vaneyoke.Attempt, upstream vaneyoke.UpstreamID) *logrus.Entry {
 	return s.relay.log.WithFields(logrus.Fields{"request": s.req.ID, "attempt": int(attempt), "upstream": upstream})
 }
--- /dev/null
+++ b/relay/loss.go
@@ -0,0 +1,91 @@
+package relay
+
+import (
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/engine"
+	"github.com/vaneyoke/vaneyoke/generation"
+	"github.com/vaneyoke/vaneyoke/placement"
+)
+
+// failed tells the state machine why an attempt's link broke.
+func (s *Session) failed(attempt vaneyoke.Attempt, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.links[attempt]
+	if l.fenced || s.relay.ctx.Err() != nil {
+		return
+	}
+	if refused, ok := errors.AsType[*engine.RefusedError](err); ok {
+		s.settle(attempt, placement.OutcomeDone)
+		s.handleLocked(time.Now(), generation.Rejected{Attempt: attempt, Detail: refusal(refused)})
+		s.close(attempt)
+		return
+	}
+	s.lostLocked(attempt, causeOf(err), err)
+}
+
+// lostLocked tells the state machine that an attempt was lost.
+func (s *Session) lostLocked(attempt vaneyoke.Attempt, cause generation.Cause, err error) {
+	l := s.links[attempt]
+	s.logAttempt(attempt, l.upstream.ID).WithFields(logrus.Fields{"cause": cause, "error": err}).Warn("attempt_lost")
+	s.relay.metrics.Losses.Add(cause.String(), 1)
+	s.settle(attempt, l.lossOutcome(cause))
+	s.handleLocked(time.Now(), generation.Lost{Attempt: attempt, Cause: cause})
+	s.close(attempt)
+}
+
+// lossOutcome returns what a loss says of the upstream; a stream that could not be resumed was counted when it broke.
+func (l *link) lossOutcome(cause generation.Cause) placement.Outcome {
+	if l.resumed {
+		return placement.OutcomeDropped
+	}
+	if cause == generation.CauseGone {
+		return placement.OutcomeGone
+	}
+	return outcomeOf(cause)
+}
+
+// outcomeOf returns what the cause of a loss says of the upstream; one that declines is well.
+func outcomeOf(cause generation.Cause) placement.Outcome {
+	switch cause {
+	case generation.CauseDeclined:
+		return placement.OutcomeDropped
+	case generation.CauseNotSent, generation.CauseUnreachable:
+		return placement.OutcomeUnreachable
+	case generation.CauseClosed, generation.CauseSilent:
+		return placement.OutcomeLost
+	default:
+		return placement.OutcomeFailed
+	}
+}
+
+func refusal(err *engine.RefusedError) string {
+	const most = 300
+	body := err.Body[:min(len(err.Body), most)]
+	return "status " + strconv.Itoa(err.Status) + ": " + string(body)
+}
+
+func causeOf(err error) generation.Cause {
+	if _, ok := errors.AsType[*engine.NotSentError](err); ok {
+		return generation.CauseNotSent
+	}
+	if declined, ok := errors.AsType[*engine.DeclinedError](err); ok && declined.Gone {
+		return generation.CauseGone
+	}
+	if _, ok := errors.AsType[*engine.DeclinedError](err); ok {
+		return generation.CauseDeclined
+	}
+	if _, ok := errors.AsType[*engine.NoStreamError](err); ok {
+		return generation.CauseNoStream
+	}
+	if _, ok := errors.AsType[*engine.MalformedError](err); ok {
+		return generation.CauseMalformed
+	}
+	return generation.CauseClosed
+}
--- /dev/null
+++ b/relay/place.go
@@ -0,0 +1,91 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/generation"
+	"github.com/vaneyoke/vaneyoke/internal/pause"
+	"github.com/vaneyoke/vaneyoke/placement"
+)
+
+// place waits for the pause that was asked for, and chooses an upstream.
+func (s *Session) place(e generation.Place) {
+	if e.After > 0 && !pause.For(s.ctx, e.After) {
+		return
+	}
+	need := s.need
+	need.Avoid = e.Avoid
+	need.Prefer = s.replicaNamed(e.Prefer)
+	upstream, expect, err := s.choose(need, e.Retry)
+	if _, ok := s.mode.(*whole); ok {
+		expect = 0 // what is known of first tokens says nothing of whole answers
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if err != nil {
+		s.handleLocked(now, generation.NotPlaced{
+			Attempt:    e.Attempt,
+			Code:       vaneyoke.CodeOf(err),
+			RetryAfter: vaneyoke.RetryAfterOf(err),
+		})
+		return
+	}
+	l := &link{upstream: upstream, cancel: func() {}}
+	s.links[e.Attempt] = l
+	if need.Replicate {
+		l.replica, _ = s.relay.placer.Replica(need, upstream)
+	}
+	s.handleLocked(now, generation.Placed{
+		Attempt: e.Attempt, Upstream: upstream.ID, Expect: expect, Replica: l.replica.ID,
+		HoldsReplica: e.Prefer != "" && upstream.URL == need.Prefer.URL,
+	})
+	s.settleUnused(e.Attempt)
+}
+
+const (
+	reportWait  = 60 * time.Millisecond // longest wait for an upstream's report
+	reportLooks = 2                     // upstreams that are asked for a report before one is taken as it is
+)
+
+// choose returns an upstream; one for a prompt that says that it has other prompts to read is passed over for the next,
+// because other nodes' prompts meet there.
+func (s *Session) choose(need placement.Need, retry bool) (vaneyoke.Upstream, time.Duration, error) {
+	upstream, expect, err := s.relay.placer.Place(need, retry)
+	if need.Affinity == "" || s.relay.sender == nil {
+		return upstream, expect, err
+	}
+	for look := 0; look < reportLooks && err == nil && upstream.URL != need.Prefer.URL; look++ {
+		ctx, cancel := context.WithTimeout(s.ctx, reportWait)
+		prompts, ok := s.relay.sender.Waiting(ctx, upstream)
+		cancel()
+		if !ok || prompts == 0 {
+			break
+		}
+		s.relay.placer.Reported(upstream.ID, prompts)
+		s.relay.placer.Ended(upstream.ID, placement.OutcomeDropped, false)
+		upstream, expect, err = s.relay.placer.Place(need, false)
+	}
+	return upstream, expect, err
+}
+
+// replicaNamed returns the upstream that was to keep a replica of an earlier attempt, the zero value for none.
+func (s *Session) replicaNamed(id vaneyoke.UpstreamID) vaneyoke.Upstream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, l := range s.links {
+		if id != "" && l.replica.ID == id {
+			return l.replica
+		}
+	}
+	return vaneyoke.Upstream{}
+}
+
+// settleUnused gives back an upstream that was placed for an attempt that had been fenced meanwhile.
+func (s *Session) settleUnused(attempt vaneyoke.Attempt) {
+	if l := s.links[attempt]; l != nil && !l.started {
+		s.settle(attempt, placement.OutcomeDropped)
+	}
+}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/vaneyoke/vaneyoke/internal/pause"
 )
 
 // ErrHistoryLost says that the store no longer knows the changes since a version, so that all rows have to be read.
@@ -98,7 +100,7 @@
 		if err == nil {
 			f.regained()
 			if changed {
-				sleep(ctx, f.config.Gather)
+				pause.For(ctx, f.config.Gather)
 			}
 			continue
 		}
@@ -108,7 +110,7 @@
 			continue
 		}
 		f.lost(err)
-		sleep(ctx, f.pause())
+		pause.For(ctx, f.backoff())
 	}
 }
 
@@ -168,8 +170,8 @@
 	}
 }
 
-// pause returns a random pause that grows with the failures in a row, so that the nodes do not come back as one.
-func (f *Follower) pause() time.Duration {
+// backoff returns a random pause that grows with the failures in a row, so that the nodes do not come back as one.
+func (f *Follower) backoff() time.Duration {
 	full := f.config.Most
 	if f.rows == nil {
 		full = min(full, f.config.First)
@@ -179,12 +181,3 @@
 	}
 	return full/2 + rand.N(full/2+1)
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
