--- a/node/gateway.go
+++ b/node/gateway.go
@@ -5,7 +5,6 @@
 	"expvar"
 	"net"
 	"net/http"
-	"net/http/pprof"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -114,11 +113,7 @@
 
 func (n *GatewayNode) metrics() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_, _ = w.Write([]byte(n.vars.String()))
-	})
-	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
+	registerDebug(mux, n.vars)
 	return mux
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -6,7 +6,6 @@
 	"expvar"
 	"net"
 	"net/http"
-	"net/http/pprof"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -122,13 +121,7 @@
 func (n *Node) adminHandler() http.Handler {
 	mux := http.NewServeMux()
 	n.operator.Register(mux)
-	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		_, _ = w.Write([]byte(n.vars.String()))
-	})
-	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
-	mux.HandleFunc("GET /debug/pprof/profile", pprof.Profile)
-	mux.HandleFunc("GET /debug/pprof/trace", pprof.Trace)
+	registerDebug(mux, n.vars)
 	return mux
 }
 
