Say of a table of the mesh that it may lag, instead of naming the members' in three places

Cause: the hub, the reader's times and the node's wiring each made an exception for the table named members. A table now carries its source, what takes it in and whether it may lag; the mesh knows no table by name. Tests of mesh and platform pass.

--- a/mesh/hub.go
+++ b/mesh/hub.go
@@ -15,21 +15,27 @@
 	changed chan struct{} // closed at the next change
 }
 
+// Table is a table of the store that the nodes tell one another.
+type Table struct {
+	Source watch.Source
+	Apply  func(now time.Time, rows watch.Rows) // takes in the rows after a change; it must not keep or change them
+	MayLag bool                                 // whether the table's age does not count
+}
+
 type table struct {
+	Table
 	rows      watch.Rows
 	version   watch.Version // up to which the rows are complete
 	changed   watch.Version // at which they changed last
 	removed   watch.Version // at which a row went last; what went before the first look is not known
 	confirmed time.Time     // as of which the rows are the store's newest
-	apply     func(now time.Time, rows watch.Rows)
 }
 
-// NewHub returns a hub of tables that hold nothing yet; each is given to its function after a change.
-// The functions must not keep or change the rows.
-func NewHub(apply map[string]func(now time.Time, rows watch.Rows)) *Hub {
+// NewHub returns a hub of tables that hold nothing yet.
+func NewHub(tables map[string]Table) *Hub {
 	h := &Hub{tables: map[string]*table{}, changed: make(chan struct{})}
-	for name, f := range apply {
-		h.tables[name] = &table{apply: f}
+	for name, t := range tables {
+		h.tables[name] = &table{Table: t}
 	}
 	return h
 }
@@ -53,7 +59,7 @@
 		t.removed = version
 	}
 	t.rows, t.changed = maps.Clone(rows), version
-	t.apply(now, t.rows)
+	t.Apply(now, t.rows)
 	close(h.changed)
 	h.changed = make(chan struct{})
 }
@@ -72,7 +78,7 @@
 	}
 }
 
-// Age returns how long ago the store confirmed the table that was confirmed the longest ago, that of the members aside;
+// Age returns how long ago the store confirmed the table that was confirmed the longest ago, of those that may not lag;
 // ok is false where a table holds nothing yet.
 func (h *Hub) Age(now time.Time) (age time.Duration, ok bool) {
 	h.mu.Lock()
@@ -82,11 +88,11 @@
 
 func (h *Hub) ageLocked(now time.Time) (time.Duration, bool) {
 	oldest := time.Duration(0)
-	for name, t := range h.tables {
+	for _, t := range h.tables {
 		if t.rows == nil {
 			return 0, false
 		}
-		if name == MembersTable { // it may lag
+		if t.MayLag {
 			continue
 		}
 		oldest = max(oldest, now.Sub(t.confirmed))
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -58,7 +58,7 @@
 // recorder is a hub of one table, and what was applied last.
 func recorder() (*Hub, *watch.Rows) {
 	got := &watch.Rows{}
-	return NewHub(map[string]func(time.Time, watch.Rows){"t": func(_ time.Time, rows watch.Rows) { *got = rows }}), got
+	return NewHub(map[string]Table{"t": {Apply: func(_ time.Time, rows watch.Rows) { *got = rows }}}), got
 }
 
 func row(text string, version watch.Version) watch.Row {
@@ -83,6 +83,20 @@
 	must.EqOp(t, time.Second, age)
 }
 
+// TestTableThatMayLagDoesNotAge holds a hub of which one table was not confirmed for long.
+func TestTableThatMayLagDoesNotAge(t *testing.T) {
+	now := time.Unix(1000, 0)
+	ignore := func(time.Time, watch.Rows) {}
+	hub := NewHub(map[string]Table{"strict": {Apply: ignore}, "lagging": {Apply: ignore, MayLag: true}})
+	hub.Set(now, "lagging", watch.Rows{}, 1, now)
+	_, ok := hub.Age(now)
+	must.False(t, ok) // the other one holds nothing yet
+	hub.Set(now, "strict", watch.Rows{}, 2, now.Add(time.Minute))
+	age, ok := hub.Age(now.Add(time.Minute + time.Second))
+	must.True(t, ok)
+	must.EqOp(t, time.Second, age)
+}
+
 // TestFramesLeadToTheSameRows tells one hub's tables to another from whatever the other holds.
 func TestFramesLeadToTheSameRows(t *testing.T) {
 	now := time.Unix(1000, 0)
@@ -205,9 +219,9 @@
 	for i := range peers {
 		p := &peer{store: &source{}}
 		p.store.version.Store(1)
-		hub := NewHub(map[string]func(time.Time, watch.Rows){"t": func(_ time.Time, rows watch.Rows) { p.version.Store(int64(rows["a"].Version)) }})
+		hub := NewHub(map[string]Table{"t": {Source: p.store, Apply: func(_ time.Time, rows watch.Rows) { p.version.Store(int64(rows["a"].Version)) }}})
 		self := Member{VM: vaneyoke.VMID(fmt.Sprint("vm-", i)), Hall: "a"}
-		p.Node = New(self, config, hub, p.store, map[string]watch.Source{"t": p.store}, http.DefaultClient, log)
+		p.Node = New(self, config, hub, p.store, http.DefaultClient, log)
 		p.server = httptest.NewServer(p.Handler())
 		self.Address = strings.TrimPrefix(p.server.URL, "http://")
 		p.self.Address = "" // it does not register itself
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -20,9 +20,6 @@
 // Path is where a node tells its tables to others.
 const Path = "/tables"
 
-// MembersTable is the name of the table that holds the members.
-const MembersTable = "members"
-
 // Config holds the bounds of the mesh.
 type Config struct {
 	Direct int           // members up to which every node reads the store itself
@@ -34,7 +31,7 @@
 	Own    time.Duration // how long a node that found nobody to rely on waits before it asks again
 	Reader watch.Config  // of a node that reads the store for others
 	Small  watch.Config  // of the nodes of a fleet so small that each reads the store itself
-	Slow   watch.Config  // of the table of members, which may lag
+	Slow   watch.Config  // of tables that may lag
 }
 
 // DefaultConfig returns the bounds that the nodes start from.
@@ -61,7 +58,6 @@
 	config   Config
 	hub      *Hub
 	registry Registry
-	sources  map[string]watch.Source // the store's tables
 	client   *http.Client
 	log      logrus.FieldLogger
 
@@ -69,9 +65,9 @@
 	members []Member
 }
 
-// New returns a node's part in the mesh; the hub's tables are those of the sources.
-func New(self Member, config Config, hub *Hub, registry Registry, sources map[string]watch.Source, client *http.Client, log logrus.FieldLogger) *Node {
-	return &Node{self: self, config: config, hub: hub, registry: registry, sources: sources, client: client, log: log}
+// New returns a node's part in the mesh, which keeps the hub's tables up to date.
+func New(self Member, config Config, hub *Hub, registry Registry, client *http.Client, log logrus.FieldLogger) *Node {
+	return &Node{self: self, config: config, hub: hub, registry: registry, client: client, log: log}
 }
 
 // SetMembers takes in the members as they are registered.
@@ -155,16 +151,16 @@
 	ctx, cancel := context.WithCancel(ctx)
 	small := n.isSmall()
 	var work sync.WaitGroup
-	for name, source := range n.sources {
+	for name, t := range n.hub.tables {
 		config := n.config.Reader
 		if small {
 			config = n.config.Small
 		}
-		if name == MembersTable {
+		if t.MayLag {
 			config = n.config.Slow
 		}
 		work.Go(func() {
-			watch.New(name, source, config, &sink{hub: n.hub, table: name}, n.log).Run(ctx)
+			watch.New(name, t.Source, config, &sink{hub: n.hub, table: name}, n.log).Run(ctx)
 		})
 	}
 	n.log.WithField("members", n.Members()).Info("reads_store")
--- a/node/gateway_wire.go
+++ b/node/gateway_wire.go
@@ -96,12 +96,6 @@
 	}, nil
 }
 
-// Names of the tables that the nodes tell one another.
-const (
-	tableRoutes    = "routes"
-	tableUpstreams = "upstreams"
-)
-
 func provideMesh(i do.Injector) (*mesh.Node, error) {
 	s := do.MustInvoke[settings.Settings](i)
 	client := do.MustInvoke[*storeClient](i).http
@@ -113,22 +107,17 @@
 		config.Direct = math.MaxInt
 	}
 	members := platform.NewMembers(client, s.Gateway.Store)
-	sources := map[string]watch.Source{
-		tableRoutes:       platform.NewConfig(client, s.Gateway.Store),
-		tableUpstreams:    platform.NewEngines(client, s.Gateway.Store),
-		mesh.MembersTable: members,
-	}
 	var node *mesh.Node
-	hub := mesh.NewHub(map[string]func(time.Time, watch.Rows){
-		tableRoutes:    directory.setTables,
-		tableUpstreams: directory.setUpstreams,
-		mesh.MembersTable: func(_ time.Time, rows watch.Rows) {
+	hub := mesh.NewHub(map[string]mesh.Table{
+		"routes":    {Source: platform.NewConfig(client, s.Gateway.Store), Apply: directory.setTables},
+		"upstreams": {Source: platform.NewEngines(client, s.Gateway.Store), Apply: directory.setUpstreams},
+		"members": {Source: members, MayLag: true, Apply: func(_ time.Time, rows watch.Rows) {
 			node.SetMembers(mesh.DecodeMembers(rows))
 			directory.balancer.SetRetryBurst(fleetBudgetConfig(s.Retry, node.Members()).Burst)
-		},
+		}},
 	})
 	self := mesh.Member{VM: vaneyoke.VMID(s.Node.VM), Hall: vaneyoke.HallID(s.Node.Hall), Address: s.Gateway.Peers}
-	node = mesh.New(self, config, hub, members, sources, newPeerClient(), do.MustInvoke[logrus.FieldLogger](i))
+	node = mesh.New(self, config, hub, members, newPeerClient(), do.MustInvoke[logrus.FieldLogger](i))
 	vars := do.MustInvoke[*expvar.Map](i)
 	vars.Set("members", expvar.Func(func() any { return node.Members() }))
 	vars.Set("tables_age_ms", expvar.Func(func() any { age, _ := hub.Age(time.Now()); return age.Milliseconds() }))
