Tell the other rows of a table where one is no JSON

Cause, found by reading: a single row that is no JSON kept a reader's frames from being encoded, and every node of its hall would have read the store instead. Nothing shows that it ever happened. The test fails without the mend.

--- a/mesh/frame.go
+++ b/mesh/frame.go
@@ -26,7 +26,7 @@
 	Keys []string `json:"keys"`
 }
 
-// rowUpdate is a row that was written; the rows of these tables are JSON.
+// rowUpdate is a row that was written; the rows of these tables are JSON, and one that is not can be read by nobody.
 type rowUpdate struct {
 	Key     string          `json:"key"`
 	Data    json.RawMessage `json:"data"`
@@ -81,7 +81,7 @@
 func (t *table) since(name string, had watch.Version) tableUpdate {
 	update := tableUpdate{Name: name, Version: t.version}
 	for key, row := range t.rows {
-		if row.Version > had {
+		if row.Version > had && json.Valid(row.Data) {
 			update.Rows = append(update.Rows, rowUpdate{Key: key, Data: row.Data, Version: row.Version})
 		}
 	}
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -152,6 +153,21 @@
 	}
 }
 
+// TestRowThatIsNoJSONHoldsUpNoOther has a table with such a row; the others must be told all the same.
+func TestRowThatIsNoJSONHoldsUpNoOther(t *testing.T) {
+	now := time.Unix(1000, 0)
+	from, _ := recorder()
+	from.Set(now, "t", watch.Rows{"good": row("1", 1), "bad": {Data: []byte("no JSON"), Version: 2}}, 2, now)
+	f, _ := from.next(now, told{})
+	raw, err := json.Marshal(f)
+	must.NoError(t, err)
+	var got frame
+	must.NoError(t, json.Unmarshal(raw, &got))
+	to, rows := recorder()
+	to.take(now, got)
+	must.Eq(t, watch.Rows{"good": row("1", 1)}, *rows)
+}
+
 func mustQuery(t *testing.T, raw string) map[string][]string {
 	r := httptest.NewRequest(http.MethodGet, "/?"+raw, nil)
 	must.NoError(t, r.ParseForm())
