--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -117,7 +117,7 @@
 	b.state.Reported(time.Now(), id, prompts)
 }
 
-// Replica returns an upstream that can keep a replica of a run on another, in another hall where there is one.
+// Replica returns an upstream that can keep a replica of a run on another, in another data centre where there is one.
 func (b *Balancer) Replica(need placement.Need, primary vaneyoke.Upstream) (vaneyoke.Upstream, bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/callerapi/api.go
+++ b/callerapi/api.go
@@ -33,8 +33,8 @@
 	Ready() error
 	// Decide returns what the policies say about a request.
 	Decide(now time.Time, q policy.Query) policy.Decision
-	// Hall returns the hall that the node stands in.
-	Hall() vaneyoke.HallID
+	// DataCentre returns the data centre that the node stands in.
+	DataCentre() vaneyoke.DataCentreID
 	// Models returns the models that engines offer.
 	Models() []vaneyoke.ModelID
 }
--- a/callerapi/generate.go
+++ b/callerapi/generate.go
@@ -105,7 +105,7 @@
 func (a *API) decide(req *vaneyoke.Request, service vaneyoke.ServiceID) {
 	d := a.directory.Decide(req.ReceivedAt, policy.Query{
 		Workspace: string(req.Workspace), Kind: req.Kind, Model: string(req.Model), Service: string(service),
-		PromptBytes: req.PromptBytes, Hall: string(a.directory.Hall()),
+		PromptBytes: req.PromptBytes, DataCentre: string(a.directory.DataCentre()),
 	})
 	req.Rule, req.Order, req.Priority = d.Rule, d.Order, d.Priority
 	if d.MaxWait > 0 {
--- a/catalog/catalog_test.go
+++ b/catalog/catalog_test.go
@@ -53,7 +53,7 @@
 	case catalog.PartitionUpstreams:
 		return vaneyoke.Upstream{ID: vaneyoke.UpstreamID(id), Slots: i}
 	case catalog.PartitionNodes:
-		return catalog.Node{VM: vaneyoke.VMID(id), Hall: vaneyoke.HallID(fmt.Sprint(i))}
+		return catalog.Node{VM: vaneyoke.VMID(id), DataCentre: vaneyoke.DataCentreID(fmt.Sprint(i))}
 	default:
 		return catalog.Policy{Name: id, Text: fmt.Sprint(i)}
 	}
--- a/catalog/snapshot.go
+++ b/catalog/snapshot.go
@@ -53,8 +53,8 @@
 
 // Node is a member of the fleet, whose confirmation counts when changes are accepted.
 type Node struct {
-	VM   vaneyoke.VMID   `json:"vm"`
-	Hall vaneyoke.HallID `json:"hall"`
+	VM         vaneyoke.VMID         `json:"vm"`
+	DataCentre vaneyoke.DataCentreID `json:"data_centre"`
 }
 
 // Holder is whom a key speaks for.
--- a/cmd/vaneyoke/admin.go
+++ b/cmd/vaneyoke/admin.go
@@ -144,9 +144,9 @@
 			if done, err := printJSON(cmd, out); done {
 				return err
 			}
-			return table(cmd, "VM\tHALL\tREACHED\tREVISION\tBEHIND", func(w io.Writer) {
+			return table(cmd, "VM\tDATA CENTRE\tREACHED\tREVISION\tBEHIND", func(w io.Writer) {
 				for _, n := range out.Nodes {
-					fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%d\n", n.VM, n.Hall, n.Reached, n.Revision, n.Behind)
+					fmt.Fprintf(w, "%s\t%s\t%t\t%d\t%d\n", n.VM, n.DataCentre, n.Reached, n.Revision, n.Behind)
 				}
 			})
 		},
--- a/cmd/vaneyoke/policy.go
+++ b/cmd/vaneyoke/policy.go
@@ -138,7 +138,7 @@
 			&cli.StringFlag{Name: "model"},
 			&cli.StringFlag{Name: "service"},
 			&cli.IntFlag{Name: "prompt-bytes"},
-			&cli.StringFlag{Name: "hall"},
+			&cli.StringFlag{Name: "data-centre"},
 			&cli.TimestampFlag{Name: "at", Usage: "time such as 2026-07-15T11:00:00Z; now where it is left out", Config: cli.TimestampConfig{Layouts: []string{time.RFC3339}}},
 		),
 		Action: explain,
@@ -152,14 +152,14 @@
 	Model       string     `json:"model"`
 	Service     string     `json:"service"`
 	PromptBytes int        `json:"prompt_bytes"`
-	Hall        string     `json:"hall"`
+	DataCentre  string     `json:"data_centre"`
 	At          *time.Time `json:"at,omitempty"`
 }
 
 func explain(ctx context.Context, cmd *cli.Command) error {
 	body := explainBody{
 		Workspace: cmd.String("workspace"), Kind: cmd.String("kind"), Model: cmd.String("model"),
-		Service: cmd.String("service"), PromptBytes: cmd.Int("prompt-bytes"), Hall: cmd.String("hall"),
+		Service: cmd.String("service"), PromptBytes: cmd.Int("prompt-bytes"), DataCentre: cmd.String("data-centre"),
 	}
 	if at := cmd.Timestamp("at"); !at.IsZero() {
 		body.At = &at
--- a/cmd/vaneyoke/upstream.go
+++ b/cmd/vaneyoke/upstream.go
@@ -25,7 +25,7 @@
 				Flags: adminFlags(ifMatchFlag(), waitFlag(),
 					&cli.StringFlag{Name: "url", Required: true},
 					&cli.StringFlag{Name: "kind", Value: string(vaneyoke.KindEngine), Usage: "engine or service"},
-					&cli.StringFlag{Name: "hall", Required: true},
+					&cli.StringFlag{Name: "data-centre", Required: true},
 					&cli.StringFlag{Name: "vm"},
 					&cli.StringSliceFlag{Name: "model", Usage: "model that an engine has loaded; may be given several times"},
 					&cli.StringFlag{Name: "service", Usage: "service that is offered"},
@@ -64,29 +64,29 @@
 	if done, err := printJSON(cmd, out); done {
 		return err
 	}
-	return table(cmd, "ID\tKIND\tHALL\tSTATE\tOFFERS\tIN FLIGHT\tBREAKER\tDRAINED", func(w io.Writer) {
+	return table(cmd, "ID\tKIND\tDATA CENTRE\tSTATE\tOFFERS\tIN FLIGHT\tBREAKER\tDRAINED", func(w io.Writer) {
 		for _, u := range out.Upstreams {
 			offers := fmt.Sprint(u.Models)
 			if u.Kind == vaneyoke.KindService {
 				offers = string(u.Service)
 			}
 			breaker := lo.Ternary(u.Open, "open", "closed")
-			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%t\n", u.ID, u.Kind, u.Hall, u.State, offers, u.InFlight, breaker, u.Drained)
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%s\t%t\n", u.ID, u.Kind, u.DataCentre, u.State, offers, u.InFlight, breaker, u.Drained)
 		}
 	})
 }
 
 func registerUpstream(ctx context.Context, cmd *cli.Command) error {
 	u := vaneyoke.Upstream{
-		ID:      vaneyoke.UpstreamID(cmd.Args().First()),
-		Kind:    vaneyoke.UpstreamKind(cmd.String("kind")),
-		URL:     cmd.String("url"),
-		VM:      vaneyoke.VMID(cmd.String("vm")),
-		Hall:    vaneyoke.HallID(cmd.String("hall")),
-		State:   vaneyoke.StateLive,
-		Models:  lo.Map(cmd.StringSlice("model"), func(m string, _ int) vaneyoke.ModelID { return vaneyoke.ModelID(m) }),
-		Service: vaneyoke.ServiceID(cmd.String("service")),
-		Slots:   cmd.Int("slots"),
+		ID:         vaneyoke.UpstreamID(cmd.Args().First()),
+		Kind:       vaneyoke.UpstreamKind(cmd.String("kind")),
+		URL:        cmd.String("url"),
+		VM:         vaneyoke.VMID(cmd.String("vm")),
+		DataCentre: vaneyoke.DataCentreID(cmd.String("data-centre")),
+		State:      vaneyoke.StateLive,
+		Models:     lo.Map(cmd.StringSlice("model"), func(m string, _ int) vaneyoke.ModelID { return vaneyoke.ModelID(m) }),
+		Service:    vaneyoke.ServiceID(cmd.String("service")),
+		Slots:      cmd.Int("slots"),
 	}
 	return change(ctx, cmd, adminCall{method: http.MethodPut, path: upstreamPath(string(u.ID)), body: u, ifMatch: cmd.String("if-match")})
 }
--- a/cmd/vaneyoked/main_test.go
+++ b/cmd/vaneyoked/main_test.go
@@ -14,7 +14,7 @@
 const good = `
 [node]
 vm = vm-1
-hall = hall-a
+data_centre = hall-a
 listen = 127.0.0.1:0
 admin = 127.0.0.1:0
 [peers]
--- a/failover/manager.go
+++ b/failover/manager.go
@@ -53,17 +53,17 @@
 
 // Manager keeps the node's sessions whose callers may come back.
 type Manager struct {
-	self    vaneyoke.NodeID
-	hall    vaneyoke.HallID
-	config  Config
-	ring    *cursor.Keyring
-	peers   Peers
-	fleet   Fleet
-	relay   *relay.Relay
-	claims  Claims
-	metrics *Metrics
-	log     logrus.FieldLogger
-	kick    chan struct{} // asks for a push at once
+	self       vaneyoke.NodeID
+	dataCentre vaneyoke.DataCentreID
+	config     Config
+	ring       *cursor.Keyring
+	peers      Peers
+	fleet      Fleet
+	relay      *relay.Relay
+	claims     Claims
+	metrics    *Metrics
+	log        logrus.FieldLogger
+	kick       chan struct{} // asks for a push at once
 
 	mu       sync.Mutex
 	sessions map[journal.Key]*session
@@ -71,9 +71,9 @@
 }
 
 // New returns a manager; Run has to be called for its journals to be pushed.
-func New(self vaneyoke.NodeID, hall vaneyoke.HallID, config Config, ring *cursor.Keyring, peers Peers, fleet Fleet, r *relay.Relay, c Claims, metrics *Metrics, log logrus.FieldLogger) *Manager {
+func New(self vaneyoke.NodeID, dataCentre vaneyoke.DataCentreID, config Config, ring *cursor.Keyring, peers Peers, fleet Fleet, r *relay.Relay, c Claims, metrics *Metrics, log logrus.FieldLogger) *Manager {
 	return &Manager{
-		self: self, hall: hall, config: config, ring: ring, peers: peers, fleet: fleet, relay: r, claims: c, metrics: metrics, log: log,
+		self: self, dataCentre: dataCentre, config: config, ring: ring, peers: peers, fleet: fleet, relay: r, claims: c, metrics: metrics, log: log,
 		kick:     make(chan struct{}, 1),
 		sessions: map[journal.Key]*session{},
 	}
--- a/failover/session.go
+++ b/failover/session.go
@@ -68,7 +68,7 @@
 
 // backup returns the node for the own node's journals, leaving out some that failed.
 func (m *Manager) backup(avoid []vaneyoke.VMID) (membership.Peer, bool) {
-	return m.fleet.View().Backup(membership.Peer{VM: m.self.VM, Hall: m.hall}, avoid)
+	return m.fleet.View().Backup(membership.Peer{VM: m.self.VM, DataCentre: m.dataCentre}, avoid)
 }
 
 // homeKey is what the nodes rank one another by for a session.
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -32,7 +32,7 @@
 // portsEach is the number of ports that a node listens on.
 const portsEach = 3
 
-var halls = []vaneyoke.HallID{"hall-a", "hall-b", "hall-c"}
+var dataCentres = []vaneyoke.DataCentreID{"hall-a", "hall-b", "hall-c"}
 
 // Config says how large a fleet is.
 type Config struct {
@@ -132,7 +132,7 @@
 	changes = append(changes, catalog.Change{Partition: catalog.PartitionWorkspaces, ID: string(workspace.ID), Value: workspace})
 	for i := range f.config.Nodes {
 		if f.config.Members {
-			node := catalog.Node{VM: vmName(i), Hall: halls[i%len(halls)]}
+			node := catalog.Node{VM: vmName(i), DataCentre: dataCentres[i%len(dataCentres)]}
 			changes = append(changes, catalog.Change{Partition: catalog.PartitionNodes, ID: string(node.VM), Value: node})
 		}
 	}
@@ -145,23 +145,23 @@
 	var list []vaneyoke.Upstream
 	for i, e := range f.Engines {
 		list = append(list, vaneyoke.Upstream{
-			ID:     vaneyoke.UpstreamID(fmt.Sprintf("engine-%d", i)),
-			Kind:   vaneyoke.KindEngine,
-			URL:    e.URL(),
-			Hall:   halls[i%len(halls)],
-			State:  vaneyoke.StateLive,
-			Models: []vaneyoke.ModelID{Model},
-			Slots:  f.config.Engine.Slots,
+			ID:         vaneyoke.UpstreamID(fmt.Sprintf("engine-%d", i)),
+			Kind:       vaneyoke.KindEngine,
+			URL:        e.URL(),
+			DataCentre: dataCentres[i%len(dataCentres)],
+			State:      vaneyoke.StateLive,
+			Models:     []vaneyoke.ModelID{Model},
+			Slots:      f.config.Engine.Slots,
 		})
 	}
 	for i, s := range f.Services {
 		list = append(list, vaneyoke.Upstream{
-			ID:      vaneyoke.UpstreamID(fmt.Sprintf("service-%d", i)),
-			Kind:    vaneyoke.KindService,
-			URL:     s.URL(),
-			Hall:    halls[i%len(halls)],
-			State:   vaneyoke.StateLive,
-			Service: Service,
+			ID:         vaneyoke.UpstreamID(fmt.Sprintf("service-%d", i)),
+			Kind:       vaneyoke.KindService,
+			URL:        s.URL(),
+			DataCentre: dataCentres[i%len(dataCentres)],
+			State:      vaneyoke.StateLive,
+			Service:    Service,
 		})
 	}
 	return list
@@ -172,7 +172,7 @@
 	text := fmt.Sprintf(`
 [node]
 vm = %s
-hall = %s
+data_centre = %s
 listen = %s
 admin = %s
 [peers]
@@ -182,7 +182,7 @@
 table_url = %s
 object_url = %s
 vms_url = %s
-`, vmName(i), halls[i%len(halls)], f.address(portsEach*i), f.address(portsEach*i+1), f.address(portsEach*i+2), f.Platform.URL(), f.Platform.ObjectURL(), f.Platform.VMsURL())
+`, vmName(i), dataCentres[i%len(dataCentres)], f.address(portsEach*i), f.address(portsEach*i+1), f.address(portsEach*i+2), f.Platform.URL(), f.Platform.ObjectURL(), f.Platform.VMsURL())
 	s, err := settings.Parse([]byte(text), "fleet")
 	s.Trace.Output = f.config.Trace
 	if f.config.Adjust != nil {
--- a/fleet/leaving_test.go
+++ b/fleet/leaving_test.go
@@ -30,7 +30,7 @@
 	byList := func(t *testing.T, f *fleet.Fleet) {
 		vms, err := f.Platform.Memory.List(t.Context())
 		must.NoError(t, err)
-		f.Platform.Memory.SetVMs(append(vms, store.VM{ID: "engine-vm-0", Hall: "hall-a", Leaving: true}))
+		f.Platform.Memory.SetVMs(append(vms, store.VM{ID: "engine-vm-0", DataCentre: "hall-a", Leaving: true}))
 	}
 	remove := func(t *testing.T, f *fleet.Fleet) {
 		code, _ := operate(t, f, 1, ordered{method: http.MethodDelete, path: "/v1/upstreams/engine-0", key: fleet.AdminKey})
--- a/ids.go
+++ b/ids.go
@@ -23,8 +23,8 @@
 // VMID names a virtual machine on the platform's list of VMs.
 type VMID string
 
-// HallID names a hall, the zone that a VM stands in.
-type HallID string
+// DataCentreID names the data centre that a VM stands in.
+type DataCentreID string
 
 // Incarnation tells one start of a process on a VM from the next; a later start has a higher one.
 type Incarnation uint64
--- a/measure/core.go
+++ b/measure/core.go
@@ -240,7 +240,7 @@
 		for i := range engines {
 			upstreams = append(upstreams, vaneyoke.Upstream{
 				ID: vaneyoke.UpstreamID(fmt.Sprintf("engine-%d", i)), Kind: vaneyoke.KindEngine, State: vaneyoke.StateLive,
-				Hall: vaneyoke.HallID(fmt.Sprintf("hall-%d", i%8)), Models: []vaneyoke.ModelID{vaneyoke.ModelID(fmt.Sprintf("m%d", i%14))},
+				DataCentre: vaneyoke.DataCentreID(fmt.Sprintf("hall-%d", i%8)), Models: []vaneyoke.ModelID{vaneyoke.ModelID(fmt.Sprintf("m%d", i%14))},
 			})
 		}
 		state.SetUpstreams(upstreams)
@@ -261,7 +261,7 @@
 		i := 0
 		queries := make([]policy.Query, workspaces)
 		for w := range queries {
-			queries[w] = policy.Query{Workspace: fmt.Sprintf("w%d", w), Kind: "p50", Model: "m", Hall: "hall-a"}
+			queries[w] = policy.Query{Workspace: fmt.Sprintf("w%d", w), Kind: "p50", Model: "m", DataCentre: "hall-a"}
 			set.Decide(now, queries[w])
 		}
 		s.Points = append(s.Points, Point{X: float64(workspaces), Y: perCall(func() { set.Decide(now, queries[i%workspaces]); i++ })})
--- a/membership/view.go
+++ b/membership/view.go
@@ -15,15 +15,15 @@
 
 // Peer is a node as the list of VMs tells of it.
 type Peer struct {
-	VM      vaneyoke.VMID
-	Hall    vaneyoke.HallID
-	Address string // IP number and port of the peer API
+	VM         vaneyoke.VMID
+	DataCentre vaneyoke.DataCentreID
+	Address    string // IP number and port of the peer API
 }
 
 // View is the set of nodes that take part in keeping journals.
 type View struct {
-	peers []Peer
-	halls []vaneyoke.HallID
+	peers       []Peer
+	dataCentres []vaneyoke.DataCentreID
 }
 
 // NewView returns a view of the given nodes, the own one among them.
@@ -31,8 +31,8 @@
 	v := &View{peers: slices.Clone(peers)}
 	slices.SortFunc(v.peers, func(a, b Peer) int { return cmp.Compare(a.VM, b.VM) })
 	for _, p := range v.peers {
-		if !slices.Contains(v.halls, p.Hall) {
-			v.halls = append(v.halls, p.Hall)
+		if !slices.Contains(v.dataCentres, p.DataCentre) {
+			v.dataCentres = append(v.dataCentres, p.DataCentre)
 		}
 	}
 	return v
@@ -55,14 +55,14 @@
 	return v.peers[i], true
 }
 
-// Homes returns the nodes that know who owns a session: one in each of two halls, or as many as there are.
+// Homes returns the nodes that know who owns a session: one in each of two data centres, or as many as there are.
 // Every node with the same view gives the same answer, and a change of the view moves few sessions.
 func (v *View) Homes(key string) []Peer {
-	ranked := slices.Clone(v.halls)
-	slices.SortFunc(ranked, func(a, b vaneyoke.HallID) int { return byScore(key, string(a), string(b)) })
+	ranked := slices.Clone(v.dataCentres)
+	slices.SortFunc(ranked, func(a, b vaneyoke.DataCentreID) int { return byScore(key, string(a), string(b)) })
 	var found []Peer
-	for _, hall := range ranked[:min(homes, len(ranked))] {
-		found = append(found, v.best(key, hall))
+	for _, dataCentre := range ranked[:min(homes, len(ranked))] {
+		found = append(found, v.best(key, dataCentre))
 	}
 	if len(found) == 1 && len(v.peers) > 1 {
 		found = append(found, v.second(key, found[0].VM))
@@ -70,21 +70,21 @@
 	return found
 }
 
-// best returns the hall's node with the highest score.
-func (v *View) best(key string, hall vaneyoke.HallID) Peer {
-	return v.bestOf(key, func(p Peer) bool { return p.Hall == hall })
+// best returns the data centre's node with the highest score.
+func (v *View) best(key string, dataCentre vaneyoke.DataCentreID) Peer {
+	return v.bestOf(key, func(p Peer) bool { return p.DataCentre == dataCentre })
 }
 
 func (v *View) second(key string, first vaneyoke.VMID) Peer {
 	return v.bestOf(key, func(p Peer) bool { return p.VM != first })
 }
 
-// Backup returns the node for all journals of an owner: one in another hall, or else on another VM.
+// Backup returns the node for all journals of an owner: one in another data centre, or else on another VM.
 // An owner has one backup, so that what it pushes goes in few calls however many sessions it has.
 func (v *View) Backup(owner Peer, avoid []vaneyoke.VMID) (Peer, bool) {
 	key := string(owner.VM)
 	usable := func(p Peer) bool { return p.VM != owner.VM && !slices.Contains(avoid, p.VM) }
-	if p := v.bestOf(key, func(p Peer) bool { return usable(p) && p.Hall != owner.Hall }); p.VM != "" {
+	if p := v.bestOf(key, func(p Peer) bool { return usable(p) && p.DataCentre != owner.DataCentre }); p.VM != "" {
 		return p, true
 	}
 	p := v.bestOf(key, usable)
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -10,25 +10,25 @@
 	"github.com/vaneyoke/vaneyoke/membership"
 )
 
-func peers(nodes, halls int) []membership.Peer {
+func peers(nodes, dataCentres int) []membership.Peer {
 	var list []membership.Peer
 	for i := range nodes {
-		list = append(list, membership.Peer{VM: vaneyoke.VMID(fmt.Sprintf("vm-%03d", i)), Hall: vaneyoke.HallID(fmt.Sprintf("hall-%d", i%halls))})
+		list = append(list, membership.Peer{VM: vaneyoke.VMID(fmt.Sprintf("vm-%03d", i)), DataCentre: vaneyoke.DataCentreID(fmt.Sprintf("hall-%d", i%dataCentres))})
 	}
 	return list
 }
 
 func TestHomesAndBackups(t *testing.T) {
-	cases := map[string]struct{ nodes, halls, homes int }{
-		"alone":         {1, 1, 1},
-		"one hall":      {3, 1, 2},
-		"two halls":     {2, 2, 2},
-		"today":         {7, 3, 2},
-		"letter's size": {410, 8, 2},
+	cases := map[string]struct{ nodes, dataCentres, homes int }{
+		"alone":            {1, 1, 1},
+		"one data centre":  {3, 1, 2},
+		"two data centres": {2, 2, 2},
+		"today":            {7, 3, 2},
+		"letter's size":    {410, 8, 2},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			list := peers(tc.nodes, tc.halls)
+			list := peers(tc.nodes, tc.dataCentres)
 			view := membership.NewView(list)
 			for i := range 50 {
 				homes := view.Homes(fmt.Sprint("key", i))
@@ -36,15 +36,15 @@
 				if tc.homes == 2 {
 					must.NotEqOp(t, homes[0].VM, homes[1].VM)
 				}
-				if tc.halls > 1 {
-					must.NotEqOp(t, homes[0].Hall, homes[1].Hall)
+				if tc.dataCentres > 1 {
+					must.NotEqOp(t, homes[0].DataCentre, homes[1].DataCentre)
 				}
 			}
 			for _, owner := range list {
 				backup, ok := view.Backup(owner, nil)
 				must.EqOp(t, tc.nodes > 1, ok)
 				must.True(t, !ok || backup.VM != owner.VM)
-				must.True(t, !ok || tc.halls == 1 || backup.Hall != owner.Hall)
+				must.True(t, !ok || tc.dataCentres == 1 || backup.DataCentre != owner.DataCentre)
 				second, ok := view.Backup(owner, []vaneyoke.VMID{backup.VM})
 				must.True(t, !ok || second.VM != backup.VM)
 			}
--- a/mesh/doc.go
+++ b/mesh/doc.go
@@ -1,2 +1,2 @@
-// Package mesh lets a few nodes of each hall read the store and tell the others what its tables hold.
+// Package mesh lets a few nodes of each data centre read the store and tell the others what its tables hold.
 package mesh
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -22,37 +22,37 @@
 
 const patient = 20 * time.Second
 
-func members(halls ...string) []Member {
+func members(dataCentres ...string) []Member {
 	var all []Member
-	for _, hall := range halls {
+	for _, dataCentre := range dataCentres {
 		for n := range 10 {
-			all = append(all, Member{VM: vaneyoke.VMID(fmt.Sprintf("%s-%d", hall, n)), Hall: vaneyoke.HallID(hall)})
+			all = append(all, Member{VM: vaneyoke.VMID(fmt.Sprintf("%s-%d", dataCentre, n)), DataCentre: vaneyoke.DataCentreID(dataCentre)})
 		}
 	}
 	return all
 }
 
-// TestSources holds who asks whom against what the fleet needs: one reader a hall, and no circles.
+// TestSources holds who asks whom against what the fleet needs: one reader a data centre, and no circles.
 func TestSources(t *testing.T) {
 	all := members("a", "b")
-	readers := map[vaneyoke.HallID]int{}
+	readers := map[vaneyoke.DataCentreID]int{}
 	for _, self := range all {
 		asked := sources(all, self, 16, 3)
 		must.LessEq(t, 3, len(asked))
 		if len(asked) == 0 {
-			readers[self.Hall]++
+			readers[self.DataCentre]++
 		}
 		before := ^uint64(0)
 		for _, m := range asked {
-			must.EqOp(t, self.Hall, m.Hall)
+			must.EqOp(t, self.DataCentre, m.DataCentre)
 			must.Greater(t, rank(self), rank(m))
 			must.Less(t, before, rank(m))
 			before = rank(m)
 		}
 	}
-	must.Eq(t, map[vaneyoke.HallID]int{"a": 1, "b": 1}, readers)
+	must.Eq(t, map[vaneyoke.DataCentreID]int{"a": 1, "b": 1}, readers)
 	must.SliceEmpty(t, sources(all, all[0], 20, 3)) // a small fleet
-	alone := Member{VM: "c-0", Hall: "c"}
+	alone := Member{VM: "c-0", DataCentre: "c"}
 	must.SliceEmpty(t, sources(append(all, alone), alone, 16, 3))
 }
 
@@ -236,7 +236,7 @@
 		p := &peer{store: &source{}}
 		p.store.version.Store(1)
 		hub := NewHub(map[string]Table{"t": {Source: p.store, Apply: func(_ time.Time, rows watch.Rows) { p.version.Store(int64(rows["a"].Version)) }}})
-		self := Member{VM: vaneyoke.VMID(fmt.Sprint("vm-", i)), Hall: "a"}
+		self := Member{VM: vaneyoke.VMID(fmt.Sprint("vm-", i)), DataCentre: "a"}
 		p.Node = New(self, config, hub, p.store, http.DefaultClient, log)
 		p.server = httptest.NewServer(p.Handler())
 		self.Address = strings.TrimPrefix(p.server.URL, "http://")
--- a/mesh/rank.go
+++ b/mesh/rank.go
@@ -10,13 +10,13 @@
 
 // Member is a node of the fleet as it registered itself in the store.
 type Member struct {
-	VM      vaneyoke.VMID   `json:"vm"`
-	Hall    vaneyoke.HallID `json:"hall"`
-	Address string          `json:"address"` // IP number and port at which it tells the tables
+	VM         vaneyoke.VMID         `json:"vm"`
+	DataCentre vaneyoke.DataCentreID `json:"data_centre"`
+	Address    string                `json:"address"` // IP number and port at which it tells the tables
 }
 
 // sources returns the members that a node asks for the tables, the first choice first: at most most members of its own
-// hall whose rank is higher than its own. A node without any reads the store itself. In a fleet of no more than direct
+// data centre whose rank is higher than its own. A node without any reads the store itself. In a fleet of no more than direct
 // members, all do.
 func sources(members []Member, self Member, direct, most int) []Member {
 	if len(members) <= direct {
@@ -24,7 +24,7 @@
 	}
 	var above []Member
 	for _, m := range members {
-		if m.Hall == self.Hall && m.VM != self.VM && rank(m) > rank(self) {
+		if m.DataCentre == self.DataCentre && m.VM != self.VM && rank(m) > rank(self) {
 			above = append(above, m)
 		}
 	}
@@ -32,4 +32,4 @@
 	return above[:min(len(above), most)]
 }
 
-func rank(m Member) uint64 { return rendezvous.Score(string(m.Hall), string(m.VM)) }
+func rank(m Member) uint64 { return rendezvous.Score(string(m.DataCentre), string(m.VM)) }
--- a/node/directory.go
+++ b/node/directory.go
@@ -12,11 +12,11 @@
 
 // directory tells the caller API what the node knows.
 type directory struct {
-	follower *catalog.Follower
-	policies *policies
-	balancer *balancer.Balancer
-	hall     vaneyoke.HallID
-	stopping *atomic.Bool
+	follower   *catalog.Follower
+	policies   *policies
+	balancer   *balancer.Balancer
+	dataCentre vaneyoke.DataCentreID
+	stopping   *atomic.Bool
 }
 
 // Current returns the newest configuration.
@@ -36,8 +36,8 @@
 	return nil
 }
 
-// Hall returns the hall that the node stands in.
-func (d *directory) Hall() vaneyoke.HallID { return d.hall }
+// DataCentre returns the data centre that the node stands in.
+func (d *directory) DataCentre() vaneyoke.DataCentreID { return d.dataCentre }
 
 // Decide returns what the policies say about a request.
 func (d *directory) Decide(now time.Time, q policy.Query) policy.Decision {
--- a/node/gateway.go
+++ b/node/gateway.go
@@ -81,7 +81,7 @@
 	for i, l := range n.listeners {
 		n.serve(l, handlers[i])
 	}
-	n.log.WithFields(logrus.Fields{"vm": s.Node.VM, "hall": s.Node.Hall, "listen": s.Gateway.Listen, "admin": s.Node.Admin}).Info("node_started")
+	n.log.WithFields(logrus.Fields{"vm": s.Node.VM, "data_centre": s.Node.DataCentre, "listen": s.Gateway.Listen, "admin": s.Node.Admin}).Info("node_started")
 	return nil
 }
 
--- a/node/gateway_wire.go
+++ b/node/gateway_wire.go
@@ -116,7 +116,7 @@
 			directory.balancer.SetRetryBurst(fleetBudgetConfig(s.Retry, node.Members()).Burst)
 		}},
 	})
-	self := mesh.Member{VM: vaneyoke.VMID(s.Node.VM), Hall: vaneyoke.HallID(s.Node.Hall), Address: s.Gateway.Peers}
+	self := mesh.Member{VM: vaneyoke.VMID(s.Node.VM), DataCentre: vaneyoke.DataCentreID(s.Node.DataCentre), Address: s.Gateway.Peers}
 	node = mesh.New(self, config, hub, members, newPeerClient(), do.MustInvoke[logrus.FieldLogger](i))
 	vars := do.MustInvoke[*expvar.Map](i)
 	vars.Set("members", expvar.Func(func() any { return node.Members() }))
@@ -131,7 +131,7 @@
 }
 
 func newBalancer(s settings.Settings) *balancer.Balancer {
-	state := placement.New(vaneyoke.HallID(s.Node.Hall), breakerConfig(s.Retry))
+	state := placement.New(vaneyoke.DataCentreID(s.Node.DataCentre), breakerConfig(s.Retry))
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return balancer.New(state, fleetBudgetConfig(s.Retry, fleetUnknown), rng)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -76,7 +76,7 @@
 	n.serve(n.adminHandler(), n.adminAt)
 	n.serve(n.peerAPI, n.control.count(n.peerAt))
 	n.log.WithFields(logrus.Fields{
-		"vm": n.settings.Node.VM, "hall": n.settings.Node.Hall,
+		"vm": n.settings.Node.VM, "data_centre": n.settings.Node.DataCentre,
 		"listen": n.callerAt.Addr(), "admin": n.adminAt.Addr(), "peer": n.peerAt.Addr(),
 	}).Info("node_started")
 	return nil
@@ -134,9 +134,9 @@
 // VM returns the node's entry on the list of VMs.
 func (n *Node) VM() store.VM {
 	return store.VM{
-		ID:      vaneyoke.VMID(n.settings.Node.VM),
-		Hall:    vaneyoke.HallID(n.settings.Node.Hall),
-		Address: n.peerAt.Addr().String(),
+		ID:         vaneyoke.VMID(n.settings.Node.VM),
+		DataCentre: vaneyoke.DataCentreID(n.settings.Node.DataCentre),
+		Address:    n.peerAt.Addr().String(),
 	}
 }
 
--- a/node/roster.go
+++ b/node/roster.go
@@ -91,7 +91,7 @@
 		if vm.Leaving {
 			leaving = append(leaving, vm.ID)
 		} else {
-			peers = append(peers, membership.Peer{VM: vm.ID, Hall: vm.Hall, Address: vm.Address})
+			peers = append(peers, membership.Peer{VM: vm.ID, DataCentre: vm.DataCentre, Address: vm.Address})
 		}
 	}
 	r.view.Store(membership.NewView(peers))
--- a/node/wire.go
+++ b/node/wire.go
@@ -97,7 +97,7 @@
 
 func provideFollower(i do.Injector) (*catalog.Follower, error) {
 	s := do.MustInvoke[settings.Settings](i)
-	self := catalog.Node{VM: vaneyoke.VMID(s.Node.VM), Hall: vaneyoke.HallID(s.Node.Hall)}
+	self := catalog.Node{VM: vaneyoke.VMID(s.Node.VM), DataCentre: vaneyoke.DataCentreID(s.Node.DataCentre)}
 	r := do.MustInvoke[*roster](i)
 	r.follow(catalog.NewFollower(
 		self, do.MustInvoke[*aws.Client](i), r, s.Platform.Poll, s.Platform.Fresh,
@@ -129,11 +129,11 @@
 
 func provideAPI(i do.Injector) (*callerapi.API, error) {
 	dir := &directory{
-		follower: do.MustInvoke[*catalog.Follower](i),
-		policies: do.MustInvoke[*policies](i),
-		balancer: do.MustInvoke[*balancer.Balancer](i),
-		hall:     vaneyoke.HallID(do.MustInvoke[settings.Settings](i).Node.Hall),
-		stopping: do.MustInvoke[*atomic.Bool](i),
+		follower:   do.MustInvoke[*catalog.Follower](i),
+		policies:   do.MustInvoke[*policies](i),
+		balancer:   do.MustInvoke[*balancer.Balancer](i),
+		dataCentre: vaneyoke.DataCentreID(do.MustInvoke[settings.Settings](i).Node.DataCentre),
+		stopping:   do.MustInvoke[*atomic.Bool](i),
 	}
 	return callerapi.New(
 		apiConfig(do.MustInvoke[settings.Settings](i).Limits),
@@ -184,7 +184,7 @@
 	keys := s.Peers.KeyList()
 	return failover.New(
 		do.MustInvoke[vaneyoke.NodeID](i),
-		vaneyoke.HallID(s.Node.Hall),
+		vaneyoke.DataCentreID(s.Node.DataCentre),
 		failoverConfig(s.Peers),
 		cursor.NewKeyring(keys...),
 		do.MustInvoke[*peer.Client](i),
--- a/operatorapi/fleet.go
+++ b/operatorapi/fleet.go
@@ -17,11 +17,11 @@
 
 // NodeStatus is one node's part of the status.
 type NodeStatus struct {
-	VM       vaneyoke.VMID     `json:"vm"`
-	Hall     vaneyoke.HallID   `json:"hall"`
-	Reached  bool              `json:"reached"`
-	Revision vaneyoke.Revision `json:"revision" doc:"Revision in force there."`
-	Behind   vaneyoke.Revision `json:"behind" doc:"Revisions behind the newest that the node which answers knows of."`
+	VM         vaneyoke.VMID         `json:"vm"`
+	DataCentre vaneyoke.DataCentreID `json:"data_centre"`
+	Reached    bool                  `json:"reached"`
+	Revision   vaneyoke.Revision     `json:"revision" doc:"Revision in force there."`
+	Behind     vaneyoke.Revision     `json:"behind" doc:"Revisions behind the newest that the node which answers knows of."`
 }
 
 type statusOutput struct {
@@ -58,7 +58,7 @@
 	out.Body.Fresh = a.follower.Fresh(time.Now())
 	out.Body.Nodes = lo.Map(current.Nodes, func(n catalog.Node, _ int) NodeStatus {
 		revision, reached := have[n.VM]
-		return NodeStatus{VM: n.VM, Hall: n.Hall, Reached: reached, Revision: revision, Behind: newest - revision}
+		return NodeStatus{VM: n.VM, DataCentre: n.DataCentre, Reached: reached, Revision: revision, Behind: newest - revision}
 	})
 	return out, nil
 }
--- a/operatorapi/policies.go
+++ b/operatorapi/policies.go
@@ -65,7 +65,7 @@
 		Model       string    `json:"model,omitempty"`
 		Service     string    `json:"service,omitempty"`
 		PromptBytes int       `json:"prompt_bytes,omitempty"`
-		Hall        string    `json:"hall,omitempty"`
+		DataCentre  string    `json:"data_centre,omitempty"`
 		At          time.Time `json:"at,omitempty" doc:"Time to decide for; now where it is left out."`
 	}
 }
@@ -208,7 +208,7 @@
 	set := policy.NewSet(compiled)
 	d, steps := set.Explain(at, policy.Query{
 		Workspace: in.Body.Workspace, Kind: in.Body.Kind, Model: in.Body.Model, Service: in.Body.Service,
-		PromptBytes: in.Body.PromptBytes, Hall: in.Body.Hall,
+		PromptBytes: in.Body.PromptBytes, DataCentre: in.Body.DataCentre,
 	})
 	out := &explainOutput{}
 	out.Body.Rule, out.Body.Order, out.Body.Priority, out.Body.Recovery = d.Rule, d.Order, d.Priority, d.Recovery
--- a/placement/opaque_test.go
+++ b/placement/opaque_test.go
@@ -15,16 +15,16 @@
 
 var need = placement.Need{Kind: vaneyoke.KindService, Service: "lm", Bytes: 1000}
 
-// threeHalls returns a state of nine upstreams in three halls.
-func threeHalls() *placement.State { return threeHallsSeenFrom("a") }
+// threeDataCentres returns a state of nine upstreams in three data centres.
+func threeDataCentres() *placement.State { return threeDataCentresSeenFrom("a") }
 
-func threeHallsSeenFrom(own vaneyoke.HallID) *placement.State {
+func threeDataCentresSeenFrom(own vaneyoke.DataCentreID) *placement.State {
 	s := placement.New(own, retry.DefaultBreakerConfig())
 	var all []vaneyoke.Upstream
-	for _, hall := range []vaneyoke.HallID{"a", "b", "c"} {
+	for _, dataCentre := range []vaneyoke.DataCentreID{"a", "b", "c"} {
 		for n := range 3 {
-			id := vaneyoke.UpstreamID(fmt.Sprintf("%s%d", hall, n))
-			all = append(all, vaneyoke.Upstream{ID: id, Kind: vaneyoke.KindService, Service: "lm", Hall: hall, State: vaneyoke.StateLive, Slots: 8, URL: "http://" + string(id)})
+			id := vaneyoke.UpstreamID(fmt.Sprintf("%s%d", dataCentre, n))
+			all = append(all, vaneyoke.Upstream{ID: id, Kind: vaneyoke.KindService, Service: "lm", DataCentre: dataCentre, State: vaneyoke.StateLive, Slots: 8, URL: "http://" + string(id)})
 		}
 	}
 	s.SetUpstreams(all)
@@ -36,7 +36,7 @@
 // TestPromptHasAHome picks the same upstream for a prompt on every node, and spreads prompts over all.
 func TestPromptHasAHome(t *testing.T) {
 	now := time.Unix(1000, 0)
-	one, other := threeHalls(), threeHalls()
+	one, other := threeDataCentres(), threeDataCentres()
 	counts := map[vaneyoke.UpstreamID]int{}
 	for n := range 900 {
 		wanted := need
@@ -58,7 +58,7 @@
 	wanted := need
 	wanted.Affinity = "prompt"
 	for _, why := range []string{"waiting", "slow"} {
-		s := threeHalls()
+		s := threeDataCentres()
 		home, _, _ := s.Pick(now, rng(), wanted)
 		for _, u := range s.Loads() {
 			s.Sent(now, u.Upstream.ID)
@@ -78,8 +78,8 @@
 	}
 }
 
-// TestHallThatFellIsLeftAside loses upstreams of a hall together; the rest of it gets neither work nor replicas for a while.
-func TestHallThatFellIsLeftAside(t *testing.T) {
+// TestDataCentreThatFellIsLeftAside loses upstreams of a data centre together; the rest of it gets neither work nor replicas for a while.
+func TestDataCentreThatFellIsLeftAside(t *testing.T) {
 	now := time.Unix(1000, 0)
 	lose := func(s *placement.State, at time.Time, ids ...vaneyoke.UpstreamID) {
 		for _, id := range ids {
@@ -87,13 +87,13 @@
 			s.Ended(at, id, placement.OutcomeLost, true)
 		}
 	}
-	picksHall := func(s *placement.State, at time.Time, hall vaneyoke.HallID) (work, replica bool) {
+	picksDataCentre := func(s *placement.State, at time.Time, dataCentre vaneyoke.DataCentreID) (work, replica bool) {
 		r := rng()
 		for range 200 {
 			u, _, _ := s.Pick(at, r, need)
-			work = work || u.Hall == hall
-			copyAt, _ := s.PickReplica(at, r, need, vaneyoke.Upstream{ID: "a0", Hall: "a"})
-			replica = replica || copyAt.Hall == hall
+			work = work || u.DataCentre == dataCentre
+			copyAt, _ := s.PickReplica(at, r, need, vaneyoke.Upstream{ID: "a0", DataCentre: "a"})
+			replica = replica || copyAt.DataCentre == dataCentre
 		}
 		return work, replica
 	}
@@ -102,41 +102,41 @@
 		at   time.Duration // after the losses
 		want bool
 	}{
-		"none":           {func(*placement.State) {}, 0, true},
-		"one":            {func(s *placement.State) { lose(s, now, "b0") }, 0, true},
-		"two":            {func(s *placement.State) { lose(s, now, "b0", "b1") }, 0, false},
-		"two, later":     {func(s *placement.State) { lose(s, now, "b0", "b1") }, 2 * time.Second, true},
-		"one after one":  {func(s *placement.State) { lose(s, now.Add(-time.Second), "b0"); lose(s, now, "b1") }, 0, true},
-		"the same twice": {func(s *placement.State) { lose(s, now, "b0", "b0") }, 0, true},
-		"in all halls":   {func(s *placement.State) { lose(s, now, "a0", "a1", "b0", "b1", "c0", "c1") }, 0, true},
+		"none":                {func(*placement.State) {}, 0, true},
+		"one":                 {func(s *placement.State) { lose(s, now, "b0") }, 0, true},
+		"two":                 {func(s *placement.State) { lose(s, now, "b0", "b1") }, 0, false},
+		"two, later":          {func(s *placement.State) { lose(s, now, "b0", "b1") }, 2 * time.Second, true},
+		"one after one":       {func(s *placement.State) { lose(s, now.Add(-time.Second), "b0"); lose(s, now, "b1") }, 0, true},
+		"the same twice":      {func(s *placement.State) { lose(s, now, "b0", "b0") }, 0, true},
+		"in all data centres": {func(s *placement.State) { lose(s, now, "a0", "a1", "b0", "b1", "c0", "c1") }, 0, true},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			s := threeHallsSeenFrom("b")
+			s := threeDataCentresSeenFrom("b")
 			tc.lose(s)
-			work, replica := picksHall(s, now.Add(tc.at), "b")
+			work, replica := picksDataCentre(s, now.Add(tc.at), "b")
 			must.EqOp(t, tc.want, work)
 			must.EqOp(t, tc.want, replica)
 		})
 	}
 }
 
-func TestReplicaIsInAnotherHall(t *testing.T) {
+func TestReplicaIsInAnotherDataCentre(t *testing.T) {
 	now := time.Unix(1000, 0)
-	s := threeHalls()
+	s := threeDataCentres()
 	r := rng()
 	counts := map[vaneyoke.UpstreamID]int{}
 	for range 60 {
-		u, ok := s.PickReplica(now, r, need, vaneyoke.Upstream{ID: "a0", Hall: "a"})
+		u, ok := s.PickReplica(now, r, need, vaneyoke.Upstream{ID: "a0", DataCentre: "a"})
 		must.True(t, ok)
-		must.NotEqOp(t, "a", u.Hall)
+		must.NotEqOp(t, "a", u.DataCentre)
 		counts[u.ID]++
 	}
 	for id, n := range counts {
 		must.Between(t, 6, n, 14, must.Sprint(id)) // the one that keeps the least is taken
 	}
-	s.SetUpstreams([]vaneyoke.Upstream{{ID: "a0", Kind: need.Kind, Service: "lm", Hall: "a", State: vaneyoke.StateLive}})
-	_, ok := s.PickReplica(now, r, need, vaneyoke.Upstream{ID: "a0", Hall: "a"})
+	s.SetUpstreams([]vaneyoke.Upstream{{ID: "a0", Kind: need.Kind, Service: "lm", DataCentre: "a", State: vaneyoke.StateLive}})
+	_, ok := s.PickReplica(now, r, need, vaneyoke.Upstream{ID: "a0", DataCentre: "a"})
 	must.False(t, ok)
 }
 
@@ -144,7 +144,7 @@
 func TestUpstreamWhoseAddressAnotherHas(t *testing.T) {
 	now := time.Unix(1000, 0)
 	s := placement.New("a", retry.DefaultBreakerConfig())
-	s.SetUpstreams([]vaneyoke.Upstream{{ID: "a0", Kind: need.Kind, Service: "lm", Hall: "a", State: vaneyoke.StateLive}})
+	s.SetUpstreams([]vaneyoke.Upstream{{ID: "a0", Kind: need.Kind, Service: "lm", DataCentre: "a", State: vaneyoke.StateLive}})
 	s.Sent(now, "a0")
 	s.Ended(now, "a0", placement.OutcomeUnreachable, false)
 	_, _, ok := s.Pick(now, rng(), need)
@@ -158,7 +158,7 @@
 // TestUnknownUpstreamIsTried starts with one upstream that is known to be fast and one that is not known.
 func TestUnknownUpstreamIsTried(t *testing.T) {
 	now := time.Unix(1000, 0)
-	s := threeHalls()
+	s := threeDataCentres()
 	for range 10 {
 		s.Sent(now, "a0")
 		s.FirstToken(now, "a0", time.Millisecond, need.Bytes)
@@ -177,7 +177,7 @@
 
 func TestPreferredUpstreamIsTakenWhereItTakesWork(t *testing.T) {
 	now := time.Unix(1000, 0)
-	s := threeHalls()
+	s := threeDataCentres()
 	wanted := need
 	wanted.Prefer = vaneyoke.Upstream{ID: "c2", URL: "http://c2"}
 	wanted.Avoid = []vaneyoke.UpstreamID{"c2"}
@@ -192,7 +192,7 @@
 // TestReplicaIsFoundUnderANewID replaces the engine that was to keep a replica; the one at its address has the replica.
 func TestReplicaIsFoundUnderANewID(t *testing.T) {
 	now := time.Unix(1000, 0)
-	s := threeHalls()
+	s := threeDataCentres()
 	wanted := need
 	wanted.Prefer = vaneyoke.Upstream{ID: "old", URL: "http://c2"}
 	u, _, _ := s.Pick(now, rng(), wanted)
--- a/placement/state.go
+++ b/placement/state.go
@@ -71,17 +71,17 @@
 
 // State holds the upstreams and the node's own work on each.
 type State struct {
-	hall    vaneyoke.HallID
-	breaker retry.BreakerConfig
-	entries map[vaneyoke.UpstreamID]*entry
-	halls   map[vaneyoke.HallID]*hallState
-	order   []*entry // by id, so that a choice depends on the random numbers alone
-	scratch []*entry
+	dataCentre  vaneyoke.DataCentreID
+	breaker     retry.BreakerConfig
+	entries     map[vaneyoke.UpstreamID]*entry
+	dataCentres map[vaneyoke.DataCentreID]*dataCentreState
+	order       []*entry // by id, so that a choice depends on the random numbers alone
+	scratch     []*entry
 }
 
-// New returns a state without upstreams for a node in the given hall.
-func New(hall vaneyoke.HallID, breaker retry.BreakerConfig) *State {
-	return &State{hall: hall, breaker: breaker, entries: map[vaneyoke.UpstreamID]*entry{}, halls: map[vaneyoke.HallID]*hallState{}}
+// New returns a state without upstreams for a node in the given data centre.
+func New(dataCentre vaneyoke.DataCentreID, breaker retry.BreakerConfig) *State {
+	return &State{dataCentre: dataCentre, breaker: breaker, entries: map[vaneyoke.UpstreamID]*entry{}, dataCentres: map[vaneyoke.DataCentreID]*dataCentreState{}}
 }
 
 // SetUpstreams takes in the fleet's upstreams; what is known of those that stay is kept.
@@ -174,7 +174,7 @@
 // tier is a set of upstreams that are taken only where the one before it is empty.
 type tier struct {
 	avoided bool // whether they are among those to avoid
-	suspect bool // whether suspect halls are taken too
+	suspect bool // whether suspect data centres are taken too
 	open    bool // whether breakers are left aside
 }
 
@@ -189,7 +189,7 @@
 func (s *State) candidates(now time.Time, need Need, selector vaneyoke.Selector, t tier) []*entry {
 	s.scratch = s.scratch[:0]
 	for _, e := range s.order {
-		if !e.mayWork() || (!t.open && !e.breaker.Allows(now)) || (!t.suspect && s.suspect(now, e.upstream.Hall)) || !offers(&e.upstream, need) || !selector.Matches(&e.upstream) {
+		if !e.mayWork() || (!t.open && !e.breaker.Allows(now)) || (!t.suspect && s.suspect(now, e.upstream.DataCentre)) || !offers(&e.upstream, need) || !selector.Matches(&e.upstream) {
 			continue
 		}
 		if slices.Contains(need.Avoid, e.upstream.ID) == t.avoided {
@@ -250,7 +250,7 @@
 	return sum / known
 }
 
-// better returns the upstream with the lower cost; between equals, the one in the node's own hall.
+// better returns the upstream with the lower cost; between equals, the one in the node's own data centre.
 func (s *State) better(now time.Time, usual time.Duration, a, b *entry) *entry {
 	if costA, costB := a.cost(now, usual), b.cost(now, usual); costA != costB {
 		if costB < costA {
@@ -258,7 +258,7 @@
 		}
 		return a
 	}
-	if b.upstream.Hall == s.hall {
+	if b.upstream.DataCentre == s.dataCentre {
 		return b
 	}
 	return a
@@ -316,12 +316,12 @@
 		e.breaker.Failed(now)
 	case OutcomeLost:
 		e.breaker.Failed(now)
-		s.hallLost(now, &e.upstream)
+		s.dataCentreLost(now, &e.upstream)
 	case OutcomeDropped:
 		e.breaker.Dropped()
 	case OutcomeUnreachable:
 		e.breaker.Open(now)
-		s.hallLost(now, &e.upstream)
+		s.dataCentreLost(now, &e.upstream)
 	case OutcomeGone:
 		e.gone = true
 	}
--- a/policy/check.go
+++ b/policy/check.go
@@ -37,7 +37,7 @@
 	selected := func(section string, order []vaneyoke.Selector) {
 		for _, s := range order {
 			if !slices.ContainsFunc(upstreams, func(u vaneyoke.Upstream) bool { return s.Matches(&u) }) {
-				problems = append(problems, Problem{Section: section, Key: "upstreams", Message: "no upstream matches " + string(s), Hint: "an id, an id that ends in *, hall:NAME or *"})
+				problems = append(problems, Problem{Section: section, Key: "upstreams", Message: "no upstream matches " + string(s), Hint: "an id, an id that ends in *, data_centre:NAME or *"})
 			}
 		}
 	}
--- a/policy/compile.go
+++ b/policy/compile.go
@@ -113,7 +113,7 @@
 		problem.Message = at.Message
 		problem.Line = at.Line
 		problem.Column = at.Column + 1
-		problem.Hint = "names are workspace, kind, model, service, prompt_bytes, hall, clock, hour, weekday, weekend"
+		problem.Hint = "names are workspace, kind, model, service, prompt_bytes, data_centre, clock, hour, weekday, weekend"
 	}
 	return problem
 }
--- a/policy/env.go
+++ b/policy/env.go
@@ -12,7 +12,7 @@
 	Model       string `expr:"model"`        // model, "" for a call to a service
 	Service     string `expr:"service"`      // service, "" for a generation
 	PromptBytes int    `expr:"prompt_bytes"` // size of the prompt as sent
-	Hall        string `expr:"hall"`         // hall of the node that decides
+	DataCentre  string `expr:"data_centre"`  // data centre of the node that decides
 	Clock       int    `expr:"clock"`        // minutes since midnight in the policy's zone
 	Hour        int    `expr:"hour"`         // hour of the day in the policy's zone
 	Weekday     string `expr:"weekday"`      // mon, tue, wed, thu, fri, sat or sun
@@ -37,12 +37,12 @@
 	Model       string
 	Service     string
 	PromptBytes int
-	Hall        string
+	DataCentre  string
 }
 
 func (q Query) env() Env {
 	return Env{
 		Workspace: q.Workspace, Kind: q.Kind, Model: q.Model, Service: q.Service,
-		PromptBytes: q.PromptBytes, Hall: q.Hall,
+		PromptBytes: q.PromptBytes, DataCentre: q.DataCentre,
 	}
 }
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -44,9 +44,9 @@
 
 func upstreams() []vaneyoke.Upstream {
 	var list []vaneyoke.Upstream
-	for i, hall := range []vaneyoke.HallID{"hall-a", "hall-b", "hall-c", "hall-a"} {
+	for i, dataCentre := range []vaneyoke.DataCentreID{"hall-a", "hall-b", "hall-c", "hall-a"} {
 		id := vaneyoke.UpstreamID("engine-" + string(rune('0'+i)))
-		list = append(list, vaneyoke.Upstream{ID: id, Hall: hall, State: vaneyoke.StateLive})
+		list = append(list, vaneyoke.Upstream{ID: id, DataCentre: dataCentre, State: vaneyoke.StateLive})
 	}
 	return list
 }
@@ -96,7 +96,7 @@
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
 			set := policy.NewSet([]*policy.Policy{load(t, tc.program)})
-			query := policy.Query{Workspace: "any", Kind: tc.kind, PromptBytes: tc.bytes, Hall: "hall-a"}
+			query := policy.Query{Workspace: "any", Kind: tc.kind, PromptBytes: tc.bytes, DataCentre: "hall-a"}
 			must.EqOp(t, tc.rule, set.Decide(tc.now, query).Rule)
 			must.EqOp(t, tc.rule, set.Decide(tc.now, query).Rule)
 			explained, steps := set.Explain(tc.now, query)
@@ -148,12 +148,12 @@
 	var policies []*policy.Policy
 	for i := range rules {
 		name := "p" + string(rune('a'+i/26)) + string(rune('a'+i%26))
-		p, _ := policy.Compile([]byte("[policy]\nname = " + name + "\n[rule.r]\nwhen = kind == \"" + name + "\" and hour >= 8 and hour < 20\nupstreams = hall:hall-a\n"))
+		p, _ := policy.Compile([]byte("[policy]\nname = " + name + "\n[rule.r]\nwhen = kind == \"" + name + "\" and hour >= 8 and hour < 20\nupstreams = data_centre:hall-a\n"))
 		policies = append(policies, p)
 	}
 	queries := make([]policy.Query, workspaces)
 	for i := range queries {
-		queries[i] = policy.Query{Workspace: "w" + time.Duration(i).String(), Kind: "pcv", Model: "m", Hall: "hall-a"}
+		queries[i] = policy.Query{Workspace: "w" + time.Duration(i).String(), Kind: "pcv", Model: "m", DataCentre: "hall-a"}
 	}
 	return policy.NewSet(policies), queries
 }
--- a/policy/set.go
+++ b/policy/set.go
@@ -34,7 +34,7 @@
 
 // memoKey is what a decision depends on within a minute, sizes apart.
 type memoKey struct {
-	workspace, kind, model, service, hall string
+	workspace, kind, model, service, dataCentre string
 }
 
 // NewSet returns the set of the given policies; those that name a workspace go before those for all, and then by name.
@@ -91,7 +91,7 @@
 	if len(rules) == 0 {
 		return Decision{}
 	}
-	key := memoKey{q.Workspace, q.Kind, q.Model, q.Service, q.Hall}
+	key := memoKey{q.Workspace, q.Kind, q.Model, q.Service, q.DataCentre}
 	s.turn(now)
 	if d, ok := s.memo[key]; ok {
 		return d
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -17,7 +17,7 @@
 	return BudgetConfig{Ratio: 0.2, PerSecond: 10, Burst: 500}
 }
 
-// Budget bounds the retries of one node, so that a failing hall does not multiply its load.
+// Budget bounds the retries of one node, so that a failing data centre does not multiply its load.
 type Budget struct {
 	cfg  BudgetConfig
 	left float64
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// TestBudgetBoundsAStorm loses a hall: each request wants to be tried again, ten times as often as requests come.
+// TestBudgetBoundsAStorm loses a data centre: each request wants to be tried again, ten times as often as requests come.
 func TestBudgetBoundsAStorm(t *testing.T) {
 	const requests, seconds = 100, 60
 	b := retry.NewBudget(retry.DefaultBudgetConfig())
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -21,11 +21,11 @@
 
 // Node says who and where the node is.
 type Node struct {
-	VM     string        `ini:"vm" check:"required" doc:"Name of the VM on the platform's list of VMs."`
-	Hall   string        `ini:"hall" check:"required" doc:"Hall that the VM stands in."`
-	Listen string        `ini:"listen" default:"127.0.0.1:8080" check:"address" doc:"IP number and port for callers."`
-	Admin  string        `ini:"admin" default:"127.0.0.1:8081" check:"address" doc:"IP number and port for metrics and profiles."`
-	Grace  time.Duration `ini:"grace" default:"15m" min:"1s" doc:"Longest time that a stopping node lets its requests finish."`
+	VM         string        `ini:"vm" check:"required" doc:"Name of the VM on the platform's list of VMs."`
+	DataCentre string        `ini:"data_centre" check:"required" doc:"Data centre that the VM stands in."`
+	Listen     string        `ini:"listen" default:"127.0.0.1:8080" check:"address" doc:"IP number and port for callers."`
+	Admin      string        `ini:"admin" default:"127.0.0.1:8081" check:"address" doc:"IP number and port for metrics and profiles."`
+	Grace      time.Duration `ini:"grace" default:"15m" min:"1s" doc:"Longest time that a stopping node lets its requests finish."`
 }
 
 // Gateway says how opaque requests are taken.
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -16,7 +16,7 @@
 const good = `
 [node]
 vm = vm-1
-hall = hall-a
+data_centre = hall-a
 [peers]
 keys = new,old
 [platform]
@@ -25,7 +25,7 @@
 vms_url = http://127.0.0.1:3/vms
 `
 
-const gateway = "[node]\nvm = vm-1\nhall = hall-a\n[gateway]\nlisten = 127.0.0.1:1\n"
+const gateway = "[node]\nvm = vm-1\ndata_centre = hall-a\n[gateway]\nlisten = 127.0.0.1:1\n"
 
 func TestParse(t *testing.T) {
 	cases := map[string]struct {
--- a/store/contract/contract_test.go
+++ b/store/contract/contract_test.go
@@ -151,7 +151,7 @@
 			must.EqOp(t, "data", string(data))
 			_, err = s.objects.Get(t.Context(), "none")
 			must.EqOp(t, vaneyoke.CodeNotFound, vaneyoke.CodeOf(err))
-			vms := []store.VM{{ID: "vm-1", Hall: "hall-a"}, {ID: "vm-2", Hall: "hall-b", Leaving: true}}
+			vms := []store.VM{{ID: "vm-1", DataCentre: "hall-a"}, {ID: "vm-2", DataCentre: "hall-b", Leaving: true}}
 			s.setVMs(vms)
 			got, err := s.vms.List(t.Context())
 			must.NoError(t, err)
--- a/store/vms.go
+++ b/store/vms.go
@@ -8,10 +8,10 @@
 
 // VM is an entry of the platform's list of VMs, which lags behind the truth.
 type VM struct {
-	ID      vaneyoke.VMID   `json:"id"`
-	Hall    vaneyoke.HallID `json:"hall"`
-	Leaving bool            `json:"leaving"`
-	Address string          `json:"address"` // IP number and port of the VM's peer API
+	ID         vaneyoke.VMID         `json:"id"`
+	DataCentre vaneyoke.DataCentreID `json:"data_centre"`
+	Leaving    bool                  `json:"leaving"`
+	Address    string                `json:"address"` // IP number and port of the VM's peer API
 }
 
 // VMs is the list of live and leaving VMs; its errors carry CodeStoreDown.
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -35,7 +35,7 @@
 	{"membership_unchanged", []string{"event", "error"}, "The list of members could not be changed."},
 	{"node_joined", []string{"vm"}, "The node has become a member whose confirmation counts."},
 	{"node_removed", []string{"vm"}, "A VM that is gone was taken off the members."},
-	{"node_started", []string{"vm", "hall", "listen", "admin", "peer"}, "The node serves."},
+	{"node_started", []string{"vm", "data_centre", "listen", "admin", "peer"}, "The node serves."},
 	{"node_stopped", []string{"cut_off"}, "The node has ended; cut_off says whether requests were cut off."},
 	{"node_stopping", []string{"open"}, "The node was told to stop; open counts the requests being answered."},
 	{"open_failed", []string{"peer", "error"}, "A home could not be asked who owns a request."},
--- a/upstream.go
+++ b/upstream.go
@@ -20,13 +20,13 @@
 
 // Upstream is a back end that requests are sent to.
 type Upstream struct {
-	ID      UpstreamID    `json:"id"`
-	Kind    UpstreamKind  `json:"kind"`
-	URL     string        `json:"url"`
-	VM      VMID          `json:"vm"`
-	Hall    HallID        `json:"hall"`
-	State   UpstreamState `json:"state"`
-	Models  []ModelID     `json:"models,omitempty"`  // what an engine has loaded
-	Service ServiceID     `json:"service,omitempty"` // what a service offers
-	Slots   int           `json:"slots,omitempty"`   // generations run at once before the engine queues
+	ID         UpstreamID    `json:"id"`
+	Kind       UpstreamKind  `json:"kind"`
+	URL        string        `json:"url"`
+	VM         VMID          `json:"vm"`
+	DataCentre DataCentreID  `json:"data_centre"`
+	State      UpstreamState `json:"state"`
+	Models     []ModelID     `json:"models,omitempty"`  // what an engine has loaded
+	Service    ServiceID     `json:"service,omitempty"` // what a service offers
+	Slots      int           `json:"slots,omitempty"`   // generations run at once before the engine queues
 }
