--- a/mesh/frame.go
+++ b/mesh/frame.go
@@ -2,21 +2,28 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"maps"
 	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/vaneyoke/vaneyoke/watch"
 )
 
-// frame is one line of what a node tells another: how old its tables are, and what has changed in them.
+// frame is one message of a node to another: what has changed in its tables, or how old they are.
 type frame struct {
-	AgeMs  int64         `json:"age_ms"`
-	Known  bool          `json:"known"` // whether the node holds all tables
+	Beat   *beat         `json:"beat,omitempty"`
 	Tables []tableUpdate `json:"tables,omitempty"`
 }
 
+// beat tells how old a node's tables are.
+type beat struct {
+	AgeMs int64 `json:"age_ms"`
+	Known bool  `json:"known"` // whether the node holds all tables
+}
+
 // tableUpdate leads from an earlier version of a table to a later one.
 type tableUpdate struct {
 	Name    string        `json:"name"`
@@ -60,21 +67,58 @@
 	return before
 }
 
-// next returns the frame that leads from what was told to the hub's tables, and a channel that is closed at the next change.
-func (h *Hub) next(now time.Time, before told) (frame, <-chan struct{}) {
+// next returns the packet that leads from what was told to the hub's tables, nil where nothing changed, how old the
+// tables are, and a channel that is closed at the next change. Nodes that were told the same get one packet.
+func (h *Hub) next(now time.Time, before told) (packet, beat, <-chan struct{}, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	age, known := h.ageLocked(now)
-	f := frame{AgeMs: age.Milliseconds(), Known: known}
+	b := beat{AgeMs: age.Milliseconds(), Known: known}
+	key := h.behind(before)
+	if key == "" {
+		return nil, b, h.changed, nil
+	}
+	p, ok := h.packets[key]
+	if !ok {
+		var err error
+		if p, err = pack(frame{Tables: h.updates(before)}); err != nil {
+			return nil, b, h.changed, err
+		}
+		h.packets[key] = p
+	}
 	for name, t := range h.tables {
-		had, ok := before[name]
-		if t.rows == nil || (ok && had >= t.changed) {
-			continue
+		if t.rows != nil {
+			before[name] = max(before[name], t.version)
+		}
+	}
+	return p, b, h.changed, nil
+}
+
+// behind names what has to be told to a node that holds some versions, "" for nothing.
+func (h *Hub) behind(before told) string {
+	var key strings.Builder
+	for _, name := range h.names {
+		if had, ok := before[name]; h.tables[name].newer(had, ok) {
+			fmt.Fprintf(&key, "%s:%d:%t ", name, had, ok)
+		}
+	}
+	return key.String()
+}
+
+// updates returns what a node that holds some versions lacks.
+func (h *Hub) updates(before told) []tableUpdate {
+	var updates []tableUpdate
+	for _, name := range h.names {
+		if had, ok := before[name]; h.tables[name].newer(had, ok) {
+			updates = append(updates, h.tables[name].since(name, had))
 		}
-		f.Tables = append(f.Tables, t.since(name, had))
-		before[name] = t.version
 	}
-	return f, h.changed
+	return updates
+}
+
+// newer reports whether the table holds more than a node that holds a version, or nothing.
+func (t *table) newer(had watch.Version, ok bool) bool {
+	return t.rows != nil && (!ok || had < t.changed)
 }
 
 // since returns the update from what another node holds; a node that holds a later version gets nothing new.
@@ -97,12 +141,11 @@
 
 // take takes in a frame of another node.
 func (h *Hub) take(now time.Time, f frame) {
-	confirmed := now.Add(-time.Duration(f.AgeMs) * time.Millisecond)
 	for _, update := range f.Tables {
-		h.Set(now, update.Name, h.updated(update), update.Version, confirmed)
+		h.Set(now, update.Name, h.updated(update), update.Version, time.Time{}) // the next beat says as of when
 	}
-	if f.Known {
-		h.confirmAll(confirmed)
+	if f.Beat != nil && f.Beat.Known {
+		h.confirmAll(now.Add(-time.Duration(f.Beat.AgeMs) * time.Millisecond))
 	}
 }
 
--- a/mesh/hub.go
+++ b/mesh/hub.go
@@ -2,17 +2,23 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/vaneyoke/vaneyoke/watch"
 )
 
+// newsAge is by how much a confirmation must be newer than the last one for those that follow to be told at once.
+const newsAge = 100 * time.Millisecond
+
 // Hub holds a copy of the store's tables, and when the store last confirmed them.
 type Hub struct {
 	mu      sync.Mutex
 	tables  map[string]*table
-	changed chan struct{} // closed at the next change
+	names   []string          // of the tables, sorted
+	changed chan struct{}     // closed at the next change
+	packets map[string]packet // that lead to the tables as they are, by what they lead from
 }
 
 // Table is a table of the store that the nodes tell one another.
@@ -33,7 +39,9 @@
 
 // NewHub returns a hub of tables that hold nothing yet.
 func NewHub(tables map[string]Table) *Hub {
-	h := &Hub{tables: map[string]*table{}, changed: make(chan struct{})}
+	h := &Hub{
+		tables: map[string]*table{}, names: slices.Sorted(maps.Keys(tables)), changed: make(chan struct{}), packets: map[string]packet{},
+	}
 	for name, t := range tables {
 		h.tables[name] = &table{Table: t}
 	}
@@ -60,8 +68,8 @@
 	}
 	t.rows, t.changed = maps.Clone(rows), version
 	t.Apply(now, t.rows)
-	close(h.changed)
-	h.changed = make(chan struct{})
+	clear(h.packets)
+	h.wake()
 }
 
 // Confirm notes that the store has confirmed a table up to a version.
@@ -73,9 +81,18 @@
 		return
 	}
 	t.version = version
-	if confirmed.After(t.confirmed) {
-		t.confirmed = confirmed
+	h.confirm(confirmed, t)
+}
+
+// Held returns a copy of a table's rows and the version up to which they are complete; ok is false where it holds nothing.
+func (h *Hub) Held(name string) (rows watch.Rows, version watch.Version, ok bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	t := h.tables[name]
+	if t == nil || t.rows == nil {
+		return nil, 0, false
 	}
+	return maps.Clone(t.rows), t.version, true
 }
 
 // Age returns how long ago the store confirmed the table that was confirmed the longest ago, of those that may not lag;
@@ -116,9 +133,26 @@
 func (h *Hub) confirmAll(confirmed time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for _, t := range h.tables {
-		if confirmed.After(t.confirmed) {
-			t.confirmed = confirmed
+	h.confirm(confirmed, slices.Collect(maps.Values(h.tables))...)
+}
+
+// confirm notes as of when tables are the store's newest; where that is news, those that follow are told at once, so that
+// an age grows little from one node to the next.
+func (h *Hub) confirm(at time.Time, tables ...*table) {
+	news := false
+	for _, t := range tables {
+		if at.After(t.confirmed) {
+			news = news || !t.MayLag && at.Sub(t.confirmed) > newsAge
+			t.confirmed = at
 		}
 	}
+	if news {
+		h.wake()
+	}
+}
+
+// wake has those that follow be told.
+func (h *Hub) wake() {
+	close(h.changed)
+	h.changed = make(chan struct{})
 }
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -32,30 +31,61 @@
 	return all
 }
 
-// TestSources holds who asks whom against what the fleet needs: one reader a data centre, and no circles.
+// TestSources holds who asks whom against what the fleet needs: one reader a data centre, no circles, and no node that
+// more than a few ask first.
 func TestSources(t *testing.T) {
 	all := members("a", "b")
 	readers := map[vaneyoke.DataCentreID]int{}
+	followers := map[vaneyoke.VMID]int{}
 	for _, self := range all {
 		asked := sources(all, self, 16, 3)
 		must.LessEq(t, 3, len(asked))
 		if len(asked) == 0 {
 			readers[self.DataCentre]++
+			continue
 		}
-		before := ^uint64(0)
+		followers[asked[0].VM]++
+		seen := map[vaneyoke.VMID]bool{}
 		for _, m := range asked {
 			must.EqOp(t, self.DataCentre, m.DataCentre)
-			must.Greater(t, rank(self), rank(m))
-			must.Less(t, before, rank(m))
-			before = rank(m)
+			must.True(t, m.outranks(self))
+			must.False(t, seen[m.VM])
+			seen[m.VM] = true
 		}
+		must.Greater(t, 0, len(asked))
 	}
 	must.Eq(t, map[vaneyoke.DataCentreID]int{"a": 1, "b": 1}, readers)
+	for vm, n := range followers {
+		must.LessEq(t, fanOut, n, must.Sprint(vm))
+	}
 	must.SliceEmpty(t, sources(all, all[0], 20, 3)) // a small fleet
 	alone := Member{VM: "c-0", DataCentre: "c"}
 	must.SliceEmpty(t, sources(append(all, alone), alone, 16, 3))
 }
 
+// TestSourcesLeadToTheReader has members ask their first choices, from one to the next: all come to the reader, which has
+// the fastest link, in few steps; the further choices of a node are at least as near to it.
+func TestSourcesLeadToTheReader(t *testing.T) {
+	var all []Member
+	for n := range 51 { // a data centre of the fleet that this is built for
+		all = append(all, Member{VM: vaneyoke.VMID(fmt.Sprint("vm-", n)), DataCentre: "a", Bandwidth: 10})
+	}
+	all[17].Bandwidth = 200
+	for _, self := range all {
+		steps, at := 0, self
+		for {
+			asked := sources(all, at, 16, 3)
+			if len(asked) == 0 {
+				break
+			}
+			at = asked[0]
+			steps++
+		}
+		must.EqOp(t, all[17].VM, at.VM)
+		must.LessEq(t, 3, steps)
+	}
+}
+
 // recorder is a hub of one table, and what was applied last.
 func recorder() (*Hub, *watch.Rows) {
 	got := &watch.Rows{}
@@ -124,7 +154,7 @@
 				to.Set(now, "t", tc.held, tc.version, now.Add(-time.Minute))
 			}
 			before := toldOf(mustQuery(t, to.held()))
-			f, _ := from.next(now, before)
+			f := nextOf(t, from, now, before)
 			sent := 0
 			for _, update := range f.Tables {
 				sent += len(update.Rows)
@@ -136,16 +166,16 @@
 			must.EqOp(t, time.Second, age)
 
 			from.Set(now, "t", watch.Rows{"a": row("1", 1), "c": row("4", 12)}, 12, now)
-			f, _ = from.next(now, before)
+			f = nextOf(t, from, now, before)
 			must.Len(t, 1, f.Tables[0].Rows)
 			to.take(now, f)
 			must.Eq(t, watch.Rows{"a": row("1", 1), "c": row("4", 12)}, *got)
 			must.Len(t, 2, f.Tables[0].Keys)
-			f, _ = from.next(now, before)
+			f = nextOf(t, from, now, before)
 			must.SliceEmpty(t, f.Tables)
 
 			from.Set(now, "t", watch.Rows{"a": row("5", 14), "c": row("4", 12)}, 14, now)
-			f, _ = from.next(now, before)
+			f = nextOf(t, from, now, before)
 			must.Nil(t, f.Tables[0].Keys) // no row went
 			to.take(now, f)
 			must.Eq(t, watch.Rows{"a": row("5", 14), "c": row("4", 12)}, *got)
@@ -158,16 +188,25 @@
 	now := time.Unix(1000, 0)
 	from, _ := recorder()
 	from.Set(now, "t", watch.Rows{"good": row("1", 1), "bad": {Data: []byte("no JSON"), Version: 2}}, 2, now)
-	f, _ := from.next(now, told{})
-	raw, err := json.Marshal(f)
-	must.NoError(t, err)
-	var got frame
-	must.NoError(t, json.Unmarshal(raw, &got))
 	to, rows := recorder()
-	to.take(now, got)
+	to.take(now, nextOf(t, from, now, told{}))
 	must.Eq(t, watch.Rows{"good": row("1", 1)}, *rows)
 }
 
+// nextOf returns what a hub tells next, the age of its tables with it.
+func nextOf(t *testing.T, h *Hub, now time.Time, before told) frame {
+	t.Helper()
+	p, b, _, err := h.next(now, before)
+	must.NoError(t, err)
+	f := frame{}
+	if p != nil {
+		f, err = p.unpack()
+		must.NoError(t, err)
+	}
+	f.Beat = &b
+	return f
+}
+
 func mustQuery(t *testing.T, raw string) map[string][]string {
 	r := httptest.NewRequest(http.MethodGet, "/?"+raw, nil)
 	must.NoError(t, r.ParseForm())
@@ -179,12 +218,15 @@
 	version atomic.Int64
 	cut     atomic.Bool
 	reads   atomic.Int64
+	lists   atomic.Int64
+	writes  atomic.Int64
 }
 
 var errCut = errors.New("cut off")
 
 func (s *source) List(context.Context) (watch.Rows, watch.Version, error) {
 	s.reads.Add(1)
+	s.lists.Add(1)
 	if s.cut.Load() {
 		return nil, 0, errCut
 	}
@@ -209,8 +251,11 @@
 	}
 }
 
-// Put is not used: tests set the members themselves.
-func (s *source) Put(context.Context, string, []byte) error { return nil }
+// Put counts; tests set the members themselves.
+func (s *source) Put(context.Context, string, []byte) error {
+	s.writes.Add(1)
+	return nil
+}
 
 // peer is a node of a small mesh with its own way to the store.
 type peer struct {
@@ -227,7 +272,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	config := DefaultConfig()
-	config.Direct, config.Settle, config.Own = 1, 20*time.Millisecond, 100*time.Millisecond
+	config.Direct, config.Settle, config.Lead, config.Own = 1, 20*time.Millisecond, 0, 100*time.Millisecond
 	config.Reader.Wait, config.Reader.Slack, config.Reader.Gather = 40*time.Millisecond, 40*time.Millisecond, 0
 	change(&config)
 	peers := make([]*peer, count)
@@ -240,7 +285,7 @@
 		p.Node = New(self, config, hub, p.store, http.DefaultClient, log)
 		p.server = httptest.NewServer(p.Handler())
 		self.Address = strings.TrimPrefix(p.server.URL, "http://")
-		p.self.Address = "" // it does not register itself
+		p.self.Address = self.Address
 		all = append(all, self)
 		peers[i] = p
 	}
@@ -348,7 +393,7 @@
 func readerOf(peers []*peer) *peer {
 	best := peers[0]
 	for _, p := range peers {
-		if rank(p.self) > rank(best.self) {
+		if p.self.outranks(best.self) {
 			best = p
 		}
 	}
@@ -371,7 +416,7 @@
 	peers := startMeshWith(t, 3, func(c *Config) { c.Stall, c.Settle = time.Hour, 0 })
 	last := peers[0]
 	for _, p := range peers {
-		if rank(p.self) < rank(last.self) {
+		if last.self.outranks(p.self) {
 			last = p
 		}
 	}
@@ -383,3 +428,85 @@
 		until(t, allAt([]*peer{last}, version+2))
 	}
 }
+
+// TestNextReaderGoesOnFromWhatItHolds loses the reader while all can be asked: only the next one in rank reads the store,
+// and just what has changed since.
+func TestNextReaderGoesOnFromWhatItHolds(t *testing.T) {
+	peers := startMeshWith(t, 5, func(c *Config) { c.Lead = time.Hour })
+	until(t, allAt(peers, 1))
+	reader := readerOf(peers)
+	rest := without(peers, reader)
+	next := readerOf(rest)
+	lists := func() (n int64) {
+		for _, p := range rest {
+			n += p.store.lists.Load()
+		}
+		return n
+	}
+	must.EqOp(t, 0, lists()) // the others asked the reader before they read the store
+	reader.stop()
+	reader.server.CloseClientConnections()
+	reader.server.Close()
+	until(t, func() bool {
+		setAll(rest, 2)
+		return allAt(rest, 2)()
+	})
+	must.EqOp(t, 0, lists())
+	for _, p := range without(rest, next) {
+		must.EqOp(t, 0, p.store.reads.Load(), must.Sprint(p.self.VM))
+	}
+}
+
+// TestRegistersOnce starts nodes that stand among the members already, and one that does not.
+func TestRegistersOnce(t *testing.T) {
+	peers := startMesh(t, 3)
+	until(t, allAt(peers, 1))
+	for _, p := range peers {
+		must.EqOp(t, 0, p.store.writes.Load())
+	}
+	p := peers[0]
+	p.SetMembers([]Member{peers[1].self, peers[2].self})
+	p.register(t.Context())
+	must.EqOp(t, 1, p.store.writes.Load())
+	moved := p.self
+	moved.Address = "127.0.0.1:1"
+	p.SetMembers([]Member{moved})
+	p.register(t.Context())
+	must.EqOp(t, 2, p.store.writes.Load())
+}
+
+// TestTimesOfANewFleet holds that a new node, which has not seen the others register yet, does not wait for changes as long
+// as one of a small fleet may: those that follow it would take its tables for old.
+func TestTimesOfANewFleet(t *testing.T) {
+	n := New(Member{VM: "vm-0", DataCentre: "a"}, DefaultConfig(), NewHub(nil), &source{}, http.DefaultClient, logrus.New())
+	must.Less(t, n.config.OldAge, n.config.Reader.Wait)
+	must.Greater(t, n.config.OldAge, n.config.Small.Wait)
+	must.EqOp(t, n.config.Reader.Wait, n.times().Wait)
+	n.settled.Store(true)
+	must.EqOp(t, n.config.Small.Wait, n.times().Wait)
+	n.SetMembers(members("a", "b"))
+	must.EqOp(t, n.config.Reader.Wait, n.times().Wait)
+}
+
+// TestNewsOfTheAgeIsToldOn holds that a confirmation goes on to those that follow at once, and an age that is about the
+// same does not.
+func TestNewsOfTheAgeIsToldOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	hub, _ := recorder()
+	hub.Set(now, "t", watch.Rows{"a": row("1", 1)}, 1, now)
+	cases := []struct {
+		after time.Duration
+		told  bool
+	}{{time.Second, true}, {1050 * time.Millisecond, false}, {1050 * time.Millisecond, false}, {3 * time.Second, true}}
+	for _, tc := range cases {
+		_, _, changed, err := hub.next(now, told{"t": 1})
+		must.NoError(t, err)
+		hub.take(now.Add(tc.after), frame{Beat: &beat{Known: true}})
+		select {
+		case <-changed:
+			must.True(t, tc.told, must.Sprint(tc.after))
+		default:
+			must.False(t, tc.told, must.Sprint(tc.after))
+		}
+	}
+}
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -6,8 +6,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/lo"
@@ -24,7 +27,8 @@
 type Config struct {
 	Direct int           // members up to which every node reads the store itself
 	Most   int           // nodes that are asked in turn before the store is read
-	Settle time.Duration // how long a new node asks nobody, while the others of a new fleet register
+	Settle time.Duration // for which a new node does not go by the number of members, because the others of a new fleet register meanwhile
+	Lead   time.Duration // how long others are asked before the store is read
 	Beat   time.Duration // time between two frames without a change
 	Stall  time.Duration // time without a frame after which another node is asked
 	OldAge time.Duration // age of the tables from which a node is not relied on
@@ -37,11 +41,11 @@
 // DefaultConfig returns the bounds that the nodes start from.
 func DefaultConfig() Config {
 	reader := watch.DefaultConfig()
-	reader.Wait, reader.Slack = 800*time.Millisecond, 500*time.Millisecond
+	reader.Wait, reader.Slack = 1100*time.Millisecond, 500*time.Millisecond
 	slow := watch.DefaultConfig()
 	slow.Wait, slow.Slack, slow.Gather = 10*time.Second, time.Second, time.Second
 	return Config{
-		Direct: 16, Most: 3, Settle: time.Second, Beat: 250 * time.Millisecond, Stall: 800 * time.Millisecond,
+		Direct: 16, Most: 3, Settle: time.Second, Lead: 300 * time.Millisecond, Beat: 250 * time.Millisecond, Stall: 800 * time.Millisecond,
 		OldAge: 1500 * time.Millisecond, Own: 3 * time.Second, Reader: reader, Small: watch.DefaultConfig(), Slow: slow,
 	}
 }
@@ -61,13 +65,16 @@
 	client   *http.Client
 	log      logrus.FieldLogger
 
+	settled atomic.Bool // whether the number of members counts
+
 	mu      sync.Mutex
 	members []Member
+	changed chan struct{} // closed when members are taken in next
 }
 
 // New returns a node's part in the mesh, which keeps the hub's tables up to date.
 func New(self Member, config Config, hub *Hub, registry Registry, client *http.Client, log logrus.FieldLogger) *Node {
-	return &Node{self: self, config: config, hub: hub, registry: registry, client: client, log: log}
+	return &Node{self: self, config: config, hub: hub, registry: registry, client: client, log: log, changed: make(chan struct{})}
 }
 
 // SetMembers takes in the members as they are registered.
@@ -75,6 +82,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.members = members
+	close(n.changed)
+	n.changed = make(chan struct{})
 }
 
 // Members returns how many members there are, this node among them.
@@ -85,28 +94,59 @@
 }
 
 // Run keeps the hub's tables up to date until ctx ends. It reads the store whenever there is no other node to rely on,
-// also while it asks others, so that the loss of a reader costs no more than the time to find it out.
+// also while it asks others for longer than a short lead, so that the loss of a reader costs no more than that.
 func (n *Node) Run(ctx context.Context) {
+	reading := n.startReading(ctx, n.config.Lead)
+	defer func() { reading.stop() }()
+	n.awaitMembers(ctx)
 	var registering sync.WaitGroup
 	registering.Go(func() { n.register(ctx) })
 	defer registering.Wait()
-	reading := n.startReading(ctx)
-	defer func() { reading.stop() }()
-	pause.For(ctx, n.config.Settle)
+	settled := time.AfterFunc(n.config.Settle, func() { n.settled.Store(true) })
+	defer settled.Stop()
 	for ctx.Err() == nil {
-		if reading.small != n.isSmall() {
-			reading.stop()
-			reading = n.startReading(ctx)
-		}
-		above := n.above()
-		if len(above) == 0 || !n.followAny(ctx, above, func() { reading.stop() }) {
-			pause.For(ctx, n.config.Own)
+		changed := n.membersChanged()
+		if n.followAny(ctx, n.above(), func() { reading.stop() }) {
+			reading = n.startReading(ctx, n.config.Lead)
 			continue
 		}
-		reading = n.startReading(ctx)
+		reading.begin()
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		case <-time.After(n.config.Own):
+		}
 	}
 }
 
+// awaitMembers waits until the members have been read, for a while at the longest.
+func (n *Node) awaitMembers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, n.config.Settle)
+	defer cancel()
+	changed := n.membersChanged()
+	if n.membersKnown() {
+		return
+	}
+	select {
+	case <-changed:
+	case <-ctx.Done():
+	}
+}
+
+// membersKnown reports whether the members have been read.
+func (n *Node) membersKnown() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.members != nil
+}
+
+// membersChanged returns a channel that is closed when members are taken in next.
+func (n *Node) membersChanged() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.changed
+}
+
 // above returns the members that this node asks for the tables.
 func (n *Node) above() []Member {
 	n.mu.Lock()
@@ -117,10 +157,17 @@
 // isSmall reports whether the fleet is so small that every node reads the store itself.
 func (n *Node) isSmall() bool { return n.Members() <= n.config.Direct }
 
-// register writes the own entry; nobody asks a node that could not.
+// registered reports whether the own entry stands among the members as it is.
+func (n *Node) registered() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Contains(n.members, n.self)
+}
+
+// register writes the own entry where an earlier start has not; nobody asks a node that could not.
 func (n *Node) register(ctx context.Context) {
 	const tries = 3
-	if n.self.Address == "" {
+	if n.self.Address == "" || n.registered() {
 		return
 	}
 	entry, err := json.Marshal(n.self)
@@ -142,34 +189,61 @@
 
 // reading is the following of the store's tables.
 type reading struct {
-	small bool // whether it goes by the times of a small fleet
+	begin func() // ends the lead
 	stop  func()
 }
 
-// startReading follows the store's tables until it is stopped.
-func (n *Node) startReading(ctx context.Context) *reading {
+// startReading follows the store's tables after a lead, or as soon as it is told to begin, until it is stopped. A table
+// that may lag does not wait: the list of whom to ask is one.
+func (n *Node) startReading(ctx context.Context, lead time.Duration) *reading {
 	ctx, cancel := context.WithCancel(ctx)
-	small := n.isSmall()
+	led, begin := context.WithTimeout(ctx, lead)
 	var work sync.WaitGroup
 	for name, t := range n.hub.tables {
-		config := n.config.Reader
-		if small {
-			config = n.config.Small
-		}
-		if t.MayLag {
-			config = n.config.Slow
-		}
+		_, _, held := n.hub.Held(name)
 		work.Go(func() {
-			watch.New(name, t.Source, config, &sink{hub: n.hub, table: name}, n.log).Run(ctx)
+			if held || !t.MayLag {
+				<-led.Done()
+			}
+			if ctx.Err() == nil {
+				n.follower(name).Run(ctx)
+			}
 		})
 	}
-	n.log.WithField("members", n.Members()).Info("reads_store")
-	return &reading{small: small, stop: func() {
+	work.Go(func() {
+		<-led.Done()
+		if ctx.Err() == nil {
+			n.log.WithField("members", n.Members()).Info("reads_store")
+		}
+	})
+	return &reading{begin: begin, stop: func() {
 		cancel()
 		work.Wait()
 	}}
 }
 
+// follower returns a follower of one of the store's tables, which goes on from what the hub holds.
+func (n *Node) follower(name string) *watch.Follower {
+	t := n.hub.tables[name]
+	times := n.times
+	if t.MayLag {
+		times = func() watch.Config { return n.config.Slow }
+	}
+	f := watch.New(name, t.Source, times, &sink{hub: n.hub, table: name}, n.log)
+	if rows, version, ok := n.hub.Held(name); ok {
+		f.Resume(rows, version)
+	}
+	return f
+}
+
+// times returns the times of a node that reads the store.
+func (n *Node) times() watch.Config {
+	if n.settled.Load() && n.isSmall() {
+		return n.config.Small
+	}
+	return n.config.Reader
+}
+
 // sink gives the hub what the store tells of a table.
 type sink struct {
 	hub   *Hub
@@ -224,19 +298,27 @@
 	if res.StatusCode != http.StatusOK {
 		return false, fmt.Errorf("status %d", res.StatusCode)
 	}
-	return n.takeFrames(json.NewDecoder(bufio.NewReader(res.Body)), stall, found)
+	return n.takeFrames(bufio.NewReader(res.Body), stall, found)
 }
 
-func (n *Node) takeFrames(decoder *json.Decoder, stall *time.Timer, found func()) (relied bool, err error) {
+func (n *Node) takeFrames(r io.Reader, stall *time.Timer, found func()) (relied bool, err error) {
 	patience := time.Now().Add(n.config.Stall)
 	for {
-		var f frame
-		if err := decoder.Decode(&f); err != nil {
+		p, err := readPacket(r)
+		if err != nil {
+			return relied, err
+		}
+		f, err := p.unpack()
+		if err != nil {
 			return relied, err
 		}
 		now := time.Now()
 		n.hub.take(now, f)
-		old := !f.Known || time.Duration(f.AgeMs)*time.Millisecond > n.config.OldAge
+		stall.Reset(n.config.Stall)
+		if f.Beat == nil {
+			continue
+		}
+		old := !f.Beat.Known || time.Duration(f.Beat.AgeMs)*time.Millisecond > n.config.OldAge
 		if old && (relied || now.After(patience)) {
 			return relied, errOld
 		}
@@ -244,7 +326,6 @@
 			relied = true
 			found()
 		}
-		stall.Reset(n.config.Stall)
 	}
 }
 
@@ -255,28 +336,45 @@
 	return mux
 }
 
-// tell writes a frame at each change, and one now and then without.
+// tell writes what has changed at each change, and how old the tables are then and now and then.
 func (n *Node) tell(w http.ResponseWriter, r *http.Request) {
 	control := http.NewResponseController(w)
-	encoder := json.NewEncoder(w)
 	before := toldOf(r.URL.Query())
-	beat := time.NewTicker(n.config.Beat)
-	defer beat.Stop()
+	ticker := time.NewTicker(n.config.Beat)
+	defer ticker.Stop()
 	for {
-		f, changed := n.hub.next(time.Now(), before)
+		update, b, changed, err := n.hub.next(time.Now(), before)
+		if err != nil {
+			n.log.WithField("error", err).Error("frame_unwritable")
+			return
+		}
 		_ = control.SetWriteDeadline(time.Now().Add(n.config.Stall))
-		if err := errors.Join(encoder.Encode(f), control.Flush()); err != nil {
+		if err := errors.Join(writeFrames(w, update, b), control.Flush()); err != nil {
 			return
 		}
 		select {
 		case <-r.Context().Done():
 			return
 		case <-changed:
-		case <-beat.C:
+		case <-ticker.C:
 		}
 	}
 }
 
+// writeFrames writes an update, where there is one, and how old the tables are.
+func writeFrames(w io.Writer, update packet, b beat) error {
+	if update != nil {
+		if err := update.writeTo(w); err != nil {
+			return err
+		}
+	}
+	p, err := pack(frame{Beat: &b})
+	if err != nil {
+		return err
+	}
+	return p.writeTo(w)
+}
+
 // DecodeMembers returns the members of a table's rows; a row that cannot be read is left out.
 func DecodeMembers(rows watch.Rows) []Member {
 	return lo.FilterMap(lo.Values(rows), func(row watch.Row, _ int) (Member, bool) {
--- a/mesh/rank.go
+++ b/mesh/rank.go
@@ -12,24 +12,53 @@
 type Member struct {
 	VM         vaneyoke.VMID         `json:"vm"`
 	DataCentre vaneyoke.DataCentreID `json:"data_centre"`
-	Address    string                `json:"address"` // IP number and port at which it tells the tables
+	Address    string                `json:"address"`             // IP number and port at which it tells the tables
+	Bandwidth  float64               `json:"bandwidth,omitempty"` // of its VM's link in Mbit/s; 0 where it is not known
 }
 
+// fanOut is how many nodes of a data centre follow one, where all of them are there.
+const fanOut = 6
+
 // sources returns the members that a node asks for the tables, the first choice first: at most most members of its own
-// data centre whose rank is higher than its own. A node without any reads the store itself. In a fleet of no more than direct
-// members, all do.
+// data centre whose rank is higher than its own. A node without any reads the store itself. In a fleet of no more than
+// direct members, all do.
+//
+// The first choice of each makes a tree over the ranks, in which no node has more than fanOut followers; after it come
+// the nodes that the first choice follows itself, up to the reader, and then the highest others.
 func sources(members []Member, self Member, direct, most int) []Member {
 	if len(members) <= direct {
 		return nil
 	}
 	var above []Member
 	for _, m := range members {
-		if m.DataCentre == self.DataCentre && m.VM != self.VM && rank(m) > rank(self) {
+		if m.DataCentre == self.DataCentre && m.VM != self.VM && m.outranks(self) {
 			above = append(above, m)
 		}
 	}
-	slices.SortFunc(above, func(a, b Member) int { return cmp.Compare(rank(b), rank(a)) })
-	return above[:min(len(above), most)]
+	slices.SortFunc(above, byRank)
+	chosen := make([]Member, 0, most)
+	for i := len(above); i > 0 && len(chosen) < most; {
+		i = (i - 1) / fanOut
+		chosen = append(chosen, above[i])
+	}
+	for _, m := range above {
+		if len(chosen) < most && !slices.Contains(chosen, m) {
+			chosen = append(chosen, m)
+		}
+	}
+	return chosen
+}
+
+// outranks reports whether a member comes before another in the order of those that read for the rest.
+func (m Member) outranks(other Member) bool { return byRank(m, other) < 0 }
+
+// byRank orders the members of a data centre, the one that reads for the rest first: the one with the fastest link, and
+// between equals by their hash, so that every node knows the same order.
+func byRank(a, b Member) int {
+	if c := cmp.Compare(b.Bandwidth, a.Bandwidth); c != 0 {
+		return c
+	}
+	return cmp.Compare(score(b), score(a))
 }
 
-func rank(m Member) uint64 { return rendezvous.Score(string(m.DataCentre), string(m.VM)) }
+func score(m Member) uint64 { return rendezvous.Score(string(m.DataCentre), string(m.VM)) }
--- a/node/gateway_wire.go
+++ b/node/gateway_wire.go
@@ -116,7 +116,7 @@
 			directory.balancer.SetRetryBurst(fleetBudgetConfig(s.Retry, node.Members()).Burst)
 		}},
 	})
-	self := mesh.Member{VM: vaneyoke.VMID(s.Node.VM), DataCentre: vaneyoke.DataCentreID(s.Node.DataCentre), Address: s.Gateway.Peers}
+	self := mesh.Member{VM: vaneyoke.VMID(s.Node.VM), DataCentre: vaneyoke.DataCentreID(s.Node.DataCentre), Address: s.Gateway.Peers, Bandwidth: s.Node.Bandwidth}
 	node = mesh.New(self, config, hub, members, newPeerClient(), do.MustInvoke[logrus.FieldLogger](i))
 	vars := do.MustInvoke[*expvar.Map](i)
 	vars.Set("members", expvar.Func(func() any { return node.Members() }))
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -23,6 +23,7 @@
 type Node struct {
 	VM         string        `ini:"vm" check:"required" doc:"Name of the VM on the platform's list of VMs."`
 	DataCentre string        `ini:"data_centre" check:"required" doc:"Data centre that the VM stands in."`
+	Bandwidth  float64       `ini:"bandwidth" default:"0" min:"0" doc:"Speed of the VM's link in Mbit/s; in a large fleet the VMs with the fastest read the store for the rest; 0 where it is not known."`
 	Listen     string        `ini:"listen" default:"127.0.0.1:8080" check:"address" doc:"IP number and port for callers."`
 	Admin      string        `ini:"admin" default:"127.0.0.1:8081" check:"address" doc:"IP number and port for metrics and profiles."`
 	Grace      time.Duration `ini:"grace" default:"15m" min:"1s" doc:"Longest time that a stopping node lets its requests finish."`
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -26,6 +26,7 @@
 	{"configuration_from_peer_broken", []string{"peer", "error"}, "Another node told a configuration that cannot be read."},
 	{"configuration_in_force", []string{"version", "before"}, "The node goes by a newer configuration."},
 	{"configuration_read_failed", []string{"error"}, "The configuration could not be read from the table."},
+	{"frame_unwritable", []string{"error"}, "The node cannot tell another its tables."},
 	{"history_lost", []string{"table", "version"}, "The store has forgotten the changes since a version, and the table is read anew."},
 	{"homes_not_told", []string{"request", "error"}, "The homes of a request could not be told who owns it."},
 	{"journal_unreachable", []string{"peer", "error"}, "A node that may hold a journal did not answer."},
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -57,7 +57,7 @@
 	Pause time.Duration // longest pause after the first failure in a row; each further one doubles it
 	Most  time.Duration // longest pause after a failure
 	First time.Duration // longest pause after a failure while nothing is known of the table yet
-	// Gather is the pause after a change, in which further changes come together, so that many cost few calls.
+	// Gather is the pause after a list or a change, in which further changes come together, so that many cost few calls.
 	Gather time.Duration
 }
 
@@ -74,22 +74,28 @@
 type Follower struct {
 	name   string
 	source Source
-	config Config
+	config func() Config // asked before each call
 	sink   Sink
 	log    logrus.FieldLogger
 
 	rows    Rows
 	version Version
 	listed  bool
-	failed  int // calls in a row
+	resumed bool // whether the rows are not the store's own, and it was not asked yet what has changed since
+	failed  int  // calls in a row
 }
 
-// New returns a follower that tells the sink of each change.
+// New returns a follower that tells the sink of each change, by the times that hold when a call is made.
 // The name stands for the table in the log.
-func New(name string, source Source, config Config, sink Sink, log logrus.FieldLogger) *Follower {
+func New(name string, source Source, config func() Config, sink Sink, log logrus.FieldLogger) *Follower {
 	return &Follower{name: name, source: source, config: config, sink: sink, log: log}
 }
 
+// Resume has the follower begin with rows that are known up to a version, so that only later changes are read.
+func (f *Follower) Resume(rows Rows, version Version) {
+	f.rows, f.version, f.listed, f.resumed = rows, version, true, true
+}
+
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -100,12 +106,12 @@
 		if err == nil {
 			f.regained()
 			if changed {
-				pause.For(ctx, f.config.Gather)
+				pause.For(ctx, f.config().Gather)
 			}
 			continue
 		}
 		if errors.Is(err, ErrHistoryLost) {
-			f.listed = false
+			f.listed, f.resumed = false, false
 			f.log.WithFields(logrus.Fields{"table": f.name, "version": f.version}).Warn("history_lost")
 			continue
 		}
@@ -116,15 +122,21 @@
 
 // step makes one call and takes in what it tells; changed says that there was a change.
 func (f *Follower) step(ctx context.Context) (changed bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, f.config.Wait+f.config.Slack)
+	config := f.config()
+	ctx, cancel := context.WithTimeout(ctx, config.Wait+config.Slack)
 	defer cancel()
 	if !f.listed {
-		return false, f.list(ctx)
+		return true, f.list(ctx)
+	}
+	wait := config.Wait
+	if f.resumed { // how old the rows are is to be known at once
+		wait = 0
 	}
-	changes, version, err := f.source.Changes(ctx, f.version, f.config.Wait)
+	changes, version, err := f.source.Changes(ctx, f.version, wait)
 	if err != nil {
 		return false, err
 	}
+	f.resumed = false
 	f.version = max(f.version, version)
 	if len(changes) == 0 {
 		f.sink.Confirm(time.Now(), f.version)
@@ -172,12 +184,13 @@
 
 // backoff returns a random pause that grows with the failures in a row, so that the nodes do not come back as one.
 func (f *Follower) backoff() time.Duration {
-	full := f.config.Most
+	config := f.config()
+	full := config.Most
 	if f.rows == nil {
-		full = min(full, f.config.First)
+		full = min(full, config.First)
 	}
 	if shift := f.failed - 1; shift < 16 {
-		full = min(f.config.Pause<<shift, full)
+		full = min(config.Pause<<shift, full)
 	}
 	return full/2 + rand.N(full/2+1)
 }
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -50,6 +50,7 @@
 	t     *testing.T
 	steps []step
 	after []watch.Version // versions from which changes were asked for
+	waits []time.Duration // for which changes were waited for
 }
 
 var errDown = errors.New("down")
@@ -73,8 +74,9 @@
 	return st.list.raw(), st.version, err
 }
 
-func (s *script) Changes(ctx context.Context, after watch.Version, _ time.Duration) ([]watch.Change, watch.Version, error) {
+func (s *script) Changes(ctx context.Context, after watch.Version, wait time.Duration) ([]watch.Change, watch.Version, error) {
 	s.after = append(s.after, after)
+	s.waits = append(s.waits, wait)
 	st, err := s.next(ctx)
 	return st.changes, st.version, err
 }
@@ -107,7 +109,7 @@
 				ctx, stop := context.WithCancel(t.Context())
 				done := make(chan struct{})
 				go func() {
-					watch.New("rows", source, watch.DefaultConfig(), got, log).Run(ctx)
+					watch.New("rows", source, watch.DefaultConfig, got, log).Run(ctx)
 					close(done)
 				}()
 				time.Sleep(15 * time.Second) // of the clock of its own
@@ -129,7 +131,7 @@
 		ctx, stop := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() {
-			watch.New("rows", source, watch.DefaultConfig(), rows{}, log).Run(ctx)
+			watch.New("rows", source, watch.DefaultConfig, rows{}, log).Run(ctx)
 			close(done)
 		}()
 		time.Sleep(15 * time.Second) // of the clock of its own
@@ -159,3 +161,42 @@
 	<-ctx.Done()
 	return nil, 0, ctx.Err()
 }
+
+// TestResumedFollower goes on from rows that it was given: it lists nothing, asks at once whether they are the newest, and
+// lists again only where the history is gone.
+func TestResumedFollower(t *testing.T) {
+	cases := map[string]struct {
+		steps []step
+		want  rows
+		after []watch.Version
+	}{
+		"nothing new":  {[]step{{version: 7}}, rows{}, []watch.Version{5, 7}},
+		"change":       {[]step{{changes: []watch.Change{{Key: "a", Row: watch.Row{Data: []byte("3")}}}, version: 8}}, rows{"a": "3", "b": "2"}, []watch.Version{5, 8}},
+		"history lost": {[]step{{err: watch.ErrHistoryLost}, {list: rows{"c": "4"}, version: 9}}, rows{"c": "4"}, []watch.Version{5, 9}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				source := &script{t: t, steps: tc.steps}
+				got := rows{}
+				log := logrus.New()
+				log.SetOutput(io.Discard)
+				f := watch.New("rows", source, watch.DefaultConfig, got, log)
+				f.Resume(rows{"a": "1", "b": "2"}.raw(), 5)
+				ctx, stop := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() {
+					f.Run(ctx)
+					close(done)
+				}()
+				time.Sleep(time.Second) // of the clock of its own
+				stop()
+				<-done
+				must.Eq(t, tc.want, got)
+				must.Eq(t, tc.after, source.after)
+				must.EqOp(t, 0, source.waits[0])
+				must.Positive(t, source.waits[len(source.waits)-1])
+			})
+		})
+	}
+}
