--- a/mesh/node.go
+++ b/mesh/node.go
@@ -28,6 +28,7 @@
 	Direct int           // members up to which every node reads the store itself
 	Most   int           // nodes that are asked in turn before the store is read
 	Settle time.Duration // for which a new node does not go by the number of members, because the others of a new fleet register meanwhile
+	First  time.Duration // how long a node of a new fleet waits for the others to register before it reads the store
 	Lead   time.Duration // how long others are asked before the store is read
 	Beat   time.Duration // time between two frames without a change
 	Stall  time.Duration // time without a frame after which another node is asked
@@ -43,9 +44,9 @@
 	reader := watch.DefaultConfig()
 	reader.Wait, reader.Slack = 1100*time.Millisecond, 500*time.Millisecond
 	slow := watch.DefaultConfig()
-	slow.Wait, slow.Slack, slow.Gather = 10*time.Second, time.Second, time.Second
+	slow.Wait, slow.Slack, slow.Gather = 10*time.Second, time.Second, 300*time.Millisecond
 	return Config{
-		Direct: 16, Most: 3, Settle: time.Second, Lead: 300 * time.Millisecond, Beat: 250 * time.Millisecond, Stall: 800 * time.Millisecond,
+		Direct: 16, Most: 3, Settle: time.Second, First: 600 * time.Millisecond, Lead: 300 * time.Millisecond, Beat: 250 * time.Millisecond, Stall: 800 * time.Millisecond,
 		OldAge: 1500 * time.Millisecond, Own: 3 * time.Second, Reader: reader, Small: watch.DefaultConfig(), Slow: slow,
 	}
 }
@@ -96,9 +97,10 @@
 // Run keeps the hub's tables up to date until ctx ends. It reads the store whenever there is no other node to rely on,
 // also while it asks others for longer than a short lead, so that the loss of a reader costs no more than that.
 func (n *Node) Run(ctx context.Context) {
-	reading := n.startReading(ctx, n.config.Lead)
+	reading := n.startReading(ctx, n.config.First)
 	defer func() { reading.stop() }()
 	n.awaitMembers(ctx)
+	known := n.registered()
 	var registering sync.WaitGroup
 	registering.Go(func() { n.register(ctx) })
 	defer registering.Wait()
@@ -110,7 +112,9 @@
 			reading = n.startReading(ctx, n.config.Lead)
 			continue
 		}
-		reading.begin()
+		if known || !n.isSmall() { // a new fleet is small while its nodes register
+			reading.begin()
+		}
 		select {
 		case <-ctx.Done():
 		case <-changed:
