--- a/mesh/hub.go
+++ b/mesh/hub.go
@@ -26,6 +26,7 @@
 	Source watch.Source
 	Apply  func(now time.Time, rows watch.Rows) // takes in the rows after a change; it must not keep or change them
 	MayLag bool                                 // whether the table's age does not count
+	Grace  time.Duration                        // how long rows that lapsed in an outage of the store are kept
 }
 
 type table struct {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -229,9 +229,13 @@
 // follower returns a follower of one of the store's tables, which goes on from what the hub holds.
 func (n *Node) follower(name string) *watch.Follower {
 	t := n.hub.tables[name]
-	times := n.times
-	if t.MayLag {
-		times = func() watch.Config { return n.config.Slow }
+	times := func() watch.Config {
+		config := n.times()
+		if t.MayLag {
+			config = n.config.Slow
+		}
+		config.Grace = t.Grace
+		return config
 	}
 	f := watch.New(name, t.Source, times, &sink{hub: n.hub, table: name}, n.log)
 	if rows, version, ok := n.hub.Held(name); ok {
--- a/node/gateway_wire.go
+++ b/node/gateway_wire.go
@@ -110,7 +110,7 @@
 	var node *mesh.Node
 	hub := mesh.NewHub(map[string]mesh.Table{
 		"routes":    {Source: platform.NewConfig(client, s.Gateway.Store), Apply: directory.setTables},
-		"upstreams": {Source: platform.NewEngines(client, s.Gateway.Store), Apply: directory.setUpstreams},
+		"upstreams": {Source: platform.NewEngines(client, s.Gateway.Store), Apply: directory.setUpstreams, Grace: s.Gateway.LapseGrace},
 		"members": {Source: members, MayLag: true, Apply: func(_ time.Time, rows watch.Rows) {
 			node.SetMembers(mesh.DecodeMembers(rows))
 			directory.balancer.SetRetryBurst(fleetBudgetConfig(s.Retry, node.Members()).Burst)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -41,6 +41,7 @@
 	HeaderBytes int           `ini:"header_bytes" default:"65536" min:"1024" doc:"Largest header of a request in bytes."`
 	DialWait    time.Duration `ini:"dial_wait" default:"120ms" min:"1ms" doc:"Longest wait for a connection to an upstream."`
 	FeedWait    time.Duration `ini:"feed_wait" default:"3s" min:"100ms" max:"30s" doc:"How long one call to the store waits for changes, in a fleet so small that every node reads it."`
+	LapseGrace  time.Duration `ini:"lapse_grace" default:"1600ms" min:"0s" max:"10s" doc:"How long upstreams that are missing when the store comes back after an outage are still used; less than the time within which a leaving upstream gets no more work."`
 	Lame        time.Duration `ini:"lame" default:"3s" min:"0s" doc:"How long a stopping node still takes requests, while it says that it is not ready."`
 }
 
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -59,6 +59,8 @@
 	First time.Duration // longest pause after a failure while nothing is known of the table yet
 	// Gather is the pause after a list or a change, in which further changes come together, so that many cost few calls.
 	Gather time.Duration
+	// Grace is how long rows that are gone when the store comes back after an outage are kept; 0 for not at all.
+	Grace time.Duration
 }
 
 // DefaultConfig returns the times that the nodes start from.
@@ -83,6 +85,7 @@
 	listed  bool
 	resumed bool // whether the rows are not the store's own, and it was not asked yet what has changed since
 	failed  int  // calls in a row
+	lapse   lapse
 }
 
 // New returns a follower that tells the sink of each change, by the times that hold when a call is made.
@@ -115,7 +118,7 @@
 			f.log.WithFields(logrus.Fields{"table": f.name, "version": f.version}).Warn("history_lost")
 			continue
 		}
-		f.lost(err)
+		f.lost(time.Now(), err)
 		pause.For(ctx, f.backoff())
 	}
 }
@@ -126,50 +129,76 @@
 	ctx, cancel := context.WithTimeout(ctx, config.Wait+config.Slack)
 	defer cancel()
 	if !f.listed {
-		return true, f.list(ctx)
+		return true, f.list(ctx, config)
 	}
-	wait := config.Wait
-	if f.resumed { // how old the rows are is to be known at once
-		wait = 0
-	}
-	changes, version, err := f.source.Changes(ctx, f.version, wait)
+	changes, version, err := f.source.Changes(ctx, f.version, f.wait(time.Now(), config))
 	if err != nil {
 		return false, err
 	}
+	now := time.Now()
+	f.lapse.regained(now, config.Grace)
 	f.resumed = false
 	f.version = max(f.version, version)
-	if len(changes) == 0 {
-		f.sink.Confirm(time.Now(), f.version)
-		return false, nil
+	f.take(now, changes)
+	if len(changes) > 0 || f.lapse.over(now) {
+		f.tell(now)
+		return true, nil
+	}
+	f.sink.Confirm(now, f.version)
+	return false, nil
+}
+
+// wait returns how long the next call waits for changes.
+func (f *Follower) wait(now time.Time, config Config) time.Duration {
+	if f.resumed { // how old the rows are is to be known at once
+		return 0
 	}
-	f.take(changes)
-	return true, nil
+	if left, ok := f.lapse.left(now); ok {
+		return min(left, config.Wait)
+	}
+	return config.Wait
 }
 
-func (f *Follower) list(ctx context.Context) error {
+func (f *Follower) list(ctx context.Context, config Config) error {
 	rows, version, err := f.source.List(ctx)
 	if err != nil {
 		return err
 	}
+	now := time.Now()
+	f.lapse.regained(now, config.Grace)
+	for key, row := range f.rows {
+		if _, ok := rows[key]; !ok {
+			f.lapse.gone(now, key, row)
+		}
+	}
 	f.rows, f.version, f.listed = rows, version, true
-	f.sink.Set(time.Now(), f.rows, f.version)
+	f.tell(now)
 	return nil
 }
 
-func (f *Follower) take(changes []Change) {
+func (f *Follower) take(now time.Time, changes []Change) {
 	for _, c := range changes {
-		if c.Gone {
-			delete(f.rows, c.Key)
+		if !c.Gone {
+			f.rows[c.Key] = c.Row
 			continue
 		}
-		f.rows[c.Key] = c.Row
+		if row, ok := f.rows[c.Key]; ok {
+			f.lapse.gone(now, c.Key, row)
+		}
+		delete(f.rows, c.Key)
 	}
-	f.sink.Set(time.Now(), f.rows, f.version)
+}
+
+// tell gives the sink the rows.
+func (f *Follower) tell(now time.Time) {
+	f.lapse.over(now)
+	f.sink.Set(now, f.lapse.with(f.rows), f.version)
 }
 
 // lost counts a failure; the first in a row is logged.
-func (f *Follower) lost(err error) {
+func (f *Follower) lost(now time.Time, err error) {
 	f.failed++
+	f.lapse.failed(now)
 	if f.failed == 1 {
 		f.log.WithFields(logrus.Fields{"table": f.name, "version": f.version, "error": err}).Warn("store_lost")
 	}
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -200,3 +200,95 @@
 		})
 	}
 }
+
+// lapsing is a source whose rows lapse while it is down; what writes them does so again some time after its return.
+type lapsing struct {
+	began    time.Time
+	down     time.Duration // how long it is down, from one second on
+	back     time.Duration // after its return, when the row "returns" is there again; 0 for never
+	listOnly bool          // whether it has lost its history
+}
+
+func (s *lapsing) now() time.Duration { return time.Since(s.began) }
+
+func (s *lapsing) isDown() bool { return s.now() >= time.Second && s.now() < time.Second+s.down }
+
+func (s *lapsing) returned() bool {
+	return s.back > 0 && s.now() >= time.Second+s.down+s.back
+}
+
+func (s *lapsing) List(context.Context) (watch.Rows, watch.Version, error) {
+	switch {
+	case s.isDown():
+		return nil, 0, errDown
+	case s.now() < time.Second:
+		return rows{"stays": "1", "returns": "1", "goes": "1"}.raw(), 5, nil
+	case s.returned():
+		return rows{"stays": "1", "returns": "1"}.raw(), 8, nil
+	default:
+		return rows{"stays": "1"}.raw(), 7, nil
+	}
+}
+
+func (s *lapsing) Changes(ctx context.Context, after watch.Version, wait time.Duration) ([]watch.Change, watch.Version, error) {
+	for end := s.now() + wait; ; time.Sleep(10 * time.Millisecond) {
+		switch {
+		case ctx.Err() != nil:
+			return nil, 0, ctx.Err()
+		case s.isDown():
+			return nil, 0, errDown
+		case s.now() >= time.Second && after < 7 && s.listOnly:
+			return nil, 0, watch.ErrHistoryLost
+		case s.now() >= time.Second && after < 7:
+			return []watch.Change{{Key: "returns", Gone: true}, {Key: "goes", Gone: true}}, 7, nil
+		case s.returned() && after < 8:
+			return []watch.Change{{Key: "returns", Row: watch.Row{Data: []byte("1")}}}, 8, nil
+		case s.now() >= end:
+			return nil, after, nil
+		}
+	}
+}
+
+// TestRowsThatLapsedInAnOutage has the store come back without rows that will be there again soon: they are kept for the
+// grace and no longer, and rows that go without an outage go at once.
+func TestRowsThatLapsedInAnOutage(t *testing.T) {
+	cases := map[string]struct {
+		source lapsing
+		at     time.Duration // after the return
+		want   rows
+	}{
+		"just back":              {lapsing{down: 5 * time.Second}, time.Second, rows{"stays": "1", "returns": "1", "goes": "1"}},
+		"after the grace":        {lapsing{down: 5 * time.Second}, 4 * time.Second, rows{"stays": "1"}},
+		"one is there again":     {lapsing{down: 5 * time.Second, back: 1200 * time.Millisecond}, 4 * time.Second, rows{"stays": "1", "returns": "1"}},
+		"history lost":           {lapsing{down: 5 * time.Second, listOnly: true}, time.Second, rows{"stays": "1", "returns": "1", "goes": "1"}},
+		"history lost, grace":    {lapsing{down: 5 * time.Second, listOnly: true}, 4 * time.Second, rows{"stays": "1"}},
+		"no outage":              {lapsing{}, 500 * time.Millisecond, rows{"stays": "1"}},
+		"a moment without store": {lapsing{down: 300 * time.Millisecond}, 700 * time.Millisecond, rows{"stays": "1"}},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				source := tc.source
+				source.began = time.Now()
+				got := rows{}
+				log := logrus.New()
+				log.SetOutput(io.Discard)
+				config := func() watch.Config {
+					c := watch.DefaultConfig()
+					c.Grace = 2 * time.Second
+					return c
+				}
+				ctx, stop := context.WithCancel(t.Context())
+				done := make(chan struct{})
+				go func() {
+					watch.New("rows", &source, config, got, log).Run(ctx)
+					close(done)
+				}()
+				time.Sleep(time.Second + source.down + tc.at)
+				stop()
+				<-done
+				must.Eq(t, tc.want, got)
+			})
+		})
+	}
+}
