--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -110,6 +110,13 @@
 	return b.state.Offers(need)
 }
 
+// Holders returns the upstreams that may keep a prompt.
+func (b *Balancer) Holders(need placement.Need) []vaneyoke.Upstream {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state.Holders(time.Now(), need)
+}
+
 // Reported notes how many prompts an upstream has still to read.
 func (b *Balancer) Reported(id vaneyoke.UpstreamID, prompts int) {
 	b.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,7 +24,7 @@
 	Wait         time.Duration // how long the caller waits; 0 where it does not say
 	After        string        // id of the last event that the caller holds; "" for none
 	PromptTokens vaneyoke.Tokens
-	Prompt       string      // names the prompt; "" where the request does not say
+	Parts        []string    // of the prompt in order, the last its own; nil where the request does not say
 	Header       http.Header // what is passed on to upstreams
 }
 
@@ -150,7 +150,7 @@
 		Service:     service.ID,
 		Stream:      r.Kind == route.KindStream,
 		Replicate:   service.Replicas && r.Kind == route.KindStream && r.Resumable,
-		Prompt:      envelope.Prompt,
+		Parts:       envelope.Parts,
 		After:       envelope.After,
 		Goal:        r.Goal,
 		Pause:       r.Pause,
--- a/node/gateway_wire.go
+++ b/node/gateway_wire.go
@@ -104,7 +104,7 @@
 	config.Small = config.Reader
 	config.Small.Wait, config.Small.Slack = s.Gateway.FeedWait, watch.DefaultConfig().Slack
 	if s.Gateway.Peers == "" {
-		config.Direct = math.MaxInt
+		config.Direct, config.First = math.MaxInt, 0 // it asks nobody
 	}
 	members := platform.NewMembers(client, s.Gateway.Store)
 	var node *mesh.Node
--- a/placement/affinity.go
+++ b/placement/affinity.go
@@ -5,12 +5,16 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/internal/rendezvous"
 )
 
 const (
 	homes       = 4                      // upstreams that a prompt may be sent to for its affinity
+	replicas    = 3                      // upstreams of other data centres that may keep a replica of a prompt's run
+	holders     = homes + replicas + 1   // upstreams at which a prompt is looked for
 	reportHolds = 400 * time.Millisecond // for which a report counts
 	slowTimes   = 2.5                    // times the usual time to the first token that make an upstream too slow for affinity
 )
@@ -21,7 +25,7 @@
 func affine(now time.Time, prompt string, candidates []*entry) *entry {
 	usual := usualFirst(now, candidates)
 	limit := slowTimes * float64(usual)
-	for _, e := range homesOf(prompt, candidates) {
+	for _, e := range byHash(prompt, candidates, homes) {
 		if e.waiting == 0 && !e.reportedBusy(now) && float64(e.first.expect(now, usual)) <= limit {
 			return e
 		}
@@ -29,6 +33,13 @@
 	return nil
 }
 
+// Holders returns the upstreams that may keep a prompt, because it is sent to them for its affinity, or because they keep
+// replicas of its runs.
+func (s *State) Holders(now time.Time, need Need) []vaneyoke.Upstream {
+	candidates := lo.Filter(s.order, func(e *entry, _ int) bool { return e.takesWork(now) && offers(&e.upstream, need) })
+	return lo.Map(byHash(need.Affinity, candidates, holders), func(e *entry, _ int) vaneyoke.Upstream { return e.upstream })
+}
+
 // Reported notes how many prompts an upstream has still to read.
 func (s *State) Reported(now time.Time, id vaneyoke.UpstreamID, prompts int) {
 	if e, ok := s.entries[id]; ok {
@@ -41,20 +52,15 @@
 	return e.reported > 0 && now.Sub(e.reportedAt) < reportHolds
 }
 
-// homesOf returns a prompt's homes, the first choice first.
-func homesOf(prompt string, candidates []*entry) []*entry {
+// byHash returns the most of the candidates with the highest hash of prompt and id, the highest first.
+func byHash(prompt string, candidates []*entry, most int) []*entry {
 	type ranked struct {
 		entry *entry
 		hash  uint64
 	}
-	all := make([]ranked, len(candidates))
-	for i, e := range candidates {
-		all[i] = ranked{entry: e, hash: rendezvous.Score(prompt, string(e.upstream.ID))}
-	}
+	all := lo.Map(candidates, func(e *entry, _ int) ranked {
+		return ranked{entry: e, hash: rendezvous.Score(prompt, string(e.upstream.ID))}
+	})
 	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.hash, a.hash) })
-	chosen := make([]*entry, min(homes, len(all)))
-	for i := range chosen {
-		chosen[i] = all[i].entry
-	}
-	return chosen
+	return lo.Map(all[:min(most, len(all))], func(r ranked, _ int) *entry { return r.entry })
 }
--- a/placement/opaque_test.go
+++ b/placement/opaque_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -140,6 +141,37 @@
 	must.False(t, ok)
 }
 
+// TestHoldersOfAPrompt has nodes in two data centres choose upstreams and replicas for prompts; another node, that knows of
+// none of it, finds all of them among the holders.
+func TestHoldersOfAPrompt(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for n := range 200 {
+		wanted := need
+		wanted.Affinity = fmt.Sprint("prompt", n)
+		var holders []vaneyoke.UpstreamID
+		for _, u := range threeDataCentresSeenFrom("c").Holders(now, wanted) {
+			holders = append(holders, u.ID)
+		}
+		must.Less(t, 9, len(holders))
+		for _, own := range []vaneyoke.DataCentreID{"a", "b"} {
+			s := threeDataCentresSeenFrom(own)
+			r := rand.New(rand.NewPCG(uint64(n), 3))
+			chosen, _, _ := s.Pick(now, r, wanted)
+			must.SliceContains(t, holders, chosen.ID)
+			kept := 0
+			for range 3 { // the first one keeps more each time
+				replica, ok := s.PickReplica(now, r, wanted, chosen)
+				must.True(t, ok)
+				must.NotEqOp(t, chosen.DataCentre, replica.DataCentre)
+				if slices.Contains(holders, replica.ID) {
+					kept++
+				}
+			}
+			must.GreaterEq(t, 2, kept)
+		}
+	}
+}
+
 // TestUpstreamWhoseAddressAnotherHas gets nothing more, whatever else is left.
 func TestUpstreamWhoseAddressAnotherHas(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/relay/forwarded.go
+++ b/relay/forwarded.go
@@ -20,7 +20,7 @@
 	Service     vaneyoke.ServiceID
 	Stream      bool          // whether the answer is a series of numbered events
 	Replicate   bool          // whether an engine may keep a replica of the run's memory
-	Prompt      string        // names the prompt, so that it is sent where it may have been read before; "" for none
+	Parts       []string      // of the prompt in order, the last its own; nil for a request without one
 	After       string        // id of the last event that the caller holds; "" for none
 	Deadline    time.Time     // when the caller stops waiting
 	Goal        time.Duration // time to the answer, or to its first event, that is aimed at
@@ -60,11 +60,19 @@
 
 func (*forwarded) mode() {}
 
+// prompt names the prompt, so that it is sent where it may have been read before; "" for none.
+func (f *Forwarding) prompt() string {
+	if len(f.Parts) == 0 {
+		return ""
+	}
+	return f.Parts[len(f.Parts)-1]
+}
+
 // Forward starts an opaque request; its session runs until it ends or is abandoned.
 func (r *Relay) Forward(ctx context.Context, req *vaneyoke.Request, f Forwarding) *Session {
 	need := placement.Need{
 		Kind: vaneyoke.KindService, Service: f.Service, Order: req.Order, Bytes: req.PromptBytes, Replicate: f.Replicate,
-		Affinity: f.Prompt,
+		Affinity: f.prompt(),
 	}
 	return r.begin(ctx, req, need, &forwarded{Forwarding: f, last: f.After})
 }
--- a/relay/place.go
+++ b/relay/place.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
@@ -18,6 +20,9 @@
 	need := s.need
 	need.Avoid = e.Avoid
 	need.Prefer = s.replicaNamed(e.Prefer)
+	if e.Attempt == 1 {
+		need.Prefer = s.holder(need)
+	}
 	upstream, expect, err := s.choose(need, e.Retry)
 	if _, ok := s.mode.(*whole); ok {
 		expect = 0 // what is known of first tokens says nothing of whole answers
@@ -46,10 +51,35 @@
 }
 
 const (
-	reportWait  = 60 * time.Millisecond // longest wait for an upstream's report
-	reportLooks = 2                     // upstreams that are asked for a report before one is taken as it is
+	reportWait  = 60 * time.Millisecond  // longest wait for an upstream's report
+	holderWait  = 100 * time.Millisecond // longest wait for what upstreams keep
+	reportLooks = 2                      // upstreams that are asked for a report before one is taken as it is
 )
 
+// holder returns the upstream that keeps the prompt of a caller who comes back for the rest of its answer, because its run
+// broke off there; the zero value where none is found.
+func (s *Session) holder(need placement.Need) vaneyoke.Upstream {
+	m, ok := s.mode.(*forwarded)
+	if !ok || m.After == "" || need.Affinity == "" {
+		return vaneyoke.Upstream{}
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, holderWait)
+	defer cancel()
+	asking := s.relay.placer.Holders(need)
+	holds := make([]bool, len(asking))
+	var asked sync.WaitGroup
+	for i, upstream := range asking {
+		asked.Go(func() { holds[i] = s.relay.sender.Holds(ctx, upstream, m.Parts) })
+	}
+	asked.Wait()
+	i := slices.Index(holds, true)
+	if i < 0 {
+		return vaneyoke.Upstream{}
+	}
+	s.logAttempt(1, asking[i].ID).Info("prompt_found")
+	return asking[i]
+}
+
 // choose returns an upstream; one for a prompt that says that it has other prompts to read is passed over for the next,
 // because other nodes' prompts meet there.
 func (s *Session) choose(need placement.Need, retry bool) (vaneyoke.Upstream, time.Duration, error) {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -24,6 +24,8 @@
 	// Place returns an upstream and its expected time to the first token, or an error with a result code.
 	// A retry counts against the retry budget.
 	Place(need placement.Need, retry bool) (vaneyoke.Upstream, time.Duration, error)
+	// Holders returns the upstreams that may keep a prompt.
+	Holders(need placement.Need) []vaneyoke.Upstream
 	// Reported notes how many prompts an upstream has still to read.
 	Reported(id vaneyoke.UpstreamID, prompts int)
 	// Replica returns an upstream that can keep a replica of a run on another; ok is false where there is none.
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -43,6 +43,7 @@
 	{"owner_unreachable", []string{"peer", "error"}, "The owner of a request did not answer."},
 	{"peer_lost", []string{"peer", "relied", "error"}, "Another node cannot be relied on for the store's tables any more."},
 	{"policy_not_understood", []string{"policy", "problem"}, "A policy in the table cannot be read; it is left aside."},
+	{"prompt_found", []string{"request", "attempt", "upstream"}, "A caller came back for the rest of its answer, and its prompt is still kept by an upstream, which gets the attempt."},
 	{"push_failed", []string{"peer", "sessions", "error"}, "Journals could not be pushed to their backup."},
 	{"reads_store", []string{"members"}, "The node reads the store itself."},
 	{"register_failed", []string{"error"}, "The node could not register itself among the members."},
