--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -55,7 +56,7 @@
 	relay     *relay.Relay
 	log       logrus.FieldLogger
 	open      atomic.Int64
-	stopping  atomic.Bool
+	stopping  atomic.Pointer[Stopping] // nil while it does not stop
 }
 
 // New returns a gateway.
@@ -66,11 +67,25 @@
 // Open returns the number of requests being answered.
 func (g *Gateway) Open() int { return int(g.open.Load()) }
 
-// Stopping has callers told that their connection will be closed.
-func (g *Gateway) Stopping() { g.stopping.Store(true) }
+// Stop has callers told that their connection will be closed, and refuses streams that would be cut off.
+func (g *Gateway) Stop(s Stopping) { g.stopping.Store(&s) }
+
+// openedKey is the key of the time at which a connection was opened, in the context of its requests.
+type openedKey struct{}
+
+// ConnContext notes when a connection was opened; it is the server's ConnContext.
+func ConnContext(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, openedKey{}, time.Now())
+}
+
+// openedAt returns when a request's connection was opened, the zero time where that is not known.
+func openedAt(ctx context.Context) time.Time {
+	at, _ := ctx.Value(openedKey{}).(time.Time)
+	return at
+}
 
 // Ready reports whether the node takes new connections.
-func (g *Gateway) Ready() bool { return !g.stopping.Load() && g.directory.Routes() != nil }
+func (g *Gateway) Ready() bool { return g.stopping.Load() == nil && g.directory.Routes() != nil }
 
 // ServeReadiness answers whether the node takes new connections.
 func (g *Gateway) ServeReadiness(w http.ResponseWriter, _ *http.Request) {
@@ -85,7 +100,7 @@
 	g.open.Add(1)
 	defer g.open.Add(-1)
 	// What follows a chunked body may have been meant as a part of it, where a length was given too.
-	if g.stopping.Load() || len(r.TransferEncoding) > 0 {
+	if g.stopping.Load() != nil || len(r.TransferEncoding) > 0 {
 		w.Header().Set("Connection", "close")
 	}
 	req, f, err := g.read(w, r, received)
@@ -117,8 +132,10 @@
 	if err != nil {
 		return req, relay.Forwarding{}, err
 	}
-	if g.stopping.Load() && found.Kind == route.KindStream {
-		return req, relay.Forwarding{}, vaneyoke.ErrRetryAfter(vaneyoke.CodeStopping, retryElsewhere, "the node is stopping")
+	if found.Kind == route.KindStream {
+		if after, refused := g.stopping.Load().refusal(received, openedAt(r.Context()), found.Repeatable()); refused {
+			return req, relay.Forwarding{}, vaneyoke.ErrRetryAfter(vaneyoke.CodeStopping, after, "the node is stopping")
+		}
 	}
 	body, err := g.readBody(w, r, table.Limits())
 	if err != nil {
--- a/node/gateway.go
+++ b/node/gateway.go
@@ -20,8 +20,11 @@
 	"github.com/vaneyoke/vaneyoke/telemetry"
 )
 
-// stopMargin is left of the grace to end what is still open.
-const stopMargin = 300 * time.Millisecond
+const (
+	stopMargin    = 300 * time.Millisecond  // of the grace, to end what is still open
+	lameShare     = 3                       // streams are taken for no more than this part of the grace
+	notReadyKnown = 2200 * time.Millisecond // after which the platform sends no new connections to a node that is not ready
+)
 
 // GatewayNode is a running process that takes opaque requests.
 type GatewayNode struct {
@@ -103,6 +106,7 @@
 	s := n.settings.Gateway
 	server := &http.Server{
 		Handler:           handler,
+		ConnContext:       gateway.ConnContext,
 		ReadHeaderTimeout: s.HeaderWait,
 		IdleTimeout:       s.IdleWait,
 		MaxHeaderBytes:    s.HeaderBytes,
@@ -127,15 +131,19 @@
 	}).Info("settings_reloaded")
 }
 
-// StopTaking tells callers that the node is not ready; it goes on to answer calls.
-func (n *GatewayNode) StopTaking() { n.gateway.Stopping() }
+// StopTaking tells callers that the node is not ready; it goes on to answer calls until it ends.
+func (n *GatewayNode) StopTaking(now, until time.Time) {
+	streams := min(n.current.Load().Gateway.LameStreams, until.Sub(now)/lameShare)
+	n.gateway.Stop(gateway.Stopping{Since: now, Until: until, Calm: notReadyKnown, Streams: streams})
+}
 
 // Stop tells that the node is not ready, serves on for a while, and then lets the open requests finish within the grace.
 func (n *GatewayNode) Stop(ctx context.Context) error {
 	s := n.current.Load()
 	grace := s.Node.Grace - stopMargin
-	until := time.Now().Add(grace)
-	n.StopTaking()
+	now := time.Now()
+	until := now.Add(grace)
+	n.StopTaking(now, until)
 	n.log.WithField("open", n.gateway.Open()).Info("node_stopping")
 	for _, server := range n.servers {
 		server.SetKeepAlivesEnabled(false)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -43,6 +43,7 @@
 	FeedWait    time.Duration `ini:"feed_wait" default:"3s" min:"100ms" max:"30s" doc:"How long one call to the store waits for changes, in a fleet so small that every node reads it."`
 	LapseGrace  time.Duration `ini:"lapse_grace" default:"1600ms" min:"0s" max:"10s" doc:"How long upstreams that are missing when the store comes back after an outage are still used; less than the time within which a leaving upstream gets no more work."`
 	Lame        time.Duration `ini:"lame" default:"3s" min:"0s" doc:"How long a stopping node still takes requests, while it says that it is not ready."`
+	LameStreams time.Duration `ini:"lame_streams" default:"2500ms" min:"0s" doc:"How long a stopping node still takes streams that can go on at another node; a third of the grace at the longest."`
 }
 
 // Platform says where the platform's service is.
