--- a/node/gateway_wire.go
+++ b/node/gateway_wire.go
@@ -49,10 +49,12 @@
 // storeClient is the HTTP client for the store.
 type storeClient struct{ http *http.Client }
 
-func provideStoreClient(do.Injector) (*storeClient, error) {
+func provideStoreClient(i do.Injector) (*storeClient, error) {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTimeout}
-	return &storeClient{http: &http.Client{Transport: transport}}, nil
+	total := new(expvar.Map).Init()
+	do.MustInvoke[*expvar.Map](i).Set("store_calls_total", total)
+	return &storeClient{http: &http.Client{Transport: &storeCalls{next: transport, total: total}}}, nil
 }
 
 func provideDirectory(i do.Injector) (*routes, error) {
@@ -119,6 +121,7 @@
 	self := mesh.Member{VM: vaneyoke.VMID(s.Node.VM), DataCentre: vaneyoke.DataCentreID(s.Node.DataCentre), Address: s.Gateway.Peers, Bandwidth: s.Node.Bandwidth}
 	node = mesh.New(self, config, hub, members, newPeerClient(), do.MustInvoke[logrus.FieldLogger](i))
 	vars := do.MustInvoke[*expvar.Map](i)
+	vars.Set("upstreams", expvar.Func(func() any { return countUpstreams(directory.balancer.Loads()) }))
 	vars.Set("members", expvar.Func(func() any { return node.Members() }))
 	vars.Set("tables_age_ms", expvar.Func(func() any { age, _ := hub.Age(time.Now()); return age.Milliseconds() }))
 	return node, nil
--- a/placement/opaque_test.go
+++ b/placement/opaque_test.go
@@ -61,7 +61,7 @@
 	for _, why := range []string{"waiting", "slow"} {
 		s := threeDataCentres()
 		home, _, _ := s.Pick(now, rng(), wanted)
-		for _, u := range s.Loads() {
+		for _, u := range s.Loads(now) {
 			s.Sent(now, u.Upstream.ID)
 			took := 100 * time.Millisecond
 			if why == "slow" && u.Upstream.ID == home.ID {
--- a/placement/state.go
+++ b/placement/state.go
@@ -332,12 +332,16 @@
 	Upstream vaneyoke.Upstream
 	InFlight int
 	Open     bool // whether the breaker holds work back
+	Suspect  bool // whether its data centre fell a short while ago
 	Drained  bool // whether a policy drains it
 }
 
 // Loads returns what the node sees of each upstream, by id.
-func (s *State) Loads() []Load {
+func (s *State) Loads(now time.Time) []Load {
 	return lo.Map(s.order, func(e *entry, _ int) Load {
-		return Load{Upstream: e.upstream, InFlight: e.inFlight, Open: e.breaker.IsOpen(), Drained: e.drained}
+		return Load{
+			Upstream: e.upstream, InFlight: e.inFlight, Open: e.breaker.IsOpen(), Suspect: s.suspect(now, e.upstream.DataCentre),
+			Drained: e.drained,
+		}
 	})
 }
