--- a/mesh/frame.go
+++ b/mesh/frame.go
@@ -29,7 +29,9 @@
 	Name    string        `json:"name"`
 	Version watch.Version `json:"version"`
 	Rows    []rowUpdate   `json:"rows,omitempty"`
-	// Keys are those of all rows as of the version; nil where no row went since the earlier one.
+	// Gone are the keys of the rows that went since the earlier version, where Keys does not tell all that are left.
+	Gone []string `json:"gone,omitempty"`
+	// Keys are those of all rows as of the version; nil where it is known which rows went.
 	Keys []string `json:"keys"`
 }
 
@@ -40,8 +42,14 @@
 	Version watch.Version   `json:"version"`
 }
 
-// told is the version of each table that another node holds.
-type told map[string]watch.Version
+// told is what another node holds of each table.
+type told map[string]hold
+
+// hold is how far a node holds a table.
+type hold struct {
+	version watch.Version
+	edition int // among those of the version; 0 for the first
+}
 
 // held returns the query by which a node tells another what it holds.
 func (h *Hub) held() string {
@@ -61,7 +69,7 @@
 	before := told{}
 	for name := range query {
 		if version, err := strconv.ParseUint(query.Get(name), 10, 64); err == nil {
-			before[name] = watch.Version(version)
+			before[name] = hold{version: watch.Version(version)}
 		}
 	}
 	return before
@@ -87,8 +95,8 @@
 		h.packets[key] = p
 	}
 	for name, t := range h.tables {
-		if t.rows != nil {
-			before[name] = max(before[name], t.version)
+		if t.rows != nil && t.version >= before[name].version {
+			before[name] = hold{version: t.version, edition: t.edition}
 		}
 	}
 	return p, b, h.changed, nil
@@ -99,7 +107,7 @@
 	var key strings.Builder
 	for _, name := range h.names {
 		if had, ok := before[name]; h.tables[name].newer(had, ok) {
-			fmt.Fprintf(&key, "%s:%d:%t ", name, had, ok)
+			fmt.Fprintf(&key, "%s:%d:%d:%t ", name, had.version, had.edition, ok)
 		}
 	}
 	return key.String()
@@ -116,20 +124,30 @@
 	return updates
 }
 
-// newer reports whether the table holds more than a node that holds a version, or nothing.
-func (t *table) newer(had watch.Version, ok bool) bool {
-	return t.rows != nil && (!ok || had < t.changed)
+// newer reports whether the table holds other rows than a node that holds it so far, or nothing of it.
+func (t *table) newer(had hold, ok bool) bool {
+	return t.rows != nil && (!ok || had.version < t.changed || t.otherEdition(had))
+}
+
+// otherEdition reports whether a node holds other rows of the version at which the table changed last.
+func (t *table) otherEdition(had hold) bool {
+	return had.version == t.changed && had.edition != t.edition
 }
 
 // since returns the update from what another node holds; a node that holds a later version gets nothing new.
-func (t *table) since(name string, had watch.Version) tableUpdate {
+func (t *table) since(name string, before hold) tableUpdate {
 	update := tableUpdate{Name: name, Version: t.version}
+	had := before.version
+	if t.otherEdition(before) && had > 0 {
+		had--
+	}
 	for key, row := range t.rows {
 		if row.Version > had && json.Valid(row.Data) {
 			update.Rows = append(update.Rows, rowUpdate{Key: key, Data: row.Data, Version: row.Version})
 		}
 	}
-	if had >= t.removed {
+	if had >= t.removals.since {
+		update.Gone = t.removals.after(had)
 		return update
 	}
 	update.Keys = make([]string, 0, len(t.rows))
@@ -159,6 +177,9 @@
 	case t == nil:
 	case update.Keys == nil:
 		maps.Copy(rows, t.rows)
+		for _, key := range update.Gone {
+			delete(rows, key)
+		}
 	default:
 		for _, key := range update.Keys {
 			if row, ok := t.rows[key]; ok {
--- a/mesh/hub.go
+++ b/mesh/hub.go
@@ -34,8 +34,9 @@
 	rows      watch.Rows
 	version   watch.Version // up to which the rows are complete
 	changed   watch.Version // at which they changed last
-	removed   watch.Version // at which a row went last; what went before the first look is not known
-	confirmed time.Time     // as of which the rows are the store's newest
+	edition   int           // counts the changes without a new version since
+	removals  removals
+	confirmed time.Time // as of which the rows are the store's newest
 }
 
 // NewHub returns a hub of tables that hold nothing yet.
@@ -60,12 +61,15 @@
 	if confirmed.After(t.confirmed) {
 		t.confirmed = confirmed
 	}
+	advanced := version > t.version
 	t.version = version
 	if t.rows != nil && maps.EqualFunc(t.rows, rows, sameVersion) {
 		return
 	}
-	if t.rows == nil || lacksAny(rows, t.rows) {
-		t.removed = version
+	t.removals.note(t.rows, rows, version)
+	t.edition++
+	if advanced {
+		t.edition = 0
 	}
 	t.rows, t.changed = maps.Clone(rows), version
 	t.Apply(now, t.rows)
@@ -118,16 +122,6 @@
 	return oldest, true
 }
 
-// lacksAny reports whether a row of before is not among the rows.
-func lacksAny(rows, before watch.Rows) bool {
-	for key := range before {
-		if _, ok := rows[key]; !ok {
-			return true
-		}
-	}
-	return false
-}
-
 func sameVersion(a, b watch.Row) bool { return a.Version == b.Version }
 
 // confirmAll notes that the store has confirmed all tables.
