--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -267,6 +267,9 @@
 	return nil
 }
 
+// Remove is not used here.
+func (s *source) Remove(context.Context, string, watch.Version) error { return nil }
+
 // peer is a node of a small mesh with its own way to the store.
 type peer struct {
 	*Node
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -37,6 +37,10 @@
 	Reader watch.Config  // of a node that reads the store for others
 	Small  watch.Config  // of the nodes of a fleet so small that each reads the store itself
 	Slow   watch.Config  // of tables that may lag
+
+	Members   string        // name of the table in which the members register themselves
+	Check     time.Duration // time between two looks for members that are gone
+	GoneAfter time.Duration // for which a member must not have answered to be taken off
 }
 
 // DefaultConfig returns the bounds that the nodes start from.
@@ -48,6 +52,7 @@
 	return Config{
 		Direct: 16, Most: 3, Settle: time.Second, First: 600 * time.Millisecond, Lead: 300 * time.Millisecond, Beat: 250 * time.Millisecond, Stall: 800 * time.Millisecond,
 		OldAge: 1500 * time.Millisecond, Own: 3 * time.Second, Reader: reader, Small: watch.DefaultConfig(), Slow: slow,
+		Members: "members", Check: time.Minute, GoneAfter: 10 * time.Minute,
 	}
 }
 
@@ -55,6 +60,8 @@
 type Registry interface {
 	// Put writes a member's entry under its VM's name, over any earlier one.
 	Put(ctx context.Context, key string, data []byte) error
+	// Remove takes off an entry of a version; it does nothing to a later one.
+	Remove(ctx context.Context, key string, version watch.Version) error
 }
 
 // Node is this node's part in the mesh.
@@ -102,7 +109,10 @@
 	n.awaitMembers(ctx)
 	known := n.registered()
 	var registering sync.WaitGroup
-	registering.Go(func() { n.register(ctx) })
+	registering.Go(func() {
+		n.register(ctx)
+		n.tidy(ctx)
+	})
 	defer registering.Wait()
 	settled := time.AfterFunc(n.config.Settle, func() { n.settled.Store(true) })
 	defer settled.Stop()
--- /dev/null
+++ b/mesh/tidy.go
@@ -0,0 +1,86 @@
+package mesh
+
+import (
+	"context"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vaneyoke/vaneyoke/internal/pause"
+)
+
+// tidy takes members off the store that have been gone for long, since nodes go on asking them and share the retry budget
+// with them. Of the members that answer the one with the highest rank does it; one that was taken off while it was only
+// cut off registers itself again.
+func (n *Node) tidy(ctx context.Context) {
+	if n.self.Address == "" {
+		return
+	}
+	var absent absences
+	for pause.For(ctx, n.config.Check) {
+		n.register(ctx)
+		members := n.membersByRank()
+		if n.anyAnswersAbove(ctx, members) {
+			absent = absences{}
+			continue
+		}
+		for _, m := range members {
+			if m.VM != n.self.VM {
+				absent.checked(time.Now(), m.VM, n.answers(ctx, m))
+			}
+		}
+		absent.keep(members)
+		for _, vm := range absent.longer(time.Now(), n.config.GoneAfter) {
+			n.takeOff(ctx, string(vm))
+		}
+	}
+}
+
+func (n *Node) membersByRank() []Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	members := slices.Clone(n.members)
+	slices.SortFunc(members, byRank)
+	return members
+}
+
+// anyAnswersAbove reports whether a member with a higher rank answers; the members are ordered by rank.
+func (n *Node) anyAnswersAbove(ctx context.Context, members []Member) bool {
+	for _, m := range members {
+		if !m.outranks(n.self) {
+			return false
+		}
+		if m.VM != n.self.VM && n.answers(ctx, m) {
+			return true
+		}
+	}
+	return false
+}
+
+// answers reports whether a member takes connections.
+func (n *Node) answers(ctx context.Context, m Member) bool {
+	ctx, cancel := context.WithTimeout(ctx, n.config.Stall)
+	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", m.Address)
+	if err != nil {
+		return false
+	}
+	_ = conn.Close()
+	return true
+}
+
+// takeOff removes a member's entry where it is still the one that is known.
+func (n *Node) takeOff(ctx context.Context, vm string) {
+	rows, _, ok := n.hub.Held(n.config.Members)
+	row, found := rows[vm]
+	if !ok || !found {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, n.config.Reader.Wait)
+	defer cancel()
+	err := n.registry.Remove(ctx, vm, row.Version)
+	n.log.WithFields(logrus.Fields{"peer": vm, "error": err}).Info("member_taken_off")
+}
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -33,6 +33,7 @@
 	{"leave_failed", []string{"error"}, "A stopping node could not take itself off the members."},
 	{"listen_failed", []string{"error"}, "The address of metrics and profiles cannot be opened; the node serves without it."},
 	{"log_lines_lost", []string{"count"}, "Log lines were lost because nobody read them in time."},
+	{"member_taken_off", []string{"peer", "error"}, "A node that has not answered for ten minutes was taken off the list of members, unless there is an error."},
 	{"membership_unchanged", []string{"event", "error"}, "The list of members could not be changed."},
 	{"node_joined", []string{"vm"}, "The node has become a member whose confirmation counts."},
 	{"node_removed", []string{"vm"}, "A VM that is gone was taken off the members."},
