--- /dev/null
+++ b/mesh/register.go
@@ -0,0 +1,51 @@
+package mesh
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+
+	"github.com/samber/lo"
+
+	"github.com/vaneyoke/vaneyoke/internal/pause"
+	"github.com/vaneyoke/vaneyoke/watch"
+)
+
+// registered reports whether the own entry stands among the members as it is.
+func (n *Node) registered() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return slices.Contains(n.members, n.self)
+}
+
+// register writes the own entry where an earlier start has not; nobody asks a node that could not.
+func (n *Node) register(ctx context.Context) {
+	const tries = 3
+	if n.self.Address == "" || n.registered() {
+		return
+	}
+	entry, err := json.Marshal(n.self)
+	if err != nil {
+		n.log.WithField("error", err).Error("register_failed")
+		return
+	}
+	for range tries {
+		callCtx, cancel := context.WithTimeout(ctx, n.config.Reader.Wait)
+		err := n.registry.Put(callCtx, string(n.self.VM), entry)
+		cancel()
+		if err == nil || ctx.Err() != nil {
+			return
+		}
+		n.log.WithField("error", err).Warn("register_failed")
+		pause.For(ctx, n.config.Reader.Pause)
+	}
+}
+
+// DecodeMembers returns the members of a table's rows; a row that cannot be read is left out.
+func DecodeMembers(rows watch.Rows) []Member {
+	return lo.FilterMap(lo.Values(rows), func(row watch.Row, _ int) (Member, bool) {
+		var m Member
+		err := json.Unmarshal(row.Data, &m)
+		return m, err == nil && m.Address != ""
+	})
+}
--- /dev/null
+++ b/mesh/tell.go
@@ -0,0 +1,54 @@
+package mesh
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Handler returns the handler by which the node tells its tables to others.
+func (n *Node) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+Path, n.tell)
+	return mux
+}
+
+// tell writes what has changed at each change, and how old the tables are then and now and then.
+func (n *Node) tell(w http.ResponseWriter, r *http.Request) {
+	control := http.NewResponseController(w)
+	before := toldOf(r.URL.Query())
+	ticker := time.NewTicker(n.config.Beat)
+	defer ticker.Stop()
+	for {
+		update, b, changed, err := n.hub.next(time.Now(), before)
+		if err != nil {
+			n.log.WithField("error", err).Error("frame_unwritable")
+			return
+		}
+		_ = control.SetWriteDeadline(time.Now().Add(n.config.Stall))
+		if err := errors.Join(writeFrames(w, update, b), control.Flush()); err != nil {
+			return
+		}
+		select {
+		case <-r.Context().Done():
+			return
+		case <-changed:
+		case <-ticker.C:
+		}
+	}
+}
+
+// writeFrames writes an update, where there is one, and how old the tables are.
+func writeFrames(w io.Writer, update packet, b beat) error {
+	if update != nil {
+		if err := update.writeTo(w); err != nil {
+			return err
+		}
+	}
+	p, err := pack(frame{Beat: &b})
+	if err != nil {
+		return err
+	}
+	return p.writeTo(w)
+}
