--- a/generation/config.go
+++ b/generation/config.go
@@ -20,6 +20,9 @@
 	// ProbeEvery is the time without a first piece after which an upstream is asked whether it is there, again and again;
 	// 0 for never.
 	ProbeEvery time.Duration
+	// AskSilent is how often an upstream that has given no first piece in time is asked whether it works on the run, and is
+	// waited for as long again where it does; 0 for never.
+	AskSilent int
 	// Opaque says that an attempt goes on from the number of the last piece alone, and that no engine gives a run's
 	// stream a second time.
 	Opaque  bool
--- a/generation/effect.go
+++ b/generation/effect.go
@@ -31,6 +31,12 @@
 	Upstream vaneyoke.UpstreamID
 }
 
+// Ask asks an upstream whether it works on an attempt's run.
+type Ask struct {
+	Attempt  vaneyoke.Attempt
+	Upstream vaneyoke.UpstreamID
+}
+
 // Start sends an attempt to its upstream.
 type Start struct {
 	Attempt     vaneyoke.Attempt
@@ -77,6 +83,7 @@
 func (Place) effect()   {}
 func (Inspect) effect() {}
 func (Probe) effect()   {}
+func (Ask) effect()     {}
 func (Start) effect()   {}
 func (Resume) effect()  {}
 func (Cancel) effect()  {}
--- a/generation/event.go
+++ b/generation/event.go
@@ -34,6 +34,12 @@
 	RetryAfter time.Duration // 0 where the placement gives no time
 }
 
+// Asked says whether an upstream works on an attempt's run, in answer to Ask.
+type Asked struct {
+	Attempt vaneyoke.Attempt
+	Working bool
+}
+
 // Probed answers Probe.
 type Probed struct {
 	Attempt vaneyoke.Attempt
@@ -82,6 +88,7 @@
 func (Admitted) event()   {}
 func (Placed) event()     {}
 func (Inspected) event()  {}
+func (Asked) event()      {}
 func (Probed) event()     {}
 func (NotPlaced) event()  {}
 func (PromptRead) event() {}
--- a/generation/opaque_property_test.go
+++ b/generation/opaque_property_test.go
@@ -44,6 +44,7 @@
 	f.config.MaxUnsent = 500 * time.Millisecond
 	f.config.MaxLosses = 64
 	f.config.ProbeEvery = 200 * time.Millisecond
+	f.config.AskSilent = rapid.IntRange(0, 2).Draw(t, "asks")
 	f.state = generation.New(f.config, rand.New(rand.NewPCG(1, 2)))
 	return f
 }
@@ -183,6 +184,11 @@
 					f.handle(generation.Probed{Attempt: attempt, Alive: rapid.Bool().Draw(t, "alive")})
 				}
 			},
+			"asked": func(t *rapid.T) {
+				if attempt, ok := f.attempt(); ok {
+					f.handle(generation.Asked{Attempt: attempt, Working: rapid.Bool().Draw(t, "working")})
+				}
+			},
 			"time": func(t *rapid.T) {
 				f.now = f.now.Add(time.Duration(rapid.SampledFrom([]int{1, 50, 300, 3000, 11_000}).Draw(t, "ms")) * time.Millisecond)
 				f.handle(generation.Tick{})
--- a/generation/opaque_test.go
+++ b/generation/opaque_test.go
@@ -164,6 +164,44 @@
 	must.True(t, has[generation.Place](effects))
 }
 
+// TestSilentUpstreamIsAskedBeforeItIsGivenUp has an upstream give no first piece in time: one that works on the run is
+// waited for as long again, twice; one that does not is given up at once, and an answer that comes late says nothing.
+func TestSilentUpstreamIsAskedBeforeItIsGivenUp(t *testing.T) {
+	const patience = 600 * time.Millisecond
+	start := func() *opaque {
+		o := newOpaque(t, func(c *generation.Config) {
+			c.AskSilent, c.ProbeEvery, c.Silence.FirstToken = 2, 0, patience
+		})
+		o.place(o.handle(generation.Admitted{}), "e1", "")
+		return o
+	}
+	o := start()
+	sent := o.now
+	for n := range 2 {
+		o.now = o.state.Deadline()
+		must.EqOp(t, time.Duration(n+1)*patience, o.now.Sub(sent))
+		must.EqOp(t, "e1", find[generation.Ask](t, o.handle(generation.Tick{})).Upstream)
+		must.Len(t, 0, o.handle(generation.Asked{Attempt: o.last, Working: true}))
+	}
+	o.now = o.state.Deadline()
+	must.EqOp(t, 3*patience, o.now.Sub(sent))
+	must.EqOp(t, generation.CauseSilent, find[generation.Cancel](t, o.handle(generation.Tick{})).Cause)
+
+	o = start()
+	o.now = o.state.Deadline()
+	find[generation.Ask](t, o.handle(generation.Tick{}))
+	effects := o.handle(generation.Asked{Attempt: o.last, Working: false})
+	must.EqOp(t, generation.CauseSilent, find[generation.Cancel](t, effects).Cause)
+	must.True(t, has[generation.Place](effects))
+
+	o = start()
+	must.Len(t, 0, o.handle(generation.Asked{Attempt: o.last, Working: false})) // nobody asked
+	o.now = o.state.Deadline()
+	find[generation.Ask](t, o.handle(generation.Tick{}))
+	o.piece(0)
+	must.Len(t, 0, o.handle(generation.Asked{Attempt: o.last, Working: false}))
+}
+
 func TestLateProbeDoesNotEndARunThatHasBegun(t *testing.T) {
 	o := newOpaque(t, nil)
 	o.place(o.handle(generation.Admitted{}), "e1", "")
--- a/generation/recover.go
+++ b/generation/recover.go
@@ -281,6 +281,15 @@
 	}
 }
 
+// asked gives up a run that its upstream does not work on; one that it works on is waited for since it was asked.
+func (s *State) asked(now time.Time, ev Asked) {
+	r := s.find(ev.Attempt)
+	if r != nil && r.stage == stageStarted && r.asked > 0 && !ev.Working {
+		s.stats.Suspected++
+		s.lose(now, r, CauseSilent)
+	}
+}
+
 // silentAt returns when a run's silence calls for a decision.
 func (s *State) silentAt(r *run) time.Time {
 	since := r.gaps.last
@@ -300,6 +309,9 @@
 	if r.suspect || s.cfg.Recovery == vaneyoke.RecoverFrugal || !s.cfg.Repeatable {
 		limit = time.Duration(float64(limit) * s.cfg.Silence.Patience)
 	}
+	if r.gaps.count == 0 {
+		limit *= time.Duration(1 + r.asked)
+	}
 	return since.Add(limit)
 }
 
@@ -343,6 +355,11 @@
 		s.placeAgain(now)
 		return
 	}
+	if r.gaps.count == 0 && r.asked < s.cfg.AskSilent {
+		r.asked++
+		s.do(Ask{Attempt: r.attempt, Upstream: r.upstream})
+		return
+	}
 	s.stats.Suspected++
 	race := !s.cfg.Opaque && s.cfg.Recovery == vaneyoke.RecoverFast && s.cfg.Repeatable && !r.suspect
 	if !race || len(s.runs) > 1 {
--- a/generation/run.go
+++ b/generation/run.go
@@ -27,6 +27,7 @@
 	placedAt    time.Time
 	probing     bool          // whether a probe is under way
 	aliveAt     time.Time     // when the upstream last answered a probe, or the run was placed
+	asked       int           // how often the upstream was asked whether it works on the run
 	expect      time.Duration // expected time to the first token
 	gaps        gapEstimate
 	replica     vaneyoke.UpstreamID // keeps a replica of the run's memory; "" for none
--- a/generation/state.go
+++ b/generation/state.go
@@ -85,6 +85,8 @@
 		s.inspected(ev)
 	case Probed:
 		s.probed(now, ev)
+	case Asked:
+		s.asked(now, ev)
 	case NotPlaced:
 		s.notPlaced(now, ev)
 	case PromptRead:
--- a/relay/forwarded.go
+++ b/relay/forwarded.go
@@ -37,9 +37,11 @@
 	limitPauses  = 0.9 // share of the pause without an event that makes an attempt suspect at the latest
 	probeGoals   = 0.5 // share of the goal without a first piece after which the upstream is probed
 	longestProbe = 400 * time.Millisecond
-	unsentGoals  = 0.2  // share of the goal for which an upstream is looked for before the request is refused
-	tellMargin   = 0.02 // share of the time left that the node keeps for itself
-	manyLosses   = 64   // attempts in a row that may fail to reach an upstream
+	askSilent    = 2                      // times that an upstream without a first event is asked whether it works on the run
+	askWait      = 200 * time.Millisecond // longest wait for what it says
+	unsentGoals  = 0.2                    // share of the goal for which an upstream is looked for before the request is refused
+	tellMargin   = 0.02                   // share of the time left that the node keeps for itself
+	manyLosses   = 64                     // attempts in a row that may fail to reach an upstream
 	shortestTold = time.Millisecond
 	retryPause   = 10 * time.Millisecond
 	retryCap     = 100 * time.Millisecond
@@ -105,6 +107,7 @@
 		config.Silence.Floor = config.MaxWait
 		config.Silence.Ceiling = config.MaxWait
 	case f.Stream:
+		config.AskSilent = askSilent
 		config.Silence.FirstToken = share(f.Goal, firstGoals)
 		config.Silence.Floor = share(f.Pause, floorPauses)
 		config.Silence.Ceiling = share(f.Pause, limitPauses)
@@ -170,6 +173,18 @@
 	s.handle(time.Now(), generation.Probed{Attempt: e.Attempt, Alive: alive})
 }
 
+// ask asks whether an attempt's upstream works on its run; one that does not say does not.
+func (s *Session) ask(e generation.Ask) {
+	s.mu.Lock()
+	l := s.links[e.Attempt]
+	s.mu.Unlock()
+	ctx, cancel := context.WithTimeout(s.ctx, askWait)
+	defer cancel()
+	working := s.relay.sender.WorksOn(ctx, l.upstream, s.req.ID)
+	s.logAttempt(e.Attempt, l.upstream.ID).WithField("working", working).Info("upstream_asked")
+	s.handle(time.Now(), generation.Asked{Attempt: e.Attempt, Working: working})
+}
+
 // passEvents takes in a stream's events.
 func (s *Session) passEvents(ctx context.Context, e generation.Start, m *forwarded, exchange forward.Exchange) {
 	attempt := e.Attempt
--- a/relay/session.go
+++ b/relay/session.go
@@ -209,6 +209,8 @@
 		go s.inspect(e, s.links[e.Attempt].upstream)
 	case generation.Probe:
 		go s.probe(e)
+	case generation.Ask:
+		go s.ask(e)
 	case generation.Start:
 		s.start(e)
 	case generation.Resume:
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -59,6 +59,7 @@
 	{"settings_reloaded", []string{"taken", "grace", "lame", "needs_restart"}, "Changed settings were taken in."},
 	{"store_lost", []string{"table", "version", "error"}, "The store cannot be read; the node goes on with what it has."},
 	{"store_regained", []string{"table", "version", "failures"}, "The store can be read again."},
+	{"upstream_asked", []string{"request", "attempt", "upstream", "working"}, "An upstream that has given no first event in time was asked whether it works on the run; where it does, it is waited for as long again."},
 	{"vms_read_failed", []string{"error"}, "The list of VMs could not be read."},
 }
 
