--- a/mesh/frame.go
+++ b/mesh/frame.go
@@ -146,7 +146,7 @@
 			update.Rows = append(update.Rows, rowUpdate{Key: key, Data: row.Data, Version: row.Version})
 		}
 	}
-	if had >= t.removals.since {
+	if !t.otherEdition(before) && t.removals.known(had) {
 		update.Gone = t.removals.after(had)
 		return update
 	}
--- a/mesh/hub.go
+++ b/mesh/hub.go
@@ -64,6 +64,7 @@
 	advanced := version > t.version
 	t.version = version
 	if t.rows != nil && maps.EqualFunc(t.rows, rows, sameVersion) {
+		t.removals.saw(version)
 		return
 	}
 	t.removals.note(t.rows, rows, version)
@@ -86,6 +87,7 @@
 		return
 	}
 	t.version = version
+	t.removals.confirmed(version)
 	h.confirm(confirmed, t)
 }
 
--- a/mesh/removals_test.go
+++ b/mesh/removals_test.go
@@ -110,3 +110,45 @@
 	must.SliceEmpty(t, nextOf(t, from, now, nearTold).Tables)
 	must.SliceEmpty(t, nextOf(t, from, now, held).Tables)
 }
+
+// TestTablesNeverGoBack has a node follow two others in turn that read the store each at its own times and so skip versions:
+// whenever it is told something, it holds exactly the store's rows of some version, and never of an older one than before.
+func TestTablesNeverGoBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		truth := []watch.Rows{{}}
+		parents := [2]*Hub{}
+		for i := range parents {
+			parents[i], _ = recorder()
+			parents[i].Set(now, "t", truth[0], 0, now)
+		}
+		node, got := recorder()
+		at, before := 0, told{}
+		for range rapid.IntRange(1, 25).Draw(t, "steps") {
+			version := watch.Version(len(truth))
+			rows := maps.Clone(truth[len(truth)-1])
+			changeRows(t, rows, version)
+			truth = append(truth, rows)
+			for _, p := range parents {
+				switch rapid.IntRange(0, 3).Draw(t, "parent") {
+				case 0: // reads what has changed
+					p.Set(now, "t", rows, version, now)
+				case 1: // hears that nothing has
+					if held := p.tables["t"].version; maps.EqualFunc(truth[held], rows, sameVersion) {
+						p.Confirm("t", version, now)
+					}
+				}
+			}
+			if rapid.Bool().Draw(t, "switch") {
+				at, before = 1-at, told{}
+				if node.tables["t"].rows != nil {
+					before["t"] = hold{version: node.tables["t"].version}
+				}
+			}
+			earlier := node.tables["t"].version
+			follow(t, parents[at], node, now, before)
+			must.GreaterEq(t, earlier, node.tables["t"].version)
+			must.MapEq(t, truth[node.tables["t"].version], *got)
+		}
+	})
+}
