--- a/mesh/hub_test.go
+++ b/mesh/hub_test.go
@@ -85,6 +85,10 @@
 				sent += len(update.Rows)
 			}
 			must.EqOp(t, tc.sent, sent)
+			if sent > 0 { // what went before the hub's first look is not known
+				must.Len(t, 3, f.Tables[0].Keys)
+				must.SliceEmpty(t, f.Tables[0].Gone)
+			}
 			to.take(now, f)
 			must.Eq(t, watch.Rows{"a": row("1", 1), "b": row("2", 4), "c": row("3", 8)}, *got)
 			age, _ := to.Age(now)
--- a/mesh/rank_test.go
+++ b/mesh/rank_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/samber/lo"
 	"github.com/shoenig/test/must"
 
 	"github.com/vaneyoke/vaneyoke"
@@ -59,6 +60,31 @@
 	must.SliceEmpty(t, sources(append(all, alone), alone, 16, 3))
 }
 
+// TestSourcesInOrder holds whom a member of each place in the order of its data centre asks, one after the other: the node
+// that the tree gives it, the nodes which that one follows, and then the highest others.
+func TestSourcesInOrder(t *testing.T) {
+	var all []Member
+	for n := range 20 {
+		all = append(all, Member{VM: vaneyoke.VMID(fmt.Sprint("vm-", n)), DataCentre: "a", Bandwidth: float64(100 - n)})
+	}
+	others := []Member{{VM: "b-0", DataCentre: "b", Bandwidth: 300}, {VM: "c-0", DataCentre: "c", Bandwidth: 200}, {VM: "c-1", DataCentre: "c", Bandwidth: 150}}
+	fleet := append(others, all...)
+	for place, want := range map[int][]vaneyoke.VMID{
+		0:  {"b-0", "c-0"}, // the first of its data centre asks the first of those that come before it
+		1:  {"vm-0"},
+		2:  {"vm-0", "vm-1"},
+		3:  {"vm-0", "vm-1", "vm-2"},
+		6:  {"vm-0", "vm-1", "vm-2"},
+		7:  {"vm-1", "vm-0", "vm-2"},
+		12: {"vm-1", "vm-0", "vm-2"},
+		13: {"vm-2", "vm-0", "vm-1"},
+		19: {"vm-3", "vm-0", "vm-1"},
+	} {
+		got := lo.Map(sources(fleet, all[place], 16, 3), func(m Member, _ int) vaneyoke.VMID { return m.VM })
+		must.Eq(t, want, got, must.Sprint(place))
+	}
+}
+
 // TestSourcesLeadToTheReader has members ask their first choices, from one to the next: all come to the reader, which has
 // the fastest link, in few steps; the further choices of a node are at least as near to it.
 func TestSourcesLeadToTheReader(t *testing.T) {
--- a/watch/watch_test.go
+++ b/watch/watch_test.go
@@ -103,19 +103,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				source := &script{t: t, steps: tc.steps}
-				got := rows{}
-				log := logrus.New()
-				log.SetOutput(io.Discard)
-				ctx, stop := context.WithCancel(t.Context())
-				done := make(chan struct{})
-				go func() {
-					watch.New("rows", source, watch.DefaultConfig, got, log).Run(ctx)
-					close(done)
-				}()
-				time.Sleep(15 * time.Second) // of the clock of its own
-				stop()
-				<-done
-				must.Eq(t, tc.want, got)
+				must.Eq(t, tc.want, run(t, source, watch.DefaultConfig, func(*watch.Follower) {}, 15*time.Second))
 				must.Eq(t, tc.after, source.after[:len(tc.after)])
 			})
 		})
@@ -178,21 +166,8 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				source := &script{t: t, steps: tc.steps}
-				got := rows{}
-				log := logrus.New()
-				log.SetOutput(io.Discard)
-				f := watch.New("rows", source, watch.DefaultConfig, got, log)
-				f.Resume(rows{"a": "1", "b": "2"}.raw(), 5)
-				ctx, stop := context.WithCancel(t.Context())
-				done := make(chan struct{})
-				go func() {
-					f.Run(ctx)
-					close(done)
-				}()
-				time.Sleep(time.Second) // of the clock of its own
-				stop()
-				<-done
-				must.Eq(t, tc.want, got)
+				resume := func(f *watch.Follower) { f.Resume(rows{"a": "1", "b": "2"}.raw(), 5) }
+				must.Eq(t, tc.want, run(t, source, watch.DefaultConfig, resume, time.Second))
 				must.Eq(t, tc.after, source.after)
 				must.EqOp(t, 0, source.waits[0])
 				must.Positive(t, source.waits[len(source.waits)-1])
@@ -201,6 +176,26 @@
 	}
 }
 
+// run follows a source on a clock of its own for a while, after set has had its way with the follower.
+func run(t *testing.T, source watch.Source, config func() watch.Config, set func(*watch.Follower), while time.Duration) rows {
+	t.Helper()
+	got := rows{}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := watch.New("rows", source, config, got, log)
+	set(f)
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		f.Run(ctx)
+		close(done)
+	}()
+	time.Sleep(while)
+	stop()
+	<-done
+	return got
+}
+
 // lapsing is a source whose rows lapse while it is down; what writes them does so again some time after its return.
 type lapsing struct {
 	began    time.Time
@@ -270,24 +265,13 @@
 			synctest.Test(t, func(t *testing.T) {
 				source := tc.source
 				source.began = time.Now()
-				got := rows{}
-				log := logrus.New()
-				log.SetOutput(io.Discard)
 				config := func() watch.Config {
 					c := watch.DefaultConfig()
 					c.Grace = 2 * time.Second
 					return c
 				}
-				ctx, stop := context.WithCancel(t.Context())
-				done := make(chan struct{})
-				go func() {
-					watch.New("rows", &source, config, got, log).Run(ctx)
-					close(done)
-				}()
-				time.Sleep(time.Second + source.down + tc.at)
-				stop()
-				<-done
-				must.Eq(t, tc.want, got)
+				asIs := func(*watch.Follower) {}
+				must.Eq(t, tc.want, run(t, &source, config, asIs, time.Second+source.down+tc.at))
 			})
 		})
 	}
