--- a/mesh/node.go
+++ b/mesh/node.go
@@ -48,6 +48,18 @@
 	}
 }
 
+// waitMargin is by how much a reader's wait for changes is shorter than the age from which its tables are old.
+const waitMargin = 400 * time.Millisecond
+
+// InForceWithin returns the bounds of a fleet in which a change has to be in force within a time: a node that finds out that
+// the one it follows is cut off from the store has half of it left to read the store itself.
+func (c Config) InForceWithin(bound time.Duration) Config {
+	c.OldAge = min(c.OldAge, bound/2)
+	c.Reader.Wait = min(c.Reader.Wait, max(c.OldAge-waitMargin, c.OldAge/2))
+	c.Lead = min(c.Lead, bound/10)
+	return c
+}
+
 // Registry is where members register themselves.
 type Registry interface {
 	// Put writes a member's entry under its VM's name, over any earlier one.
--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -298,3 +298,14 @@
 	n.SetMembers(members("a", "b"))
 	must.EqOp(t, n.config.Reader.Wait, n.times().Wait)
 }
+
+// TestTimesLeaveRoomWithinTheBound holds that a reader's confirmations come before its tables count as old, and that a node
+// that has to wait for its tables to grow old and then for the lead has a third of the bound left.
+func TestTimesLeaveRoomWithinTheBound(t *testing.T) {
+	for _, bound := range []time.Duration{500 * time.Millisecond, time.Second, 2 * time.Second, 3 * time.Second, time.Minute} {
+		config := DefaultConfig().InForceWithin(bound)
+		must.Greater(t, config.Reader.Wait, config.OldAge, must.Sprint(bound))
+		must.LessEq(t, bound*2/3, config.OldAge+config.Lead, must.Sprint(bound))
+	}
+	must.Eq(t, DefaultConfig(), DefaultConfig().InForceWithin(3*time.Second))
+}
--- a/mesh/rank_test.go
+++ b/mesh/rank_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/samber/lo"
@@ -68,7 +69,7 @@
 		all = append(all, Member{VM: vaneyoke.VMID(fmt.Sprint("vm-", n)), DataCentre: "a", Bandwidth: float64(100 - n)})
 	}
 	others := []Member{{VM: "b-0", DataCentre: "b", Bandwidth: 300}, {VM: "c-0", DataCentre: "c", Bandwidth: 200}, {VM: "c-1", DataCentre: "c", Bandwidth: 150}}
-	fleet := append(others, all...)
+	fleet := slices.Concat(others, all)
 	for place, want := range map[int][]vaneyoke.VMID{
 		0:  {"b-0", "c-0"}, // the first of its data centre asks the first of those that come before it
 		1:  {"vm-0"},
--- a/node/gateway_wire.go
+++ b/node/gateway_wire.go
@@ -102,7 +102,7 @@
 	s := do.MustInvoke[settings.Settings](i)
 	client := do.MustInvoke[*storeClient](i).http
 	directory := do.MustInvoke[*routes](i)
-	config := mesh.DefaultConfig()
+	config := mesh.DefaultConfig().InForceWithin(s.Gateway.InForceWithin)
 	config.Small = config.Reader
 	config.Small.Wait, config.Small.Slack = s.Gateway.FeedWait, watch.DefaultConfig().Slack
 	if s.Gateway.Peers == "" {
@@ -112,7 +112,7 @@
 	var node *mesh.Node
 	hub := mesh.NewHub(map[string]mesh.Table{
 		"routes":    {Source: platform.NewConfig(client, s.Gateway.Store), Apply: directory.setTables},
-		"upstreams": {Source: platform.NewEngines(client, s.Gateway.Store), Apply: directory.setUpstreams, Grace: s.Gateway.LapseGrace},
+		"upstreams": {Source: platform.NewEngines(client, s.Gateway.Store), Apply: directory.setUpstreams, Grace: lapseGrace(s.Gateway)},
 		"members": {Source: members, MayLag: true, Apply: func(_ time.Time, rows watch.Rows) {
 			node.SetMembers(mesh.DecodeMembers(rows))
 			directory.balancer.SetRetryBurst(fleetBudgetConfig(s.Retry, node.Members()).Burst)
@@ -127,6 +127,14 @@
 	return node, nil
 }
 
+// lapseShare is the share of the bound for leaving upstreams for which one whose entry lapsed is used at the most.
+const lapseShare = 0.8
+
+// lapseGrace returns how long upstreams are used whose entries lapsed while the store was away.
+func lapseGrace(s settings.Gateway) time.Duration {
+	return min(s.LapseGrace, time.Duration(lapseShare*float64(s.DrainWithin)))
+}
+
 // newPeerClient returns the HTTP client for other nodes; it bounds no answer's time, because answers do not end.
 func newPeerClient() *http.Client {
 	dialer := &net.Dialer{Timeout: peerDialWait}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -31,19 +31,21 @@
 
 // Gateway says how opaque requests are taken.
 type Gateway struct {
-	Listen      string        `ini:"listen" check:"optional_address" doc:"IP number and port for callers of opaque requests; none where it is empty."`
-	Readiness   string        `ini:"readiness" check:"optional_address" doc:"IP number and port at which the node tells whether it takes new connections."`
-	Store       string        `ini:"store" check:"optional_address" doc:"IP number and port of the store that holds the routes and the list of upstreams; must be set where listen is."`
-	Peers       string        `ini:"peers" check:"optional_address" doc:"IP number and port at which the node tells other nodes what the store holds; without one, it reads the store itself."`
-	MaxWait     time.Duration `ini:"max_wait" default:"60s" min:"10ms" doc:"Longest time for an answer where neither the route nor the caller names one."`
-	HeaderWait  time.Duration `ini:"header_wait" default:"10s" min:"100ms" doc:"Longest time that a caller may take to send a request's header."`
-	IdleWait    time.Duration `ini:"idle_wait" default:"60s" min:"1s" doc:"How long a connection without a request is kept."`
-	HeaderBytes int           `ini:"header_bytes" default:"65536" min:"1024" doc:"Largest header of a request in bytes."`
-	DialWait    time.Duration `ini:"dial_wait" default:"120ms" min:"1ms" doc:"Longest wait for a connection to an upstream."`
-	FeedWait    time.Duration `ini:"feed_wait" default:"3s" min:"100ms" max:"30s" doc:"How long one call to the store waits for changes, in a fleet so small that every node reads it."`
-	LapseGrace  time.Duration `ini:"lapse_grace" default:"1600ms" min:"0s" max:"10s" doc:"How long upstreams that are missing when the store comes back after an outage are still used; less than the time within which a leaving upstream gets no more work."`
-	Lame        time.Duration `ini:"lame" default:"3s" min:"0s" doc:"How long a stopping node still takes requests, while it says that it is not ready."`
-	LameStreams time.Duration `ini:"lame_streams" default:"2500ms" min:"0s" doc:"How long a stopping node still takes streams that can go on at another node; a third of the grace at the longest."`
+	Listen        string        `ini:"listen" check:"optional_address" doc:"IP number and port for callers of opaque requests; none where it is empty."`
+	Readiness     string        `ini:"readiness" check:"optional_address" doc:"IP number and port at which the node tells whether it takes new connections."`
+	Store         string        `ini:"store" check:"optional_address" doc:"IP number and port of the store that holds the routes and the list of upstreams; must be set where listen is."`
+	Peers         string        `ini:"peers" check:"optional_address" doc:"IP number and port at which the node tells other nodes what the store holds; without one, it reads the store itself."`
+	MaxWait       time.Duration `ini:"max_wait" default:"60s" min:"10ms" doc:"Longest time for an answer where neither the route nor the caller names one."`
+	HeaderWait    time.Duration `ini:"header_wait" default:"10s" min:"100ms" doc:"Longest time that a caller may take to send a request's header."`
+	IdleWait      time.Duration `ini:"idle_wait" default:"60s" min:"1s" doc:"How long a connection without a request is kept."`
+	HeaderBytes   int           `ini:"header_bytes" default:"65536" min:"1024" doc:"Largest header of a request in bytes."`
+	DialWait      time.Duration `ini:"dial_wait" default:"120ms" min:"1ms" doc:"Longest wait for a connection to an upstream."`
+	FeedWait      time.Duration `ini:"feed_wait" default:"3s" min:"100ms" max:"30s" doc:"How long one call to the store waits for changes, in a fleet so small that every node reads it."`
+	LapseGrace    time.Duration `ini:"lapse_grace" default:"1600ms" min:"0s" max:"10s" doc:"How long upstreams that are missing when the store comes back after an outage are still used; four fifths of drain_within at the longest."`
+	DrainWithin   time.Duration `ini:"drain_within" default:"2s" min:"100ms" doc:"Time within which an upstream that is leaving gets no more work."`
+	InForceWithin time.Duration `ini:"in_force_within" default:"3s" min:"500ms" doc:"Time within which a change of the configuration is in force; in a large fleet it bounds how old the tables of a node may be that others rely on."`
+	Lame          time.Duration `ini:"lame" default:"3s" min:"0s" doc:"How long a stopping node still takes requests, while it says that it is not ready."`
+	LameStreams   time.Duration `ini:"lame_streams" default:"2500ms" min:"0s" doc:"How long a stopping node still takes streams that can go on at another node; a third of the grace at the longest."`
 }
 
 // Platform says where the platform's service is.
