Tell of every request that a stopping node takes or cuts off, and of signals

A request that the close left where it stood has no line at all: sessions end with the relay's context, and handlers die with the process.

Change, none of it to what is served: - Package serve follows the phases of each connection (fresh, reading, answering, idle) on both kinds of node. - taken_while_stopping for each request that a stopping node takes, with its wait and what is left of the grace; connection_cut_off for each connection closed within a request; session_dropped for each session left where it stood; node_stopping and node_stopped say the grace and how long it took; request_refused says when to come back and how old the connection is; signal_received for each signal. - Signals are caught from the first line of main until the process has ended. Before, a SIGHUP while the settings were read, or while the log was written out at the end, ended the process. - Logs go to standard output.

Ruled out as a cause by reading: a second SIGTERM (it was kept in the context's channel and changed nothing).

Tests: TestPhasesOfAConnection, TestSignalsDuringAStop; the table of events is held against the code as before.

--- a/cmd/vaneyoked/main.go
+++ b/cmd/vaneyoked/main.go
@@ -5,12 +5,9 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 	_ "time/tzdata" // VMs may have no time zones of their own
 
-	"github.com/sirupsen/logrus"
 	"github.com/urfave/cli/v3"
 
 	"github.com/vaneyoke/vaneyoke"
@@ -23,16 +20,14 @@
 const logWait = 500 * time.Millisecond
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	err := command().Run(ctx, os.Args)
-	stop()
-	if err != nil {
+	if err := command(catchSignals()).Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "vaneyoked:", err)
 		os.Exit(vaneyoke.ExitStatus(err))
 	}
 }
 
-func command() *cli.Command {
+// command returns the command line; signals are those that the process gets.
+func command(signals <-chan os.Signal) *cli.Command {
 	return &cli.Command{
 		Name:                  "vaneyoked",
 		Usage:                 "run one node of vaneyoke",
@@ -42,28 +37,11 @@
 			&cli.StringFlag{Name: "config", Aliases: []string{"c"}, Usage: "INI `FILE` with the node's settings", Required: true},
 			&cli.BoolFlag{Name: "check", Usage: "check the settings and exit"},
 		},
-		Action: run,
-	}
-}
-
-// reloadUntil takes in the settings at each SIGHUP until ctx ends; a file with errors is told of and left aside.
-func reloadUntil(ctx context.Context, hangups <-chan os.Signal, path string, n node.Process, log logrus.FieldLogger) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-hangups:
-		}
-		s, err := settings.Load(path)
-		if err != nil {
-			log.WithFields(logrus.Fields{"code": int(vaneyoke.CodeOf(err)), "error": err}).Error("settings_refused")
-			continue
-		}
-		n.Reload(s)
+		Action: func(ctx context.Context, cmd *cli.Command) error { return run(ctx, cmd, signals) },
 	}
 }
 
-func run(ctx context.Context, cmd *cli.Command) error {
+func run(ctx context.Context, cmd *cli.Command, signals <-chan os.Signal) error {
 	s, err := settings.Load(cmd.String("config"))
 	if err != nil {
 		return err
@@ -72,15 +50,12 @@
 		fmt.Fprintln(cmd.Root().Writer, "settings are good")
 		return nil
 	}
-	out := telemetry.NewAsyncWriter(os.Stderr)
+	out := telemetry.NewAsyncWriter(os.Stdout)
 	defer out.Close(logWait)
 	log, err := telemetry.NewLogger(out, s.Log.Level)
 	if err != nil {
 		return vaneyoke.WrapErr(vaneyoke.CodeSettingsValue, err, "[log] level")
 	}
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
 	n, err := node.New(s, log, out.Lost)
 	if err != nil {
 		return err
@@ -88,6 +63,7 @@
 	if err := n.Start(ctx); err != nil {
 		return err
 	}
-	reloadUntil(ctx, hangups, cmd.String("config"), n, log)
-	return n.Stop(context.WithoutCancel(ctx))
+	r := &runner{node: n, path: cmd.String("config"), log: log, signals: signals}
+	r.untilStopped(ctx)
+	return r.stop(context.WithoutCancel(ctx))
 }
--- a/cmd/vaneyoked/soak_test.go
+++ b/cmd/vaneyoked/soak_test.go
@@ -87,7 +87,7 @@
 		log, err := os.OpenFile(filepath.Join(*soakLogs, strings.ReplaceAll(n.listen, ":", "-")+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 		must.NoError(s.t, err)
 		defer func() { _ = log.Close() }()
-		n.cmd.Stderr = log
+		n.cmd.Stdout, n.cmd.Stderr = log, log
 	}
 	must.NoError(s.t, n.cmd.Start())
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -16,6 +15,7 @@
 	"github.com/vaneyoke/vaneyoke/forward"
 	"github.com/vaneyoke/vaneyoke/relay"
 	"github.com/vaneyoke/vaneyoke/route"
+	"github.com/vaneyoke/vaneyoke/serve"
 )
 
 // Envelope is what a request's headers say.
@@ -70,20 +70,6 @@
 // Stop has callers told that their connection will be closed, and refuses streams that would be cut off.
 func (g *Gateway) Stop(s Stopping) { g.stopping.Store(&s) }
 
-// openedKey is the key of the time at which a connection was opened, in the context of its requests.
-type openedKey struct{}
-
-// ConnContext notes when a connection was opened; it is the server's ConnContext.
-func ConnContext(ctx context.Context, _ net.Conn) context.Context {
-	return context.WithValue(ctx, openedKey{}, time.Now())
-}
-
-// openedAt returns when a request's connection was opened, the zero time where that is not known.
-func openedAt(ctx context.Context) time.Time {
-	at, _ := ctx.Value(openedKey{}).(time.Time)
-	return at
-}
-
 // Ready reports whether the node takes new connections.
 func (g *Gateway) Ready() bool { return g.stopping.Load() == nil && g.directory.Routes() != nil }
 
@@ -104,10 +90,17 @@
 		w.Header().Set("Connection", "close")
 	}
 	req, f, err := g.read(w, r, received)
+	serve.NoteRequest(r.Context(), string(req.ID))
 	if err != nil {
 		g.refuse(w, r, req, err)
 		return
 	}
+	if s := g.stopping.Load(); s != nil {
+		g.log.WithFields(logrus.Fields{
+			"request": req.ID, "stopping_ms": received.Sub(s.Since).Milliseconds(), "grace_left_ms": s.Until.Sub(received).Milliseconds(),
+			"wait_ms": f.Deadline.Sub(received).Milliseconds(), "opened_ms": received.Sub(serve.OpenedAt(r.Context())).Milliseconds(),
+		}).Info("taken_while_stopping")
+	}
 	session := g.relay.Forward(r.Context(), req, f)
 	a := &answer{gateway: g, http: w, control: http.NewResponseController(w), session: session, forwarding: &f}
 	a.give(r.Context())
@@ -133,7 +126,7 @@
 		return req, relay.Forwarding{}, err
 	}
 	if found.Kind == route.KindStream {
-		if after, refused := g.stopping.Load().refusal(received, openedAt(r.Context()), found.Repeatable()); refused {
+		if after, refused := g.stopping.Load().refusal(received, serve.OpenedAt(r.Context()), found.Repeatable()); refused {
 			return req, relay.Forwarding{}, vaneyoke.ErrRetryAfter(vaneyoke.CodeStopping, after, "the node is stopping")
 		}
 	}
@@ -211,6 +204,7 @@
 	code := vaneyoke.CodeOf(err)
 	g.log.WithFields(logrus.Fields{
 		"request": req.ID, "code": int(code), "host": r.Host, "path": r.URL.Path, "error": err,
+		"retry_after_ms": vaneyoke.RetryAfterOf(err).Milliseconds(), "opened_ms": time.Since(serve.OpenedAt(r.Context())).Milliseconds(),
 	}).Info("request_refused")
 	writeFailure(w, statusOf(code), vaneyoke.RetryAfterOf(err), err.Error())
 	if code == vaneyoke.CodeBodyTooLarge {
--- a/node/gateway.go
+++ b/node/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/vaneyoke/vaneyoke/internal/pause"
 	"github.com/vaneyoke/vaneyoke/mesh"
 	"github.com/vaneyoke/vaneyoke/relay"
+	"github.com/vaneyoke/vaneyoke/serve"
 	"github.com/vaneyoke/vaneyoke/settings"
 	"github.com/vaneyoke/vaneyoke/telemetry"
 )
@@ -39,8 +40,8 @@
 
 	stop      context.CancelFunc
 	work      sync.WaitGroup
-	servers   []*http.Server
-	listeners []net.Listener // for callers, readiness, metrics and, where there are any, other nodes
+	servers   []*serve.Server // of the listeners, in their order
+	listeners []net.Listener  // for callers, readiness, metrics and, where there are any, other nodes
 }
 
 // port is an address that the node listens on.
@@ -104,13 +105,7 @@
 
 func (n *GatewayNode) serve(l net.Listener, handler http.Handler) {
 	s := n.settings.Gateway
-	server := &http.Server{
-		Handler:           handler,
-		ConnContext:       gateway.ConnContext,
-		ReadHeaderTimeout: s.HeaderWait,
-		IdleTimeout:       s.IdleWait,
-		MaxHeaderBytes:    s.HeaderBytes,
-	}
+	server := serve.New(handler, serve.Config{HeaderWait: s.HeaderWait, IdleWait: s.IdleWait, HeaderBytes: s.HeaderBytes})
 	n.servers = append(n.servers, server)
 	n.work.Go(func() { _ = server.Serve(l) })
 }
@@ -144,19 +139,34 @@
 	now := time.Now()
 	until := now.Add(grace)
 	n.StopTaking(now, until)
-	n.log.WithField("open", n.gateway.Open()).Info("node_stopping")
+	n.log.WithFields(logrus.Fields{"open": n.gateway.Open(), "grace": s.Node.Grace, "lame": s.Gateway.Lame}).Info("node_stopping")
 	for _, server := range n.servers {
-		server.SetKeepAlivesEnabled(false)
+		server.CloseIdle()
 	}
 	pause.For(ctx, min(s.Gateway.Lame, grace))
 	ctx, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	err := waitForNone(ctx, n.gateway.Open)
+	logCutOff(n.log, n.servers[0], now)
 	n.Kill()
-	n.log.WithField("cut_off", err != nil).Info("node_stopped")
+	n.log.WithFields(logrus.Fields{"cut_off": err != nil, "ms": time.Since(now).Milliseconds()}).Info("node_stopped")
 	return err
 }
 
+// logCutOff tells of each connection that is in the middle of a request when its server is closed.
+func logCutOff(log logrus.FieldLogger, server *serve.Server, stopping time.Time) {
+	now := time.Now()
+	for _, c := range server.Conns() {
+		if !c.Phase.Busy() {
+			continue
+		}
+		log.WithFields(logrus.Fields{
+			"request": c.Request, "phase": c.Phase, "age_ms": now.Sub(c.Since).Milliseconds(),
+			"opened_ms": now.Sub(c.Opened).Milliseconds(), "stopping_ms": now.Sub(stopping).Milliseconds(),
+		}).Warn("connection_cut_off")
+	}
+}
+
 // waitForNone waits until no request is open, or returns an error where some are left when ctx ends.
 func waitForNone(ctx context.Context, open func() int) error {
 	for open() > 0 {
--- a/node/node.go
+++ b/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/vaneyoke/vaneyoke/failover"
 	"github.com/vaneyoke/vaneyoke/operatorapi"
 	"github.com/vaneyoke/vaneyoke/relay"
+	"github.com/vaneyoke/vaneyoke/serve"
 	"github.com/vaneyoke/vaneyoke/settings"
 	"github.com/vaneyoke/vaneyoke/store"
 	"github.com/vaneyoke/vaneyoke/telemetry"
@@ -51,7 +52,7 @@
 	stopping *atomic.Bool
 	stop     context.CancelFunc
 	work     sync.WaitGroup
-	servers  []*http.Server
+	servers  []*serve.Server // for callers, operators and other nodes
 	callerAt net.Listener
 	adminAt  net.Listener
 	peerAt   net.Listener
@@ -108,7 +109,7 @@
 }
 
 func (n *Node) serve(handler http.Handler, l net.Listener) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	server := serve.New(handler, serve.Config{HeaderWait: headerTimeout})
 	n.servers = append(n.servers, server)
 	n.work.Go(func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
@@ -161,14 +162,16 @@
 // It returns an error where requests were cut off.
 func (n *Node) Stop(ctx context.Context) error {
 	n.stopping.Store(true)
-	n.log.WithField("open", n.api.Open()).Info("node_stopping")
+	now := time.Now()
+	n.log.WithFields(logrus.Fields{"open": n.api.Open(), "grace": n.settings.Node.Grace}).Info("node_stopping")
 	ctx, cancel := context.WithTimeout(ctx, n.settings.Node.Grace)
 	defer cancel()
 	err := waitForNone(ctx, n.api.Open)
 	n.failover.Flush(ctx)
 	n.leave(ctx)
+	logCutOff(n.log, n.servers[0], now)
 	n.Kill()
-	n.log.WithField("cut_off", err != nil).Info("node_stopped")
+	n.log.WithFields(logrus.Fields{"cut_off": err != nil, "ms": time.Since(now).Milliseconds()}).Info("node_stopped")
 	return errors.Join(err, n.tracing.Close(context.WithoutCancel(ctx)))
 }
 
--- a/relay/record.go
+++ b/relay/record.go
@@ -104,3 +104,22 @@
 		"ms":        time.Since(s.req.ReceivedAt).Milliseconds(),
 	}).Info("session_ended")
 }
+
+// drop tells of a session that is left where it stands because the relay is closed.
+func (s *Session) drop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.result.Ended {
+		return
+	}
+	s.relay.log.WithFields(logrus.Fields{
+		"route":    s.req.Kind,
+		"upstream": s.last,
+		"request":  s.req.ID,
+		"sent":     s.state.Sent(),
+		"tokens":   s.state.Transcript().Len(),
+		"attempts": s.state.Stats().Attempts,
+		"ms":       time.Since(s.req.ReceivedAt).Milliseconds(),
+		"left_ms":  s.leftMs(),
+	}).Warn("session_dropped")
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -52,6 +55,9 @@
 	ctx     context.Context // ends when the relay is closed
 	stop    context.CancelFunc
 	plain   atomic.Uint64 // sessions of which nothing is to be told
+
+	mu      sync.Mutex
+	running map[*Session]struct{}
 }
 
 // Config holds what all sessions share.
@@ -68,12 +74,38 @@
 	ctx, stop := context.WithCancel(context.Background())
 	return &Relay{
 		engines: engines, sender: sender, placer: placer, tracer: tracer, metrics: metrics, log: log, config: config,
-		ctx: ctx, stop: stop,
+		ctx: ctx, stop: stop, running: map[*Session]struct{}{},
 	}
 }
 
-// Close drops all sessions where they stand, as the death of the process would.
-func (r *Relay) Close() { r.stop() }
+// Close drops all sessions where they stand, as the death of the process would, and tells which.
+func (r *Relay) Close() {
+	r.stop()
+	for _, s := range r.sessions() {
+		s.drop()
+	}
+}
+
+// sessions returns the sessions that have not ended.
+func (r *Relay) sessions() []*Session {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Keys(r.running))
+}
+
+// follow keeps a session among those that run.
+func (r *Relay) follow(s *Session) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running[s] = struct{}{}
+}
+
+// unfollow takes a session that has ended off those that run.
+func (r *Relay) unfollow(s *Session) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.running, s)
+}
 
 // Generate starts a generation; its session runs until it ends or is abandoned, whatever becomes of ctx.
 func (r *Relay) Generate(ctx context.Context, req *vaneyoke.Request) *Session {
--- a/relay/session.go
+++ b/relay/session.go
@@ -95,6 +95,7 @@
 	s.changed = sync.NewCond(&s.mu)
 	s.timer = time.AfterFunc(time.Hour, s.tick)
 	r.metrics.Open.Add(1)
+	r.follow(s)
 	return s
 }
 
@@ -234,5 +235,6 @@
 	s.timer.Stop()
 	s.stop()
 	s.changed.Broadcast()
+	s.relay.unfollow(s)
 	s.record()
 }
--- /dev/null
+++ b/serve/conn.go
@@ -0,0 +1,142 @@
+package serve
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+// Phase says what a connection is doing.
+type Phase int
+
+// The phases of a connection.
+const (
+	PhaseFresh     Phase = iota // it was opened, and nothing has come in
+	PhaseReading                // a part of a request has come in
+	PhaseAnswering              // a handler has the request, or its answer is on the way out
+	PhaseIdle                   // the last answer has been written
+)
+
+// String returns the phase as it stands in logs.
+func (p Phase) String() string {
+	switch p {
+	case PhaseFresh:
+		return "fresh"
+	case PhaseReading:
+		return "reading"
+	case PhaseAnswering:
+		return "answering"
+	case PhaseIdle:
+		return "idle"
+	default:
+		return "unknown"
+	}
+}
+
+// Busy reports whether closing the connection would cut a request off.
+func (p Phase) Busy() bool { return p == PhaseReading || p == PhaseAnswering }
+
+// Conn is what is known of one connection.
+type Conn struct {
+	Phase   Phase
+	Since   time.Time // when the phase began
+	Opened  time.Time
+	Request string // id of the last request; "" where the handler has not told it
+}
+
+// conn is a caller's connection.
+type conn struct {
+	net.Conn
+	server *Server
+
+	mu     sync.Mutex
+	known  Conn
+	closed bool
+}
+
+func newConn(inner net.Conn, s *Server) *conn {
+	now := time.Now()
+	return &conn{Conn: inner, server: s, known: Conn{Since: now, Opened: now}}
+}
+
+// Read reads, and notes that a request has begun to come in.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.begin()
+	}
+	return n, err
+}
+
+// begin notes that a part of a request has come in.
+func (c *conn) begin() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.known.Phase.Busy() {
+		c.enter(PhaseReading)
+	}
+}
+
+// enter begins a phase; the caller holds the lock.
+func (c *conn) enter(p Phase) {
+	c.known.Phase, c.known.Since = p, time.Now()
+}
+
+// setPhase begins a phase.
+func (c *conn) setPhase(p Phase) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.enter(p)
+}
+
+// look returns what is known of the connection.
+func (c *conn) look() Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.known
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// CloseWrite ends what is sent and leaves the other direction open, so that a caller that is still sending can read its answer.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+func connOf(ctx context.Context) *conn {
+	c, _ := ctx.Value(connKey{}).(*conn)
+	return c
+}
+
+// NoteRequest keeps a request's id with its connection, for what is told of connections that are cut off.
+func NoteRequest(ctx context.Context, id string) {
+	c := connOf(ctx)
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.known.Request = id
+}
+
+// OpenedAt returns when a request's connection was opened, the zero time where that is not known.
+func OpenedAt(ctx context.Context) time.Time {
+	c := connOf(ctx)
+	if c == nil {
+		return time.Time{}
+	}
+	return c.known.Opened
+}
--- /dev/null
+++ b/serve/doc.go
@@ -0,0 +1,2 @@
+// Package serve runs HTTP servers that know what each of their connections is doing.
+package serve
