--- a/claims/claims.go
+++ b/claims/claims.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -31,6 +32,7 @@
 	batch  *Batcher
 	log    logrus.FieldLogger
 	settle chan settling
+	saving atomic.Int64 // answers that are being kept
 }
 
 // settling is a claim that has to be revoked if it stands.
@@ -86,6 +88,9 @@
 	}
 }
 
+// Saving returns how many answers are being kept whose callers have them already.
+func (c *Claims) Saving() int { return int(c.saving.Load()) }
+
 // Run sends what is batched and settles claims, until ctx ends.
 func (c *Claims) Run(ctx context.Context) {
 	go c.batch.Run(ctx)
--- a/claims/worker.go
+++ b/claims/worker.go
@@ -34,6 +34,7 @@
 		case claim.Settle:
 			w.claims.enqueue(settling{key: w.key, record: e.Record})
 		case claim.Reply:
+			w.claims.saving.Add(1)
 			go w.rest(effects)
 			return e
 		}
@@ -43,6 +44,7 @@
 
 // rest carries out what the caller need not wait for.
 func (w *worker) rest(effects []claim.Effect) {
+	defer w.claims.saving.Add(-1)
 	ctx, cancel := context.WithTimeout(context.Background(), w.claims.config.SaveWait)
 	defer cancel()
 	for _, effect := range effects {
--- a/cmd/vaneyoked/signals.go
+++ b/cmd/vaneyoked/signals.go
@@ -16,8 +16,10 @@
 // signalsKept is how many signals wait while one is acted on; further ones of the same meaning add nothing.
 const signalsKept = 16
 
-// catchSignals keeps the signals that a node follows from ending the process.
+// catchSignals keeps the signals that a node follows from ending the process, and the one that a write to the log brings
+// where its reader is gone.
 func catchSignals() chan os.Signal {
+	signal.Ignore(syscall.SIGPIPE)
 	signals := make(chan os.Signal, signalsKept)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	return signals
--- a/failover/push.go
+++ b/failover/push.go
@@ -142,3 +142,10 @@
 	}
 	wait.Wait()
 }
+
+// Release forgets all sessions, so that what the backups hold of them stands, and other nodes go on from there.
+func (m *Manager) Release() {
+	for _, s := range m.all() {
+		m.forget(s)
+	}
+}
--- /dev/null
+++ b/fleet/stop_test.go
@@ -0,0 +1,388 @@
+package fleet_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/callerapi"
+	"github.com/vaneyoke/vaneyoke/client"
+	"github.com/vaneyoke/vaneyoke/fleet"
+	"github.com/vaneyoke/vaneyoke/settings"
+)
+
+// link is one connection to a node, so that a test sees when it is closed.
+type link struct {
+	net.Conn
+	reader *bufio.Reader
+	kept   bool // whether an answer has come over it that did not announce its end
+}
+
+func dial(ctx context.Context, url string) (*link, error) {
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", strings.TrimPrefix(url, "http://"))
+	if err != nil {
+		return nil, err
+	}
+	return &link{Conn: conn, reader: bufio.NewReader(conn)}, nil
+}
+
+// post returns the bytes of a request and where its body begins.
+func post(method, path, key, body string) (raw []byte, bodyAt int) {
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: node\r\nAuthorization: Bearer %s\r\nContent-Type: application/json\r\nContent-Length: %d\r\n\r\n", method, path, key, len(body))
+	return append([]byte(head), body...), len(head)
+}
+
+func reserve(order string) (raw []byte, bodyAt int) {
+	return post(http.MethodPost, "/v1/services/"+string(fleet.Service)+"/reserve", fleet.CallerKey, `{"order":"`+order+`"}`)
+}
+
+// reply is what a node answered.
+type reply struct {
+	status  int
+	failure callerapi.ErrorDetail // the zero value for an answer without one
+}
+
+// answer reads one whole answer.
+func (l *link) answer() (reply, error) {
+	_ = l.SetReadDeadline(time.Now().Add(20 * time.Second))
+	res, err := http.ReadResponse(l.reader, nil)
+	if err != nil {
+		return reply{}, err
+	}
+	defer func() { _ = res.Body.Close() }()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return reply{}, err
+	}
+	l.kept = !res.Close
+	var failure callerapi.ErrorBody
+	if res.StatusCode >= http.StatusBadRequest {
+		err = json.Unmarshal(body, &failure)
+	}
+	return reply{status: res.StatusCode, failure: failure.Failure}, err
+}
+
+// ask sends a request and reads its answer.
+func (l *link) ask(raw []byte) (reply, error) {
+	if _, err := l.Write(raw); err != nil {
+		return reply{}, err
+	}
+	return l.answer()
+}
+
+// stopping has the first node stop, and returns a function that waits for the end of that.
+func stopping(t *testing.T, f *fleet.Fleet) (wait func() error) {
+	t.Helper()
+	done := make(chan error, 1)
+	go func() { done <- f.Nodes[0].Stop(context.WithoutCancel(t.Context())) }()
+	return func() error { return <-done }
+}
+
+// withGrace has nodes judge nothing and stop within a time.
+func withGrace(grace time.Duration) func(*fleet.Config) {
+	return func(c *fleet.Config) {
+		c.Adjust = func(s *settings.Settings) {
+			patient(s)
+			s.Node.Grace, s.Limits.CallSilence, s.Limits.WholeLimit, s.Limits.MaxWait = grace, time.Hour, time.Hour, time.Hour
+		}
+	}
+}
+
+// waitOpen waits until a node runs a request.
+func waitOpen(t *testing.T, f *fleet.Fleet, node int) {
+	t.Helper()
+	for {
+		res, err := http.Get(f.Nodes[node].AdminURL() + "/debug/vars")
+		must.NoError(t, err)
+		var vars struct {
+			Open int `json:"sessions_open"`
+		}
+		must.NoError(t, json.NewDecoder(res.Body).Decode(&vars))
+		_ = res.Body.Close()
+		if vars.Open > 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestStoppingNodeAnswersEveryCallThatRan has calls come on new and on kept connections until the node is gone.
+func TestStoppingNodeAnswersEveryCallThatRan(t *testing.T) {
+	const callers = 12
+	f := start(t, withGrace(time.Second))
+	f.Services[0].SetDelay(20 * time.Millisecond)
+	var mu sync.Mutex
+	broken := map[string]error{}
+	var sent atomic.Int64
+	var wait sync.WaitGroup
+	for i := range callers {
+		transport := &http.Transport{DisableKeepAlives: i%2 == 0}
+		defer transport.CloseIdleConnections()
+		c := client.New(&http.Client{Transport: transport}, f.Nodes[0].URL(), fleet.CallerKey)
+		wait.Go(func() {
+			for n := 0; ; n++ {
+				order := fmt.Sprintf("%d-%d", i, n)
+				sent.Add(1)
+				_, err := c.Call(t.Context(), fleet.Service, "reserve", []byte(`{"order":"`+order+`"}`), nil)
+				if errors.Is(err, syscall.ECONNREFUSED) {
+					return
+				}
+				if _, failed := errors.AsType[*client.FailedError](err); err != nil && !failed {
+					mu.Lock()
+					broken[order] = err
+					mu.Unlock()
+				}
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	must.NoError(t, stopping(t, f)())
+	wait.Wait()
+	orders := f.Services[0].Orders()
+	must.MapNotEmpty(t, orders)
+	t.Logf("%d calls sent, %d run, %d closed without an answer", sent.Load(), len(orders), len(broken))
+	for order, err := range broken {
+		must.MapNotContainsKey(t, orders, order, must.Sprintf("the call ran, and its caller was told %v", err))
+	}
+}
+
+// TestStoppingNodeAnswersWhatIsLeft has a request outlast the grace; its caller has to be told whether it may have run.
+func TestStoppingNodeAnswersWhatIsLeft(t *testing.T) {
+	hang := func(f *fleet.Fleet) { f.Services[0].SetDelay(time.Hour) }
+	gone := func(f *fleet.Fleet) { _ = f.Services[0].Close() }
+	frozen := func(f *fleet.Fleet) {
+		for _, e := range f.Engines {
+			e.Pause()
+		}
+	}
+	call := func(header http.Header) func(context.Context, *client.Client) error {
+		return func(ctx context.Context, c *client.Client) error {
+			_, err := c.Call(ctx, fleet.Service, "reserve", []byte(`{"order":"a"}`), header)
+			return err
+		}
+	}
+	generate := func(ctx context.Context, c *client.Client) error {
+		req, _ := prompt("describe the carpets of stall nine length=120")
+		s, err := c.Generate(ctx, req, nil)
+		if err != nil {
+			return err
+		}
+		defer func() { _ = s.Close() }()
+		for err == nil {
+			_, err = s.Next()
+		}
+		return err
+	}
+	cases := map[string]struct {
+		before func(*fleet.Fleet)
+		ask    func(context.Context, *client.Client) error
+		gap    time.Duration // between an engine's tokens
+		codes  []string
+		notRun bool
+	}{
+		"call that hangs":             {hang, call(nil), 0, []string{"may_have_run"}, false},
+		"call with a key that hangs":  {hang, call(http.Header{"Idempotency-Key": {"k"}}), 0, []string{"may_have_run"}, false},
+		"call that was sent nowhere":  {gone, call(nil), 0, []string{"stopping", "no_upstream", "wait_exceeded"}, true},
+		"stream without a first word": {frozen, generate, 0, []string{"interrupted", "may_have_run"}, false},
+		"stream that has begun":       {func(*fleet.Fleet) {}, generate, 500 * time.Millisecond, []string{"interrupted"}, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			f := start(t, func(c *fleet.Config) {
+				withGrace(time.Second)(c)
+				if tc.gap > 0 {
+					c.Engine.Gap = tc.gap
+				}
+			})
+			tc.before(f)
+			heard := make(chan error, 1)
+			c := client.New(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, f.Nodes[0].URL(), fleet.CallerKey)
+			go func() { heard <- tc.ask(t.Context(), c) }()
+			waitOpen(t, f, 0)
+			stopped := stopping(t, f)
+			failed, ok := errors.AsType[*client.FailedError](<-heard)
+			_ = stopped() // whether it counts as cut off is not held here
+			must.True(t, ok, must.Sprint("the connection was closed without an answer"))
+			must.SliceContains(t, tc.codes, failed.Detail.Type)
+			must.EqOp(t, tc.notRun, failed.Detail.NotRun)
+		})
+	}
+}
+
+// TestStoppingNodeAnswersAnOperator stops a node that has committed a change and waits for the others to confirm it.
+func TestStoppingNodeAnswersAnOperator(t *testing.T) {
+	f := startMembers(t, 3, func(s *settings.Settings) { s.Node.Grace = 5 * time.Second })
+	f.Nodes[1].Kill()
+	f.Nodes[2].Kill()
+	l, err := dial(t.Context(), f.Nodes[0].AdminURL())
+	must.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	o := submit("late", "1s")
+	body, err := json.Marshal(o.body)
+	must.NoError(t, err)
+	raw, _ := post(o.method, o.path, o.key, string(body))
+	_, err = l.Write(raw)
+	must.NoError(t, err)
+	for len(f.Platform.Rows("policy")) == 0 {
+		must.NoError(t, t.Context().Err())
+		time.Sleep(time.Millisecond)
+	}
+	stopped := stopping(t, f)
+	got, err := l.answer()
+	must.NoError(t, err, must.Sprint("the change is committed, and its operator was told nothing"))
+	must.EqOp(t, vaneyoke.CodeNotConfirmed.Info().Name, got.failure.Type)
+	must.NoError(t, stopped())
+}
+
+// holdLeaving has the store answer nothing, so that a stopping node takes as long as it may to leave the list of members.
+func holdLeaving(t *testing.T, f *fleet.Fleet) {
+	t.Helper()
+	postFault(t, f.Platform.URL(), `{"fault":"pause"}`)
+	t.Cleanup(func() { postFault(t, f.Platform.URL(), `{"fault":"continue"}`) })
+}
+
+// TestLeavingNodeRefusesInWhole sends requests to a node that has nothing left to do but to leave the list of members.
+func TestLeavingNodeRefusesInWhole(t *testing.T) {
+	const untilRest = 2500 * time.Millisecond // the node has left by then
+	for name, half := range map[string]bool{"whole": false, "rest of the body comes late": true} {
+		for kind, kept := range map[string]bool{"new connection": false, "kept connection": true} {
+			t.Run(name+", "+kind, func(t *testing.T) {
+				f := startMembers(t, 2, func(s *settings.Settings) { s.Node.Grace = 6 * time.Second })
+				l, err := dial(t.Context(), f.Nodes[0].URL())
+				must.NoError(t, err)
+				defer func() { _ = l.Close() }()
+				if kept {
+					raw, _ := reserve("before")
+					got, err := l.ask(raw)
+					must.NoError(t, err)
+					must.EqOp(t, http.StatusOK, got.status)
+				}
+				holdLeaving(t, f)
+				began := time.Now()
+				stopped := stopping(t, f)
+				time.Sleep(300 * time.Millisecond)
+				raw, bodyAt := reserve("late")
+				if half {
+					_, err = l.Write(raw[:bodyAt+1])
+					must.NoError(t, err)
+					time.Sleep(time.Until(began.Add(untilRest)))
+					raw = raw[bodyAt+1:]
+				}
+				got, err := l.ask(raw)
+				must.NoError(t, err, must.Sprint("the connection was closed without an answer"))
+				must.EqOp(t, vaneyoke.CodeStopping.Info().Name, got.failure.Type)
+				must.NoError(t, stopped())
+				must.MapNotContainsKey(t, f.Services[0].Orders(), "late")
+			})
+		}
+	}
+}
+
+// TestLeavingNodeAnnouncesWhatItCloses asks over kept connections until the node is gone: each is closed only after an
+// answer that says so.
+func TestLeavingNodeAnnouncesWhatItCloses(t *testing.T) {
+	const callers = 8
+	f := startMembers(t, 2, func(s *settings.Settings) { s.Node.Grace = 5 * time.Second })
+	holdLeaving(t, f)
+	var kept, fresh, answers atomic.Int64
+	var wait sync.WaitGroup
+	for i := range callers {
+		wait.Go(func() {
+			raw, _ := reserve(fmt.Sprint(i))
+			for {
+				l, err := dial(t.Context(), f.Nodes[0].URL())
+				if err != nil {
+					return
+				}
+				for first := true; first || l.kept; first = false {
+					if _, err := l.ask(raw); err == nil {
+						answers.Add(1)
+						continue
+					}
+					if l.kept {
+						kept.Add(1)
+					} else {
+						fresh.Add(1)
+					}
+					break
+				}
+				_ = l.Close()
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	must.NoError(t, stopping(t, f)())
+	wait.Wait()
+	t.Logf("%d answers; closed without one: %d requests on kept connections, %d on new ones", answers.Load(), kept.Load(), fresh.Load())
+	must.Positive(t, answers.Load())
+	must.Zero(t, kept.Load())
+}
+
+// TestNodeLeavesAlsoWhenItsGraceIsOver has a call outlast the grace of a member.
+func TestNodeLeavesAlsoWhenItsGraceIsOver(t *testing.T) {
+	f := startMembers(t, 3, func(s *settings.Settings) { s.Node.Grace, s.Limits.CallSilence = time.Second, time.Hour })
+	f.Services[0].SetDelay(time.Hour)
+	l, err := dial(t.Context(), f.Nodes[0].URL())
+	must.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	raw, _ := reserve("a")
+	_, err = l.Write(raw)
+	must.NoError(t, err)
+	waitOpen(t, f, 0)
+	_ = stopping(t, f)()
+	must.SliceNotContains(t, f.Platform.Rows("node"), "vm-0")
+}
+
+// TestStoppedNodeHasToldOfEachRequest looks for a line of the log for a call that outlasts the grace.
+func TestStoppedNodeHasToldOfEachRequest(t *testing.T) {
+	var log lockedBuffer
+	f := start(t, func(c *fleet.Config) {
+		withGrace(time.Second)(c)
+		c.Log, c.LogLevel = &log, "info"
+	})
+	f.Services[0].SetDelay(time.Hour)
+	l, err := dial(t.Context(), f.Nodes[0].URL())
+	must.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	raw, _ := reserve("a")
+	_, err = l.Write(raw)
+	must.NoError(t, err)
+	waitOpen(t, f, 0)
+	_ = stopping(t, f)()
+	must.StrContains(t, log.String(), "session_ended")
+}
+
+// lockedBuffer is a log that several nodes write.
+type lockedBuffer struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write adds lines.
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+// String returns the lines.
+func (b *lockedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"time"
 
@@ -67,7 +68,7 @@
 // Open returns the number of requests being answered.
 func (g *Gateway) Open() int { return int(g.open.Load()) }
 
-// Stop has callers told that their connection will be closed, and refuses streams that would be cut off.
+// Stop has the node say that it is not ready, and refuses requests that would be cut off.
 func (g *Gateway) Stop(s Stopping) { g.stopping.Store(&s) }
 
 // Ready reports whether the node takes new connections.
@@ -85,8 +86,7 @@
 	received := time.Now()
 	g.open.Add(1)
 	defer g.open.Add(-1)
-	// What follows a chunked body may have been meant as a part of it, where a length was given too.
-	if g.stopping.Load() != nil || len(r.TransferEncoding) > 0 {
+	if len(r.TransferEncoding) > 0 { // what follows may have been meant as a part of the body, where a length was given too
 		w.Header().Set("Connection", "close")
 	}
 	req, f, err := g.read(w, r, received)
@@ -125,18 +125,20 @@
 	if err != nil {
 		return req, relay.Forwarding{}, err
 	}
-	if found.Kind == route.KindStream {
-		if after, refused := g.stopping.Load().refusal(received, serve.OpenedAt(r.Context()), found.Repeatable()); refused {
-			return req, relay.Forwarding{}, vaneyoke.ErrRetryAfter(vaneyoke.CodeStopping, after, "the node is stopping")
-		}
+	a := arrival{
+		at: received, opened: serve.OpenedAt(r.Context()), longest: g.longest(found, envelope.Wait),
+		stream: found.Kind == route.KindStream, resumable: found.Repeatable(),
 	}
-	body, err := g.readBody(w, r, table.Limits())
+	if after, refused := g.stopping.Load().refusal(a); refused {
+		return req, relay.Forwarding{}, vaneyoke.ErrRetryAfter(vaneyoke.CodeStopping, after, "the node is stopping")
+	}
+	body, err := g.readBody(w, r, table.Limits(), received.Add(a.longest))
 	if err != nil {
 		return req, relay.Forwarding{}, err
 	}
 	fill(req, found, workspace, envelope)
 	f := forwardingOf(table, found, envelope)
-	f.Deadline = received.Add(g.longest(found, envelope.Wait))
+	f.Deadline = received.Add(a.longest)
 	f.Message = &forward.Message{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: envelope.Header, Body: body}
 	return req, f, nil
 }
@@ -181,8 +183,9 @@
 	return longest
 }
 
-// readBody returns the whole body; an error carries CodeBodyTooLarge or CodeBadRequest.
-func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, limits route.Limits) ([]byte, error) {
+// readBody returns the whole body, which has to come before the answer is due; an error carries CodeBodyTooLarge,
+// CodeWaitExceeded or CodeBadRequest.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request, limits route.Limits, deadline time.Time) ([]byte, error) {
 	most := g.config.BodyBytes
 	if limits.BodyBytes > 0 {
 		most = limits.BodyBytes
@@ -190,11 +193,14 @@
 	if r.ContentLength > most {
 		return nil, vaneyoke.Err(vaneyoke.CodeBodyTooLarge, "the body is larger than %d bytes", most)
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(g.config.MaxWait))
+	_ = http.NewResponseController(w).SetReadDeadline(deadline)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, most))
 	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
 		return nil, vaneyoke.Err(vaneyoke.CodeBodyTooLarge, "the body is larger than %d bytes", most)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, vaneyoke.ErrRetryAfter(vaneyoke.CodeWaitExceeded, retryUnknown, "the body did not come within the time for the answer")
+	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return body, vaneyoke.WrapErr(vaneyoke.CodeBadRequest, err, "read body")
 }
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -5,20 +5,33 @@
 // Stopping says how a node stops.
 type Stopping struct {
 	Since time.Time     // when it was told to
-	Until time.Time     // when it ends at the latest
+	Until time.Time     // when each request that it took has had its answer
 	Calm  time.Duration // how long the platform may take to send new connections elsewhere
-	// Streams is how long streams that can go on at another node are still taken: most end in time, and a caller whose
-	// stream is cut off at the end comes back for the rest.
-	Streams time.Duration
+	// Early is how long requests are still taken whose answer may last longer than the node: most end in time, and a caller
+	// whose stream is cut off at the end comes back for the rest.
+	Early time.Duration
 }
 
-// refusal says whether a stopping node refuses a request for a stream, and when the caller should come back.
-func (s *Stopping) refusal(now, opened time.Time, resumable bool) (retryAfter time.Duration, refused bool) {
-	if s == nil || (resumable && now.Before(s.Since.Add(s.Streams))) {
+// arrival is what decides whether a stopping node takes a request.
+type arrival struct {
+	at        time.Time
+	opened    time.Time     // when its connection was opened
+	longest   time.Duration // how long the answer may take
+	stream    bool
+	resumable bool // whether another node can go on with the stream
+}
+
+// refusal says whether a stopping node refuses a request, and when the caller should come back. A request is taken where
+// its answer is due before the node ends, whatever becomes of it, so that none that was taken late is cut off.
+func (s *Stopping) refusal(a arrival) (retryAfter time.Duration, refused bool) {
+	if s == nil || !a.at.Add(a.longest).After(s.Until) {
+		return 0, false
+	}
+	if (a.resumable || !a.stream) && a.at.Before(s.Since.Add(s.Early)) {
 		return 0, false
 	}
-	if opened.After(s.Since.Add(s.Calm)) { // new connections still come, so that no other node takes them
-		return max(s.Until.Sub(now), retryElsewhere), true
+	if a.opened.After(s.Since.Add(s.Calm)) { // new connections still come, so that no other node takes them
+		return max(s.Until.Sub(a.at), retryElsewhere), true
 	}
 	return retryElsewhere, true
 }
--- a/gateway/stopping_test.go
+++ b/gateway/stopping_test.go
@@ -7,31 +7,50 @@
 	"github.com/shoenig/test/must"
 )
 
-// TestStreamsAtAStoppingNode holds which streams a node that was told to stop takes, and when it has the others come back.
-func TestStreamsAtAStoppingNode(t *testing.T) {
+// TestRequestsAtAStoppingNode holds which requests a node that was told to stop takes, and when it has the others come back.
+func TestRequestsAtAStoppingNode(t *testing.T) {
+	const (
+		long  = 25 * time.Second       // may last longer than the node
+		short = 800 * time.Millisecond // is answered before the node ends, until 6,900 ms
+	)
 	since := time.Unix(1000, 0)
-	s := &Stopping{Since: since, Until: since.Add(7700 * time.Millisecond), Calm: 2200 * time.Millisecond, Streams: 2500 * time.Millisecond}
+	s := &Stopping{Since: since, Until: since.Add(7700 * time.Millisecond), Calm: 2200 * time.Millisecond, Early: 2500 * time.Millisecond}
 	before := since.Add(-time.Minute)
+	stream := arrival{stream: true, longest: long}
+	resumable := arrival{stream: true, resumable: true, longest: long}
+	call := arrival{longest: short}
+	longCall := arrival{longest: long}
+	shortStream := arrival{stream: true, longest: short}
 	cases := map[string]struct {
-		stopping  *Stopping
-		at        time.Duration // after it was told to stop
-		opened    time.Time
-		resumable bool
-		refused   bool
-		after     time.Duration
+		stopping *Stopping
+		request  arrival
+		at       time.Duration // after the node was told to stop
+		opened   time.Time
+		refused  bool
+		after    time.Duration
 	}{
-		"does not stop":                     {nil, 0, before, false, false, 0},
-		"soon, can go on elsewhere":         {s, 2 * time.Second, before, true, false, 0},
-		"soon, cannot":                      {s, 0, before, false, true, retryElsewhere},
-		"later, kept connection":            {s, 2500 * time.Millisecond, before, true, true, retryElsewhere},
-		"later, from before it was known":   {s, 3 * time.Second, since.Add(2 * time.Second), true, true, retryElsewhere},
-		"later, others take none":           {s, 4 * time.Second, since.Add(4 * time.Second), true, true, 3700 * time.Millisecond},
-		"at the end, others take none":      {s, 8 * time.Second, since.Add(8 * time.Second), true, true, retryElsewhere},
-		"connection of which nothing known": {s, 4 * time.Second, time.Time{}, true, true, retryElsewhere},
+		"does not stop":                     {nil, stream, 0, before, false, 0},
+		"soon, can go on elsewhere":         {s, resumable, 2 * time.Second, before, false, 0},
+		"soon, cannot":                      {s, stream, 0, before, true, retryElsewhere},
+		"later, kept connection":            {s, resumable, 2500 * time.Millisecond, before, true, retryElsewhere},
+		"later, from before it was known":   {s, resumable, 3 * time.Second, since.Add(2 * time.Second), true, retryElsewhere},
+		"later, others take none":           {s, resumable, 4 * time.Second, since.Add(4 * time.Second), true, 3700 * time.Millisecond},
+		"at the end, others take none":      {s, resumable, 8 * time.Second, since.Add(8 * time.Second), true, retryElsewhere},
+		"connection of which nothing known": {s, resumable, 4 * time.Second, time.Time{}, true, retryElsewhere},
+		"call, soon":                        {s, call, time.Second, before, false, 0},
+		"call, due just before the end":     {s, call, 6900 * time.Millisecond, before, false, 0},
+		"call, due after the end":           {s, call, 6901 * time.Millisecond, before, true, retryElsewhere},
+		"call, others take none":            {s, call, 7200 * time.Millisecond, since.Add(7 * time.Second), true, 500 * time.Millisecond},
+		"call at the end":                   {s, call, 7700 * time.Millisecond, before, true, retryElsewhere},
+		"long call, soon":                   {s, longCall, 2 * time.Second, before, false, 0},
+		"long call, later":                  {s, longCall, 2500 * time.Millisecond, before, true, retryElsewhere},
+		"short stream that cannot go on":    {s, shortStream, 5 * time.Second, before, false, 0},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			after, refused := tc.stopping.refusal(since.Add(tc.at), tc.opened, tc.resumable)
+			a := tc.request
+			a.at, a.opened = since.Add(tc.at), tc.opened
+			after, refused := tc.stopping.refusal(a)
 			must.EqOp(t, tc.refused, refused)
 			must.EqOp(t, tc.after, after)
 		})
--- a/generation/event.go
+++ b/generation/event.go
@@ -79,26 +79,30 @@
 // CallerGone says that nobody waits for the answer any more.
 type CallerGone struct{}
 
+// Interrupted says that the node ends, and that the caller must have its last word now.
+type Interrupted struct{}
+
 // Superseded says that another node goes on with the answer.
 type Superseded struct{}
 
 // Tick says that the time returned by Deadline has come.
 type Tick struct{}
 
-func (Admitted) event()   {}
-func (Placed) event()     {}
-func (Inspected) event()  {}
-func (Asked) event()      {}
-func (Probed) event()     {}
-func (NotPlaced) event()  {}
-func (PromptRead) event() {}
-func (*Received) event()  {}
-func (Ended) event()      {}
-func (Lost) event()       {}
-func (Rejected) event()   {}
-func (CallerGone) event() {}
-func (Superseded) event() {}
-func (Tick) event()       {}
+func (Admitted) event()    {}
+func (Placed) event()      {}
+func (Inspected) event()   {}
+func (Asked) event()       {}
+func (Probed) event()      {}
+func (NotPlaced) event()   {}
+func (PromptRead) event()  {}
+func (*Received) event()   {}
+func (Ended) event()       {}
+func (Lost) event()        {}
+func (Rejected) event()    {}
+func (CallerGone) event()  {}
+func (Interrupted) event() {}
+func (Superseded) event()  {}
+func (Tick) event()        {}
 
 // Cause says how an attempt was lost.
 type Cause int
--- a/generation/opaque_property_test.go
+++ b/generation/opaque_property_test.go
@@ -193,6 +193,12 @@
 				f.now = f.now.Add(time.Duration(rapid.SampledFrom([]int{1, 50, 300, 3000, 11_000}).Draw(t, "ms")) * time.Millisecond)
 				f.handle(generation.Tick{})
 			},
+			"node ends": func(t *rapid.T) {
+				if rapid.IntRange(0, 9).Draw(t, "ends") == 0 {
+					f.handle(generation.Interrupted{})
+					must.True(t, f.ended)
+				}
+			},
 			"caller leaves": func(t *rapid.T) {
 				if rapid.IntRange(0, 9).Draw(t, "leaves") == 0 {
 					f.handle(generation.CallerGone{})
--- a/generation/opaque_test.go
+++ b/generation/opaque_test.go
@@ -291,3 +291,30 @@
 	o.place(o.lose(generation.CauseNotSent), "e2", "")
 	o.piece(0)
 }
+
+// TestInterruptedAnswerSaysWhatIsKnown ends an answer with its node: it is told as not run only where no upstream can have run it.
+func TestInterruptedAnswerSaysWhatIsKnown(t *testing.T) {
+	cases := map[string]struct {
+		before func(*opaque)
+		code   vaneyoke.Code
+	}{
+		"before it is placed": {func(o *opaque) { o.handle(generation.Admitted{}) }, vaneyoke.CodeStopping},
+		"sent":                {func(o *opaque) { o.place(o.handle(generation.Admitted{}), "e1", "") }, vaneyoke.CodeMayHaveRun},
+		"declined": {func(o *opaque) {
+			o.place(o.handle(generation.Admitted{}), "e1", "")
+			o.lose(generation.CauseDeclined)
+		}, vaneyoke.CodeStopping},
+		"begun": {func(o *opaque) {
+			o.place(o.handle(generation.Admitted{}), "e1", "")
+			o.piece(0)
+		}, vaneyoke.CodeInterrupted},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			o := newOpaque(t, nil)
+			tc.before(o)
+			must.EqOp(t, tc.code, find[generation.Fail](t, o.handle(generation.Interrupted{})).Code)
+			must.SliceEmpty(t, o.handle(generation.Tick{}))
+		})
+	}
+}
--- a/generation/state.go
+++ b/generation/state.go
@@ -101,6 +101,8 @@
 		s.rejected(ev)
 	case CallerGone:
 		s.fail(Fail{Code: vaneyoke.CodeCallerGone})
+	case Interrupted:
+		s.interrupt()
 	case Superseded:
 		s.supersede()
 	case Tick:
@@ -247,6 +249,18 @@
 	s.fail(Fail{Code: vaneyoke.CodeSuperseded})
 }
 
+// interrupt ends the answer where it stands; it says that nothing was run only where that is certain.
+func (s *State) interrupt() {
+	switch {
+	case s.answer.Len() > 0:
+		s.fail(Fail{Code: vaneyoke.CodeInterrupted, Detail: "the node ended"})
+	case s.Sent():
+		s.fail(Fail{Code: vaneyoke.CodeMayHaveRun, Detail: "the node ended"})
+	default:
+		s.fail(Fail{Code: vaneyoke.CodeStopping})
+	}
+}
+
 func (s *State) fail(f Fail) {
 	s.ended = true
 	s.cancelAll()
--- a/node/gateway.go
+++ b/node/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"expvar"
 	"net"
 	"net/http"
@@ -11,7 +12,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/gateway"
 	"github.com/vaneyoke/vaneyoke/internal/pause"
 	"github.com/vaneyoke/vaneyoke/mesh"
@@ -22,8 +22,8 @@
 )
 
 const (
-	stopMargin    = 300 * time.Millisecond  // of the grace, to end what is still open
-	lameShare     = 3                       // streams are taken for no more than this part of the grace
+	stopMargin    = 300 * time.Millisecond  // of the grace, to answer what is still open and to write out the log
+	earlyShare    = 3                       // requests that may last longer than the node are taken for no more than this part of the grace
 	notReadyKnown = 2200 * time.Millisecond // after which the platform sends no new connections to a node that is not ready
 )
 
@@ -105,9 +105,15 @@
 
 func (n *GatewayNode) serve(l net.Listener, handler http.Handler) {
 	s := n.settings.Gateway
-	server := serve.New(handler, serve.Config{HeaderWait: s.HeaderWait, IdleWait: s.IdleWait, HeaderBytes: s.HeaderBytes})
+	server := serve.New(handler, serve.Config{
+		HeaderWait: s.HeaderWait, IdleWait: s.IdleWait, HeaderBytes: s.HeaderBytes, Errors: serverErrors(n.log),
+	})
 	n.servers = append(n.servers, server)
-	n.work.Go(func() { _ = server.Serve(l) })
+	n.work.Go(func() {
+		if err := server.Serve(l); err != nil {
+			n.log.WithField("error", err).Error("server_failed")
+		}
+	})
 }
 
 func (n *GatewayNode) metrics() http.Handler {
@@ -126,13 +132,18 @@
 	}).Info("settings_reloaded")
 }
 
-// StopTaking tells callers that the node is not ready; it goes on to answer calls until it ends.
+// StopTaking tells callers that the node is not ready; it goes on to take what it can answer until it ends.
 func (n *GatewayNode) StopTaking(now, until time.Time) {
-	streams := min(n.current.Load().Gateway.LameStreams, until.Sub(now)/lameShare)
-	n.gateway.Stop(gateway.Stopping{Since: now, Until: until, Calm: notReadyKnown, Streams: streams})
+	early := min(n.current.Load().Gateway.LameStreams, until.Sub(now)/earlyShare)
+	n.gateway.Stop(gateway.Stopping{Since: now, Until: until, Calm: notReadyKnown, Early: early})
+	n.callers().Retire()
 }
 
-// Stop tells that the node is not ready, serves on for a while, and then lets the open requests finish within the grace.
+// callers returns the server that callers use.
+func (n *GatewayNode) callers() *serve.Server { return n.servers[0] }
+
+// Stop tells that the node is not ready, serves on for a while, and lets the open requests finish within the grace; those
+// that are left then get a last answer that says what is known of them.
 func (n *GatewayNode) Stop(ctx context.Context) error {
 	s := n.current.Load()
 	grace := s.Node.Grace - stopMargin
@@ -140,42 +151,13 @@
 	until := now.Add(grace)
 	n.StopTaking(now, until)
 	n.log.WithFields(logrus.Fields{"open": n.gateway.Open(), "grace": s.Node.Grace, "lame": s.Gateway.Lame}).Info("node_stopping")
-	for _, server := range n.servers {
-		server.CloseIdle()
-	}
 	pause.For(ctx, min(s.Gateway.Lame, grace))
-	ctx, cancel := context.WithDeadline(ctx, until)
-	defer cancel()
-	err := waitForNone(ctx, n.gateway.Open)
-	logCutOff(n.log, n.servers[0], now)
+	n.callers().CloseIdle()
+	interrupted := finish(ctx, n.callers(), n.relay, until)
+	cut := logCutOff(n.log, n.callers(), now)
 	n.Kill()
-	n.log.WithFields(logrus.Fields{"cut_off": err != nil, "ms": time.Since(now).Milliseconds()}).Info("node_stopped")
-	return err
-}
-
-// logCutOff tells of each connection that is in the middle of a request when its server is closed.
-func logCutOff(log logrus.FieldLogger, server *serve.Server, stopping time.Time) {
-	now := time.Now()
-	for _, c := range server.Conns() {
-		if !c.Phase.Busy() {
-			continue
-		}
-		log.WithFields(logrus.Fields{
-			"request": c.Request, "phase": c.Phase, "age_ms": now.Sub(c.Since).Milliseconds(),
-			"opened_ms": now.Sub(c.Opened).Milliseconds(), "stopping_ms": now.Sub(stopping).Milliseconds(),
-		}).Warn("connection_cut_off")
-	}
-}
-
-// waitForNone waits until no request is open, or returns an error where some are left when ctx ends.
-func waitForNone(ctx context.Context, open func() int) error {
-	for open() > 0 {
-		pause.For(ctx, drainPoll)
-		if ctx.Err() != nil {
-			return vaneyoke.Err(vaneyoke.CodeInterrupted, "%d requests were cut off at the end of the grace", open())
-		}
-	}
-	return nil
+	err := told(n.log, now, interrupted, cut)
+	return errors.Join(err, n.tracing.Close(context.WithoutCancel(ctx)))
 }
 
 // Kill closes the node at once, as the death of its process would.
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/vaneyoke/vaneyoke/catalog"
 	"github.com/vaneyoke/vaneyoke/claims"
 	"github.com/vaneyoke/vaneyoke/failover"
+	"github.com/vaneyoke/vaneyoke/internal/pause"
 	"github.com/vaneyoke/vaneyoke/operatorapi"
 	"github.com/vaneyoke/vaneyoke/relay"
 	"github.com/vaneyoke/vaneyoke/serve"
@@ -30,6 +31,7 @@
 	drainPoll      = 50 * time.Millisecond
 	stopRetryAfter = time.Second
 	leaveTimeout   = 2 * time.Second
+	leaveShare     = 3 // the last answers and the leave take no more than this part of the grace
 )
 
 // Node is one running entry process.
@@ -109,10 +111,10 @@
 }
 
 func (n *Node) serve(handler http.Handler, l net.Listener) {
-	server := serve.New(handler, serve.Config{HeaderWait: headerTimeout})
+	server := serve.New(handler, serve.Config{HeaderWait: headerTimeout, Errors: serverErrors(n.log)})
 	n.servers = append(n.servers, server)
 	n.work.Go(func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(l); err != nil {
 			n.log.WithField("error", err).Error("server_failed")
 		}
 	})
@@ -158,23 +160,69 @@
 	n.log.WithField("taken", false).Info("settings_reloaded")
 }
 
-// Stop refuses new requests, lets the open ones finish within the grace, and closes the node.
-// It returns an error where requests were cut off.
+// Stop refuses new requests, lets the open ones finish within the grace, and closes the node. Those that are left then get
+// a last answer; callers with a key go on at another node. It returns an error where there were such.
 func (n *Node) Stop(ctx context.Context) error {
-	n.stopping.Store(true)
 	now := time.Now()
+	n.stopping.Store(true)
+	for _, server := range n.servers {
+		server.Retire()
+	}
 	n.log.WithFields(logrus.Fields{"open": n.api.Open(), "grace": n.settings.Node.Grace}).Info("node_stopping")
-	ctx, cancel := context.WithTimeout(ctx, n.settings.Node.Grace)
+	ctx, cancel := context.WithDeadline(ctx, now.Add(n.settings.Node.Grace))
 	defer cancel()
-	err := waitForNone(ctx, n.api.Open)
-	n.failover.Flush(ctx)
+	interrupted := n.finish(ctx, now)
+	n.keep(ctx)
 	n.leave(ctx)
-	logCutOff(n.log, n.servers[0], now)
+	for _, server := range n.servers {
+		server.End(ctx)
+	}
+	cut := 0
+	for _, server := range n.servers {
+		cut += logCutOff(n.log, server, now)
+	}
 	n.Kill()
-	n.log.WithFields(logrus.Fields{"cut_off": err != nil, "ms": time.Since(now).Milliseconds()}).Info("node_stopped")
+	err := told(n.log, now, interrupted, cut)
 	return errors.Join(err, n.tracing.Close(context.WithoutCancel(ctx)))
 }
 
+// finish lets the callers' requests finish, but for a part of the grace, and then interrupts those that are left. It returns
+// how many they were.
+func (n *Node) finish(ctx context.Context, stopping time.Time) (interrupted int) {
+	grace := n.settings.Node.Grace
+	inTime, cancel := context.WithDeadline(ctx, stopping.Add(grace-min(leaveTimeout, grace/leaveShare)))
+	defer cancel()
+	finished := n.callers().Settle(inTime) && waitForNone(inTime, n.api.Open)
+	n.failover.Flush(ctx)
+	if finished {
+		return 0
+	}
+	n.failover.Release()
+	return n.relay.Interrupt()
+}
+
+// keep waits until the answers that callers have been given are kept for those who ask again.
+func (n *Node) keep(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
+	if !waitForNone(ctx, n.claims.Saving) {
+		n.log.WithField("count", n.claims.Saving()).Warn("answers_not_kept")
+	}
+}
+
+// callers returns the server that callers use.
+func (n *Node) callers() *serve.Server { return n.servers[0] }
+
+// waitForNone waits until no request is open, also of those that go on without their caller, and reports whether that came before ctx ended.
+func waitForNone(ctx context.Context, open func() int) bool {
+	for open() > 0 {
+		if !pause.For(ctx, drainPoll) {
+			return false
+		}
+	}
+	return true
+}
+
 // leave takes the node off the list of members; where that fails, the others do so when the VM is gone.
 func (n *Node) leave(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
--- /dev/null
+++ b/node/stop.go
@@ -0,0 +1,72 @@
+package node
+
+import (
+	"context"
+	"log"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/relay"
+	"github.com/vaneyoke/vaneyoke/serve"
+)
+
+// lastAnswers is how long answers that end because the node does may take on the way out.
+const lastAnswers = 150 * time.Millisecond
+
+// finish lets the requests of a server finish until a time, and then gives those that are left a last answer. While any is
+// under way new ones are taken, too, since their callers may find no other node; the server's handler has to refuse those
+// whose answer may come too late. It returns how many requests it interrupted.
+func finish(ctx context.Context, server *serve.Server, r *relay.Relay, until time.Time) (interrupted int) {
+	inTime, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	if server.Settle(inTime) && server.End(inTime) {
+		return 0
+	}
+	interrupted = r.Interrupt()
+	late, cancelLate := context.WithDeadline(ctx, until.Add(lastAnswers))
+	defer cancelLate()
+	server.End(late)
+	return interrupted
+}
+
+// logCutOff tells of each connection that is in the middle of a request when its server is closed, and returns their number.
+func logCutOff(log logrus.FieldLogger, server *serve.Server, stopping time.Time) (cut int) {
+	now := time.Now()
+	for _, c := range server.Conns() {
+		if !c.Phase.Busy() {
+			continue
+		}
+		cut++
+		log.WithFields(logrus.Fields{
+			"request": c.Request, "phase": c.Phase, "age_ms": now.Sub(c.Since).Milliseconds(),
+			"opened_ms": now.Sub(c.Opened).Milliseconds(), "stopping_ms": now.Sub(stopping).Milliseconds(),
+		}).Warn("connection_cut_off")
+	}
+	return cut
+}
+
+// told tells how a node has ended, and returns an error where requests did not come to their own end.
+func told(log logrus.FieldLogger, stopping time.Time, interrupted, cut int) error {
+	log.WithFields(logrus.Fields{
+		"interrupted": interrupted, "cut_off": cut, "ms": time.Since(stopping).Milliseconds(),
+	}).Info("node_stopped")
+	if interrupted+cut > 0 {
+		return vaneyoke.Err(vaneyoke.CodeInterrupted, "%d requests were interrupted and %d cut off at the end of the grace", interrupted, cut)
+	}
+	return nil
+}
+
+// serverErrors has what package http tells of a server, such as a handler's panic, logged as a line.
+func serverErrors(to logrus.FieldLogger) *log.Logger { return log.New(&errorLines{to: to}, "", 0) }
+
+// errorLines logs each text that is written to it.
+type errorLines struct{ to logrus.FieldLogger }
+
+// Write logs a text as one line.
+func (l *errorLines) Write(text []byte) (int, error) {
+	l.to.WithField("error", strings.TrimSpace(string(text))).Error("server_error")
+	return len(text), nil
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -58,6 +58,7 @@
 
 	mu      sync.Mutex
 	running map[*Session]struct{}
+	over    bool // no session may begin or go on
 }
 
 // Config holds what all sessions share.
@@ -86,6 +87,20 @@
 	}
 }
 
+// Interrupt ends all sessions where they stand, each with a result that its caller can be given, and those that would begin
+// later too. It returns how many were running.
+func (r *Relay) Interrupt() int {
+	r.mu.Lock()
+	r.over = true
+	r.mu.Unlock()
+	running := r.sessions()
+	now := time.Now()
+	for _, s := range running {
+		s.handle(now, generation.Interrupted{})
+	}
+	return len(running)
+}
+
 // sessions returns the sessions that have not ended.
 func (r *Relay) sessions() []*Session {
 	r.mu.Lock()
@@ -93,11 +108,12 @@
 	return slices.Collect(maps.Keys(r.running))
 }
 
-// follow keeps a session among those that run.
-func (r *Relay) follow(s *Session) {
+// follow keeps a session among those that run, and reports whether it may.
+func (r *Relay) follow(s *Session) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.running[s] = struct{}{}
+	return !r.over
 }
 
 // unfollow takes a session that has ended off those that run.
@@ -132,6 +148,10 @@
 	s := newSession(ctx, r, req, need, m, generation.New(config, newRand()))
 	s.epoch = 1
 	r.metrics.Sessions.Add(1)
+	if !r.follow(s) {
+		s.handle(time.Now(), generation.Interrupted{})
+		return s
+	}
 	r.placer.Admit(need)
 	s.handle(time.Now(), generation.Admitted{})
 	return s
--- a/relay/restore.go
+++ b/relay/restore.go
@@ -73,6 +73,7 @@
 	state, effects := generation.Restore(now, r.configOf(req, need, m), newRand(), from)
 	s := newSession(ctx, r, req, need, m, state)
 	s.epoch = saved.Epoch
+	goesOn := r.follow(s)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.links[generation.RestoredStream] = &link{
@@ -83,6 +84,10 @@
 		s.end(*saved.Result)
 		return s
 	}
+	if !goesOn {
+		s.handleLocked(now, generation.Interrupted{})
+		return s
+	}
 	for _, effect := range effects {
 		s.apply(effect)
 	}
--- a/relay/session.go
+++ b/relay/session.go
@@ -95,7 +95,6 @@
 	s.changed = sync.NewCond(&s.mu)
 	s.timer = time.AfterFunc(time.Hour, s.tick)
 	r.metrics.Open.Add(1)
-	r.follow(s)
 	return s
 }
 
--- a/serve/conn.go
+++ b/serve/conn.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"sync"
 	"time"
 )
 
@@ -45,66 +44,25 @@
 	Request string // id of the last request; "" where the handler has not told it
 }
 
-// conn is a caller's connection.
+// conn is a caller's connection; the server's lock guards what is known of it.
 type conn struct {
 	net.Conn
 	server *Server
-
-	mu     sync.Mutex
+	opened time.Time
 	known  Conn
-	closed bool
-}
-
-func newConn(inner net.Conn, s *Server) *conn {
-	now := time.Now()
-	return &conn{Conn: inner, server: s, known: Conn{Since: now, Opened: now}}
+	closed bool // by the server, while no request was on the way
 }
 
-// Read reads, and notes that a request has begun to come in.
+// Read reads, and notes that a request has begun to come in. Of a connection that was closed at the same moment it returns
+// nothing, so that no request is begun whose answer cannot be written.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.begin()
+	if n > 0 && !c.server.begin(c) {
+		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
-// begin notes that a part of a request has come in.
-func (c *conn) begin() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.known.Phase.Busy() {
-		c.enter(PhaseReading)
-	}
-}
-
-// enter begins a phase; the caller holds the lock.
-func (c *conn) enter(p Phase) {
-	c.known.Phase, c.known.Since = p, time.Now()
-}
-
-// setPhase begins a phase.
-func (c *conn) setPhase(p Phase) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.enter(p)
-}
-
-// look returns what is known of the connection.
-func (c *conn) look() Conn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.known
-}
-
-// Close closes the connection.
-func (c *conn) Close() error {
-	c.mu.Lock()
-	c.closed = true
-	c.mu.Unlock()
-	return c.Conn.Close()
-}
-
 // CloseWrite ends what is sent and leaves the other direction open, so that a caller that is still sending can read its answer.
 func (c *conn) CloseWrite() error {
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
@@ -113,6 +71,9 @@
 	return nil
 }
 
+// enter begins a phase.
+func (c *conn) enter(p Phase) { c.known.Phase, c.known.Since = p, time.Now() }
+
 // connKey is the key of a request's connection in its context.
 type connKey struct{}
 
@@ -127,8 +88,8 @@
 	if c == nil {
 		return
 	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
 	c.known.Request = id
 }
 
@@ -138,5 +99,5 @@
 	if c == nil {
 		return time.Time{}
 	}
-	return c.known.Opened
+	return c.opened
 }
--- a/serve/server.go
+++ b/serve/server.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"errors"
+	"log"
 	"net"
 	"net/http"
 	"sync"
@@ -13,36 +15,52 @@
 	HeaderWait  time.Duration // longest time that a caller may take to send a request's header
 	IdleWait    time.Duration // how long a connection without a request is kept
 	HeaderBytes int           // largest header of a request
+	Errors      *log.Logger   // for panics of handlers and failures to accept; nil for standard error
 }
 
-// Server is an HTTP server on one listener.
+// Server is an HTTP server on one listener. It ends in steps, none of which cuts a request off: Retire, CloseIdle, Settle, End.
 type Server struct {
 	http    *http.Server
 	handler http.Handler
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	mu       sync.Mutex
+	changed  *sync.Cond // when a connection has become idle or is gone
+	listener net.Listener
+	conns    map[*conn]struct{}
+	retired  bool // answers ask callers to close their connection
+	closing  bool // idle connections are closed
+	ending   bool // no connection is accepted
 }
 
 // New returns a server that has the handler answer requests.
 func New(handler http.Handler, config Config) *Server {
 	s := &Server{handler: handler, conns: map[*conn]struct{}{}}
+	s.changed = sync.NewCond(&s.mu)
 	s.http = &http.Server{
 		Handler:           http.HandlerFunc(s.answer),
 		ConnContext:       func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) },
-		ConnState:         s.changed,
+		ConnState:         s.follow,
 		ReadHeaderTimeout: config.HeaderWait,
 		IdleTimeout:       config.IdleWait,
 		MaxHeaderBytes:    config.HeaderBytes,
+		ErrorLog:          config.Errors,
 	}
 	return s
 }
 
-// Serve answers requests until the server is closed; the error is that of http.Server.
-func (s *Server) Serve(l net.Listener) error { return s.http.Serve(&listener{Listener: l, server: s}) }
-
-// CloseIdle closes the connections that are idle, and others as soon as they are.
-func (s *Server) CloseIdle() { s.http.SetKeepAlivesEnabled(false) }
+// Serve answers requests until the server ends or is closed, and returns an error where it ended by itself.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listener = l
+	s.mu.Unlock()
+	err := s.http.Serve(&listener{Listener: l, server: s})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ending || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
 
 // Close closes the listener and all connections where they stand.
 func (s *Server) Close() error { return s.http.Close() }
@@ -53,38 +71,59 @@
 	defer s.mu.Unlock()
 	known := make([]Conn, 0, len(s.conns))
 	for c := range s.conns {
-		known = append(known, c.look())
+		known = append(known, c.known)
 	}
 	return known
 }
 
 // answer hands a request to the handler.
 func (s *Server) answer(w http.ResponseWriter, r *http.Request) {
-	if c := connOf(r.Context()); c != nil {
-		c.setPhase(PhaseAnswering)
+	if s.answering(connOf(r.Context())) {
+		w.Header().Set("Connection", "close")
 	}
 	s.handler.ServeHTTP(w, r)
 }
 
-// changed follows the connections as package http tells of them; one is idle after the last byte of its answer was written.
-func (s *Server) changed(inner net.Conn, state http.ConnState) {
+// answering notes that a handler has a connection's request, and reports whether the connection is to end with its answer.
+func (s *Server) answering(c *conn) (last bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c != nil {
+		c.enter(PhaseAnswering)
+	}
+	return s.retired
+}
+
+// begin notes that a part of a request has come in; ok is false where the server has closed the connection.
+func (s *Server) begin(c *conn) (ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !c.known.Phase.Busy() && !c.closed {
+		c.enter(PhaseReading)
+	}
+	return !c.closed
+}
+
+// follow notes what package http tells of a connection; it is idle after the last byte of its answer was written.
+func (s *Server) follow(inner net.Conn, state http.ConnState) {
 	c, ok := inner.(*conn)
 	if !ok {
 		return
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	switch state {
 	case http.StateIdle:
-		c.setPhase(PhaseIdle)
+		c.enter(PhaseIdle)
+		if s.closing && !hasArrived(c.Conn) {
+			s.closeLocked(c)
+		}
 	case http.StateClosed, http.StateHijacked:
-		s.remove(c)
+		delete(s.conns, c)
 	case http.StateNew, http.StateActive:
+		return
 	}
-}
-
-func (s *Server) remove(c *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.conns, c)
+	s.changed.Broadcast()
 }
 
 // listener accepts connections that the server follows.
@@ -99,7 +138,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := newConn(inner, l.server)
+	now := time.Now()
+	c := &conn{Conn: inner, server: l.server, opened: now, known: Conn{Since: now, Opened: now}}
 	l.server.mu.Lock()
 	defer l.server.mu.Unlock()
 	l.server.conns[c] = struct{}{}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -44,8 +44,8 @@
 	LapseGrace    time.Duration `ini:"lapse_grace" default:"1600ms" min:"0s" max:"10s" doc:"How long upstreams that are missing when the store comes back after an outage are still used; four fifths of drain_within at the longest."`
 	DrainWithin   time.Duration `ini:"drain_within" default:"2s" min:"100ms" doc:"Time within which an upstream that is leaving gets no more work."`
 	InForceWithin time.Duration `ini:"in_force_within" default:"3s" min:"500ms" doc:"Time within which a change of the configuration is in force; in a large fleet it bounds how old the tables of a node may be that others rely on."`
-	Lame          time.Duration `ini:"lame" default:"3s" min:"0s" doc:"How long a stopping node still takes requests, while it says that it is not ready."`
-	LameStreams   time.Duration `ini:"lame_streams" default:"2500ms" min:"0s" doc:"How long a stopping node still takes streams that can go on at another node; a third of the grace at the longest."`
+	Lame          time.Duration `ini:"lame" default:"3s" min:"0s" doc:"How long a stopping node takes requests at the least, while it says that it is not ready; after that it ends as soon as none is under way."`
+	LameStreams   time.Duration `ini:"lame_streams" default:"2500ms" min:"0s" doc:"How long a stopping node still takes calls, and streams that can go on at another node, whose answer may last longer than the node; a third of the grace at the longest."`
 }
 
 // Platform says where the platform's service is.
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -16,6 +16,7 @@
 func Events() []Event { return events }
 
 var events = []Event{
+	{"answers_not_kept", []string{"count"}, "A stopping node could not keep all answers that callers were given for those who ask again."},
 	{"attempt_lost", []string{"request", "attempt", "upstream", "cause", "error", "begun", "age_ms"}, "An attempt on an upstream was lost; cause says how."},
 	{"attempt_started", []string{"request", "attempt", "upstream", "from", "replica", "from_replica"}, "A further attempt was sent; from counts the pieces that the caller has."},
 	{"cancel_failed", []string{"request", "upstream", "stream", "error"}, "An engine could not be told to stop a run."},
@@ -39,7 +40,7 @@
 	{"node_joined", []string{"vm"}, "The node has become a member whose confirmation counts."},
 	{"node_removed", []string{"vm"}, "A VM that is gone was taken off the members."},
 	{"node_started", []string{"vm", "data_centre", "listen", "admin", "peer"}, "The node serves."},
-	{"node_stopped", []string{"cut_off", "ms"}, "The node has ended; cut_off says whether requests were cut off, ms how long the stop took."},
+	{"node_stopped", []string{"interrupted", "cut_off", "ms"}, "The node has ended; interrupted counts the requests whose answer it ended because the grace was over, cut_off the connections that it closed without one, and ms says how long the stop took."},
 	{"node_stopping", []string{"open", "grace", "lame"}, "The node was told to stop; open counts the requests being answered."},
 	{"open_failed", []string{"peer", "error"}, "A home could not be asked who owns a request."},
 	{"owner_unreachable", []string{"peer", "error"}, "The owner of a request did not answer."},
@@ -51,6 +52,7 @@
 	{"register_failed", []string{"error"}, "The node could not register itself among the members."},
 	{"request_refused", []string{"request", "code", "host", "path", "error", "retry_after_ms", "opened_ms"}, "A request was refused before any upstream was chosen."},
 	{"row_unreadable", []string{"key", "error"}, "A row of the store cannot be read; the value that it had before is kept."},
+	{"server_error", []string{"error"}, "A server told of an error that it went on after, such as a handler's panic."},
 	{"server_failed", []string{"error"}, "A listener ended."},
 	{"session_dropped", []string{"request", "route", "upstream", "sent", "tokens", "attempts", "ms", "left_ms"}, "A request was being answered when the node ended, and was left where it stood; sent says whether an upstream may have run it."},
 	{"session_ended", []string{"request", "workspace", "policy", "route", "upstream", "version", "code", "tokens", "attempts", "losses", "discarded", "first_ms", "gap_ms", "ms", "left_ms", "prompt"}, "A request has been answered or has failed."},
