--- a/node/stop.go
+++ b/node/stop.go
@@ -28,6 +28,7 @@
 	interrupted = r.Interrupt()
 	late, cancelLate := context.WithDeadline(ctx, until.Add(lastAnswers))
 	defer cancelLate()
+	server.Settle(late) // callers that come meanwhile are told to come back, which a closed address cannot
 	server.End(late)
 	return interrupted
 }
