--- /dev/null
+++ b/cmd/vaneyoked/soak_callers_test.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/vaneyoke/vaneyoke/platform/platformtest"
+)
+
+// send makes one attempt at a random node.
+func (s *soak) send(ctx context.Context, rng *rand.Rand, call platformtest.Call) (id string, res *http.Response, err error) {
+	call.ID = fmt.Sprintf("attempt-%d", s.ids.Add(1))
+	call.Host, call.Key = soakHost, soakKey
+	req, err := call.Request(ctx, s.node(rng).listen)
+	if err != nil {
+		return call.ID, nil, err
+	}
+	res, err = http.DefaultTransport.RoundTrip(req)
+	return call.ID, res, err
+}
+
+// call asks a service once, and keeps how it ended where the call may run at most once.
+func (s *soak) call(ctx context.Context, rng *rand.Rand, path string) {
+	id, res, err := s.send(ctx, rng, platformtest.Call{Path: path})
+	status := 0
+	if err == nil {
+		defer func() { _ = res.Body.Close() }()
+		body, readErr := io.ReadAll(res.Body)
+		status = res.StatusCode
+		if signed := platformtest.SignedBy(res); status == http.StatusOK && readErr == nil {
+			s.served.Add(1)
+			if string(body) != "answer from "+signed {
+				s.fail("%s %s: answer %q is not that of %q", path, id, body, signed)
+			}
+		}
+	}
+	if strings.HasPrefix(path, "/buy/") {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.once = append(s.once, onceCall{id: id, status: status})
+	}
+}
+
+// stream asks for a stream until it is whole, and goes on after the last whole event wherever it broke.
+func (s *soak) stream(ctx context.Context, rng *rand.Rand) {
+	after := 0
+	for try := 0; try < 20 && ctx.Err() == nil; try++ {
+		call := platformtest.Call{Path: "/tell/x", Stream: true, Prompt: fmt.Sprintf("%x", rng.Uint32()), After: after}
+		id, res, err := s.send(ctx, rng, call)
+		if err != nil || res.StatusCode != http.StatusOK {
+			if err == nil {
+				_ = res.Body.Close()
+			}
+			time.Sleep(faultPause / 4)
+			continue
+		}
+		body, err := io.ReadAll(res.Body)
+		_ = res.Body.Close()
+		want := platformtest.StreamText(after)
+		if !strings.HasPrefix(want, string(body)) || (err == nil && string(body) != want) {
+			s.fail("stream %s after %d: complete %v, got %q", id, after, err == nil, body)
+			return
+		}
+		if err == nil {
+			s.served.Add(1)
+			return
+		}
+		after += strings.Count(string(body), "\n\n")
+		if after >= platformtest.Events {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/cmd/vaneyoked/soak_faults_test.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/vaneyoke/vaneyoke/platform/platformtest"
+)
+
+func (s *soak) addEngine(service, zone string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := platformtest.NewEngine(fmt.Sprintf("i-%d", len(s.engines)), service, zone)
+	s.engines = append(s.engines, e)
+	s.live = append(s.live, e)
+	s.store.ListEngine(e, false)
+}
+
+func (s *soak) configure() {
+	s.version++
+	s.store.Configure(s.version, soakHost, soakKey,
+		platformtest.Route{Name: "tell", Kind: platformtest.Streaming, Service: "lm", Attempts: 5},
+		platformtest.Route{Name: "look", Kind: platformtest.Repeatable, Service: "shop", Attempts: 2},
+		platformtest.Route{Name: "buy", Kind: platformtest.Once, Service: "shop", Attempts: 1},
+	)
+}
+
+// fault brings about one fault, and undoes it where it would last.
+func (s *soak) fault(rng *rand.Rand) {
+	n := s.node(rng)
+	switch rng.IntN(10) {
+	case 0:
+		n.kill()
+		must.NoError(s.t, n.start())
+	case 1:
+		n.signal(syscall.SIGTERM)
+		<-n.process.ended
+		must.NoError(s.t, n.start())
+	case 2:
+		n.signal(syscall.SIGHUP)
+	case 3:
+		n.signal(syscall.SIGSTOP)
+		time.Sleep(2 * faultPause)
+		n.signal(syscall.SIGCONT)
+	case 4, 5:
+		s.replaceEngine(rng, rng.IntN(2) == 0)
+	case 6:
+		s.engine(rng).Spoil(s.engineFault(rng), s.engineFault(rng))
+	case 7:
+		s.store.Refuse(http.StatusServiceUnavailable)
+		time.Sleep(3 * faultPause)
+		s.store.Refuse(0)
+	case 8:
+		s.store.ForgetHistory()
+	case 9:
+		s.configure()
+	}
+}
+
+func (s *soak) engine(rng *rand.Rand) *platformtest.Engine {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.live[rng.IntN(len(s.live))]
+}
+
+func (s *soak) engineFault(rng *rand.Rand) platformtest.Fault {
+	return []platformtest.Fault{
+		{Reset: true}, {BreakAt: 1 + rng.IntN(platformtest.Events)}, {BreakAt: 5, HalfEvent: true}, {Status: 500}, {Status: 503},
+		{Decline: 503}, {OtherID: "other"}, {Unsigned: true}, {SilentAt: 3}, {Delay: 50 * time.Millisecond},
+	}[rng.IntN(10)]
+}
+
+// replaceEngine ends an engine, announced or not, and starts another one.
+func (s *soak) replaceEngine(rng *rand.Rand, announced bool) {
+	e := s.engine(rng)
+	s.addEngine(e.Service, e.Zone)
+	if announced {
+		s.store.ListEngine(e, true)
+		time.Sleep(faultPause)
+	}
+	s.mu.Lock()
+	for i := range s.live {
+		if s.live[i] == e {
+			s.live = append(s.live[:i], s.live[i+1:]...)
+			break
+		}
+	}
+	s.mu.Unlock()
+	e.Close()
+	time.Sleep(faultPause)
+	s.store.UnlistEngine(e)
+}
