Know the store's present state within the deployment's bound after its return

Cause: a call that waits for changes may take 3.8 s, and one made while the store is silent gets no answer after the silence either. Nodes count as in touch 3 s after the store's return, and went by the old configuration for up to 0.8 s more.

Change: settings say within which time after an outage a node has to know what the store holds (back_within, from the deployment's contactMs); wait, slack and first pause of a call stay within it. After a failure a follower asks at once in place of waiting for changes, so that the end of an outage is seen within the slack and one pause. Ruled out: pauses after failures; readers of large fleets, whose calls take 1.6 s at the most.

--- a/node/gateway_wire.go
+++ b/node/gateway_wire.go
@@ -103,8 +103,9 @@
 	client := do.MustInvoke[*storeClient](i).http
 	directory := do.MustInvoke[*routes](i)
 	config := mesh.DefaultConfig().InForceWithin(s.Gateway.InForceWithin)
-	config.Small = config.Reader
-	config.Small.Wait, config.Small.Slack = s.Gateway.FeedWait, watch.DefaultConfig().Slack
+	config.Small.Wait = s.Gateway.FeedWait
+	config.Small = config.Small.BackWithin(s.Gateway.BackWithin)
+	config.Reader = config.Reader.BackWithin(s.Gateway.BackWithin)
 	if s.Gateway.Peers == "" {
 		config.Direct, config.First = math.MaxInt, 0 // it asks nobody
 	}
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -72,6 +72,17 @@
 	}
 }
 
+// shortestWait is the share of a bound for which a call waits for changes at the least.
+const shortestWait = 0.25
+
+// BackWithin returns the times of a follower that knows the present rows within a time after the store answers again, even
+// where a call that was made before hangs as long as it may.
+func (c Config) BackWithin(bound time.Duration) Config {
+	left := bound - c.Slack - 2*c.Pause
+	c.Wait = min(c.Wait, max(left, time.Duration(shortestWait*float64(bound))))
+	return c
+}
+
 // Follower keeps a copy of a table's rows.
 type Follower struct {
 	name   string
@@ -126,12 +137,13 @@
 // step makes one call and takes in what it tells; changed says that there was a change.
 func (f *Follower) step(ctx context.Context) (changed bool, err error) {
 	config := f.config()
-	ctx, cancel := context.WithTimeout(ctx, config.Wait+config.Slack)
-	defer cancel()
 	if !f.listed {
 		return true, f.list(ctx, config)
 	}
-	changes, version, err := f.source.Changes(ctx, f.version, f.wait(time.Now(), config))
+	wait := f.wait(time.Now(), config)
+	ctx, cancel := context.WithTimeout(ctx, wait+config.Slack)
+	defer cancel()
+	changes, version, err := f.source.Changes(ctx, f.version, wait)
 	if err != nil {
 		return false, err
 	}
@@ -150,7 +162,7 @@
 
 // wait returns how long the next call waits for changes.
 func (f *Follower) wait(now time.Time, config Config) time.Duration {
-	if f.resumed { // how old the rows are is to be known at once
+	if f.resumed || f.failed > 0 { // how old the rows are is to be known at once
 		return 0
 	}
 	if left, ok := f.lapse.left(now); ok {
@@ -160,6 +172,8 @@
 }
 
 func (f *Follower) list(ctx context.Context, config Config) error {
+	ctx, cancel := context.WithTimeout(ctx, config.Wait+config.Slack)
+	defer cancel()
 	rows, version, err := f.source.List(ctx)
 	if err != nil {
 		return err
