--- a/serve/server.go
+++ b/serve/server.go
@@ -18,7 +18,7 @@
 	Errors      *log.Logger   // for panics of handlers and failures to accept; nil for standard error
 }
 
-// Server is an HTTP server on one listener. It ends in steps, none of which cuts a request off: Retire, CloseIdle, Settle, End.
+// Server is an HTTP server on one listener. It ends in steps, none of which cuts a request off: Retire, Settle, End.
 type Server struct {
 	http    *http.Server
 	handler http.Handler
