Count refusals and what a stopping node takes

Change: refused_total by result code, taken_while_stopping_total. TestRefusalsAreCounted. No decision is changed.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -55,14 +55,15 @@
 	codec     Codec
 	directory Directory
 	relay     *relay.Relay
+	metrics   *Metrics
 	log       logrus.FieldLogger
 	open      atomic.Int64
 	stopping  atomic.Pointer[Stopping] // nil while it does not stop
 }
 
 // New returns a gateway.
-func New(config Config, codec Codec, directory Directory, r *relay.Relay, log logrus.FieldLogger) *Gateway {
-	return &Gateway{config: config, codec: codec, directory: directory, relay: r, log: log}
+func New(config Config, codec Codec, directory Directory, r *relay.Relay, metrics *Metrics, log logrus.FieldLogger) *Gateway {
+	return &Gateway{config: config, codec: codec, directory: directory, relay: r, metrics: metrics, log: log}
 }
 
 // Open returns the number of requests being answered.
@@ -95,6 +96,7 @@
 		return
 	}
 	if s := g.stopping.Load(); s != nil {
+		g.metrics.TakenStopping.Add(1)
 		g.log.WithFields(logrus.Fields{
 			"request": req.ID, "stopping_ms": received.Sub(s.Since).Milliseconds(), "grace_left_ms": s.Until.Sub(received).Milliseconds(),
 			"wait_ms": f.Deadline.Sub(received).Milliseconds(), "opened_ms": received.Sub(serve.OpenedAt(r.Context())).Milliseconds(),
@@ -218,6 +220,7 @@
 // refuse answers a request that was sent to no upstream.
 func (g *Gateway) refuse(w http.ResponseWriter, r *http.Request, req *vaneyoke.Request, err error) {
 	code := vaneyoke.CodeOf(err)
+	g.metrics.refused(code)
 	g.log.WithFields(logrus.Fields{
 		"request": req.ID, "code": int(code), "host": r.Host, "path": r.URL.Path, "error": err,
 		"retry_after_ms": vaneyoke.RetryAfterOf(err).Milliseconds(), "opened_ms": time.Since(serve.OpenedAt(r.Context())).Milliseconds(),
