Count the pause before a list within the bound of the store's return

A list that hangs is given up after as long as a wait, and tried again after up to 250 ms, or 800 ms where rows were known before and the history was lost; the bound counted 200 ms. Ruled out: load, since the test's clock is its own.

Change: the wait leaves room for the pause before a list, and that pause is the short one whenever the rows have to be listed.

--- a/watch/watch.go
+++ b/watch/watch.go
@@ -56,7 +56,7 @@
 	Slack time.Duration // how much longer an answer may take before the call is given up
 	Pause time.Duration // longest pause after the first failure in a row; each further one doubles it
 	Most  time.Duration // longest pause after a failure
-	First time.Duration // longest pause after a failure while nothing is known of the table yet
+	First time.Duration // longest pause after a failure while the rows have to be listed
 	// Gather is the pause after a list or a change, in which further changes come together, so that many cost few calls.
 	Gather time.Duration
 	// Grace is how long rows that are gone when the store comes back after an outage are kept; 0 for not at all.
@@ -78,7 +78,7 @@
 // BackWithin returns the times of a follower that knows the present rows within a time after the store answers again, even
 // where a call that was made before hangs as long as it may.
 func (c Config) BackWithin(bound time.Duration) Config {
-	left := bound - c.Slack - 2*c.Pause
+	left := bound - c.Slack - c.First - c.Pause // a list is tried for as long, and again after a pause
 	c.Wait = min(c.Wait, max(left, time.Duration(shortestWait*float64(bound))))
 	return c
 }
@@ -229,7 +229,7 @@
 func (f *Follower) backoff() time.Duration {
 	config := f.config()
 	full := config.Most
-	if f.rows == nil {
+	if !f.listed {
 		full = min(full, config.First)
 	}
 	if shift := f.failed - 1; shift < 16 {
