Ask a silent engine what it does before a stream is taken from it

A prompt that is read beside a stream stretches its gaps past the limit on silence, whose floor was a fixed share of the pause goal that happened to lie above the gaps of the engines seen so far. Each stream taken away had its answer go on elsewhere, where it slowed others. Change: between pieces an engine is asked as before the first; what it says, what it has made, and whether there is a replica decide. The pause is split in three: notice, ask, go on elsewhere. Even gaps, however long, are not asked about.

--- a/forward/forward.go
+++ b/forward/forward.go
@@ -63,8 +63,9 @@
 	// Waiting returns how many prompts an upstream has still to read, as of a short while ago; ok is false where it does
 	// not say.
 	Waiting(ctx context.Context, upstream vaneyoke.Upstream) (prompts int, ok bool)
-	// WorksOn reports whether an upstream has a request queued or runs it, as of a short while ago.
-	WorksOn(ctx context.Context, upstream vaneyoke.Upstream, request vaneyoke.RequestID) bool
+	// Work returns what an upstream does for a request, as of a short while ago, and how many pieces of its answer it has
+	// made.
+	Work(ctx context.Context, upstream vaneyoke.Upstream, request vaneyoke.RequestID) (vaneyoke.Work, vaneyoke.Tokens)
 	// Holds reports whether an upstream keeps all parts of a prompt, so that it need not be read again there.
 	Holds(ctx context.Context, upstream vaneyoke.Upstream, parts []string) bool
 	// Probe reports whether an upstream takes connections.
--- /dev/null
+++ b/generation/ask.go
@@ -0,0 +1,84 @@
+package generation
+
+import (
+	"time"
+
+	"github.com/vaneyoke/vaneyoke"
+)
+
+const (
+	// twice is how often in a row an upstream has to say that it is ahead of what has come, since pieces may be on their way.
+	twice = 2
+	// standstill is how many times the pause that is aimed at a run may stand still at an upstream that works on it before
+	// it goes on from a replica; without one there is nothing to gain, since the prompt would be read anew.
+	standstill = 2
+)
+
+// ask asks an attempt's upstream what it does for the run; the run is waited for as long again meanwhile.
+func (s *State) ask(now time.Time, r *run) {
+	r.asked++
+	s.do(Ask{Attempt: r.attempt, Upstream: r.upstream, Silent: now.Sub(r.heardAt()), Begun: r.gaps.count > 0})
+}
+
+// asksBefore reports whether a silent run's upstream is asked before the run is given up.
+func (s *State) asksBefore(r *run) bool {
+	switch {
+	case r.gaps.count == 0:
+		return r.asked < s.cfg.AskSilent || (s.cfg.LastWaits && s.left() == 1)
+	default:
+		return s.cfg.AskSilent > 0 || (s.cfg.LastWaits && s.left() == 1)
+	}
+}
+
+// asked gives up a run that its upstream does not work on. One that it works on is waited for: leaving it would have
+// another upstream do the same work, and slow what runs there.
+func (s *State) asked(now time.Time, ev Asked) {
+	r := s.find(ev.Attempt)
+	if r == nil || r.stage == stagePlacing || r.asked == 0 { // a piece has come meanwhile
+		return
+	}
+	if s.worthWaiting(now, r, ev) {
+		return
+	}
+	s.stats.Suspected++
+	s.lose(now, r, CauseSilent)
+}
+
+// worthWaiting reports whether a silent run is waited for after what its upstream said of it.
+func (s *State) worthWaiting(now time.Time, r *run, ev Asked) bool {
+	if r.gaps.count == 0 {
+		return ev.Work >= vaneyoke.WorkQueued
+	}
+	silent := now.Sub(r.gaps.last)
+	switch ev.Work {
+	case vaneyoke.WorkUnknown:
+		return false
+	case vaneyoke.WorkNone: // known only once the account must be younger than the last piece
+		return silent < s.cfg.Pause
+	case vaneyoke.WorkQueued: // the same, where it was put back and is to be read anew
+		return silent < s.cfg.Pause || r.replica == ""
+	default:
+		return s.progresses(silent, r, ev)
+	}
+}
+
+// progresses reports whether a run that its upstream works on is waited for.
+func (s *State) progresses(silent time.Duration, r *run, ev Asked) bool {
+	if ev.Made > s.answer.Len() { // pieces were made that did not come: the connection may be dead
+		r.ahead++
+		return r.ahead < twice
+	}
+	r.ahead = 0
+	return r.replica == "" || silent < standstill*s.cfg.Pause
+}
+
+// heardAt returns when the last piece came, or when the run was placed where none has.
+func (r *run) heardAt() time.Time {
+	if r.gaps.count == 0 {
+		return r.placedAt
+	}
+	return r.gaps.last
+}
+
+// heard forgets what was asked of a run's upstream, since a piece came.
+func (r *run) heard() { r.asked, r.ahead = 0, 0 }
--- a/generation/config.go
+++ b/generation/config.go
@@ -21,8 +21,10 @@
 	// 0 for never.
 	ProbeEvery time.Duration
 	// AskSilent is how often an upstream that has given no first piece in time is asked whether it works on the run, and is
-	// waited for as long again where it does; 0 for never.
+	// waited for as long again where it does; 0 for never. Where it is not 0, an upstream that falls silent between pieces is
+	// asked each time before the run is given up.
 	AskSilent int
+	Pause     time.Duration // pause between pieces that is aimed at; 0 for none
 	// LastWaits says that the last attempt that MaxAttempts allows is not given up for silence alone, and the one before it only
 	// where its upstream, when asked, does not work on it: there may be nobody to go on with the answer.
 	LastWaits bool
@@ -39,6 +41,7 @@
 	Floor      time.Duration // shortest silence between tokens that makes an attempt suspect
 	Ceiling    time.Duration // longest silence between tokens that does not
 	Deviations float64       // mean deviations over the mean gap that make an attempt suspect
+	Usual      float64       // mean gaps that are nothing unusual, whatever the ceiling; 0 for none
 	Patience   float64       // how many times the suspect silence a frugal attempt is waited for
 }
 
--- a/generation/effect.go
+++ b/generation/effect.go
@@ -31,10 +31,12 @@
 	Upstream vaneyoke.UpstreamID
 }
 
-// Ask asks an upstream whether it works on an attempt's run.
+// Ask asks an upstream what it does for an attempt's run.
 type Ask struct {
 	Attempt  vaneyoke.Attempt
 	Upstream vaneyoke.UpstreamID
+	Silent   time.Duration // since the last piece, or since the attempt was placed
+	Begun    bool          // whether a piece has come
 }
 
 // Start sends an attempt to its upstream.
--- a/generation/event.go
+++ b/generation/event.go
@@ -34,10 +34,11 @@
 	RetryAfter time.Duration // 0 where the placement gives no time
 }
 
-// Asked says whether an upstream works on an attempt's run, in answer to Ask.
+// Asked says what an upstream tells of an attempt's run, in answer to Ask.
 type Asked struct {
 	Attempt vaneyoke.Attempt
-	Working bool
+	Work    vaneyoke.Work
+	Made    vaneyoke.Tokens // pieces of the answer that the upstream has made; 0 where it does not say
 }
 
 // Probed answers Probe.
--- a/generation/opaque_property_test.go
+++ b/generation/opaque_property_test.go
@@ -44,6 +44,7 @@
 	f.config.MaxUnsent = 500 * time.Millisecond
 	f.config.MaxLosses = 64
 	f.config.ProbeEvery = 200 * time.Millisecond
+	f.config.Pause = 700 * time.Millisecond
 	f.config.AskSilent = rapid.IntRange(0, 2).Draw(t, "asks")
 	f.state = generation.New(f.config, rand.New(rand.NewPCG(1, 2)))
 	return f
@@ -186,7 +187,9 @@
 			},
 			"asked": func(t *rapid.T) {
 				if attempt, ok := f.attempt(); ok {
-					f.handle(generation.Asked{Attempt: attempt, Working: rapid.Bool().Draw(t, "working")})
+					f.handle(generation.Asked{
+						Attempt: attempt, Work: vaneyoke.Work(rapid.IntRange(0, 3).Draw(t, "work")), Made: vaneyoke.Tokens(rapid.IntRange(0, 9).Draw(t, "made")),
+					})
 				}
 			},
 			"time": func(t *rapid.T) {
--- a/generation/recover.go
+++ b/generation/recover.go
@@ -281,21 +281,9 @@
 	}
 }
 
-// asked gives up a run that its upstream does not work on; one that it works on is waited for since it was asked.
-func (s *State) asked(now time.Time, ev Asked) {
-	r := s.find(ev.Attempt)
-	if r != nil && r.stage != stagePlacing && r.asked > 0 && !ev.Working {
-		s.stats.Suspected++
-		s.lose(now, r, CauseSilent)
-	}
-}
-
 // silentAt returns when a run's silence calls for a decision.
 func (s *State) silentAt(r *run) time.Time {
-	since := r.gaps.last
-	if r.gaps.count == 0 {
-		since = r.placedAt
-	}
+	since := r.heardAt()
 	if r.stage == stagePlacing {
 		return since.Add(s.cfg.MaxWait)
 	}
@@ -358,9 +346,8 @@
 		s.placeAgain(now)
 		return
 	}
-	if (r.gaps.count == 0 && r.asked < s.cfg.AskSilent) || (s.cfg.LastWaits && s.left() == 1) {
-		r.asked++
-		s.do(Ask{Attempt: r.attempt, Upstream: r.upstream})
+	if s.asksBefore(r) {
+		s.ask(now, r)
 		return
 	}
 	s.stats.Suspected++
--- a/generation/run.go
+++ b/generation/run.go
@@ -27,7 +27,8 @@
 	placedAt    time.Time
 	probing     bool          // whether a probe is under way
 	aliveAt     time.Time     // when the upstream last answered a probe, or the run was placed
-	asked       int           // how often the upstream was asked whether it works on the run
+	asked       int           // how often the upstream was asked what it does for the run since the last piece
+	ahead       int           // how often in a row it had made pieces that did not come
 	expect      time.Duration // expected time to the first token
 	gaps        gapEstimate
 	replica     vaneyoke.UpstreamID // keeps a replica of the run's memory; "" for none
--- a/generation/silence.go
+++ b/generation/silence.go
@@ -41,5 +41,5 @@
 		return s.FirstToken
 	}
 	limit := g.mean + time.Duration(s.Deviations*float64(g.deviation))
-	return min(max(limit, s.Floor), s.Ceiling)
+	return max(min(max(limit, s.Floor), s.Ceiling), time.Duration(s.Usual*float64(g.mean)))
 }
--- a/generation/state.go
+++ b/generation/state.go
@@ -170,7 +170,7 @@
 	}
 	r.stage = stageStreaming
 	r.suspect = false
-	r.asked = 0
+	r.heard()
 	r.gaps.add(now)
 	if len(ev.Batch.Text) == 0 {
 		r.pending = append(r.pending, ev.Batch.IDs...)
--- a/relay/forwarded.go
+++ b/relay/forwarded.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/engine"
 	"github.com/vaneyoke/vaneyoke/forward"
@@ -31,14 +33,18 @@
 
 // Bounds of the silence judgement of opaque requests, as shares of what their route aims at.
 const (
-	firstGoals   = 1.0 // share of the goal without a stream's first event that makes an attempt suspect
-	callGoals    = 3.0 // share of the goal without an answer to a call that makes an attempt suspect
-	floorPauses  = 0.4 // share of the pause without an event that makes an attempt suspect at the earliest
-	limitPauses  = 0.9 // share of the pause without an event that makes an attempt suspect at the latest
-	probeGoals   = 0.5 // share of the goal without a first piece after which the upstream is probed
+	firstGoals = 1.0 // share of the goal without a stream's first event that makes an attempt suspect
+	callGoals  = 3.0 // share of the goal without an answer to a call that makes an attempt suspect
+	// A pause that is still in time has room for three things: to notice that a stream is silent, to ask its upstream, and to
+	// go on at another one. Each gets a third of it at the most.
+	noticePauses = 1.0 / 3
+	askPauses    = 1.0 / 3
+	floorPauses  = 1.0 / 6 // share of the pause without an event before which an upstream is not asked
+	usualGaps    = 1.5     // mean gaps of a stream that are nothing unusual
+	probeGoals   = 0.5     // share of the goal without a first piece after which the upstream is probed
 	longestProbe = 400 * time.Millisecond
 	askSilent    = 2                      // times that an upstream without a first event is asked whether it works on the run
-	askWait      = 200 * time.Millisecond // longest wait for what it says
+	longestAsk   = 200 * time.Millisecond // longest wait for what it says
 	unsentGoals  = 0.2                    // share of the goal for which an upstream is looked for before the request is refused
 	tellMargin   = 0.02                   // share of the time left that the node keeps for itself
 	manyLosses   = 64                     // attempts in a row that may fail to reach an upstream
@@ -116,8 +122,10 @@
 		config.AskSilent = askSilent
 		config.LastWaits = true
 		config.Silence.FirstToken = share(f.Goal, firstGoals)
+		config.Pause = f.Pause
 		config.Silence.Floor = share(f.Pause, floorPauses)
-		config.Silence.Ceiling = share(f.Pause, limitPauses)
+		config.Silence.Ceiling = share(f.Pause, noticePauses)
+		config.Silence.Usual = usualGaps
 	default:
 		config.Silence.FirstToken = Suspect(f.Goal)
 		config.Silence.Floor = config.Silence.FirstToken
@@ -184,16 +192,26 @@
 	s.handle(time.Now(), generation.Probed{Attempt: e.Attempt, Alive: alive})
 }
 
-// ask asks whether an attempt's upstream works on its run; one that does not say does not.
+// ask asks what an attempt's upstream does for its run.
 func (s *Session) ask(e generation.Ask) {
 	s.mu.Lock()
 	l := s.links[e.Attempt]
 	s.mu.Unlock()
-	ctx, cancel := context.WithTimeout(s.ctx, askWait)
+	ctx, cancel := context.WithTimeout(s.ctx, s.askWait(e))
 	defer cancel()
-	working := s.relay.sender.WorksOn(ctx, l.upstream, s.req.ID)
-	s.logAttempt(e.Attempt, l.upstream.ID).WithField("working", working).Info("upstream_asked")
-	s.handle(time.Now(), generation.Asked{Attempt: e.Attempt, Working: working})
+	work, made := s.relay.sender.Work(ctx, l.upstream, s.req.ID)
+	s.logAttempt(e.Attempt, l.upstream.ID).WithFields(logrus.Fields{
+		"work": work, "made": made, "silent_ms": e.Silent.Milliseconds(),
+	}).Info("upstream_asked")
+	s.handle(time.Now(), generation.Asked{Attempt: e.Attempt, Work: work, Made: made})
+}
+
+// askWait returns how long an upstream is given to say what it does for a run.
+func (s *Session) askWait(e generation.Ask) time.Duration {
+	if m, ok := s.mode.(*forwarded); ok && e.Begun && m.Pause > 0 {
+		return min(longestAsk, share(m.Pause, askPauses))
+	}
+	return longestAsk
 }
 
 // passEvents takes in a stream's events.
--- a/relay/forwarded_test.go
+++ b/relay/forwarded_test.go
@@ -86,7 +86,9 @@
 
 func (*sender) Waiting(context.Context, vaneyoke.Upstream) (int, bool)              { return 0, false }
 func (*sender) Holds(context.Context, vaneyoke.Upstream, []string) bool             { return false }
-func (*sender) WorksOn(context.Context, vaneyoke.Upstream, vaneyoke.RequestID) bool { return false }
+func (*sender) Work(context.Context, vaneyoke.Upstream, vaneyoke.RequestID) (vaneyoke.Work, vaneyoke.Tokens) {
+	return vaneyoke.WorkUnknown, 0
+}
 func (*sender) Probe(_ context.Context, u vaneyoke.Upstream) bool                   { return u.ID != "a" }
 
 func newForwarder(s forward.Sender) *relay.Relay {
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -65,7 +65,7 @@
 	{"store_lost", []string{"table", "version", "error"}, "The store cannot be read; the node goes on with what it has."},
 	{"store_regained", []string{"table", "version", "failures"}, "The store can be read again."},
 	{"taken_while_stopping", []string{"request", "stopping_ms", "grace_left_ms", "wait_ms", "opened_ms"}, "A stopping node takes a request; wait_ms is how long the answer may take, grace_left_ms how long the node may still run."},
-	{"upstream_asked", []string{"request", "attempt", "upstream", "working"}, "An upstream that has given no first event in time was asked whether it works on the run; where it does, it is waited for as long again."},
+	{"upstream_asked", []string{"request", "attempt", "upstream", "work", "made", "silent_ms"}, "An upstream that has been silent was asked what it does for the run: work is running, queued, none or unknown (no answer), made how many events it has made. Where it works on it, it is waited for as long again."},
 	{"vms_read_failed", []string{"error"}, "The list of VMs could not be read."},
 }
 
--- /dev/null
+++ b/work.go
@@ -0,0 +1,26 @@
+package vaneyoke
+
+// Work is what an upstream, when asked, says that it does for a run.
+type Work int
+
+// What an upstream may say; a dead one says nothing.
+const (
+	WorkUnknown Work = iota // it did not answer
+	WorkNone                // it does not know the run
+	WorkQueued              // it has requests queued, which it does not name, and does not run this one
+	WorkRunning             // it runs it
+)
+
+// String returns what is said as it stands in logs.
+func (w Work) String() string {
+	switch w {
+	case WorkNone:
+		return "none"
+	case WorkQueued:
+		return "queued"
+	case WorkRunning:
+		return "running"
+	default:
+		return "unknown"
+	}
+}
