Give a prompt to the home with the fewest runs

Cause: one prompt read beside a stream costs it a second of its time, and an answer that takes longer is in flight at more faults. Of a prompt's four homes the first that read no other prompt was taken, however many answers were made there. Change: all four homes are asked for their reports at once; the one with the fewest runs among those that read nothing gets the prompt. Before, the chosen one was asked, and passed over at most twice.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -117,11 +117,18 @@
 	return b.state.Holders(time.Now(), need)
 }
 
-// Reported notes how many prompts an upstream has still to read.
-func (b *Balancer) Reported(id vaneyoke.UpstreamID, prompts int) {
+// Homes returns the upstreams of which one is to get a prompt.
+func (b *Balancer) Homes(need placement.Need) []vaneyoke.Upstream {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.state.Reported(time.Now(), id, prompts)
+	return b.state.Homes(time.Now(), need)
+}
+
+// Reported notes what an upstream told of its work.
+func (b *Balancer) Reported(id vaneyoke.UpstreamID, report vaneyoke.Report) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state.Reported(time.Now(), id, report)
 }
 
 // Replica returns an upstream that can keep a replica of a run on another, in another data centre where there is one.
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -60,9 +60,8 @@
 // Sender sends attempts; the errors of Send are those of package engine.
 type Sender interface {
 	Send(ctx context.Context, attempt *Attempt) (Exchange, error)
-	// Waiting returns how many prompts an upstream has still to read, as of a short while ago; ok is false where it does
-	// not say.
-	Waiting(ctx context.Context, upstream vaneyoke.Upstream) (prompts int, ok bool)
+	// Report returns what an upstream tells of its work; ok is false where it does not say.
+	Report(ctx context.Context, upstream vaneyoke.Upstream) (report vaneyoke.Report, ok bool)
 	// Work returns what an upstream does for a request, as of a short while ago, and how many pieces of its answer it has
 	// made.
 	Work(ctx context.Context, upstream vaneyoke.Upstream, request vaneyoke.RequestID) (vaneyoke.Work, vaneyoke.Tokens)
--- a/measure/core.go
+++ b/measure/core.go
@@ -74,9 +74,10 @@
 }
 
 // Resumed does nothing.
-func (onePlacer) Holders(placement.Need) []vaneyoke.Upstream { return nil }
-func (onePlacer) Reported(vaneyoke.UpstreamID, int)          {}
-func (onePlacer) Admit(placement.Need)                       {}
+func (onePlacer) Holders(placement.Need) []vaneyoke.Upstream    { return nil }
+func (onePlacer) Reported(vaneyoke.UpstreamID, vaneyoke.Report) {}
+func (onePlacer) Homes(placement.Need) []vaneyoke.Upstream      { return nil }
+func (onePlacer) Admit(placement.Need)                          {}
 func (onePlacer) Replica(placement.Need, vaneyoke.Upstream) (vaneyoke.Upstream, bool) {
 	return vaneyoke.Upstream{}, false
 }
--- a/placement/affinity.go
+++ b/placement/affinity.go
@@ -19,18 +19,28 @@
 	slowTimes   = 2.5                    // times the usual time to the first token that make an upstream too slow for affinity
 )
 
-// affine returns the first of a prompt's homes that is neither waiting for a first token nor slow, nil for none.
-// The homes are the upstreams with the highest hash of prompt and id, the same on every node: a prompt that comes
-// again, on whatever node, goes to where it was read before.
+// affine returns the one of a prompt's homes that works on the fewest runs, among those that neither wait for a first token
+// nor are slow; nil for none. The homes are the upstreams with the highest hash of prompt and id, the same on every node: a
+// prompt that comes again, on whatever node, finds where it was read before. A prompt slows each run beside it, and whoever
+// is slowed is under way for longer when something fails.
 func affine(now time.Time, prompt string, candidates []*entry) *entry {
 	usual := usualFirst(now, candidates)
 	limit := slowTimes * float64(usual)
+	var chosen *entry
 	for _, e := range byHash(prompt, candidates, homes) {
-		if e.waiting == 0 && !e.reportedBusy(now) && float64(e.first.expect(now, usual)) <= limit {
-			return e
+		if e.waiting > 0 || e.reportedBusy(now) || float64(e.first.expect(now, usual)) > limit {
+			continue
+		}
+		if chosen == nil || e.runs(now) < chosen.runs(now) {
+			chosen = e
 		}
 	}
-	return nil
+	return chosen
+}
+
+// Homes returns the upstreams of which one is to get a prompt, so that they can be asked for their reports.
+func (s *State) Homes(now time.Time, need Need) []vaneyoke.Upstream {
+	return lo.Map(byHash(need.Affinity, s.mayGet(now, need), homes), func(e *entry, _ int) vaneyoke.Upstream { return e.upstream })
 }
 
 // Holders returns the upstreams that may keep a prompt, because it is sent to them for its affinity, or because they keep
@@ -40,16 +50,24 @@
 	return lo.Map(byHash(need.Affinity, candidates, holders), func(e *entry, _ int) vaneyoke.Upstream { return e.upstream })
 }
 
-// Reported notes how many prompts an upstream has still to read.
-func (s *State) Reported(now time.Time, id vaneyoke.UpstreamID, prompts int) {
+// Reported notes what an upstream told of its work.
+func (s *State) Reported(now time.Time, id vaneyoke.UpstreamID, report vaneyoke.Report) {
 	if e, ok := s.entries[id]; ok {
-		e.reported, e.reportedAt = prompts, now
+		e.reported, e.reportedAt = report, now
+	}
+}
+
+// runs returns how many runs the upstream works on; one that said nothing of late is taken for one that has some.
+func (e *entry) runs(now time.Time) int {
+	if now.Sub(e.reportedAt) < reportHolds {
+		return max(e.reported.Runs, e.inFlight)
 	}
+	return max(e.inFlight, 1)
 }
 
 // reportedBusy reports whether the upstream said a short while ago that it has prompts to read.
 func (e *entry) reportedBusy(now time.Time) bool {
-	return e.reported > 0 && now.Sub(e.reportedAt) < reportHolds
+	return e.reported.Prompts > 0 && now.Sub(e.reportedAt) < reportHolds
 }
 
 // byHash returns the most of the candidates with the highest hash of prompt and id, the highest first.
--- a/placement/opaque_test.go
+++ b/placement/opaque_test.go
@@ -233,3 +233,54 @@
 	_, _, ok := s.Pick(now, rng(), wanted)
 	must.False(t, ok)
 }
+
+// TestPromptGoesToTheHomeWithTheFewestRuns has a prompt's homes tell how many runs they work on; what they told a while ago,
+// and what this node has sent since, count too.
+func TestPromptGoesToTheHomeWithTheFewestRuns(t *testing.T) {
+	now := time.Unix(1000, 0)
+	wanted := need
+	wanted.Affinity = "prompt"
+	pick := func(s *placement.State, at time.Time) vaneyoke.UpstreamID {
+		u, _, ok := s.Pick(at, rng(), wanted)
+		must.True(t, ok)
+		return u.ID
+	}
+	s := threeDataCentres()
+	homes := s.Homes(now, wanted)
+	must.Len(t, 4, homes)
+	must.EqOp(t, homes[0].ID, pick(s, now)) // nobody has told anything
+	for i, home := range homes {
+		s.Reported(now, home.ID, vaneyoke.Report{Runs: 5 - i})
+	}
+	must.EqOp(t, homes[3].ID, pick(s, now))
+	s.Reported(now, homes[3].ID, vaneyoke.Report{Prompts: 1, Runs: 1})
+	must.EqOp(t, homes[2].ID, pick(s, now)) // the other reads a prompt
+	for range 4 {
+		s.Sent(now, homes[2].ID)
+		s.FirstToken(now, homes[2].ID, unitOfTime, 0)
+	}
+	must.EqOp(t, homes[1].ID, pick(s, now)) // has four runs, as the other has by now
+	must.EqOp(t, homes[0].ID, pick(s, now.Add(time.Second)), must.Sprint("by reports of old"))
+}
+
+// unitOfTime stands for a first token that says nothing.
+const unitOfTime = time.Millisecond
+
+// TestHomesTakeWork leaves upstreams that take no work, and those that lost this answer, out of a prompt's homes.
+func TestHomesTakeWork(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := threeDataCentres()
+	wanted := need
+	wanted.Affinity = "prompt"
+	before := s.Homes(now, wanted)
+	wanted.Avoid = []vaneyoke.UpstreamID{before[0].ID}
+	s.Sent(now, before[1].ID)
+	s.Ended(now, before[1].ID, placement.OutcomeUnreachable, false)
+	after := s.Homes(now, wanted)
+	must.Len(t, 4, after)
+	must.EqOp(t, before[2].ID, after[0].ID)
+	for _, home := range after {
+		must.NotEqOp(t, before[0].ID, home.ID)
+		must.NotEqOp(t, before[1].ID, home.ID)
+	}
+}
--- a/placement/state.go
+++ b/placement/state.go
@@ -51,7 +51,7 @@
 	replicaBytes int // of the prompts of the runs whose replicas it keeps for this node
 	first        estimate
 	drained      bool
-	reported     int // prompts that it had still to read when it reported last
+	reported     vaneyoke.Report // what it told last
 	reportedAt   time.Time
 	gone         bool // whether another upstream has its address
 	leaving      bool // whether its VM is leaving
@@ -142,20 +142,28 @@
 	if e := s.preferred(now, need); e != nil {
 		return e.upstream, e.first.patient(need.Bytes), true
 	}
+	candidates := s.mayGet(now, need)
+	if len(candidates) == 0 {
+		return vaneyoke.Upstream{}, 0, false
+	}
+	chosen := s.choose(now, rng, need, candidates)
+	return chosen.upstream, chosen.first.patient(need.Bytes), true
+}
+
+// mayGet returns the upstreams of which one is to get an attempt: the first set, by tier and by the need's order, that has any.
+func (s *State) mayGet(now time.Time, need Need) []*entry {
 	order := need.Order
 	if len(order) == 0 {
 		order = anyUpstream
 	}
 	for _, t := range tiers {
 		for _, selector := range order {
-			candidates := s.candidates(now, need, selector, t)
-			if len(candidates) > 0 {
-				chosen := s.choose(now, rng, need, candidates)
-				return chosen.upstream, chosen.first.patient(need.Bytes), true
+			if candidates := s.candidates(now, need, selector, t); len(candidates) > 0 {
+				return candidates
 			}
 		}
 	}
-	return vaneyoke.Upstream{}, 0, false
+	return nil
 }
 
 // preferred returns the upstream that a need prefers, or the one that has its address now; nil where neither takes work.
--- a/relay/forwarded_test.go
+++ b/relay/forwarded_test.go
@@ -36,9 +36,10 @@
 	return vaneyoke.Upstream{ID: id, URL: "http://" + string(id)}, 0, nil
 }
 
-func (*inTurn) Admit(placement.Need)                       {}
-func (*inTurn) Holders(placement.Need) []vaneyoke.Upstream { return nil }
-func (*inTurn) Reported(vaneyoke.UpstreamID, int)          {}
+func (*inTurn) Admit(placement.Need)                          {}
+func (*inTurn) Holders(placement.Need) []vaneyoke.Upstream    { return nil }
+func (*inTurn) Homes(placement.Need) []vaneyoke.Upstream      { return nil }
+func (*inTurn) Reported(vaneyoke.UpstreamID, vaneyoke.Report) {}
 func (*inTurn) Replica(placement.Need, vaneyoke.Upstream) (vaneyoke.Upstream, bool) {
 	return vaneyoke.Upstream{}, false
 }
@@ -84,12 +85,14 @@
 	return nil, &engine.NotSentError{Reason: "nobody there"}
 }
 
-func (*sender) Waiting(context.Context, vaneyoke.Upstream) (int, bool)              { return 0, false }
-func (*sender) Holds(context.Context, vaneyoke.Upstream, []string) bool             { return false }
+func (*sender) Report(context.Context, vaneyoke.Upstream) (vaneyoke.Report, bool) {
+	return vaneyoke.Report{}, false
+}
+func (*sender) Holds(context.Context, vaneyoke.Upstream, []string) bool { return false }
 func (*sender) Work(context.Context, vaneyoke.Upstream, vaneyoke.RequestID) (vaneyoke.Work, vaneyoke.Tokens) {
 	return vaneyoke.WorkUnknown, 0
 }
-func (*sender) Probe(_ context.Context, u vaneyoke.Upstream) bool                   { return u.ID != "a" }
+func (*sender) Probe(_ context.Context, u vaneyoke.Upstream) bool { return u.ID != "a" }
 
 func newForwarder(s forward.Sender) *relay.Relay {
 	log := logrus.New()
--- a/relay/place.go
+++ b/relay/place.go
@@ -51,9 +51,8 @@
 }
 
 const (
-	reportWait  = 60 * time.Millisecond  // longest wait for an upstream's report
-	holderWait  = 100 * time.Millisecond // longest wait for what upstreams keep
-	reportLooks = 2                      // upstreams that are asked for a report before one is taken as it is
+	reportWait = 60 * time.Millisecond  // longest wait for the reports of upstreams
+	holderWait = 100 * time.Millisecond // longest wait for what upstreams keep
 )
 
 // holder returns the upstream that keeps the prompt of a caller who comes back for the rest of its answer, because its run
@@ -80,25 +79,28 @@
 	return asking[i]
 }
 
-// choose returns an upstream; one for a prompt that says that it has other prompts to read is passed over for the next,
-// because other nodes' prompts meet there.
+// choose returns an upstream; the homes of a prompt are asked for their reports before, because other nodes' prompts and
+// answers meet there.
 func (s *Session) choose(need placement.Need, retry bool) (vaneyoke.Upstream, time.Duration, error) {
-	upstream, expect, err := s.relay.placer.Place(need, retry)
-	if need.Affinity == "" || s.relay.sender == nil {
-		return upstream, expect, err
+	if need.Affinity != "" && need.Prefer.URL == "" && s.relay.sender != nil {
+		s.askHomes(need)
 	}
-	for look := 0; look < reportLooks && err == nil && upstream.URL != need.Prefer.URL; look++ {
-		ctx, cancel := context.WithTimeout(s.ctx, reportWait)
-		prompts, ok := s.relay.sender.Waiting(ctx, upstream)
-		cancel()
-		if !ok || prompts == 0 {
-			break
-		}
-		s.relay.placer.Reported(upstream.ID, prompts)
-		s.relay.placer.Ended(upstream.ID, placement.OutcomeDropped, false)
-		upstream, expect, err = s.relay.placer.Place(need, false)
+	return s.relay.placer.Place(need, retry)
+}
+
+// askHomes has the placer know what the homes of a prompt work on, as far as they say so in time.
+func (s *Session) askHomes(need placement.Need) {
+	ctx, cancel := context.WithTimeout(s.ctx, reportWait)
+	defer cancel()
+	var asked sync.WaitGroup
+	for _, upstream := range s.relay.placer.Homes(need) {
+		asked.Go(func() {
+			if report, ok := s.relay.sender.Report(ctx, upstream); ok {
+				s.relay.placer.Reported(upstream.ID, report)
+			}
+		})
 	}
-	return upstream, expect, err
+	asked.Wait()
 }
 
 // replicaNamed returns the upstream that was to keep a replica of an earlier attempt, the zero value for none.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -29,8 +29,10 @@
 	Place(need placement.Need, retry bool) (vaneyoke.Upstream, time.Duration, error)
 	// Holders returns the upstreams that may keep a prompt.
 	Holders(need placement.Need) []vaneyoke.Upstream
-	// Reported notes how many prompts an upstream has still to read.
-	Reported(id vaneyoke.UpstreamID, prompts int)
+	// Homes returns the upstreams of which one is to get a prompt, the preferred ones first.
+	Homes(need placement.Need) []vaneyoke.Upstream
+	// Reported notes what an upstream told of its work.
+	Reported(id vaneyoke.UpstreamID, report vaneyoke.Report)
 	// Replica returns an upstream that can keep a replica of a run on another; ok is false where there is none.
 	Replica(need placement.Need, primary vaneyoke.Upstream) (replica vaneyoke.Upstream, ok bool)
 	// Released notes that a replica is needed no more.
--- a/work.go
+++ b/work.go
@@ -24,3 +24,9 @@
 		return "unknown"
 	}
 }
+
+// Report is what an upstream tells of its work, as of a short while ago.
+type Report struct {
+	Prompts int // that it has still to read
+	Runs    int // that it works on, those whose prompt it reads among them
+}
