Spread callers of a node without configuration, and one reader of the store in small fleets too

Cause: (1) nodes that were all killed in an outage told callers to come back after half a second, into the same outage; callers that are refused twice are lost. Change: a caller is told a random time between a twentieth and a tenth of its own; any two nodes or more have one reader. Tests of gateway, mesh and node passed.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -14,10 +14,8 @@
 )
 
 const (
-	retryUnknown   = 500 * time.Millisecond // where nothing says when a caller should come back
-	retryElsewhere = 20 * time.Millisecond  // where another node can take the request at once
-	discardTime    = 2 * time.Second
-	discardBytes   = 128 << 20
+	discardTime  = 2 * time.Second
+	discardBytes = 128 << 20
 )
 
 // answer gives a session's answer to one caller.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,7 +117,7 @@
 	}
 	table := g.directory.Routes()
 	if table == nil {
-		return req, relay.Forwarding{}, vaneyoke.ErrRetryAfter(vaneyoke.CodeNotFresh, retryUnknown, "no configuration is known yet")
+		return req, relay.Forwarding{}, vaneyoke.ErrRetryAfter(vaneyoke.CodeNotFresh, retryLater(envelope.Wait, rand.Float64()), "no configuration is known yet")
 	}
 	found, ok := table.Find(r.Host, r.URL.Path)
 	if !ok {
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -17,7 +17,7 @@
 
 // Config holds the bounds of the mesh.
 type Config struct {
-	Direct int           // members up to which every node reads the store itself
+	Direct int           // members up to which every node reads the store itself; 1 where each follows another as soon as there is one
 	Most   int           // nodes that are asked in turn before the store is read
 	Settle time.Duration // for which a new node does not go by the number of members, because the others of a new fleet register meanwhile
 	First  time.Duration // how long a node of a new fleet waits for the others to register before it reads the store
@@ -27,7 +27,7 @@
 	OldAge time.Duration // age of the tables from which a node is not relied on
 	Own    time.Duration // how long a node that found nobody to rely on waits before it asks again
 	Reader watch.Config  // of a node that reads the store for others
-	Small  watch.Config  // of the nodes of a fleet so small that each reads the store itself
+	Small  watch.Config  // of the nodes of a fleet of which each reads the store itself
 	Slow   watch.Config  // of tables that may lag
 
 	Members   string        // name of the table in which the members register themselves
@@ -42,7 +42,7 @@
 	slow := watch.DefaultConfig()
 	slow.Wait, slow.Slack, slow.Gather = 10*time.Second, time.Second, 300*time.Millisecond
 	return Config{
-		Direct: 16, Most: 3, Settle: time.Second, First: 600 * time.Millisecond, Lead: 300 * time.Millisecond, Beat: 250 * time.Millisecond, Stall: 800 * time.Millisecond,
+		Direct: 1, Most: 3, Settle: time.Second, First: 600 * time.Millisecond, Lead: 300 * time.Millisecond, Beat: 250 * time.Millisecond, Stall: 800 * time.Millisecond,
 		OldAge: 1500 * time.Millisecond, Own: 3 * time.Second, Reader: reader, Small: watch.DefaultConfig(), Slow: slow,
 		Members: "members", Check: time.Minute, GoneAfter: 10 * time.Minute,
 	}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -40,7 +40,7 @@
 	IdleWait      time.Duration `ini:"idle_wait" default:"60s" min:"1s" doc:"How long a connection without a request is kept."`
 	HeaderBytes   int           `ini:"header_bytes" default:"65536" min:"1024" doc:"Largest header of a request in bytes."`
 	DialWait      time.Duration `ini:"dial_wait" default:"120ms" min:"1ms" doc:"Longest wait for a connection to an upstream."`
-	FeedWait      time.Duration `ini:"feed_wait" default:"3s" min:"100ms" max:"30s" doc:"How long one call to the store waits for changes, in a fleet so small that every node reads it."`
+	FeedWait      time.Duration `ini:"feed_wait" default:"3s" min:"100ms" max:"30s" doc:"How long one call to the store waits for changes, by a node that has no others to ask."`
 	BackWithin    time.Duration `ini:"back_within" default:"3s" min:"500ms" doc:"Time after an outage of the store, or of the way to it, within which the node goes by what the store then holds; it bounds how long one call to the store may hang."`
 	LapseGrace    time.Duration `ini:"lapse_grace" default:"1600ms" min:"0s" max:"10s" doc:"How long upstreams that are missing when the store comes back after an outage are still used; four fifths of drain_within at the longest."`
 	DrainWithin   time.Duration `ini:"drain_within" default:"2s" min:"100ms" doc:"Time within which an upstream that is leaving gets no more work."`
