Read on behind an answer that the handler gave without the whole body, in one place for all interfaces

Cause: callers that write a large body before they read got a reset connection in place of 413 from the caller API and the operator API, since the connection was closed with the rest of the body unread. Only the gateway read on. Ruled out: reading on in the handlers (huma reads and closes the body itself, after which it cannot be read); replacing the body of package http's own request (it then reads 256 KB before it answers, which a caller that waits to be told to send never sends; found by the test of it). Change: serve hands the handler a copy of the request whose body notes what was read, and reads on for at most 2 s and 128 MB. The gateway's own way is gone. Tests: bodies with a length and in chunks from a client that reads last, without end, byte by byte, a caller that asks before it sends, memory (less than 16 MB for 64 MB), and 64 MB to callers' and operators' interfaces (the gateway had one). They failed before: broken pipe.

--- a/gateway/answer.go
+++ b/gateway/answer.go
@@ -13,11 +13,6 @@
 	"github.com/vaneyoke/vaneyoke/serve"
 )
 
-const (
-	discardTime  = 2 * time.Second
-	discardBytes = 128 << 20
-)
-
 // answer gives a session's answer to one caller.
 type answer struct {
 	gateway    *Gateway
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -226,17 +226,6 @@
 		"retry_after_ms": vaneyoke.RetryAfterOf(err).Milliseconds(), "opened_ms": time.Since(serve.OpenedAt(r.Context())).Milliseconds(),
 	}).Info("request_refused")
 	writeFailure(w, statusOf(code), vaneyoke.RetryAfterOf(err), err.Error())
-	if code == vaneyoke.CodeBodyTooLarge {
-		discardBody(w, r)
-	}
-}
-
-// discardBody lets a caller that is still sending read the answer, which closing the connection at once would keep from it.
-func discardBody(w http.ResponseWriter, r *http.Request) {
-	control := http.NewResponseController(w)
-	_ = control.Flush()
-	_ = control.SetReadDeadline(time.Now().Add(discardTime))
-	_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, discardBytes))
 }
 
 // watchCaller abandons a session whose caller has left.
--- a/serve/server.go
+++ b/serve/server.go
@@ -88,7 +88,11 @@
 	if Ending(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
-	s.handler.ServeHTTP(w, r)
+	left := &body{ReadCloser: r.Body}
+	handed := r.WithContext(r.Context()) // a copy, since package http goes by the body of its own
+	handed.Body = left
+	s.handler.ServeHTTP(w, handed)
+	left.discard(w, r)
 }
 
 // answering notes that a handler has a connection's request; ok is false where the server has closed the connection.
