Take out what the ablation found worth nothing: suspicion of data centres, the check for slow homes, replicas by hash

Change: placement loses data_centre.go, two tiers, OutcomeLost (now the same as OutcomeFailed), the limit on slow homes and the choice of replicas by hash; a prompt is looked for at the eight first in its order. Metrics lose `suspect`.

--- a/node/upstream_metrics.go
+++ b/node/upstream_metrics.go
@@ -10,7 +10,6 @@
 	Live     int `json:"live"`      // that may be given new work
 	Leaving  int `json:"leaving"`   // that say that they are leaving, or are drained by a policy
 	Open     int `json:"open"`      // of the live ones, those that a circuit breaker keeps work from
-	Suspect  int `json:"suspect"`   // of the live ones, those in a data centre that fell a short while ago
 	InFlight int `json:"in_flight"` // attempts of this node on them
 }
 
@@ -28,9 +27,6 @@
 			if l.Open {
 				c.Open++
 			}
-			if l.Suspect {
-				c.Suspect++
-			}
 		}
 		counts[l.Upstream.Service] = c
 	}
--- a/placement/replica.go
+++ b/placement/replica.go
@@ -8,24 +8,19 @@
 )
 
 // PickReplica chooses an upstream that keeps a replica of a run, in another data centre than the run's where one takes work,
-// because the upstreams of a data centre fall together. Of a few random ones, or of those with the highest hash of the
-// prompt, so that every node knows where to look for it, it takes the one that holds the least memory for this node's runs
-// and replicas.
+// because the upstreams of a data centre fall together. Of a few random ones it takes the one that holds the least memory for
+// this node's runs and replicas.
 func (s *State) PickReplica(now time.Time, rng *rand.Rand, need Need, primary vaneyoke.Upstream) (vaneyoke.Upstream, bool) {
 	for _, elsewhere := range []bool{true, false} {
 		s.scratch = s.scratch[:0]
 		for _, e := range s.order {
-			apart := e.upstream.ID != primary.ID && (e.upstream.DataCentre != primary.DataCentre && !s.suspect(now, e.upstream.DataCentre)) == elsewhere
+			apart := e.upstream.ID != primary.ID && (e.upstream.DataCentre != primary.DataCentre) == elsewhere
 			if apart && e.takesWork(now) && offers(&e.upstream, need) {
 				s.scratch = append(s.scratch, e)
 			}
 		}
 		if len(s.scratch) > 0 {
-			candidates := s.scratch
-			if need.Affinity != "" {
-				candidates = byHash(need.Affinity, candidates, replicas)
-			}
-			e := emptiest(rng, candidates, need.Bytes)
+			e := emptiest(rng, s.scratch, need.Bytes)
 			e.replicaBytes += need.Bytes
 			return e.upstream, true
 		}
--- a/placement/state.go
+++ b/placement/state.go
@@ -36,9 +36,8 @@
 // The outcomes of an attempt.
 const (
 	OutcomeDone        Outcome = iota + 1 // the upstream did its part
-	OutcomeFailed                         // the upstream was lost or refused for reasons of its own
+	OutcomeFailed                         // the upstream was lost, fell silent, broke off or refused for reasons of its own
 	OutcomeDropped                        // the node ended the attempt
-	OutcomeLost                           // the upstream fell silent or broke off
 	OutcomeUnreachable                    // the upstream takes no connections
 	OutcomeGone                           // another upstream has its address
 )
@@ -71,17 +70,16 @@
 
 // State holds the upstreams and the node's own work on each.
 type State struct {
-	dataCentre  vaneyoke.DataCentreID
-	breaker     retry.BreakerConfig
-	entries     map[vaneyoke.UpstreamID]*entry
-	dataCentres map[vaneyoke.DataCentreID]*dataCentreState
-	order       []*entry // by id, so that a choice depends on the random numbers alone
-	scratch     []*entry
+	dataCentre vaneyoke.DataCentreID
+	breaker    retry.BreakerConfig
+	entries    map[vaneyoke.UpstreamID]*entry
+	order      []*entry // by id, so that a choice depends on the random numbers alone
+	scratch    []*entry
 }
 
 // New returns a state without upstreams for a node in the given data centre.
 func New(dataCentre vaneyoke.DataCentreID, breaker retry.BreakerConfig) *State {
-	return &State{dataCentre: dataCentre, breaker: breaker, entries: map[vaneyoke.UpstreamID]*entry{}, dataCentres: map[vaneyoke.DataCentreID]*dataCentreState{}}
+	return &State{dataCentre: dataCentre, breaker: breaker, entries: map[vaneyoke.UpstreamID]*entry{}}
 }
 
 // SetUpstreams takes in the fleet's upstreams; what is known of those that stay is kept.
@@ -182,22 +180,20 @@
 // tier is a set of upstreams that are taken only where the one before it is empty.
 type tier struct {
 	avoided bool // whether they are among those to avoid
-	suspect bool // whether suspect data centres are taken too
 	open    bool // whether breakers are left aside
 }
 
 var tiers = []tier{
 	{},
-	{suspect: true},
-	{avoided: true, suspect: true},
-	{suspect: true, open: true},
-	{avoided: true, suspect: true, open: true},
+	{avoided: true},
+	{open: true},
+	{avoided: true, open: true},
 }
 
 func (s *State) candidates(now time.Time, need Need, selector vaneyoke.Selector, t tier) []*entry {
 	s.scratch = s.scratch[:0]
 	for _, e := range s.order {
-		if !e.mayWork() || (!t.open && !e.breaker.Allows(now)) || (!t.suspect && s.suspect(now, e.upstream.DataCentre)) || !offers(&e.upstream, need) || !selector.Matches(&e.upstream) {
+		if !e.mayWork() || (!t.open && !e.breaker.Allows(now)) || !offers(&e.upstream, need) || !selector.Matches(&e.upstream) {
 			continue
 		}
 		if slices.Contains(need.Avoid, e.upstream.ID) == t.avoided {
@@ -322,14 +318,10 @@
 		e.breaker.Succeeded()
 	case OutcomeFailed:
 		e.breaker.Failed(now)
-	case OutcomeLost:
-		e.breaker.Failed(now)
-		s.dataCentreLost(now, &e.upstream)
 	case OutcomeDropped:
 		e.breaker.Dropped()
 	case OutcomeUnreachable:
 		e.breaker.Open(now)
-		s.dataCentreLost(now, &e.upstream)
 	case OutcomeGone:
 		e.gone = true
 	}
@@ -340,7 +332,6 @@
 	Upstream vaneyoke.Upstream
 	InFlight int
 	Open     bool // whether the breaker holds work back
-	Suspect  bool // whether its data centre fell a short while ago
 	Drained  bool // whether a policy drains it
 }
 
@@ -348,7 +339,7 @@
 func (s *State) Loads(now time.Time) []Load {
 	return lo.Map(s.order, func(e *entry, _ int) Load {
 		return Load{
-			Upstream: e.upstream, InFlight: e.inFlight, Open: e.breaker.IsOpen(), Suspect: s.suspect(now, e.upstream.DataCentre),
+			Upstream: e.upstream, InFlight: e.inFlight, Open: e.breaker.IsOpen(),
 			Drained: e.drained,
 		}
 	})
--- a/relay/loss.go
+++ b/relay/loss.go
@@ -58,8 +58,6 @@
 		return placement.OutcomeDropped
 	case generation.CauseNotSent, generation.CauseUnreachable:
 		return placement.OutcomeUnreachable
-	case generation.CauseClosed, generation.CauseSilent:
-		return placement.OutcomeLost
 	default:
 		return placement.OutcomeFailed
 	}
