Judge the silence of streams whose route names no goal or no pause by figures of their own

Change: such routes go by a goal of 3 s and a pause of 2 s, the least for which callers wait for the next event. Test: a stream of such a route stays at its engine; it failed before.

--- a/relay/forwarded.go
+++ b/relay/forwarded.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -39,9 +40,11 @@
 	// go on at another one. Each gets a third of it at the most.
 	noticePauses = 1.0 / 3
 	askPauses    = 1.0 / 3
-	floorPauses  = 1.0 / 6 // share of the pause without an event before which an upstream is not asked
-	usualGaps    = 1.5     // mean gaps of a stream that are nothing unusual
-	probeGoals   = 0.5     // share of the goal without a first piece after which the upstream is probed
+	floorPauses  = 1.0 / 6         // share of the pause without an event before which an upstream is not asked
+	usualGaps    = 1.5             // mean gaps of a stream that are nothing unusual
+	unnamedGoal  = 3 * time.Second // goal of a route that names none
+	unnamedPause = 2 * time.Second // pause of a route that names none: callers wait at least so long for the next event
+	probeGoals   = 0.5             // share of the goal without a first piece after which the upstream is probed
 	longestProbe = 400 * time.Millisecond
 	askSilent    = 2                      // times that an upstream without a first event is asked whether it works on the run
 	longestAsk   = 200 * time.Millisecond // longest wait for what it says
@@ -106,12 +109,13 @@
 	config.Opaque = true
 	config.Deadline = f.Deadline
 	config.MaxWait = f.Deadline.Sub(now)
-	config.MaxUnsent = share(f.Goal, unsentGoals)
+	goal, pause := cmp.Or(f.Goal, unnamedGoal), cmp.Or(f.Pause, unnamedPause)
+	config.MaxUnsent = share(goal, unsentGoals)
 	config.MaxAttempts = max(f.MaxAttempts, 1)
 	config.MaxLosses = manyLosses
 	config.Backoff = generation.Backoff{Base: retryPause, Cap: retryCap}
 	config.Silence.Patience = 1
-	config.ProbeEvery = min(share(f.Goal, probeGoals), longestProbe)
+	config.ProbeEvery = min(share(goal, probeGoals), longestProbe)
 	switch {
 	case !config.Repeatable:
 		config.ProbeEvery = 0
@@ -121,13 +125,13 @@
 	case f.Stream:
 		config.AskSilent = askSilent
 		config.LastWaits = true
-		config.Silence.FirstToken = share(f.Goal, firstGoals)
-		config.Pause = f.Pause
-		config.Silence.Floor = share(f.Pause, floorPauses)
-		config.Silence.Ceiling = share(f.Pause, noticePauses)
+		config.Silence.FirstToken = share(goal, firstGoals)
+		config.Pause = pause
+		config.Silence.Floor = share(pause, floorPauses)
+		config.Silence.Ceiling = share(pause, noticePauses)
 		config.Silence.Usual = usualGaps
 	default:
-		config.Silence.FirstToken = Suspect(f.Goal)
+		config.Silence.FirstToken = Suspect(goal)
 		config.Silence.Floor = config.Silence.FirstToken
 	}
 }
--- a/relay/forwarded_test.go
+++ b/relay/forwarded_test.go
@@ -75,6 +75,7 @@
 type sender struct {
 	answers map[vaneyoke.UpstreamID]forward.Exchange
 	waits   map[vaneyoke.UpstreamID]time.Duration // before the head comes
+	work    vaneyoke.Work                         // that every upstream says it does
 }
 
 func (s *sender) Send(_ context.Context, a *forward.Attempt) (forward.Exchange, error) {
@@ -89,8 +90,8 @@
 	return vaneyoke.Report{}, false
 }
 func (*sender) Holds(context.Context, vaneyoke.Upstream, []string) bool { return false }
-func (*sender) Work(context.Context, vaneyoke.Upstream, vaneyoke.RequestID) (vaneyoke.Work, vaneyoke.Tokens) {
-	return vaneyoke.WorkUnknown, 0
+func (s *sender) Work(context.Context, vaneyoke.Upstream, vaneyoke.RequestID) (vaneyoke.Work, vaneyoke.Tokens) {
+	return s.work, 0
 }
 func (*sender) Probe(_ context.Context, u vaneyoke.Upstream) bool { return u.ID != "a" }
 
@@ -167,3 +168,27 @@
 		synctest.Wait()
 	})
 }
+
+// TestRouteThatAimsAtNothing gives no goal and no pause: an upstream that works at its ease is left to it.
+func TestRouteThatAimsAtNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &sender{
+			answers: map[vaneyoke.UpstreamID]forward.Exchange{
+				"a": &stubborn{from: "a", delay: 390 * time.Millisecond, events: 5}, // the first one before it is probed
+			},
+			work: vaneyoke.WorkRunning,
+		}
+		r := newForwarder(s)
+		now := time.Now()
+		session := r.Forward(t.Context(), &vaneyoke.Request{ID: "r", Repeatable: true, ReceivedAt: now}, relay.Forwarding{
+			Message: &forward.Message{}, Service: "lm", Stream: true, Deadline: now.Add(time.Minute), MaxAttempts: 3,
+		})
+		result, err := session.Wait(t.Context())
+		must.NoError(t, err)
+		must.EqOp(t, vaneyoke.CodeOK, result.Code)
+		must.EqOp(t, "aaaaa", string(session.Text()))
+		must.EqOp(t, 1, result.Stats.Attempts)
+		r.Close()
+		synctest.Wait()
+	})
+}
