--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -184,5 +184,5 @@
 func (b *Balancer) Loads() []placement.Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.state.Loads(time.Now())
+	return b.state.Loads()
 }
--- a/generation/ask.go
+++ b/generation/ask.go
@@ -1,6 +1,7 @@
 package generation
 
 import (
+	"math"
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
@@ -22,12 +23,11 @@
 
 // asksBefore reports whether a silent run's upstream is asked before the run is given up.
 func (s *State) asksBefore(r *run) bool {
-	switch {
-	case r.gaps.count == 0:
-		return r.asked < s.cfg.AskSilent || (s.cfg.LastWaits && s.left() == 1)
-	default:
-		return s.cfg.AskSilent > 0 || (s.cfg.LastWaits && s.left() == 1)
+	most := s.cfg.AskSilent
+	if r.gaps.count > 0 && most > 0 {
+		most = math.MaxInt
 	}
+	return r.asked < most || (s.cfg.LastWaits && s.left() == 1)
 }
 
 // asked gives up a run that its upstream does not work on. One that it works on is waited for: leaving it would have
--- a/placement/state.go
+++ b/placement/state.go
@@ -336,7 +336,7 @@
 }
 
 // Loads returns what the node sees of each upstream, by id.
-func (s *State) Loads(now time.Time) []Load {
+func (s *State) Loads() []Load {
 	return lo.Map(s.order, func(e *entry, _ int) Load {
 		return Load{
 			Upstream: e.upstream, InFlight: e.inFlight, Open: e.breaker.IsOpen(),
