--- a/measure/bound_test.go
+++ b/measure/bound_test.go
@@ -27,13 +27,16 @@
 		day    Day
 		played float64 // mean of plays
 	}{
+		{"quiet-1", day(141, 2003, 34, 120, false, false, 0.027), 0.923},
 		{"trouble-1", day(180, 2596, 52, 120, true, true, 0.029), 0.711},
 		{"scale-1", day(232, 3225, 52, 120, true, false, 0.024), 0.676},
 		{"trouble-2", day(208, 3113, 52, 120, true, true, 0.027), 0.703},
 		{"scale-2", day(218, 2932, 52, 120, true, true, 0.026), 0.719},
 		{"trouble-3", day(220, 3172, 50, 120, true, false, 0.026), 0.646},
 		{"grown trouble-1", day(1394, 10994, 54, 67, true, true, 0.038), 0.676},
+		{"grown scale-1", day(1054, 8331, 34, 67, false, false, 0.038), 0.895},
 		{"grown trouble-2", day(1548, 12302, 56, 67, true, true, 0.036), 0.627},
+		{"grown scale-2", day(996, 8146, 34, 67, false, false, 0.039), 0.869},
 		{"grown trouble-3", day(1656, 12980, 54, 67, true, false, 0.033), 0.654},
 	}
 	for _, tc := range cases {
