Decide in one core whom a node follows, who reads a silent store, and whom tables are offered to

Cause: with the store away all tables grow old, and every node left its source and read the store itself; nodes started meanwhile knew nobody to ask. Ruled out: registration, and the store's return.

--- a/cmd/vaneyoke/docs.go
+++ b/cmd/vaneyoke/docs.go
@@ -4,18 +4,20 @@
 	"context"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"github.com/urfave/cli/v3"
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/settings"
+	"github.com/vaneyoke/vaneyoke/telemetry"
 )
 
 // docsCommand writes the pages that stand for tables in the code; it is for the project's own developers.
 func docsCommand() *cli.Command {
 	return &cli.Command{
 		Name:   "docs",
-		Usage:  "write the pages of settings and result codes",
+		Usage:  "write the pages of settings and result codes, and the table of events",
 		Hidden: true,
 		Flags:  []cli.Flag{&cli.StringFlag{Name: "dir", Value: "docs", Usage: "`FOLDER` of the pages"}},
 		Action: func(_ context.Context, cmd *cli.Command) error {
@@ -25,7 +27,20 @@
 					return err
 				}
 			}
-			return nil
+			return writeEvents(filepath.Join(cmd.String("dir"), "OPERATIONS.md"))
 		},
 	}
 }
+
+// writeEvents writes the table of events into the operators' page, whose last part it is.
+func writeEvents(path string) error {
+	page, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	text, _, ok := strings.Cut(string(page), "## Events\n")
+	if !ok {
+		return vaneyoke.Err(vaneyoke.CodeUsage, "%s has no part named Events", path)
+	}
+	return os.WriteFile(path, []byte(text+"## Events\n\n"+telemetry.EventsTable()), reportMode)
+}
--- a/cmd/vaneyoke/explain.go
+++ b/cmd/vaneyoke/explain.go
@@ -19,8 +19,8 @@
 
 // around are the events that tell what a node believed; they are shown with a request's own where they came while it ran.
 var around = []string{
-	"configuration_in_force", "history_lost", "node_started", "node_stopped", "node_stopping", "peer_lost", "reads_store",
-	"row_unreadable", "settings_reloaded", "store_lost", "store_regained",
+	"configuration_in_force", "history_lost", "leaves_store", "node_started", "node_stopped", "node_stopping", "peer_lost", "reads_store",
+	"row_unreadable", "settings_reloaded", "store_lost", "store_regained", "tables_fresh", "tables_offered", "tables_old",
 }
 
 const longestLogLine = 1 << 20
--- a/mesh/absence.go
+++ b/mesh/absence.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/feed"
 )
 
 // absences remembers since when members have not answered.
@@ -39,9 +40,9 @@
 }
 
 // keep forgets all but the given members.
-func (a *absences) keep(members []Member) {
+func (a *absences) keep(members []feed.Member) {
 	for vm := range a.since {
-		if !slices.ContainsFunc(members, func(m Member) bool { return m.VM == vm }) {
+		if !slices.ContainsFunc(members, func(m feed.Member) bool { return m.VM == vm }) {
 			delete(a.since, vm)
 		}
 	}
--- /dev/null
+++ b/mesh/config.go
@@ -0,0 +1,49 @@
+package mesh
+
+import (
+	"time"
+
+	"github.com/vaneyoke/vaneyoke/feed"
+	"github.com/vaneyoke/vaneyoke/watch"
+)
+
+// Config holds the bounds of the mesh.
+type Config struct {
+	Feed   feed.Config   // whom the node follows, and when it reads the store
+	Settle time.Duration // for which a new node does not go by the number of members, because the others of a new fleet register meanwhile
+	Beat   time.Duration // time between two frames without a change
+	Stall  time.Duration // time without a frame after which the node that is followed is given up, and longest wait for a node that is asked
+	Reader watch.Config  // of a node that reads the store for others
+	Small  watch.Config  // of a node without others
+	Slow   watch.Config  // of tables that may lag
+
+	Members   string        // name of the table in which the members register themselves
+	Check     time.Duration // time between two looks for members that are gone
+	GoneAfter time.Duration // for which a member must not have answered to be taken off
+}
+
+// DefaultConfig returns the bounds that the nodes start from.
+func DefaultConfig() Config {
+	reader := watch.DefaultConfig()
+	reader.Wait, reader.Slack = 1100*time.Millisecond, 500*time.Millisecond
+	slow := watch.DefaultConfig()
+	slow.Wait, slow.Slack, slow.Gather = 10*time.Second, 500*time.Millisecond, 300*time.Millisecond
+	slow.Pause, slow.First, slow.Most = time.Second, 2*time.Second, 2*time.Second // who knows nobody is offered the tables sooner
+	return Config{
+		Feed: feed.DefaultConfig(), Settle: time.Second, Beat: 250 * time.Millisecond, Stall: 800 * time.Millisecond,
+		Reader: reader, Small: watch.DefaultConfig(), Slow: slow,
+		Members: "members", Check: time.Minute, GoneAfter: 10 * time.Minute,
+	}
+}
+
+// waitMargin is by how much a reader's wait for changes is shorter than the age from which its tables are old.
+const waitMargin = 400 * time.Millisecond
+
+// InForceWithin returns the bounds of a fleet in which a change has to be in force within a time: a node that finds out that
+// the one it follows is cut off from the store has half of it left to find another way.
+func (c Config) InForceWithin(bound time.Duration) Config {
+	c.Feed.OldAge = min(c.Feed.OldAge, bound/2)
+	c.Reader.Wait = min(c.Reader.Wait, max(c.Feed.OldAge-waitMargin, c.Feed.OldAge/2))
+	c.Feed.Lead = min(c.Feed.Lead, bound/10)
+	return c
+}
--- a/mesh/frame.go
+++ b/mesh/frame.go
@@ -9,6 +9,8 @@
 	"strings"
 	"time"
 
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/feed"
 	"github.com/vaneyoke/vaneyoke/watch"
 )
 
@@ -20,8 +22,19 @@
 
 // beat tells how old a node's tables are.
 type beat struct {
-	AgeMs int64 `json:"age_ms"`
-	Known bool  `json:"known"` // whether the node holds all tables
+	AgeMs  int64         `json:"age_ms"`
+	Known  bool          `json:"known"`            // whether the node holds all tables
+	Reader vaneyoke.VMID `json:"reader,omitempty"` // the node that the store confirmed them to
+}
+
+// beatOf returns the beat that says a word.
+func beatOf(w feed.Word) beat {
+	return beat{AgeMs: w.Age.Milliseconds(), Known: w.Known, Reader: w.Reader}
+}
+
+// word returns what a beat says.
+func (b beat) word() feed.Word {
+	return feed.Word{Age: time.Duration(b.AgeMs) * time.Millisecond, Known: b.Known, Reader: b.Reader}
 }
 
 // tableUpdate leads from an earlier version of a table to a later one.
@@ -52,7 +65,7 @@
 }
 
 // held returns the query by which a node tells another what it holds.
-func (h *Hub) held() string {
+func (h *Hub) held() url.Values {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	query := url.Values{}
@@ -61,7 +74,7 @@
 			query.Set(name, strconv.FormatUint(uint64(t.version), 10))
 		}
 	}
-	return query.Encode()
+	return query
 }
 
 // toldOf reads what the other side holds.
@@ -80,8 +93,7 @@
 func (h *Hub) next(now time.Time, before told) (packet, beat, <-chan struct{}, error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	age, known := h.ageLocked(now)
-	b := beat{AgeMs: age.Milliseconds(), Known: known}
+	b := beatOf(h.wordLocked(now))
 	key := h.behind(before)
 	if key == "" {
 		return nil, b, h.changed, nil
@@ -157,20 +169,39 @@
 	return update
 }
 
-// take takes in a frame of another node.
-func (h *Hub) take(now time.Time, f frame) {
+// take takes in a frame of another node, and the packet that it came in. Nodes that follow this one and hold what it held lack
+// what the packet says, and are told by the same one.
+func (h *Hub) take(now time.Time, f frame, p packet) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	before, news := h.holds(), false
 	for _, update := range f.Tables {
-		h.Set(now, update.Name, h.updated(update), update.Version, time.Time{}) // the next beat says as of when
+		news = h.set(now, update.Name, h.updated(update), update.Version) || news // the next beat says as of when
+	}
+	if news && len(p) > 0 {
+		h.packets[h.behind(before)] = p
+	}
+	if news {
+		h.wake()
 	}
 	if f.Beat != nil && f.Beat.Known {
-		h.confirmAll(now.Add(-time.Duration(f.Beat.AgeMs) * time.Millisecond))
+		h.confirmAll(now.Add(-f.Beat.word().Age), f.Beat.Reader)
 	}
 }
 
+// holds returns how far the hub holds its tables.
+func (h *Hub) holds() told {
+	holds := told{}
+	for name, t := range h.tables {
+		if t.rows != nil {
+			holds[name] = hold{version: t.version, edition: t.edition}
+		}
+	}
+	return holds
+}
+
 // updated returns a table's rows after an update.
 func (h *Hub) updated(update tableUpdate) watch.Rows {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	rows := watch.Rows{}
 	t := h.tables[update.Name]
 	switch {
--- a/mesh/hub.go
+++ b/mesh/hub.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/feed"
 	"github.com/vaneyoke/vaneyoke/watch"
 )
 
@@ -19,6 +21,7 @@
 	names   []string          // of the tables, sorted
 	changed chan struct{}     // closed at the next change
 	packets map[string]packet // that lead to the tables as they are, by what they lead from
+	reader  vaneyoke.VMID     // the node that the store confirmed the tables to last
 }
 
 // Table is a table of the store that the nodes tell one another.
@@ -50,22 +53,26 @@
 	return h
 }
 
-// Set takes in a table's rows as of a version; an older version than the hub's is left aside.
-func (h *Hub) Set(now time.Time, name string, rows watch.Rows, version watch.Version, confirmed time.Time) {
+// Set takes in a table's rows as of a version; an older version than the hub's is left aside. Confirm says when they were the newest.
+func (h *Hub) Set(now time.Time, name string, rows watch.Rows, version watch.Version) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if h.set(now, name, rows, version) {
+		h.wake()
+	}
+}
+
+// set takes in a table's rows and reports whether they are others than before.
+func (h *Hub) set(now time.Time, name string, rows watch.Rows, version watch.Version) bool {
 	t := h.tables[name]
 	if t == nil || version < t.version {
-		return
-	}
-	if confirmed.After(t.confirmed) {
-		t.confirmed = confirmed
+		return false
 	}
 	advanced := version > t.version
 	t.version = version
 	if t.rows != nil && maps.EqualFunc(t.rows, rows, sameVersion) {
 		t.removals.saw(version)
-		return
+		return false
 	}
 	t.removals.note(t.rows, rows, version)
 	t.edition++
@@ -75,11 +82,11 @@
 	t.rows, t.changed = maps.Clone(rows), version
 	t.Apply(now, t.rows)
 	clear(h.packets)
-	h.wake()
+	return true
 }
 
-// Confirm notes that the store has confirmed a table up to a version.
-func (h *Hub) Confirm(name string, version watch.Version, confirmed time.Time) {
+// Confirm notes that the store has confirmed a table up to a version to a node.
+func (h *Hub) Confirm(name string, version watch.Version, confirmed time.Time, reader vaneyoke.VMID) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	t := h.tables[name]
@@ -88,7 +95,7 @@
 	}
 	t.version = version
 	t.removals.confirmed(version)
-	h.confirm(confirmed, t)
+	h.confirm(confirmed, reader, t)
 }
 
 // Held returns a copy of a table's rows and the version up to which they are complete; ok is false where it holds nothing.
@@ -102,46 +109,47 @@
 	return maps.Clone(t.rows), t.version, true
 }
 
-// Age returns how long ago the store confirmed the table that was confirmed the longest ago, of those that may not lag;
-// ok is false where a table holds nothing yet.
-func (h *Hub) Age(now time.Time) (age time.Duration, ok bool) {
+// Word returns how long ago the store confirmed the table that was confirmed the longest ago, of those that may not lag; it
+// knows nothing where a table holds nothing yet.
+func (h *Hub) Word(now time.Time) feed.Word {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.ageLocked(now)
+	return h.wordLocked(now)
 }
 
-func (h *Hub) ageLocked(now time.Time) (time.Duration, bool) {
-	oldest := time.Duration(0)
+func (h *Hub) wordLocked(now time.Time) feed.Word {
+	word := feed.Word{Known: true, Reader: h.reader}
 	for _, t := range h.tables {
 		if t.rows == nil {
-			return 0, false
+			return feed.Word{}
 		}
-		if t.MayLag {
-			continue
+		if !t.MayLag {
+			word.Age = max(word.Age, now.Sub(t.confirmed))
 		}
-		oldest = max(oldest, now.Sub(t.confirmed))
 	}
-	return oldest, true
+	return word
 }
 
 func sameVersion(a, b watch.Row) bool { return a.Version == b.Version }
 
-// confirmAll notes that the store has confirmed all tables.
-func (h *Hub) confirmAll(confirmed time.Time) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.confirm(confirmed, slices.Collect(maps.Values(h.tables))...)
+// confirmAll notes that the store has confirmed all tables to a node.
+func (h *Hub) confirmAll(confirmed time.Time, reader vaneyoke.VMID) {
+	h.confirm(confirmed, reader, slices.Collect(maps.Values(h.tables))...)
 }
 
 // confirm notes as of when tables are the store's newest; where that is news, those that follow are told at once, so that
 // an age grows little from one node to the next.
-func (h *Hub) confirm(at time.Time, tables ...*table) {
+func (h *Hub) confirm(at time.Time, reader vaneyoke.VMID, tables ...*table) {
 	news := false
 	for _, t := range tables {
-		if at.After(t.confirmed) {
-			news = news || !t.MayLag && at.Sub(t.confirmed) > newsAge
-			t.confirmed = at
+		if !at.After(t.confirmed) {
+			continue
+		}
+		if !t.MayLag {
+			news = news || at.Sub(t.confirmed) > newsAge
+			h.reader = reader
 		}
+		t.confirmed = at
 	}
 	if news {
 		h.wake()
--- a/mesh/read.go
+++ b/mesh/read.go
@@ -2,49 +2,27 @@
 
 import (
 	"context"
-	"sync"
+	"errors"
 	"time"
 
+	"github.com/vaneyoke/vaneyoke/feed"
 	"github.com/vaneyoke/vaneyoke/watch"
 )
 
-// reading is the following of the store's tables.
-type reading struct {
-	begin func() // ends the lead
-	stop  func()
-}
-
-// startReading follows the store's tables after a lead, or as soon as it is told to begin, until it is stopped. A table
-// that may lag does not wait: the list of whom to ask is one.
-func (n *Node) startReading(ctx context.Context, lead time.Duration) *reading {
-	ctx, cancel := context.WithCancel(ctx)
-	led, begin := context.WithTimeout(ctx, lead)
-	var work sync.WaitGroup
-	for name, t := range n.hub.tables {
-		_, _, held := n.hub.Held(name)
-		work.Go(func() {
-			if held || !t.MayLag {
-				<-led.Done()
-			}
-			if ctx.Err() == nil {
-				n.follower(name).Run(ctx)
-			}
-		})
-	}
-	work.Go(func() {
-		<-led.Done()
-		if ctx.Err() == nil {
-			n.log.WithField("members", n.Members()).Info("reads_store")
+// read follows the store's tables until ctx ends.
+func (r *runner) read(ctx context.Context, reading feed.Reading) {
+	turns := watch.NewTurns()
+	for name, t := range r.hub.tables {
+		if reading == feed.ReadNothing || reading == feed.ReadMembers && !t.MayLag {
+			continue
 		}
-	})
-	return &reading{begin: begin, stop: func() {
-		cancel()
-		work.Wait()
-	}}
+		f := r.follower(ctx, name, turns)
+		r.work.Go(func() { f.Run(ctx) })
+	}
 }
 
 // follower returns a follower of one of the store's tables, which goes on from what the hub holds.
-func (n *Node) follower(name string) *watch.Follower {
+func (n *Node) follower(ctx context.Context, name string, turns *watch.Turns) *watch.Follower {
 	t := n.hub.tables[name]
 	times := func() watch.Config {
 		config := n.times()
@@ -54,7 +32,8 @@
 		config.Grace = t.Grace
 		return config
 	}
-	f := watch.New(name, t.Source, times, &sink{hub: n.hub, table: name}, n.log)
+	source := &reportedSource{Source: t.Source, failed: func() { n.post(ctx, feed.StoreFailed{}) }}
+	f := watch.New(name, source, times, turns, &sink{ctx: ctx, node: n, table: name}, n.log)
 	if rows, version, ok := n.hub.Held(name); ok {
 		f.Resume(rows, version)
 	}
@@ -63,22 +42,53 @@
 
 // times returns the times of a node that reads the store.
 func (n *Node) times() watch.Config {
-	if n.settled.Load() && n.isSmall() {
+	if n.settled.Load() && n.isAlone() {
 		return n.config.Small
 	}
 	return n.config.Reader
 }
 
+// reportedSource is a table of the store that tells of each call that failed.
+type reportedSource struct {
+	watch.Source
+	failed func()
+}
+
+// List returns all rows.
+func (s *reportedSource) List(ctx context.Context) (watch.Rows, watch.Version, error) {
+	rows, version, err := s.Source.List(ctx)
+	s.report(err)
+	return rows, version, err
+}
+
+// Changes waits for changes.
+func (s *reportedSource) Changes(ctx context.Context, after watch.Version, wait time.Duration) ([]watch.Change, watch.Version, error) {
+	changes, version, err := s.Source.Changes(ctx, after, wait)
+	s.report(err)
+	return changes, version, err
+}
+
+func (s *reportedSource) report(err error) {
+	if err != nil && !errors.Is(err, watch.ErrHistoryLost) {
+		s.failed()
+	}
+}
+
 // sink gives the hub what the store tells of a table.
 type sink struct {
-	hub   *Hub
+	ctx   context.Context
+	node  *Node
 	table string
 }
 
 // Set takes in all rows.
 func (s *sink) Set(now time.Time, rows watch.Rows, version watch.Version) {
-	s.hub.Set(now, s.table, rows, version, now)
+	s.node.hub.Set(now, s.table, rows, version)
+	s.Confirm(now, version)
 }
 
 // Confirm notes that the rows have not changed.
-func (s *sink) Confirm(now time.Time, version watch.Version) { s.hub.Confirm(s.table, version, now) }
+func (s *sink) Confirm(now time.Time, version watch.Version) {
+	s.node.hub.Confirm(s.table, version, now, s.node.self.VM)
+	s.node.post(s.ctx, feed.StoreRead{Word: s.node.hub.Word(now)})
+}
--- a/mesh/register.go
+++ b/mesh/register.go
@@ -7,15 +7,23 @@
 
 	"github.com/samber/lo"
 
+	"github.com/vaneyoke/vaneyoke/feed"
 	"github.com/vaneyoke/vaneyoke/internal/pause"
 	"github.com/vaneyoke/vaneyoke/watch"
 )
 
+// registerWhenKnown writes the own entry once the members are known, where it is not among them.
+func (n *Node) registerWhenKnown(ctx context.Context) {
+	select {
+	case <-n.known:
+		n.register(ctx)
+	case <-ctx.Done():
+	}
+}
+
 // registered reports whether the own entry stands among the members as it is.
 func (n *Node) registered() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return slices.Contains(n.members, n.self)
+	return slices.Contains(n.registeredMembers(), n.self)
 }
 
 // register writes the own entry where an earlier start has not; nobody asks a node that could not.
@@ -42,9 +50,9 @@
 }
 
 // DecodeMembers returns the members of a table's rows; a row that cannot be read is left out.
-func DecodeMembers(rows watch.Rows) []Member {
-	return lo.FilterMap(lo.Values(rows), func(row watch.Row, _ int) (Member, bool) {
-		var m Member
+func DecodeMembers(rows watch.Rows) []feed.Member {
+	return lo.FilterMap(lo.Values(rows), func(row watch.Row, _ int) (feed.Member, bool) {
+		var m feed.Member
 		err := json.Unmarshal(row.Data, &m)
 		return m, err == nil && m.Address != ""
 	})
--- a/mesh/tell.go
+++ b/mesh/tell.go
@@ -1,16 +1,22 @@
 package mesh
 
 import (
+	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/feed"
 )
 
 // Handler returns the handler by which the node tells its tables to others.
 func (n *Node) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+Path, n.tell)
+	mux.HandleFunc("GET "+AgePath, n.tellAge)
 	return mux
 }
 
@@ -18,6 +24,10 @@
 func (n *Node) tell(w http.ResponseWriter, r *http.Request) {
 	control := http.NewResponseController(w)
 	before := toldOf(r.URL.Query())
+	if by := vaneyoke.VMID(followerOf(r.URL.Query())); by != "" {
+		n.post(r.Context(), feed.Followed{By: by})
+		defer n.post(context.WithoutCancel(r.Context()), feed.Unfollowed{By: by})
+	}
 	ticker := time.NewTicker(n.config.Beat)
 	defer ticker.Stop()
 	for {
@@ -27,7 +37,7 @@
 			return
 		}
 		_ = control.SetWriteDeadline(time.Now().Add(n.config.Stall))
-		if err := errors.Join(writeFrames(w, update, b), control.Flush()); err != nil {
+		if err := errors.Join(n.writeFrames(w, update, b), control.Flush()); err != nil {
 			return
 		}
 		select {
@@ -40,7 +50,7 @@
 }
 
 // writeFrames writes an update, where there is one, and how old the tables are.
-func writeFrames(w io.Writer, update packet, b beat) error {
+func (n *Node) writeFrames(w io.Writer, update packet, b beat) error {
 	if update != nil {
 		if err := update.writeTo(w); err != nil {
 			return err
@@ -50,5 +60,12 @@
 	if err != nil {
 		return err
 	}
+	n.metrics.told(len(update), len(p))
 	return p.writeTo(w)
 }
+
+// tellAge tells how old the tables are.
+func (n *Node) tellAge(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(beatOf(n.hub.Word(time.Now()))) // a node that is gone needs no answer
+}
--- a/mesh/tidy.go
+++ b/mesh/tidy.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/vaneyoke/vaneyoke/feed"
 	"github.com/vaneyoke/vaneyoke/internal/pause"
 )
 
@@ -38,18 +39,16 @@
 	}
 }
 
-func (n *Node) membersByRank() []Member {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	members := slices.Clone(n.members)
-	slices.SortFunc(members, byRank)
+func (n *Node) membersByRank() []feed.Member {
+	members := slices.Clone(n.registeredMembers())
+	slices.SortFunc(members, feed.ByRank)
 	return members
 }
 
 // anyAnswersAbove reports whether a member with a higher rank answers; the members are ordered by rank.
-func (n *Node) anyAnswersAbove(ctx context.Context, members []Member) bool {
+func (n *Node) anyAnswersAbove(ctx context.Context, members []feed.Member) bool {
 	for _, m := range members {
-		if !m.outranks(n.self) {
+		if !m.Outranks(n.self) {
 			return false
 		}
 		if m.VM != n.self.VM && n.answers(ctx, m) {
@@ -60,7 +59,7 @@
 }
 
 // answers reports whether a member takes connections.
-func (n *Node) answers(ctx context.Context, m Member) bool {
+func (n *Node) answers(ctx context.Context, m feed.Member) bool {
 	ctx, cancel := context.WithTimeout(ctx, n.config.Stall)
 	defer cancel()
 	var dialer net.Dialer
--- a/node/gateway_wire.go
+++ b/node/gateway_wire.go
@@ -2,7 +2,6 @@
 
 import (
 	"expvar"
-	"math"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -13,6 +12,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/balancer"
+	"github.com/vaneyoke/vaneyoke/feed"
 	"github.com/vaneyoke/vaneyoke/gateway"
 	"github.com/vaneyoke/vaneyoke/mesh"
 	"github.com/vaneyoke/vaneyoke/placement"
@@ -108,7 +108,7 @@
 	config.Small = config.Small.BackWithin(s.Gateway.BackWithin)
 	config.Reader = config.Reader.BackWithin(s.Gateway.BackWithin)
 	if s.Gateway.Peers == "" {
-		config.Direct, config.First = math.MaxInt, 0 // it asks nobody
+		config.Feed.First, config.Feed.Choices = 0, 0 // it follows nobody
 	}
 	members := platform.NewMembers(client, s.Gateway.Store)
 	var node *mesh.Node
@@ -120,12 +120,12 @@
 			directory.balancer.SetRetryBurst(fleetBudgetConfig(s.Retry, node.Members()).Burst)
 		}},
 	})
-	self := mesh.Member{VM: vaneyoke.VMID(s.Node.VM), DataCentre: vaneyoke.DataCentreID(s.Node.DataCentre), Address: s.Gateway.Peers, Bandwidth: s.Node.Bandwidth}
-	node = mesh.New(self, config, hub, members, newPeerClient(), do.MustInvoke[logrus.FieldLogger](i))
+	self := feed.Member{VM: vaneyoke.VMID(s.Node.VM), DataCentre: vaneyoke.DataCentreID(s.Node.DataCentre), Address: s.Gateway.Peers, Bandwidth: s.Node.Bandwidth}
 	vars := do.MustInvoke[*expvar.Map](i)
+	node = mesh.New(self, config, hub, members, newPeerClient(), mesh.NewMetrics(vars), do.MustInvoke[logrus.FieldLogger](i))
 	vars.Set("upstreams", expvar.Func(func() any { return countUpstreams(directory.balancer.Loads()) }))
 	vars.Set("members", expvar.Func(func() any { return node.Members() }))
-	vars.Set("tables_age_ms", expvar.Func(func() any { age, _ := hub.Age(time.Now()); return age.Milliseconds() }))
+	vars.Set("tables_age_ms", expvar.Func(func() any { return hub.Word(time.Now()).Age.Milliseconds() }))
 	return node, nil
 }
 
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"math/rand/v2"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -88,6 +87,7 @@
 	name   string
 	source Source
 	config func() Config // asked before each call
+	turns  *Turns
 	sink   Sink
 	log    logrus.FieldLogger
 
@@ -100,9 +100,9 @@
 }
 
 // New returns a follower that tells the sink of each change, by the times that hold when a call is made.
-// The name stands for the table in the log.
-func New(name string, source Source, config func() Config, sink Sink, log logrus.FieldLogger) *Follower {
-	return &Follower{name: name, source: source, config: config, sink: sink, log: log}
+// The name stands for the table in the log; followers that share turns ask the store one at a time while it does not answer.
+func New(name string, source Source, config func() Config, turns *Turns, sink Sink, log logrus.FieldLogger) *Follower {
+	return &Follower{name: name, source: source, config: config, turns: turns, sink: sink, log: log}
 }
 
 // Resume has the follower begin with rows that are known up to a version, so that only later changes are read.
@@ -113,7 +113,9 @@
 // Run follows the table until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		alone := f.turns.take(ctx)
 		changed, err := f.step(ctx)
+		f.turns.give(alone, err == nil || errors.Is(err, ErrHistoryLost), f.config(), f.listed)
 		if ctx.Err() != nil {
 			return
 		}
@@ -130,7 +132,6 @@
 			continue
 		}
 		f.lost(time.Now(), err)
-		pause.For(ctx, f.backoff())
 	}
 }
 
@@ -224,16 +225,3 @@
 		f.failed = 0
 	}
 }
-
-// backoff returns a random pause that grows with the failures in a row, so that the nodes do not come back as one.
-func (f *Follower) backoff() time.Duration {
-	config := f.config()
-	full := config.Most
-	if !f.listed {
-		full = min(full, config.First)
-	}
-	if shift := f.failed - 1; shift < 16 {
-		full = min(config.Pause<<shift, full)
-	}
-	return full/2 + rand.N(full/2+1)
-}
