A node that starts again confirms nobody before it was confirmed itself

Cause, found while weighing the caller API's outage: a node that started again answered a question for its configuration with revision 0 or with one that it had from a node cut off, and counted in others' majorities and in its own, although it had forgotten what it had helped to accept. With the store down, enough restarts let a fleet take work by an older policy. Change: answers of 0 do not count; a node confirms others, and itself, only after a read of the store or a majority of the others. The rule taken out is among the mutants that the test catches.

--- a/catalog/follower.go
+++ b/catalog/follower.go
@@ -68,6 +68,13 @@
 	return f.fresh.Fresh(now)
 }
 
+// confirms reports whether the node may confirm others.
+func (f *Follower) confirms() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fresh.Confirms() > 0
+}
+
 // Nudge has the store read at once, because a newer revision is said to exist.
 func (f *Follower) Nudge() {
 	select {
@@ -188,8 +195,8 @@
 	f.put(New(content))
 }
 
-// Answer tells another node which revision is in force here, and the configuration as JSON where that is wanted and newer.
-// Where the other one knows a newer revision, the store is read first.
+// Answer tells another node which revision this one confirms, and the configuration as JSON where that is wanted and newer; it is none
+// before the node was confirmed itself. Where the other one knows a newer revision, the store is read first.
 func (f *Follower) Answer(ctx context.Context, known vaneyoke.Revision, want bool) (vaneyoke.Revision, []byte) {
 	if known > f.Current().Revision {
 		if err := f.readStore(ctx); err != nil {
@@ -197,6 +204,9 @@
 		}
 	}
 	current := f.Current()
+	if !f.confirms() {
+		return 0, nil
+	}
 	if !want || current.Revision <= known {
 		return current.Revision, nil
 	}
--- a/freshness/doc.go
+++ b/freshness/doc.go
@@ -5,4 +5,6 @@
 // and a majority, itself among them, answered; what it learns from either it applies first.
 // So a node that is fresh knows every change that was accepted longer ago than the while: a later read of the store shows
 // it, and two majorities share a node. When the store is down nothing can be accepted, and the nodes confirm one another.
+// A node that starts again has forgotten what it had; it counts in no majority before the store or a majority of the others
+// has confirmed it.
 package freshness
--- a/freshness/property_test.go
+++ b/freshness/property_test.go
@@ -27,6 +27,7 @@
 	atReply   bool // confirmations count from the reply on, not from the beginning of the call
 	eager     bool // a change is told as accepted once it is committed, without a majority
 	stale     bool // an answer that tells of a newer revision counts all the same
+	forgetful bool // a node's answers count although it has forgotten what it knew before its start
 	staleRead bool // a read of a newer revision counts although it is not in force yet
 }
 
@@ -48,6 +49,7 @@
 	calls    []call
 	accepted map[vaneyoke.Revision]time.Time
 	pending  vaneyoke.Revision // committed, not yet accepted
+	restarts bool              // whether nodes start again
 	mutant   mutation
 }
 
@@ -56,6 +58,11 @@
 	for i := range w.nodes {
 		w.nodes[i] = freshness.New(members[i], lasts)
 		w.nodes[i].Apply(1, members)
+		w.nodes[i].ReadStore(w.now.Add(-time.Hour), 1)
+	}
+	w.restarts = rapid.IntRange(0, 3).Draw(t, "restarts") == 0
+	if w.restarts && rapid.Bool().Draw(t, "missed") {
+		w.miss()
 	}
 	if rapid.Bool().Draw(t, "partitioned") {
 		w.partition(rapid.IntRange(1, nodes-1).Draw(t, "side"))
@@ -63,6 +70,15 @@
 	return w
 }
 
+// miss has a change accepted that a minority has missed, and the store go down.
+func (w *world) miss() {
+	w.store, w.down = 2, true
+	w.accepted[2] = w.now.Add(-lasts)
+	for i := range freshness.Majority(nodes) {
+		w.nodes[i].Apply(2, members)
+	}
+}
+
 // partition cuts the first nodes off from the others and from the store.
 func (w *world) partition(size int) {
 	for i := range size {
@@ -85,7 +101,13 @@
 func (w *world) step() {
 	i := rapid.IntRange(0, nodes-1).Draw(w.t, "node")
 	j := rapid.IntRange(0, nodes).Draw(w.t, "other")
-	switch rapid.IntRange(0, 9).Draw(w.t, "action") {
+	actions := 9
+	if w.restarts {
+		actions = 10
+	}
+	switch rapid.IntRange(0, actions).Draw(w.t, "action") {
+	case 10:
+		w.restart(i)
 	case 0:
 		w.now = w.now.Add(time.Duration(rapid.IntRange(1, 3000).Draw(w.t, "ms")) * time.Millisecond)
 	case 1:
@@ -108,6 +130,12 @@
 	}
 }
 
+// restart ends a node's process and starts it again: it has forgotten everything, and its calls are lost.
+func (w *world) restart(i int) {
+	w.nodes[i] = freshness.New(members[i], lasts)
+	w.calls = slices.DeleteFunc(w.calls, func(c call) bool { return c.from == i })
+}
+
 // ask begins a call whose answer tells what the other side knows now.
 func (w *world) ask(i, j int) {
 	if i == j || w.cut[i][j] || (j == nodes && w.down) {
@@ -115,7 +143,10 @@
 	}
 	c := call{from: i, to: j, began: w.now, revision: w.store}
 	if j < nodes {
-		c.revision = w.nodes[j].Revision()
+		c.revision = w.nodes[j].Confirms()
+		if w.mutant.forgetful {
+			c.revision = w.nodes[j].Revision()
+		}
 	}
 	w.calls = append(w.calls, c)
 }
@@ -191,12 +222,13 @@
 }
 
 func TestBrokenFreshnessRulesAreCaught(t *testing.T) {
-	const stories = 60_000
+	const stories = 150_000
 	mutants := map[string]mutation{
 		"a minority counts":                 {majority: 3},
 		"confirmed from the reply on":       {atReply: true},
 		"accepted without a majority":       {eager: true},
 		"a newer answer counts":             {stale: true},
+		"a node that has forgotten counts":  {forgetful: true},
 		"a read of a newer revision counts": {staleRead: true},
 	}
 	for name, rule := range mutants {
@@ -206,6 +238,36 @@
 	}
 }
 
+// TestNodeThatHasForgottenDoesNotCount has a change accepted by a majority of which a node then starts again, which knows nothing or has an older
+// configuration from another node: it confirms nobody, itself among them, until the store or a majority of the others has
+// confirmed it.
+func TestNodeThatHasForgottenDoesNotCount(t *testing.T) {
+	now := time.Unix(100, 0)
+	again := freshness.New("c", lasts)
+	must.EqOp(t, 0, again.Confirms())
+	again.Apply(7, members) // from a node that the change never reached
+	must.EqOp(t, 0, again.Confirms())
+	old := freshness.New("a", lasts)
+	old.Apply(7, members)
+	old.ReadStore(now.Add(-time.Hour), 7)
+	old.HeardPeer(now, "b", 7)
+	old.HeardPeer(now, "c", again.Confirms())
+	must.False(t, old.Fresh(now))
+
+	again.HeardPeer(now, "a", 7)
+	again.HeardPeer(now, "b", 7) // with itself they would be a majority
+	must.False(t, again.Fresh(now))
+	must.EqOp(t, 0, again.Confirms())
+	again.HeardPeer(now, "d", 7)
+	must.True(t, again.Fresh(now))
+	must.EqOp(t, 7, again.Confirms())
+
+	read := freshness.New("c", lasts)
+	read.Apply(8, members)
+	read.ReadStore(now, 8)
+	must.EqOp(t, 8, read.Confirms())
+}
+
 func TestFleetGoesOnWhileTheStoreIsDown(t *testing.T) {
 	now := time.Unix(100, 0)
 	cases := map[string]struct {
--- a/freshness/state.go
+++ b/freshness/state.go
@@ -14,6 +14,7 @@
 	members  map[vaneyoke.VMID]bool
 	store    time.Time                   // when the last successful read of the store began
 	peers    map[vaneyoke.VMID]time.Time // when the last call that each member answered began
+	sure     bool                        // whether the store or a majority of the others has confirmed the node since it started
 }
 
 // New returns a state that is not fresh; lasts is how long a confirmation counts.
@@ -39,14 +40,28 @@
 // ReadStore notes a read of the store's revision that began at the given time; it confirms the node only where the node has that revision.
 func (s *State) ReadStore(began time.Time, revision vaneyoke.Revision) {
 	if revision <= s.revision && began.After(s.store) {
-		s.store = began
+		s.store, s.sure = began, true
 	}
 }
 
-// HeardPeer notes a node's answer to a call that began at the given time; it counts only where the node knows nothing newer.
+// Confirms returns the revision that the node may confirm to others: none before it was confirmed itself, because a node
+// that starts again has forgotten what it helped to accept.
+func (s *State) Confirms() vaneyoke.Revision {
+	if !s.sure {
+		return 0
+	}
+	return s.revision
+}
+
+// HeardPeer notes what a node confirms in answer to a call that began at the given time; it counts only where that node confirms anything, and
+// nothing newer.
 func (s *State) HeardPeer(began time.Time, vm vaneyoke.VMID, revision vaneyoke.Revision) {
-	if revision <= s.revision && began.After(s.peers[vm]) {
-		s.peers[vm] = began
+	if revision == 0 || revision > s.revision || !began.After(s.peers[vm]) {
+		return
+	}
+	s.peers[vm] = began
+	if !s.sure && !s.majoritySince().IsZero() {
+		s.sure = true
 	}
 }
 
@@ -73,7 +88,7 @@
 // majoritySince returns the latest time since which a majority of the members has answered.
 func (s *State) majoritySince() time.Time {
 	need := Majority(len(s.members))
-	if s.members[s.self] {
+	if s.members[s.self] && s.sure {
 		need--
 	}
 	if need <= 0 {
