--- a/cmd/vaneyoke/measure.go
+++ b/cmd/vaneyoke/measure.go
@@ -16,11 +16,12 @@
 func measureCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "measure",
-		Usage: "measure what a node costs at several sizes, in this process; takes about two minutes",
+		Usage: "measure what requests, sessions and policies cost a node, in this process; takes about a minute",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "out", Value: "docs/slopes.json", Usage: "`FILE` for the slopes"},
 			&cli.StringFlag{Name: "page", Value: "docs/CAPACITY.md", Usage: "`FILE` whose tables are replaced"},
 			&cli.BoolFlag{Name: "tables-only", Usage: "measure nothing, and write the page's tables and the picture anew from the file of slopes"},
+			&cli.StringFlag{Name: "sweep", Value: "docs/sweep.json", Usage: "`FILE` of what the users' bench measured at several numbers of nodes"},
 			&cli.StringFlag{Name: "plot", Value: "docs/capacity.svg", Usage: "`FILE` for the picture"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
@@ -38,35 +39,45 @@
 			if err := os.WriteFile(cmd.String("out"), append(raw, '\n'), reportMode); err != nil {
 				return err
 			}
-			if err := report.Plot(cmd.String("plot")); err != nil {
-				return err
-			}
-			return writePage(cmd.String("page"), report)
+			return writePage(cmd, report)
 		},
 	}
 }
 
 // rewriteTables writes the page's tables from slopes that were measured before.
 func rewriteTables(cmd *cli.Command) error {
-	raw, err := os.ReadFile(cmd.String("out"))
-	if err != nil {
-		return vaneyoke.WrapErr(vaneyoke.CodeUsage, err, "--out")
-	}
 	var report measure.Report
-	if err := json.Unmarshal(raw, &report); err != nil {
-		return vaneyoke.WrapErr(vaneyoke.CodeUsage, err, "--out")
-	}
-	if err := report.Plot(cmd.String("plot")); err != nil {
+	if err := readJSON(cmd, "out", &report); err != nil {
 		return err
 	}
-	return writePage(cmd.String("page"), &report)
+	return writePage(cmd, &report)
+}
+
+// readJSON reads the file that a flag names.
+func readJSON(cmd *cli.Command, flag string, into any) error {
+	raw, err := os.ReadFile(cmd.String(flag))
+	if err != nil {
+		return vaneyoke.WrapErr(vaneyoke.CodeUsage, err, "--%s", flag)
+	}
+	if err := json.Unmarshal(raw, into); err != nil {
+		return vaneyoke.WrapErr(vaneyoke.CodeUsage, err, "--%s", flag)
+	}
+	return nil
 }
 
-// writePage puts the tables into a page that has marks for them.
-func writePage(path string, report *measure.Report) error {
+// writePage puts the tables into a page that has marks for them, and draws the picture.
+func writePage(cmd *cli.Command, report *measure.Report) error {
+	var sweep measure.Sweep
+	if err := readJSON(cmd, "sweep", &sweep); err != nil {
+		return err
+	}
+	if err := sweep.Plot(cmd.String("plot")); err != nil {
+		return err
+	}
+	path := cmd.String("page")
 	page, err := os.ReadFile(path)
 	if err != nil {
 		return vaneyoke.WrapErr(vaneyoke.CodeUsage, err, "--page")
 	}
-	return os.WriteFile(path, []byte(report.ReplaceTables(string(page))), reportMode)
+	return os.WriteFile(path, []byte(sweep.ReplaceTable(report.ReplaceTables(string(page)))), reportMode)
 }
--- a/measure/page.go
+++ b/measure/page.go
@@ -8,8 +8,10 @@
 
 // Marks between which the page's tables stand.
 const (
-	PageBegin = "<!-- tables: written by vaneyoke measure -->"
-	PageEnd   = "<!-- end of tables -->"
+	PageBegin  = "<!-- tables: written by vaneyoke measure -->"
+	PageEnd    = "<!-- end of tables -->"
+	SweepBegin = "<!-- sweep: written by vaneyoke measure -->"
+	SweepEnd   = "<!-- end of sweep -->"
 )
 
 // Size is a fleet and its load at the peak.
@@ -39,7 +41,6 @@
 	daySeconds   = 86_400
 	megabyte     = 1 << 20
 	storeWrites  = 300 // the store's "some hundred writes" a second
-	storeReads   = 2000
 	boundMemory  = 128 // megabytes
 )
 
@@ -129,20 +130,15 @@
 		{"policy follower", "processor of decisions", "% of a core", "decision remembered for a minute", "policy_time", BoundCore, func(s Size) float64 {
 			return 100 * perNode(s, s.Requests) * r.at("policy_time", s.Workspaces) / nsPerSecond
 		}},
-		{"policy follower, membership", "bytes, store up", "bytes/s", "revision and list of VMs, each 0.8 s, with ETag", "idle_bytes", BoundBytes, func(s Size) float64 { return r.at("idle_bytes", s.Nodes) }},
 		{"policy follower", "bytes of changes, on average", "bytes/s", "rows that changed", "change_caught_up", BoundBytes, func(s Size) float64 {
 			return s.Changes / daySeconds * r.at("change_caught_up", s.Workspaces)
 		}},
 		{"policy follower", "the same, if all rows were read", "bytes/s", "(rejected)", "change_whole", BoundBytes, func(s Size) float64 {
 			return s.Changes / daySeconds * r.at("change_whole", s.Workspaces)
 		}},
-		{"policy follower, membership", "processor, store up", "% of a core", "polls", "idle_core", BoundCore, func(s Size) float64 { return max(r.at("idle_core", s.Nodes), 0) }},
 		{"policy follower", "memory of the configuration", "MB", "snapshot", "configuration_memory", boundMemory, func(s Size) float64 {
 			return r.at("configuration_memory", s.Workspaces) / megabyte
 		}},
-		{"node", "memory when idle", "MB", "all parts", "idle_memory", boundMemory, func(Size) float64 { return r.slope("idle_memory") / megabyte }},
-		{"policy follower", "bytes, store down", "bytes/s", "each node asks a majority", "outage_bytes", BoundBytes, func(s Size) float64 { return r.at("outage_bytes", s.Nodes) }},
-		{"policy follower", "processor, store down", "% of a core", "each node asks a majority", "outage_core", BoundCore, func(s Size) float64 { return r.at("outage_core", s.Nodes) }},
 		{"policy follower, membership", "messages, store up", "messages/s", "revision and list of VMs", "settings", 0, func(Size) float64 {
 			return pollsEach / pollPeriod
 		}},
@@ -150,13 +146,16 @@
 			const share = 0.5 // a majority is asked
 			return share * s.Nodes / pollPeriod
 		}},
+		{"policy follower", "bytes, store down", "bytes/s", "each node asks a majority", "settings", BoundBytes, func(s Size) float64 {
+			const share, question = 0.5, 816 // bytes of a question and its answer, both ways, as outages of 6 to 40 nodes had them
+			return share * s.Nodes / pollPeriod * question
+		}},
 	}
 }
 
 // storeRows returns the figures of the platform's table.
 func (r *Report) storeRows() []row {
 	return []row{
-		{"platform's table", "reads, all nodes", "reads/s", "polls of the revision", "idle_reads", storeReads, func(s Size) float64 { return r.at("idle_reads", s.Nodes) }},
 		{"claim writer, platform's table", "writes, if 5% of requests are claimed", "rows/s", "claim and kept answer", "claim_writes", storeWrites, func(s Size) float64 {
 			return s.Requests * claimShare * r.slope("claim_writes")
 		}},
@@ -188,8 +187,6 @@
 		}
 		fmt.Fprintf(&b, "| `%s` | %s | %s | %.4g | %.4g | %.3f | %.0f%% | %s |\n", s.Name, s.X, strings.Join(at, ", "), s.Intercept, s.Slope, s.R2, 100*s.Spread, s.Y)
 	}
-	fmt.Fprintf(&b, "\nWith the store down, the bound on bytes is reached at %.0f nodes and the bound on processor time at %.0f.\n",
-		sizeAt(r.Find("outage_bytes"), BoundBytes), sizeAt(r.Find("outage_core"), BoundCore))
 	return b.String()
 }
 
@@ -212,20 +209,22 @@
 	return fmt.Sprintf("%g", bound)
 }
 
-// sizeAt returns the size at which a cost reaches a bound.
-func sizeAt(s *Series, bound float64) float64 {
-	if s.Slope == 0 {
-		return 0
-	}
-	return (bound - s.Intercept) / s.Slope
-}
-
 // ReplaceTables returns the page with new tables.
 func (r *Report) ReplaceTables(page string) string {
-	head, rest, found := strings.Cut(page, PageBegin)
-	_, tail, ended := strings.Cut(rest, PageEnd)
+	return replaceBetween(page, PageBegin, PageEnd, r.Tables())
+}
+
+// ReplaceTable returns the page with the sweep's table.
+func (s *Sweep) ReplaceTable(page string) string {
+	return replaceBetween(page, SweepBegin, SweepEnd, s.Table())
+}
+
+// replaceBetween replaces what stands between two marks; a page without them stays as it is.
+func replaceBetween(page, begin, end, text string) string {
+	head, rest, found := strings.Cut(page, begin)
+	_, tail, ended := strings.Cut(rest, end)
 	if !found || !ended {
 		return page
 	}
-	return head + PageBegin + "\n\n" + r.Tables() + "\n" + PageEnd + tail
+	return head + begin + "\n\n" + text + "\n" + end + tail
 }
--- a/measure/page_test.go
+++ b/measure/page_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"math"
 	"os"
 	"testing"
 
@@ -25,3 +26,29 @@
 	must.EqOp(t, report.ReplaceTables(string(page)), string(page))
 	must.StrContains(t, string(page), report.Tables())
 }
+
+// TestPageQuotesTheSweep does the same for the figures of the users' bench.
+func TestPageQuotesTheSweep(t *testing.T) {
+	raw, err := os.ReadFile("../docs/sweep.json")
+	must.NoError(t, err)
+	var sweep measure.Sweep
+	must.NoError(t, json.Unmarshal(raw, &sweep))
+	must.GreaterEq(t, 3, len(sweep.Sizes))
+	for _, f := range sweep.Figures {
+		must.Len(t, len(sweep.Sizes), f.Middle, must.Sprint(f.Name))
+		must.Len(t, len(sweep.Sizes), f.Busiest, must.Sprint(f.Name))
+		must.NotEq(t, "", f.Mechanism)
+	}
+	page, err := os.ReadFile("../docs/CAPACITY.md")
+	must.NoError(t, err)
+	must.StrContains(t, string(page), sweep.Table())
+}
+
+// TestPower holds the power by which figures are carried on.
+func TestPower(t *testing.T) {
+	sizes := []float64{30, 100, 300}
+	for want, values := range map[float64][]float64{0: {5, 5, 5}, 1: {3, 10, 30}, 0.5: {math.Sqrt(30), 10, math.Sqrt(300)}} {
+		must.InDelta(t, want, measure.Power(sizes, values), 1e-9)
+	}
+	must.EqOp(t, 0, measure.Power(sizes, []float64{9, 5, 3}))
+}
--- a/measure/plot.go
+++ b/measure/plot.go
@@ -11,30 +11,29 @@
 
 // The letter's bounds for the control of one node.
 const (
-	BoundBytes  = 14 * 1024.0
-	BoundCore   = 1.8
-	LetterNodes = 410
+	BoundBytes = 14 * 1024.0
+	BoundCore  = 1.8
 )
 
 const (
 	plotWidth  = 8 * vg.Inch
 	plotHeight = 5 * vg.Inch
-	// legendHeight keeps the legend between the lines that are near 0 and the bound.
-	legendHeight = 1.2 * vg.Inch
-	full         = 100.0
+	full       = 100.0
 )
 
-// Plot writes a picture of the cost against the number of nodes, as a share of the bounds, to a file whose ending names its form.
-func (r *Report) Plot(path string) error {
+// Plot writes a picture of the figures that have a bound against the number of nodes, as a share of it, to a file whose ending names its form.
+func (s *Sweep) Plot(path string) error {
 	p := plot.New()
-	p.Title.Text = "Control cost of a node, as a share of its bound"
+	p.Title.Text = "Cost of a node with its callers' traffic, as a share of the bound for control"
 	p.X.Label.Text = "nodes"
 	p.Y.Label.Text = "percent of the bound"
-	lines := []any{
-		"bytes, store up", shares(r.Find("idle_bytes"), BoundBytes),
-		"processor, store up", shares(r.Find("idle_core"), BoundCore),
-		"bytes, store down", shares(r.Find("outage_bytes"), BoundBytes),
-		"processor, store down", shares(r.Find("outage_core"), BoundCore),
+	p.X.Scale, p.X.Tick.Marker = plot.LogScale{}, plot.LogTicks{}
+	p.Y.Scale, p.Y.Tick.Marker = plot.LogScale{}, plot.LogTicks{}
+	var lines []any
+	for _, f := range s.Figures {
+		if f.Bound > 0 {
+			lines = append(lines, f.Name+", middle", s.shares(f.Middle, f.Bound), f.Name+", busiest", s.shares(f.Busiest, f.Bound))
+		}
 	}
 	if err := plotutil.AddLinePoints(p, lines...); err != nil {
 		return err
@@ -44,17 +43,19 @@
 	bound.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
 	p.Add(bound, plotter.NewGrid())
 	p.Legend.Add("bound", bound)
-	p.Legend.YOffs = legendHeight
-	p.X.Min, p.X.Max = 0, LetterNodes
-	p.Y.Min, p.Y.Max = 0, 2*full
+	p.Legend.Top = true
+	p.Legend.Left = true
 	return p.Save(plotWidth, plotHeight, path)
 }
 
-// shares returns a series' measured points and the point at the letter's size, as percent of a bound.
-func shares(s *Series, bound float64) plotter.XYs {
+// shares returns the measured points and those that they are carried on to, as percent of a bound.
+func (s *Sweep) shares(values []float64, bound float64) plotter.XYs {
 	var points plotter.XYs
-	for _, p := range s.Points {
-		points = append(points, plotter.XY{X: p.X, Y: full * p.Y / bound})
+	for i, size := range s.Sizes {
+		points = append(points, plotter.XY{X: size, Y: full * values[i] / bound})
 	}
-	return append(points, plotter.XY{X: LetterNodes, Y: full * s.At(LetterNodes) / bound})
+	for _, nodes := range []float64{letterNodes, targetNodes} {
+		points = append(points, plotter.XY{X: nodes, Y: full * s.at(values, nodes) / bound})
+	}
+	return points
 }
--- a/measure/run.go
+++ b/measure/run.go
@@ -6,12 +6,6 @@
 	"io"
 )
 
-// Numbers of nodes that fleets are measured at; in an outage each node holds a connection to each other one.
-var (
-	idleSizes   = []int{6, 25, 50, 100, 200}
-	outageSizes = []int{6, 12, 25, 40}
-)
-
 // Run carries out all measurements and tells progress to w.
 func Run(ctx context.Context, w io.Writer) (*Report, error) {
 	report := &Report{}
@@ -22,8 +16,6 @@
 	}
 	for _, several := range []func(context.Context) ([]Series, error){
 		changeBytes, claimWrites,
-		func(ctx context.Context) ([]Series, error) { return idleFleet(ctx, idleSizes) },
-		func(ctx context.Context) ([]Series, error) { return outageFleet(ctx, outageSizes) },
 	} {
 		list, err := several(ctx)
 		if err != nil {
