--- a/cmd/vaneyoke/main.go
+++ b/cmd/vaneyoke/main.go
@@ -44,6 +44,7 @@
 			auditCommand(),
 			bootstrapCommand(),
 			explainRequestCommand(),
+			fleetCommand(),
 			docsCommand(),
 			versionCommand(),
 		},
--- a/feed/state.go
+++ b/feed/state.go
@@ -112,6 +112,9 @@
 	return s.source.member, true
 }
 
+// Reading returns how the node reads the store.
+func (s *State) Reading() Reading { return s.reading }
+
 // Followers returns how many nodes follow this one.
 func (s *State) Followers() int { return len(s.followers) }
 
--- a/feed/world_test.go
+++ b/feed/world_test.go
@@ -17,6 +17,7 @@
 	poll     = 1100 * time.Millisecond // for which a call waits for changes
 	stall    = 800 * time.Millisecond  // after which a silent connection is given up
 	dialWait = 200 * time.Millisecond
+	slack    = 500 * time.Millisecond // for which a call to a silent store hangs
 )
 
 // world is a fleet on a clock of its own, whose nodes do what their states ask for.
@@ -29,7 +30,8 @@
 	members   []feed.Member
 	byVM      map[vaneyoke.VMID]*node
 	storeDown bool
-	calls     int // to the store
+	silent    bool // whether calls that fail hang for a while first
+	calls     int  // to the store
 	asks      int
 	offers    int
 }
@@ -305,9 +307,7 @@
 				return
 			}
 			if n.w.storeDown || n.cut {
-				n.failures++
-				n.handle(feed.StoreFailed{})
-				n.call(read, n.backoff())
+				n.failed(read)
 				return
 			}
 			n.failures = 0
@@ -320,6 +320,22 @@
 	})
 }
 
+// failed ends a call without an answer.
+func (n *node) failed(read int) {
+	life, hang := n.life, time.Duration(0)
+	if n.w.silent {
+		hang = slack
+	}
+	n.w.after(hang, func() {
+		if n.life != life || n.read != read || !n.up {
+			return
+		}
+		n.failures++
+		n.handle(feed.StoreFailed{})
+		n.call(read, n.backoff())
+	})
+}
+
 func (n *node) backoff() time.Duration {
 	full := min(100*time.Millisecond<<min(n.failures-1, 8), 800*time.Millisecond)
 	if n.reading == feed.ReadMembers {
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -7,27 +7,32 @@
 	"github.com/vaneyoke/vaneyoke"
 )
 
-// Metrics counts what a node does for the mesh.
+// Metrics counts what a node does for the mesh, and tells its part in it.
 type Metrics struct {
-	counts    *expvar.Map
-	followers atomic.Int64
-	source    atomic.Value // vaneyoke.VMID
+	counts *expvar.Map
+	part   atomic.Pointer[Part]
+}
+
+// Part is a node's part in the mesh.
+type Part struct {
+	Source    vaneyoke.VMID `json:"source"`    // the node that it follows; none where that is empty
+	Followers int           `json:"followers"` // nodes that follow it
+	Reading   string        `json:"reading"`   // how it reads the store
+	Fresh     bool          `json:"fresh"`     // whether its tables are not old
+	Reader    vaneyoke.VMID `json:"reader"`    // the node that the store confirmed them to
+	AgeMs     int64         `json:"age_ms"`    // of the tables
 }
 
 // NewMetrics returns metrics that are told under "mesh" among vars.
 func NewMetrics(vars *expvar.Map) *Metrics {
 	m := &Metrics{counts: new(expvar.Map).Init()}
-	m.source.Store(vaneyoke.VMID(""))
-	m.counts.Set("followers", expvar.Func(func() any { return m.followers.Load() }))
-	m.counts.Set("source", expvar.Func(func() any { return m.source.Load() }))
+	m.part.Store(&Part{})
+	m.counts.Set("part", expvar.Func(func() any { return m.part.Load() }))
 	vars.Set("mesh", m.counts)
 	return m
 }
 
-func (m *Metrics) follows(source vaneyoke.VMID, followers int) {
-	m.source.Store(source)
-	m.followers.Store(int64(followers))
-}
+func (m *Metrics) takesPart(p Part) { m.part.Store(&p) }
 
 // took counts the bytes of a frame of another node.
 func (m *Metrics) took(bytes int) { m.counts.Add("taken_bytes_total", int64(bytes)) }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -73,6 +74,12 @@
 	}
 }
 
+// ServeMembers tells the members as JSON.
+func (n *Node) ServeMembers(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(n.registeredMembers()) // a reader that is gone needs no answer
+}
+
 // Members returns how many members there are, this node among them.
 func (n *Node) Members() int { return max(len(n.registeredMembers()), 1) }
 
@@ -156,7 +163,10 @@
 	fresh := r.state.Fresh(now)
 	source, _ := r.state.Source()
 	word := r.state.Word(now)
-	r.metrics.follows(source.VM, r.state.Followers())
+	r.metrics.takesPart(Part{
+		Source: source.VM, Followers: r.state.Followers(), Reading: r.state.Reading().String(), Fresh: fresh,
+		Reader: word.Reader, AgeMs: word.Age.Milliseconds(),
+	})
 	if fresh == r.fresh {
 		return
 	}
--- a/node/gateway.go
+++ b/node/gateway.go
@@ -119,6 +119,7 @@
 func (n *GatewayNode) metrics() http.Handler {
 	mux := http.NewServeMux()
 	registerDebug(mux, n.vars)
+	mux.HandleFunc("GET /debug/members", n.mesh.ServeMembers)
 	return mux
 }
 
