Retries are lent among the nodes, and those that reach nobody cost nothing

Ruled out: engines (320, few busy), breakers. Change: a retry that never reached an engine is given back; a node without one borrows from members at random, and it counts where it was lent.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -96,6 +96,20 @@
 	return upstream, expect, nil
 }
 
+// Unsent notes that a retry never reached its upstream, so that it does not count.
+func (b *Balancer) Unsent(need placement.Need) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.budget(need.Service).GiveBack(time.Now())
+}
+
+// Lend spends one retry of a service's budget for another node, and reports whether there was one.
+func (b *Balancer) Lend(service vaneyoke.ServiceID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.budget(service).Take(time.Now())
+}
+
 func (b *Balancer) unplaced(need placement.Need) error {
 	if !b.state.Offers(need) {
 		return vaneyoke.Err(vaneyoke.CodeUnknownModel, "no upstream offers %s%s", need.Model, need.Service)
--- a/measure/core.go
+++ b/measure/core.go
@@ -77,6 +77,7 @@
 func (onePlacer) Holders(placement.Need) []vaneyoke.Upstream    { return nil }
 func (onePlacer) Reported(vaneyoke.UpstreamID, vaneyoke.Report) {}
 func (onePlacer) Homes(placement.Need) []vaneyoke.Upstream      { return nil }
+func (onePlacer) Unsent(placement.Need)                         {}
 func (onePlacer) Admit(placement.Need)                          {}
 func (onePlacer) Replica(placement.Need, vaneyoke.Upstream) (vaneyoke.Upstream, bool) {
 	return vaneyoke.Upstream{}, false
--- /dev/null
+++ b/mesh/borrow_test.go
@@ -0,0 +1,92 @@
+package mesh
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/feed"
+	"github.com/vaneyoke/vaneyoke/retry"
+)
+
+// account is a node's budget, and what it gave away.
+type account struct {
+	mu     sync.Mutex
+	budget *retry.Budget
+	asked  int
+}
+
+func (a *account) lend(vaneyoke.ServiceID) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.asked++
+	return a.budget.Take(time.Now())
+}
+
+func startLenders(t *testing.T, count int, burst float64) ([]*Lender, []*account) {
+	peers := startMesh(t, count)
+	until(t, allAt(peers, 1))
+	lenders := make([]*Lender, count)
+	accounts := make([]*account, count)
+	var members []feed.Member
+	for i, p := range peers {
+		accounts[i] = &account{budget: retry.NewBudget(retry.BudgetConfig{Burst: burst, Window: time.Hour})}
+		lenders[i] = NewLender(p.Node, accounts[i].lend)
+		mux := http.NewServeMux()
+		mux.Handle("POST "+BorrowPath, lenders[i])
+		server := httptest.NewServer(mux)
+		t.Cleanup(server.Close)
+		m := p.self
+		m.Address = strings.TrimPrefix(server.URL, "http://")
+		members = append(members, m)
+	}
+	for _, p := range peers {
+		p.SetMembers(members)
+	}
+	return lenders, accounts
+}
+
+// TestRetriesAreLent has one node need more retries than its share: it gets those of the others, and all together never spend more than the
+// sum of the shares.
+func TestRetriesAreLent(t *testing.T) {
+	const nodes, share = 4, 2
+	lenders, accounts := startLenders(t, nodes, share)
+	needy := lenders[0]
+	got := 0
+	for range share {
+		must.True(t, accounts[0].lend("s"))
+	}
+	for range 20 * nodes * share {
+		needy.until = map[vaneyoke.ServiceID]time.Time{} // it asks again at once
+		if needy.Borrow(t.Context(), "s") {
+			got++
+		}
+	}
+	must.EqOp(t, (nodes-1)*share, got)
+	for _, a := range accounts[1:] {
+		must.False(t, a.lend("s"))
+	}
+}
+
+// TestNobodyIsAskedAfterARefusal holds that a node whose fleet has no retries left does not ask at each loss.
+func TestNobodyIsAskedAfterARefusal(t *testing.T) {
+	lenders, accounts := startLenders(t, 3, 0)
+	for range 10 {
+		must.False(t, lenders[0].Borrow(t.Context(), "s"))
+	}
+	must.EqOp(t, 2, accounts[1].asked+accounts[2].asked)
+	must.False(t, lenders[0].Borrow(t.Context(), "other"))
+	must.EqOp(t, 4, accounts[1].asked+accounts[2].asked)
+}
+
+// TestOneAloneBorrowsNothing has nobody to ask.
+func TestOneAloneBorrowsNothing(t *testing.T) {
+	lenders, _ := startLenders(t, 1, 5)
+	must.False(t, lenders[0].Borrow(t.Context(), "s"))
+}
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -43,5 +43,7 @@
 	m.counts.Add("told_age_bytes_total", int64(age))
 }
 
-func (m *Metrics) asked()   { m.counts.Add("asked_total", 1) }
-func (m *Metrics) offered() { m.counts.Add("offered_total", 1) }
+func (m *Metrics) lent()     { m.counts.Add("lent_total", 1) }
+func (m *Metrics) borrowed() { m.counts.Add("borrowed_total", 1) }
+func (m *Metrics) asked()    { m.counts.Add("asked_total", 1) }
+func (m *Metrics) offered()  { m.counts.Add("offered_total", 1) }
--- a/node/config.go
+++ b/node/config.go
@@ -30,7 +30,7 @@
 		config.Ratio = s.FleetRatio * fleetMargin
 	}
 	if s.FleetBurst > 0 {
-		config.Burst = max(s.FleetBurst*fleetMargin/float64(max(members, 1)), 1)
+		config.Burst = s.FleetBurst * fleetMargin / float64(max(members, 1)) // less than one is lent by others
 	}
 	return config
 }
--- a/node/gateway.go
+++ b/node/gateway.go
@@ -34,6 +34,7 @@
 	gateway  *gateway.Gateway
 	relay    *relay.Relay
 	mesh     *mesh.Node
+	lender   *mesh.Lender
 	vars     *expvar.Map
 	tracing  *telemetry.Tracing
 	log      logrus.FieldLogger
@@ -64,7 +65,7 @@
 	}
 	var handlers []http.Handler
 	if s.Gateway.Peers != "" {
-		ports = append(ports, port{address: s.Gateway.Peers, handler: n.mesh.Handler()})
+		ports = append(ports, port{address: s.Gateway.Peers, handler: n.peers()})
 	}
 	for _, p := range ports {
 		l, err := listen(ctx, p.address)
@@ -116,6 +117,14 @@
 	})
 }
 
+// peers returns what other nodes may ask for.
+func (n *GatewayNode) peers() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("/", n.mesh.Handler())
+	mux.Handle("POST "+mesh.BorrowPath, n.lender)
+	return mux
+}
+
 func (n *GatewayNode) metrics() http.Handler {
 	mux := http.NewServeMux()
 	registerDebug(mux, n.vars)
--- a/node/gateway_wire.go
+++ b/node/gateway_wire.go
@@ -34,6 +34,7 @@
 	do.Provide(i, provideStoreClient)
 	do.Provide(i, provideDirectory)
 	do.Provide(i, provideMesh)
+	do.Provide(i, provideLender)
 	do.Provide(i, provideForwarder)
 	do.Provide(i, provideGateway)
 	do.Provide(i, provideGatewayNode)
@@ -69,7 +70,7 @@
 	return relay.New(
 		nil,
 		platform.NewSender(dialer),
-		do.MustInvoke[*balancer.Balancer](i),
+		&lendingBalancer{Balancer: do.MustInvoke[*balancer.Balancer](i), lender: do.MustInvoke[*mesh.Lender](i)},
 		do.MustInvoke[*telemetry.Tracing](i).Tracer,
 		relay.NewMetrics(do.MustInvoke[*expvar.Map](i)),
 		do.MustInvoke[logrus.FieldLogger](i),
@@ -93,6 +94,7 @@
 		gateway:  do.MustInvoke[*gateway.Gateway](i),
 		relay:    do.MustInvoke[*relay.Relay](i),
 		mesh:     do.MustInvoke[*mesh.Node](i),
+		lender:   do.MustInvoke[*mesh.Lender](i),
 		vars:     do.MustInvoke[*expvar.Map](i),
 		tracing:  do.MustInvoke[*telemetry.Tracing](i),
 		log:      do.MustInvoke[logrus.FieldLogger](i),
@@ -129,6 +131,10 @@
 	return node, nil
 }
 
+func provideLender(i do.Injector) (*mesh.Lender, error) {
+	return mesh.NewLender(do.MustInvoke[*mesh.Node](i), do.MustInvoke[*balancer.Balancer](i).Lend), nil
+}
+
 // lapseShare is the share of the bound for leaving upstreams for which one whose entry lapsed is used at the most.
 const lapseShare = 0.8
 
--- a/relay/loss.go
+++ b/relay/loss.go
@@ -35,6 +35,9 @@
 	l := s.links[attempt]
 	s.logAttempt(attempt, l.upstream.ID).WithFields(logrus.Fields{"cause": cause, "error": err}).Warn("attempt_lost")
 	s.relay.metrics.Losses.Add(cause.String(), 1)
+	if l.retry && cause == generation.CauseNotSent {
+		s.relay.placer.Unsent(s.need)
+	}
 	s.settle(attempt, l.lossOutcome(cause))
 	s.handleLocked(time.Now(), generation.Lost{Attempt: attempt, Cause: cause})
 	s.close(attempt)
--- a/relay/place.go
+++ b/relay/place.go
@@ -38,7 +38,7 @@
 		})
 		return
 	}
-	l := &link{upstream: upstream, cancel: func() {}}
+	l := &link{upstream: upstream, cancel: func() {}, retry: e.Retry}
 	s.links[e.Attempt] = l
 	if need.Replicate {
 		l.replica, _ = s.relay.placer.Replica(need, upstream)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -27,6 +27,8 @@
 	// Place returns an upstream and its expected time to the first token, or an error with a result code.
 	// A retry counts against the retry budget.
 	Place(need placement.Need, retry bool) (vaneyoke.Upstream, time.Duration, error)
+	// Unsent notes that a retry never reached its upstream, so that it does not count against the budget.
+	Unsent(need placement.Need)
 	// Holders returns the upstreams that may keep a prompt.
 	Holders(need placement.Need) []vaneyoke.Upstream
 	// Homes returns the upstreams of which one is to get a prompt, the preferred ones first.
--- a/relay/session.go
+++ b/relay/session.go
@@ -46,6 +46,7 @@
 	fromReplica bool              // whether the run goes on from a replica, which says nothing of how long prompts take
 	started     bool              // whether anything was sent
 	sentAt      time.Time         // when the run was started, zero for a resumed stream
+	retry       bool              // whether it counts against the retry budget
 	resumed     bool              // whether it is attached to an earlier attempt's stream
 	begun       bool              // whether its first token has come
 	fenced      bool              // whether the attempt was cancelled
--- a/retry/budget.go
+++ b/retry/budget.go
@@ -61,6 +61,15 @@
 	return true
 }
 
+// GiveBack undoes the latest Take, because the retry never reached an upstream.
+func (b *Budget) GiveBack(now time.Time) {
+	if b.cfg.Window > 0 {
+		b.taken.takeBack(now)
+		return
+	}
+	b.left = min(b.left+1, b.cfg.Burst)
+}
+
 func (b *Budget) refill(now time.Time) {
 	if !b.last.IsZero() && now.After(b.last) {
 		b.left = min(b.left+b.cfg.PerSecond*now.Sub(b.last).Seconds(), b.cfg.Burst)
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -116,3 +116,26 @@
 	must.False(t, b.Take(at(3*time.Second, -time.Hour)))
 	must.True(t, b.Take(at(12*time.Second, -time.Hour)))
 }
+
+// TestRetryThatWasNotSentIsGivenBack holds that a retry which was taken and given back can be taken again, and that no more than what
+// was taken can be given back.
+func TestRetryThatWasNotSentIsGivenBack(t *testing.T) {
+	for name, cfg := range map[string]retry.BudgetConfig{
+		"saved up": {Burst: 2},
+		"window":   {Burst: 2, Window: 10 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := retry.NewBudget(cfg)
+			now := start
+			b.GiveBack(now)
+			for range 2 {
+				must.True(t, b.Take(now))
+			}
+			must.False(t, b.Take(now))
+			now = now.Add(3 * time.Second)
+			b.GiveBack(now)
+			must.True(t, b.Take(now))
+			must.False(t, b.Take(now))
+		})
+	}
+}
--- a/retry/window.go
+++ b/retry/window.go
@@ -41,3 +41,15 @@
 		w.slots[(w.part+1)%int64(len(w.slots))] = 0
 	}
 }
+
+// takeBack takes the latest event out of the count, where there is one.
+func (w *window) takeBack(now time.Time) {
+	w.advance(now)
+	size := int64(len(w.slots))
+	for part := w.part; part > w.part-size && part >= 0; part-- {
+		if w.slots[part%size] > 0 {
+			w.slots[part%size]--
+			return
+		}
+	}
+}
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -53,6 +53,8 @@
 	{"reads_store", []string{"reading", "members"}, "The node reads the store itself: all tables, the members alone, or once, to find out whether the store answers."},
 	{"register_failed", []string{"error"}, "The node could not register itself among the members."},
 	{"request_refused", []string{"request", "code", "host", "path", "error", "retry_after_ms", "opened_ms"}, "A request was refused before any upstream was chosen."},
+	{"retry_borrowed", []string{"peer", "service"}, "The own share of the fleet's retries on a service was spent, and another node lent one of its own."},
+	{"retry_not_lent", []string{"service"}, "The own share of the fleet's retries on a service was spent, and none of the nodes that were asked had one left; nobody is asked for half a second."},
 	{"row_unreadable", []string{"key", "error"}, "A row of the store cannot be read; the value that it had before is kept."},
 	{"server_error", []string{"error"}, "A server told of an error that it went on after, such as a handler's panic."},
 	{"server_failed", []string{"error"}, "A listener ended."},
