--- a/mesh/borrow.go
+++ b/mesh/borrow.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/url"
+	"slices"
 	"sync"
 	"time"
 
@@ -108,6 +109,6 @@
 			break
 		}
 	}
-	all := append(near, far...)
+	all := slices.Concat(near, far)
 	return all[:min(len(all), most)]
 }
--- a/mesh/chain_test.go
+++ b/mesh/chain_test.go
@@ -28,14 +28,7 @@
 		version := watch.Version(0)
 		same := 0
 		tell := func(i int) {
-			p, b, _, err := chain[i-1].next(now, befores[i])
-			must.NoError(t, err)
-			f := frame{}
-			if p != nil {
-				f, err = p.unpack()
-				must.NoError(t, err)
-			}
-			f.Beat = &b
+			f, p := nextPacketOf(t, chain[i-1], now, befores[i])
 			chain[i].take(now, f, p)
 			if p == nil {
 				return
--- a/mesh/hub_test.go
+++ b/mesh/hub_test.go
@@ -131,7 +131,14 @@
 }
 
 // nextOf returns what a hub tells next, the age of its tables with it.
-func nextOf(t *testing.T, h *Hub, now time.Time, before told) frame {
+func nextOf(t must.T, h *Hub, now time.Time, before told) frame {
+	t.Helper()
+	f, _ := nextPacketOf(t, h, now, before)
+	return f
+}
+
+// nextPacketOf returns the same, and the packet that says it; nil where nothing has changed.
+func nextPacketOf(t must.T, h *Hub, now time.Time, before told) (frame, packet) {
 	t.Helper()
 	p, b, _, err := h.next(now, before)
 	must.NoError(t, err)
@@ -141,7 +148,7 @@
 		must.NoError(t, err)
 	}
 	f.Beat = &b
-	return f
+	return f, p
 }
 
 // TestNewsOfTheAgeIsToldOn holds that a confirmation goes on to those that follow at once, and an age that is about the
