--- a/feed/event.go
+++ b/feed/event.go
@@ -8,9 +8,9 @@
 
 // Word is what a node says of its tables.
 type Word struct {
-	Age    time.Duration `json:"age"`              // how long ago the store confirmed them
-	Known  bool          `json:"known"`            // whether it holds all tables
-	Reader vaneyoke.VMID `json:"reader,omitempty"` // the node that the store told so
+	Age    time.Duration // how long ago the store confirmed them
+	Known  bool          // whether it holds all tables
+	Reader vaneyoke.VMID // the node that the store told so
 }
 
 // Event is something that a node learns.
