Bound how long a list of rows may hang, and read all tables where the members alone cannot be had

All nodes started while the store was silent; their first call was for the members, whose time-out was that of a long wait for changes (10.5 s), and nothing else was read meanwhile. Change: a list has 1.6 s; a node that knows nobody after 0.6 s reads all tables, one call at a time, at the long pauses.

--- a/feed/decide.go
+++ b/feed/decide.go
@@ -107,8 +107,10 @@
 
 func (s *State) wanted(now time.Time) Reading {
 	switch {
-	case s.tree == nil:
+	case s.tree == nil && now.Before(s.started.Add(s.config.First)):
 		return ReadMembers
+	case s.tree == nil: // the list of members may be all that fails
+		return ReadAll
 	case s.relies() && (s.source.member.Outranks(s.self) || !s.readsWhenOld()):
 		return ReadNothing
 	case s.readsAll(now):
--- a/feed/fleet_test.go
+++ b/feed/fleet_test.go
@@ -1,6 +1,7 @@
 package feed_test
 
 import (
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -80,6 +81,50 @@
 	}
 }
 
+// TestAllStartWhileTheStoreIsAway kills all nodes in an outage, so that nobody is left to offer anything: they serve soon after the store's return.
+func TestAllStartWhileTheStoreIsAway(t *testing.T) {
+	for i, size := range slices.Concat(sizes, sizes) {
+		w := newWorld(6, size, 5)
+		w.silent = i >= len(sizes)
+		w.startAll()
+		w.run(10 * time.Second)
+		w.storeDown = true
+		for _, n := range w.nodes {
+			n.stop(true)
+		}
+		w.run(time.Second)
+		before := w.calls
+		w.startAll()
+		w.run(4 * time.Second)
+		calls := w.calls - before
+		w.storeDown = false
+		took, ok := w.untilFresh(5*time.Second, none)
+		t.Log(size, "nodes, silent", w.silent, ": fresh", took, "after the store's return,", calls, "calls before")
+		must.True(t, ok)
+		must.LessEq(t, 3*time.Second, took)
+		must.LessEq(t, 8*size, calls)
+	}
+}
+
+// TestMembersAloneFail has a store that does not tell a new node the members: it reads all else by itself.
+func TestMembersAloneFail(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := feed.New(feed.Member{VM: "a"}, feed.DefaultConfig(), rand.New(rand.NewPCG(1, 1)))
+	must.Eq(t, []feed.Effect{feed.Read{Reading: feed.ReadMembers}}, s.Handle(now, feed.Started{}))
+	must.SliceEmpty(t, s.Handle(now.Add(100*time.Millisecond), feed.StoreFailed{}))
+	now = s.Next(now)
+	for range 3 {
+		if effects := s.Handle(now, feed.Tick{}); len(effects) > 0 {
+			must.Eq(t, []feed.Effect{feed.Read{Reading: feed.ReadAll}}, effects)
+		}
+		now = s.Next(now)
+	}
+	must.EqOp(t, feed.ReadAll, s.Reading())
+	s.Handle(now, feed.StoreRead{Word: feed.Word{Known: true, Reader: "a"}})
+	must.True(t, s.Fresh(now))
+	must.EqOp(t, feed.ReadAll, s.Reading())
+}
+
 // TestLongOutage holds that the calls of a long outage do not grow with the nodes.
 func TestLongOutage(t *testing.T) {
 	const centres = 5
--- a/feed/world_test.go
+++ b/feed/world_test.go
@@ -17,7 +17,8 @@
 	poll     = 1100 * time.Millisecond // for which a call waits for changes
 	stall    = 800 * time.Millisecond  // after which a silent connection is given up
 	dialWait = 200 * time.Millisecond
-	slack    = 500 * time.Millisecond // for which a call to a silent store hangs
+	slack    = 500 * time.Millisecond  // for which a call to a silent store hangs
+	listWait = 1600 * time.Millisecond // for which one for all rows hangs
 )
 
 // world is a fleet on a clock of its own, whose nodes do what their states ask for.
@@ -323,9 +324,12 @@
 // failed ends a call without an answer.
 func (n *node) failed(read int) {
 	life, hang := n.life, time.Duration(0)
-	if n.w.silent {
+	if n.w.silent && n.members {
 		hang = slack
 	}
+	if n.w.silent && !n.members {
+		hang = listWait
+	}
 	n.w.after(hang, func() {
 		if n.life != life || n.read != read || !n.up {
 			return
@@ -338,8 +342,8 @@
 
 func (n *node) backoff() time.Duration {
 	full := min(100*time.Millisecond<<min(n.failures-1, 8), 800*time.Millisecond)
-	if n.reading == feed.ReadMembers {
-		full = min(time.Second<<min(n.failures-1, 8), 2*time.Second)
+	if !n.members {
+		full = time.Second
 	}
 	return full/2 + time.Duration(n.w.rng.Int64N(int64(full/2)+1))
 }
--- a/mesh/config.go
+++ b/mesh/config.go
@@ -28,7 +28,7 @@
 	reader.Wait, reader.Slack = 1100*time.Millisecond, 500*time.Millisecond
 	slow := watch.DefaultConfig()
 	slow.Wait, slow.Slack, slow.Gather = 10*time.Second, 500*time.Millisecond, 300*time.Millisecond
-	slow.Pause, slow.First, slow.Most = time.Second, 2*time.Second, 2*time.Second // who knows nobody is offered the tables sooner
+	slow.Pause, slow.First, slow.Most = time.Second, time.Second, 2*time.Second // who knows nobody is offered the tables sooner
 	return Config{
 		Feed: feed.DefaultConfig(), Settle: time.Second, Beat: 250 * time.Millisecond, Stall: 800 * time.Millisecond,
 		Reader: reader, Small: watch.DefaultConfig(), Slow: slow,
--- a/mesh/read.go
+++ b/mesh/read.go
@@ -40,12 +40,17 @@
 	return f
 }
 
-// times returns the times of a node that reads the store.
+// times returns the times of a node that reads the store. One that knows nobody yet asks a store that fails at longer pauses,
+// because it is one of many then.
 func (n *Node) times() watch.Config {
+	config := n.config.Reader
 	if n.settled.Load() && n.isAlone() {
-		return n.config.Small
+		config = n.config.Small
 	}
-	return n.config.Reader
+	if n.registeredMembers() == nil {
+		config.Pause, config.First = n.config.Slow.Pause, n.config.Slow.First
+	}
+	return config
 }
 
 // reportedSource is a table of the store that tells of each call that failed.
--- a/watch/watch.go
+++ b/watch/watch.go
@@ -53,6 +53,7 @@
 type Config struct {
 	Wait  time.Duration // how long one call waits for changes
 	Slack time.Duration // how much longer an answer may take before the call is given up
+	List  time.Duration // how long all rows may take before the call is given up
 	Pause time.Duration // longest pause after the first failure in a row; each further one doubles it
 	Most  time.Duration // longest pause after a failure
 	First time.Duration // longest pause after a failure while the rows have to be listed
@@ -65,7 +66,7 @@
 // DefaultConfig returns the times that the nodes start from.
 func DefaultConfig() Config {
 	return Config{
-		Wait: 3 * time.Second, Slack: 800 * time.Millisecond, Pause: 100 * time.Millisecond, Most: 800 * time.Millisecond,
+		Wait: 3 * time.Second, Slack: 800 * time.Millisecond, List: 1600 * time.Millisecond, Pause: 100 * time.Millisecond, Most: 800 * time.Millisecond,
 		First:  250 * time.Millisecond,
 		Gather: 200 * time.Millisecond,
 	}
@@ -173,7 +174,7 @@
 }
 
 func (f *Follower) list(ctx context.Context, config Config) error {
-	ctx, cancel := context.WithTimeout(ctx, config.Wait+config.Slack)
+	ctx, cancel := context.WithTimeout(ctx, config.List)
 	defer cancel()
 	rows, version, err := f.source.List(ctx)
 	if err != nil {
