Roll-outs: tried by a share of each node's own requests, judged over the tree, written by whoever reads the store

Cause: an order to move a service to another version was never answered, engines of a version that nobody had judged got work like all others, and a bad version would have kept it. Ruled out: a quota lent among the nodes (a node that is cut off or starts anew has to know what it may still use; a share of its own requests is right without a word) and a few nodes that alone try the version (each sees half a request a second, and which nodes they are would have to be agreed on). Counts of answers alone as a verdict: some calls fail by themselves on every engine, so the test is a sequential one of two shares against the version that stands, by route. Change: package rollout decides (orders, versions, answers and the clock in; shares, stops and records out), rollouts carries it out: counts go up the feed's tree each 0.25 s and stops come down in the replies; a record in the store, written on its row's revision together with the operator's status, holds the stage. Requests are drawn one by one; replicas, retries and callers who come back stay with the version that stands. What is new to a service waits 2 s for its order. Everything goes to the target before completed is written, and the old engines end what they have. Not built: roll-outs for engines of the caller API, and a command for operators.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -8,6 +8,7 @@
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/placement"
 	"github.com/vaneyoke/vaneyoke/retry"
+	"github.com/vaneyoke/vaneyoke/rollout"
 )
 
 // noUpstreamRetry is when a caller should come back where no upstream is live.
@@ -187,6 +188,27 @@
 	return b.state.TakesWork(time.Now(), id)
 }
 
+// SetSplit takes in how a service's requests are divided among the versions of its upstreams.
+func (b *Balancer) SetSplit(service vaneyoke.ServiceID, split rollout.Split) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state.SetSplit(service, split)
+}
+
+// Draws reports whether a new request tries the version to which its service moves.
+func (b *Balancer) Draws(service vaneyoke.ServiceID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state.Draws(b.rng, service)
+}
+
+// Running returns the attempts under way by service and version.
+func (b *Balancer) Running() map[vaneyoke.ServiceID]map[vaneyoke.SoftwareVersion]int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state.Running()
+}
+
 // Models returns the models that engines offer.
 func (b *Balancer) Models() []vaneyoke.ModelID {
 	b.mu.Lock()
--- a/cmd/vaneyoked/gateway_test.go
+++ b/cmd/vaneyoked/gateway_test.go
@@ -34,6 +34,7 @@
 	must.NoError(t, err)
 	filled := strings.NewReplacer(
 		"{{nodeName}}", "edge-1", "{{zone}}", "a", "{{limits.linkMbps}}", "1000.0", "{{ip}}:9100", admin, "{{ip}}:{{portRange.0}}", "127.0.0.1:0", "{{bounds.graceS}}", "8", "{{bounds.drainMs}}", "2000", "{{bounds.configMs}}", "2000", "{{bounds.contactMs}}", "3000", "{{bounds.retryRatio}}", "0.8", "{{bounds.retryAllowance}}", "150", "{{bounds.retryWindowS}}", "10",
+		"{{#bounds.exposureShare}}", "", "{{.}}", "0.1", "{{/bounds.exposureShare}}", "",
 		"{{listen.frontend}}", listen, "{{listen.readiness}}", readiness, "{{platform.address}}", store,
 	).Replace(string(text))
 	must.False(t, regexp.MustCompile(`\{\{`).MatchString(filled), must.Sprint(filled))
--- a/ids.go
+++ b/ids.go
@@ -17,6 +17,9 @@
 // ServiceID names a plain service as callers write it.
 type ServiceID string
 
+// SoftwareVersion names the version of the software that an upstream runs.
+type SoftwareVersion string
+
 // RouteID names a route of the configuration.
 type RouteID string
 
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/sirupsen/logrus"
 
 	"github.com/vaneyoke/vaneyoke/feed"
@@ -83,6 +84,15 @@
 // Members returns how many members there are, this node among them.
 func (n *Node) Members() int { return max(len(n.registeredMembers()), 1) }
 
+// Above returns the node that this one follows; ok is false where it follows none.
+func (n *Node) Above() (above feed.Member, ok bool) {
+	source := n.metrics.part.Load().Source
+	return lo.Find(n.registeredMembers(), func(m feed.Member) bool { return source != "" && m.VM == source })
+}
+
+// Reads reports whether the node reads all tables from the store.
+func (n *Node) Reads() bool { return n.metrics.part.Load().Reading == feed.ReadAll.String() }
+
 func (n *Node) registeredMembers() []feed.Member {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/mesh/read.go
+++ b/mesh/read.go
@@ -12,8 +12,8 @@
 // read follows the store's tables until ctx ends.
 func (r *runner) read(ctx context.Context, reading feed.Reading) {
 	turns := watch.NewTurns()
-	for name, t := range r.hub.tables {
-		if reading == feed.ReadNothing || reading == feed.ReadMembers && !t.MayLag {
+	for name := range r.hub.tables {
+		if reading == feed.ReadNothing || reading == feed.ReadMembers && name != r.config.Members {
 			continue
 		}
 		f := r.follower(ctx, name, turns)
--- a/node/gateway.go
+++ b/node/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/vaneyoke/vaneyoke/internal/pause"
 	"github.com/vaneyoke/vaneyoke/mesh"
 	"github.com/vaneyoke/vaneyoke/relay"
+	"github.com/vaneyoke/vaneyoke/rollouts"
 	"github.com/vaneyoke/vaneyoke/serve"
 	"github.com/vaneyoke/vaneyoke/settings"
 	"github.com/vaneyoke/vaneyoke/telemetry"
@@ -35,6 +36,7 @@
 	relay    *relay.Relay
 	mesh     *mesh.Node
 	lender   *mesh.Lender
+	rollouts *rollouts.Node // nil where there are no roll-outs
 	vars     *expvar.Map
 	tracing  *telemetry.Tracing
 	log      logrus.FieldLogger
@@ -83,6 +85,9 @@
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	n.stop = stop
 	n.work.Go(func() { n.mesh.Run(run) })
+	if n.rollouts != nil {
+		n.work.Go(func() { n.rollouts.Run(run) })
+	}
 	for i, l := range n.listeners {
 		n.serve(l, handlers[i])
 	}
@@ -122,6 +127,9 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", n.mesh.Handler())
 	mux.Handle("POST "+mesh.BorrowPath, n.lender)
+	if n.rollouts != nil {
+		mux.Handle("POST "+rollouts.Path, n.rollouts)
+	}
 	return mux
 }
 
--- a/node/gateway_wire.go
+++ b/node/gateway_wire.go
@@ -18,6 +18,7 @@
 	"github.com/vaneyoke/vaneyoke/placement"
 	"github.com/vaneyoke/vaneyoke/platform"
 	"github.com/vaneyoke/vaneyoke/relay"
+	"github.com/vaneyoke/vaneyoke/rollouts"
 	"github.com/vaneyoke/vaneyoke/settings"
 	"github.com/vaneyoke/vaneyoke/telemetry"
 	"github.com/vaneyoke/vaneyoke/watch"
@@ -35,6 +36,8 @@
 	do.Provide(i, provideDirectory)
 	do.Provide(i, provideMesh)
 	do.Provide(i, provideLender)
+	do.Provide(i, provideRolloutTables)
+	do.Provide(i, provideRollouts)
 	do.Provide(i, provideForwarder)
 	do.Provide(i, provideGateway)
 	do.Provide(i, provideGatewayNode)
@@ -70,7 +73,9 @@
 	return relay.New(
 		nil,
 		platform.NewSender(dialer),
-		&lendingBalancer{Balancer: do.MustInvoke[*balancer.Balancer](i), lender: do.MustInvoke[*mesh.Lender](i)},
+		&gatewayPlacer{
+			Balancer: do.MustInvoke[*balancer.Balancer](i), lender: do.MustInvoke[*mesh.Lender](i), rollouts: do.MustInvoke[*rollouts.Node](i),
+		},
 		do.MustInvoke[*telemetry.Tracing](i).Tracer,
 		relay.NewMetrics(do.MustInvoke[*expvar.Map](i)),
 		do.MustInvoke[logrus.FieldLogger](i),
@@ -95,6 +100,7 @@
 		relay:    do.MustInvoke[*relay.Relay](i),
 		mesh:     do.MustInvoke[*mesh.Node](i),
 		lender:   do.MustInvoke[*mesh.Lender](i),
+		rollouts: do.MustInvoke[*rollouts.Node](i),
 		vars:     do.MustInvoke[*expvar.Map](i),
 		tracing:  do.MustInvoke[*telemetry.Tracing](i),
 		log:      do.MustInvoke[logrus.FieldLogger](i),
@@ -113,15 +119,21 @@
 		config.Feed.First, config.Feed.Choices = 0, 0 // it follows nobody
 	}
 	members := platform.NewMembers(client, s.Gateway.Store)
+	moves := do.MustInvoke[*rolloutTables](i)
+	directory.rollouts = moves
 	var node *mesh.Node
-	hub := mesh.NewHub(map[string]mesh.Table{
+	tables := map[string]mesh.Table{
 		"routes":    {Source: platform.NewConfig(client, s.Gateway.Store), Apply: directory.setTables},
 		"upstreams": {Source: platform.NewEngines(client, s.Gateway.Store), Apply: directory.setUpstreams, Grace: lapseGrace(s.Gateway)},
 		"members": {Source: members, MayLag: true, Apply: func(_ time.Time, rows watch.Rows) {
 			node.SetMembers(mesh.DecodeMembers(rows))
 			directory.balancer.SetRetryBurst(fleetBudgetConfig(s.Retry, node.Members()).Burst)
 		}},
-	})
+	}
+	if s.Rollout.Exposure > 0 {
+		tables["rollouts"] = mesh.Table{Source: platform.NewRollouts(client, s.Gateway.Store), MayLag: true, Apply: moves.setRecords}
+	}
+	hub := mesh.NewHub(tables)
 	self := feed.Member{VM: vaneyoke.VMID(s.Node.VM), DataCentre: vaneyoke.DataCentreID(s.Node.DataCentre), Address: s.Gateway.Peers, Bandwidth: s.Node.Bandwidth}
 	vars := do.MustInvoke[*expvar.Map](i)
 	node = mesh.New(self, config, hub, members, newPeerClient(), mesh.NewMetrics(vars), do.MustInvoke[logrus.FieldLogger](i))
--- a/node/routes.go
+++ b/node/routes.go
@@ -21,6 +21,7 @@
 	current   atomic.Pointer[route.Table]
 	tables    decoded[*route.Table]
 	upstreams decoded[vaneyoke.Upstream]
+	rollouts  *rolloutTables
 }
 
 func newRoutes(b *balancer.Balancer, log logrus.FieldLogger) *routes {
@@ -43,7 +44,8 @@
 }
 
 // setTables takes in the newest of the tables; it is not called by two goroutines at once.
-func (r *routes) setTables(_ time.Time, rows watch.Rows) {
+func (r *routes) setTables(now time.Time, rows watch.Rows) {
+	r.rollouts.setOrders(now, rows)
 	for _, table := range r.tables.take(rows, r.log) {
 		if table == nil || (r.current.Load() != nil && table.Version() <= r.version()) {
 			continue
@@ -54,8 +56,10 @@
 }
 
 // setUpstreams takes in the list of upstreams.
-func (r *routes) setUpstreams(_ time.Time, rows watch.Rows) {
-	r.balancer.SetUpstreams(r.upstreams.take(rows, r.log), nil)
+func (r *routes) setUpstreams(now time.Time, rows watch.Rows) {
+	upstreams := r.upstreams.take(rows, r.log)
+	r.rollouts.setUpstreams(now, upstreams) // a version that is held back is so before it can be chosen
+	r.balancer.SetUpstreams(upstreams, nil)
 }
 
 // decoded keeps what rows were read as, so that a change costs no more than the rows that changed.
--- a/placement/affinity.go
+++ b/placement/affinity.go
@@ -41,7 +41,9 @@
 
 // Holders returns the upstreams that may keep a prompt, because it is sent to them for its affinity.
 func (s *State) Holders(now time.Time, need Need) []vaneyoke.Upstream {
-	candidates := lo.Filter(s.order, func(e *entry, _ int) bool { return e.takesWork(now) && offers(&e.upstream, need) })
+	candidates := lo.Filter(s.order, func(e *entry, _ int) bool {
+		return e.takesWork(now) && offers(&e.upstream, need) && s.suits(need, e, false)
+	})
 	return lo.Map(byHash(need.Affinity, candidates, holders), func(e *entry, _ int) vaneyoke.Upstream { return e.upstream })
 }
 
--- /dev/null
+++ b/placement/division_test.go
@@ -0,0 +1,121 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/placement"
+	"github.com/vaneyoke/vaneyoke/retry"
+	"github.com/vaneyoke/vaneyoke/rollout"
+)
+
+// twoVersions returns a state of as many upstreams of an old and of a new version.
+func twoVersions(each int) *placement.State {
+	s := placement.New("a", retry.DefaultBreakerConfig())
+	var all []vaneyoke.Upstream
+	for i := range 2 * each {
+		version := vaneyoke.SoftwareVersion("old")
+		if i%2 == 1 {
+			version = "new"
+		}
+		id := vaneyoke.UpstreamID(fmt.Sprint(version, i/2))
+		all = append(all, vaneyoke.Upstream{
+			ID: id, Kind: vaneyoke.KindService, Service: "lm", DataCentre: vaneyoke.DataCentreID(fmt.Sprint(i / 2 % 3)),
+			State: vaneyoke.StateLive, Slots: 8, URL: "http://" + string(id), Version: version,
+		})
+	}
+	s.SetUpstreams(all)
+	return s
+}
+
+// TestDivision holds which versions get a request, by what it is drawn for.
+func TestDivision(t *testing.T) {
+	type versions map[vaneyoke.SoftwareVersion]bool
+	cases := map[string]struct {
+		split         rollout.Split
+		plain, drawn  versions
+		alone, failed versions // plain where only the target is there, and where the old ones cannot be reached
+	}{
+		"nothing known":  {rollout.Split{Target: "new"}, versions{"old": true}, versions{"old": true}, versions{"new": true}, versions{"old": true}},
+		"trial":          {rollout.Split{Target: "new", Share: 0.1}, versions{"old": true}, versions{"new": true}, versions{"new": true}, versions{"old": true}},
+		"moved":          {rollout.Split{Target: "new", Share: 1}, versions{"new": true}, versions{"new": true}, versions{"new": true}, versions{"new": true}},
+		"reverted":       {rollout.Split{Target: "new", Barred: true}, versions{"old": true}, versions{"old": true}, nil, versions{"old": true}},
+		"held":           {rollout.Split{Held: []vaneyoke.SoftwareVersion{"new"}}, versions{"old": true}, versions{"old": true}, versions{"new": true}, versions{"old": true}},
+		"nobody divided": {rollout.Split{}, versions{"old": true, "new": true}, versions{"old": true, "new": true}, versions{"new": true}, versions{"old": true, "new": true}},
+	}
+	now := time.Unix(1000, 0)
+	got := func(s *placement.State, drawn bool, affinity string) versions {
+		var found versions
+		for n := range 60 {
+			wanted := need
+			wanted.Trial = drawn
+			if affinity != "" {
+				wanted.Affinity = fmt.Sprint(affinity, n)
+			}
+			if u, _, ok := s.Pick(now, rng(), wanted); ok {
+				if found == nil {
+					found = versions{}
+				}
+				found[u.Version] = true
+			}
+		}
+		return found
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := twoVersions(10)
+			s.SetSplit("lm", tc.split)
+			must.Eq(t, tc.plain, got(s, false, "p"))
+			must.Eq(t, tc.drawn, got(s, true, "p"))
+			failed := twoVersions(10)
+			failed.SetSplit("lm", tc.split)
+			for i := range 10 {
+				id := vaneyoke.UpstreamID(fmt.Sprint("old", i))
+				failed.Sent(now, id)
+				failed.Ended(now, id, placement.OutcomeUnreachable, false)
+			}
+			if name != "nobody divided" {
+				must.Eq(t, tc.failed, got(failed, false, ""))
+			}
+			s.SetUpstreams([]vaneyoke.Upstream{{ID: "new0", Kind: vaneyoke.KindService, Service: "lm", State: vaneyoke.StateLive, URL: "http://new0", Version: "new"}})
+			must.Eq(t, tc.alone, got(s, false, ""))
+		})
+	}
+}
+
+// TestTrialGoesToFewUpstreams has the requests of a trial go to as large a share of the target's upstreams, the same on every
+// node; a replica of a run of the old version stays with it.
+func TestTrialGoesToFewUpstreams(t *testing.T) {
+	now := time.Unix(1000, 0)
+	one, other := twoVersions(30), twoVersions(30)
+	tried := map[vaneyoke.UpstreamID]bool{}
+	for _, s := range []*placement.State{one, other} {
+		s.SetSplit("lm", rollout.Split{Target: "new", Share: 0.1})
+		for n := range 200 {
+			wanted := need
+			wanted.Trial, wanted.Affinity = true, fmt.Sprint("p", n)
+			u, _, ok := s.Pick(now, rng(), wanted)
+			must.True(t, ok)
+			must.EqOp(t, "new", u.Version)
+			tried[u.ID] = true
+		}
+	}
+	must.MapLen(t, 3, tried)
+	r := rng()
+	for range 100 {
+		replica, ok := one.PickReplica(now, r, need, vaneyoke.Upstream{ID: "old0", Service: "lm", DataCentre: "0", Version: "old"})
+		must.True(t, ok)
+		must.EqOp(t, "old", replica.Version)
+	}
+	drawn := 0
+	for range 10_000 {
+		if one.Draws(r, "lm") {
+			drawn++
+		}
+	}
+	must.Between(t, 900, drawn, 1100)
+}
--- a/placement/state.go
+++ b/placement/state.go
@@ -28,6 +28,7 @@
 	Prefer    vaneyoke.Upstream // upstream that is taken where it takes work, also after it was replaced at its address
 	Bytes     int               // size of the prompt
 	Replicate bool              // whether another upstream is to keep a replica of the run
+	Trial     bool              // whether it was drawn to try the version to which its service moves
 }
 
 // Outcome says how an attempt on an upstream ended.
@@ -75,11 +76,14 @@
 	entries    map[vaneyoke.UpstreamID]*entry
 	order      []*entry // by id, so that a choice depends on the random numbers alone
 	scratch    []*entry
+	divisions  map[vaneyoke.ServiceID]*division // of the services whose upstreams do not all get work
 }
 
 // New returns a state without upstreams for a node in the given data centre.
 func New(dataCentre vaneyoke.DataCentreID, breaker retry.BreakerConfig) *State {
-	return &State{dataCentre: dataCentre, breaker: breaker, entries: map[vaneyoke.UpstreamID]*entry{}}
+	return &State{
+		dataCentre: dataCentre, breaker: breaker, entries: map[vaneyoke.UpstreamID]*entry{}, divisions: map[vaneyoke.ServiceID]*division{},
+	}
 }
 
 // SetUpstreams takes in the fleet's upstreams; what is known of those that stay is kept.
@@ -98,6 +102,9 @@
 	slices.SortFunc(order, func(a, b *entry) int { return cmp.Compare(a.upstream.ID, b.upstream.ID) })
 	s.entries = entries
 	s.order = order
+	for _, d := range s.divisions {
+		d.arrange(order)
+	}
 }
 
 // SetDrained takes in which upstreams are drained by policy.
@@ -170,7 +177,7 @@
 		return nil
 	}
 	for _, e := range s.order {
-		if e.upstream.URL == need.Prefer.URL && e.takesWork(now) && offers(&e.upstream, need) {
+		if e.upstream.URL == need.Prefer.URL && e.takesWork(now) && offers(&e.upstream, need) && s.suits(need, e, false) {
 			return e
 		}
 	}
@@ -181,19 +188,24 @@
 type tier struct {
 	avoided bool // whether they are among those to avoid
 	open    bool // whether breakers are left aside
+	other   bool // whether they are of a version that gets the request only where the one that it is meant for has nobody
 }
 
 var tiers = []tier{
 	{},
 	{avoided: true},
+	{other: true},
 	{open: true},
 	{avoided: true, open: true},
+	{other: true, avoided: true, open: true},
+	{other: true, open: true},
 }
 
 func (s *State) candidates(now time.Time, need Need, selector vaneyoke.Selector, t tier) []*entry {
 	s.scratch = s.scratch[:0]
 	for _, e := range s.order {
-		if !e.mayWork() || (!t.open && !e.breaker.Allows(now)) || !offers(&e.upstream, need) || !selector.Matches(&e.upstream) {
+		if !e.mayWork() || (!t.open && !e.breaker.Allows(now)) || !offers(&e.upstream, need) || !selector.Matches(&e.upstream) ||
+			!s.suits(need, e, t.other) {
 			continue
 		}
 		if slices.Contains(need.Avoid, e.upstream.ID) == t.avoided {
--- a/relay/attempt.go
+++ b/relay/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/vaneyoke/vaneyoke/generation"
 	"github.com/vaneyoke/vaneyoke/openai"
 	"github.com/vaneyoke/vaneyoke/placement"
+	"github.com/vaneyoke/vaneyoke/rollout"
 )
 
 // cancelTimeout bounds the order to an engine to stop a run.
@@ -101,6 +102,9 @@
 		}).Warn("attempt_lost")
 		s.relay.metrics.Losses.Add(e.Cause.String(), 1)
 	}
+	if e.Cause == generation.CauseSilent {
+		s.answered(l, rollout.Answer{Kind: rollout.AnswerLost})
+	}
 	s.settle(e.Attempt, outcome)
 	if _, opaque := s.mode.(*forwarded); e.Stop && !opaque { // closing the connection ends an opaque run
 		go s.stopRun(l.upstream, l.name)
@@ -182,7 +186,10 @@
 	if l == nil || l.begun || l.settled {
 		return
 	}
-	l.begun = true
+	l.begun, l.begunAt = true, now
+	if s.isStream() && !l.fromReplica {
+		s.answered(l, rollout.Answer{Kind: rollout.AnswerGood, Took: now.Sub(l.sentAt)})
+	}
 	if !l.sentAt.IsZero() && !l.fromReplica && !s.mayBeCached() {
 		s.relay.placer.FirstToken(l.upstream.ID, now.Sub(l.sentAt), s.need.Bytes)
 	}
--- a/relay/forwarded.go
+++ b/relay/forwarded.go
@@ -246,6 +246,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.begin(now, received.Attempt)
+	s.pacePiece(now, s.links[received.Attempt])
 	before := s.state.Transcript().Len()
 	s.handleLocked(now, received)
 	if s.state.Transcript().Len() == before {
@@ -265,6 +266,7 @@
 	if l.fenced || s.result.Ended {
 		return
 	}
+	s.answered(l, wholeOutcome(answer.head.Status, time.Since(l.sentAt)))
 	if falsePromise(answer.head.Status) {
 		s.lostLocked(attempt, generation.CauseFailed, &engine.StatusError{Status: answer.head.Status})
 		return
--- a/relay/loss.go
+++ b/relay/loss.go
@@ -11,6 +11,7 @@
 	"github.com/vaneyoke/vaneyoke/engine"
 	"github.com/vaneyoke/vaneyoke/generation"
 	"github.com/vaneyoke/vaneyoke/placement"
+	"github.com/vaneyoke/vaneyoke/rollout"
 )
 
 // failed tells the state machine why an attempt's link broke.
@@ -38,6 +39,9 @@
 	if l.retry && cause == generation.CauseNotSent {
 		s.relay.placer.Unsent(s.need)
 	}
+	if cause == generation.CauseClosed || cause == generation.CauseMalformed {
+		s.answered(l, rollout.Answer{Kind: rollout.AnswerLost})
+	}
 	s.settle(attempt, l.lossOutcome(cause))
 	s.handleLocked(time.Now(), generation.Lost{Attempt: attempt, Cause: cause})
 	s.close(attempt)
--- a/relay/place.go
+++ b/relay/place.go
@@ -21,6 +21,7 @@
 	need.Avoid = e.Avoid
 	need.Prefer = s.replicaNamed(e.Prefer)
 	if e.Attempt == 1 {
+		need.Trial = s.relay.trier != nil && s.relay.trier.Draws(need.Service)
 		need.Prefer = s.holder(need)
 	}
 	upstream, expect, err := s.choose(need, e.Retry)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -18,6 +18,7 @@
 	"github.com/vaneyoke/vaneyoke/generation"
 	"github.com/vaneyoke/vaneyoke/openai"
 	"github.com/vaneyoke/vaneyoke/placement"
+	"github.com/vaneyoke/vaneyoke/rollout"
 )
 
 // Placer chooses upstreams and keeps account of what was sent to them.
@@ -47,11 +48,20 @@
 	Ended(id vaneyoke.UpstreamID, outcome placement.Outcome, begun bool)
 }
 
+// Trier is a Placer whose services may move to another version of their upstreams.
+type Trier interface {
+	// Draws reports whether a new request tries the version to which its service moves.
+	Draws(service vaneyoke.ServiceID) bool
+	// Answered notes how an upstream answered a request of a route.
+	Answered(upstream vaneyoke.Upstream, route vaneyoke.RouteID, answer rollout.Answer)
+}
+
 // Relay starts sessions.
 type Relay struct {
 	engines *engine.Client
 	sender  forward.Sender // nil where no opaque requests are taken
 	placer  Placer
+	trier   Trier // nil where no service moves
 	tracer  trace.Tracer
 	metrics *Metrics
 	log     logrus.FieldLogger
@@ -77,8 +87,9 @@
 func New(engines *engine.Client, sender forward.Sender, placer Placer, tracer trace.Tracer, metrics *Metrics, log logrus.FieldLogger, config Config) *Relay {
 	config.PlainEvery = max(config.PlainEvery, 1)
 	ctx, stop := context.WithCancel(context.Background())
+	trier, _ := placer.(Trier)
 	return &Relay{
-		engines: engines, sender: sender, placer: placer, tracer: tracer, metrics: metrics, log: log, config: config,
+		engines: engines, sender: sender, placer: placer, trier: trier, tracer: tracer, metrics: metrics, log: log, config: config,
 		ctx: ctx, stop: stop, running: map[*Session]struct{}{},
 	}
 }
--- a/relay/session.go
+++ b/relay/session.go
@@ -51,6 +51,8 @@
 	begun       bool              // whether its first token has come
 	fenced      bool              // whether the attempt was cancelled
 	settled     bool              // whether the placer knows how the attempt came out
+	begunAt     time.Time         // when its first piece came
+	pieces      int               // that have come
 }
 
 // Result says how a session ended; it is zero while the session runs.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -15,6 +15,7 @@
 	Limits   Limits   `ini:"limits" doc:"Bounds on what callers may ask for."`
 	Recovery Recovery `ini:"recovery" doc:"When an attempt is taken for lost, and what follows."`
 	Retry    Retry    `ini:"retry" doc:"Bounds on retries, so that failures do not multiply the load."`
+	Rollout  Rollout  `ini:"rollout" doc:"How the work of a service moves to another version of its upstreams."`
 	Log      Log      `ini:"log" doc:"Log lines."`
 	Trace    Trace    `ini:"trace" doc:"Traces."`
 }
@@ -116,6 +117,12 @@
 	OpenMax     time.Duration `ini:"open_max" default:"15s" min:"10ms" doc:"Longest pause before an open breaker lets a trial through."`
 }
 
+// Rollout says how the work of a service moves to another version of its upstreams.
+type Rollout struct {
+	Exposure float64       `ini:"exposure" default:"0" min:"0" max:"1" doc:"Share of a service's requests that a version which is not judged good may get, from all nodes together; where it is 0, orders for roll-outs are not followed."`
+	Hold     time.Duration `ini:"hold" default:"2s" min:"0s" max:"1m" doc:"How long a version that is new to a service gets nothing while others are there, because the order for it may not be known yet."`
+}
+
 // Log says what is logged.
 type Log struct {
 	PlainEvery int    `ini:"plain_every" default:"1" min:"1" doc:"Of so many requests that went well at the first attempt and in time, one is logged; all others always are."`
--- a/upstream.go
+++ b/upstream.go
@@ -29,4 +29,6 @@
 	Models     []ModelID     `json:"models,omitempty"`  // what an engine has loaded
 	Service    ServiceID     `json:"service,omitempty"` // what a service offers
 	Slots      int           `json:"slots,omitempty"`   // generations run at once before the engine queues
+	// Version is that of the software which the upstream runs; "" where it is not known.
+	Version SoftwareVersion `json:"version,omitempty"`
 }
