Prompts that are being read count in an engine's report

Cause: an engine's report names only the requests that have made an event; one whose prompt is being read stands nowhere but in the number of active ones (reports printed in a trial). Placement took an engine that reads a prompt for idle, and a question about a run whose prompt is being read was answered 'none'.

--- a/work.go
+++ b/work.go
@@ -7,7 +7,7 @@
 const (
 	WorkUnknown Work = iota // it did not answer
 	WorkNone                // it does not know the run
-	WorkQueued              // it has requests queued, which it does not name, and does not run this one
+	WorkQueued              // it has requests queued or reads prompts, which it does not name; this one may be among them
 	WorkRunning             // it runs it
 )
 
