Ask what became of a prompt after a third of the goal

Change: the first question comes after a third of the goal, and further ones as long apart, up to three goals as before.

--- a/relay/forwarded.go
+++ b/relay/forwarded.go
@@ -34,8 +34,8 @@
 
 // Bounds of the silence judgement of opaque requests, as shares of what their route aims at.
 const (
-	firstGoals = 1.0 // share of the goal without a stream's first event that makes an attempt suspect
-	callGoals  = 3.0 // share of the goal without an answer to a call that makes an attempt suspect
+	firstGoals = 1.0 / 3 // share of the goal without a stream's first event after which its upstream is asked
+	callGoals  = 3.0     // share of the goal without an answer to a call that makes an attempt suspect
 	// A pause that is still in time has room for three things: to notice that a stream is silent, to ask its upstream, and to
 	// go on at another one. Each gets a third of it at the most.
 	noticePauses = 1.0 / 3
@@ -46,7 +46,7 @@
 	unnamedPause = 2 * time.Second // pause of a route that names none: callers wait at least so long for the next event
 	probeGoals   = 0.5             // share of the goal without a first piece after which the upstream is probed
 	longestProbe = 400 * time.Millisecond
-	askSilent    = 2                      // times that an upstream without a first event is asked whether it works on the run
+	askSilent    = 8                      // times that an upstream without a first event is asked whether it works on the run
 	longestAsk   = 200 * time.Millisecond // longest wait for what it says
 	unsentGoals  = 0.2                    // share of the goal for which an upstream is looked for before the request is refused
 	tellMargin   = 0.02                   // share of the time left that the node keeps for itself
--- a/relay/forwarded_test.go
+++ b/relay/forwarded_test.go
@@ -90,6 +90,7 @@
 type sender struct {
 	answers map[vaneyoke.UpstreamID]forward.Exchange
 	waits   map[vaneyoke.UpstreamID]time.Duration // before the head comes
+	reached bool                                  // whether the first upstream takes connections
 	work    vaneyoke.Work                         // that every upstream says it does
 }
 
@@ -108,7 +109,7 @@
 func (s *sender) Work(context.Context, vaneyoke.Upstream, vaneyoke.RequestID) (vaneyoke.Work, vaneyoke.Tokens) {
 	return s.work, 0
 }
-func (*sender) Probe(_ context.Context, u vaneyoke.Upstream) bool { return u.ID != "a" }
+func (s *sender) Probe(_ context.Context, u vaneyoke.Upstream) bool { return s.reached || u.ID != "a" }
 
 func newForwarder(s forward.Sender) *relay.Relay { return newForwarderWith(s, &inTurn{}) }
 
@@ -230,3 +231,33 @@
 		must.EqOp(t, 1, placer.retries)
 	})
 }
+
+// TestUpstreamThatForgotARunIsLeftWithinTheGoal has the first upstream take the request and know nothing of it: the answer has to begin
+// elsewhere with time left of the goal. One that still has prompts to read is waited for.
+func TestUpstreamThatForgotARunIsLeftWithinTheGoal(t *testing.T) {
+	const goal = 4500 * time.Millisecond
+	for work, head := range map[vaneyoke.Work]string{vaneyoke.WorkNone: "b", vaneyoke.WorkQueued: "a"} {
+		synctest.Test(t, func(t *testing.T) {
+			s := &sender{
+				answers: map[vaneyoke.UpstreamID]forward.Exchange{
+					"a": &stubborn{from: "a", events: 2}, "b": &stubborn{from: "b", delay: time.Second, events: 2},
+				},
+				waits: map[vaneyoke.UpstreamID]time.Duration{"a": 2 * goal}, work: work, reached: true,
+			}
+			r := newForwarder(s)
+			now := time.Now()
+			session := r.Forward(t.Context(), &vaneyoke.Request{ID: "r", Repeatable: true, ReceivedAt: now}, relay.Forwarding{
+				Message: &forward.Message{}, Service: "lm", Stream: true, Deadline: now.Add(time.Minute), Goal: goal, Pause: goal, MaxAttempts: 5,
+			})
+			_, _, err := session.Read(t.Context(), 0)
+			must.NoError(t, err)
+			must.EqOp(t, head, session.Head().Header.Get("From"))
+			if head == "b" {
+				must.Less(t, goal, time.Since(now))
+			}
+			r.Close()
+			time.Sleep(time.Minute)
+			synctest.Wait()
+		})
+	}
+}
