An upstream that comes to an address ends the one that had it

Cause: an engine that crashes and comes back has a new id at the same address; the entry of the old one stands for three more heartbeats, and each node had to be told by a refused attempt (20 to 50 attempts declined with 421 after each fall of a data centre). Ruled out: leaving it to refused attempts; they count as retries, and the fleet's retries were used up by them. Change: where an upstream that was not known comes to the address of one that is listed, the earlier one gets nothing more. Conclusion: kept; TestReplacedAtItsAddress fails without it.

--- a/placement/state.go
+++ b/placement/state.go
@@ -94,6 +94,7 @@
 		e, ok := s.entries[u.ID]
 		if !ok {
 			e = &entry{breaker: retry.NewBreaker(s.breaker)}
+			s.replace(u.URL)
 		}
 		e.upstream = u
 		entries[u.ID] = e
@@ -107,6 +108,16 @@
 	}
 }
 
+// replace notes that an upstream that was not known has come to an address: whoever had it has ended, whatever the list still
+// says of it.
+func (s *State) replace(url string) {
+	for _, e := range s.order {
+		if e.upstream.URL == url {
+			e.gone = true
+		}
+	}
+}
+
 // SetDrained takes in which upstreams are drained by policy.
 func (s *State) SetDrained(drained []vaneyoke.Selector) {
 	for _, e := range s.order {
