Where each home of a prompt is busy, ask others and go by what they told

Cause: when all four homes of a prompt had prompts to read, the node chose by its own work and what it had seen itself; of 90 nodes each sees half a generation a second, so that this was a guess among 180 engines. Change: where no home is free, up to eight others are asked for their reports, and of all that have told of late the one with the fewest prompts to read, then the fewest runs, gets the prompt.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -139,6 +139,13 @@
 	return b.state.Homes(time.Now(), need)
 }
 
+// Spares returns upstreams that can be asked for their reports because no home of a prompt is free.
+func (b *Balancer) Spares(need placement.Need) []vaneyoke.Upstream {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state.Spares(time.Now(), b.rng, need)
+}
+
 // Reported notes what an upstream told of its work.
 func (b *Balancer) Reported(id vaneyoke.UpstreamID, report vaneyoke.Report) {
 	b.mu.Lock()
--- a/placement/affinity.go
+++ b/placement/affinity.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -13,6 +14,7 @@
 
 const (
 	homes       = 4                      // upstreams that a prompt may be sent to for its affinity
+	spares      = 8                      // others that are asked for their reports where each home has prompts to read
 	holders     = 2 * homes              // upstreams at which a prompt is looked for, because the first ones may have taken no work
 	reportHolds = 400 * time.Millisecond // for which a report counts
 )
@@ -39,6 +41,34 @@
 	return lo.Map(byHash(need.Affinity, s.mayGet(now, need), homes), func(e *entry, _ int) vaneyoke.Upstream { return e.upstream })
 }
 
+// Spares returns upstreams at random that can be asked for their reports, because each of a prompt's homes has prompts to read
+// or does not say; nil where one is free.
+func (s *State) Spares(now time.Time, rng *rand.Rand, need Need) []vaneyoke.Upstream {
+	candidates := s.mayGet(now, need)
+	if affine(now, need.Affinity, candidates) != nil {
+		return nil
+	}
+	drawn := make([]vaneyoke.Upstream, 0, spares)
+	for _, i := range rng.Perm(len(candidates)) {
+		if e := candidates[i]; len(drawn) < spares && !e.told(now) {
+			drawn = append(drawn, e.upstream)
+		}
+	}
+	return drawn
+}
+
+// leastTold returns the one with the least to read of the upstreams that told of their work, then the one with the fewest runs;
+// nil where none has told.
+func leastTold(now time.Time, candidates []*entry) *entry {
+	told := lo.Filter(candidates, func(e *entry, _ int) bool { return e.told(now) })
+	return lo.MinBy(told, func(a, b *entry) bool {
+		return cmp.Or(cmp.Compare(a.prompts(), b.prompts()), cmp.Compare(a.runs(now), b.runs(now))) < 0
+	})
+}
+
+// prompts returns how many prompts the upstream has to read.
+func (e *entry) prompts() int { return max(e.reported.Prompts, e.waiting) }
+
 // Holders returns the upstreams that may keep a prompt, because it is sent to them for its affinity.
 func (s *State) Holders(now time.Time, need Need) []vaneyoke.Upstream {
 	candidates := lo.Filter(s.order, func(e *entry, _ int) bool {
@@ -54,9 +84,12 @@
 	}
 }
 
+// told reports whether the upstream told of its work a short while ago.
+func (e *entry) told(now time.Time) bool { return now.Sub(e.reportedAt) < reportHolds }
+
 // runs returns how many runs the upstream works on; one that said nothing of late is taken for one that has some.
 func (e *entry) runs(now time.Time) int {
-	if now.Sub(e.reportedAt) < reportHolds {
+	if e.told(now) {
 		return max(e.reported.Runs, e.inFlight)
 	}
 	return max(e.inFlight, 1)
@@ -64,7 +97,7 @@
 
 // reportedBusy reports whether the upstream said a short while ago that it has prompts to read.
 func (e *entry) reportedBusy(now time.Time) bool {
-	return e.reported.Prompts > 0 && now.Sub(e.reportedAt) < reportHolds
+	return e.reported.Prompts > 0 && e.told(now)
 }
 
 // byHash returns the most of the candidates with the highest hash of prompt and id, the highest first.
--- a/placement/state.go
+++ b/placement/state.go
@@ -248,6 +248,9 @@
 		if e := affine(now, need.Affinity, candidates); e != nil {
 			return e
 		}
+		if e := leastTold(now, candidates); e != nil {
+			return e
+		}
 	}
 	return s.best(now, rng, candidates)
 }
--- a/relay/place.go
+++ b/relay/place.go
@@ -89,12 +89,18 @@
 	return s.relay.placer.Place(need, retry)
 }
 
-// askHomes has the placer know what the homes of a prompt work on, as far as they say so in time.
+// askHomes has the placer know what the homes of a prompt work on, and others where none of them is free, as far as they say
+// so in time.
 func (s *Session) askHomes(need placement.Need) {
+	s.askReports(s.relay.placer.Homes(need))
+	s.askReports(s.relay.placer.Spares(need))
+}
+
+func (s *Session) askReports(upstreams []vaneyoke.Upstream) {
 	ctx, cancel := context.WithTimeout(s.ctx, reportWait)
 	defer cancel()
 	var asked sync.WaitGroup
-	for _, upstream := range s.relay.placer.Homes(need) {
+	for _, upstream := range upstreams {
 		asked.Go(func() {
 			if report, ok := s.relay.sender.Report(ctx, upstream); ok {
 				s.relay.placer.Reported(upstream.ID, report)
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -34,6 +34,8 @@
 	Holders(need placement.Need) []vaneyoke.Upstream
 	// Homes returns the upstreams of which one is to get a prompt, the preferred ones first.
 	Homes(need placement.Need) []vaneyoke.Upstream
+	// Spares returns upstreams that can be asked for their reports because no home of a prompt is free.
+	Spares(need placement.Need) []vaneyoke.Upstream
 	// Reported notes what an upstream told of its work.
 	Reported(id vaneyoke.UpstreamID, report vaneyoke.Report)
 	// Replica returns an upstream that can keep a replica of a run on another; ok is false where there is none.
