Ask who has an engine's address while the list may be out of date

Cause: with the store away, engines that crash come back under ids that nobody can read. The new engine is empty, so that it even looks like the best choice. Ruled out: the engines' reports (they name no id: headers printed in a trial); sending without the id (another service may have the address). Change: while the node's tables are old, the upstream that was chosen for a generation is asked on its service's health path who it is; one that is another takes no retry and is not chosen again.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -104,6 +104,17 @@
 	b.budget(need.Service).GiveBack(time.Now())
 }
 
+// Replaced notes that another upstream has the address of one that was placed; it got nothing.
+func (b *Balancer) Replaced(need placement.Need, isRetry bool, id vaneyoke.UpstreamID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := time.Now()
+	b.state.Ended(now, id, placement.OutcomeGone, false)
+	if isRetry {
+		b.budget(need.Service).GiveBack(now)
+	}
+}
+
 // Lend spends one retry of a service's budget for another node, and reports whether there was one.
 func (b *Balancer) Lend(service vaneyoke.ServiceID) bool {
 	b.mu.Lock()
--- a/forward/forward.go
+++ b/forward/forward.go
@@ -67,6 +67,9 @@
 	Work(ctx context.Context, upstream vaneyoke.Upstream, request vaneyoke.RequestID) (vaneyoke.Work, vaneyoke.Tokens)
 	// Holds reports whether an upstream keeps all parts of a prompt, so that it need not be read again there.
 	Holds(ctx context.Context, upstream vaneyoke.Upstream, parts []string) bool
+	// Identity returns the id of the upstream that has an address, by what it answers on its health path; ok is false where it
+	// does not say.
+	Identity(ctx context.Context, address vaneyoke.Upstream, healthPath string) (id vaneyoke.UpstreamID, ok bool)
 	// Probe reports whether an upstream takes connections.
 	Probe(ctx context.Context, upstream vaneyoke.Upstream) bool
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -164,6 +164,7 @@
 	return relay.Forwarding{
 		Service:     service.ID,
 		Stream:      r.Kind == route.KindStream,
+		Health:      service.Health,
 		Replicate:   service.Replicas && r.Kind == route.KindStream && r.Resumable,
 		Parts:       envelope.Parts,
 		After:       envelope.After,
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -90,6 +90,9 @@
 	return lo.Find(n.registeredMembers(), func(m feed.Member) bool { return source != "" && m.VM == source })
 }
 
+// Old reports whether the store has not confirmed the tables for long.
+func (n *Node) Old() bool { return !n.metrics.part.Load().Fresh }
+
 // Reads reports whether the node reads all tables from the store.
 func (n *Node) Reads() bool { return n.metrics.part.Load().Reading == feed.ReadAll.String() }
 
--- a/node/gateway_placer.go
+++ b/node/gateway_placer.go
@@ -17,6 +17,7 @@
 type gatewayPlacer struct {
 	*balancer.Balancer
 	lender   *mesh.Lender
+	mesh     *mesh.Node
 	rollouts *rollouts.Node // nil where there are no roll-outs
 }
 
@@ -35,3 +36,6 @@
 		b.rollouts.Answered(time.Now(), upstream, route, answer)
 	}
 }
+
+// Doubts reports whether upstreams may have been replaced without the list saying so.
+func (b *gatewayPlacer) Doubts() bool { return b.mesh.Old() }
--- a/node/gateway_wire.go
+++ b/node/gateway_wire.go
@@ -74,7 +74,8 @@
 		nil,
 		platform.NewSender(dialer),
 		&gatewayPlacer{
-			Balancer: do.MustInvoke[*balancer.Balancer](i), lender: do.MustInvoke[*mesh.Lender](i), rollouts: do.MustInvoke[*rollouts.Node](i),
+			Balancer: do.MustInvoke[*balancer.Balancer](i), lender: do.MustInvoke[*mesh.Lender](i), mesh: do.MustInvoke[*mesh.Node](i),
+			rollouts: do.MustInvoke[*rollouts.Node](i),
 		},
 		do.MustInvoke[*telemetry.Tracing](i).Tracer,
 		relay.NewMetrics(do.MustInvoke[*expvar.Map](i)),
--- a/relay/forwarded.go
+++ b/relay/forwarded.go
@@ -23,6 +23,7 @@
 	Service     vaneyoke.ServiceID
 	Stream      bool          // whether the answer is a series of numbered events
 	Replicate   bool          // whether an engine may keep a replica of the run's memory
+	Health      string        // path on which the service's upstreams tell who they are; "" where they do not
 	Parts       []string      // of the prompt in order, the last its own; nil for a request without one
 	After       string        // id of the last event that the caller holds; "" for none
 	Deadline    time.Time     // when the caller stops waiting
--- a/relay/forwarded_test.go
+++ b/relay/forwarded_test.go
@@ -90,9 +90,10 @@
 // sender answers attempts with the exchanges of their upstreams.
 type sender struct {
 	answers map[vaneyoke.UpstreamID]forward.Exchange
-	waits   map[vaneyoke.UpstreamID]time.Duration // before the head comes
-	reached bool                                  // whether the first upstream takes connections
-	work    vaneyoke.Work                         // that every upstream says it does
+	waits   map[vaneyoke.UpstreamID]time.Duration       // before the head comes
+	reached bool                                        // whether the first upstream takes connections
+	work    vaneyoke.Work                               // that every upstream says it does
+	has     map[vaneyoke.UpstreamID]vaneyoke.UpstreamID // who has the address of an upstream, as far as it says so
 }
 
 func (s *sender) Send(_ context.Context, a *forward.Attempt) (forward.Exchange, error) {
@@ -110,6 +111,10 @@
 func (s *sender) Work(context.Context, vaneyoke.Upstream, vaneyoke.RequestID) (vaneyoke.Work, vaneyoke.Tokens) {
 	return s.work, 0
 }
+func (s *sender) Identity(_ context.Context, u vaneyoke.Upstream, _ string) (vaneyoke.UpstreamID, bool) {
+	id, ok := s.has[u.ID]
+	return id, ok
+}
 func (s *sender) Probe(_ context.Context, u vaneyoke.Upstream) bool { return s.reached || u.ID != "a" }
 
 func newForwarder(s forward.Sender) *relay.Relay { return newForwarderWith(s, &inTurn{}) }
@@ -233,6 +238,57 @@
 	})
 }
 
+// doubtfulPlacer places attempts on upstreams in turn, and says whether its list may be out of date.
+type doubtfulPlacer struct {
+	inTurn
+	doubts   bool
+	replaced []vaneyoke.UpstreamID
+}
+
+func (p *doubtfulPlacer) Doubts() bool { return p.doubts }
+func (p *doubtfulPlacer) Replaced(_ placement.Need, _ bool, id vaneyoke.UpstreamID) {
+	p.replaced = append(p.replaced, id)
+}
+
+// TestReplacedUpstreamsAreFoundBeforeTheAttempt has others at the addresses of the first two upstreams while the list may be out
+// of date: neither gets the generation, and no attempt is spent on them. A call, and a generation whose list is true, ask nobody.
+func TestReplacedUpstreamsAreFoundBeforeTheAttempt(t *testing.T) {
+	cases := map[string]struct {
+		doubts, stream bool
+		replaced       int
+		head           string
+	}{
+		"generation, list in doubt": {true, true, 2, "c"},
+		"generation, list true":     {false, true, 0, "a"},
+		"call, list in doubt":       {true, false, 0, "a"},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &sender{
+					answers: map[vaneyoke.UpstreamID]forward.Exchange{},
+					has:     map[vaneyoke.UpstreamID]vaneyoke.UpstreamID{"a": "x", "b": "y", "c": "c"},
+				}
+				for _, id := range []vaneyoke.UpstreamID{"a", "b", "c"} {
+					s.answers[id] = &stubborn{from: string(id), events: 2}
+				}
+				placer := &doubtfulPlacer{doubts: tc.doubts}
+				now := time.Now()
+				session := newForwarderWith(s, placer).Forward(t.Context(), &vaneyoke.Request{ID: "r", Repeatable: true, ReceivedAt: now}, relay.Forwarding{
+					Message: &forward.Message{}, Service: "lm", Stream: tc.stream, Health: "/who", Deadline: now.Add(time.Minute),
+					Goal: 10 * time.Second, Pause: 10 * time.Second, MaxAttempts: 3,
+				})
+				result, err := session.Wait(t.Context())
+				must.NoError(t, err)
+				must.EqOp(t, vaneyoke.CodeOK, result.Code)
+				must.EqOp(t, 1, result.Stats.Attempts)
+				must.Len(t, tc.replaced, placer.replaced)
+				must.EqOp(t, tc.head, session.Head().Header.Get("From"))
+			})
+		})
+	}
+}
+
 // TestUpstreamThatForgotARunIsLeftWithinTheGoal has the first upstream take the request and know nothing of it: the answer has to begin
 // elsewhere with time left of the goal. One that still has prompts to read is waited for.
 func TestUpstreamThatForgotARunIsLeftWithinTheGoal(t *testing.T) {
--- a/relay/place.go
+++ b/relay/place.go
@@ -86,7 +86,29 @@
 	if need.Affinity != "" && need.Prefer.URL == "" && s.relay.sender != nil {
 		s.askHomes(need)
 	}
-	return s.relay.placer.Place(need, retry)
+	for tries := 0; ; tries++ {
+		upstream, expect, err := s.relay.placer.Place(need, retry)
+		if err != nil || tries == mostReplaced || !s.isReplaced(upstream) {
+			return upstream, expect, err
+		}
+		s.relay.doubter.Replaced(need, retry, upstream.ID)
+	}
+}
+
+// mostReplaced is how many upstreams in a row may turn out to have been replaced before one gets the attempt unasked.
+const mostReplaced = 8
+
+// isReplaced reports whether another upstream has the address of one that is to get a generation. It is asked only while the
+// list of upstreams may be out of date: what an upstream declines because it is another one counts as a retry.
+func (s *Session) isReplaced(upstream vaneyoke.Upstream) bool {
+	m, ok := s.mode.(*forwarded)
+	if !ok || !m.Stream || m.Health == "" || s.relay.doubter == nil || !s.relay.doubter.Doubts() {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, reportWait)
+	defer cancel()
+	id, known := s.relay.sender.Identity(ctx, upstream, m.Health)
+	return known && id != upstream.ID
 }
 
 // askHomes has the placer know what the homes of a prompt work on, and others where none of them is free, as far as they say
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -58,12 +58,21 @@
 	Answered(upstream vaneyoke.Upstream, route vaneyoke.RouteID, answer rollout.Answer)
 }
 
+// Doubter is a Placer whose list of upstreams may be out of date.
+type Doubter interface {
+	// Doubts reports whether upstreams may have been replaced without the list saying so.
+	Doubts() bool
+	// Replaced notes that another upstream has the address of one that was placed.
+	Replaced(need placement.Need, retry bool, id vaneyoke.UpstreamID)
+}
+
 // Relay starts sessions.
 type Relay struct {
 	engines *engine.Client
 	sender  forward.Sender // nil where no opaque requests are taken
 	placer  Placer
-	trier   Trier // nil where no service moves
+	trier   Trier   // nil where no service moves
+	doubter Doubter // nil where the list of upstreams is taken for true
 	tracer  trace.Tracer
 	metrics *Metrics
 	log     logrus.FieldLogger
@@ -90,8 +99,9 @@
 	config.PlainEvery = max(config.PlainEvery, 1)
 	ctx, stop := context.WithCancel(context.Background())
 	trier, _ := placer.(Trier)
+	doubter, _ := placer.(Doubter)
 	return &Relay{
-		engines: engines, sender: sender, placer: placer, trier: trier, tracer: tracer, metrics: metrics, log: log, config: config,
+		engines: engines, sender: sender, placer: placer, trier: trier, doubter: doubter, tracer: tracer, metrics: metrics, log: log, config: config,
 		ctx: ctx, stop: stop, running: map[*Session]struct{}{},
 	}
 }
--- a/route/route.go
+++ b/route/route.go
@@ -79,8 +79,9 @@
 // Service says what a service's upstreams can do.
 type Service struct {
 	ID          vaneyoke.ServiceID
-	Connections int  // connections that an upstream takes from all nodes together; 0 where unknown
-	Replicas    bool // whether an upstream can keep a copy of another's run
+	Connections int    // connections that an upstream takes from all nodes together; 0 where unknown
+	Replicas    bool   // whether an upstream can keep a copy of another's run
+	Health      string // path on which an upstream tells who it is; "" where it does not
 }
 
 // Workspace is a customer and the keys that speak for it.
