Nodes tell one another of upstreams that fail

Ruled out: breakers that open sooner (a node sees one failure, or none); counts in the store; every node to every other (the datagrams grow with the square of the nodes). Change: package gossip decides what is told and believed, mesh carries it by datagrams along the feed's tree, each sighting once over each edge. A loss heard counts like an own one at the breaker; 'unreachable' needs two witnesses, since one may be cut off itself; a node that got no answer for 2 s tells nothing; an answer after a failure is told too.

--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/gossip"
 	"github.com/vaneyoke/vaneyoke/placement"
 	"github.com/vaneyoke/vaneyoke/retry"
 	"github.com/vaneyoke/vaneyoke/rollout"
@@ -178,6 +179,13 @@
 	b.state.Released(replica, need)
 }
 
+// Heard takes in what another node saw of an upstream.
+func (b *Balancer) Heard(sighting gossip.Sighting) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state.Heard(time.Now(), sighting.Upstream, sighting.Kind)
+}
+
 // Resumed notes that an attempt was attached again to an upstream that it had lost.
 func (b *Balancer) Resumed(id vaneyoke.UpstreamID) {
 	b.mu.Lock()
--- a/feed/state.go
+++ b/feed/state.go
@@ -1,7 +1,9 @@
 package feed
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
@@ -115,6 +117,9 @@
 // Reading returns how the node reads the store.
 func (s *State) Reading() Reading { return s.reading }
 
+// FollowerVMs returns the nodes that follow this one, sorted.
+func (s *State) FollowerVMs() []vaneyoke.VMID { return slices.Sorted(maps.Keys(s.followers)) }
+
 // Followers returns how many nodes follow this one.
 func (s *State) Followers() int { return len(s.followers) }
 
--- /dev/null
+++ b/gossip/event.go
@@ -0,0 +1,67 @@
+package gossip
+
+import "github.com/vaneyoke/vaneyoke"
+
+// Kind is what a node saw of an upstream.
+type Kind int
+
+// The kinds of sighting.
+const (
+	KindLost        Kind = iota + 1 // it took a request and broke off or fell silent
+	KindUnreachable                 // it takes no connections
+	KindGone                        // another upstream has its address
+	KindWell                        // it answered
+)
+
+// String names the kind as it stands in logs.
+func (k Kind) String() string { return [...]string{"none", "lost", "unreachable", "gone", "well"}[k] }
+
+// Sighting is what a node saw of an upstream, as it is told on.
+type Sighting struct {
+	Origin   vaneyoke.VMID       `json:"o"`
+	Number   uint64              `json:"n"` // among those of its origin
+	Upstream vaneyoke.UpstreamID `json:"u"`
+	Kind     Kind                `json:"k"`
+	Hops     int                 `json:"h"` // how often it was told on
+}
+
+// Event is something that a node learns.
+type Event interface{ event() }
+
+// Neighbours tells the nodes next to this one in the tree by which the store's tables are told.
+type Neighbours struct{ VMs []vaneyoke.VMID }
+
+// Seen tells what this node saw of an upstream.
+type Seen struct {
+	Upstream vaneyoke.UpstreamID
+	Kind     Kind
+}
+
+// Told tells what another node saw or was told.
+type Told struct {
+	From      vaneyoke.VMID
+	Sightings []Sighting
+}
+
+// Tick says that the time has come that State.Next told.
+type Tick struct{}
+
+func (Neighbours) event() {}
+func (Seen) event()       {}
+func (Told) event()       {}
+func (Tick) event()       {}
+
+// Effect is something that the node has to do.
+type Effect interface{ effect() }
+
+// Send has the node tell a neighbour, who need not answer.
+type Send struct {
+	To        vaneyoke.VMID
+	Sightings []Sighting
+}
+
+// Believe has the node take what another one saw for true.
+type Believe struct{ Sighting Sighting }
+
+func (Send) effect()    {}
+func (Believe) effect() {}
--- /dev/null
+++ b/mesh/gossip.go
@@ -0,0 +1,116 @@
+package mesh
+
+import (
+	"encoding/json"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/samber/lo"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/feed"
+	"github.com/vaneyoke/vaneyoke/gossip"
+)
+
+// Gossip has nodes tell one another of upstreams that fail, by datagrams along the tree; one that is lost on the way is told
+// by the next node that fails there.
+type Gossip struct {
+	node    *Node
+	believe func(gossip.Sighting)
+
+	mu    sync.Mutex
+	state *gossip.State
+	timer *time.Timer
+}
+
+// sightings is a datagram by which a node tells another of upstreams.
+type sightings struct {
+	By  vaneyoke.VMID     `json:"by"`
+	All []gossip.Sighting `json:"sightings"`
+}
+
+// NewGossip returns a node's gossip, which takes part as soon as the node runs; believe takes in what other nodes saw.
+func NewGossip(node *Node, believe func(gossip.Sighting)) *Gossip {
+	g := &Gossip{node: node, believe: believe, state: gossip.New(node.self.VM)}
+	g.timer = time.AfterFunc(time.Hour, func() { g.handle(gossip.Tick{}) })
+	g.timer.Stop()
+	node.gossip.Store(g)
+	return g
+}
+
+// Seen tells the others what this node saw of an upstream.
+func (g *Gossip) Seen(upstream vaneyoke.UpstreamID, kind gossip.Kind) {
+	g.handle(gossip.Seen{Upstream: upstream, Kind: kind})
+}
+
+func (g *Gossip) handle(event gossip.Event) {
+	var believed []gossip.Sighting
+	var sends []gossip.Send
+	g.mu.Lock()
+	for _, effect := range g.state.Handle(time.Now(), event) {
+		switch e := effect.(type) {
+		case gossip.Believe:
+			believed = append(believed, e.Sighting)
+		case gossip.Send:
+			sends = append(sends, e)
+		}
+	}
+	if at := g.state.Next(); !at.IsZero() {
+		g.timer.Reset(time.Until(at))
+	}
+	g.mu.Unlock()
+	for _, s := range believed {
+		g.believe(s)
+	}
+	for _, s := range sends {
+		g.node.tellSightings(s)
+	}
+}
+
+// tellSightings sends a datagram to a neighbour.
+func (n *Node) tellSightings(s gossip.Send) {
+	to, ok := lo.Find(n.registeredMembers(), func(m feed.Member) bool { return m.VM == s.To })
+	conn := n.datagrams.Load()
+	if !ok || conn == nil {
+		return
+	}
+	data, err := json.Marshal(sightings{By: n.self.VM, All: s.Sightings})
+	if err != nil {
+		n.log.WithField("error", err).Error("frame_unwritable")
+		return
+	}
+	address, err := net.ResolveUDPAddr("udp4", to.Address)
+	if err != nil {
+		return
+	}
+	if _, err := (*conn).WriteTo(data, address); err == nil {
+		n.metrics.sighted(len(s.Sightings))
+	}
+}
+
+// takeSightings takes in a datagram, and reports whether it is one of sightings.
+func (n *Node) takeSightings(data []byte) bool {
+	var s sightings
+	g := n.gossip.Load()
+	if json.Unmarshal(data, &s) != nil || len(s.All) == 0 {
+		return false
+	}
+	if g != nil && s.By != n.self.VM {
+		g.handle(gossip.Told{From: s.By, Sightings: s.All})
+	}
+	return true
+}
+
+// setNeighbours takes in whom the node follows and who follows it.
+func (n *Node) setNeighbours(state *feed.State) {
+	g := n.gossip.Load()
+	if g == nil {
+		return
+	}
+	neighbours := state.FollowerVMs()
+	if source, ok := state.Source(); ok {
+		neighbours = append(neighbours, source.VM)
+	}
+	g.handle(gossip.Neighbours{VMs: neighbours})
+}
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -43,6 +43,9 @@
 	m.counts.Add("told_age_bytes_total", int64(age))
 }
 
+// sighted counts what was told of upstreams that fail.
+func (m *Metrics) sighted(sightings int) { m.counts.Add("sightings_told_total", int64(sightings)) }
+
 func (m *Metrics) lent()     { m.counts.Add("lent_total", 1) }
 func (m *Metrics) borrowed() { m.counts.Add("borrowed_total", 1) }
 func (m *Metrics) asked()    { m.counts.Add("asked_total", 1) }
--- a/mesh/node.go
+++ b/mesh/node.go
@@ -43,6 +43,7 @@
 
 	settled   atomic.Bool // whether the number of members counts
 	datagrams atomic.Pointer[net.PacketConn]
+	gossip    atomic.Pointer[Gossip] // nil where there is none
 	events    chan feed.Event
 	ended     chan struct{} // closed when Run returns
 
@@ -168,6 +169,7 @@
 	for _, effect := range r.state.Handle(now, event) {
 		r.carryOut(ctx, effect)
 	}
+	r.setNeighbours(r.state)
 	r.note(now)
 }
 
--- a/mesh/offer.go
+++ b/mesh/offer.go
@@ -43,7 +43,7 @@
 	}
 }
 
-// listen takes in offers until ctx ends; a node that cannot be offered the tables finds them by asking.
+// listen takes in offers and sightings until ctx ends; a node that cannot be offered the tables finds them by asking.
 func (n *Node) listen(ctx context.Context) {
 	if n.self.Address == "" {
 		return
@@ -65,6 +65,9 @@
 		if err != nil {
 			continue
 		}
+		if n.takeSightings(buffer[:size]) {
+			continue
+		}
 		var o offer
 		if json.Unmarshal(buffer[:size], &o) != nil || o.From.VM == n.self.VM {
 			continue
--- a/node/gateway_placer.go
+++ b/node/gateway_placer.go
@@ -6,6 +6,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/balancer"
+	"github.com/vaneyoke/vaneyoke/gossip"
 	"github.com/vaneyoke/vaneyoke/mesh"
 	"github.com/vaneyoke/vaneyoke/placement"
 	"github.com/vaneyoke/vaneyoke/rollout"
@@ -19,6 +20,7 @@
 	lender   *mesh.Lender
 	mesh     *mesh.Node
 	rollouts *rollouts.Node // nil where there are no roll-outs
+	gossip   *mesh.Gossip
 }
 
 // Place returns an upstream.
@@ -39,3 +41,25 @@
 
 // Doubts reports whether upstreams may have been replaced without the list saying so.
 func (b *gatewayPlacer) Doubts() bool { return b.mesh.Old() }
+
+// FirstToken notes that an attempt's first token came after a while.
+func (b *gatewayPlacer) FirstToken(id vaneyoke.UpstreamID, took time.Duration, promptBytes int) {
+	b.Balancer.FirstToken(id, took, promptBytes)
+	b.gossip.Seen(id, gossip.KindWell)
+}
+
+// Ended notes how an attempt came out, and tells the other nodes where that says something of the upstream.
+func (b *gatewayPlacer) Ended(id vaneyoke.UpstreamID, outcome placement.Outcome, begun bool) {
+	b.Balancer.Ended(id, outcome, begun)
+	switch outcome {
+	case placement.OutcomeDone:
+		b.gossip.Seen(id, gossip.KindWell)
+	case placement.OutcomeLost:
+		b.gossip.Seen(id, gossip.KindLost)
+	case placement.OutcomeUnreachable:
+		b.gossip.Seen(id, gossip.KindUnreachable)
+	case placement.OutcomeGone:
+		b.gossip.Seen(id, gossip.KindGone)
+	default: // says nothing of the way to it
+	}
+}
--- a/node/gateway_wire.go
+++ b/node/gateway_wire.go
@@ -76,6 +76,7 @@
 		&gatewayPlacer{
 			Balancer: do.MustInvoke[*balancer.Balancer](i), lender: do.MustInvoke[*mesh.Lender](i), mesh: do.MustInvoke[*mesh.Node](i),
 			rollouts: do.MustInvoke[*rollouts.Node](i),
+			gossip:   mesh.NewGossip(do.MustInvoke[*mesh.Node](i), do.MustInvoke[*balancer.Balancer](i).Heard),
 		},
 		do.MustInvoke[*telemetry.Tracing](i).Tracer,
 		relay.NewMetrics(do.MustInvoke[*expvar.Map](i)),
--- a/placement/state.go
+++ b/placement/state.go
@@ -37,7 +37,8 @@
 // The outcomes of an attempt.
 const (
 	OutcomeDone        Outcome = iota + 1 // the upstream did its part
-	OutcomeFailed                         // the upstream was lost, fell silent, broke off or refused for reasons of its own
+	OutcomeFailed                         // the upstream told a failure, or refused for reasons of its own
+	OutcomeLost                           // the upstream was lost, fell silent or broke off
 	OutcomeDropped                        // the node ended the attempt
 	OutcomeUnreachable                    // the upstream takes no connections
 	OutcomeGone                           // another upstream has its address
@@ -342,7 +343,7 @@
 	switch outcome {
 	case OutcomeDone:
 		e.breaker.Succeeded()
-	case OutcomeFailed:
+	case OutcomeFailed, OutcomeLost:
 		e.breaker.Failed(now)
 	case OutcomeDropped:
 		e.breaker.Dropped()
--- a/relay/loss.go
+++ b/relay/loss.go
@@ -65,8 +65,10 @@
 		return placement.OutcomeDropped
 	case generation.CauseNotSent, generation.CauseUnreachable:
 		return placement.OutcomeUnreachable
-	default:
+	case generation.CauseFailed:
 		return placement.OutcomeFailed
+	default:
+		return placement.OutcomeLost
 	}
 }
 
