Calls that may run once do not try whether an upstream is well again

Cause: a breaker that lets one trial through after half a second let calls that may run once do it, at each node; they are lost where the upstream still loses all, and cannot be sent again. Ruled out: never sending them there (a service that is sent nothing else would not find out). Change: for two seconds after a trial is due it is left to requests that can be sent to another upstream, and to other nodes, whose answers are told.

--- a/placement/state.go
+++ b/placement/state.go
@@ -28,6 +28,7 @@
 	Prefer    vaneyoke.Upstream // upstream that is taken where it takes work, also after it was replaced at its address
 	Bytes     int               // size of the prompt
 	Replicate bool              // whether another upstream is to keep a replica of the run
+	Once      bool              // whether it may be sent to one upstream only
 	Trial     bool              // whether it was drawn to try the version to which its service moves
 }
 
@@ -216,7 +217,7 @@
 func (s *State) candidates(now time.Time, need Need, selector vaneyoke.Selector, t tier) []*entry {
 	s.scratch = s.scratch[:0]
 	for _, e := range s.order {
-		if !e.mayWork() || (!t.open && !e.breaker.Allows(now)) || !offers(&e.upstream, need) || !selector.Matches(&e.upstream) ||
+		if !e.mayWork() || (!t.open && !e.allows(now, need)) || !offers(&e.upstream, need) || !selector.Matches(&e.upstream) ||
 			!s.suits(need, e, t.other) {
 			continue
 		}
@@ -227,6 +228,18 @@
 	return s.scratch
 }
 
+// othersTry is how long requests that can be sent to another upstream have to find out whether one that failed is well again,
+// before one that may be sent once only does.
+const othersTry = 2 * time.Second
+
+// allows reports whether an upstream's failures leave it a request.
+func (e *entry) allows(now time.Time, need Need) bool {
+	if need.Once {
+		return e.breaker.AllowsAfter(now, othersTry)
+	}
+	return e.breaker.Allows(now)
+}
+
 // TakesWork reports whether an upstream may be given new work.
 func (s *State) TakesWork(now time.Time, id vaneyoke.UpstreamID) bool {
 	e, ok := s.entries[id]
--- a/relay/forwarded.go
+++ b/relay/forwarded.go
@@ -84,7 +84,7 @@
 func (r *Relay) Forward(ctx context.Context, req *vaneyoke.Request, f Forwarding) *Session {
 	need := placement.Need{
 		Kind: vaneyoke.KindService, Service: f.Service, Order: req.Order, Bytes: req.PromptBytes, Replicate: f.Replicate,
-		Affinity: f.prompt(),
+		Affinity: f.prompt(), Once: !req.Repeatable,
 	}
 	return r.begin(ctx, req, need, &forwarded{Forwarding: f, last: f.After})
 }
--- a/retry/breaker.go
+++ b/retry/breaker.go
@@ -27,11 +27,14 @@
 func NewBreaker(cfg BreakerConfig) *Breaker { return &Breaker{cfg: cfg} }
 
 // Allows reports whether new work may be sent at now.
-func (b *Breaker) Allows(now time.Time) bool {
+func (b *Breaker) Allows(now time.Time) bool { return b.AllowsAfter(now, 0) }
+
+// AllowsAfter reports whether work may be sent where a trial is left to others for a while longer.
+func (b *Breaker) AllowsAfter(now time.Time, longer time.Duration) bool {
 	if b.opened == 0 {
 		return true
 	}
-	return !b.trial && !now.Before(b.until)
+	return !b.trial && !now.Before(b.until.Add(longer))
 }
 
 // IsOpen reports whether the breaker holds work back.
