Log what other nodes told of upstreams, and upstreams found replaced

Cause: both change what a node believes, and no line said so. Change: upstream_heard and upstream_replaced, in the table of events.

--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/samber/lo"
+	"github.com/sirupsen/logrus"
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/feed"
@@ -61,6 +62,7 @@
 	}
 	g.mu.Unlock()
 	for _, s := range believed {
+		g.node.log.WithFields(logrus.Fields{"upstream": s.Upstream, "kind": s.Kind.String(), "peer": s.Origin, "hops": s.Hops}).Info("upstream_heard")
 		g.believe(s)
 	}
 	for _, s := range sends {
--- a/relay/place.go
+++ b/relay/place.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/generation"
 	"github.com/vaneyoke/vaneyoke/internal/pause"
@@ -91,6 +93,7 @@
 		if err != nil || tries == mostReplaced || !s.isReplaced(upstream) {
 			return upstream, expect, err
 		}
+		s.relay.log.WithFields(logrus.Fields{"request": s.req.ID, "upstream": upstream.ID}).Info("upstream_replaced")
 		s.relay.doubter.Replaced(need, retry, upstream.ID)
 	}
 }
