A test's peer closes its listener before its connections

Cause: TestOneReaderTellsAll stood still now and then (ten minutes once; stacks of a second time): a peer that connected between CloseClientConnections and Close was told on for good, and Close waits for that. Ruled out: the product (stacks: the test waits in httptest's Close, all else runs); the rule which tables a node reads that knows nobody. Change: the listener goes first, in one place for the three that ended a peer; the test asks for the same as before.

--- a/mesh/node_test.go
+++ b/mesh/node_test.go
@@ -113,15 +113,22 @@
 		}()
 		p.stop = stop
 		t.Cleanup(func() {
-			stop()
-			p.server.CloseClientConnections()
-			p.server.Close()
+			p.end()
 			<-done
 		})
 	}
 	return peers
 }
 
+// end ends a peer as the death of its process would. Nobody can connect any more when its connections are closed: whoever did in
+// between would be told on for good, and the server would wait for that.
+func (p *peer) end() {
+	p.stop()
+	_ = p.server.Listener.Close()
+	p.server.CloseClientConnections()
+	p.server.Close()
+}
+
 func until(t *testing.T, done func() bool) {
 	t.Helper()
 	for start := time.Now(); !done(); time.Sleep(time.Millisecond) {
@@ -195,9 +202,7 @@
 
 	// The reader dies: the next in rank takes its place.
 	reader = readerOf(peers)
-	reader.stop()
-	reader.server.CloseClientConnections()
-	reader.server.Close()
+	reader.end()
 	rest = without(peers, reader)
 	setAll(peers, 5)
 	until(t, allAt(rest, 5))
@@ -258,9 +263,7 @@
 		return n
 	}
 	must.EqOp(t, 0, lists()) // the others asked the reader before they read the store
-	reader.stop()
-	reader.server.CloseClientConnections()
-	reader.server.Close()
+	reader.end()
 	until(t, func() bool {
 		setAll(rest, 2)
 		return allAt(rest, 2)()
