--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -62,7 +62,7 @@
 	}
 	g.mu.Unlock()
 	for _, s := range believed {
-		g.node.log.WithFields(logrus.Fields{"upstream": s.Upstream, "kind": s.Kind.String(), "peer": s.Origin, "hops": s.Hops}).Info("upstream_heard")
+		g.node.logHeard(s)
 		g.believe(s)
 	}
 	for _, s := range sends {
@@ -70,6 +70,17 @@
 	}
 }
 
+// logHeard tells what another node saw; single losses, of which three in a row change something, are many and told at the lowest level.
+func (n *Node) logHeard(s gossip.Sighting) {
+	n.metrics.heard()
+	line := n.log.WithFields(logrus.Fields{"upstream": s.Upstream, "kind": s.Kind.String(), "peer": s.Origin, "hops": s.Hops})
+	if s.Kind == gossip.KindLost {
+		line.Debug("upstream_heard")
+		return
+	}
+	line.Info("upstream_heard")
+}
+
 // tellSightings sends a datagram to a neighbour.
 func (n *Node) tellSightings(s gossip.Send) {
 	to, ok := lo.Find(n.registeredMembers(), func(m feed.Member) bool { return m.VM == s.To })
--- a/mesh/metrics.go
+++ b/mesh/metrics.go
@@ -46,6 +46,9 @@
 // sighted counts what was told of upstreams that fail.
 func (m *Metrics) sighted(sightings int) { m.counts.Add("sightings_told_total", int64(sightings)) }
 
+// heard counts what other nodes told of upstreams.
+func (m *Metrics) heard() { m.counts.Add("sightings_heard_total", 1) }
+
 func (m *Metrics) lent()     { m.counts.Add("lent_total", 1) }
 func (m *Metrics) borrowed() { m.counts.Add("borrowed_total", 1) }
 func (m *Metrics) asked()    { m.counts.Add("asked_total", 1) }
--- a/telemetry/events.go
+++ b/telemetry/events.go
@@ -78,7 +78,7 @@
 	{"tables_old", []string{"peer", "age_ms", "reader"}, "The store has not confirmed the node's tables for long; it serves on with them and looks for a node that knows better."},
 	{"taken_while_stopping", []string{"request", "stopping_ms", "grace_left_ms", "wait_ms", "opened_ms"}, "A stopping node takes a request; wait_ms is how long the answer may take, grace_left_ms how long the node may still run."},
 	{"upstream_asked", []string{"request", "attempt", "upstream", "work", "made", "silent_ms"}, "An upstream that has been silent was asked what it does for the run: work is running, queued, none or unknown (no answer), made how many events it has made. Where it works on it, it is waited for as long again."},
-	{"upstream_heard", []string{"upstream", "kind", "peer", "hops"}, "Another node told what it saw of an upstream, and it is believed: lost (it broke off or fell silent), unreachable, gone (another has its address) or well; peer saw it, hops is how often it was told on."},
+	{"upstream_heard", []string{"upstream", "kind", "peer", "hops"}, "Another node told what it saw of an upstream, and it is believed: lost (it broke off or fell silent), unreachable, gone (another has its address) or well; peer saw it, hops is how often it was told on. Losses are told at debug level, and count at the circuit breaker."},
 	{"upstream_replaced", []string{"request", "upstream"}, "While the list may be out of date, the upstream that a request was to go to was asked who it is, and is another; the request goes elsewhere."},
 	{"vms_read_failed", []string{"error"}, "The list of VMs could not be read."},
 }
