--- a/mesh/gossip.go
+++ b/mesh/gossip.go
@@ -73,12 +73,12 @@
 // logHeard tells what another node saw; single losses, of which three in a row change something, are many and told at the lowest level.
 func (n *Node) logHeard(s gossip.Sighting) {
 	n.metrics.heard()
-	line := n.log.WithFields(logrus.Fields{"upstream": s.Upstream, "kind": s.Kind.String(), "peer": s.Origin, "hops": s.Hops})
+	fields := logrus.Fields{"upstream": s.Upstream, "kind": s.Kind.String(), "peer": s.Origin, "hops": s.Hops}
 	if s.Kind == gossip.KindLost {
-		line.Debug("upstream_heard")
+		n.log.WithFields(fields).Debug("upstream_heard")
 		return
 	}
-	line.Info("upstream_heard")
+	n.log.WithFields(fields).Info("upstream_heard")
 }
 
 // tellSightings sends a datagram to a neighbour.
