The bounds of opaque attempts in a file of their own, by matter

Change: relay/bounds.go groups them and holds the one function that uses them; nothing else changes.

--- a/relay/forwarded.go
+++ b/relay/forwarded.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -33,30 +32,6 @@
 	Version     vaneyoke.Revision // of the configuration that says so
 }
 
-// Bounds of the silence judgement of opaque requests, as shares of what their route aims at.
-const (
-	firstGoals = 1.0 / 3 // share of the goal without a stream's first event after which its upstream is asked
-	callGoals  = 3.0     // share of the goal without an answer to a call that makes an attempt suspect
-	// A pause that is still in time has room for three things: to notice that a stream is silent, to ask its upstream, and to
-	// go on at another one. Each gets a third of it at the most.
-	noticePauses = 1.0 / 3
-	askPauses    = 1.0 / 3
-	floorPauses  = 1.0 / 6         // share of the pause without an event before which an upstream is not asked
-	usualGaps    = 1.5             // mean gaps of a stream that are nothing unusual
-	unnamedGoal  = 3 * time.Second // goal of a route that names none
-	unnamedPause = 2 * time.Second // pause of a route that names none: callers wait at least so long for the next event
-	probeGoals   = 0.5             // share of the goal without a first piece after which the upstream is probed
-	longestProbe = 400 * time.Millisecond
-	askSilent    = 8                      // times that an upstream without a first event is asked whether it works on the run
-	longestAsk   = 200 * time.Millisecond // longest wait for what it says
-	unsentGoals  = 0.2                    // share of the goal for which an upstream is looked for before the request is refused
-	tellMargin   = 0.02                   // share of the time left that the node keeps for itself
-	manyLosses   = 64                     // attempts in a row that may fail to reach an upstream
-	shortestTold = time.Millisecond
-	retryPause   = 10 * time.Millisecond
-	retryCap     = 100 * time.Millisecond
-)
-
 // forwarded answers are passed on as they come; a stream goes on after its last event.
 type forwarded struct {
 	Forwarding
@@ -105,44 +80,6 @@
 	return forward.Head{}
 }
 
-// decide adds to the node's bounds what the request's route and caller ask for.
-func (f *Forwarding) decide(config *generation.Config, now time.Time) {
-	config.Opaque = true
-	config.Deadline = f.Deadline
-	config.MaxWait = f.Deadline.Sub(now)
-	goal, pause := cmp.Or(f.Goal, unnamedGoal), cmp.Or(f.Pause, unnamedPause)
-	config.MaxUnsent = share(goal, unsentGoals)
-	config.MaxAttempts = max(f.MaxAttempts, 1)
-	config.MaxLosses = manyLosses
-	config.Backoff = generation.Backoff{Base: retryPause, Cap: retryCap}
-	config.Silence.Patience = 1
-	config.ProbeEvery = min(share(goal, probeGoals), longestProbe)
-	switch {
-	case !config.Repeatable:
-		config.ProbeEvery = 0
-		config.Silence.FirstToken = config.MaxWait
-		config.Silence.Floor = config.MaxWait
-		config.Silence.Ceiling = config.MaxWait
-	case f.Stream:
-		config.AskSilent = askSilent
-		config.LastWaits = true
-		config.Silence.FirstToken = share(goal, firstGoals)
-		config.Pause = pause
-		config.Silence.Floor = share(pause, floorPauses)
-		config.Silence.Ceiling = share(pause, noticePauses)
-		config.Silence.Usual = usualGaps
-	default:
-		config.Silence.FirstToken = Suspect(goal)
-		config.Silence.Floor = config.Silence.FirstToken
-	}
-}
-
-// Suspect returns how long a repeatable call may be without an answer before another upstream is tried, 0 where its route
-// aims at no time.
-func Suspect(goal time.Duration) time.Duration { return share(goal, callGoals) }
-
-func share(d time.Duration, of float64) time.Duration { return time.Duration(float64(d) * of) }
-
 // forwardAttempt returns what is sent to an upstream.
 func (s *Session) forwardAttempt(e generation.Start, l *link, m *forwarded) *forward.Attempt {
 	left := time.Until(m.Deadline)
