--- a/gossip/state.go
+++ b/gossip/state.go
@@ -27,7 +27,7 @@
 	number     uint64
 	answeredAt time.Time // by any upstream
 	known      map[key]time.Time
-	toldAt     map[sort]time.Time
+	toldAt     map[matter]time.Time
 	failures   map[vaneyoke.UpstreamID]map[vaneyoke.VMID]time.Time // by who saw them
 	outbox     []waiting
 	flushAt    time.Time // the zero time where nothing waits
@@ -39,7 +39,8 @@
 	number uint64
 }
 
-type sort struct {
+// matter is what a node tells no more often than its pause allows.
+type matter struct {
 	upstream vaneyoke.UpstreamID
 	kind     Kind
 }
@@ -51,7 +52,7 @@
 
 // New returns a state that has seen nothing.
 func New(self vaneyoke.VMID) *State {
-	return &State{self: self, known: map[key]time.Time{}, toldAt: map[sort]time.Time{}, failures: map[vaneyoke.UpstreamID]map[vaneyoke.VMID]time.Time{}}
+	return &State{self: self, known: map[key]time.Time{}, toldAt: map[matter]time.Time{}, failures: map[vaneyoke.UpstreamID]map[vaneyoke.VMID]time.Time{}}
 }
 
 // Next returns when Tick is due, the zero time for not at all.
@@ -95,7 +96,7 @@
 	if now.Sub(s.answeredAt) > serving {
 		return
 	}
-	what := sort{ev.Upstream, ev.Kind}
+	what := matter{ev.Upstream, ev.Kind}
 	if now.Sub(s.toldAt[what]) < pause {
 		return
 	}
