A repeated order does not start its roll-out anew

Cause: found by reading: the same order sent twice has a second revision. It was taken for the same while the roll-out was under way, but once its time was over whoever read the store found an order that its record did not name, and wrote a trial after 'completed' or 'reverted'. Ruled out: keeping that in the nodes' memory (it is lost with them). Change: the record names the last repeat that it covers, which is written as soon as one is seen.

--- a/rollout/decide.go
+++ b/rollout/decide.go
@@ -17,7 +17,7 @@
 		return
 	}
 	for service, order := range s.orders {
-		if row, ok := s.rows[service]; ok && row.Stage.Final() && row.Order == order.Revision {
+		if row, ok := s.rows[service]; ok && row.Stage.Final() && order.Revision <= row.covered() {
 			continue
 		}
 		if s.clockAt.IsZero() {
@@ -65,6 +65,12 @@
 		return
 	}
 	m := s.moves[order.Service]
+	if order.Revision > row.covered() { // a repeat, which is not to start anew when the time is over
+		record := row.Record
+		record.Covers = order.Revision
+		s.write(now, m, Write{Record: record, Expect: row.Revision})
+		return
+	}
 	if row.Stage.Final() {
 		return
 	}
--- a/rollout/record.go
+++ b/rollout/record.go
@@ -42,6 +42,7 @@
 	Service  vaneyoke.ServiceID
 	Target   vaneyoke.SoftwareVersion
 	Order    vaneyoke.Revision // of the order that it follows
+	Covers   vaneyoke.Revision // of the last repeat of that order; 0 for none
 	Stage    Stage
 	Deadline StoreTime
 	By       vaneyoke.VMID // who wrote it
@@ -57,8 +58,11 @@
 // answers reports whether the record is about an order: the same order again while it is under way changes nothing, and one for
 // another version, or after the first has been decided and its time is over, is a new one.
 func (r *Record) answers(o Order, now StoreTime) bool {
-	if r.Order == o.Revision {
+	if o.Revision <= r.covered() {
 		return true
 	}
 	return r.Target == o.Target && (!r.Stage.Final() || now < r.Deadline)
 }
+
+// covered returns the revision of the last order that the record is known to be about.
+func (r *Record) covered() vaneyoke.Revision { return max(r.Order, r.Covers) }
--- a/rollout/state.go
+++ b/rollout/state.go
@@ -326,7 +326,7 @@
 	}
 	for service, order := range s.orders {
 		row, ok := s.rows[service]
-		if !ok || !row.Stage.Final() || (row.Order != order.Revision && !row.answers(order, s.storeTime(now))) {
+		if !ok || !row.Stage.Final() || order.Revision > row.covered() {
 			return true
 		}
 	}
