--- a/rollout/state.go
+++ b/rollout/state.go
@@ -318,7 +318,7 @@
 }
 
 // Active reports whether anything may follow without a further event than Tick.
-func (s *State) Active(now time.Time) bool {
+func (s *State) Active() bool {
 	for service, split := range s.splits {
 		if row := s.rows[service]; len(split.Held) > 0 || (split.Target != "" && row.Stage != StageReverted) {
 			return true
--- a/rollouts/node.go
+++ b/rollouts/node.go
@@ -160,7 +160,7 @@
 // Run reports to the node above and has decisions made until ctx ends; without a roll-out it waits for one.
 func (n *Node) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !n.isActive(time.Now()) {
+		if !n.isActive() {
 			select {
 			case <-ctx.Done():
 				return
@@ -174,8 +174,8 @@
 	}
 }
 
-func (n *Node) isActive(now time.Time) bool {
+func (n *Node) isActive() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.state.Active(now)
+	return n.state.Active()
 }
