--- /dev/null
+++ b/decide/usage/counts.go
@@ -0,0 +1,93 @@
+package usage
+
+import (
+	"maps"
+	"time"
+
+	"github.com/vaneyoke/vaneyoke"
+)
+
+// Window numbers the windows of the wall clock from the start of 1970.
+type Window int64
+
+// At returns the window of a time.
+func At(wall time.Time, length time.Duration) Window { return Window(wall.UnixNano() / int64(length)) }
+
+// End returns the time at which the window ends.
+func (w Window) End(length time.Duration) time.Time { return time.Unix(0, int64(w+1)*int64(length)) }
+
+// Counts are requests by workspace.
+type Counts map[vaneyoke.WorkspaceID]int
+
+// Windows are counts by window.
+type Windows map[Window]Counts
+
+// add adds the counts of another.
+func (w Windows) add(other Windows) {
+	for window, counts := range other {
+		for workspace, n := range counts {
+			w.count(window, workspace, n)
+		}
+	}
+}
+
+func (w Windows) count(window Window, workspace vaneyoke.WorkspaceID, n int) {
+	if w[window] == nil {
+		w[window] = Counts{}
+	}
+	w[window][workspace] += n
+}
+
+// Batch is what a node hands on at a time; it is the same each time that it is offered.
+type Batch struct {
+	Origin vaneyoke.VMID
+	Life   vaneyoke.Incarnation // of the origin's process
+	Seq    uint64               // rises with each batch of a life
+	Again  bool                 // whether it was offered before without an answer, and may be in the store already
+	Counts Windows
+}
+
+func (b *Batch) is(other *Batch) bool {
+	return b.Origin == other.Origin && b.Life == other.Life && b.Seq == other.Seq
+}
+
+// Mark says which batch of a node was taken last.
+type Mark struct {
+	Life   vaneyoke.Incarnation
+	Seq    uint64
+	Window Window // in which it was taken
+}
+
+// mostMarks bounds the nodes that marks are kept of; who has not handed on anything for longest is forgotten first.
+const mostMarks = 128
+
+// Marks are the last batches taken, by their origin.
+type Marks map[vaneyoke.VMID]Mark
+
+// covers reports whether a batch was taken before.
+func (m Marks) covers(b *Batch) bool {
+	mark, known := m[b.Origin]
+	return known && mark.Life == b.Life && b.Seq <= mark.Seq
+}
+
+// take notes that a batch is taken.
+func (m Marks) take(b *Batch, now Window) {
+	m[b.Origin] = Mark{Life: b.Life, Seq: b.Seq, Window: now}
+	if len(m) <= mostMarks {
+		return
+	}
+	oldest := b.Origin
+	for origin, mark := range m {
+		if mark.Window < m[oldest].Window || mark.Window == m[oldest].Window && origin < oldest {
+			oldest = origin
+		}
+	}
+	delete(m, oldest)
+}
+
+func (m Marks) clone() Marks {
+	if m == nil {
+		return Marks{}
+	}
+	return maps.Clone(m)
+}
