Upstreams ordered as the load needs them, decided without I/O

Where the platform runs as many upstreams as are ordered, nothing ordered any: what stood at the start was paid for to the end. The package plans, from what requests took of the upstreams (time to the first piece, time after it, memory), how many each data centre is to have: enough without any one data centre, of those that may be taken away where they are cheaper, beside a firm fifth; firm ones are ordered at once in place of those that are missing. Up at once, down only after the load was clearly lower for a while: a wave of 5 to 25 s changes the numbers at most twice a minute and pool. Orders without an answer are repeated, because a late one may undo a newer one.

--- /dev/null
+++ b/decide/capacity/capacity_test.go
@@ -0,0 +1,144 @@
+package capacity_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/capacity"
+)
+
+const busy = 30.0 // upstreams that are busy in the middle
+
+var days = map[string]struct {
+	demand func(since time.Duration) float64
+	strike func(w *world)
+	times  float64       // what may be paid, times what is paid by all that is known; 0 for 3.5
+	short  time.Duration // longest time in which the load may be more than all upstreams can do, over two minutes
+}{
+	"steady": {},
+	"daily wave": {demand: func(since time.Duration) float64 {
+		return busy * (1 + 0.27*math.Sin(2*math.Pi*since.Seconds()/11))
+	}},
+	"begins after a while": {demand: func(since time.Duration) float64 {
+		if since < 14*time.Second {
+			return 0
+		}
+		return busy
+	}, times: 4.5},
+	"burst": {demand: func(since time.Duration) float64 {
+		if since > 40*time.Second && since < 44*time.Second {
+			return 1.7 * busy
+		}
+		return busy
+	}},
+	"grows threefold within 30 s": {demand: func(since time.Duration) float64 {
+		return busy * min(3, 1+2*max(0, since-40*time.Second).Seconds()/30)
+	}},
+	"data centre lost now and then": {strike: func(w *world) {
+		if w.since() > 20*time.Second && w.since()%(7*time.Second) == 0 {
+			w.lose([]vaneyoke.DataCentreID{"a", "b", "c"}[int(w.since()/(7*time.Second))%3], 1200*time.Millisecond)
+		}
+	}},
+	"reclaimed, none to be had": {strike: func(w *world) {
+		if w.since() == 40*time.Second {
+			w.reclaim("a", 9*time.Second)
+		}
+	}},
+	"two reclaimed, none to be had": {strike: func(w *world) {
+		if w.since() == 40*time.Second || w.since() == 41200*time.Millisecond {
+			w.reclaim([]vaneyoke.DataCentreID{"b", "a"}[int(w.since()/time.Second)%2], 9*time.Second)
+		}
+	}, short: 3 * time.Second}, // firm ones are ordered at the notice, and serve after their boot, by when those with the notice are gone
+	"orders carried out late": {strike: func(w *world) { w.lost = 0.35 }},
+}
+
+// TestDays plays loads and losses over two minutes: the load is served, in few orders, for a bounded multiple of what one pays who knows all arrivals, loses nothing, and so needs neither firm upstreams nor a reserve for the time that new ones need.
+func TestDays(t *testing.T) {
+	for name, day := range days {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			play := func(bounds bool) *world {
+				w := newWorld(1, func(w *world) {
+					w.bounds = bounds
+					if day.demand != nil {
+						w.demand = day.demand
+					}
+				})
+				w.run(2*time.Minute, func() {
+					if day.strike != nil {
+						day.strike(w)
+					}
+				})
+				return w
+			}
+			w, bound := play(false), play(true)
+			t.Logf("paid %.0f, all that stood at the start %.0f, by all that is known %.0f; short for %v, %v; %d orders", w.paid, 120*120*1.017, bound.paid, w.short, bound.short, w.orders)
+			must.LessEq(t, day.short, w.short)
+			times := day.times
+			if times == 0 {
+				times = 3.5
+			}
+			must.LessEq(t, times*bound.paid, w.paid)
+			must.LessEq(t, 60, w.orders) // six pools
+		})
+	}
+}
+
+// TestNumbersDoNotSwing plays a wave that is steep against the bounds of the plan, for ten minutes: the numbers follow its top and are changed a few times.
+func TestNumbersDoNotSwing(t *testing.T) {
+	for _, period := range []float64{5, 11, 25} {
+		t.Run(fmt.Sprint(period), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(1, func(w *world) {
+				w.demand = func(since time.Duration) float64 { return busy * (1 + 0.5*math.Sin(2*math.Pi*since.Seconds()/period)) }
+			})
+			w.run(time.Minute, nil)
+			settled := w.orders
+			w.run(10*time.Minute, nil)
+			must.EqOp(t, 0, w.short)
+			must.LessEq(t, 6*9*2, w.orders-settled) // two a minute for each of six pools, at the most
+		})
+	}
+}
+
+// TestKeepsWhatStandsWhileTheLoadIsUnknown orders as many of the cheaper kind as there are, and lets the others go only once these serve.
+func TestKeepsWhatStandsWhileTheLoadIsUnknown(t *testing.T) {
+	w := newWorld(1, func(w *world) { w.demand = func(time.Duration) float64 { return 0 } })
+	least := 1000
+	w.run(30*time.Second, func() {
+		serving := 0
+		for _, e := range w.engines {
+			if !w.now.Before(e.serves) {
+				serving++
+			}
+		}
+		least = min(least, serving)
+	})
+	must.GreaterEq(t, 120, least)
+	firm := 0
+	for _, e := range w.engines {
+		if !e.pool.Preemptible {
+			firm++
+		}
+	}
+	must.Less(t, 40, firm)
+}
+
+// TestLimitsAreKept has the load grow beyond what may be ordered.
+func TestLimitsAreKept(t *testing.T) {
+	w := newWorld(1, func(w *world) { w.demand = func(time.Duration) float64 { return 500 } })
+	w.run(time.Minute, nil)
+	for dc := range prices {
+		must.LessEq(t, 80, w.wanted[capacity.Pool{DataCentre: dc}]+w.wanted[capacity.Pool{DataCentre: dc, Preemptible: true}])
+	}
+	for _, counts := range w.counts {
+		for _, n := range counts {
+			must.Between(t, 0, n, 80)
+		}
+	}
+}
--- /dev/null
+++ b/decide/capacity/state.go
@@ -0,0 +1,296 @@
+package capacity
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/vaneyoke/vaneyoke"
+)
+
+const (
+	firmShare  = 0.2                    // of the need that is kept of upstreams which cannot be taken away
+	headroom   = 1.1                    // times the need that is planned
+	lowerBelow = 0.65                   // times the planned need below which less is planned
+	lowerAfter = 10 * time.Second       // since the last change of the plan
+	firmHold   = 6 * time.Second        // for which a number of upstreams that cannot be taken away is not lowered
+	scarceHold = 3 * time.Second        // for which a pool is not asked again that has none
+	settleTime = 3 * time.Second        // beyond the boot time until an order is to stand
+	mostAgain  = time.Minute            // longest time between two repeats of an order that does not stand
+	orderEvery = 400 * time.Millisecond // shortest time between two orders for a pool
+)
+
+// lateOrders is when an order is repeated after one that got no answer, which may be carried out any time until then.
+var lateOrders = []time.Duration{time.Second, 5 * time.Second, 14 * time.Second}
+
+// State decides how many upstreams to order.
+type State struct {
+	services map[vaneyoke.ServiceID]*service
+	all      []vaneyoke.Upstream
+}
+
+// New returns a state that knows no service.
+func New() *State { return &State{services: map[vaneyoke.ServiceID]*service{}} }
+
+// service is what is known of a service.
+type service struct {
+	terms   Terms
+	centres []vaneyoke.DataCentreID // the cheapest first
+	demand  demand
+	live    map[Pool]int
+	planned float64 // upstreams that serve the load; 0 before the load is known
+	changed time.Time
+	raised  map[Pool]time.Time // when a number was last raised
+	scarce  map[Pool]time.Time // until when a pool is not asked
+	ordered map[Pool]*ordered
+	orders  bool // whether the node held the duty when it was looked last
+	found   int  // upstreams that stood when it came to hold it
+}
+
+// ordered is the last order for a pool.
+type ordered struct {
+	count int
+	at    time.Time
+	pause time.Duration // before it is repeated where it does not stand
+	again []time.Time   // when it is repeated in any case
+	under bool          // whether it has no answer yet
+}
+
+// Handle takes in an event and returns what is to be ordered.
+func (s *State) Handle(now time.Time, ev Event) []Order {
+	switch e := ev.(type) {
+	case Terming:
+		s.setTerms(now, e.All)
+	case Upstreams:
+		s.all = append([]vaneyoke.Upstream{}, e.All...)
+		s.count()
+	case Used:
+		for id, load := range e.Loads {
+			if v := s.services[id]; v != nil {
+				v.demand.add(now, load)
+			}
+		}
+	case Answered:
+		if v := s.services[e.Order.Service]; v != nil {
+			v.answered(now, e)
+		}
+	case Tick:
+		var orders []Order
+		for _, id := range slices.Sorted(maps.Keys(s.services)) {
+			orders = append(orders, s.services[id].tick(now, e.Orders(id))...)
+		}
+		return orders
+	}
+	return nil
+}
+
+// Services returns the services whose upstreams can be ordered.
+func (s *State) Services() []vaneyoke.ServiceID { return slices.Sorted(maps.Keys(s.services)) }
+
+func (s *State) setTerms(now time.Time, all []Terms) {
+	kept := map[vaneyoke.ServiceID]*service{}
+	for _, t := range all {
+		v := s.services[t.Service]
+		if v == nil {
+			v = &service{changed: now, raised: map[Pool]time.Time{}, scarce: map[Pool]time.Time{}, ordered: map[Pool]*ordered{}}
+		}
+		v.terms = t
+		v.centres = slices.SortedFunc(maps.Keys(t.Prices), func(a, b vaneyoke.DataCentreID) int {
+			return cmp.Or(cmp.Compare(t.Prices[a], t.Prices[b]), cmp.Compare(a, b))
+		})
+		kept[t.Service] = v
+	}
+	s.services = kept
+	s.count()
+}
+
+// count counts the upstreams that are not about to go.
+func (s *State) count() {
+	if s.all == nil {
+		return
+	}
+	for id, v := range s.services {
+		v.live = map[Pool]int{}
+		for i := range s.all {
+			if u := &s.all[i]; u.Service == id && u.State != vaneyoke.StateLeaving {
+				v.live[Pool{u.DataCentre, u.Preemptible}]++
+			}
+		}
+	}
+}
+
+func (v *service) answered(now time.Time, e Answered) {
+	o := v.ordered[e.Order.Pool]
+	if o == nil {
+		return
+	}
+	o.under = false
+	switch e.Outcome {
+	case OutcomeTaken:
+	case OutcomeScarce:
+		v.scarce[e.Order.Pool] = now.Add(scarceHold)
+		o.count = -1
+	case OutcomeUnknown:
+		o.again = nil
+		for _, after := range lateOrders {
+			o.again = append(o.again, now.Add(after))
+		}
+	}
+}
+
+// tick returns the orders that are due.
+func (v *service) tick(now time.Time, orders bool) (due []Order) {
+	if !orders || len(v.centres) == 0 || v.live == nil {
+		v.orders = orders && v.orders
+		return nil
+	}
+	if !v.orders { // what others ordered is not known
+		v.orders = true
+		clear(v.ordered)
+		v.changed, v.found = now, v.standing()
+		for pool := range v.live {
+			v.raised[pool] = now
+		}
+	}
+	v.plan(now)
+	targets, reason := v.targets()
+	for _, pool := range v.pools() {
+		if order, ok := v.order(now, pool, targets[pool], reason); ok {
+			due = append(due, order)
+		}
+	}
+	return due
+}
+
+// plan follows the load: up at once, down only where it is clearly lower for a while, so that the number does not swing with it.
+func (v *service) plan(now time.Time) {
+	if !v.demand.known(now) {
+		return
+	}
+	need := v.demand.need(now, &v.terms)
+	lower := need < lowerBelow*v.planned && now.Sub(v.changed) >= lowerAfter
+	if need > v.planned || lower {
+		v.planned, v.changed = max(math.Ceil(need*headroom), 1), now
+	}
+}
+
+// pools returns the pools, those of upstreams that may be taken away first: the others are let go only once these are there.
+func (v *service) pools() (all []Pool) {
+	for _, preemptible := range []bool{true, false} {
+		if preemptible && !v.hasPreemptible() {
+			continue
+		}
+		for _, centre := range v.centres {
+			all = append(all, Pool{centre, preemptible})
+		}
+	}
+	return all
+}
+
+func (v *service) hasPreemptible() bool { return v.terms.Preemptible > 0 && v.terms.Preemptible < 1 }
+
+// standing returns how many upstreams of both kinds there are.
+func (v *service) standing() (n int) {
+	for _, count := range v.live {
+		n += count
+	}
+	return n
+}
+
+// targets returns how many upstreams each pool is to have. The load is to be served without any one data centre, by upstreams that may be taken away; a firm share
+// cannot be, and firm ones take the place of those that are missing, until they are there again. While the load is not known, as many are kept as there are.
+func (v *service) targets() (map[Pool]int, Reason) {
+	need, reason := v.planned, ReasonLoad
+	centres := float64(len(v.centres))
+	total := need
+	switch {
+	case need == 0:
+		need, reason = float64(v.found), ReasonCheaper
+		total = need
+	case centres > 1:
+		total = need * centres / (centres - 1)
+	}
+	targets := map[Pool]int{}
+	if !v.hasPreemptible() {
+		v.spread(targets, total)
+		return targets, reason
+	}
+	each := int(math.Ceil(total / centres))
+	there := 0
+	for _, centre := range v.centres {
+		pool := Pool{centre, true}
+		room := v.terms.Most - max(v.live[Pool{centre, false}], v.firm(need))
+		targets[pool] = max(min(each, room), 0)
+		there += min(v.live[pool], targets[pool])
+	}
+	firm := float64(v.firm(need)) * centres
+	if missing := need - float64(there); missing > firm {
+		firm = missing
+		if reason == ReasonLoad {
+			reason = ReasonShort
+		}
+	}
+	v.spread(targets, firm)
+	return targets, reason
+}
+
+// firm returns how many upstreams of each data centre are never taken away.
+func (v *service) firm(need float64) int {
+	return max(int(math.Ceil(need*firmShare/float64(len(v.centres)))), v.terms.Least, 1)
+}
+
+// spread divides upstreams that cannot be taken away among the data centres, what does not divide goes to the cheapest.
+func (v *service) spread(targets map[Pool]int, total float64) {
+	left := int(math.Ceil(total))
+	for i, centre := range v.centres {
+		share := (left + len(v.centres) - i - 1) / (len(v.centres) - i)
+		room := max(v.terms.Most-targets[Pool{centre, true}], v.terms.Least)
+		n := max(min(share, room), v.terms.Least)
+		targets[Pool{centre, false}] = n
+		left = max(left-n, 0)
+	}
+}
+
+// order returns an order for a pool where one is due.
+func (v *service) order(now time.Time, pool Pool, target int, reason Reason) (Order, bool) {
+	o := v.ordered[pool]
+	stands := v.live[pool]
+	before := stands
+	if o != nil && o.count >= 0 {
+		before = o.count
+	}
+	if target >= before {
+		if target > before {
+			v.raised[pool] = now
+		}
+	} else if !pool.Preemptible && now.Sub(v.raised[pool]) < firmHold {
+		target = before
+	}
+	switch {
+	case now.Before(v.scarce[pool]):
+		return Order{}, false
+	case o == nil:
+		o = &ordered{pause: v.terms.Boot + settleTime}
+		v.ordered[pool] = o
+		if target == stands {
+			o.count, o.at = target, now
+			return Order{}, false
+		}
+	case o.under || now.Sub(o.at) < orderEvery:
+		return Order{}, false
+	case o.count != target:
+		o.pause = v.terms.Boot + settleTime
+	case len(o.again) > 0 && !now.Before(o.again[0]):
+		o.again = o.again[1:]
+		reason = ReasonAgain
+	case stands != target && now.Sub(o.at) >= o.pause:
+		o.pause = min(2*o.pause, mostAgain)
+		reason = ReasonAgain
+	default:
+		return Order{}, false
+	}
+	o.count, o.at, o.under = target, now, true
+	return Order{Pool: pool, Service: v.terms.Service, Count: target, Before: stands, Need: v.planned, Reason: reason}, true
+}
--- a/upstream.go
+++ b/upstream.go
@@ -31,6 +31,8 @@
 	Slots      int           `json:"slots,omitempty"`   // generations run at once before the engine queues
 	// Version is that of the software which the upstream runs; "" where it is not known.
 	Version SoftwareVersion `json:"version,omitempty"`
+	// Preemptible says whether it may be taken away at any time, with little notice.
+	Preemptible bool `json:"preemptible,omitempty"`
 	// Incarnation tells its lives apart, since a later one may have the same id; 0 where it is not known.
 	Incarnation Incarnation `json:"incarnation,omitempty"`
 }
