Duties are held, usage is reported and engines are ordered on the users' platform

The node that reads the store for the others keeps a lease for each duty in the table of leases (one write a second each), takes what nodes counted up the tree of the mesh twice a second, writes it to the table of usage, reports each window from what is fixed there, and orders engines by the plan. A call is sent only while the lease is proven and given up within a quarter of its time; a refused token is not used again; a stopping node gives its leases up and hands on what it counted. Settings in [duties], filled from the platform's; a row in vaneyoke fleet, lines in the log, metrics, a page for operators.

--- a/cmd/vaneyoke/fleet.go
+++ b/cmd/vaneyoke/fleet.go
@@ -18,6 +18,8 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/feed"
+	"github.com/vaneyoke/vaneyoke/decide/lease"
+	"github.com/vaneyoke/vaneyoke/shell/duties"
 	"github.com/vaneyoke/vaneyoke/shell/mesh"
 )
 
@@ -33,9 +35,13 @@
 	Build   string            `json:"build"`  // "" where its build does not tell
 	Speaks  feed.Dialect      `json:"speaks"` // what its build understands
 	Part    mesh.Part         `json:"part"`
+	Leases  leaseViews        `json:"leases,omitempty"`
 	Silent  bool              `json:"silent,omitempty"` // whether it did not answer
 }
 
+// leaseViews are what a node knows of the leases of duties.
+type leaseViews map[lease.Name]duties.LeaseView
+
 // fleetBelief is what the nodes of a fleet believe.
 type fleetBelief struct {
 	Nodes []nodeBelief `json:"nodes"` // by VM
@@ -97,12 +103,15 @@
 		Mesh    struct {
 			Part mesh.Part `json:"part"`
 		} `json:"mesh"`
+		Duties struct {
+			Leases leaseViews `json:"leases"`
+		} `json:"duties"`
 	}
 	host, _, err := net.SplitHostPort(m.Address)
 	if err == nil {
 		err = getJSON(ctx, client, "http://"+net.JoinHostPort(host, port)+"/debug/vars", &vars)
 	}
-	return nodeBelief{VM: m.VM, Version: vars.Version, Build: vars.Build, Speaks: vars.Speaks, Part: vars.Mesh.Part, Silent: err != nil}
+	return nodeBelief{VM: m.VM, Version: vars.Version, Build: vars.Build, Speaks: vars.Speaks, Part: vars.Mesh.Part, Leases: vars.Duties.Leases, Silent: err != nil}
 }
 
 func getJSON(ctx context.Context, client *http.Client, url string, into any) error {
@@ -138,6 +147,7 @@
 	printBuilds(w, told)
 	readers := lo.Filter(told, func(n nodeBelief, _ int) bool { return n.Part.Reading == feed.ReadAll.String() })
 	fmt.Fprintf(w, "reads      %s\n", namesOf(readers))
+	printDuties(w, told)
 	confirmed := lo.Uniq(lo.FilterMap(told, func(n nodeBelief, _ int) (string, bool) { return string(n.Part.Reader), n.Part.Fresh }))
 	slices.Sort(confirmed)
 	fmt.Fprintf(w, "confirmed  by the store to %s\n", orNobody(confirmed))
@@ -151,6 +161,17 @@
 	}
 }
 
+// printDuties writes which node holds each duty, by the nodes' own word.
+func printDuties(w io.Writer, told []nodeBelief) {
+	names := lo.Uniq(lo.FlatMap(told, func(n nodeBelief, _ int) []lease.Name { return lo.Keys(n.Leases) }))
+	slices.Sort(names)
+	for _, name := range names {
+		holders := lo.Filter(told, func(n nodeBelief, _ int) bool { return n.Leases[name].Held })
+		fence := lo.Max(lo.Map(told, func(n nodeBelief, _ int) lease.Fence { return n.Leases[name].Fence }))
+		fmt.Fprintf(w, "duty       %s: held by %s, token %d\n", name, namesOf(holders), fence)
+	}
+}
+
 // printBuilds writes how many nodes run each build, and what it understands; the nodes of all but the commonest are named.
 func printBuilds(w io.Writer, told []nodeBelief) {
 	type build struct {
--- a/cmd/vaneyoke/fleet_test.go
+++ b/cmd/vaneyoke/fleet_test.go
@@ -45,6 +45,9 @@
 			if i != 3 && i != 7 { // the builds of these two do not tell
 				vars["build"], vars["speaks"] = "0.1.0-049c5c6", 1
 			}
+			if i < 2 {
+				vars["duties"] = map[string]any{"leases": map[string]any{"usage": map[string]any{"holder": "edge-00", "fence": 31, "held": i == 0}}}
+			}
 			_ = json.NewEncoder(w).Encode(vars)
 		})
 		host := fmt.Sprintf("127.9.1.%d:", i+1)
@@ -66,6 +69,7 @@
 build      0.1.0-049c5c6, speaks 1, at 37
 build      an earlier one, speaks 0, at 2: edge-03, edge-07
 reads      edge-00
+duty       usage: held by edge-00, token 31
 confirmed  by the store to edge-00
 old        tables of edge-05
 silent     edge-39
--- a/decide/capacity/state.go
+++ b/decide/capacity/state.go
@@ -29,6 +29,7 @@
 type State struct {
 	services map[vaneyoke.ServiceID]*service
 	all      []vaneyoke.Upstream
+	listed   bool // whether the upstreams are known
 }
 
 // New returns a state that knows no service.
@@ -64,7 +65,7 @@
 	case Terming:
 		s.setTerms(now, e.All)
 	case Upstreams:
-		s.all = append([]vaneyoke.Upstream{}, e.All...)
+		s.all, s.listed = e.All, true
 		s.count()
 	case Used:
 		for id, load := range e.Loads {
@@ -108,7 +109,7 @@
 
 // count counts the upstreams that are not about to go.
 func (s *State) count() {
-	if s.all == nil {
+	if !s.listed {
 		return
 	}
 	for id, v := range s.services {
--- a/process/node/crashes_wire.go
+++ b/process/node/crashes_wire.go
@@ -10,6 +10,7 @@
 	"github.com/vaneyoke/vaneyoke/platform"
 	"github.com/vaneyoke/vaneyoke/process/settings"
 	"github.com/vaneyoke/vaneyoke/shell/balancer"
+	"github.com/vaneyoke/vaneyoke/shell/duties"
 	"github.com/vaneyoke/vaneyoke/shell/mesh"
 	"github.com/vaneyoke/vaneyoke/shell/quarantines"
 	"github.com/vaneyoke/vaneyoke/shell/ratelimits"
@@ -53,6 +54,7 @@
 	p := &gatewayPlacer{
 		Balancer: do.MustInvoke[*balancer.Balancer](i), lender: do.MustInvoke[*mesh.Lender](i), mesh: member,
 		rollouts: do.MustInvoke[*rollouts.Node](i), limits: do.MustInvoke[*ratelimits.Node](i),
+		duties: do.MustInvoke[*duties.Node](i),
 	}
 	p.gossip = mesh.NewGossip(member, p.heard)
 	p.crashes = quarantines.New(
--- a/process/node/gateway.go
+++ b/process/node/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/vaneyoke/vaneyoke/internal/pause"
 	"github.com/vaneyoke/vaneyoke/process/settings"
 	"github.com/vaneyoke/vaneyoke/process/telemetry"
+	"github.com/vaneyoke/vaneyoke/shell/duties"
 	"github.com/vaneyoke/vaneyoke/shell/mesh"
 	"github.com/vaneyoke/vaneyoke/shell/quarantines"
 	"github.com/vaneyoke/vaneyoke/shell/ratelimits"
@@ -43,6 +44,7 @@
 	rollouts *rollouts.Node // nil where there are no roll-outs
 	crashes  *quarantines.Node
 	limits   *ratelimits.Node
+	duties   *duties.Node // nil where there are none
 	vars     *expvar.Map
 	tracing  *telemetry.Tracing
 	log      logrus.FieldLogger
@@ -95,6 +97,9 @@
 	if n.rollouts != nil {
 		n.work.Go(func() { n.rollouts.Run(run) })
 	}
+	if n.duties != nil {
+		n.work.Go(func() { n.duties.Run(run) })
+	}
 	for i, l := range n.listeners {
 		n.serve(l, handlers[i])
 	}
@@ -140,6 +145,9 @@
 	if n.rollouts != nil {
 		mux.Handle("POST "+rollouts.Path, n.rollouts)
 	}
+	if n.duties != nil {
+		mux.Handle("POST "+duties.Path, n.duties)
+	}
 	return mux
 }
 
@@ -178,10 +186,16 @@
 	now := time.Now()
 	until := now.Add(grace)
 	n.StopTaking(now, until)
+	if n.duties != nil {
+		n.duties.Leave()
+	}
 	n.log.WithFields(logrus.Fields{"open": n.gateway.Open(), "grace": s.Node.Grace, "lame": s.Gateway.Lame}).Info("node_stopping")
 	pause.For(ctx, min(s.Gateway.Lame, grace))
 	interrupted := finish(ctx, n.callers(), n.relay, until)
 	cut := logCutOff(n.log, n.callers(), now)
+	if n.duties != nil {
+		n.duties.Flush(ctx)
+	}
 	n.Kill()
 	err := told(n.log, now, interrupted, cut)
 	return errors.Join(err, n.tracing.Close(context.WithoutCancel(ctx)))
--- a/process/node/gateway_placer.go
+++ b/process/node/gateway_placer.go
@@ -10,6 +10,7 @@
 	"github.com/vaneyoke/vaneyoke/decide/rollout"
 	"github.com/vaneyoke/vaneyoke/internal/steady"
 	"github.com/vaneyoke/vaneyoke/shell/balancer"
+	"github.com/vaneyoke/vaneyoke/shell/duties"
 	"github.com/vaneyoke/vaneyoke/shell/mesh"
 	"github.com/vaneyoke/vaneyoke/shell/ratelimits"
 	"github.com/vaneyoke/vaneyoke/shell/relay"
@@ -25,6 +26,7 @@
 	rollouts *rollouts.Node // nil where there are no roll-outs
 	gossip   *mesh.Gossip
 	limits   *ratelimits.Node
+	duties   *duties.Node // nil where there are none
 	crashGuard
 }
 
--- a/process/node/gateway_wire.go
+++ b/process/node/gateway_wire.go
@@ -19,6 +19,7 @@
 	"github.com/vaneyoke/vaneyoke/process/settings"
 	"github.com/vaneyoke/vaneyoke/process/telemetry"
 	"github.com/vaneyoke/vaneyoke/shell/balancer"
+	"github.com/vaneyoke/vaneyoke/shell/duties"
 	"github.com/vaneyoke/vaneyoke/shell/mesh"
 	"github.com/vaneyoke/vaneyoke/shell/ratelimits"
 	"github.com/vaneyoke/vaneyoke/shell/relay"
@@ -43,6 +44,8 @@
 	do.Provide(i, provideCrashTables)
 	do.Provide(i, provideLimitTables)
 	do.Provide(i, provideLimits)
+	do.Provide(i, provideDutyTables)
+	do.Provide(i, provideDuties)
 	do.Provide(i, providePlacer)
 	do.Provide(i, provideForwarder)
 	do.Provide(i, provideGateway)
@@ -110,6 +113,7 @@
 		rollouts: do.MustInvoke[*rollouts.Node](i),
 		crashes:  do.MustInvoke[*gatewayPlacer](i).crashes,
 		limits:   do.MustInvoke[*ratelimits.Node](i),
+		duties:   do.MustInvoke[*duties.Node](i),
 		vars:     do.MustInvoke[*expvar.Map](i),
 		tracing:  do.MustInvoke[*telemetry.Tracing](i),
 		log:      do.MustInvoke[logrus.FieldLogger](i),
@@ -132,6 +136,7 @@
 	directory.rollouts = moves
 	limits := do.MustInvoke[*limitTables](i)
 	directory.limits = limits
+	directory.duties = do.MustInvoke[*dutyTables](i)
 	var node *mesh.Node
 	tables := map[string]mesh.Table{
 		"routes":    {Source: platform.NewConfig(client, s.Gateway.Store), Apply: directory.setTables},
--- a/process/node/routes.go
+++ b/process/node/routes.go
@@ -23,6 +23,7 @@
 	upstreams decoded[vaneyoke.Upstream]
 	rollouts  *rolloutTables
 	limits    *limitTables
+	duties    *dutyTables
 }
 
 func newRoutes(b *balancer.Balancer, log logrus.FieldLogger) *routes {
@@ -47,6 +48,7 @@
 // setTables takes in the newest of the tables; it is not called by two goroutines at once.
 func (r *routes) setTables(now time.Time, rows watch.Rows) {
 	r.rollouts.setOrders(now, rows)
+	r.duties.setTerms(now, rows)
 	for _, table := range r.tables.take(rows, r.log) {
 		if table == nil || (r.current.Load() != nil && table.Version() <= r.version()) {
 			continue
@@ -62,6 +64,7 @@
 	r.rollouts.setUpstreams(now, upstreams) // a version that is held back is so before it can be chosen
 	r.balancer.SetUpstreams(upstreams, nil)
 	r.limits.setUpstreams(upstreams)
+	r.duties.setUpstreams(now, upstreams)
 }
 
 // decoded keeps what rows were read as, so that a change costs no more than the rows that changed.
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -16,6 +16,7 @@
 	Recovery Recovery `ini:"recovery" doc:"When an attempt is taken for lost, and what follows."`
 	Retry    Retry    `ini:"retry" doc:"Bounds on retries, so that failures do not multiply the load."`
 	Rollout  Rollout  `ini:"rollout" doc:"How the work of a service moves to another version of its upstreams."`
+	Duties   Duties   `ini:"duties" doc:"What one node at a time does at the platform: reports of usage, and orders of upstreams."`
 	Log      Log      `ini:"log" doc:"Log lines."`
 	Trace    Trace    `ini:"trace" doc:"Traces."`
 }
@@ -125,6 +126,15 @@
 	Hold     time.Duration `ini:"hold" default:"2s" min:"0s" max:"1m" doc:"How long a version that is new to a service gets nothing while others are there, because the order for it may not be known yet."`
 }
 
+// Duties says what one node at a time does at the platform.
+type Duties struct {
+	Platform string        `ini:"platform" check:"optional_address" doc:"IP number and port that takes the calls of duties; where it is empty, no node has any."`
+	Lease    time.Duration `ini:"lease" default:"3s" min:"500ms" max:"1m" doc:"Time within which the platform counts two holders of a duty as rivals; a lease lasts as long."`
+	Fencing  bool          `ini:"fencing" default:"false" doc:"Whether the platform refuses calls with a lower token than it has seen; where it does not, a new holder waits for a lease's time, unless the one before gave the lease up with nothing under way."`
+	Window   time.Duration `ini:"window" default:"0s" min:"0s" max:"1h" doc:"Length of the windows of the wall clock that usage is reported for; where it is 0, usage is not reported."`
+	Late     time.Duration `ini:"late" default:"10s" min:"1s" max:"1h" doc:"Time after a window's end within which its usage is to be reported; at half of it the counts are fixed."`
+}
+
 // Log says what is logged.
 type Log struct {
 	PlainEvery int    `ini:"plain_every" default:"1" min:"1" doc:"Of so many requests that went well at the first attempt and in time, one is logged; all others always are."`
--- a/process/settings/value.go
+++ b/process/settings/value.go
@@ -20,6 +20,13 @@
 	case *string:
 		*p = text
 		return checkText(tag.Get("check"), text)
+	case *bool:
+		value, err := strconv.ParseBool(text)
+		if err != nil {
+			return fmt.Errorf("must be true or false, got %q", text)
+		}
+		*p = value
+		return nil
 	case *time.Duration:
 		return setNumber(p, tag, text, time.ParseDuration, "a duration such as 250ms or 2s")
 	case *int:
--- /dev/null
+++ b/shell/duties/exchange.go
@@ -0,0 +1,168 @@
+package duties
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/capacity"
+	"github.com/vaneyoke/vaneyoke/decide/usage"
+	"github.com/vaneyoke/vaneyoke/internal/steady"
+)
+
+// Path is where a node takes what those that follow it counted.
+const Path = "/usage-counts"
+
+const (
+	handWait     = 1800 * time.Millisecond // longest wait for the node above, which may wait for the store
+	writtenWait  = 1500 * time.Millisecond // longest wait for the store to hold what was handed on
+	maxHandBytes = 1 << 20
+)
+
+// handed is what a node hands to the one above it.
+type handed struct {
+	Batches []usage.Batch                        `json:"batches,omitempty"`
+	Loads   map[vaneyoke.ServiceID]capacity.Load `json:"loads,omitempty"`
+}
+
+// ServeHTTP takes what a node that follows this one counted: 200 says that it has been taken over, any other status that it must be offered again.
+func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var h handed
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxHandBytes)).Decode(&h); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	if !n.take(r.Context(), h) {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// take takes over what was handed on; the root does so once the store holds it.
+func (n *Node) take(ctx context.Context, h handed) bool {
+	n.mu.Lock()
+	n.takeLoadsLocked(h.Loads)
+	if n.isRoot() {
+		n.mu.Unlock()
+		return n.store(ctx, h.Batches)
+	}
+	defer n.mu.Unlock()
+	window := usage.At(n.clock.Wall(steady.Now()), max(n.config.Usage.Length, 1))
+	for i := range h.Batches {
+		if !n.tally.Take(&h.Batches[i], window) {
+			return false
+		}
+	}
+	return true
+}
+
+func (n *Node) takeLoadsLocked(loads map[vaneyoke.ServiceID]capacity.Load) {
+	if len(loads) == 0 {
+		return
+	}
+	if n.isRoot() {
+		n.plan.Handle(steady.Now(), capacity.Used{Loads: loads})
+		return
+	}
+	for service, load := range loads {
+		if n.ordered[service] {
+			n.loads[service] = n.loads[service].Add(load)
+		}
+	}
+}
+
+// store waits until the store holds batches, and reports whether it does.
+func (n *Node) store(ctx context.Context, batches []usage.Batch) bool {
+	ctx, cancel := context.WithTimeout(ctx, writtenWait)
+	defer cancel()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.reportsUsage() || n.book.Full() {
+		return len(batches) == 0
+	}
+	for _, b := range batches {
+		n.book.Handle(steady.Now(), usage.Offered{Batch: b})
+	}
+	for !n.holdsLocked(batches) {
+		written := n.written
+		n.mu.Unlock()
+		select {
+		case <-written:
+		case <-ctx.Done():
+		}
+		n.mu.Lock()
+		if ctx.Err() != nil {
+			return n.holdsLocked(batches)
+		}
+	}
+	return true
+}
+
+// holdsLocked reports whether the store is known to hold batches.
+func (n *Node) holdsLocked(batches []usage.Batch) bool {
+	for i := range batches {
+		b := &batches[i]
+		if mark := n.stored[b.Origin]; mark.Life != b.Life || mark.Seq < b.Seq {
+			return false
+		}
+	}
+	return true
+}
+
+// hand hands on what the node has counted and taken over.
+func (n *Node) hand(ctx context.Context) {
+	n.mu.Lock()
+	h := handed{Batches: n.tally.Offer(), Loads: n.loads}
+	n.loads = map[vaneyoke.ServiceID]capacity.Load{}
+	root := n.isRoot()
+	n.mu.Unlock()
+	if len(h.Batches) == 0 && len(h.Loads) == 0 {
+		return
+	}
+	if root {
+		if !n.take(ctx, h) {
+			return
+		}
+	} else if err := n.handAbove(ctx, h); err != nil {
+		n.log.WithFields(logrus.Fields{"batches": len(h.Batches), "error": err}).Debug("counts_not_taken")
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.tally.Taken(h.Batches)
+}
+
+func (n *Node) handAbove(ctx context.Context, h handed) error {
+	above, ok := n.tree.Above()
+	if !ok {
+		return vaneyoke.Err(vaneyoke.CodeStoreDown, "there is no node above")
+	}
+	body, err := json.Marshal(h)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, handWait)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+above.Address+Path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	res, err := n.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = res.Body.Close() }()
+	_, _ = io.Copy(io.Discard, io.LimitReader(res.Body, maxHandBytes)) // so that the connection is used again
+	if res.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", res.StatusCode)
+	}
+	n.metrics.counts.Add("handed_bytes_total", int64(len(body)))
+	return nil
+}
--- a/shell/relay/attempt.go
+++ b/shell/relay/attempt.go
@@ -126,6 +126,7 @@
 		return
 	}
 	l.settled = true
+	s.tookRunning(time.Now(), l)
 	if l.replica.ID != "" {
 		s.relay.placer.Released(l.replica.ID, s.need)
 	}
@@ -190,6 +191,7 @@
 		return
 	}
 	l.begun, l.begunAt = true, now
+	s.tookReading(now, l)
 	if s.isStream() && !l.fromReplica {
 		s.answered(l, rollout.Answer{Kind: rollout.AnswerGood, Took: now.Sub(l.sentAt)})
 	}
--- a/shell/relay/record.go
+++ b/shell/relay/record.go
@@ -80,6 +80,7 @@
 	m.Reprefill.Add(int64(stats.Reprefills))
 	m.Results.Add(s.result.Code.Info().Name, 1)
 	s.measure()
+	s.countUnanswered()
 	s.span.SetAttributes(attribute.Int("code", int(s.result.Code)), attribute.Int("attempts", stats.Attempts))
 	s.span.End()
 	if s.isPlain() && s.relay.plain.Add(1)%s.relay.config.PlainEvery != 0 {
--- a/shell/relay/relay.go
+++ b/shell/relay/relay.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/capacity"
 	"github.com/vaneyoke/vaneyoke/decide/generation"
 	"github.com/vaneyoke/vaneyoke/decide/openai"
 	"github.com/vaneyoke/vaneyoke/decide/placement"
@@ -68,6 +69,14 @@
 	Replaced(need placement.Need, retry bool, id vaneyoke.UpstreamID)
 }
 
+// Meter counts what requests took of upstreams.
+type Meter interface {
+	// Began notes that an upstream began a request of a workspace; it is called once for each request.
+	Began(workspace vaneyoke.WorkspaceID)
+	// Used notes what an attempt took of a service's upstream.
+	Used(service vaneyoke.ServiceID, load capacity.Load)
+}
+
 // Relay starts sessions.
 type Relay struct {
 	engines *engine.Client
@@ -77,6 +86,7 @@
 	doubter Doubter // nil where the list of upstreams is taken for true
 	guard   Guard   // nil where requests are not followed that end upstreams
 	limiter Limiter // nil where upstreams name no limits
+	meter   Meter   // nil where nothing is counted
 	tracer  trace.Tracer
 	metrics *Metrics
 	log     logrus.FieldLogger
@@ -106,8 +116,9 @@
 	doubter, _ := placer.(Doubter)
 	guard, _ := placer.(Guard)
 	limiter, _ := placer.(Limiter)
+	meter, _ := placer.(Meter)
 	return &Relay{
-		engines: engines, sender: sender, placer: placer, trier: trier, doubter: doubter, guard: guard, limiter: limiter, tracer: tracer, metrics: metrics, log: log, config: config,
+		engines: engines, sender: sender, placer: placer, trier: trier, doubter: doubter, guard: guard, limiter: limiter, meter: meter, tracer: tracer, metrics: metrics, log: log, config: config,
 		ctx: ctx, stop: stop, running: map[*Session]struct{}{},
 	}
 }
--- a/shell/relay/session.go
+++ b/shell/relay/session.go
@@ -35,6 +35,7 @@
 	pace    pace                // of what was let through
 	epoch   uint64              // counts the request's owners from 1
 
+	counted  bool          // whether the request was counted as one that an upstream began
 	proven   bool          // whether an upstream has run the request for so long that it does not end those that do
 	verified chan struct{} // closed when it is known what the last loss tells of the request; nil for none
 }
