A list of upstreams that is not whole yet is not gone by

While the load is not known, nothing is ordered before the list has stood without growing for 3 s; the number that is kept is the most that stood before the first order. The test hands the plan a list that comes in parts.

--- a/decide/capacity/capacity_test.go
+++ b/decide/capacity/capacity_test.go
@@ -142,3 +142,24 @@
 		}
 	}
 }
+
+// TestListThatComesInParts has a node hold the duty while its list of upstreams is empty, and then grows: nothing is ordered that is less than what there is.
+func TestListThatComesInParts(t *testing.T) {
+	s := capacity.New()
+	now := time.Unix(1000, 0)
+	s.Handle(now, capacity.Terming{All: []capacity.Terms{{Service: service, Least: 1, Most: 80, Boot: boot, Prices: prices, Preemptible: 0.22}}})
+	var all []vaneyoke.Upstream
+	for i := range 300 {
+		now = now.Add(100 * time.Millisecond)
+		if i%5 == 0 && len(all) < 120 {
+			for j := range 10 {
+				dc := []vaneyoke.DataCentreID{"a", "b", "c"}[j%3]
+				all = append(all, vaneyoke.Upstream{ID: vaneyoke.UpstreamID(fmt.Sprint(i, "-", j)), Service: service, DataCentre: dc, State: vaneyoke.StateLive})
+			}
+		}
+		s.Handle(now, capacity.Upstreams{All: all[:max(len(all)-10, 0)]})
+		for _, o := range s.Handle(now, capacity.Tick{Orders: func(vaneyoke.ServiceID) bool { return true }}) {
+			must.GreaterEq(t, 36, o.Count, must.Sprint(i, o))
+		}
+	}
+}
--- a/decide/capacity/state.go
+++ b/decide/capacity/state.go
@@ -19,6 +19,7 @@
 	scarceHold = 3 * time.Second        // for which a pool is not asked again that has none
 	settleTime = 3 * time.Second        // beyond the boot time until an order is to stand
 	mostAgain  = time.Minute            // longest time between two repeats of an order that does not stand
+	listSettle = 3 * time.Second        // for which the list of upstreams must not have grown before it is gone by while the load is not known
 	orderEvery = 400 * time.Millisecond // shortest time between two orders for a pool
 )
 
@@ -46,8 +47,10 @@
 	raised  map[Pool]time.Time // when a number was last raised
 	scarce  map[Pool]time.Time // until when a pool is not asked
 	ordered map[Pool]*ordered
-	orders  bool // whether the node held the duty when it was looked last
-	found   int  // upstreams that stood when it came to hold it
+	orders  bool      // whether the node held the duty when it was looked last
+	gained  time.Time // when it came to hold it
+	found   int       // most upstreams that stood then, before it ordered any
+	grown   time.Time // when there were last more than before
 }
 
 // ordered is the last order for a pool.
@@ -150,12 +153,13 @@
 	if !v.orders { // what others ordered is not known
 		v.orders = true
 		clear(v.ordered)
-		v.changed, v.found = now, v.standing()
-		for pool := range v.live {
-			v.raised[pool] = now
-		}
+		v.changed, v.gained, v.found = now, now, 0
 	}
+	v.look(now)
 	v.plan(now)
+	if v.planned == 0 && (v.found == 0 || now.Sub(v.grown) < listSettle) {
+		return nil // the list may not be whole yet, and fewer would be ordered than there are
+	}
 	targets, reason := v.targets()
 	for _, pool := range v.pools() {
 		if order, ok := v.order(now, pool, targets[pool], reason); ok {
@@ -165,6 +169,13 @@
 	return due
 }
 
+// look notes how many upstreams there are before any were ordered.
+func (v *service) look(now time.Time) {
+	if n := v.standing(); n > v.found && len(v.ordered) == 0 {
+		v.found, v.grown = n, now
+	}
+}
+
 // plan follows the load: up at once, down only where it is clearly lower for a while, so that the number does not swing with it.
 func (v *service) plan(now time.Time) {
 	if !v.demand.known(now) {
@@ -266,7 +277,7 @@
 		if target > before {
 			v.raised[pool] = now
 		}
-	} else if !pool.Preemptible && now.Sub(v.raised[pool]) < firmHold {
+	} else if !pool.Preemptible && (now.Sub(v.raised[pool]) < firmHold || now.Sub(v.gained) < firmHold) {
 		target = before
 	}
 	switch {
