The plan goes by work, not by waiting, and by all nodes; duties go to a node that the store answers

Reading now counts by the shortest time for a token, each node's load says how many nodes it stands for, so that what is missing is carried on and lowers nothing, and who holds duties and takes counts is who the store has confirmed its tables to of late; others hand theirs on to it. Firm engines are counted by what was ordered, since a list holds those that have crashed beside those that took their place.

--- a/decide/capacity/capacity_test.go
+++ b/decide/capacity/capacity_test.go
@@ -163,3 +163,33 @@
 		}
 	}
 }
+
+// TestNodesThatDoNotTell has nine in ten nodes be cut off from the one that orders, for a while: the plan is not lowered.
+func TestNodesThatDoNotTell(t *testing.T) {
+	w := newWorld(1, func(*world) {})
+	w.run(90*time.Second, func() {
+		w.told = 1
+		if w.since() > 30*time.Second && w.since() < 80*time.Second {
+			w.told = 0.1
+		}
+	})
+	must.EqOp(t, 0, w.short)
+	for _, counts := range w.counts {
+		must.LessEq(t, 3, len(counts))
+	}
+}
+
+// TestPromptsThatWait has prompts wait four times as long as reading them takes, for a while: waiting is not taken for work, since it would grow with each upstream that is short.
+func TestPromptsThatWait(t *testing.T) {
+	w := newWorld(1, func(*world) {})
+	w.waits = func() float64 {
+		if w.since() > 30*time.Second {
+			return 5
+		}
+		return 1
+	}
+	w.run(60*time.Second, nil)
+	for dc := range prices {
+		must.LessEq(t, 60, w.wanted[capacity.Pool{DataCentre: dc}]+w.wanted[capacity.Pool{DataCentre: dc, Preemptible: true}])
+	}
+}
--- a/decide/capacity/event.go
+++ b/decide/capacity/event.go
@@ -13,8 +13,11 @@
 // Upstreams tells the fleet's upstreams.
 type Upstreams struct{ All []vaneyoke.Upstream }
 
-// Used tells what requests took of services since the last such event.
-type Used struct{ Loads map[vaneyoke.ServiceID]Load }
+// Used tells what requests took of services, at a share of the nodes and for a part of a second: 1 where all nodes have told a second's load.
+type Used struct {
+	Loads map[vaneyoke.ServiceID]Load
+	Told  float64
+}
 
 // Outcome is what became of an order.
 type Outcome int
--- a/decide/capacity/state.go
+++ b/decide/capacity/state.go
@@ -11,16 +11,17 @@
 )
 
 const (
-	firmShare  = 0.2                    // of the need that is kept of upstreams which cannot be taken away
-	headroom   = 1.1                    // times the need that is planned
-	lowerBelow = 0.65                   // times the planned need below which less is planned
-	lowerAfter = 10 * time.Second       // since the last change of the plan
-	firmHold   = 6 * time.Second        // for which a number of upstreams that cannot be taken away is not lowered
-	scarceHold = 3 * time.Second        // for which a pool is not asked again that has none
-	settleTime = 3 * time.Second        // beyond the boot time until an order is to stand
-	mostAgain  = time.Minute            // longest time between two repeats of an order that does not stand
-	listSettle = 3 * time.Second        // for which the list of upstreams must not have grown before it is gone by while the load is not known
-	orderEvery = 400 * time.Millisecond // shortest time between two orders for a pool
+	firmShare   = 0.2                    // of the need that is kept of upstreams which cannot be taken away
+	headroom    = 1.1                    // times the need that is planned
+	lowerBelow  = 0.65                   // times the planned need below which less is planned
+	lowerAfter  = 10 * time.Second       // since the last change of the plan
+	firmHold    = 6 * time.Second        // for which a number of upstreams that cannot be taken away is not lowered
+	scarceHold  = 3 * time.Second        // for which a pool is not asked again that has none
+	settleTime  = 3 * time.Second        // beyond the boot time until an order is to stand
+	mostAgain   = time.Minute            // longest time between two repeats of an order that does not stand
+	listSettle  = 3 * time.Second        // for which the list of upstreams must not have grown before it is gone by while the load is not known
+	missingStep = 6                      // upstreams by which the number of those that take the place of missing ones changes
+	orderEvery  = 400 * time.Millisecond // shortest time between two orders for a pool
 )
 
 // lateOrders is when an order is repeated after one that got no answer, which may be carried out any time until then.
@@ -71,10 +72,8 @@
 		s.all, s.listed = e.All, true
 		s.count()
 	case Used:
-		for id, load := range e.Loads {
-			if v := s.services[id]; v != nil {
-				v.demand.add(now, load)
-			}
+		for id, v := range s.services {
+			v.demand.add(now, e.Loads[id], e.Told)
 		}
 	case Answered:
 		if v := s.services[e.Order.Service]; v != nil {
@@ -181,8 +180,8 @@
 	if !v.demand.known(now) {
 		return
 	}
-	need := v.demand.need(now, &v.terms)
-	lower := need < lowerBelow*v.planned && now.Sub(v.changed) >= lowerAfter
+	need, whole := v.demand.need(now, &v.terms)
+	lower := whole && need < lowerBelow*v.planned && now.Sub(v.changed) >= lowerAfter
 	if need > v.planned || lower {
 		v.planned, v.changed = max(math.Ceil(need*headroom), 1), now
 	}
@@ -233,13 +232,13 @@
 	there := 0
 	for _, centre := range v.centres {
 		pool := Pool{centre, true}
-		room := v.terms.Most - max(v.live[Pool{centre, false}], v.firm(need))
+		room := v.terms.Most - max(v.standingFirm(centre), v.firm(need))
 		targets[pool] = max(min(each, room), 0)
 		there += min(v.live[pool], targets[pool])
 	}
 	firm := float64(v.firm(need)) * centres
 	if missing := need - float64(there); missing > firm {
-		firm = missing
+		firm = math.Ceil(missing/missingStep) * missingStep
 		if reason == ReasonLoad {
 			reason = ReasonShort
 		}
@@ -248,6 +247,16 @@
 	return targets, reason
 }
 
+// standingFirm returns how many upstreams that cannot be taken away a data centre has or is to have. The list is gone by only before any were ordered: it
+// holds those that have just ended beside those that took their place.
+func (v *service) standingFirm(centre vaneyoke.DataCentreID) int {
+	pool := Pool{centre, false}
+	if o := v.ordered[pool]; o != nil && o.count >= 0 {
+		return o.count
+	}
+	return v.live[pool]
+}
+
 // firm returns how many upstreams of each data centre are never taken away.
 func (v *service) firm(need float64) int {
 	return max(int(math.Ceil(need*firmShare/float64(len(v.centres)))), v.terms.Least, 1)
--- a/decide/capacity/terms.go
+++ b/decide/capacity/terms.go
@@ -21,13 +21,18 @@
 type Load struct {
 	Begun   int           `json:"begun"`   // requests that were answered with a first piece
 	Reading time.Duration `json:"reading"` // total time that they took for it
+	Tokens  int           `json:"tokens"`  // of their prompts
+	Vain    int           `json:"vain"`    // tokens of prompts whose runs were lost before
 	Running time.Duration `json:"running"` // total time that requests took after it
 	Held    float64       `json:"held"`    // tokens in memory, times seconds
 }
 
 // Add returns the sum of two loads.
 func (l Load) Add(other Load) Load {
-	return Load{Begun: l.Begun + other.Begun, Reading: l.Reading + other.Reading, Running: l.Running + other.Running, Held: l.Held + other.Held}
+	return Load{
+		Begun: l.Begun + other.Begun, Reading: l.Reading + other.Reading, Tokens: l.Tokens + other.Tokens, Vain: l.Vain + other.Vain,
+		Running: l.Running + other.Running, Held: l.Held + other.Held,
+	}
 }
 
 // Pool is a kind of a service's upstreams in a data centre; each has a number that is ordered.
@@ -44,12 +49,16 @@
 	holdShare = 0.65
 )
 
-// upstreams returns how many upstreams serve a load that came in a while.
-func (t *Terms) upstreams(l Load, during time.Duration) float64 {
+// upstreams returns how many upstreams serve a load that came in a while, where reading takes so long for each token at the most: what is beyond it is waiting.
+func (t *Terms) upstreams(l Load, during time.Duration, perToken float64) float64 {
 	seconds := during.Seconds()
-	need := l.Reading.Seconds() / seconds / readShare
+	reading := l.Reading.Seconds()
+	if perToken > 0 {
+		reading = min(reading, float64(l.Tokens)*perToken) + float64(l.Vain)*perToken
+	}
+	need := reading / seconds / readShare
 	if t.Slots > 0 {
-		need = max(need, (l.Reading+l.Running).Seconds()/seconds/(float64(t.Slots)*runShare))
+		need = max(need, (reading+l.Running.Seconds())/seconds/(float64(t.Slots)*runShare))
 	}
 	if t.Memory > 0 {
 		need = max(need, l.Held/seconds/(float64(t.Memory)*holdShare))
--- a/decide/capacity/world_test.go
+++ b/decide/capacity/world_test.go
@@ -42,7 +42,9 @@
 	later   []func()
 	due     []time.Time
 
-	bounds  bool // whether orders are made by what is known of all arrivals
+	told    float64        // share of the nodes whose load comes to the one that orders
+	waits   func() float64 // times the reading time that a prompt waits and is read
+	bounds  bool           // whether orders are made by what is known of all arrivals
 	orders  int
 	counts  map[capacity.Pool][]int // that were ordered
 	paid    float64
@@ -56,7 +58,7 @@
 		rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), state: capacity.New(), wanted: map[capacity.Pool]int{},
 		counts: map[capacity.Pool][]int{}, demand: func(time.Duration) float64 { return 30 },
 	}
-	w.began = w.now
+	w.began, w.told, w.waits = w.now, 1, func() float64 { return 1 }
 	set(w)
 	for dc := range prices {
 		w.set(capacity.Pool{DataCentre: dc}, 40)
@@ -189,12 +191,12 @@
 	}
 	load := w.demand(w.since())
 	used := capacity.Load{
-		Begun: int(math.Round(load * reports.Seconds())), Reading: time.Duration(load * float64(reports)), Running: time.Duration(5 * load * float64(reports)),
+		Begun: int(math.Round(load * reports.Seconds())), Reading: time.Duration(w.waits() * load * float64(reports)), Tokens: int(5000 * load * reports.Seconds()), Running: time.Duration(5 * load * float64(reports)),
 		Held: load * 5 * 5000 * reports.Seconds(),
 	}
 	w.after(listLag, func() {
 		w.state.Handle(w.now, capacity.Upstreams{All: all})
-		w.state.Handle(w.now, capacity.Used{Loads: map[vaneyoke.ServiceID]capacity.Load{service: used}})
+		w.state.Handle(w.now, capacity.Used{Loads: map[vaneyoke.ServiceID]capacity.Load{service: part(used, w.told)}, Told: w.told * reports.Seconds()})
 	})
 }
 
@@ -234,3 +236,11 @@
 		}
 	}
 }
+
+// part returns a share of a load.
+func part(l capacity.Load, share float64) capacity.Load {
+	return capacity.Load{
+		Begun: int(share * float64(l.Begun)), Reading: time.Duration(share * float64(l.Reading)), Tokens: int(share * float64(l.Tokens)),
+		Running: time.Duration(share * float64(l.Running)), Held: share * l.Held,
+	}
+}
--- a/shell/duties/exchange.go
+++ b/shell/duties/exchange.go
@@ -30,6 +30,7 @@
 type handed struct {
 	Batches []usage.Batch                        `json:"batches,omitempty"`
 	Loads   map[vaneyoke.ServiceID]capacity.Load `json:"loads,omitempty"`
+	Told    int                                  `json:"told,omitempty"` // nodes whose loads these are
 }
 
 // ServeHTTP takes what a node that follows this one counted: 200 says that it has been taken over, any other status that it must be offered again.
@@ -47,7 +48,7 @@
 // take takes over what was handed on; the root does so once the store holds it.
 func (n *Node) take(ctx context.Context, h handed) bool {
 	n.mu.Lock()
-	n.takeLoadsLocked(h.Loads)
+	n.takeLoadsLocked(h.Loads, h.Told)
 	if n.isRoot() {
 		n.mu.Unlock()
 		return n.store(ctx, h.Batches)
@@ -62,14 +63,16 @@
 	return true
 }
 
-func (n *Node) takeLoadsLocked(loads map[vaneyoke.ServiceID]capacity.Load) {
-	if len(loads) == 0 {
+func (n *Node) takeLoadsLocked(loads map[vaneyoke.ServiceID]capacity.Load, told int) {
+	if told == 0 {
 		return
 	}
 	if n.isRoot() {
-		n.plan.Handle(steady.Now(), capacity.Used{Loads: loads})
+		share := float64(told) / float64(n.tree.Members())
+		n.plan.Handle(steady.Now(), capacity.Used{Loads: loads, Told: share * handEvery.Seconds()})
 		return
 	}
+	n.told += told
 	for service, load := range loads {
 		if n.ordered[service] {
 			n.loads[service] = n.loads[service].Add(load)
@@ -118,11 +121,14 @@
 // hand hands on what the node has counted and taken over.
 func (n *Node) hand(ctx context.Context) {
 	n.mu.Lock()
-	h := handed{Batches: n.tally.Offer(), Loads: n.loads}
-	n.loads = map[vaneyoke.ServiceID]capacity.Load{}
+	h := handed{Batches: n.tally.Offer()}
+	if len(n.ordered) > 0 {
+		h.Loads, h.Told = n.loads, n.told+1
+		n.loads, n.told = map[vaneyoke.ServiceID]capacity.Load{}, 0
+	}
 	root := n.isRoot()
 	n.mu.Unlock()
-	if len(h.Batches) == 0 && len(h.Loads) == 0 {
+	if len(h.Batches) == 0 && h.Told == 0 {
 		return
 	}
 	if root {
@@ -139,9 +145,9 @@
 }
 
 func (n *Node) handAbove(ctx context.Context, h handed) error {
-	above, ok := n.tree.Above()
+	next, ok := n.next()
 	if !ok {
-		return vaneyoke.Err(vaneyoke.CodeStoreDown, "there is no node above")
+		return vaneyoke.Err(vaneyoke.CodeStoreDown, "no node is known that the store answers")
 	}
 	body, err := json.Marshal(h)
 	if err != nil {
@@ -149,7 +155,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, handWait)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+above.Address+Path, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+next.Address+Path, bytes.NewReader(body))
 	if err != nil {
 		return err
 	}
--- a/shell/duties/node.go
+++ b/shell/duties/node.go
@@ -70,8 +70,12 @@
 type Tree interface {
 	// Above returns the node that this one follows; ok is false where it follows none.
 	Above() (above feed.Member, ok bool)
-	// Reads reports whether the node reads the store for others.
-	Reads() bool
+	// Confirms reports whether the node reads the store, which has confirmed the tables to it of late.
+	Confirms() bool
+	// Reader returns another node that does; ok is false where none is known.
+	Reader() (reader feed.Member, ok bool)
+	// Members returns how many nodes there are, this one among them.
+	Members() int
 }
 
 // Config holds the bounds of the duties.
@@ -100,6 +104,7 @@
 	plan    *capacity.State
 	ordered map[vaneyoke.ServiceID]bool          // services whose upstreams are ordered
 	loads   map[vaneyoke.ServiceID]capacity.Load // since the last report to the node above
+	told    int                                  // nodes whose loads are among them, beside this one
 	written chan struct{}                        // closed at each batch that the store holds
 	stored  usage.Marks                          // of the batches that the store is known to hold
 	leaving bool
@@ -220,8 +225,13 @@
 	}
 }
 
-// isRoot reports whether the node reads the store and follows nobody, so that all others' reports come to it.
-func (n *Node) isRoot() bool {
-	_, follows := n.tree.Above()
-	return !follows && n.tree.Reads()
+// isRoot reports whether what nodes count ends at this one: the store answers it.
+func (n *Node) isRoot() bool { return n.tree.Confirms() }
+
+// next returns the node to which this one hands on what it counted: the one that it follows or, where it follows none and the store does not answer it, one that the store answers.
+func (n *Node) next() (feed.Member, bool) {
+	if above, ok := n.tree.Above(); ok {
+		return above, true
+	}
+	return n.tree.Reader()
 }
--- a/shell/mesh/node.go
+++ b/shell/mesh/node.go
@@ -107,6 +107,18 @@
 // Reads reports whether the node reads all tables from the store.
 func (n *Node) Reads() bool { return n.metrics.part.Load().Reading == feed.ReadAll.String() }
 
+// Confirms reports whether the node reads all tables from the store, which has confirmed them to it no longer ago than the bound.
+func (n *Node) Confirms() bool {
+	part := n.metrics.part.Load()
+	return n.Reads() && part.Fresh && part.Reader == n.self.VM
+}
+
+// Reader returns another node to which the store has confirmed the tables; ok is false where none is known.
+func (n *Node) Reader() (reader feed.Member, ok bool) {
+	vm := n.metrics.part.Load().Reader
+	return lo.Find(n.registeredMembers(), func(m feed.Member) bool { return m.VM == vm && vm != n.self.VM })
+}
+
 func (n *Node) registeredMembers() []feed.Member {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/shell/relay/attempt.go
+++ b/shell/relay/attempt.go
@@ -126,7 +126,7 @@
 		return
 	}
 	l.settled = true
-	s.tookRunning(time.Now(), l)
+	s.tookRunning(time.Now(), l, outcome)
 	if l.replica.ID != "" {
 		s.relay.placer.Released(l.replica.ID, s.need)
 	}
--- a/shell/relay/meter.go
+++ b/shell/relay/meter.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/vaneyoke/vaneyoke/decide/capacity"
+	"github.com/vaneyoke/vaneyoke/decide/placement"
 )
 
 // count counts the request once an upstream has begun it.
@@ -26,15 +27,19 @@
 func (s *Session) tookReading(now time.Time, l *link) {
 	s.count()
 	if s.relay.meter != nil && !l.sentAt.IsZero() {
-		s.relay.meter.Used(s.need.Service, capacity.Load{Begun: 1, Reading: now.Sub(l.sentAt)})
+		s.relay.meter.Used(s.need.Service, capacity.Load{Begun: 1, Reading: now.Sub(l.sentAt), Tokens: s.need.Bytes})
 	}
 }
 
-// tookRunning notes how long an attempt ran after its first piece, and what it held of the upstream's memory.
-func (s *Session) tookRunning(now time.Time, l *link) {
-	if s.relay.meter == nil || l.begunAt.IsZero() {
-		return
+// tookRunning notes what an attempt that has come out took beside: how long it ran after its first piece and what it held of the upstream's memory, or the prompt that was read
+// in vain.
+func (s *Session) tookRunning(now time.Time, l *link, outcome placement.Outcome) {
+	switch {
+	case s.relay.meter == nil:
+	case !l.begunAt.IsZero():
+		ran := now.Sub(l.begunAt)
+		s.relay.meter.Used(s.need.Service, capacity.Load{Running: ran, Held: float64(s.need.Bytes+l.pieces) * ran.Seconds()})
+	case outcome == placement.OutcomeLost && !l.resumed:
+		s.relay.meter.Used(s.need.Service, capacity.Load{Vain: s.need.Bytes})
 	}
-	ran := now.Sub(l.begunAt)
-	s.relay.meter.Used(s.need.Service, capacity.Load{Running: ran, Held: float64(s.need.Bytes+l.pieces) * ran.Seconds()})
 }
