Placement at 10,000 engines: what grows faster than the fleet

A generation asks the placement four times (homes, spares, room, choice). The homes of a prompt stay the same, also beside earlier builds. Two tests fail without it: bytes allocated for one placement, and the time of eight times as many replaced.

--- a/decide/placement/affinity.go
+++ b/decide/placement/affinity.go
@@ -55,9 +55,16 @@
 		return nil
 	}
 	drawn := make([]vaneyoke.Upstream, 0, spares)
-	for _, i := range rng.Perm(len(candidates)) {
-		if e := candidates[i]; len(drawn) < spares && !e.told(now) && !e.limit.Named {
+	seen := 0
+	for _, e := range candidates { // each of those that qualify is drawn with the same chance, whatever their number
+		if e.told(now) || e.limit.Named {
+			continue
+		}
+		seen++
+		if len(drawn) < spares {
 			drawn = append(drawn, e.upstream)
+		} else if at := rng.IntN(seen); at < spares {
+			drawn[at] = e.upstream
 		}
 	}
 	return drawn
@@ -80,8 +87,16 @@
 // HasRoom reports whether an upstream that may get a prompt has room for it, as far as upstreams told of their memory; a prompt that goes
 // to none of them displaces runs or replicas.
 func (s *State) HasRoom(now time.Time, need Need) bool {
-	told := lo.Filter(s.mayGet(now, need), func(e *entry, _ int) bool { return e.told(now) })
-	return len(told) == 0 || slices.ContainsFunc(told, func(e *entry) bool { return e.hasRoom(now, need) })
+	anyTold := false
+	for _, e := range s.mayGet(now, need) {
+		if e.told(now) {
+			if e.hasRoom(now, need) {
+				return true
+			}
+			anyTold = true
+		}
+	}
+	return !anyTold
 }
 
 // hasRoom reports whether the upstream's memory has room for a prompt beside those that it has still to read, which are taken to be as
@@ -136,15 +151,31 @@
 	return e.reported.Prompts > 0 && e.told(now)
 }
 
-// byHash returns the most of the candidates with the highest hash of prompt and id, the highest first.
+// ranked is a candidate and its hash for a prompt.
+type ranked struct {
+	entry *entry
+	hash  uint64
+}
+
+// byHash returns the most of the candidates with the highest hash of prompt and id, the highest first. It keeps no more than these, since there
+// may be many thousands of candidates.
 func byHash(prompt string, candidates []*entry, most int) []*entry {
-	type ranked struct {
-		entry *entry
-		hash  uint64
+	if most <= 0 {
+		return nil
 	}
-	all := lo.Map(candidates, func(e *entry, _ int) ranked {
-		return ranked{entry: e, hash: rendezvous.Score(prompt, string(e.upstream.ID))}
-	})
-	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.hash, a.hash) })
-	return lo.Map(all[:min(most, len(all))], func(r ranked, _ int) *entry { return r.entry })
+	key := rendezvous.Of(prompt)
+	top := make([]ranked, 0, most+1)
+	for _, e := range candidates {
+		hash := key.Score(string(e.upstream.ID))
+		if len(top) == most && hash <= top[most-1].hash {
+			continue
+		}
+		at := len(top)
+		for at > 0 && top[at-1].hash < hash {
+			at--
+		}
+		top = slices.Insert(top, at, ranked{entry: e, hash: hash})
+		top = top[:min(len(top), most)]
+	}
+	return lo.Map(top, func(r ranked, _ int) *entry { return r.entry })
 }
--- /dev/null
+++ b/decide/placement/large_test.go
@@ -0,0 +1,97 @@
+package placement_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/placement"
+	"github.com/vaneyoke/vaneyoke/decide/retry"
+)
+
+// fleetOf returns so many upstreams of one service.
+func fleetOf(count, life int) []vaneyoke.Upstream {
+	all := make([]vaneyoke.Upstream, count)
+	for i := range all {
+		all[i] = vaneyoke.Upstream{
+			ID: vaneyoke.UpstreamID(fmt.Sprintf("i-%08x-%d", i*2654435761%(1<<32), life)), Kind: vaneyoke.KindService, Service: "lm", DataCentre: "a",
+			URL: fmt.Sprintf("http://10.%d.%d.%d:8044", life, i/250, i%250), State: vaneyoke.StateLive, Slots: 32,
+		}
+	}
+	return all
+}
+
+// place does what one generation asks of the placement.
+func place(s *placement.State, now time.Time, rng *rand.Rand, n int) {
+	need := placement.Need{Kind: vaneyoke.KindService, Service: "lm", Affinity: fmt.Sprint("prompt-", n), Bytes: 5000}
+	s.Homes(now, need)
+	s.Spares(now, rng, need)
+	s.HasRoom(now, need)
+	_, _, _ = s.Pick(now, rng, need)
+}
+
+func BenchmarkPlaceGeneration(b *testing.B) {
+	for _, count := range []int{1000, 10_000, 20_000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			s, rng, now := placement.New("a", retry.DefaultBreakerConfig()), rand.New(rand.NewPCG(1, 2)), time.Unix(1000, 0)
+			s.SetUpstreams(fleetOf(count, 1))
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				place(s, now, rng, n)
+			}
+		})
+	}
+}
+
+func BenchmarkReplaceAll(b *testing.B) {
+	for _, count := range []int{1000, 10_000, 20_000} {
+		b.Run(fmt.Sprint(count), func(b *testing.B) {
+			before, after := fleetOf(count, 1), fleetOf(count, 2)
+			for b.Loop() {
+				s := placement.New("a", retry.DefaultBreakerConfig())
+				s.SetUpstreams(before)
+				s.SetUpstreams(after)
+			}
+		})
+	}
+}
+
+// TestPlacingAGenerationAllocatesLittle places generations among 10,000 upstreams: what is allocated for one does not grow with the fleet.
+func TestPlacingAGenerationAllocatesLittle(t *testing.T) {
+	const placed = 50
+	bytesFor := func(count int) uint64 {
+		s, rng, now := placement.New("a", retry.DefaultBreakerConfig()), rand.New(rand.NewPCG(1, 2)), time.Unix(1000, 0)
+		s.SetUpstreams(fleetOf(count, 1))
+		place(s, now, rng, 0)
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		for n := range placed {
+			place(s, now, rng, n)
+		}
+		runtime.ReadMemStats(&after)
+		return after.TotalAlloc - before.TotalAlloc
+	}
+	must.LessEq(t, 2*bytesFor(100), bytesFor(10_000))
+}
+
+// TestReplacingAllGrowsWithTheirNumber replaces all upstreams at once, as a data centre that comes back does: eight times as many take some eight times as long, not the square of it.
+func TestReplacingAllGrowsWithTheirNumber(t *testing.T) {
+	shortest := func(count int) time.Duration {
+		before, after := fleetOf(count, 1), fleetOf(count, 2)
+		least := time.Hour
+		for range 5 {
+			s := placement.New("a", retry.DefaultBreakerConfig())
+			s.SetUpstreams(before)
+			began := time.Now()
+			s.SetUpstreams(after)
+			least = min(least, time.Since(began))
+		}
+		return least
+	}
+	must.LessEq(t, 30*shortest(1000), shortest(8000))
+}
--- a/decide/placement/state.go
+++ b/decide/placement/state.go
@@ -107,13 +107,17 @@
 
 // SetUpstreams takes in the fleet's upstreams; what is known of those that stay is kept.
 func (s *State) SetUpstreams(upstreams []vaneyoke.Upstream) {
+	var byURL map[string][]*entry // of those known so far; nil until one comes that is not
 	entries := make(map[vaneyoke.UpstreamID]*entry, len(upstreams))
 	order := make([]*entry, 0, len(upstreams))
 	for _, u := range upstreams {
 		e, ok := s.entries[u.ID]
 		if !ok {
 			e = &entry{breaker: retry.NewBreaker(s.breaker), limit: s.limits[u.ID]}
-			s.replace(u.URL)
+			if byURL == nil {
+				byURL = lo.GroupBy(s.order, func(e *entry) string { return e.upstream.URL })
+			}
+			replace(byURL[u.URL])
 		}
 		if u.Incarnation < e.upstream.Incarnation { // the entry is older than what the upstream told itself
 			u.Incarnation = e.upstream.Incarnation
@@ -142,12 +146,10 @@
 }
 
 // replace notes that an upstream that was not known has come to an address: whoever had it has ended, whatever the list still
-// says of it.
-func (s *State) replace(url string) {
-	for _, e := range s.order {
-		if e.upstream.URL == url {
-			e.gone = true
-		}
+// says of them.
+func replace(had []*entry) {
+	for _, e := range had {
+		e.gone = true
 	}
 }
 
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -3,13 +3,24 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// Score returns a name's rank for a key; the name with the highest is the key's. Where names come or go, only the keys
+// Key ranks names for one key.
+type Key struct{ digest xxhash.Digest }
+
+// Of returns the ranks for a key.
+func Of(key string) Key {
+	var k Key
+	k.digest.Reset()
+	_, _ = k.digest.WriteString(key)
+	_, _ = k.digest.WriteString("\x00")
+	return k
+}
+
+// Score returns a name's rank for the key; the name with the highest is the key's. Where names come or go, only the keys
 // of those names move.
-func Score(key, name string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(key)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(name)
-	return d.Sum64()
+func (k Key) Score(name string) uint64 {
+	_, _ = k.digest.WriteString(name)
+	return k.digest.Sum64()
 }
+
+// Score returns a name's rank for a key.
+func Score(key, name string) uint64 { return Of(key).Score(name) }
