--- a/decide/capacity/capacity_test.go
+++ b/decide/capacity/capacity_test.go
@@ -63,7 +63,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			play := func(bounds bool) *world {
-				w := newWorld(1, func(w *world) {
+				w := newWorld(func(w *world) {
 					w.bounds = bounds
 					if day.demand != nil {
 						w.demand = day.demand
@@ -94,7 +94,7 @@
 	for _, period := range []float64{5, 11, 25} {
 		t.Run(fmt.Sprint(period), func(t *testing.T) {
 			t.Parallel()
-			w := newWorld(1, func(w *world) {
+			w := newWorld(func(w *world) {
 				w.demand = func(since time.Duration) float64 { return busy * (1 + 0.5*math.Sin(2*math.Pi*since.Seconds()/period)) }
 			})
 			w.run(time.Minute, nil)
@@ -108,7 +108,7 @@
 
 // TestKeepsWhatStandsWhileTheLoadIsUnknown orders as many of the cheaper kind as there are, and lets the others go only once these serve.
 func TestKeepsWhatStandsWhileTheLoadIsUnknown(t *testing.T) {
-	w := newWorld(1, func(w *world) { w.demand = func(time.Duration) float64 { return 0 } })
+	w := newWorld(func(w *world) { w.demand = func(time.Duration) float64 { return 0 } })
 	least := 1000
 	w.run(30*time.Second, func() {
 		serving := 0
@@ -131,7 +131,7 @@
 
 // TestLimitsAreKept has the load grow beyond what may be ordered.
 func TestLimitsAreKept(t *testing.T) {
-	w := newWorld(1, func(w *world) { w.demand = func(time.Duration) float64 { return 500 } })
+	w := newWorld(func(w *world) { w.demand = func(time.Duration) float64 { return 500 } })
 	w.run(time.Minute, nil)
 	for dc := range prices {
 		must.LessEq(t, 80, w.wanted[capacity.Pool{DataCentre: dc}]+w.wanted[capacity.Pool{DataCentre: dc, Preemptible: true}])
@@ -166,7 +166,7 @@
 
 // TestNodesThatDoNotTell has nine in ten nodes be cut off from the one that orders, for a while: the plan is not lowered.
 func TestNodesThatDoNotTell(t *testing.T) {
-	w := newWorld(1, func(*world) {})
+	w := newWorld(func(*world) {})
 	w.run(90*time.Second, func() {
 		w.told = 1
 		if w.since() > 30*time.Second && w.since() < 80*time.Second {
@@ -181,7 +181,7 @@
 
 // TestPromptsThatWait has prompts wait four times as long as reading them takes, for a while: waiting is not taken for work, since it would grow with each upstream that is short.
 func TestPromptsThatWait(t *testing.T) {
-	w := newWorld(1, func(*world) {})
+	w := newWorld(func(*world) {})
 	w.waits = func() float64 {
 		if w.since() > 30*time.Second {
 			return 5
--- a/decide/capacity/world_test.go
+++ b/decide/capacity/world_test.go
@@ -53,9 +53,9 @@
 	short   time.Duration // time in which the load was more than all upstreams can do
 }
 
-func newWorld(seed uint64, set func(w *world)) *world {
+func newWorld(set func(w *world)) *world {
 	w := &world{
-		rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1000, 0), state: capacity.New(), wanted: map[capacity.Pool]int{},
+		rng: rand.New(rand.NewPCG(1, 7)), now: time.Unix(1000, 0), state: capacity.New(), wanted: map[capacity.Pool]int{},
 		counts: map[capacity.Pool][]int{}, demand: func(time.Duration) float64 { return 30 },
 	}
 	w.began, w.told, w.waits = w.now, 1, func() float64 { return 1 }
--- a/decide/lease/state.go
+++ b/decide/lease/state.go
@@ -179,7 +179,8 @@
 		return
 	}
 	s.held, s.heldAt, s.actFrom = e.Row.Fence, now, now
-	if keepsToken := s.isOwn(before) && before.Fence == s.held; !keepsToken && !(before.Free && before.Clean) {
+	keepsToken, wasClean := s.isOwn(before) && before.Fence == s.held, before.Free && before.Clean
+	if !keepsToken && !wasClean {
 		s.actFrom = now.Add(s.config.Settle)
 	}
 	s.effects = append(s.effects, Gained{Fence: s.held, Before: before})
--- a/decide/placement/large_test.go
+++ b/decide/placement/large_test.go
@@ -28,11 +28,11 @@
 
 // place does what one generation asks of the placement.
 func place(s *placement.State, now time.Time, rng *rand.Rand, n int) {
-	need := placement.Need{Kind: vaneyoke.KindService, Service: "lm", Affinity: fmt.Sprint("prompt-", n), Bytes: 5000}
-	s.Homes(now, need)
-	s.Spares(now, rng, need)
-	s.HasRoom(now, need)
-	_, _, _ = s.Pick(now, rng, need)
+	prompt := placement.Need{Kind: vaneyoke.KindService, Service: "lm", Affinity: fmt.Sprint("prompt-", n), Bytes: 5000}
+	s.Homes(now, prompt)
+	s.Spares(now, rng, prompt)
+	s.HasRoom(now, prompt)
+	_, _, _ = s.Pick(now, rng, prompt)
 }
 
 func BenchmarkPlaceGeneration(b *testing.B) {
--- a/decide/placement/state.go
+++ b/decide/placement/state.go
@@ -107,6 +107,9 @@
 
 // SetUpstreams takes in the fleet's upstreams; what is known of those that stay is kept.
 func (s *State) SetUpstreams(upstreams []vaneyoke.Upstream) {
+	if s.updated(upstreams) {
+		return
+	}
 	var byURL map[string][]*entry // of those known so far; nil until one comes that is not
 	entries := make(map[vaneyoke.UpstreamID]*entry, len(upstreams))
 	order := make([]*entry, 0, len(upstreams))
@@ -119,22 +122,48 @@
 			}
 			replace(byURL[u.URL])
 		}
-		if u.Incarnation < e.upstream.Incarnation { // the entry is older than what the upstream told itself
-			u.Incarnation = e.upstream.Incarnation
-		}
-		if ok && (e.upstream.Incarnation != 0 && u.Incarnation > e.upstream.Incarnation || u.URL != e.upstream.URL) {
-			s.reborn(e)
-		}
-		e.upstream = u
+		s.update(e, ok, u)
 		entries[u.ID] = e
 		order = append(order, e)
 	}
 	slices.SortFunc(order, func(a, b *entry) int { return cmp.Compare(a.upstream.ID, b.upstream.ID) })
 	s.entries = entries
 	s.order = order
+	s.arrange()
+}
+
+// updated takes in a list of the upstreams that are known already, which costs a fraction of any other, and reports whether it is one.
+func (s *State) updated(upstreams []vaneyoke.Upstream) bool {
+	if len(upstreams) != len(s.entries) {
+		return false
+	}
+	for i := range upstreams {
+		if s.entries[upstreams[i].ID] == nil {
+			return false
+		}
+	}
+	for i := range upstreams {
+		s.update(s.entries[upstreams[i].ID], true, upstreams[i])
+	}
+	s.arrange()
+	return true
+}
+
+func (s *State) arrange() {
 	for _, d := range s.divisions {
-		d.arrange(order)
+		d.arrange(s.order)
+	}
+}
+
+// update takes in what the list says of an upstream, which may have been known before.
+func (s *State) update(e *entry, known bool, u vaneyoke.Upstream) {
+	if u.Incarnation < e.upstream.Incarnation { // the entry is older than what the upstream told itself
+		u.Incarnation = e.upstream.Incarnation
+	}
+	if known && (e.upstream.Incarnation != 0 && u.Incarnation > e.upstream.Incarnation || u.URL != e.upstream.URL) {
+		s.reborn(e)
 	}
+	e.upstream = u
 }
 
 // reborn forgets what is known of an upstream's earlier life, but for this node's attempts, which end by themselves.
--- a/process/node/gateway.go
+++ b/process/node/gateway.go
@@ -35,19 +35,20 @@
 
 // GatewayNode is a running process that takes opaque requests.
 type GatewayNode struct {
-	settings settings.Settings // as of the start
-	current  atomic.Pointer[settings.Settings]
-	gateway  *gateway.Gateway
-	relay    *relay.Relay
-	mesh     *mesh.Node
-	lender   *mesh.Lender
-	rollouts *rollouts.Node // nil where there are no roll-outs
-	crashes  *quarantines.Node
-	limits   *ratelimits.Node
-	duties   *duties.Node // nil where there are none
-	vars     *expvar.Map
-	tracing  *telemetry.Tracing
-	log      logrus.FieldLogger
+	settings  settings.Settings // as of the start
+	current   atomic.Pointer[settings.Settings]
+	gateway   *gateway.Gateway
+	relay     *relay.Relay
+	mesh      *mesh.Node
+	lender    *mesh.Lender
+	rollouts  *rollouts.Node // nil where there are no roll-outs
+	crashes   *quarantines.Node
+	limits    *ratelimits.Node
+	duties    *duties.Node // nil where there are none
+	directory *routes
+	vars      *expvar.Map
+	tracing   *telemetry.Tracing
+	log       logrus.FieldLogger
 
 	stop      context.CancelFunc
 	work      sync.WaitGroup
--- a/process/node/gateway_wire.go
+++ b/process/node/gateway_wire.go
@@ -105,18 +105,19 @@
 func provideGatewayNode(i do.Injector) (*GatewayNode, error) {
 	s := do.MustInvoke[settings.Settings](i)
 	return &GatewayNode{
-		settings: s,
-		gateway:  do.MustInvoke[*gateway.Gateway](i),
-		relay:    do.MustInvoke[*relay.Relay](i),
-		mesh:     do.MustInvoke[*mesh.Node](i),
-		lender:   do.MustInvoke[*mesh.Lender](i),
-		rollouts: do.MustInvoke[*rollouts.Node](i),
-		crashes:  do.MustInvoke[*gatewayPlacer](i).crashes,
-		limits:   do.MustInvoke[*ratelimits.Node](i),
-		duties:   do.MustInvoke[*duties.Node](i),
-		vars:     do.MustInvoke[*expvar.Map](i),
-		tracing:  do.MustInvoke[*telemetry.Tracing](i),
-		log:      do.MustInvoke[logrus.FieldLogger](i),
+		settings:  s,
+		gateway:   do.MustInvoke[*gateway.Gateway](i),
+		relay:     do.MustInvoke[*relay.Relay](i),
+		mesh:      do.MustInvoke[*mesh.Node](i),
+		lender:    do.MustInvoke[*mesh.Lender](i),
+		rollouts:  do.MustInvoke[*rollouts.Node](i),
+		crashes:   do.MustInvoke[*gatewayPlacer](i).crashes,
+		limits:    do.MustInvoke[*ratelimits.Node](i),
+		duties:    do.MustInvoke[*duties.Node](i),
+		directory: do.MustInvoke[*routes](i),
+		vars:      do.MustInvoke[*expvar.Map](i),
+		tracing:   do.MustInvoke[*telemetry.Tracing](i),
+		log:       do.MustInvoke[logrus.FieldLogger](i),
 	}, nil
 }
 
--- a/process/node/routes.go
+++ b/process/node/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"maps"
 	"sync/atomic"
 	"time"
 
@@ -82,20 +83,27 @@
 
 // take returns the values of all rows that can be read; one that cannot is logged, and keeps the value that it had where keeps says so.
 func (d *decoded[T]) take(rows watch.Rows, log logrus.FieldLogger) []T {
-	known := make(map[string]decodedRow[T], len(rows))
+	if d.known == nil {
+		d.known = make(map[string]decodedRow[T], len(rows))
+	}
 	values := make([]T, 0, len(rows))
 	for key, stored := range rows {
 		data := stored.Data
 		row, seen := d.known[key]
 		if !seen || !bytes.Equal(row.data, data) {
 			row = d.read(row, seen, key, data, log)
+			d.known[key] = row
 		}
-		known[key] = row
 		if !row.bad {
 			values = append(values, row.value)
 		}
 	}
-	d.known = known
+	if len(d.known) > len(rows) {
+		maps.DeleteFunc(d.known, func(key string, _ decodedRow[T]) bool {
+			_, stands := rows[key]
+			return !stands
+		})
+	}
 	return values
 }
 
