--- a/decide/capacity/capacity_test.go
+++ b/decide/capacity/capacity_test.go
@@ -149,6 +149,7 @@
 	now := time.Unix(1000, 0)
 	s.Handle(now, capacity.Terming{All: []capacity.Terms{{Service: service, Least: 1, Most: 80, Boot: boot, Prices: prices, Preemptible: 0.22}}})
 	var all []vaneyoke.Upstream
+	ordered := map[capacity.Pool]int{}
 	for i := range 300 {
 		now = now.Add(100 * time.Millisecond)
 		if i%5 == 0 && len(all) < 120 {
@@ -159,7 +160,12 @@
 		}
 		s.Handle(now, capacity.Upstreams{All: all[:max(len(all)-10, 0)]})
 		for _, o := range s.Handle(now, capacity.Tick{Orders: func(vaneyoke.ServiceID) bool { return true }}) {
-			must.GreaterEq(t, 36, o.Count, must.Sprint(i, o))
+			s.Handle(now, capacity.Answered{Order: o, Outcome: capacity.OutcomeTaken})
+			if !o.Preemptible {
+				must.GreaterEq(t, 36, o.Count, must.Sprint(i, o))
+			}
+			must.GreaterEq(t, ordered[o.Pool], o.Count, must.Sprint(i, o)) // no fewer than before
+			ordered[o.Pool] = o.Count
 		}
 	}
 }
--- a/decide/capacity/demand.go
+++ b/decide/capacity/demand.go
@@ -9,7 +9,7 @@
 	knownAt  = 5 * time.Second // of requests before which the load counts for nothing
 	knownOf  = 20              // requests before which it does not
 	ratioOf  = 10              // requests from which the time that reading takes is learnt
-	waitMost = 1.3             // times the shortest time for a token beyond which prompts are taken to have waited
+	waitMost = 1.15            // times the shortest time for a token beyond which prompts are taken to have waited
 	forget   = 1.002           // times by which the shortest time for a token grows each slot
 	covers   = 0.3             // share of the nodes that must have told their load in a while for it to count
 	coversIt = 0.8             // share from which it may lower the plan
