Soaks of real processes hold and report duties

The stand-in of the store takes the duties' calls at its address, and each soak ends with the rule that one node at a time reports: no token of two nodes, no window with two reports that differ. The template's sections name what they fill, so that the deployed settings are tested with duties.

--- a/cmd/vaneyoked/gateway_test.go
+++ b/cmd/vaneyoked/gateway_test.go
@@ -39,6 +39,8 @@
 	must.NoError(t, err)
 	filled := strings.NewReplacer(
 		"{{nodeName}}", "edge-1", "{{zone}}", "a", "{{limits.linkMbps}}", "1000.0", "{{ip}}:9100", admin, "{{ip}}:{{portRange.0}}", "127.0.0.1:0", "{{bounds.graceS}}", "8", "{{bounds.drainMs}}", "2000", "{{bounds.configMs}}", "2000", "{{bounds.contactMs}}", "3000", "{{bounds.retryRatio}}", "0.8", "{{bounds.retryAllowance}}", "150", "{{bounds.retryWindowS}}", "10",
+		"{{#cloud.address}}", "", "{{cloud.address}}", store, "{{/cloud.address}}", "", "{{bounds.leaseMs}}", "1000", "{{#bounds.fencing}}", "", "{{/bounds.fencing}}", "",
+		"{{#bounds.reportWindowS}}", "", "{{bounds.reportWindowS}}", "1", "{{/bounds.reportWindowS}}", "", "{{#bounds.usageLateS}}", "", "{{bounds.usageLateS}}", "6", "{{/bounds.usageLateS}}", "",
 		"{{#bounds.exposureShare}}", "", "{{.}}", "0.1", "{{/bounds.exposureShare}}", "",
 		"{{listen.frontend}}", listen, "{{listen.readiness}}", readiness, "{{platform.address}}", store,
 	).Replace(string(text))
@@ -52,6 +54,9 @@
 	must.NoError(t, err)
 	must.EqOp(t, 8*time.Second, s.Node.Grace)
 	must.True(t, s.Gateway.Serves())
+	must.EqOp(t, "10.0.0.1:1", s.Duties.Platform)
+	must.True(t, s.Duties.Fencing)
+	must.EqOp(t, time.Second, s.Duties.Window)
 }
 
 // TestHangupsAreTaken sends SIGHUP with good and bad settings to a node, which must serve on, and then stops it.
--- a/cmd/vaneyoked/soak_test.go
+++ b/cmd/vaneyoked/soak_test.go
@@ -80,6 +80,10 @@
 func newSoak(t *testing.T, nodes int, replace ...string) *soak {
 	s := &soak{t: t, store: platformtest.NewStore(), logs: t.TempDir()}
 	t.Cleanup(s.store.Close)
+	t.Cleanup(func() {
+		must.SliceEmpty(t, s.store.Cloud().Wrong())
+		t.Logf("%d reports of usage, %d calls with a lower token", len(s.store.Cloud().Reports()), s.store.Cloud().Refused())
+	})
 	if *soakLogs != "" {
 		s.logs = filepath.Join(*soakLogs, t.Name())
 		must.NoError(t, os.MkdirAll(s.logs, 0o700))
