First start: a node registers before it reads; counts from before the ledger; hand-overs while the load is not known

It begins with the first window that is not due to be fixed. - A node that took the duty over while the cheaper engines were just being started took both kinds for what is to be kept, and ordered half as many again.

--- a/cmd/vaneyoked/gateway_test.go
+++ b/cmd/vaneyoked/gateway_test.go
@@ -39,7 +39,7 @@
 	must.NoError(t, err)
 	filled := strings.NewReplacer(
 		"{{nodeName}}", "edge-1", "{{zone}}", "a", "{{limits.linkMbps}}", "1000.0", "{{ip}}:9100", admin, "{{ip}}:{{portRange.0}}", "127.0.0.1:0", "{{bounds.graceS}}", "8", "{{bounds.drainMs}}", "2000", "{{bounds.configMs}}", "2000", "{{bounds.contactMs}}", "3000", "{{bounds.retryRatio}}", "0.8", "{{bounds.retryAllowance}}", "150", "{{bounds.retryWindowS}}", "10",
-		"{{#cloud.address}}", "", "{{cloud.address}}", store, "{{/cloud.address}}", "", "{{bounds.leaseMs}}", "1000", "{{#bounds.fencing}}", "", "{{/bounds.fencing}}", "",
+		"{{bootstrap}}", "false", "{{#cloud.address}}", "", "{{cloud.address}}", store, "{{/cloud.address}}", "", "{{bounds.leaseMs}}", "1000", "{{#bounds.fencing}}", "", "{{/bounds.fencing}}", "",
 		"{{#bounds.reportWindowS}}", "", "{{bounds.reportWindowS}}", "1", "{{/bounds.reportWindowS}}", "", "{{#bounds.usageLateS}}", "", "{{bounds.usageLateS}}", "6", "{{/bounds.usageLateS}}", "",
 		"{{#bounds.exposureShare}}", "", "{{.}}", "0.1", "{{/bounds.exposureShare}}", "",
 		"{{listen.frontend}}", listen, "{{listen.readiness}}", readiness, "{{platform.address}}", store,
--- a/decide/capacity/state.go
+++ b/decide/capacity/state.go
@@ -20,6 +20,7 @@
 	settleTime  = 3 * time.Second        // beyond the boot time until an order is to stand
 	mostAgain   = time.Minute            // longest time between two repeats of an order that does not stand
 	listSettle  = 3 * time.Second        // for which the list of upstreams must not have grown before it is gone by while the load is not known
+	dutySettle  = 5 * time.Second        // for which a node must have held the duty before it orders without knowing the load: who has just begun to order may not be done, and a fleet that starts changes its reader
 	missingStep = 6                      // upstreams by which the number of those that take the place of missing ones changes
 	orderEvery  = 400 * time.Millisecond // shortest time between two orders for a pool
 )
@@ -50,7 +51,7 @@
 	ordered map[Pool]*ordered
 	orders  bool      // whether the node held the duty when it was looked last
 	gained  time.Time // when it came to hold it
-	found   int       // most upstreams that stood since then beside those that it ordered
+	found   int       // most upstreams that stood since then, before it ordered any
 	grown   time.Time // when there were last more than before
 }
 
@@ -61,7 +62,6 @@
 	pause time.Duration // before it is repeated where it does not stand
 	again []time.Time   // when it is repeated in any case
 	under bool          // whether it has no answer yet
-	stood int           // upstreams of the pool that stood before the first order
 }
 
 // Handle takes in an event and returns what is to be ordered.
@@ -157,15 +157,11 @@
 	}
 	v.look(now)
 	v.plan(now)
-	if v.planned == 0 && v.found == 0 {
-		return nil
+	if v.planned == 0 && (v.found == 0 || now.Sub(v.grown) < listSettle || now.Sub(v.gained) < dutySettle) {
+		return nil // the list may not be whole yet, and fewer would be ordered than there are
 	}
-	whole := v.planned > 0 || now.Sub(v.grown) >= listSettle // otherwise the list may not be whole, and fewer would be ordered than there are
 	targets, reason := v.targets()
 	for _, pool := range v.pools() {
-		if !whole && !v.mayRaise(pool, targets[pool]) {
-			continue
-		}
 		if order, ok := v.order(now, pool, targets[pool], reason); ok {
 			due = append(due, order)
 		}
@@ -173,31 +169,10 @@
 	return due
 }
 
-// mayRaise reports whether a number may be ordered while the list of upstreams grows: more of those that may be taken away, which are not there by themselves.
-func (v *service) mayRaise(pool Pool, target int) bool {
-	before := v.live[pool]
-	if o := v.ordered[pool]; o != nil {
-		before = max(before, o.count)
-	}
-	return pool.Preemptible && target > before
-}
-
-// look notes how many upstreams there were before any were ordered.
+// look notes how many upstreams there are before any are ordered.
 func (v *service) look(now time.Time) {
-	found := 0
-	for pool, count := range v.live {
-		o := v.ordered[pool]
-		switch {
-		case o == nil:
-			found += count
-		case !pool.Preemptible:
-			return // some may have been let go
-		default:
-			found += o.stood
-		}
-	}
-	if found > v.found {
-		v.found, v.grown = found, now
+	if n := v.standing(); n > v.found && len(v.ordered) == 0 {
+		v.found, v.grown = n, now
 	}
 }
 
@@ -319,7 +294,7 @@
 	case now.Before(v.scarce[pool]):
 		return Order{}, false
 	case o == nil:
-		o = &ordered{pause: v.terms.Boot + settleTime, stood: stands}
+		o = &ordered{pause: v.terms.Boot + settleTime}
 		v.ordered[pool] = o
 		if target == stands {
 			o.count, o.at = target, now
--- a/decide/usage/book.go
+++ b/decide/usage/book.go
@@ -150,7 +150,7 @@
 	c.Ledger.Marks = b.ledger.Marks.clone()
 	created := c.Ledger.Revision == 0
 	if created {
-		c.Ledger.Floor = b.firstOf(here)
+		c.Ledger.Floor = b.firstOf(At(t.Wall.Add(-b.config.Late/fixShare), b.config.Length)) // what nodes counted before may be on its way
 	}
 	put := map[Window]Row{}
 	took := b.addTo(c, put, here)
@@ -167,14 +167,14 @@
 	b.emit(*c)
 }
 
-// firstOf returns the first window that is reported where none was before.
-func (b *Book) firstOf(here Window) Window {
+// firstOf returns the first window that is reported where none was before: the first of those that are open, or that counts wait for.
+func (b *Book) firstOf(open Window) Window {
 	for _, p := range b.pending {
 		for window := range p.Counts {
-			here = min(here, window)
+			open = min(open, window)
 		}
 	}
-	return here
+	return open
 }
 
 // addTo adds the batches that wait to the rows, and reports whether there were any.
--- a/decide/usage/usage_test.go
+++ b/decide/usage/usage_test.go
@@ -395,3 +395,13 @@
 	must.Positive(t, beyond)
 	must.SliceNotEmpty(t, play(faultSendsFresh).broken)
 }
+
+// TestCountsFromBeforeTheLedger has a node count before the root has begun the ledger, and hand that on after it: it is reported.
+func TestCountsFromBeforeTheLedger(t *testing.T) {
+	w := newWorld(t, 1, 2, faultNone)
+	w.nodes[1].dead = w.now.Add(2 * time.Second) // it counts and does not hand on
+	early := usage.At(w.now, length) - 1
+	w.nodes[1].tally.Began(early, "w0")
+	w.run(40*time.Second, 0, nil)
+	must.EqOp(t, 1, w.reported[early]["w0"])
+}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -37,6 +37,7 @@
 	Readiness     string        `ini:"readiness" check:"optional_address" doc:"IP number and port at which the node tells whether it takes new connections."`
 	Store         string        `ini:"store" check:"optional_address" doc:"IP number and port of the store that holds the routes and the list of upstreams; must be set where listen is."`
 	Peers         string        `ini:"peers" check:"optional_address" doc:"IP number and port at which the node tells other nodes what the store holds; without one, it reads the store itself."`
+	FirstStart    bool          `ini:"first_start" default:"false" doc:"Whether the whole system starts for the first time: the node then registers itself before it reads which others there are, which spares the store two calls of each node."`
 	MaxWait       time.Duration `ini:"max_wait" default:"60s" min:"10ms" doc:"Longest time for an answer where neither the route nor the caller names one."`
 	HeaderWait    time.Duration `ini:"header_wait" default:"10s" min:"100ms" doc:"Longest time that a caller may take to send a request's header."`
 	IdleWait      time.Duration `ini:"idle_wait" default:"60s" min:"1s" doc:"How long a connection without a request is kept."`
--- a/shell/mesh/config.go
+++ b/shell/mesh/config.go
@@ -17,6 +17,11 @@
 	Small  watch.Config  // of a node without others
 	Slow   watch.Config  // of tables that may lag
 
+	// FirstStart says that the whole system starts for the first time: no member stands in the store, so that a node registers itself first, and reads once the others have.
+	FirstStart bool
+	Assemble   time.Duration // time from the start of such a node to its first look at the members
+	Settled    time.Duration // time between two looks at them while it reads nothing else
+
 	Members   string        // name of the table in which the members register themselves
 	Check     time.Duration // time between two looks for members that are gone
 	GoneAfter time.Duration // for which a member must not have answered to be taken off
@@ -33,6 +38,7 @@
 	return Config{
 		Feed: feed.DefaultConfig(), Settle: time.Second, Beat: 250 * time.Millisecond, Stall: 800 * time.Millisecond,
 		Reader: reader, Small: watch.DefaultConfig(), Slow: slow,
+		Assemble: 350 * time.Millisecond, Settled: time.Second,
 		Members: "members", Check: time.Minute, GoneAfter: 10 * time.Minute, Again: 2 * time.Second,
 	}
 }
--- a/shell/mesh/read.go
+++ b/shell/mesh/read.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/vaneyoke/vaneyoke/decide/feed"
+	"github.com/vaneyoke/vaneyoke/internal/pause"
 	"github.com/vaneyoke/vaneyoke/shell/watch"
 )
 
@@ -16,19 +17,31 @@
 		if reading == feed.ReadNothing || reading == feed.ReadMembers && name != r.config.Members {
 			continue
 		}
-		f := r.follower(ctx, name, turns)
-		r.work.Go(func() { f.Run(ctx) })
+		f := r.follower(ctx, name, reading, turns)
+		r.work.Go(func() {
+			if !r.assembles(reading) || pause.For(ctx, r.config.Assemble) {
+				f.Run(ctx)
+			}
+		})
 	}
 }
 
+// assembles reports whether the node waits for the others of a system that starts for the first time to register themselves.
+func (n *Node) assembles(reading feed.Reading) bool {
+	return n.config.FirstStart && reading == feed.ReadMembers && n.registeredMembers() == nil
+}
+
 // follower returns a follower of one of the store's tables, which goes on from what the hub holds.
-func (n *Node) follower(ctx context.Context, name string, turns *watch.Turns) *watch.Follower {
+func (n *Node) follower(ctx context.Context, name string, reading feed.Reading, turns *watch.Turns) *watch.Follower {
 	t := n.hub.tables[name]
 	times := func() watch.Config {
 		config := n.times()
 		if t.MayLag {
 			config = n.config.Slow
 		}
+		if n.config.FirstStart && reading == feed.ReadMembers {
+			config.Gather = n.config.Settled
+		}
 		config.Grace = t.Grace
 		return config
 	}
--- a/shell/mesh/register.go
+++ b/shell/mesh/register.go
@@ -12,8 +12,11 @@
 	"github.com/vaneyoke/vaneyoke/shell/watch"
 )
 
-// registerWhenKnown writes the own entry once the members are known, where it is not among them.
+// registerWhenKnown writes the own entry once the members are known, where it is not among them; at the first start of all, at once.
 func (n *Node) registerWhenKnown(ctx context.Context) {
+	if n.config.FirstStart {
+		n.register(ctx)
+	}
 	select {
 	case <-n.known:
 		n.register(ctx)
