Usage after a long outage: pieces that the store takes, and windows kept open for what nodes kept

After an outage of some minutes nothing would have been reported any more, or wrongly: - a node handed on all windows that it had kept as one batch, over the 1 MB that the one above takes, and the root wrote a row for each in one transaction, over the 100 entries that the store takes: both refused for good. A batch holds 8 windows, what is handed on at a time and what a transaction writes are bounded by rows and bytes, and a node that is behind hands on at once. - the windows of the outage were fixed as soon as the store was back, before the nodes' counts came, which then missed them. After an outage of 2 s and more, and where a node has just begun to write, none is fixed while counts of windows that are due still come, for five minutes at the most. - what a node keeps while nobody takes it grew without a bound: 100,000 counts now, the oldest windows go first, and the log says how many. - counts and loads of other nodes and the terms of the platform were taken as they came: a window of the far past would have had empty windows reported without end.

--- a/decide/capacity/terms.go
+++ b/decide/capacity/terms.go
@@ -1,6 +1,7 @@
 package capacity
 
 import (
+	"math"
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
@@ -35,6 +36,29 @@
 	}
 }
 
+const (
+	mostTold   = 1_000_000 // requests, and seconds that they took, of a load
+	mostTokens = 1e12      // of a load
+)
+
+// Sound reports whether a node may have told the load.
+func (l Load) Sound() bool {
+	return l.Begun >= 0 && l.Begun <= mostTold && within(l.Reading) && within(l.Running) &&
+		l.Tokens >= 0 && l.Tokens <= mostTokens && l.Vain >= 0 && l.Vain <= mostTokens && l.Held >= 0 && l.Held <= mostTokens*mostTold
+}
+
+func within(d time.Duration) bool { return d >= 0 && d <= mostTold*time.Second }
+
+// Sound reports whether upstreams can be ordered on the terms.
+func (t *Terms) Sound() bool {
+	for _, price := range t.Prices {
+		if !(price > 0) || math.IsInf(price, 1) {
+			return false
+		}
+	}
+	return t.Service != "" && t.Least >= 0 && t.Most >= max(t.Least, 1) && t.Boot >= 0 && t.Boot <= time.Hour && t.Preemptible >= 0 && t.Slots >= 0 && t.Memory >= 0
+}
+
 // Pool is a kind of a service's upstreams in a data centre; each has a number that is ordered.
 type Pool struct {
 	DataCentre  vaneyoke.DataCentreID
--- a/decide/usage/book.go
+++ b/decide/usage/book.go
@@ -19,9 +19,14 @@
 	commitEvery  = 500 * time.Millisecond // shortest time between two transactions
 	retryAfter   = 500 * time.Millisecond // time after a call that failed before the next
 	mostPending  = 256                    // batches that wait to be written
-	mostFixed    = 20                     // windows that are fixed at a time
-	mostCounted  = 2000                   // workspaces of a window, which a row of the store holds
-	mostPerWrite = 40                     // rows that a transaction writes
+	mostPut      = 24                     // rows that a transaction writes: with their revisions and the ledger's, and those that it removes, they are fewer than the store takes
+	mostRemoved  = 16                     // rows that a transaction removes
+	mostPutBytes = 700_000                // estimated bytes of the rows that a transaction writes
+	mostRowBytes = 48_000                 // estimated bytes of a row
+	outageFrom   = 2 * time.Second        // of calls that fail from which the store was away
+	lateQuiet    = 3 * time.Second        // without counts of windows that are due, after the store was away, before any is fixed
+	lateMost     = 5 * time.Minute        // for which it is waited for such counts
+	firstBack    = 1000                   // windows before those that are open that a ledger may begin with
 )
 
 // Book is a node's part in keeping the counts in the store and in reporting them: what is to be reported is fixed in the store before it is sent, so
@@ -38,6 +43,10 @@
 	under   *Commit // transaction on its way; nil for none
 	loading bool
 	sending bool
+	failing time.Time // since when the store's calls fail; zero where the last one did not
+	backAt  time.Time // when the store was back last
+	lateAt  time.Time // when counts of a window that was due came last
+	wall    time.Time // as it was told last
 	retryAt time.Time // before which the store is not called
 	sendAt  time.Time // before which nothing is sent
 
@@ -55,14 +64,13 @@
 	b.effects = nil
 	switch e := ev.(type) {
 	case Offered:
-		b.offer(e.Batch)
+		b.offer(now, e.Batch)
 	case Loaded:
-		b.load(e)
+		b.load(now, e)
 	case Committed:
-		b.committed(e.Revision)
+		b.committed(now, e.Revision)
 	case Failed:
-		b.under, b.loading, b.loaded = nil, false, false
-		b.retryAt = now.Add(retryAfter)
+		b.failed(now)
 	case Sent:
 		b.sent(now, e)
 	case Tick:
@@ -74,14 +82,46 @@
 func (b *Book) emit(e Effect) { b.effects = append(b.effects, e) }
 
 // offer keeps a batch until it is written; one that waits already does not wait twice.
-func (b *Book) offer(batch Batch) {
-	if !slices.ContainsFunc(b.pending, func(p Batch) bool { return p.is(&batch) }) {
-		b.pending = append(b.pending, batch)
+func (b *Book) offer(now time.Time, batch Batch) {
+	if slices.ContainsFunc(b.pending, func(p Batch) bool { return p.is(&batch) }) {
+		return
+	}
+	b.pending = append(b.pending, batch)
+	for window := range batch.Counts {
+		if b.isDue(window) {
+			b.lateAt = now
+		}
+	}
+}
+
+func (b *Book) isDue(window Window) bool {
+	return !b.wall.Before(window.End(b.config.Length).Add(b.config.Late / fixShare))
+}
+
+func (b *Book) failed(now time.Time) {
+	b.under, b.loading, b.loaded = nil, false, false
+	b.retryAt = now.Add(retryAfter)
+	if b.failing.IsZero() {
+		b.failing = now
 	}
 }
 
-func (b *Book) load(e Loaded) {
+// answered notes that the store has answered. After an outage, and where the node has just begun to write, the nodes still hold counts of windows that are due.
+func (b *Book) answered(now time.Time) {
+	if b.backAt.IsZero() || !b.failing.IsZero() && now.Sub(b.failing) >= outageFrom {
+		b.backAt, b.lateAt = now, now
+	}
+	b.failing = time.Time{}
+}
+
+// awaitsCounts reports whether nothing is fixed yet, because the nodes still hand on what they kept during an outage.
+func (b *Book) awaitsCounts(now time.Time) bool {
+	return now.Sub(b.lateAt) < lateQuiet && now.Sub(b.backAt) < lateMost
+}
+
+func (b *Book) load(now time.Time, e Loaded) {
 	b.loading, b.loaded = false, true
+	b.answered(now)
 	b.ledger = e.Ledger
 	b.rows = map[Window]Row{}
 	for _, r := range e.Rows {
@@ -91,12 +131,13 @@
 }
 
 // committed takes in that the rows stand as they were written.
-func (b *Book) committed(revision vaneyoke.Revision) {
+func (b *Book) committed(now time.Time, revision vaneyoke.Revision) {
 	c := b.under
 	if c == nil {
 		return
 	}
 	b.under = nil
+	b.answered(now)
 	b.ledger = c.Ledger
 	b.ledger.Revision = revision
 	b.done = max(b.done, b.ledger.Floor)
@@ -126,9 +167,10 @@
 }
 
 func (b *Book) tick(now time.Time, t Tick) {
+	b.wall = t.Wall
 	if !t.Writes && !t.Reports {
 		if b.under == nil {
-			b.loaded = false // others write meanwhile
+			b.loaded, b.backAt = false, time.Time{} // others write meanwhile
 		}
 		return
 	}
@@ -154,7 +196,7 @@
 	}
 	put := map[Window]Row{}
 	took := b.addTo(c, put, here)
-	fixed := t.Reports && b.fix(c, put, t.Wall)
+	fixed := t.Reports && !b.awaitsCounts(now) && b.fix(c, put)
 	removed := t.Reports && b.remove(c, put)
 	if !created && !took && !fixed && !removed {
 		return
@@ -169,18 +211,22 @@
 
 // firstOf returns the first window that is reported where none was before: the first of those that are open, or that counts wait for.
 func (b *Book) firstOf(open Window) Window {
+	first := open
 	for _, p := range b.pending {
 		for window := range p.Counts {
-			open = min(open, window)
+			first = min(first, window)
 		}
 	}
-	return open
+	return max(first, open-firstBack)
 }
 
-// addTo adds the batches that wait to the rows, and reports whether there were any.
+// addTo adds the batches that wait to the rows, as far as a transaction holds them, and reports whether there were any.
 func (b *Book) addTo(c *Commit, put map[Window]Row, here Window) (took bool) {
 	for i := range b.pending {
 		batch := &b.pending[i]
+		if took && !b.hasRoom(put, batch) {
+			return took
+		}
 		if !c.Ledger.Marks.covers(batch) {
 			c.Ledger.Marks.take(batch, here)
 			for window, counts := range batch.Counts {
@@ -188,27 +234,44 @@
 			}
 		}
 		took = true
-		if len(put) >= mostPerWrite {
-			return took
-		}
 	}
 	return took
 }
 
+// hasRoom reports whether a transaction that writes some rows can hold a batch's windows besides.
+func (b *Book) hasRoom(put map[Window]Row, batch *Batch) bool {
+	rows, bytes := len(put), 0
+	for _, row := range put {
+		bytes += row.Counts.bytes()
+	}
+	for window, counts := range batch.Counts {
+		bytes += counts.bytes()
+		if _, ok := put[window]; !ok {
+			rows++
+			bytes += b.rows[window].Counts.bytes()
+		}
+	}
+	return rows <= mostPut && bytes <= mostPutBytes
+}
+
 func (b *Book) addCounts(c *Commit, put map[Window]Row, window Window, counts Counts) {
 	row := b.rowFor(put, window)
 	if window < c.Ledger.Floor || row.Fixed {
-		total := 0
-		for _, n := range counts {
-			total += n
-		}
-		b.emit(Missed{Window: window, Requests: total})
+		b.emit(Missed{Window: window, Requests: counts.total()})
 		return
 	}
+	bytes, missed := row.Counts.bytes(), 0
 	for workspace, n := range counts {
-		if _, known := row.Counts[workspace]; known || len(row.Counts) < mostCounted {
-			row.Counts[workspace] += n
+		if _, known := row.Counts[workspace]; !known {
+			if bytes += bytesOf(workspace); bytes > mostRowBytes {
+				missed += n
+				continue
+			}
 		}
+		row.Counts[workspace] += n
+	}
+	if missed > 0 {
+		b.emit(Missed{Window: window, Requests: missed})
 	}
 	put[window] = row
 }
@@ -227,20 +290,18 @@
 }
 
 // fix has the windows change no more whose time is over.
-func (b *Book) fix(c *Commit, put map[Window]Row, wall time.Time) (any bool) {
-	fixed := 0
-	for window := max(c.Ledger.Floor, b.done); fixed < mostFixed && len(put) < mostPerWrite; window++ {
-		if wall.Before(window.End(b.config.Length).Add(b.config.Late / fixShare)) {
-			return any
-		}
+func (b *Book) fix(c *Commit, put map[Window]Row) (any bool) {
+	for window := max(c.Ledger.Floor, b.done); b.isDue(window); window++ {
 		row := b.rowFor(put, window)
 		if row.Fixed {
 			continue
 		}
+		if !b.hasRoom(put, &Batch{Counts: Windows{window: nil}}) {
+			return any
+		}
 		row.Fixed = true
 		put[window] = row
 		any = true
-		fixed++
 	}
 	return any
 }
@@ -250,7 +311,7 @@
 	reported := b.done > c.Ledger.Floor
 	c.Ledger.Floor = max(c.Ledger.Floor, b.done)
 	for _, window := range slices.Sorted(maps.Keys(b.rows)) {
-		if window >= c.Ledger.Floor || len(c.Remove) >= mostPerWrite {
+		if window >= c.Ledger.Floor || len(c.Remove) >= mostRemoved {
 			break
 		}
 		delete(put, window)
--- a/decide/usage/counts.go
+++ b/decide/usage/counts.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
@@ -22,15 +23,6 @@
 // Windows are counts by window.
 type Windows map[Window]Counts
 
-// add adds the counts of another.
-func (w Windows) add(other Windows) {
-	for window, counts := range other {
-		for workspace, n := range counts {
-			w.count(window, workspace, n)
-		}
-	}
-}
-
 func (w Windows) count(window Window, workspace vaneyoke.WorkspaceID, n int) {
 	if w[window] == nil {
 		w[window] = Counts{}
@@ -38,6 +30,40 @@
 	w[window][workspace] += n
 }
 
+// oldest returns the oldest windows, in order, but no more than so many.
+func (w Windows) oldest(most int) []Window {
+	all := slices.Sorted(maps.Keys(w))
+	return all[:min(most, len(all))]
+}
+
+// size returns how many counts there are.
+func (w Windows) size() (n int) {
+	for _, counts := range w {
+		n += len(counts)
+	}
+	return n
+}
+
+// bytes estimates how many bytes the counts take in a row.
+func (c Counts) bytes() (n int) {
+	for workspace := range c {
+		n += bytesOf(workspace)
+	}
+	return n
+}
+
+func bytesOf(workspace vaneyoke.WorkspaceID) int {
+	const numberAndMarks = 12
+	return len(workspace) + numberAndMarks
+}
+
+func (c Counts) total() (n int) {
+	for _, count := range c {
+		n += count
+	}
+	return n
+}
+
 // Batch is what a node hands on at a time; it is the same each time that it is offered.
 type Batch struct {
 	Origin vaneyoke.VMID
@@ -51,6 +77,30 @@
 	return b.Origin == other.Origin && b.Life == other.Life && b.Seq == other.Seq
 }
 
+const (
+	mostAhead  = 60            // windows by which a node's clock may be ahead of another's
+	mostBehind = 20_000        // windows by which counts may be late
+	mostCount  = 1_000_000_000 // requests of a workspace in a window
+)
+
+// Sound reports whether a node of this build may have handed the batch on, in a window.
+func (b *Batch) Sound(here Window) bool {
+	if b.Origin == "" || b.Seq == 0 {
+		return false
+	}
+	for window, counts := range b.Counts {
+		if window > here+mostAhead || window < here-mostBehind {
+			return false
+		}
+		for workspace, n := range counts {
+			if workspace == "" || n < 1 || n > mostCount {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Mark says which batch of a node was taken last.
 type Mark struct {
 	Life   vaneyoke.Incarnation
--- a/decide/usage/tally.go
+++ b/decide/usage/tally.go
@@ -1,23 +1,31 @@
 package usage
 
 import (
+	"maps"
 	"slices"
 
 	"github.com/vaneyoke/vaneyoke"
 )
 
-// mostCarried bounds the batches of other nodes that are handed on as they are.
-const mostCarried = 64
+const (
+	mostCarried = 64      // batches of other nodes that are handed on as they are
+	mostWindows = 8       // windows of a batch
+	mostCounted = 2000    // workspaces of a window
+	mostHanded  = 16_000  // counts that are handed on at a time
+	mostKept    = 100_000 // counts that a node keeps while nobody takes them; those of the oldest windows go first
+)
 
 // Tally is what a node has counted, and has taken over from those that follow it, and has not handed on yet.
 type Tally struct {
 	self    vaneyoke.VMID
 	life    vaneyoke.Incarnation
 	open    Windows
+	kept    int     // counts in them
 	offered *Batch  // its own on its way; nil for none
 	carried []Batch // of other nodes, which may be in the store already: they are handed on as they are, so that the store's marks tell
 	seq     uint64
 	taken   Marks
+	dropped Missed
 }
 
 // NewTally returns a tally without counts; life tells the node's process from all others.
@@ -26,8 +34,37 @@
 }
 
 // Began counts a request that an upstream began.
-func (t *Tally) Began(window Window, workspace vaneyoke.WorkspaceID) {
-	t.open.count(window, workspace, 1)
+func (t *Tally) Began(window Window, workspace vaneyoke.WorkspaceID) { t.add(window, workspace, 1) }
+
+func (t *Tally) add(window Window, workspace vaneyoke.WorkspaceID, n int) {
+	if _, known := t.open[window][workspace]; !known {
+		if len(t.open[window]) >= mostCounted {
+			t.drop(window, n)
+			return
+		}
+		t.kept++
+	}
+	t.open.count(window, workspace, n)
+	if t.kept > mostKept {
+		oldest := slices.Min(slices.Collect(maps.Keys(t.open)))
+		t.drop(oldest, t.open[oldest].total())
+		t.remove(oldest)
+	}
+}
+
+func (t *Tally) remove(window Window) {
+	t.kept -= len(t.open[window])
+	delete(t.open, window)
+}
+
+func (t *Tally) drop(window Window, requests int) {
+	t.dropped = Missed{Window: max(t.dropped.Window, window), Requests: t.dropped.Requests + requests}
+}
+
+// Dropped returns how many requests were let go since it was asked last, and the newest of their windows; ok is false where there were none.
+func (t *Tally) Dropped() (dropped Missed, ok bool) {
+	dropped, t.dropped = t.dropped, Missed{}
+	return dropped, dropped.Requests > 0
 }
 
 // Take takes over a batch of a node that follows this one, once however often it comes, and reports whether it could.
@@ -40,7 +77,11 @@
 	case b.Again:
 		t.carried = append(t.carried, *b)
 	default:
-		t.open.add(b.Counts)
+		for window, counts := range b.Counts {
+			for workspace, n := range counts {
+				t.add(window, workspace, n)
+			}
+		}
 	}
 	if b.Origin != t.self {
 		t.taken.take(b, now)
@@ -48,23 +89,35 @@
 	return true
 }
 
-// Offer returns what is to be handed on: the same batches until they have been taken, none where there is nothing.
-func (t *Tally) Offer() []Batch {
+// Offer returns what is to be handed on, the oldest windows first: its own batch is the same until it has been taken. It is empty where there is nothing.
+func (t *Tally) Offer() (all []Batch) {
 	if t.offered != nil {
 		t.offered.Again = true
 	}
 	if t.offered == nil && len(t.open) > 0 {
 		t.seq++
-		t.offered = &Batch{Origin: t.self, Life: t.life, Seq: t.seq, Counts: t.open}
-		t.open = Windows{}
+		t.offered = &Batch{Origin: t.self, Life: t.life, Seq: t.seq, Counts: Windows{}}
+		for _, window := range t.open.oldest(mostWindows) {
+			t.offered.Counts[window] = t.open[window]
+			t.remove(window)
+		}
 	}
-	all := slices.Clone(t.carried)
-	if t.offered != nil {
+	size := 0
+	for _, b := range t.carried {
+		if size += b.Counts.size(); size > mostHanded && len(all) > 0 {
+			return all
+		}
+		all = append(all, b)
+	}
+	if t.offered != nil && (len(all) == 0 || size+t.offered.Counts.size() <= mostHanded) {
 		all = append(all, *t.offered)
 	}
 	return all
 }
 
+// Behind reports whether more waits than one batch holds.
+func (t *Tally) Behind() bool { return len(t.open) > mostWindows || len(t.carried) > 0 }
+
 // Taken notes that batches were taken.
 func (t *Tally) Taken(all []Batch) {
 	for i := range all {
--- a/shell/duties/exchange.go
+++ b/shell/duties/exchange.go
@@ -6,7 +6,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -23,14 +25,16 @@
 const (
 	handWait     = 1800 * time.Millisecond // longest wait for the node above, which may wait for the store
 	writtenWait  = 1500 * time.Millisecond // longest wait for the store to hold what was handed on
-	maxHandBytes = 1 << 20
+	maxHandBytes = 4 << 20
+	mostHandings = 16              // batches in a row, where more waits
+	longestTold  = 2 * time.Second // of a node's load that counts, where it was not told for longer
 )
 
 // handed is what a node hands to the one above it.
 type handed struct {
 	Batches []usage.Batch                        `json:"batches,omitempty"`
 	Loads   map[vaneyoke.ServiceID]capacity.Load `json:"loads,omitempty"`
-	Told    int                                  `json:"told,omitempty"` // nodes whose loads these are
+	Told    time.Duration                        `json:"told,omitempty"` // for which nodes tell their loads, summed up over them
 }
 
 // ServeHTTP takes what a node that follows this one counted: 200 says that it has been taken over, any other status that it must be offered again.
@@ -48,6 +52,7 @@
 // take takes over what was handed on; the root does so once the store holds it.
 func (n *Node) take(ctx context.Context, h handed) bool {
 	n.mu.Lock()
+	h.Batches = n.soundLocked(h.Batches)
 	n.takeLoadsLocked(h.Loads, h.Told)
 	if n.isRoot() {
 		n.mu.Unlock()
@@ -63,13 +68,28 @@
 	return true
 }
 
-func (n *Node) takeLoadsLocked(loads map[vaneyoke.ServiceID]capacity.Load, told int) {
-	if told == 0 {
+// soundLocked returns the batches that a node of this build may have handed on; others are told of and count as taken, since they come again otherwise.
+func (n *Node) soundLocked(all []usage.Batch) []usage.Batch {
+	here := usage.At(n.clock.Wall(steady.Now()), max(n.config.Usage.Length, 1))
+	return slices.DeleteFunc(all, func(b usage.Batch) bool {
+		sound := b.Sound(here)
+		if !sound {
+			n.metrics.counts.Add("usage_unsound_total", 1)
+			n.log.WithFields(logrus.Fields{"peer": b.Origin, "seq": b.Seq}).Warn("counts_unsound")
+		}
+		return !sound
+	})
+}
+
+// takeLoadsLocked adds what nodes told of their load.
+func (n *Node) takeLoadsLocked(loads map[vaneyoke.ServiceID]capacity.Load, told time.Duration) {
+	members := n.tree.Members()
+	if told <= 0 || told > time.Duration(members)*longestTold {
 		return
 	}
+	maps.DeleteFunc(loads, func(_ vaneyoke.ServiceID, load capacity.Load) bool { return !load.Sound() })
 	if n.isRoot() {
-		share := float64(told) / float64(n.tree.Members())
-		n.plan.Handle(steady.Now(), capacity.Used{Loads: loads, Told: share * handEvery.Seconds()})
+		n.plan.Handle(steady.Now(), capacity.Used{Loads: loads, Told: told.Seconds() / float64(members)})
 		return
 	}
 	n.told += told
@@ -118,30 +138,54 @@
 	return true
 }
 
-// hand hands on what the node has counted and taken over.
+// hand hands on what the node has counted and taken over, in some batches where much waits.
 func (n *Node) hand(ctx context.Context) {
+	for range mostHandings {
+		if !n.handOnce(ctx) {
+			return
+		}
+	}
+}
+
+// handOnce hands on a batch, and reports whether it was taken and more waits.
+func (n *Node) handOnce(ctx context.Context) (more bool) {
 	n.mu.Lock()
 	h := handed{Batches: n.tally.Offer()}
 	if len(n.ordered) > 0 {
-		h.Loads, h.Told = n.loads, n.told+1
-		n.loads, n.told = map[vaneyoke.ServiceID]capacity.Load{}, 0
+		h.Loads, h.Told = n.loadsLocked(steady.Now())
 	}
+	n.tellDroppedLocked()
 	root := n.isRoot()
 	n.mu.Unlock()
 	if len(h.Batches) == 0 && h.Told == 0 {
-		return
+		return false
 	}
 	if root {
 		if !n.take(ctx, h) {
-			return
+			return false
 		}
 	} else if err := n.handAbove(ctx, h); err != nil {
 		n.log.WithFields(logrus.Fields{"batches": len(h.Batches), "error": err}).Debug("counts_not_taken")
-		return
+		return false
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.tally.Taken(h.Batches)
+	return n.tally.Behind()
+}
+
+// loadsLocked returns what the node has to tell of loads, and for how long, and begins anew.
+func (n *Node) loadsLocked(now time.Time) (map[vaneyoke.ServiceID]capacity.Load, time.Duration) {
+	loads, told := n.loads, n.told+min(now.Sub(n.toldAt), longestTold)
+	n.loads, n.told, n.toldAt = map[vaneyoke.ServiceID]capacity.Load{}, 0, now
+	return loads, told
+}
+
+// tellDroppedLocked tells of counts that were let go because nobody took them for long.
+func (n *Node) tellDroppedLocked() {
+	if dropped, ok := n.tally.Dropped(); ok {
+		n.keepLocked(dropped)
+	}
 }
 
 func (n *Node) handAbove(ctx context.Context, h handed) error {
--- a/shell/duties/node.go
+++ b/shell/duties/node.go
@@ -104,7 +104,8 @@
 	plan    *capacity.State
 	ordered map[vaneyoke.ServiceID]bool          // services whose upstreams are ordered
 	loads   map[vaneyoke.ServiceID]capacity.Load // since the last report to the node above
-	told    int                                  // nodes whose loads are among them, beside this one
+	told    time.Duration                        // for which other nodes told theirs, which are among them, summed up
+	toldAt  time.Time                            // until when this node has told its own
 	written chan struct{}                        // closed at each batch that the store holds
 	stored  usage.Marks                          // of the batches that the store is known to hold
 	leaving bool
@@ -132,7 +133,8 @@
 	for _, name := range []lease.Name{DutyUsage, DutyCapacity} {
 		n.duties[name] = &duty{State: lease.New(self, life, config.Lease)}
 	}
-	n.clock.Sample(steady.Now(), time.Now())
+	n.toldAt = steady.Now()
+	n.clock.Sample(n.toldAt, time.Now())
 	metrics.tellLeases(n)
 	return n
 }
