Duties: tokens far behind, traffic that stops, and a start with a slow store

- A platform that has seen a higher token than the nodes give out (a hand-made order, a store whose counter began anew) refused each report for good: the next token was one higher than the last.
It does not say which it has seen, so that each refusal doubles the step: a thousand million is passed in 30.
- Traffic that stops for 45 s had nearly all engines let go, and came back to a boot time of late answers.
The plan is lowered to 0.7 of itself each 10 s at the most.
- While the load is not known, a number of missing engines was rounded up: 6 on-demand ones ordered where 4 stood.
- At the first start a node looks at the members 0.35 s later than at others, but gave up waiting for them at the same time: a store that takes 0.25 s would have had all nodes read all tables.
'Firm' is 'on-demand', the field's term; an event and two settings of the mesh have clearer names.

--- a/decide/capacity/capacity_test.go
+++ b/decide/capacity/capacity_test.go
@@ -53,11 +53,11 @@
 		if w.since() == 40*time.Second || w.since() == 41200*time.Millisecond {
 			w.reclaim([]vaneyoke.DataCentreID{"b", "a"}[int(w.since()/time.Second)%2], 9*time.Second)
 		}
-	}, short: 3 * time.Second}, // firm ones are ordered at the notice, and serve after their boot, by when those with the notice are gone
+	}, short: 3 * time.Second}, // on-demand ones are ordered at the notice, and serve after their boot, by when those with the notice are gone
 	"orders carried out late": {strike: func(w *world) { w.lost = 0.35 }},
 }
 
-// TestDays plays loads and losses over two minutes: the load is served, in few orders, for a bounded multiple of what one pays who knows all arrivals, loses nothing, and so needs neither firm upstreams nor a reserve for the time that new ones need.
+// TestDays plays loads and losses over two minutes: the load is served, in few orders, for a bounded multiple of what one pays who knows all arrivals, loses nothing, and so needs neither on-demand upstreams nor a reserve for the time that new ones need.
 func TestDays(t *testing.T) {
 	for name, day := range days {
 		t.Run(name, func(t *testing.T) {
@@ -120,13 +120,13 @@
 		least = min(least, serving)
 	})
 	must.GreaterEq(t, 120, least)
-	firm := 0
+	onDemand := 0
 	for _, e := range w.engines {
 		if !e.pool.Preemptible {
-			firm++
+			onDemand++
 		}
 	}
-	must.Less(t, 40, firm)
+	must.Less(t, 40, onDemand)
 }
 
 // TestLimitsAreKept has the load grow beyond what may be ordered.
@@ -147,7 +147,7 @@
 func TestListThatComesInParts(t *testing.T) {
 	s := capacity.New()
 	now := time.Unix(1000, 0)
-	s.Handle(now, capacity.Terming{All: []capacity.Terms{{Service: service, Least: 1, Most: 80, Boot: boot, Prices: prices, Preemptible: 0.22}}})
+	s.Handle(now, capacity.TermsSet{All: []capacity.Terms{{Service: service, Least: 1, Most: 80, Boot: boot, Prices: prices, Preemptible: 0.22}}})
 	var all []vaneyoke.Upstream
 	ordered := map[capacity.Pool]int{}
 	for i := range 300 {
@@ -199,3 +199,37 @@
 		must.LessEq(t, 60, w.wanted[capacity.Pool{DataCentre: dc}]+w.wanted[capacity.Pool{DataCentre: dc, Preemptible: true}])
 	}
 }
+
+// TestTrafficThatStops has no request come for 45 s, and all come back at once: what is left by then serves them.
+func TestTrafficThatStops(t *testing.T) {
+	w := newWorld(func(w *world) {
+		w.demand = func(since time.Duration) float64 {
+			if since > time.Minute && since < 105*time.Second {
+				return 0
+			}
+			return busy
+		}
+	})
+	w.run(3*time.Minute, nil)
+	must.EqOp(t, 0, w.short)
+}
+
+// TestUnsoundLoadsAndTerms are what no node tells and no platform offers.
+func TestUnsoundLoadsAndTerms(t *testing.T) {
+	for _, l := range []capacity.Load{{Begun: -1}, {Reading: -time.Second}, {Running: 1 << 60}, {Tokens: -1}, {Vain: -1}, {Held: -1}, {Held: math.NaN()}, {Held: math.Inf(1)}} {
+		must.False(t, l.Sound(), must.Sprint(l))
+	}
+	must.True(t, capacity.Load{Begun: 3, Reading: time.Second, Tokens: 5000, Held: 1e6}.Sound())
+	good := func() capacity.Terms { return capacity.Terms{Service: service, Most: 3, Prices: prices} }
+	for name, spoil := range map[string]func(t *capacity.Terms){
+		"no service": func(t *capacity.Terms) { t.Service = "" }, "none at all": func(t *capacity.Terms) { t.Most = 0 },
+		"fewer than the least": func(t *capacity.Terms) { t.Least = 4 }, "less than nothing": func(t *capacity.Terms) { t.Least = -1 },
+		"boots before its order": func(t *capacity.Terms) { t.Boot = -1 }, "boots for days": func(t *capacity.Terms) { t.Boot = 48 * time.Hour },
+		"for nothing": func(t *capacity.Terms) { t.Prices = map[vaneyoke.DataCentreID]float64{"a": 0} }, "memory": func(t *capacity.Terms) { t.Memory = -1 },
+	} {
+		terms := good()
+		must.True(t, terms.Sound())
+		spoil(&terms)
+		must.False(t, terms.Sound(), must.Sprint(name))
+	}
+}
--- a/decide/capacity/event.go
+++ b/decide/capacity/event.go
@@ -7,8 +7,8 @@
 // Event is something that a node learns.
 type Event interface{ event() }
 
-// Terming tells the terms of all services whose upstreams can be ordered.
-type Terming struct{ All []Terms }
+// TermsSet tells the terms of all services whose upstreams can be ordered.
+type TermsSet struct{ All []Terms }
 
 // Upstreams tells the fleet's upstreams.
 type Upstreams struct{ All []vaneyoke.Upstream }
@@ -40,7 +40,7 @@
 	Orders func(vaneyoke.ServiceID) bool
 }
 
-func (Terming) event()   {}
+func (TermsSet) event()  {}
 func (Upstreams) event() {}
 func (Used) event()      {}
 func (Answered) event()  {}
--- a/decide/capacity/state.go
+++ b/decide/capacity/state.go
@@ -11,18 +11,19 @@
 )
 
 const (
-	firmShare   = 0.2                    // of the need that is kept of upstreams which cannot be taken away
-	headroom    = 1.1                    // times the need that is planned
-	lowerBelow  = 0.65                   // times the planned need below which less is planned
-	lowerAfter  = 10 * time.Second       // since the last change of the plan
-	firmHold    = 6 * time.Second        // for which a number of upstreams that cannot be taken away is not lowered
-	scarceHold  = 3 * time.Second        // for which a pool is not asked again that has none
-	settleTime  = 3 * time.Second        // beyond the boot time until an order is to stand
-	mostAgain   = time.Minute            // longest time between two repeats of an order that does not stand
-	listSettle  = 3 * time.Second        // for which the list of upstreams must not have grown before it is gone by while the load is not known
-	dutySettle  = 5 * time.Second        // for which a node must have held the duty before it orders without knowing the load: who has just begun to order may not be done, and a fleet that starts changes its reader
-	missingStep = 6                      // upstreams by which the number of those that take the place of missing ones changes
-	orderEvery  = 400 * time.Millisecond // shortest time between two orders for a pool
+	onDemandShare = 0.2                    // of the need that is kept of upstreams which cannot be taken away
+	headroom      = 1.1                    // times the need that is planned
+	lowerBelow    = 0.65                   // times the planned need below which less is planned
+	lowerMost     = 0.7                    // share of the plan to which it is lowered at a time: traffic that stops may be back at once, and new upstreams need their time
+	lowerAfter    = 10 * time.Second       // since the last change of the plan
+	onDemandHold  = 6 * time.Second        // for which a number of upstreams that cannot be taken away is not lowered
+	scarceHold    = 3 * time.Second        // for which a pool is not asked again that has none
+	settleTime    = 3 * time.Second        // beyond the boot time until an order is to stand
+	mostAgain     = time.Minute            // longest time between two repeats of an order that does not stand
+	listSettle    = 3 * time.Second        // for which the list of upstreams must not have grown before it is gone by while the load is not known
+	dutySettle    = 5 * time.Second        // for which a node must have held the duty before it orders without knowing the load: who has just begun to order may not be done, and a fleet that starts changes its reader
+	missingStep   = 6                      // upstreams by which the number of those that take the place of missing ones changes
+	orderEvery    = 400 * time.Millisecond // shortest time between two orders for a pool
 )
 
 // lateOrders is when an order is repeated after one that got no answer, which may be carried out any time until then.
@@ -67,7 +68,7 @@
 // Handle takes in an event and returns what is to be ordered.
 func (s *State) Handle(now time.Time, ev Event) []Order {
 	switch e := ev.(type) {
-	case Terming:
+	case TermsSet:
 		s.setTerms(now, e.All)
 	case Upstreams:
 		s.all, s.listed = e.All, true
@@ -176,15 +177,18 @@
 	}
 }
 
-// plan follows the load: up at once, down only where it is clearly lower for a while, so that the number does not swing with it.
+// plan follows the load: up at once, down in steps where it is clearly lower for a while, so that the number does not swing with it.
 func (v *service) plan(now time.Time) {
 	if !v.demand.known(now) {
 		return
 	}
 	need, whole := v.demand.need(now, &v.terms)
 	lower := whole && need < lowerBelow*v.planned && now.Sub(v.changed) >= lowerAfter
-	if need > v.planned || lower {
-		v.planned, v.changed = max(math.Ceil(need*headroom), 1), now
+	switch {
+	case need > v.planned:
+		v.planned, v.changed = math.Ceil(need*headroom), now
+	case lower:
+		v.planned, v.changed = max(math.Ceil(need*headroom), math.Floor(lowerMost*v.planned), 1), now
 	}
 }
 
@@ -211,8 +215,8 @@
 	return n
 }
 
-// targets returns how many upstreams each pool is to have. The load is to be served without any one data centre, by upstreams that may be taken away; a firm share
-// cannot be, and firm ones take the place of those that are missing, until they are there again. While the load is not known, as many are kept as there are.
+// targets returns how many upstreams each pool is to have. The load is to be served without any one data centre, by upstreams that may be taken away; a share of on-demand ones
+// cannot be, and on-demand ones take the place of those that are missing, until they are there again. While the load is not known, as many are kept as there are.
 func (v *service) targets() (map[Pool]int, Reason) {
 	need, reason := v.planned, ReasonLoad
 	centres := float64(len(v.centres))
@@ -233,24 +237,24 @@
 	there := 0
 	for _, centre := range v.centres {
 		pool := Pool{centre, true}
-		room := v.terms.Most - max(v.standingFirm(centre), v.firm(need))
+		room := v.terms.Most - max(v.standingOnDemand(centre), v.onDemandEach(need))
 		targets[pool] = max(min(each, room), 0)
 		there += min(v.live[pool], targets[pool])
 	}
-	firm := float64(v.firm(need)) * centres
-	if missing := need - float64(there); missing > firm {
-		firm = math.Ceil(missing/missingStep) * missingStep
+	onDemand := float64(v.onDemandEach(need)) * centres
+	if missing := need - float64(there); missing > onDemand {
+		onDemand = min(math.Ceil(missing/missingStep)*missingStep, math.Ceil(need))
 		if reason == ReasonLoad {
 			reason = ReasonShort
 		}
 	}
-	v.spread(targets, firm)
+	v.spread(targets, onDemand)
 	return targets, reason
 }
 
-// standingFirm returns how many upstreams that cannot be taken away a data centre has or is to have. The list is gone by only before any were ordered: it
+// standingOnDemand returns how many upstreams that cannot be taken away a data centre has or is to have. The list is gone by only before any were ordered: it
 // holds those that have just ended beside those that took their place.
-func (v *service) standingFirm(centre vaneyoke.DataCentreID) int {
+func (v *service) standingOnDemand(centre vaneyoke.DataCentreID) int {
 	pool := Pool{centre, false}
 	if o := v.ordered[pool]; o != nil && o.count >= 0 {
 		return o.count
@@ -258,9 +262,9 @@
 	return v.live[pool]
 }
 
-// firm returns how many upstreams of each data centre are never taken away.
-func (v *service) firm(need float64) int {
-	return max(int(math.Ceil(need*firmShare/float64(len(v.centres)))), v.terms.Least, 1)
+// onDemandEach returns how many upstreams of each data centre are never taken away.
+func (v *service) onDemandEach(need float64) int {
+	return max(int(math.Ceil(need*onDemandShare/float64(len(v.centres)))), v.terms.Least, 1)
 }
 
 // spread divides upstreams that cannot be taken away among the data centres, what does not divide goes to the cheapest.
@@ -287,7 +291,7 @@
 		if target > before {
 			v.raised[pool] = now
 		}
-	} else if !pool.Preemptible && (now.Sub(v.raised[pool]) < firmHold || now.Sub(v.gained) < firmHold) {
+	} else if !pool.Preemptible && (now.Sub(v.raised[pool]) < onDemandHold || now.Sub(v.gained) < onDemandHold) {
 		target = before
 	}
 	switch {
--- a/decide/capacity/world_test.go
+++ b/decide/capacity/world_test.go
@@ -66,7 +66,7 @@
 	for _, e := range w.engines {
 		e.serves = w.now
 	}
-	w.state.Handle(w.now, capacity.Terming{All: []capacity.Terms{{
+	w.state.Handle(w.now, capacity.TermsSet{All: []capacity.Terms{{
 		Service: service, Least: 1, Most: 80, Boot: boot, Prices: prices, Preemptible: 0.22, Slots: 32, Memory: 55_000,
 	}}})
 	return w
@@ -231,8 +231,8 @@
 			continue
 		}
 		w.set(pool, each)
-		if firm := (capacity.Pool{DataCentre: dc}); w.since() > boot && w.wanted[firm] > 0 {
-			w.set(firm, 0)
+		if onDemand := (capacity.Pool{DataCentre: dc}); w.since() > boot && w.wanted[onDemand] > 0 {
+			w.set(onDemand, 0)
 		}
 	}
 }
--- a/decide/lease/lease_test.go
+++ b/decide/lease/lease_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/lease"
 )
 
@@ -196,3 +197,29 @@
 		must.EqOp(t, clean, ok)
 	}
 }
+
+// TestTokenFarBehind has the platform know a token that is far higher, because someone ordered by hand or the store's counter began anew: the node passes it in as many steps as it has digits.
+func TestTokenFarBehind(t *testing.T) {
+	const seen = lease.Fence(1_000_000_000)
+	now := time.Unix(1000, 0)
+	s := lease.New("vm-0", 1, lease.Config{Term: term, Wait: callFor})
+	revision := vaneyoke.Revision(7)
+	for refusals := 0; ; refusals++ {
+		must.LessEq(t, 31, refusals)
+		for _, e := range s.Handle(now, lease.Tick{Want: true}) {
+			if w, ok := e.(lease.Write); ok {
+				revision++
+				row := w.Row
+				row.Revision = revision
+				s.Handle(now, lease.Written{Row: row, SentAt: now})
+			}
+		}
+		fence, ok := s.Holds(now)
+		must.True(t, ok)
+		if fence > seen {
+			return
+		}
+		s.Handle(now, lease.Refused{Fence: fence})
+		now = now.Add(time.Second)
+	}
+}
--- a/decide/lease/state.go
+++ b/decide/lease/state.go
@@ -6,6 +6,9 @@
 	"github.com/vaneyoke/vaneyoke"
 )
 
+// mostDoublings bounds how far a token is raised at a time. The platform does not say which token it has seen, so that each refusal doubles the step.
+const mostDoublings = 40
+
 // State is what a node knows of one lease.
 type State struct {
 	self   vaneyoke.VMID
@@ -20,6 +23,7 @@
 	actFrom time.Time // before which the holder does nothing
 
 	refused  Fence // highest token that the platform refused
+	refusals int   // in a row, without a lease that was held for a term between them
 	highest  Fence // no lower than any token given out, as far as rows told
 	writing  bool
 	sentAt   time.Time // of the last write
@@ -97,7 +101,11 @@
 
 // refuse gives up a token that the platform does not take; the node needs a higher one.
 func (s *State) refuse(fence Fence) {
-	s.refused = max(s.refused, fence)
+	if fence <= s.refused {
+		return // of a call that was sent before the last refusal was known
+	}
+	s.refused = fence
+	s.refusals++
 	if s.held != 0 && s.held <= s.refused {
 		s.lose(ReasonRefused)
 	}
@@ -129,6 +137,9 @@
 		s.write(now, free)
 	case s.leaving: // it lapses
 	case now.Sub(s.sentAt) >= s.config.renewEvery():
+		if now.Sub(s.heldAt) >= s.config.Term {
+			s.refusals = 0
+		}
 		s.write(now, s.row.Record)
 	}
 }
@@ -153,7 +164,7 @@
 	if s.isOwn(s.row.Record) && !s.row.Free && s.row.Fence > s.refused {
 		return s.row.Fence
 	}
-	return max(s.highest, s.refused) + 1
+	return max(s.highest, s.refused) + 1<<min(s.refusals, mostDoublings)
 }
 
 func (s *State) write(now time.Time, record Record) {
--- a/process/node/gateway_wire.go
+++ b/process/node/gateway_wire.go
@@ -127,7 +127,9 @@
 	directory := do.MustInvoke[*routes](i)
 	config := mesh.DefaultConfig().InForceWithin(s.Gateway.InForceWithin)
 	config.Small.Wait = s.Gateway.FeedWait
-	config.FirstStart = s.Gateway.FirstStart
+	if s.Gateway.FirstStart {
+		config = config.AtFirstStart()
+	}
 	config.Small = config.Small.BackWithin(s.Gateway.BackWithin)
 	config.Reader = config.Reader.BackWithin(s.Gateway.BackWithin)
 	if s.Gateway.Peers == "" {
--- a/shell/duties/calls.go
+++ b/shell/duties/calls.go
@@ -118,7 +118,7 @@
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		after := steady.Now()
-		scarce := reply == ReplyRefused && order.Preemptible // a token that is too low shows at the next firm order
+		scarce := reply == ReplyRefused && order.Preemptible // a token that is too low shows at the next on-demand order
 		n.called(after, DutyCapacity, fence, reply, reply == ReplyRefused && !scarce)
 		n.plan.Handle(after, capacity.Answered{Order: order, Outcome: outcomeOf(reply, scarce)})
 	}()
--- a/shell/duties/node.go
+++ b/shell/duties/node.go
@@ -150,7 +150,7 @@
 	for _, t := range all {
 		n.ordered[t.Service] = true
 	}
-	n.plan.Handle(now, capacity.Terming{All: all})
+	n.plan.Handle(now, capacity.TermsSet{All: all})
 }
 
 // SetUpstreams takes in the fleet's upstreams.
--- a/shell/mesh/config.go
+++ b/shell/mesh/config.go
@@ -19,8 +19,8 @@
 
 	// FirstStart says that the whole system starts for the first time: no member stands in the store, so that a node registers itself first, and reads once the others have.
 	FirstStart bool
-	Assemble   time.Duration // time from the start of such a node to its first look at the members
-	Settled    time.Duration // time between two looks at them while it reads nothing else
+	FirstLook  time.Duration // time from the start of such a node to its first look at the members
+	NextLook   time.Duration // time between two looks at them while it reads nothing else
 
 	Members   string        // name of the table in which the members register themselves
 	Check     time.Duration // time between two looks for members that are gone
@@ -38,11 +38,19 @@
 	return Config{
 		Feed: feed.DefaultConfig(), Settle: time.Second, Beat: 250 * time.Millisecond, Stall: 800 * time.Millisecond,
 		Reader: reader, Small: watch.DefaultConfig(), Slow: slow,
-		Assemble: 350 * time.Millisecond, Settled: time.Second,
+		FirstLook: 350 * time.Millisecond, NextLook: time.Second,
 		Members: "members", Check: time.Minute, GoneAfter: 10 * time.Minute, Again: 2 * time.Second,
 	}
 }
 
+// AtFirstStart returns the bounds of a system that starts for the first time. A node has as long as any other from its first look at the members until it reads the
+// store because it knows of none.
+func (c Config) AtFirstStart() Config {
+	c.FirstStart = true
+	c.Feed.First += c.FirstLook
+	return c
+}
+
 // waitMargin is by how much a reader's wait for changes is shorter than the age from which its tables are old.
 const waitMargin = 400 * time.Millisecond
 
--- a/shell/mesh/read.go
+++ b/shell/mesh/read.go
@@ -19,15 +19,15 @@
 		}
 		f := r.follower(ctx, name, reading, turns)
 		r.work.Go(func() {
-			if !r.assembles(reading) || pause.For(ctx, r.config.Assemble) {
+			if !r.waitsForOthers(reading) || pause.For(ctx, r.config.FirstLook) {
 				f.Run(ctx)
 			}
 		})
 	}
 }
 
-// assembles reports whether the node waits for the others of a system that starts for the first time to register themselves.
-func (n *Node) assembles(reading feed.Reading) bool {
+// waitsForOthers reports whether the node waits for the others of a system that starts for the first time to register themselves.
+func (n *Node) waitsForOthers(reading feed.Reading) bool {
 	return n.config.FirstStart && reading == feed.ReadMembers && n.registeredMembers() == nil
 }
 
@@ -40,7 +40,7 @@
 			config = n.config.Slow
 		}
 		if n.config.FirstStart && reading == feed.ReadMembers {
-			config.Gather = n.config.Settled
+			config.Gather = n.config.NextLook
 		}
 		config.Grace = t.Grace
 		return config
