Lines tell what an engine asks for in an answer, and what is sent to it all the same

Retry-After and Server-Leaving of an engine's answer were read by nobody, so that no line held what was asked for, nor what a node sent meanwhile.

Change: the sender decodes what an answer's head says of its engine (limit, pushback, leaving) into forward.Signals; decide/pushback keeps how long each holds, for one life of the engine; shell/pushbacks logs upstream_pushed_back, upstream_leaves, sent_while_held and signal_unreadable. No decision goes by it yet.

--- a/process/node/gateway_wire.go
+++ b/process/node/gateway_wire.go
@@ -44,6 +44,8 @@
 	do.Provide(i, provideCrashTables)
 	do.Provide(i, provideLimitTables)
 	do.Provide(i, provideLimits)
+	do.Provide(i, providePushbacks)
+	do.Provide(i, provideSignalListener)
 	do.Provide(i, provideDutyTables)
 	do.Provide(i, provideDuties)
 	do.Provide(i, providePlacer)
@@ -82,7 +84,7 @@
 	placer := do.MustInvoke[*gatewayPlacer](i)
 	r := relay.New(
 		nil,
-		platform.NewSender(dialer, do.MustInvoke[*ratelimits.Node](i)),
+		platform.NewSender(dialer, do.MustInvoke[*signalListener](i)),
 		placer,
 		do.MustInvoke[*telemetry.Tracing](i).Tracer,
 		relay.NewMetrics(do.MustInvoke[*expvar.Map](i)),
--- /dev/null
+++ b/process/node/pushbacks_wire.go
@@ -0,0 +1,42 @@
+package node
+
+import (
+	"expvar"
+	"time"
+
+	"github.com/samber/do/v2"
+	"github.com/sirupsen/logrus"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/shell/pushbacks"
+	"github.com/vaneyoke/vaneyoke/shell/ratelimits"
+	"github.com/vaneyoke/vaneyoke/wire/forward"
+)
+
+// signalListener gives each part of a node what upstreams say of themselves.
+type signalListener struct {
+	limits    *ratelimits.Node
+	pushbacks *pushbacks.Node
+}
+
+// Sending takes in that something goes to an upstream.
+func (l *signalListener) Sending(upstream vaneyoke.Upstream, kind forward.Kind) {
+	l.limits.Sending(upstream, kind)
+	l.pushbacks.Sending(time.Now(), upstream, kind)
+}
+
+// Answered takes in what an upstream said of itself.
+func (l *signalListener) Answered(upstream vaneyoke.Upstream, signals forward.Signals, sentAt time.Time) {
+	if signals.Limit != nil {
+		l.limits.Answered(upstream, *signals.Limit, sentAt)
+	}
+	l.pushbacks.Answered(time.Now(), upstream, signals)
+}
+
+func providePushbacks(i do.Injector) (*pushbacks.Node, error) {
+	return pushbacks.New(do.MustInvoke[*expvar.Map](i), do.MustInvoke[logrus.FieldLogger](i)), nil
+}
+
+func provideSignalListener(i do.Injector) (*signalListener, error) {
+	return &signalListener{limits: do.MustInvoke[*ratelimits.Node](i), pushbacks: do.MustInvoke[*pushbacks.Node](i)}, nil
+}
--- a/wire/forward/forward.go
+++ b/wire/forward/forward.go
@@ -67,8 +67,16 @@
 type Listener interface {
 	// Sending notes that something goes to an upstream.
 	Sending(upstream vaneyoke.Upstream, kind Kind)
-	// Answered notes the limit that an upstream named in its answer to an attempt that was sent at a time, the zero value where it named none.
-	Answered(upstream vaneyoke.Upstream, limit vaneyoke.Limit, sentAt time.Time)
+	// Answered notes what an upstream said of itself in its answer to something that was sent at a time.
+	Answered(upstream vaneyoke.Upstream, signals Signals, sentAt time.Time)
+}
+
+// Signals is what an upstream says of itself in the head of an answer.
+type Signals struct {
+	Limit      *vaneyoke.Limit // that it names, the zero value where it names none; nil where the answer says nothing of limits
+	Pushback   time.Duration   // for which it wants nothing more from this node; 0 where it does not say
+	Leaving    bool            // whether it is about to end
+	Unreadable string          // name of a header whose value means nothing; "" for none
 }
 
 // Head is the start of an upstream's answer.
