An engine that asks for a while without requests gets none of any kind from the node that it told

What callers saw: over a tenth of the price checks were refused for 8 s while two healthy engines stood beside one that turned all away; that one had asked each node for 3 s without requests, and got 3 to 14 from them in that time.

Cause: Retry-After of a refusal was read by nobody. A refusal counted as a word neither for nor against the engine (OutcomeDropped), so that the next request could go there at once. Ruled out: that repeats or questions alone went round it (each of the 98 refusals in the nodes' logs is of a first attempt), and that another life of the engine was meant.

Change: placement holds an upstream back until the later of the times that it asked for is over, in the place that decides on all new work (mayWork): first attempts, repeats, preferred upstreams, reports of homes and spares, replicas. The relay neither asks nor probes it about what it runs; the keep-alives of its connections tell whether it is there. A hold is of one life (id, birth, address), outlasts a lapse of its entry, and is ended neither by an answer that was under way nor by what other nodes saw. When it is over one attempt goes first (half-open breaker). Where all that could serve push back, callers are refused at once with the new code 69 and told when the first one takes work, spread over half a second at the most.

TestPushbackEndsByItsTimeAlone, TestPushedBackUpstreamsGetNothingOfAnyKind and the rows of TestHoldsEndByWhatWasAsked hold which end, which life and which of two advices counts.

--- a/code.go
+++ b/code.go
@@ -40,6 +40,7 @@
 	CodeRetryExhausted Code = 66
 	CodeQuarantined    Code = 67
 	CodeWithheld       Code = 68
+	CodePushedBack     Code = 69
 
 	CodeInterrupted Code = 80
 	CodeMayHaveRun  Code = 81
@@ -95,6 +96,7 @@
 	{CodeRetryExhausted, "retry_exhausted", http.StatusServiceUnavailable, true, "The retry budget is spent and nothing has been run."},
 	{CodeQuarantined, "quarantined", http.StatusServiceUnavailable, true, "What the request asks has ended several upstreams that ran it, and is sent to none for a while."},
 	{CodeWithheld, "withheld", http.StatusServiceUnavailable, true, "Each upstream that could take the request names how many it takes, and gets as many already."},
+	{CodePushedBack, "pushed_back", http.StatusServiceUnavailable, true, "Each upstream that could take the request has asked for nothing for a while."},
 	{CodeInterrupted, "interrupted", http.StatusBadGateway, false, "The answer broke off and could not be continued."},
 	{CodeMayHaveRun, "may_have_run", http.StatusBadGateway, false, "The request was sent to an upstream and its outcome is unknown."},
 	{CodeAnswerLost, "answer_lost", http.StatusGone, false, "The answer was given before and is no longer held."},
--- a/decide/generation/recover.go
+++ b/decide/generation/recover.go
@@ -90,7 +90,7 @@
 		s.fail(s.giveUp())
 		return
 	}
-	if ev.Code == vaneyoke.CodeWithheld && !s.worthTurn(now, ev.RetryAfter) {
+	if namesTurn(ev.Code) && !s.worthTurn(now, ev.RetryAfter) {
 		s.fail(s.giveUp())
 		return
 	}
@@ -207,7 +207,7 @@
 		return
 	}
 	pause := s.pause()
-	if s.lastCode == vaneyoke.CodeWithheld {
+	if namesTurn(s.lastCode) {
 		pause = max(pause, s.retryHint)
 	}
 	if s.exhausted(now.Add(pause)) {
--- a/decide/placement/state.go
+++ b/decide/placement/state.go
@@ -8,6 +8,7 @@
 	"github.com/samber/lo"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/pushback"
 	"github.com/vaneyoke/vaneyoke/decide/retry"
 	"github.com/vaneyoke/vaneyoke/internal/names"
 )
@@ -70,8 +71,9 @@
 	goneUntil    time.Time // until which another upstream is taken to have its address, because it answered there
 	leaving      bool      // whether its VM is leaving
 	limit        vaneyoke.Limit
-	withheld     time.Time // until which its limit leaves this node no request
-	turn         time.Time // when the last caller that was refused for it is to come back
+	withheld     time.Time      // until which its limit leaves this node no request
+	turn         time.Time      // when the last caller that was refused for it is to come back
+	hold         *pushback.Hold // that it asked for in any of its lives; nil for none
 	breaker      *retry.Breaker
 	ended        Outcomes
 }
@@ -93,7 +95,8 @@
 	breaker    retry.BreakerConfig
 	entries    map[vaneyoke.UpstreamID]*entry
 	limits     map[vaneyoke.UpstreamID]vaneyoke.Limit // that upstreams name, also those that are not listed
-	order      []*entry                               // by id, so that a choice depends on the random numbers alone
+	holds      *pushback.Book
+	order      []*entry // by id, so that a choice depends on the random numbers alone
 	scratch    []*entry
 	divisions  map[vaneyoke.ServiceID]*division // of the services whose upstreams do not all get work
 }
@@ -101,7 +104,8 @@
 // New returns a state without upstreams for a node in the given data centre.
 func New(dataCentre vaneyoke.DataCentreID, breaker retry.BreakerConfig) *State {
 	return &State{
-		dataCentre: dataCentre, breaker: breaker, entries: map[vaneyoke.UpstreamID]*entry{}, limits: map[vaneyoke.UpstreamID]vaneyoke.Limit{}, divisions: map[vaneyoke.ServiceID]*division{},
+		dataCentre: dataCentre, breaker: breaker, entries: map[vaneyoke.UpstreamID]*entry{}, limits: map[vaneyoke.UpstreamID]vaneyoke.Limit{},
+		holds: pushback.NewBook(), divisions: map[vaneyoke.ServiceID]*division{},
 	}
 }
 
@@ -116,7 +120,7 @@
 	for _, u := range upstreams {
 		e, ok := s.entries[u.ID]
 		if !ok {
-			e = &entry{breaker: retry.NewBreaker(s.breaker), limit: s.limits[u.ID]}
+			e = &entry{breaker: retry.NewBreaker(s.breaker), limit: s.limits[u.ID], hold: s.holds.Of(u.ID)}
 			if byURL == nil {
 				byURL = lo.GroupBy(s.order, func(e *entry) string { return e.upstream.URL })
 			}
@@ -237,7 +241,8 @@
 
 // mayWork reports whether nothing but failures speaks against new work on the upstream.
 func (e *entry) mayWork(now time.Time) bool {
-	return e.upstream.State == vaneyoke.StateLive && !e.drained && !e.leaving && !e.gone && !now.Before(e.goneUntil) && !now.Before(e.withheld)
+	return e.upstream.State == vaneyoke.StateLive && !e.drained && !e.leaving && !e.gone && !now.Before(e.goneUntil) && !now.Before(e.withheld) &&
+		!e.hold.IsPushedBack(now, &e.upstream)
 }
 
 // takesWork reports whether the upstream may be given new work.
--- a/decide/pushback/book.go
+++ b/decide/pushback/book.go
@@ -20,32 +20,29 @@
 // NewBook returns a book of a node that was told nothing.
 func NewBook() *Book { return &Book{holds: map[vaneyoke.UpstreamID]*Hold{}} }
 
-// Note takes in a signal and returns the hold that it leads to; nil where it holds nothing back, or is of an earlier life.
-func (b *Book) Note(now time.Time, signal Signal) *Hold {
+// Note takes in a signal and returns the hold that it leads to, and what it was before; nil where the signal holds nothing back or is of an
+// earlier life.
+func (b *Book) Note(now time.Time, signal Signal) (hold *Hold, before Hold) {
 	if signal.Pushback <= 0 && !signal.Leaving {
-		return nil
+		return nil, Hold{}
 	}
 	b.tidy(now)
 	u := &signal.Upstream
 	h := b.holds[u.ID]
 	switch {
 	case h != nil && u.Incarnation != 0 && u.Incarnation < h.Incarnation:
-		return nil
-	case h == nil || !h.Binds(u):
+		return nil, Hold{}
+	case h == nil || !h.binds(u):
 		h = &Hold{Upstream: u.ID, Incarnation: u.Incarnation, URL: u.URL}
 		b.holds[u.ID] = h
 	}
+	before = *h
 	h.extend(now, signal)
-	return h
+	return h, before
 }
 
-// Of returns the hold that binds an upstream as it is listed; nil for none.
-func (b *Book) Of(u *vaneyoke.Upstream) *Hold {
-	if h := b.holds[u.ID]; h != nil && h.Binds(u) {
-		return h
-	}
-	return nil
-}
+// Of returns the hold that an upstream asked for in its last life that said something; nil for none.
+func (b *Book) Of(id vaneyoke.UpstreamID) *Hold { return b.holds[id] }
 
 func (b *Book) tidy(now time.Time) {
 	if now.Sub(b.tidied) < tidyEvery && len(b.holds) < mostHolds {
@@ -54,7 +51,7 @@
 	b.tidied = now
 	var first *Hold
 	for id, h := range b.holds {
-		if !h.At(now) {
+		if !now.Before(h.ends()) {
 			delete(b.holds, id)
 			continue
 		}
@@ -66,5 +63,3 @@
 		delete(b.holds, first.Upstream)
 	}
 }
-
-func (h *Hold) ends() time.Time { return later(h.PushbackEnds, h.LeavingEnds) }
--- a/decide/pushback/hold.go
+++ b/decide/pushback/hold.go
@@ -30,20 +30,29 @@
 	LeavingEnds  time.Time // the zero time where it did not say that it is leaving
 }
 
-// At reports whether the upstream gets nothing.
-func (h *Hold) At(now time.Time) bool { return h.IsPushedBack(now) || h.IsLeaving(now) }
+// At reports whether an upstream gets nothing; a nil hold holds nothing back.
+func (h *Hold) At(now time.Time, u *vaneyoke.Upstream) bool {
+	return h != nil && now.Before(h.ends()) && h.binds(u)
+}
 
-// IsPushedBack reports whether the upstream asked for nothing for a while that is not over.
-func (h *Hold) IsPushedBack(now time.Time) bool { return now.Before(h.PushbackEnds) }
+// IsPushedBack reports whether an upstream asked for nothing for a while that is not over.
+func (h *Hold) IsPushedBack(now time.Time, u *vaneyoke.Upstream) bool {
+	return h != nil && now.Before(h.PushbackEnds) && h.binds(u)
+}
 
-// IsLeaving reports whether the upstream said that it is about to end.
-func (h *Hold) IsLeaving(now time.Time) bool { return now.Before(h.LeavingEnds) }
+// IsLeaving reports whether an upstream said that it is about to end.
+func (h *Hold) IsLeaving(now time.Time, u *vaneyoke.Upstream) bool {
+	return h != nil && now.Before(h.LeavingEnds) && h.binds(u)
+}
 
-// Binds reports whether the hold is of the upstream's life as it is listed; a list may be older than what the upstream told itself.
-func (h *Hold) Binds(u *vaneyoke.Upstream) bool {
+// binds reports whether the hold is of the upstream's life as it is listed; a list may be older than what the upstream told itself.
+func (h *Hold) binds(u *vaneyoke.Upstream) bool {
 	return h.URL == u.URL && (h.Incarnation == 0 || u.Incarnation <= h.Incarnation)
 }
 
+// ends returns when the upstream may get something again.
+func (h *Hold) ends() time.Time { return later(h.PushbackEnds, h.LeavingEnds) }
+
 // extend takes in what the upstream said; of two times the one that ends later counts.
 func (h *Hold) extend(now time.Time, signal Signal) {
 	if signal.Pushback > 0 {
--- a/decide/retry/breaker.go
+++ b/decide/retry/breaker.go
@@ -40,6 +40,15 @@
 // IsOpen reports whether the breaker holds work back.
 func (b *Breaker) IsOpen() bool { return b.opened > 0 }
 
+// HoldUntil holds work back until a time, after which a trial is let through; a trial under way counts for nothing.
+func (b *Breaker) HoldUntil(until time.Time) {
+	b.opened = max(b.opened, 1)
+	b.trial = false
+	if until.After(b.until) {
+		b.until = until
+	}
+}
+
 // Open holds work back at once, whatever came before.
 func (b *Breaker) Open(now time.Time) {
 	if b.opened == 0 {
--- a/process/node/pushbacks_wire.go
+++ b/process/node/pushbacks_wire.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/shell/balancer"
 	"github.com/vaneyoke/vaneyoke/shell/pushbacks"
 	"github.com/vaneyoke/vaneyoke/shell/ratelimits"
 	"github.com/vaneyoke/vaneyoke/wire/forward"
@@ -22,7 +23,7 @@
 // Sending takes in that something goes to an upstream.
 func (l *signalListener) Sending(upstream vaneyoke.Upstream, kind forward.Kind) {
 	l.limits.Sending(upstream, kind)
-	l.pushbacks.Sending(time.Now(), upstream, kind)
+	l.pushbacks.Sending(time.Now(), upstream.ID, kind)
 }
 
 // Answered takes in what an upstream said of itself.
@@ -34,7 +35,7 @@
 }
 
 func providePushbacks(i do.Injector) (*pushbacks.Node, error) {
-	return pushbacks.New(do.MustInvoke[*expvar.Map](i), do.MustInvoke[logrus.FieldLogger](i)), nil
+	return pushbacks.New(do.MustInvoke[*balancer.Balancer](i), do.MustInvoke[*expvar.Map](i), do.MustInvoke[logrus.FieldLogger](i)), nil
 }
 
 func provideSignalListener(i do.Injector) (*signalListener, error) {
--- a/shell/balancer/balancer.go
+++ b/shell/balancer/balancer.go
@@ -10,6 +10,7 @@
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/gossip"
 	"github.com/vaneyoke/vaneyoke/decide/placement"
+	"github.com/vaneyoke/vaneyoke/decide/pushback"
 	"github.com/vaneyoke/vaneyoke/decide/retry"
 	"github.com/vaneyoke/vaneyoke/decide/rollout"
 )
@@ -124,6 +125,32 @@
 	b.state.SetLimit(id, limit)
 }
 
+// Signalled takes in what an upstream said of itself in an answer, and returns the hold that it leads to and what it was before; ok is false where
+// nothing follows.
+func (b *Balancer) Signalled(signal pushback.Signal) (hold, before pushback.Hold, ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now, before := b.state.Signalled(time.Now(), signal)
+	if now == nil {
+		return pushback.Hold{}, before, false
+	}
+	return *now, before, true
+}
+
+// IsHeld reports whether an upstream gets no new attempt because it said so.
+func (b *Balancer) IsHeld(id vaneyoke.UpstreamID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state.IsHeld(time.Now(), id)
+}
+
+// IsPushedBack reports whether an upstream wants nothing at all for a while, questions included.
+func (b *Balancer) IsPushedBack(id vaneyoke.UpstreamID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state.IsPushedBack(time.Now(), id)
+}
+
 // Withheld notes that the limit of an upstream that was placed leaves the attempt nothing; it got nothing.
 func (b *Balancer) Withheld(need placement.Need, isRetry bool, id vaneyoke.UpstreamID, next, turn time.Duration) {
 	b.mu.Lock()
@@ -152,9 +179,13 @@
 	if !b.state.Offers(need) {
 		return vaneyoke.Err(vaneyoke.CodeUnknownModel, "no upstream offers %s%s", need.Model, need.Service)
 	}
-	if after, ok := b.state.ComeBack(now, need); ok {
+	pushed, isPushed := b.state.PushedBack(now, b.rng, need)
+	if after, ok := b.state.ComeBack(now, need); ok && (!isPushed || after <= pushed) {
 		return vaneyoke.ErrRetryAfter(vaneyoke.CodeWithheld, after, "the upstreams that could take the request get as many as they name already")
 	}
+	if isPushed {
+		return vaneyoke.ErrRetryAfter(vaneyoke.CodePushedBack, pushed, "the upstreams that could take the request have asked for nothing for a while")
+	}
 	return vaneyoke.ErrRetryAfter(vaneyoke.CodeNoUpstream, noUpstreamRetry, "no upstream is live")
 }
 
--- a/shell/pushbacks/node.go
+++ b/shell/pushbacks/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"maps"
 	"sync"
 	"time"
 
@@ -13,18 +14,28 @@
 )
 
 const (
-	tellEvery = time.Second            // the shortest time between two lines of what was sent to an upstream that is held back, or of headers that mean nothing
-	nearEnd   = 500 * time.Millisecond // by which a pushback has to be prolonged to be told anew
+	tellEvery  = time.Second            // the shortest time between two lines of what was sent to an upstream that is held back, or of headers that mean nothing
+	nearEnd    = 500 * time.Millisecond // by which a pushback has to be prolonged to be told anew
+	mostCounts = 1024                   // upstreams for which it is counted what was sent to them while they were held back
 )
 
+// Holds decides from which upstreams the node stays away.
+type Holds interface {
+	// Signalled takes in what an upstream said of itself, and returns the hold that it leads to and what it was before; ok is false where
+	// nothing follows.
+	Signalled(signal pushback.Signal) (hold, before pushback.Hold, ok bool)
+	// IsHeld reports whether an upstream gets no new attempt because it said so.
+	IsHeld(id vaneyoke.UpstreamID) bool
+}
+
 // Node is this node's part in staying away from upstreams that told it so.
 type Node struct {
+	holds  Holds
 	counts *expvar.Map
 	log    logrus.FieldLogger
 
 	mu           sync.Mutex
-	book         *pushback.Book
-	sent         map[vaneyoke.UpstreamID]*sent // to upstreams that are held back
+	sent         map[vaneyoke.UpstreamID]*sent // to upstreams that were held back when it was looked last
 	unreadableAt time.Time                     // when a header that means nothing was told last
 }
 
@@ -35,29 +46,29 @@
 }
 
 // New returns the part of a node that was told nothing; its metrics are under "pushback" among vars.
-func New(vars *expvar.Map, log logrus.FieldLogger) *Node {
-	n := &Node{counts: new(expvar.Map).Init(), log: log, book: pushback.NewBook(), sent: map[vaneyoke.UpstreamID]*sent{}}
+func New(holds Holds, vars *expvar.Map, log logrus.FieldLogger) *Node {
+	n := &Node{holds: holds, counts: new(expvar.Map).Init(), log: log, sent: map[vaneyoke.UpstreamID]*sent{}}
 	vars.Set("pushback", n.counts)
 	return n
 }
 
 // Sending takes in that something goes to an upstream.
-func (n *Node) Sending(now time.Time, upstream vaneyoke.Upstream, kind forward.Kind) {
+func (n *Node) Sending(now time.Time, upstream vaneyoke.UpstreamID, kind forward.Kind) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	s := n.sent[upstream.ID]
+	s := n.sent[upstream]
 	if s == nil {
 		return
 	}
-	if hold := n.book.Of(&upstream); hold == nil || !hold.At(now) {
-		n.tellLocked(now, upstream.ID, s)
-		delete(n.sent, upstream.ID)
+	if !n.holds.IsHeld(upstream) {
+		n.tellLocked(now, upstream, s)
+		delete(n.sent, upstream)
 		return
 	}
 	n.counts.Add(kind.String()+"_sent_total", 1)
 	s.kinds[kind]++
 	if now.Sub(s.since) >= tellEvery {
-		n.tellLocked(now, upstream.ID, s)
+		n.tellLocked(now, upstream, s)
 	}
 }
 
@@ -69,29 +80,21 @@
 	if signals.Pushback == 0 && !signals.Leaving {
 		return
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	var before pushback.Hold
-	if hold := n.book.Of(&upstream); hold != nil {
-		before = *hold
-	}
-	hold := n.book.Note(now, pushback.Signal{Upstream: upstream, Pushback: signals.Pushback, Leaving: signals.Leaving})
-	if hold == nil {
+	hold, before, ok := n.holds.Signalled(pushback.Signal{Upstream: upstream, Pushback: signals.Pushback, Leaving: signals.Leaving})
+	if !ok {
 		return
 	}
-	if n.sent[upstream.ID] == nil {
-		n.sent[upstream.ID] = &sent{since: now}
-	}
+	n.follow(now, upstream.ID)
 	fields := logrus.Fields{"upstream": upstream.ID, "incarnation": uint64(hold.Incarnation)}
 	if signals.Pushback > 0 {
 		n.counts.Add("asked_total", 1)
-		if hold.PushbackEnds.Sub(later(now, before.PushbackEnds)) >= min(nearEnd, signals.Pushback) {
-			n.log.WithFields(fields).WithFields(logrus.Fields{
-				"asked_ms": signals.Pushback.Milliseconds(), "ms": hold.PushbackEnds.Sub(now).Milliseconds(),
-			}).Info("upstream_pushed_back")
-		}
 	}
-	if signals.Leaving && !before.IsLeaving(now) {
+	if hold.PushbackEnds.Sub(later(now, before.PushbackEnds)) >= min(nearEnd, signals.Pushback) && signals.Pushback > 0 {
+		n.log.WithFields(fields).WithFields(logrus.Fields{
+			"asked_ms": signals.Pushback.Milliseconds(), "ms": hold.PushbackEnds.Sub(now).Milliseconds(),
+		}).Info("upstream_pushed_back")
+	}
+	if signals.Leaving && before.LeavingEnds.IsZero() {
 		n.counts.Add("leaving_total", 1)
 		n.log.WithFields(fields).Info("upstream_leaves")
 	}
@@ -104,6 +107,21 @@
 	return a
 }
 
+// follow counts from now on what is sent to an upstream that is held back; those that are not held back any more make room for it.
+func (n *Node) follow(now time.Time, upstream vaneyoke.UpstreamID) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.sent[upstream] != nil {
+		return
+	}
+	if len(n.sent) >= mostCounts {
+		maps.DeleteFunc(n.sent, func(id vaneyoke.UpstreamID, _ *sent) bool { return !n.holds.IsHeld(id) })
+	}
+	if len(n.sent) < mostCounts {
+		n.sent[upstream] = &sent{since: now}
+	}
+}
+
 // tellLocked logs what has gone to an upstream that is held back since the last line, unless that is nothing.
 func (n *Node) tellLocked(now time.Time, upstream vaneyoke.UpstreamID, s *sent) {
 	if s.kinds != [forward.Kinds]int{} {
--- a/shell/relay/forwarded.go
+++ b/shell/relay/forwarded.go
@@ -140,7 +140,7 @@
 	s.mu.Lock()
 	l := s.links[e.Attempt]
 	s.mu.Unlock()
-	alive := s.relay.sender.Probe(s.ctx, l.upstream)
+	alive := s.relay.isThere(s.ctx, l.upstream)
 	s.handle(time.Now(), generation.Probed{Attempt: e.Attempt, Alive: alive})
 }
 
--- a/shell/relay/guard.go
+++ b/shell/relay/guard.go
@@ -85,7 +85,7 @@
 	if !r.sender.Probe(r.ctx, upstream) {
 		return true
 	}
-	if upstream.Incarnation == 0 || r.limited(upstream.ID) {
+	if upstream.Incarnation == 0 || r.limited(upstream.ID) || r.pushedBack(upstream.ID) {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(r.ctx, reportWait)
--- a/shell/relay/limited.go
+++ b/shell/relay/limited.go
@@ -40,9 +40,9 @@
 	return r.limiter != nil && r.limiter.Limited(id)
 }
 
-// mayAsk reports whether a question may be sent to an upstream, which counts like a request where it names a limit.
+// mayAsk reports whether a question may be sent to an upstream, which counts like a request where it names a limit or asked for nothing.
 func (r *Relay) mayAsk(ctx context.Context, id vaneyoke.UpstreamID) bool {
-	return !r.limited(id) || r.limiter.Permit(ctx, id).Granted
+	return !r.pushedBack(id) && (!r.limited(id) || r.limiter.Permit(ctx, id).Granted)
 }
 
 // chooseWithin returns an upstream that may be sent the attempt, by the limits that upstreams name. Such a limit holds for all nodes
@@ -83,10 +83,10 @@
 	return min(after, max(time.Until(m.Deadline)/latest, 0))
 }
 
-// workWithin returns what an upstream does for a run by less than a question, where its limit leaves none: one that takes connections is taken
-// to work on it.
+// workWithin returns what an upstream does for a run by less than a question, where its limit or a pushback leaves none: one that takes connections
+// is taken to work on it.
 func (s *Session) workWithin(e generation.Ask, upstream vaneyoke.Upstream) (vaneyoke.Work, vaneyoke.Tokens) {
-	if !s.relay.sender.Probe(s.ctx, upstream) {
+	if !s.relay.isThere(s.ctx, upstream) {
 		return vaneyoke.WorkUnknown, 0
 	}
 	if !e.Begun {
--- a/shell/relay/relay.go
+++ b/shell/relay/relay.go
@@ -86,6 +86,7 @@
 	doubter Doubter // nil where the list of upstreams is taken for true
 	guard   Guard   // nil where requests are not followed that end upstreams
 	limiter Limiter // nil where upstreams name no limits
+	holder  Holder  // nil where upstreams ask for nothing
 	meter   Meter   // nil where nothing is counted
 	tracer  trace.Tracer
 	metrics *Metrics
@@ -116,9 +117,10 @@
 	doubter, _ := placer.(Doubter)
 	guard, _ := placer.(Guard)
 	limiter, _ := placer.(Limiter)
+	holder, _ := placer.(Holder)
 	meter, _ := placer.(Meter)
 	return &Relay{
-		engines: engines, sender: sender, placer: placer, trier: trier, doubter: doubter, guard: guard, limiter: limiter, meter: meter, tracer: tracer, metrics: metrics, log: log, config: config,
+		engines: engines, sender: sender, placer: placer, trier: trier, doubter: doubter, guard: guard, limiter: limiter, holder: holder, meter: meter, tracer: tracer, metrics: metrics, log: log, config: config,
 		ctx: ctx, stop: stop, running: map[*Session]struct{}{},
 	}
 }
