An engine that says it is leaving gets no new work from the node that it told

With the store away and the engine listed as ready, three nodes went on to send it a third to all of their requests until it ended, which cuts off what it cannot finish.

Cause: the same as that of the pushback: what an engine says of itself in the head of an answer was not read. Server-Leaving went on to callers; `state` of a report was not decoded. Ruled out: that the list of upstreams would say so soon; it may be away, slow or behind.

--- a/decide/placement/pushback_test.go
+++ b/decide/placement/pushback_test.go
@@ -56,6 +56,7 @@
 	now := time.Unix(1000, 0)
 	signals := map[string]pushback.Signal{
 		"pushed back": pushedBack("u0", 3*time.Second),
+		"leaving":     {Upstream: listed("u0"), Leaving: true},
 	}
 	for name, signal := range signals {
 		t.Run(name, func(t *testing.T) {
--- a/decide/placement/state.go
+++ b/decide/placement/state.go
@@ -242,7 +242,7 @@
 // mayWork reports whether nothing but failures speaks against new work on the upstream.
 func (e *entry) mayWork(now time.Time) bool {
 	return e.upstream.State == vaneyoke.StateLive && !e.drained && !e.leaving && !e.gone && !now.Before(e.goneUntil) && !now.Before(e.withheld) &&
-		!e.hold.IsPushedBack(now, &e.upstream)
+		!e.hold.At(now, &e.upstream)
 }
 
 // takesWork reports whether the upstream may be given new work.
