An upstream that refuses is not taken for the idlest one

Cause: a refusal takes a millisecond and left nothing behind. The engine had no work in flight, and its expected time to the first token, which fades so that slow engines are tried again, faded on with no new sample: it soon cost least of all.

Change: what an upstream turned away counts as work there, and half of it is forgotten in a second. Prompts pass over a home that declined within that second. A refusal is an outcome of its own (declined) in the metrics.

--- a/decide/placement/affinity.go
+++ b/decide/placement/affinity.go
@@ -22,14 +22,14 @@
 	roomShare = 0.85
 )
 
-// affine returns the one of a prompt's homes that works on the fewest runs, among those that have room and do not wait for a first
-// token; nil for none. The homes are the upstreams with the highest hash of prompt and id, the same on every node: a
+// affine returns the one of a prompt's homes that works on the fewest runs, among those that have room, do not wait for a first
+// token and turned nothing away of late; nil for none. The homes are the upstreams with the highest hash of prompt and id, the same on every node: a
 // prompt that comes again, on whatever node, finds where it was read before. A prompt slows each run beside it, and whoever
 // is slowed is under way for longer when something fails.
 func affine(now time.Time, need Need, candidates []*entry) *entry {
 	var chosen *entry
 	for _, e := range byHash(need.Affinity, candidates, homes) {
-		if e.waiting > 0 || e.reportedBusy(now) || !e.hasRoom(now, need) {
+		if e.waiting > 0 || e.reportedBusy(now) || e.declines.ofLate(now) || !e.hasRoom(now, need) {
 			continue
 		}
 		if chosen == nil || e.runs(now) < chosen.runs(now) {
@@ -73,7 +73,7 @@
 // leastTold returns, of the upstreams that told of their work, and of those that have room where there are any, the one with
 // the least to read, then with the least in memory, then with the fewest runs; nil where none has told.
 func leastTold(now time.Time, need Need, candidates []*entry) *entry {
-	told := lo.Filter(candidates, func(e *entry, _ int) bool { return e.told(now) })
+	told := lo.Filter(candidates, func(e *entry, _ int) bool { return e.told(now) && !e.declines.ofLate(now) })
 	if roomy := lo.Filter(told, func(e *entry, _ int) bool { return e.hasRoom(now, need) }); len(roomy) > 0 {
 		told = roomy
 	}
--- a/decide/placement/pushback_world_test.go
+++ b/decide/placement/pushback_world_test.go
@@ -219,16 +219,16 @@
 func (w *holdWorld) send(node int) {
 	w.in(w.between(50*time.Millisecond, 400*time.Millisecond), func() { w.send(node) })
 	n := w.nodes[node]
-	need := placement.Need{Kind: vaneyoke.KindService, Service: "lm", Bytes: 100, Once: w.rng.IntN(2) == 0}
+	wanted := placement.Need{Kind: vaneyoke.KindService, Service: "lm", Bytes: 100, Once: w.rng.IntN(2) == 0}
 	if w.prompts {
-		need.Affinity, need.Replicate = fmt.Sprint("p", w.rng.IntN(50)), true
-		for _, u := range append(n.state.Homes(w.now, need), n.state.Spares(w.now, w.rng, need)...) {
+		wanted.Affinity, wanted.Replicate = fmt.Sprint("p", w.rng.IntN(50)), true
+		for _, u := range append(n.state.Homes(w.now, wanted), n.state.Spares(w.now, w.rng, wanted)...) {
 			w.arrive(n, u, w.now)
 			n.state.Reported(w.now, u.ID, vaneyoke.Report{})
 		}
 	}
 	w.asked++
-	w.attempt(n, need, w.now, 0)
+	w.attempt(n, wanted, w.now, 0)
 }
 
 // attempt places an attempt of a request that a caller sent at a time.
--- a/decide/placement/state.go
+++ b/decide/placement/state.go
@@ -48,13 +48,14 @@
 	OutcomeDropped                        // the node ended the attempt
 	OutcomeUnreachable                    // the upstream takes no connections
 	OutcomeGone                           // another upstream has its address
+	OutcomeDeclined                       // the upstream took the request and turned it away
 
 	outcomes = iota + 1 // how many numbers there are, with the one that stands for none
 )
 
 // String names the outcome as it stands in metrics.
 func (o Outcome) String() string {
-	return names.Of(o, "none", "done", "failed", "lost", "dropped", "unreachable", "gone")
+	return names.Of(o, "none", "done", "failed", "lost", "dropped", "unreachable", "gone", "declined")
 }
 
 // entry is what the node knows of one upstream.
@@ -64,6 +65,7 @@
 	waiting      int // those of them that have given no token yet
 	replicaBytes int // of the prompts of the runs whose replicas it keeps for this node
 	first        estimate
+	declines     declines
 	drained      bool
 	reported     vaneyoke.Report // what it told last
 	reportedAt   time.Time
@@ -80,7 +82,7 @@
 
 // cost weighs one more request: how long first tokens take there, times the node's own work there.
 func (e *entry) cost(now time.Time, usual time.Duration) float64 {
-	return float64(e.first.expect(now, usual)) * (ownBase + e.load() + float64(e.waiting))
+	return float64(e.first.expect(now, usual)) * (ownBase + e.load() + float64(e.waiting) + e.declines.of(now))
 }
 
 // load returns the node's own work on the upstream for each of its slots.
@@ -173,7 +175,7 @@
 // reborn forgets what is known of an upstream's earlier life, but for this node's attempts, which end by themselves.
 func (s *State) reborn(e *entry) {
 	e.breaker = retry.NewBreaker(s.breaker)
-	e.first, e.reported, e.replicaBytes = estimate{}, vaneyoke.Report{}, 0
+	e.first, e.declines, e.reported, e.replicaBytes = estimate{}, declines{}, vaneyoke.Report{}, 0
 	e.gone, e.goneUntil, e.reportedAt = false, time.Time{}, time.Time{}
 	e.limit, e.withheld, e.turn = vaneyoke.Limit{}, time.Time{}, time.Time{}
 }
@@ -303,6 +305,9 @@
 		e.breaker.Failed(now)
 	case OutcomeDropped:
 		e.breaker.Dropped()
+	case OutcomeDeclined:
+		e.breaker.Dropped()
+		e.declines.add(now)
 	case OutcomeUnreachable:
 		e.breaker.Open(now)
 	case OutcomeGone:
--- a/shell/relay/loss.go
+++ b/shell/relay/loss.go
@@ -79,7 +79,7 @@
 func outcomeOf(cause generation.Cause) placement.Outcome {
 	switch cause {
 	case generation.CauseDeclined:
-		return placement.OutcomeDropped
+		return placement.OutcomeDeclined
 	case generation.CauseNotSent, generation.CauseUnreachable:
 		return placement.OutcomeUnreachable
 	case generation.CauseFailed:
