Engines of the caller API are left alone, too, when they ask for it

A 503 or 429 of an engine that speaks the OpenAI API was read as a connection that failed: the circuit breaker opened for half a second and more, whatever Retry-After said.

Change: one decoder of Retry-After (wire/engine) serves both interfaces; a refusal carries the time, and the relay gives it to the placement.

--- a/shell/relay/loss.go
+++ b/shell/relay/loss.go
@@ -35,6 +35,7 @@
 func (s *Session) lostLocked(attempt vaneyoke.Attempt, cause generation.Cause, err error) {
 	l := s.links[attempt]
 	s.noteLoss(attempt, l, cause, err)
+	s.relay.notePushback(l.upstream, err)
 	s.verify(l, cause)
 	if l.retry && cause == generation.CauseNotSent {
 		s.relay.placer.Unsent(s.need)
--- a/wire/engine/client.go
+++ b/wire/engine/client.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/openai"
@@ -162,6 +163,7 @@
 	Status    int
 	MediaType string
 	Body      []byte
+	Pushback  time.Duration // for which the engine wants nothing more; 0 where it does not say
 }
 
 // Call sends a body and returns the whole answer, whatever its status.
@@ -188,7 +190,8 @@
 	if len(answer) > maxAnswerBytes {
 		return Answer{}, &MalformedError{Reason: "answer is too large"}
 	}
-	return Answer{Status: res.StatusCode, MediaType: res.Header.Get(headerMediaType), Body: answer}, nil
+	pushback, _ := Pushback(res.StatusCode, res.Header)
+	return Answer{Status: res.StatusCode, MediaType: res.Header.Get(headerMediaType), Body: answer, Pushback: pushback}, nil
 }
 
 func (c *Client) send(ctx context.Context, method, url string, header http.Header, body []byte) (*http.Response, error) {
@@ -222,11 +225,12 @@
 	if a.Status == http.StatusOK {
 		return nil
 	}
-	return statusFailure(a.Status, a.Body)
+	return statusFailure(a.Status, a.Pushback, a.Body)
 }
 
 func readFailure(res *http.Response) error {
 	defer func() { _ = res.Body.Close() }()
 	body, _ := io.ReadAll(io.LimitReader(res.Body, maxRefusalBytes))
-	return statusFailure(res.StatusCode, body)
+	pushback, _ := Pushback(res.StatusCode, res.Header)
+	return statusFailure(res.StatusCode, pushback, body)
 }
--- a/wire/engine/failure.go
+++ b/wire/engine/failure.go
@@ -5,10 +5,14 @@
 	"fmt"
 	"net"
 	"net/http"
+	"time"
 )
 
 // NotSentError says that the engine did not run the request.
-type NotSentError struct{ Reason string }
+type NotSentError struct {
+	Reason   string
+	Pushback time.Duration // for which the engine wants nothing more; 0 where it does not say
+}
 
 // DeclinedError says that an upstream got the request and did not run it.
 type DeclinedError struct {
@@ -71,10 +75,10 @@
 }
 
 // statusFailure reads an engine's status other than 200.
-func statusFailure(status int, body []byte) error {
+func statusFailure(status int, pushback time.Duration, body []byte) error {
 	switch {
-	case status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable:
-		return &NotSentError{Reason: http.StatusText(status)}
+	case TurnsAway(status):
+		return &NotSentError{Reason: http.StatusText(status), Pushback: pushback}
 	case status >= http.StatusInternalServerError:
 		return &ClosedError{Err: fmt.Errorf("status %d", status)}
 	default:
