Metrics count the upstreams that are held back, and a request's story names what they said

The upstreams metric has held beside limited; vaneyoke explain shows upstream_pushed_back and upstream_leaves that came while a request ran.

--- a/cmd/vaneyoke/explain.go
+++ b/cmd/vaneyoke/explain.go
@@ -21,6 +21,7 @@
 var around = []string{
 	"configuration_in_force", "history_lost", "leaves_store", "node_started", "node_stopped", "node_stopping", "peer_lost", "reads_store",
 	"row_unreadable", "settings_reloaded", "store_lost", "store_regained", "tables_fresh", "tables_offered", "tables_old",
+	"upstream_leaves", "upstream_pushed_back",
 }
 
 const longestLogLine = 1 << 20
--- a/decide/gossip/fleet_test.go
+++ b/decide/gossip/fleet_test.go
@@ -217,7 +217,7 @@
 			f.handle(7, gossip.Seen{Upstream: vaneyoke.UpstreamID(fmt.Sprint("u", f.rng.IntN(20))), Kind: gossip.KindUnreachable})
 		}
 		for i, m := range f.nodes {
-			for _, load := range m.placer.Loads() {
+			for _, load := range m.placer.Loads(time.Time{}) {
 				must.False(t, load.Open, must.Sprint(i, load.Upstream.ID))
 			}
 		}
@@ -239,7 +239,7 @@
 	}
 	opened := func() (n int) {
 		for _, m := range f.nodes {
-			for _, load := range m.placer.Loads() {
+			for _, load := range m.placer.Loads(time.Time{}) {
 				if load.Open {
 					n++
 				}
--- a/decide/placement/load.go
+++ b/decide/placement/load.go
@@ -1,6 +1,8 @@
 package placement
 
 import (
+	"time"
+
 	"github.com/samber/lo"
 
 	"github.com/vaneyoke/vaneyoke"
@@ -19,14 +21,16 @@
 	Open     bool     // whether the breaker holds work back
 	Drained  bool     // whether a policy drains it
 	Limited  bool     // whether it names how many requests it takes
+	Held     bool     // whether it gets nothing new because it said so
 	Ended    Outcomes // of this node's attempts there
 }
 
 // Loads returns what the node sees of each upstream, by id.
-func (s *State) Loads() []Load {
+func (s *State) Loads(now time.Time) []Load {
 	return lo.Map(s.order, func(e *entry, _ int) Load {
 		return Load{
-			Upstream: e.upstream, InFlight: e.inFlight, Open: e.breaker.IsOpen(), Drained: e.drained, Limited: e.limit.Named, Ended: e.ended,
+			Upstream: e.upstream, InFlight: e.inFlight, Open: e.breaker.IsOpen(), Drained: e.drained, Limited: e.limit.Named,
+			Held: e.hold.At(now, &e.upstream), Ended: e.ended,
 		}
 	})
 }
--- a/decide/placement/pushback_world_test.go
+++ b/decide/placement/pushback_world_test.go
@@ -338,7 +338,7 @@
 
 // isListedAt reports whether a node's list has the upstream's life as it is.
 func (u *holdUpstream) isListedAt(n *holdNode) bool {
-	return slices.ContainsFunc(n.state.Loads(), func(l placement.Load) bool {
+	return slices.ContainsFunc(n.state.Loads(time.Time{}), func(l placement.Load) bool {
 		return l.Upstream.ID == u.row.ID && l.Upstream.Incarnation == u.row.Incarnation
 	})
 }
--- a/decide/placement/reborn_test.go
+++ b/decide/placement/reborn_test.go
@@ -47,7 +47,7 @@
 				comeBack(s)
 				must.True(t, s.TakesWork(now, "u"))
 				s.SetUpstreams([]vaneyoke.Upstream{first}) // an old list does not bring the earlier life back
-				must.EqOp(t, 6, s.Loads()[0].Upstream.Incarnation)
+				must.EqOp(t, 6, s.Loads(now)[0].Upstream.Incarnation)
 			})
 		}
 	}
--- a/process/node/upstream_metrics.go
+++ b/process/node/upstream_metrics.go
@@ -17,6 +17,7 @@
 	Leaving  int `json:"leaving"`   // that say that they are leaving, or are drained by a policy
 	Open     int `json:"open"`      // of the live ones, those that a circuit breaker keeps work from
 	Limited  int `json:"limited"`   // of the live ones, those that name how many requests they take
+	Held     int `json:"held"`      // of the live ones, those that asked for nothing for a while or said that they leave
 	InFlight int `json:"in_flight"` // attempts of this node on them
 }
 
@@ -37,6 +38,9 @@
 			if l.Limited {
 				c.Limited++
 			}
+			if l.Held {
+				c.Held++
+			}
 		}
 		counts[l.Upstream.Service] = c
 	}
--- a/process/node/upstream_metrics_test.go
+++ b/process/node/upstream_metrics_test.go
@@ -17,13 +17,13 @@
 	}
 	got := countUpstreams([]placement.Load{
 		load("lm", vaneyoke.StateLive, placement.Load{InFlight: 3, Limited: true}),
-		load("lm", vaneyoke.StateLive, placement.Load{InFlight: 1, Open: true}),
+		load("lm", vaneyoke.StateLive, placement.Load{InFlight: 1, Open: true, Held: true}),
 		load("lm", vaneyoke.StateLeaving, placement.Load{InFlight: 2, Open: true}),
 		load("lm", vaneyoke.StateLive, placement.Load{Drained: true}),
 		load("shop", vaneyoke.StateLive, placement.Load{}),
 	})
 	must.Eq(t, map[vaneyoke.ServiceID]upstreamCounts{
-		"lm":   {Live: 2, Leaving: 2, Open: 1, Limited: 1, InFlight: 6},
+		"lm":   {Live: 2, Leaving: 2, Open: 1, Limited: 1, Held: 1, InFlight: 6},
 		"shop": {Live: 1},
 	}, got)
 }
--- a/shell/balancer/balancer.go
+++ b/shell/balancer/balancer.go
@@ -320,5 +320,5 @@
 func (b *Balancer) Loads() []placement.Load {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.state.Loads()
+	return b.state.Loads(time.Now())
 }
