--- a/decide/lease/lease_test.go
+++ b/decide/lease/lease_test.go
@@ -61,6 +61,43 @@
 			}
 		}
 	},
+	"holder's answers held back, then cut off": func(w *world) {
+		w.wants = func(i int) bool { return i < 2 }
+		if w.since()%(10*time.Second) == 0 {
+			n := w.nodes[w.holder()]
+			n.back = time.Duration((0.6 + 2*w.rng.Float64()) * float64(term))
+			w.after(1200*time.Millisecond, func() { n.cut, n.back = w.now.Add(8*time.Second), 0 })
+		}
+	},
+	"holder stopped between a write and its answer": func(w *world) {
+		w.wants = func(i int) bool { return i < 2 }
+		if w.since()%(10*time.Second) == 0 {
+			i := w.holder()
+			n := w.nodes[i]
+			n.back = term / 10
+			w.after(1200*time.Millisecond, func() {
+				w.freeze(i, time.Duration((0.6+2*w.rng.Float64())*float64(term)))
+				n.cut, n.back = w.now.Add(8*time.Second), 0
+			})
+		}
+	},
+	"holder killed and started again at once": func(w *world) {
+		if w.since()%(4*time.Second) == 0 {
+			w.kill(w.holder(), step)
+		}
+	},
+	"holders leave one after the other": func(w *world) {
+		w.wants = func(i int) bool { return i < 3 }
+		if w.rng.Float64() < float64(step)/float64(700*time.Millisecond) {
+			w.leave(w.holder(), 500*time.Millisecond, time.Duration(w.rng.Int64N(int64(term))))
+		}
+	},
+	"wishes change faster than a term": func(w *world) {
+		if w.rng.Float64() < float64(step)/float64(600*time.Millisecond) {
+			wanted := w.rng.IntN(1 << 3)
+			w.wants = func(i int) bool { return i < 3 && wanted&(1<<i) != 0 }
+		}
+	},
 	"anything": func(w *world) {
 		if w.rng.Float64() < 0.02 {
 			i := w.rng.IntN(min(len(w.nodes), 3))
@@ -96,11 +133,7 @@
 			for _, checked := range []bool{true, false} {
 				t.Run(fmt.Sprintf("%d/%s/%v", nodes, name, checked), func(t *testing.T) {
 					t.Parallel()
-					seeds := uint64(8)
-					if nodes > 100 {
-						seeds = 1
-					}
-					for seed := range seeds {
+					for seed := range suiteSeeds(nodes) {
 						w := play(seed, nodes, checked, faultNone, trouble)
 						must.SliceEmpty(t, w.broken, must.Sprint("seed ", seed, w.broken))
 						must.SliceNotEmpty(t, w.acts, must.Sprint("seed ", seed))
@@ -113,7 +146,15 @@
 	}
 }
 
-// TestFaultsAreNoticed takes one promise after the other out of the nodes: the worlds show each.
+// suiteSeeds returns how many seeds of a fleet TestOneHolder plays.
+func suiteSeeds(nodes int) uint64 {
+	if nodes > 100 {
+		return 1
+	}
+	return 8
+}
+
+// TestFaultsAreNoticed takes one promise after the other out of the nodes: worlds that TestOneHolder plays show each.
 func TestFaultsAreNoticed(t *testing.T) {
 	for name, tc := range map[string]struct {
 		fault   fault
@@ -123,25 +164,96 @@
 		"token from memory": {faultTokenFromMemory, []bool{false}},
 		"short term":        {faultShortTerm, []bool{true, false}},
 		"no settling":       {faultNoSettling, []bool{false}},
+		"one life":          {faultOneLife, []bool{true, false}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			noticed := false
-			for seed := range uint64(60) {
-				for _, checked := range tc.checked {
-					for _, trouble := range troubles {
-						noticed = noticed || len(play(seed, 1+int(seed%3), checked, tc.fault, trouble).broken) > 0
+			shown, played := 0, 0
+			for _, nodes := range []int{2, 6} {
+				for seed := range suiteSeeds(nodes) {
+					for _, checked := range tc.checked {
+						for _, trouble := range troubles {
+							played++
+							if len(play(seed, nodes, checked, tc.fault, trouble).broken) > 0 {
+								shown++
+							}
+						}
 					}
 				}
-				if noticed {
-					return
-				}
 			}
-			must.True(t, noticed)
+			t.Logf("%d of %d worlds show it", shown, played)
+			must.Positive(t, shown)
+		})
+	}
+}
+
+// firstHeld returns a state that holds the lease from a time on, and the row that says so.
+func firstHeld(now time.Time, s *lease.State) lease.Row {
+	row := s.Handle(now, lease.Tick{Want: true})[0].(lease.Write).Row
+	row.Revision = 1
+	s.Handle(now, lease.Written{Row: row, SentAt: now})
+	return row
+}
+
+// TestProofCountsFromWhenTheRenewalWasSent has the answer to a renewal be long on its way: it proves the lease for what is left of a term since the
+// renewal was sent, and nothing where that is over.
+func TestProofCountsFromWhenTheRenewalWasSent(t *testing.T) {
+	for name, tc := range map[string]struct{ answer, until time.Duration }{
+		"at once":        {0, term},
+		"near the term":  {term - callFor, term},
+		"after the term": {term + callFor, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			sent := time.Unix(1000, 0)
+			s := lease.New("vm-0", 1, lease.Config{Term: term, Wait: callFor})
+			row := s.Handle(sent, lease.Tick{Want: true})[0].(lease.Write).Row
+			row.Revision = 1
+			s.Handle(sent.Add(tc.answer), lease.Written{Row: row, SentAt: sent})
+			if tc.until == 0 {
+				_, ok := s.Holds(sent.Add(tc.answer))
+				must.False(t, ok)
+				return
+			}
+			_, ok := s.Holds(sent.Add(tc.until - callFor))
+			must.True(t, ok)
+			_, ok = s.Holds(sent.Add(tc.until - callFor + time.Millisecond))
+			must.False(t, ok)
 		})
 	}
 }
 
+// TestEarlierLifeIsAnotherHolder has a process start again on the same VM while its earlier life's lease stands: it waits for it like any other, and
+// takes a higher token.
+func TestEarlierLifeIsAnotherHolder(t *testing.T) {
+	now := time.Unix(1000, 0)
+	config := lease.Config{Term: term, Wait: callFor}
+	row := firstHeld(now, lease.New("vm-0", 1, config))
+	again := lease.New("vm-0", 2, config)
+	must.Len(t, 1, again.Handle(now, lease.Tick{Want: true})) // it knows of no row yet
+	again.Handle(now, lease.Raced{Row: row})
+	must.SliceEmpty(t, again.Handle(now.Add(term), lease.Tick{Want: true}))
+	next := again.Handle(now.Add(2*term), lease.Tick{Want: true})[0].(lease.Write).Row
+	must.Greater(t, row.Fence, next.Fence)
+}
+
+// TestLeaseIsHeldForATermBeforeItIsGivenUp has a node leave soon after it got the lease: who held it before must not act again so soon.
+func TestLeaseIsHeldForATermBeforeItIsGivenUp(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := lease.New("vm-0", 1, lease.Config{Term: term, Wait: callFor})
+	row := firstHeld(now, s)
+	must.SliceEmpty(t, s.Handle(now.Add(term/2), lease.Leaving{Clean: true}))
+	must.SliceEmpty(t, s.Handle(now.Add(term-time.Millisecond), lease.Tick{Clean: true}))
+
+	other := lease.New("vm-0", 1, lease.Config{Term: term, Wait: callFor})
+	firstHeld(now, other)
+	renewed := other.Handle(now.Add(term/2), lease.Tick{Want: true})[0].(lease.Write).Row
+	renewed.Revision = row.Revision + 1
+	other.Handle(now.Add(term/2), lease.Written{Row: renewed, SentAt: now.Add(term / 2)})
+	effects := other.Handle(now.Add(term), lease.Leaving{Clean: true})
+	must.Len(t, 2, effects)
+	must.True(t, effects[1].(lease.Write).Row.Free)
+}
+
 // TestRefusedTokenIsNotUsedAgain has the platform know a higher token than the store does: the node takes a higher one, and never sends the refused one again.
 func TestRefusedTokenIsNotUsedAgain(t *testing.T) {
 	now := time.Unix(1000, 0)
--- a/decide/lease/world_test.go
+++ b/decide/lease/world_test.go
@@ -27,6 +27,7 @@
 	faultTokenFromMemory       // the node acts with the token that it had, whatever the time is
 	faultShortTerm             // the lease is shorter than the platform counts it
 	faultNoSettling            // a new holder acts at once where the platform checks no tokens
+	faultOneLife               // a process that started again takes itself for the one before
 )
 
 // world is a fleet of which one node at a time may act, on a clock of its own.
@@ -50,11 +51,17 @@
 	calls int              // to the store
 
 	highest lease.Fence // that the platform has seen
-	senders map[lease.Fence]int
+	senders map[lease.Fence]sender
 	acts    []act
 	broken  []string
 }
 
+// sender is one life of a node. What an earlier one has sent may still be under way.
+type sender struct {
+	node int
+	life vaneyoke.Incarnation
+}
+
 // act is a call that the platform took.
 type act struct {
 	at    time.Time
@@ -70,12 +77,13 @@
 type node struct {
 	state  *lease.State
 	life   vaneyoke.Incarnation
-	memory lease.Fence // token that it had last
-	frozen time.Time   // until when
-	dead   time.Time   // until when
-	cut    time.Time   // from the store, until when
-	woke   time.Time   // when it last woke or was healed
-	inbox  []func()    // what came while it was frozen
+	memory lease.Fence   // token that it had last
+	frozen time.Time     // until when
+	dead   time.Time     // until when
+	cut    time.Time     // from the store, until when
+	woke   time.Time     // when it last woke or was healed
+	back   time.Duration // for which the store's answers are held back after the write was carried out
+	inbox  []func()      // what came while it was frozen
 	acted  time.Time
 	under  int // calls to the platform without an answer
 }
@@ -83,7 +91,7 @@
 func newWorld(seed uint64, nodes int, checked bool, f fault) *world {
 	w := &world{
 		rng: rand.New(rand.NewPCG(seed, 11)), now: time.Unix(1000, 0), checked: checked, fault: f, delay: 40 * time.Millisecond,
-		senders: map[lease.Fence]int{}, revision: 500,
+		senders: map[lease.Fence]sender{}, revision: 500,
 	}
 	w.began = w.now
 	w.wants = func(i int) bool { return i == w.first() }
@@ -118,8 +126,12 @@
 	if w.fault == faultShortTerm {
 		config.Term, config.Wait = term/4, callFor/4
 	}
-	n.state = lease.New(vaneyoke.VMID(fmt.Sprint("vm", i)), n.life, config)
-	n.memory, n.inbox, n.under = 0, nil, 0
+	life := n.life
+	if w.fault == faultOneLife {
+		life = 1
+	}
+	n.state = lease.New(vaneyoke.VMID(fmt.Sprint("vm", i)), life, config)
+	n.memory, n.inbox, n.under, n.back = 0, nil, 0, 0
 }
 
 func (w *world) after(d time.Duration, do func()) {
@@ -206,7 +218,7 @@
 			w.after(callFor, answer(lease.Failed{}))
 			return
 		}
-		w.after(way, func() {
+		w.after(way+n.back, func() {
 			w.deliver(i, life, func() {
 				if !done {
 					w.handle(i, lease.Raced{Row: stands})
@@ -242,12 +254,12 @@
 	n.acted = w.now
 	life := n.life
 	if w.rng.Float64() < w.late {
-		w.after(2*time.Second+time.Duration(w.rng.Int64N(int64(6*time.Second))), func() { w.arrive(i, fence, true) })
+		w.after(2*time.Second+time.Duration(w.rng.Int64N(int64(6*time.Second))), func() { w.arrive(sender{i, life}, fence, true) })
 		return
 	}
 	n.under++
 	w.after(time.Duration(w.rng.Int64N(int64(callFor))), func() {
-		taken := w.arrive(i, fence, w.now.Sub(n.woke) < thaw)
+		taken := w.arrive(sender{i, life}, fence, w.now.Sub(n.woke) < thaw)
 		w.deliver(i, life, func() {
 			n.under--
 			if !taken {
@@ -259,14 +271,14 @@
 
 // arrive has a call come to the platform, which reports whether it took it. One that does not count was on its way while its sender was frozen, or was
 // carried out late.
-func (w *world) arrive(i int, fence lease.Fence, discounted bool) bool {
-	if other, seen := w.senders[fence]; seen && other != i {
-		w.broken = append(w.broken, fmt.Sprintf("%v: token %d from %d and %d", w.since(), fence, other, i))
+func (w *world) arrive(from sender, fence lease.Fence, discounted bool) bool {
+	if other, seen := w.senders[fence]; seen && other != from {
+		w.broken = append(w.broken, fmt.Sprintf("%v: token %d from %v and %v", w.since(), fence, other, from))
 	}
-	w.senders[fence] = i
+	w.senders[fence] = from
 	if fence < w.highest {
 		if !w.checked && !discounted {
-			w.broken = append(w.broken, fmt.Sprintf("%v: token %d from %d after %d", w.since(), fence, i, w.highest))
+			w.broken = append(w.broken, fmt.Sprintf("%v: token %d from %v after %d", w.since(), fence, from, w.highest))
 		}
 		if w.checked {
 			return false
@@ -274,7 +286,7 @@
 	}
 	w.highest = max(w.highest, fence)
 	if !discounted {
-		w.acts = append(w.acts, act{at: w.now, node: i, fence: fence})
+		w.acts = append(w.acts, act{at: w.now, node: from.node, fence: fence})
 		w.checkTurns()
 	}
 	return true
@@ -302,6 +314,21 @@
 	w.start(i)
 }
 
+// leave has a node end as it is asked to, after a grace, and start again.
+func (w *world) leave(i int, grace, pause time.Duration) {
+	n := w.nodes[i]
+	if !n.runs(w.now) {
+		return
+	}
+	life := n.life
+	w.handle(i, lease.Leaving{Clean: n.under == 0})
+	w.after(grace, func() {
+		if n.life == life {
+			w.kill(i, pause)
+		}
+	})
+}
+
 // freeze stops a node; its calls on the way go on.
 func (w *world) freeze(i int, pause time.Duration) {
 	n := w.nodes[i]
