Operators cap a workspace or a route on all nodes, and see what waits

Cause: nothing let an operator limit a workspace or a route at once on all nodes, or tell from a request's id why it was refused or held.

Change: rows of the store's table caps, by workspace and route, travel to all nodes with the other tables (MayLag, Optional). vaneyoke cap set, clear and list write them under the condition of the revision that was read and tell what was in force before; cap_set and cap_cleared are logged at each node, and caps is among the metrics. vaneyoke fleet adds up queues, rejections and caps.

Ruled out: rows of the operator's own table, which the platform writes; keeping the last readable value of a row, by which a node that has just started would differ from the others.

--- a/cmd/vaneyoke/fleet.go
+++ b/cmd/vaneyoke/fleet.go
@@ -36,6 +36,7 @@
 	Protocol feed.ProtocolVersion `json:"speaks"` // version of the peer protocol that its build supports
 	Status   mesh.NodeStatus      `json:"part"`
 	Leases   leaseViews           `json:"leases,omitempty"`
+	Load     loadState            `json:"load"`
 	Silent   bool                 `json:"silent,omitempty"` // true if it did not answer
 }
 
@@ -50,7 +51,7 @@
 func fleetCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "fleet",
-		Usage: "tell what the nodes that take opaque requests believe: versions in force, who reads the store, who is cut off",
+		Usage: "tell what the nodes that take opaque requests believe: versions in force, who reads the store, who is cut off, what waits and is capped",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "admin", Required: true, Usage: "`ADDRESS` of one node's metrics; the others are asked at the same port"},
 			&cli.DurationFlag{Name: "wait", Value: 2 * time.Second, Usage: "longest wait for a node"},
@@ -106,12 +107,17 @@
 		Duties struct {
 			Leases leaseViews `json:"leases"`
 		} `json:"duties"`
+		Admission json.RawMessage `json:"admission"`
+		Caps      json.RawMessage `json:"caps"`
 	}
 	host, _, err := net.SplitHostPort(m.Address)
 	if err == nil {
 		err = getJSON(ctx, client, "http://"+net.JoinHostPort(host, port)+"/debug/vars", &vars)
 	}
-	return nodeState{VM: m.VM, Version: vars.Version, Build: vars.Build, Protocol: vars.Speaks, Status: vars.Mesh.Status, Leases: vars.Duties.Leases, Silent: err != nil}
+	return nodeState{
+		VM: m.VM, Version: vars.Version, Build: vars.Build, Protocol: vars.Speaks, Status: vars.Mesh.Status, Leases: vars.Duties.Leases,
+		Load: readLoad(vars.Admission, vars.Caps), Silent: err != nil,
+	}
 }
 
 func getJSON(ctx context.Context, client *http.Client, url string, into any) error {
@@ -159,6 +165,7 @@
 		most := lo.MaxBy(answered, func(a, b nodeState) bool { return a.Status.Followers > b.Status.Followers })
 		fmt.Fprintf(w, "followers  at most %d (%s)\n", most.Status.Followers, most.VM)
 	}
+	printLoad(w, answered)
 }
 
 // printDuties writes which nodes report to hold each duty, and the highest fencing token that is reported.
--- a/cmd/vaneyoke/main.go
+++ b/cmd/vaneyoke/main.go
@@ -40,6 +40,7 @@
 			policyCommand(),
 			upstreamCommand(),
 			workspaceCommand(),
+			capCommand(),
 			statusCommand(),
 			auditCommand(),
 			bootstrapCommand(),
--- a/process/node/gateway.go
+++ b/process/node/gateway.go
@@ -125,6 +125,9 @@
 	return "http://" + n.listeners[1].Addr().String() + "/readyz"
 }
 
+// AdminURL returns the base URL of the metrics, which must have been opened.
+func (n *GatewayNode) AdminURL() string { return "http://" + n.listeners[2].Addr().String() }
+
 func (n *GatewayNode) serve(l net.Listener, handler http.Handler) {
 	s := n.settings.Gateway
 	server := serve.New(handler, serve.Config{
--- a/process/node/gateway_wire.go
+++ b/process/node/gateway_wire.go
@@ -43,6 +43,7 @@
 	do.Provide(i, provideRollouts)
 	do.Provide(i, provideCrashTables)
 	do.Provide(i, provideLimitTables)
+	do.Provide(i, provideCapTables)
 	do.Provide(i, provideLimits)
 	do.Provide(i, providePushbacks)
 	do.Provide(i, provideSignalListener)
@@ -156,6 +157,7 @@
 		}},
 	}
 	tables["limits"] = mesh.Table{Source: platform.NewLimits(client, s.Gateway.Store), MayLag: true, Optional: true, Apply: limitUpdates.setRows}
+	tables["caps"] = mesh.Table{Source: platform.NewCaps(client, s.Gateway.Store), MayLag: true, Optional: true, Apply: do.MustInvoke[*capTables](i).setRows}
 	if s.Rollout.Exposure > 0 {
 		tables["rollouts"] = mesh.Table{Source: platform.NewRollouts(client, s.Gateway.Store), MayLag: true, Apply: rolloutUpdates.setRecords}
 	}
--- a/process/telemetry/events.go
+++ b/process/telemetry/events.go
@@ -20,6 +20,8 @@
 	{"attempt_lost", []string{"request", "content", "attempt", "upstream", "cause", "error", "begun", "pieces", "head_ms", "age_ms"}, "An attempt on an upstream was lost; cause says how. head_ms is when the head of its answer had come (-1 for not at all), pieces how many pieces had, and age_ms when it was lost, all since it was sent; requests with the same content ask the same."},
 	{"attempt_started", []string{"request", "attempt", "upstream", "from", "replica", "from_replica"}, "A further attempt was sent; from counts the pieces that the caller has."},
 	{"cancel_failed", []string{"request", "upstream", "stream", "error"}, "An engine could not be told to stop a run."},
+	{"cap_cleared", []string{"workspace", "route", "before"}, "An operator's cap on a workspace or a route is no longer in force; before is the share that it left, and an empty name stands for all."},
+	{"cap_set", []string{"workspace", "route", "share", "before"}, "An operator's cap on a workspace or a route is in force: share is the part of its requests that is still admitted while others wait, 0 for none at all; before is the share until then, and an empty name stands for all."},
 	{"claim_not_settled", []string{"request"}, "A claim whose write has an unknown outcome could not be settled."},
 	{"configuration_applied", []string{"policy"}, "The policies and upstreams of a revision are in force."},
 	{"configuration_changed", []string{"actor", "action", "policy"}, "An operator's change was committed with the revision that policy names."},
