Tests of returns by urgency and of contents long past

Cause: two changes of the code passed all tests: reservations of less urgent callers that delay urgent ones, and contents that are remembered for ever.

Change: the test of urgency asks within the less urgent reservations, and a new one has a content come back long after and long before its time.

Evidence: both changes fail go test ./decide/pacing now.

--- a/decide/pacing/pacing_test.go
+++ b/decide/pacing/pacing_test.go
@@ -140,7 +140,19 @@
 	for i := range 200 {
 		n.rejectUrgency(fmt.Sprint(i), routeWait, 2)
 	}
-	must.Less(t, 2*time.Second, n.rejectUrgency("urgent", routeWait, 0))
+	n.now = n.now.Add(2 * time.Second) // into the less urgent reservations
+	must.Less(t, time.Second, n.rejectUrgency("urgent", routeWait, 0))
+}
+
+// TestContentIsRememberedForever has a content arrive again long after its time, and after a jump of the clock to long before.
+func TestContentIsRememberedForever(t *testing.T) {
+	for _, elapsed := range []time.Duration{time.Hour, -time.Hour} {
+		n := newNode()
+		n.classify("a", routeWait)
+		n.reject("a", routeWait)
+		n.now = n.now.Add(elapsed)
+		must.EqOp(t, pacing.ReturnNone, n.classify("a", routeWait))
+	}
 }
 
 // TestNoTimeForComputedWait checks that callers are told no more than a third of their time, and are spread over the later half of it.
