Shares of services, urgencies and workspaces are added up over the nodes

Cause: sixty nodes each see a sixtieth of the load, so none of them can tell that a workspace has too much of the whole, or that more urgent work waits at another node.

Change: decide/share is an aggregation tree with soft state along the tree of the tables. Every 500 ms a node sends the sum of its subtree to its parent, the root sends the totals down. All nodes send at a time after the root's last totals, the lowest first, so that a sum needs one interval to the root. A summary to the parent names the last totals received, so that the parent sends lost ones again, twice at most. Totals are used for 2 s while the parent is silent, and 3 s in any case; then the node goes by its own subtree, which is its own demand if no child is there. Distinct workspaces are counted by a sketch of 256 bits. Children get, in place of workspaces, hashes of those over their max-min fair share.

One workspace at twelve times its traffic over 60 nodes is seen as 11 times over its share by all of them, and by none alone.

--- a/decide/share/event.go
+++ b/decide/share/event.go
@@ -11,10 +11,10 @@
 
 // Flow is the demand of a set of requests.
 type Flow struct {
-	Offered  vaneyoke.Tokens `json:"o,omitempty"` // prompt tokens a second that arrived
-	Admitted vaneyoke.Tokens `json:"a,omitempty"` // prompt tokens a second that were sent to upstreams
-	Waiting  vaneyoke.Tokens `json:"w,omitempty"` // prompt tokens that wait now
-	Rejected int             `json:"r,omitempty"` // requests a second that were rejected for load
+	Offered  vaneyoke.Tokens // prompt tokens a second that arrived
+	Admitted vaneyoke.Tokens // prompt tokens a second that were sent to upstreams
+	Waiting  vaneyoke.Tokens // prompt tokens that wait now
+	Rejected int             // requests a second that were rejected for load
 }
 
 // Demand is the demand of one workspace for one service at one urgency.
@@ -25,17 +25,19 @@
 	Flow      Flow
 }
 
-// ServiceTotals is the demand of the whole fleet for a service.
+// ServiceTotals is the demand of the whole fleet for a service. The root knows the workspaces with the most demand, other nodes only which of them
+// are over their fair share; Totals.Overuse answers for both.
 type ServiceTotals struct {
 	Urgencies  map[Urgency]Flow
 	Workspaces map[vaneyoke.WorkspaceID]Flow // those with the most demand
 	Others     Flow                          // of all other workspaces together
-	Active     int                           // number of workspaces with demand
+	Active     int                           // number of workspaces with demand, estimated
+	Overused   map[Hash]float64              // by workspace: what it had admitted over its fair share
 }
 
 // Totals is the demand of the whole fleet, as known to a node; a node that hears from no other knows its own demand only.
 type Totals struct {
-	MeasuredAt time.Time // by this node's clock; zero if nothing is known
+	MeasuredAt time.Time // by this node's clock, when they were added up; zero if nothing is known
 	Nodes      int       // nodes whose demand is included
 	Services   map[vaneyoke.ServiceID]ServiceTotals
 }
@@ -43,7 +45,7 @@
 // Event is an input of State.Handle.
 type Event interface{ event() }
 
-// Counted carries this node's demand over the last interval.
+// Counted carries this node's demand over the last interval. A node that does not count takes no part, except that it forwards summaries.
 type Counted struct{ Demands []Demand }
 
 // TreeUpdated carries the neighbours of this node in the tree along which the store's tables are replicated.
@@ -75,36 +77,22 @@
 // UpdateTotals reports new totals.
 type UpdateTotals struct{ Totals Totals }
 
-func (SendSummary) effect()  {}
-func (UpdateTotals) effect() {}
-
-// Summary is what a node tells a neighbour: the demand of its subtree to its parent, the totals to its children. It fits into a datagram.
-type Summary struct {
-	From     vaneyoke.VMID  `json:"f"`
-	Sequence uint64         `json:"n"`           // rises with each summary of the sender
-	Down     bool           `json:"d,omitempty"` // whether it holds the totals of the fleet
-	Age      time.Duration  `json:"g"`           // of the oldest demand in it
-	Nodes    int            `json:"c"`
-	Services []ServiceShare `json:"s"`
+// SummaryDropped reports that a received summary was not used.
+type SummaryDropped struct {
+	From   vaneyoke.VMID
+	Reason DropReason
 }
 
-// ServiceShare is the demand for a service in a summary.
-type ServiceShare struct {
-	Service    vaneyoke.ServiceID `json:"s"`
-	Urgencies  []UrgencyFlow      `json:"u"`
-	Workspaces []WorkspaceFlow    `json:"w"`
-	Others     Flow               `json:"o"`
-	Active     int                `json:"n"`
-}
+func (SendSummary) effect()    {}
+func (UpdateTotals) effect()   {}
+func (SummaryDropped) effect() {}
 
-// UrgencyFlow is the demand at one urgency.
-type UrgencyFlow struct {
-	Urgency Urgency `json:"u"`
-	Flow
-}
+// DropReason tells why a summary was not used.
+type DropReason string
 
-// WorkspaceFlow is the demand of one workspace.
-type WorkspaceFlow struct {
-	Workspace vaneyoke.WorkspaceID `json:"w"`
-	Flow
-}
+// The reasons.
+const (
+	DropStranger DropReason = "stranger" // its sender is no neighbour in the tree
+	DropLate     DropReason = "late"     // a later one of its sender was received before, or its totals are too old
+	DropLoop     DropReason = "loop"     // it came back to the node that made it, or over more nodes than a tree has levels
+)
