Nodes exchange summaries of demand in datagrams of their own type

Cause: the sums of decide/share have to pass between nodes, beside builds that do not know them.

Ruled out: a further kind among the sightings (ended processes of the builds before it, twice); going by the member's row (outlives its build).

Change: datagrams of type 0x02 carry encoded summaries, only to neighbours whose connection states protocol version 2 (ProtocolShares), which this build states. mesh.Node tells parent and followers apart (OnTree). shell/shares runs the core, publishes metrics and logs shares_alone and shares_joined, at most one line in 10 s. process/node provides it where peers are configured, with a demand source that counts nothing until the admission node replaces it (provideDemandSource): until then no datagram is sent. In tests, startMeshPrepared lets a test set handlers before a peer runs, and the receiver of FuzzDatagrams handles summaries too.

Evidence: go test -race ./shell/shares ./shell/mesh; five nodes over loopback add up, go on without the one at the root, and with the store away.

--- a/cmd/vaneyoke/explain.go
+++ b/cmd/vaneyoke/explain.go
@@ -20,7 +20,7 @@
 // contextEvents are the events that describe the state of a node. Those logged while a request ran are shown with its own events.
 var contextEvents = []string{
 	"configuration_in_force", "history_lost", "leaves_store", "node_started", "node_stopped", "node_stopping", "peer_lost", "reads_store",
-	"row_unreadable", "settings_reloaded", "store_lost", "store_regained", "tables_fresh", "tables_offered", "tables_old",
+	"row_unreadable", "settings_reloaded", "shares_alone", "shares_joined", "store_lost", "store_regained", "tables_fresh", "tables_offered", "tables_old",
 	"upstream_leaves", "upstream_pushed_back",
 }
 
--- a/decide/feed/member.go
+++ b/decide/feed/member.go
@@ -24,10 +24,11 @@
 const (
 	ProtocolInitial ProtocolVersion = iota // of builds that report no version
 	ProtocolLimits                         // adds sightings of crashed and survived requests, and messages about rate limits, which such builds enforce together
+	ProtocolShares                         // adds summaries of the demand, as datagrams of a type of their own
 )
 
 // ProtocolCurrent is the version of this build.
-const ProtocolCurrent = ProtocolLimits
+const ProtocolCurrent = ProtocolShares
 
 // Outranks reports whether m ranks before other. Members of higher rank read the store for the others.
 func (m Member) Outranks(other Member) bool { return compareRanks(rankOf(m), rankOf(other)) < 0 }
--- a/process/node/gateway.go
+++ b/process/node/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/vaneyoke/vaneyoke/shell/ratelimits"
 	"github.com/vaneyoke/vaneyoke/shell/relay"
 	"github.com/vaneyoke/vaneyoke/shell/rollouts"
+	"github.com/vaneyoke/vaneyoke/shell/shares"
 )
 
 const (
@@ -45,6 +46,7 @@
 	crashes  *quarantines.Node
 	limits   *ratelimits.Node
 	duties   *duties.Node // nil without duties
+	shares   *shares.Node // nil without peers
 	active   *activeConfig
 	vars     *expvar.Map
 	tracing  *telemetry.Tracing
@@ -101,6 +103,9 @@
 	if n.duties != nil {
 		n.tasks.Go(func() { n.duties.Run(run) })
 	}
+	if n.shares != nil {
+		n.tasks.Go(func() { n.shares.Run(run) })
+	}
 	for i, l := range n.listeners {
 		n.serve(l, handlers[i])
 	}
--- a/process/node/gateway_wire.go
+++ b/process/node/gateway_wire.go
@@ -24,6 +24,7 @@
 	"github.com/vaneyoke/vaneyoke/shell/ratelimits"
 	"github.com/vaneyoke/vaneyoke/shell/relay"
 	"github.com/vaneyoke/vaneyoke/shell/rollouts"
+	"github.com/vaneyoke/vaneyoke/shell/shares"
 	"github.com/vaneyoke/vaneyoke/shell/watch"
 )
 
@@ -44,6 +45,8 @@
 	do.Provide(i, provideCrashTables)
 	do.Provide(i, provideLimitTables)
 	do.Provide(i, provideLimits)
+	do.Provide(i, provideDemandSource)
+	do.Provide(i, provideShares)
 	do.Provide(i, providePushbacks)
 	do.Provide(i, provideSignalListener)
 	do.Provide(i, provideDutyTables)
@@ -117,6 +120,7 @@
 		crashes:  do.MustInvoke[*gatewayPlacer](i).crashes,
 		limits:   do.MustInvoke[*ratelimits.Node](i),
 		duties:   do.MustInvoke[*duties.Node](i),
+		shares:   do.MustInvoke[*shares.Node](i),
 		active:   do.MustInvoke[*activeConfig](i),
 		vars:     do.MustInvoke[*expvar.Map](i),
 		tracing:  do.MustInvoke[*telemetry.Tracing](i),
--- a/process/telemetry/events.go
+++ b/process/telemetry/events.go
@@ -87,6 +87,8 @@
 	{"session_taken_over", []string{"request", "epoch", "tokens", "finished"}, "A session of another node goes on here."},
 	{"settings_refused", []string{"code", "error"}, "Changed settings have errors and are left aside."},
 	{"settings_reloaded", []string{"taken", "grace", "lame", "needs_restart"}, "Changed settings were taken in."},
+	{"shares_alone", []string{"age_ms"}, "The node has no totals of the fleet's demand any more and goes by its own; age_ms is how long ago the last ones that included other nodes came. At most one line in 10 s."},
+	{"shares_joined", []string{"nodes"}, "The node goes by the fleet's demand again; nodes is how many nodes' demand is in it."},
 	{"signal_received", []string{"signal", "stopping"}, "The process got a signal; one that comes while it stops changes nothing."},
 	{"signal_unreadable", []string{"upstream", "header"}, "An upstream said something of itself in a header whose value means nothing; it is left aside. Told once a second at the most."},
 	{"store_clock_unknown", []string{"error"}, "The store's clock could not be read; a roll-out waits for it."},
--- a/shell/mesh/datagram.go
+++ b/shell/mesh/datagram.go
@@ -12,11 +12,12 @@
 	"github.com/vaneyoke/vaneyoke/shell/ratelimits"
 )
 
-// The type byte precedes the JSON of a datagram. It is a control character, with which no JSON text starts, so builds without type bytes
+// The type byte precedes the JSON of a datagram, or a summary as decide/share encodes it. It is a control character, with which no JSON text starts, so builds without type bytes
 // ignore such datagrams, and other builds ignore the types that they do not know.
 const (
 	typeNone   = 0x00 // no type byte is sent
 	typeLimits = 0x01
+	typeShares = 0x02
 )
 
 // maxDatagramBytes is the largest datagram sent: the size that nodes of all builds receive in full.
@@ -31,6 +32,23 @@
 // OnNeighbours sets the handler of changes of this node's neighbours in the tree; it must be called at most once, before the node runs.
 func (n *Node) OnNeighbours(handle func([]vaneyoke.VMID)) { n.onNeighbours = handle }
 
+// OnShares sets the handler of encoded summaries, which reports whether it could read one and must not keep the data; it must be called at most
+// once, before the node runs.
+func (n *Node) OnShares(handle func(data []byte) bool) { n.onShares = handle }
+
+// OnTree sets the handler of changes of this node's place in the tree, whose parent is "" if the node follows none; it must be called at most once,
+// before the node runs.
+func (n *Node) OnTree(handle func(parent vaneyoke.VMID, children []vaneyoke.VMID)) { n.onTree = handle }
+
+// SendShares sends an encoded summary to a neighbour, unless its build does not support them, and reports whether it was sent.
+func (n *Node) SendShares(to vaneyoke.VMID, data []byte) bool {
+	member, ok := lo.Find(n.registeredMembers(), func(m feed.Member) bool { return m.VM == to })
+	if !ok || n.neighbours.protocol(to) < feed.ProtocolShares || len(data) >= maxDatagramBytes {
+		return false
+	}
+	return n.sendDatagram(member, append([]byte{typeShares}, data...))
+}
+
 // SendLimits sends a message about rate limits to a member, unless its build does not support them.
 func (n *Node) SendLimits(to vaneyoke.VMID, m ratelimits.Message) {
 	member, ok := lo.Find(n.registeredMembers(), func(m feed.Member) bool { return m.VM == to })
@@ -107,10 +125,17 @@
 
 // handleTyped handles a datagram that starts with a type byte, and ignores unknown types.
 func (n *Node) handleTyped(data []byte) {
-	var m ratelimits.Message
-	if data[0] != typeLimits || n.onLimits == nil || json.Unmarshal(data[1:], &m) != nil {
+	known := false
+	switch data[0] {
+	case typeLimits:
+		var m ratelimits.Message
+		if known = n.onLimits != nil && json.Unmarshal(data[1:], &m) == nil; known {
+			n.onLimits(m)
+		}
+	case typeShares:
+		known = n.onShares != nil && n.onShares(data[1:])
+	}
+	if !known {
 		n.metrics.countIgnored()
-		return
 	}
-	n.onLimits(m)
 }
--- a/shell/mesh/fuzz_test.go
+++ b/shell/mesh/fuzz_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"expvar"
+	"io"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
 
+	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/gossip"
 	"github.com/vaneyoke/vaneyoke/shell/ratelimits"
+	"github.com/vaneyoke/vaneyoke/shell/shares"
 	"github.com/vaneyoke/vaneyoke/shell/watch"
 )
 
@@ -17,6 +22,11 @@
 	n := idleNode()
 	NewGossip(n, apply)
 	n.OnLimits(func(ratelimits.Message) {})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	summed := shares.New(n.self.VM, n, &demand{}, shares.NewMetrics(new(expvar.Map).Init()), log)
+	summed.SetTree("vm-1", []vaneyoke.VMID{"vm-2"})
+	n.OnShares(summed.HandleDatagram)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel() // no event loop reads the offers
 	return n, ctx
--- a/shell/mesh/gossip.go
+++ b/shell/mesh/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -117,8 +118,13 @@
 
 // setNeighbours passes on the source and the followers of this node.
 func (n *Node) setNeighbours(state *feed.State) {
-	neighbours := state.FollowerVMs()
-	if source, ok := state.Source(); ok {
+	followers := state.FollowerVMs()
+	source, ok := state.Source()
+	if n.onTree != nil {
+		n.onTree(source.VM, slices.Clone(followers))
+	}
+	neighbours := followers
+	if ok {
 		neighbours = append(neighbours, source.VM)
 	}
 	if g := n.gossip.Load(); g != nil {
--- a/shell/mesh/node.go
+++ b/shell/mesh/node.go
@@ -49,8 +49,10 @@
 	datagrams    atomic.Pointer[net.PacketConn]
 	gossip       atomic.Pointer[Gossip] // nil without gossip
 	neighbours   neighbours
-	onLimits     func(ratelimits.Message) // nil if the node handles no rate limits
-	onNeighbours func([]vaneyoke.VMID)    // nil without a listener
+	onLimits     func(ratelimits.Message)                             // nil if the node handles no rate limits
+	onNeighbours func([]vaneyoke.VMID)                                // nil without a listener
+	onShares     func(data []byte) bool                               // nil if the node handles no shares
+	onTree       func(parent vaneyoke.VMID, children []vaneyoke.VMID) // nil without a listener
 	events       chan feed.Event
 	done         chan struct{} // closed when Run returns
 
--- a/shell/mesh/node_test.go
+++ b/shell/mesh/node_test.go
@@ -82,6 +82,11 @@
 func startMesh(t *testing.T, count int) []*peer { return startMeshWith(t, count, func(*Config) {}) }
 
 func startMeshWith(t *testing.T, count int, change func(*Config)) []*peer {
+	return startMeshPrepared(t, count, change, func(*peer) {})
+}
+
+// startMeshPrepared calls prepare with each peer before it runs.
+func startMeshPrepared(t *testing.T, count int, change func(*Config), prepare func(*peer)) []*peer {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	config := DefaultConfig()
@@ -102,6 +107,7 @@
 		p.self.Address = self.Address
 		all = append(all, self)
 		peers[i] = p
+		prepare(p)
 	}
 	for _, p := range peers {
 		p.SetMembers(all)
