--- a/decide/share/state.go
+++ b/decide/share/state.go
@@ -12,6 +12,7 @@
 	interval       = 500 * time.Millisecond  // between two summaries to the parent, and between two to each child
 	summaryTTL     = 3*interval + interval/2 // for which a child's summary, and this node's own demand, count
 	parentTTL      = 2 * time.Second         // for which totals are used while the parent is silent
+	orphanTTL      = time.Second             // for which totals are used while the node follows no other, which then is probably the root
 	totalsTTL      = 3 * time.Second         // for which totals are used in any case, since the root added them up
 	sequenceTTL    = 10 * time.Second        // for which a sender's last sequence is remembered
 	loopTTL        = interval + interval/5   // for which a node sends its parent nothing after its own totals came back
@@ -33,6 +34,7 @@
 	sequence uint64
 	parent   vaneyoke.VMID
 	children []vaneyoke.VMID
+	orphanAt time.Time // since when the node follows no other; zero while it follows one
 
 	own     []Demand
 	ownAt   time.Time // zero unless the node counts
@@ -67,11 +69,6 @@
 	measuredAt time.Time // when the root added them up, by this node's clock
 }
 
-// expiry returns until when the totals are used.
-func (r *received) expiry() time.Time {
-	return earlier(r.receivedAt.Add(parentTTL), r.measuredAt.Add(totalsTTL))
-}
-
 // New returns a state that knows nothing. A later start of the node needs a higher firstSequence, so that its summaries are not taken for
 // duplicates of those of an earlier start.
 func New(self vaneyoke.VMID, firstSequence uint64, rng *rand.Rand) *State {
@@ -82,7 +79,7 @@
 func (s *State) NextTick() time.Time {
 	next := s.sendAt
 	if s.totals != nil {
-		next = earlier(next, s.totals.expiry().Add(1))
+		next = earlier(next, s.totalsExpiry().Add(1))
 	}
 	if s.unsent {
 		next = earlier(next, s.sentDownAt.Add(minDownGap))
@@ -90,6 +87,15 @@
 	return next
 }
 
+// totalsExpiry returns until when the totals of the parent are used.
+func (s *State) totalsExpiry() time.Time {
+	expiry := earlier(s.totals.receivedAt.Add(parentTTL), s.totals.measuredAt.Add(totalsTTL))
+	if !s.orphanAt.IsZero() {
+		expiry = earlier(expiry, s.orphanAt.Add(orphanTTL))
+	}
+	return expiry
+}
+
 func earlier(a, b time.Time) time.Time {
 	if b.Before(a) {
 		return b
@@ -112,7 +118,7 @@
 	case Counted:
 		s.own, s.ownAt = ev.Demands, now
 	case TreeUpdated:
-		s.setTree(ev)
+		s.setTree(now, ev)
 	case SummaryReceived:
 		s.receive(now, ev.Summary)
 	case Tick:
@@ -125,8 +131,13 @@
 
 // setTree updates the neighbours and forgets the demand of those that are no children any more. A parent that follows this node is no child: their
 // sums would include each other.
-func (s *State) setTree(ev TreeUpdated) {
+func (s *State) setTree(now time.Time, ev TreeUpdated) {
 	s.parent, s.children = ev.Parent, ev.Children
+	if s.parent != "" {
+		s.orphanAt = time.Time{}
+	} else if s.orphanAt.IsZero() {
+		s.orphanAt = now
+	}
 	if slices.Contains(s.children, s.parent) {
 		s.children = slices.DeleteFunc(slices.Clone(s.children), func(vm vaneyoke.VMID) bool { return vm == s.parent })
 	}
@@ -197,7 +208,7 @@
 }
 
 func (s *State) tick(now time.Time) {
-	expired := s.totals != nil && now.After(s.totals.expiry())
+	expired := s.totals != nil && now.After(s.totalsExpiry())
 	if expired {
 		s.totals, s.unsent = nil, false
 	}
@@ -232,7 +243,7 @@
 // scheduleNext sets the time of the next summary. If the totals have not come since the last one, the same is sent twice: it shows the parent what
 // this node lacks.
 func (s *State) scheduleNext(now time.Time) {
-	if s.repeating {
+	if s.repeating && now.Sub(s.sentAt) < interval/2 {
 		s.repeating, s.sendAt = false, s.sentAt.Add(interval)
 		return
 	}
--- a/decide/share/state_test.go
+++ b/decide/share/state_test.go
@@ -166,6 +166,14 @@
 			b.tree("")
 			b.advance(time.Second)
 		}, nodes: 60},
+		"the parent is gone for good": {run: func(b *harness) {
+			b.handle(down("parent", 1, "root", 60, 0))
+			b.tree("")
+			b.advance(500 * time.Millisecond)
+			b.tree("", "a")
+			b.handle(up("a", 1, 10))
+			b.advance(500*time.Millisecond + 1)
+		}, nodes: 2},
 		"its own came back": {run: func(b *harness) {
 			b.advance(interval)
 			b.handle(down("parent", 1, "self", 60, 0))
