--- a/decide/admission/event.go
+++ b/decide/admission/event.go
@@ -10,7 +10,7 @@
 
 // Request is a request that waits for an upstream of a service.
 type Request struct {
-	ID        vaneyoke.RequestID
+	ID        vaneyoke.RequestID // unique among those that wait
 	Service   vaneyoke.ServiceID
 	Route     vaneyoke.RouteID
 	Workspace vaneyoke.WorkspaceID
@@ -18,9 +18,10 @@
 	Urgency   share.Urgency
 	Prompt    vaneyoke.Tokens // tokens to prefill
 	Answer    vaneyoke.Tokens // most tokens that it generates; 0 if unknown
+	Received  time.Time       // when the node received it; zero for when it arrives here
 	Goal      time.Time       // until when its first token is in time
 	Deadline  time.Time       // until when its caller waits
-	Return    pacing.Return   // whether its caller was rejected before
+	Return    pacing.Return   // whether its caller was rejected before; set by State.Handle unless it is known
 	Bytes     int             // memory that it takes while it waits
 }
 
--- a/decide/admission/reason.go
+++ b/decide/admission/reason.go
@@ -9,10 +9,9 @@
 const (
 	ReasonHopeless  Reason = iota + 1 // it cannot start before its caller's deadline
 	ReasonQueueFull                   // the queue has reached its bound, and its rejection costs the least
-	ReasonShare                       // its workspace has more than its share of the service while others wait
+	ReasonShare                       // it cannot start in time behind others, since its workspace has more than its share of the fleet
 	ReasonCapped                      // an operator has capped its workspace or route
-	ReasonEarly                       // its caller came back before the time that it was told
-
+	ReasonEarly                       // it cannot start in time behind others, since its caller came back before the time that it was told
 )
 
 // String returns the reason as written to logs and metrics.
