The relay queues first attempts of prompts; services with mixed priorities are ranked

Cause: the loop in shell/relay/place.go let each prompt poll for room by itself, and had no way to reject one.

Change: an Admitter of the placer decides for first attempts of prompts. Without one (caller API, tests) the wait for one request is as before. Code 70 (overloaded) ends a first attempt at once, with a retry-after of at most a third of the caller's remaining time. [admission] mode, max_queued and max_bytes; with mode = auto a service is ranked where routes of streams with different priority lead to it (route.Table.StreamServices). Balancer.Room is HasRoom until placement.State.Assess is there: Idle is then always false, and the times are unknown.

--- a/code.go
+++ b/code.go
@@ -41,6 +41,7 @@
 	CodeQuarantined    Code = 67
 	CodeWithheld       Code = 68
 	CodePushedBack     Code = 69
+	CodeOverloaded     Code = 70
 
 	CodeInterrupted Code = 80
 	CodeMayHaveRun  Code = 81
@@ -97,6 +98,7 @@
 	{CodeQuarantined, "quarantined", http.StatusServiceUnavailable, true, "What the request asks has ended several upstreams that ran it, and is sent to none for a while."},
 	{CodeWithheld, "withheld", http.StatusServiceUnavailable, true, "Each upstream that could take the request names how many it takes, and gets as many already."},
 	{CodePushedBack, "pushed_back", http.StatusServiceUnavailable, true, "Each upstream that could take the request has asked for nothing for a while."},
+	{CodeOverloaded, "overloaded", http.StatusServiceUnavailable, true, "The request could not be served in its time, or others go first; nothing was run."},
 	{CodeInterrupted, "interrupted", http.StatusBadGateway, false, "The answer broke off and could not be continued."},
 	{CodeMayHaveRun, "may_have_run", http.StatusBadGateway, false, "The request was sent to an upstream and its outcome is unknown."},
 	{CodeAnswerLost, "answer_lost", http.StatusGone, false, "The answer was given before and is no longer held."},
--- a/decide/generation/retry_after.go
+++ b/decide/generation/retry_after.go
@@ -6,9 +6,9 @@
 	"github.com/vaneyoke/vaneyoke"
 )
 
-// hasRetryAfter reports whether a refusal says when an upstream accepts requests again.
+// hasRetryAfter reports whether a refusal says when upstreams accept requests again.
 func hasRetryAfter(code vaneyoke.Code) bool {
-	return code == vaneyoke.CodeWithheld || code == vaneyoke.CodePushedBack
+	return code == vaneyoke.CodeWithheld || code == vaneyoke.CodePushedBack || code == vaneyoke.CodeOverloaded
 }
 
 // worthRetryWait reports whether an attempt waits until upstreams that reached a rate limit or pushed back accept requests again. A first
--- a/decide/route/table.go
+++ b/decide/route/table.go
@@ -76,6 +76,24 @@
 	return Service{ID: id}
 }
 
+// StreamServices returns the services to which routes of streams lead, and for each whether those routes differ in priority.
+func (t *Table) StreamServices() map[vaneyoke.ServiceID]bool {
+	mixed, priorities := map[vaneyoke.ServiceID]bool{}, map[vaneyoke.ServiceID]int{}
+	for _, routes := range t.byHost {
+		for _, r := range routes {
+			if r.Kind != KindStream {
+				continue
+			}
+			for _, target := range r.Targets {
+				priority, seen := priorities[target.Service]
+				priorities[target.Service] = r.Priority
+				mixed[target.Service] = mixed[target.Service] || (seen && priority != r.Priority)
+			}
+		}
+	}
+	return mixed
+}
+
 // Workspace returns the workspace to which a request on a route is accounted.
 // An error carries CodeNoKey or CodeUnknownKey; a public route accepts any key, and requests without one.
 func (t *Table) Workspace(r *Route, key string) (Workspace, error) {
--- a/decide/route/table_test.go
+++ b/decide/route/table_test.go
@@ -102,3 +102,22 @@
 	must.EqOp(t, int64(9), table().Limits().BodyBytes)
 	must.EqOp(t, vaneyoke.Revision(3), table().Version())
 }
+
+func TestStreamServicesWithRoutesOfDifferentPriority(t *testing.T) {
+	to := func(services ...vaneyoke.ServiceID) []route.Target {
+		var targets []route.Target
+		for _, s := range services {
+			targets = append(targets, route.Target{Service: s, Weight: 1})
+		}
+		return targets
+	}
+	routes := []route.Route{
+		{ID: "urgent", Host: "a", Kind: route.KindStream, Priority: 0, Targets: to("lm", "large")},
+		{ID: "routine", Host: "b", Kind: route.KindStream, Priority: 3, Targets: to("lm")},
+		{ID: "call", Host: "a", Kind: route.KindRepeatable, Priority: 5, Targets: to("large", "shop")},
+		{ID: "same", Host: "c", Kind: route.KindStream, Priority: 3, Targets: to("small")},
+		{ID: "same too", Host: "d", Kind: route.KindStream, Priority: 3, Targets: to("small")},
+	}
+	mixed := route.NewTable(1, routes, nil, nil, route.Limits{}).StreamServices()
+	must.Eq(t, map[vaneyoke.ServiceID]bool{"lm": true, "large": false, "small": false}, mixed)
+}
--- a/process/node/active_config.go
+++ b/process/node/active_config.go
@@ -25,6 +25,7 @@
 	rollouts    *rolloutTables
 	limits      *limitTables
 	duties      *dutyTables
+	queue       *queueModes
 }
 
 func newActiveConfig(b *balancer.Balancer, log logrus.FieldLogger) *activeConfig {
@@ -56,6 +57,7 @@
 		}
 		c.log.WithFields(logrus.Fields{"version": table.Version(), "before": c.version()}).Info("configuration_in_force")
 		c.table.Store(table)
+		c.queue.apply(table)
 	}
 }
 
--- a/process/node/crashes_wire.go
+++ b/process/node/crashes_wire.go
@@ -9,6 +9,7 @@
 
 	"github.com/vaneyoke/vaneyoke/platform"
 	"github.com/vaneyoke/vaneyoke/process/settings"
+	"github.com/vaneyoke/vaneyoke/shell/admissions"
 	"github.com/vaneyoke/vaneyoke/shell/balancer"
 	"github.com/vaneyoke/vaneyoke/shell/duties"
 	"github.com/vaneyoke/vaneyoke/shell/mesh"
@@ -55,6 +56,7 @@
 		Balancer: do.MustInvoke[*balancer.Balancer](i), lender: do.MustInvoke[*mesh.Lender](i), mesh: member,
 		rollouts: do.MustInvoke[*rollouts.Node](i), limits: do.MustInvoke[*ratelimits.Node](i),
 		duties: do.MustInvoke[*duties.Node](i),
+		queue:  do.MustInvoke[*admissions.Node](i),
 	}
 	p.gossip = mesh.NewGossip(member, p.handleSighting)
 	p.crashes = quarantines.New(
--- a/process/node/gateway_placer.go
+++ b/process/node/gateway_placer.go
@@ -5,10 +5,12 @@
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/admission"
 	"github.com/vaneyoke/vaneyoke/decide/gossip"
 	"github.com/vaneyoke/vaneyoke/decide/placement"
 	"github.com/vaneyoke/vaneyoke/decide/rollout"
 	"github.com/vaneyoke/vaneyoke/internal/steady"
+	"github.com/vaneyoke/vaneyoke/shell/admissions"
 	"github.com/vaneyoke/vaneyoke/shell/balancer"
 	"github.com/vaneyoke/vaneyoke/shell/duties"
 	"github.com/vaneyoke/vaneyoke/shell/mesh"
@@ -27,6 +29,7 @@
 	gossip   *mesh.Gossip
 	limits   *ratelimits.Node
 	duties   *duties.Node // nil without duties
+	queue    *admissions.Node
 	crashGuard
 }
 
@@ -48,6 +51,16 @@
 	return b.Balancer.Place(need, false) // the lending node's budget pays for the retry
 }
 
+// Acquire waits until a prompt may be sent.
+func (b *gatewayPlacer) Acquire(ctx context.Context, r admission.Request, assess func(context.Context) admission.Room) error {
+	return b.queue.Acquire(ctx, r, assess)
+}
+
+// RunEnded records that an attempt on a service's upstream has ended.
+func (b *gatewayPlacer) RunEnded(service vaneyoke.ServiceID, prompt vaneyoke.Tokens) {
+	b.queue.RunEnded(service, prompt)
+}
+
 // Limited reports whether an upstream declares a rate limit.
 func (b *gatewayPlacer) Limited(id vaneyoke.UpstreamID) bool { return b.limits.Limited(id) }
 
--- a/process/node/gateway_wire.go
+++ b/process/node/gateway_wire.go
@@ -18,6 +18,7 @@
 	"github.com/vaneyoke/vaneyoke/platform"
 	"github.com/vaneyoke/vaneyoke/process/settings"
 	"github.com/vaneyoke/vaneyoke/process/telemetry"
+	"github.com/vaneyoke/vaneyoke/shell/admissions"
 	"github.com/vaneyoke/vaneyoke/shell/balancer"
 	"github.com/vaneyoke/vaneyoke/shell/duties"
 	"github.com/vaneyoke/vaneyoke/shell/mesh"
@@ -48,6 +49,8 @@
 	do.Provide(i, provideSignalListener)
 	do.Provide(i, provideDutyTables)
 	do.Provide(i, provideDuties)
+	do.Provide(i, provideCallers)
+	do.Provide(i, provideQueue)
 	do.Provide(i, providePlacer)
 	do.Provide(i, provideForwarder)
 	do.Provide(i, provideGateway)
@@ -144,6 +147,7 @@
 	limitUpdates := do.MustInvoke[*limitTables](i)
 	active.limits = limitUpdates
 	active.duties = do.MustInvoke[*dutyTables](i)
+	active.queue = &queueModes{node: do.MustInvoke[*admissions.Node](i), setting: s.Admission.Mode}
 	var node *mesh.Node
 	tables := map[string]mesh.Table{
 		"routes":    {Source: platform.NewConfig(client, s.Gateway.Store), Apply: active.setRoutes},
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -7,18 +7,19 @@
 
 // Settings is the configuration file of a node; docs/SETTINGS.md is generated from its tags.
 type Settings struct {
-	Node     Node     `ini:"node" doc:"Who and where the node is."`
-	Gateway  Gateway  `ini:"gateway" doc:"How opaque requests are taken; a node with a listening address here serves them in place of the caller API, and needs neither [platform] nor [peers]."`
-	Platform Platform `ini:"platform" only:"callers" doc:"Where the platform's service is."`
-	Peers    Peers    `ini:"peers" only:"callers" doc:"How the nodes of a fleet back one another up."`
-	Claims   Claims   `ini:"claims" doc:"How requests that may run at most once are claimed in the platform's table."`
-	Limits   Limits   `ini:"limits" doc:"Bounds on what callers may ask for."`
-	Recovery Recovery `ini:"recovery" doc:"When an attempt is taken for lost, and what follows."`
-	Retry    Retry    `ini:"retry" doc:"Bounds on retries, so that failures do not multiply the load."`
-	Rollout  Rollout  `ini:"rollout" doc:"How the work of a service moves to another version of its upstreams."`
-	Duties   Duties   `ini:"duties" doc:"What one node at a time does at the platform: reports of usage, and orders of upstreams."`
-	Log      Log      `ini:"log" doc:"Log lines."`
-	Trace    Trace    `ini:"trace" doc:"Traces."`
+	Node      Node      `ini:"node" doc:"Who and where the node is."`
+	Gateway   Gateway   `ini:"gateway" doc:"How opaque requests are taken; a node with a listening address here serves them in place of the caller API, and needs neither [platform] nor [peers]."`
+	Platform  Platform  `ini:"platform" only:"callers" doc:"Where the platform's service is."`
+	Peers     Peers     `ini:"peers" only:"callers" doc:"How the nodes of a fleet back one another up."`
+	Claims    Claims    `ini:"claims" doc:"How requests that may run at most once are claimed in the platform's table."`
+	Limits    Limits    `ini:"limits" doc:"Bounds on what callers may ask for."`
+	Recovery  Recovery  `ini:"recovery" doc:"When an attempt is taken for lost, and what follows."`
+	Retry     Retry     `ini:"retry" doc:"Bounds on retries, so that failures do not multiply the load."`
+	Rollout   Rollout   `ini:"rollout" doc:"How the work of a service moves to another version of its upstreams."`
+	Admission Admission `ini:"admission" doc:"Which of the prompts that wait for an upstream goes next, and which are rejected while there is more than upstreams can take."`
+	Duties    Duties    `ini:"duties" doc:"What one node at a time does at the platform: reports of usage, and orders of upstreams."`
+	Log       Log       `ini:"log" doc:"Log lines."`
+	Trace     Trace     `ini:"trace" doc:"Traces."`
 }
 
 // Node identifies the node and its addresses.
@@ -127,6 +128,13 @@
 	Hold     time.Duration `ini:"hold" default:"2s" min:"0s" max:"1m" doc:"How long a version that is new to a service gets nothing while others are there, because the order for it may not be known yet."`
 }
 
+// Admission configures the queues of prompts.
+type Admission struct {
+	Mode      string `ini:"mode" default:"auto" check:"admission_mode" doc:"How the prompts of a service wait: ranked among each other, and rejected when they cannot be served in their callers' time; passive, each by itself and sent after half of its caller's time in any case; auto ranks them where routes of different priority lead to the service."`
+	MaxQueued int    `ini:"max_queued" default:"4096" min:"1" doc:"Most prompts of ranked services that wait on the node; over that, those that lose least are rejected."`
+	MaxBytes  int    `ini:"max_bytes" default:"268435456" min:"1048576" doc:"Most bytes of their requests that are held."`
+}
+
 // Duties configures the duties: tasks at the platform that one node at a time performs under a lease.
 type Duties struct {
 	Platform       string        `ini:"platform" check:"optional_address" doc:"IP number and port that takes the calls of duties; where it is empty, no node has any."`
--- a/process/settings/settings_test.go
+++ b/process/settings/settings_test.go
@@ -45,6 +45,7 @@
 		"no address":           {strings.Replace(validSettings, "hall-a", "hall-a\nlisten = localhost:80", 1), vaneyoke.CodeSettingsValue, "must be an IP number and a port"},
 		"no url":               {strings.Replace(validSettings, "http://127.0.0.1:2", "ftp://x", 1), vaneyoke.CodeSettingsValue, "must be an http or https address"},
 		"no level":             {validSettings + "[log]\nlevel = loud", vaneyoke.CodeSettingsValue, "must be one of"},
+		"no admission mode":    {validSettings + "[admission]\nmode = first", vaneyoke.CodeSettingsValue, "must be one of"},
 		"gateway, no store":    {gatewaySettings + "readiness = 127.0.0.1:2\n", vaneyoke.CodeSettingsKey, "[gateway] store: is missing"},
 		"gateway, no probe":    {gatewaySettings + "store = 127.0.0.1:2\n", vaneyoke.CodeSettingsKey, "[gateway] readiness: is missing"},
 		"gateway, bad address": {gatewaySettings + "store = store:2\n", vaneyoke.CodeSettingsValue, "[gateway] store: must be an IP number"},
--- a/process/settings/value.go
+++ b/process/settings/value.go
@@ -12,7 +12,11 @@
 	"time"
 )
 
-var logLevels = []string{"debug", "info", "warning", "error"}
+// Values of settings that are names.
+var (
+	logLevels      = []string{"debug", "info", "warning", "error"}
+	admissionModes = []string{"auto", "ranked", "passive"}
+)
 
 // setField parses and validates the text of one setting.
 func setField(field reflect.Value, tag reflect.StructTag, text string) error {
@@ -81,6 +85,10 @@
 		return checkText("address", text)
 	case "url":
 		return checkURL(text)
+	case "admission_mode":
+		if !slices.Contains(admissionModes, text) {
+			return fmt.Errorf("must be one of %v, got %q", admissionModes, text)
+		}
 	case "level":
 		if !slices.Contains(logLevels, text) {
 			return fmt.Errorf("must be one of %v, got %q", logLevels, text)
--- a/process/telemetry/events.go
+++ b/process/telemetry/events.go
@@ -70,6 +70,7 @@
 	{"register_failed", []string{"error"}, "The node could not register itself among the members."},
 	{"report_failed", []string{"peer", "error"}, "What was counted of a roll-out could not be told to the node above."},
 	{"request_refused", []string{"request", "code", "host", "path", "error", "retry_after_ms", "opened_ms"}, "A request was refused before any upstream was chosen."},
+	{"request_rejected", []string{"request", "service", "route", "workspace", "urgency", "reason", "waited_ms", "ahead_tokens", "expected_ms", "deadline_ms", "retry_after_ms"}, "A prompt was rejected before any upstream was chosen, because it could not be served in its time or others go first; ahead_tokens are the prompt tokens that were queued before it, expected_ms the time that its first token was expected to take, deadline_ms what was left of its caller's time."},
 	{"requests_divided", []string{"service", "target", "share", "barred", "held"}, "A service's requests are divided among the versions of its upstreams in another way: target gets share of them, nothing at all where barred; held are versions that get nothing yet, because an order for them may come."},
 	{"retry_borrowed", []string{"peer", "service"}, "The own share of the fleet's retries on a service was spent, and another node lent one of its own."},
 	{"retry_not_lent", []string{"service"}, "The own share of the fleet's retries on a service was spent, and none of the nodes that were asked had one left; nobody is asked for half a second."},
--- a/shell/balancer/balancer.go
+++ b/shell/balancer/balancer.go
@@ -8,6 +8,7 @@
 	"github.com/samber/lo"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/admission"
 	"github.com/vaneyoke/vaneyoke/decide/gossip"
 	"github.com/vaneyoke/vaneyoke/decide/placement"
 	"github.com/vaneyoke/vaneyoke/decide/pushback"
@@ -224,6 +225,11 @@
 	return b.state.HasRoom(time.Now(), need)
 }
 
+// Room returns how soon an upstream that may get a prompt could start it, as far as upstreams report.
+func (b *Balancer) Room(need placement.Need) admission.Room {
+	return admission.Room{Free: b.HasRoom(need)}
+}
+
 // Reported records a load report of an upstream.
 func (b *Balancer) Reported(id vaneyoke.UpstreamID, report vaneyoke.LoadReport) {
 	b.mu.Lock()
--- a/shell/relay/attempt.go
+++ b/shell/relay/attempt.go
@@ -131,6 +131,7 @@
 		s.relay.placer.ReleaseReplica(l.replica.ID, s.need)
 	}
 	s.relay.placer.Ended(l.upstream.ID, outcome, l.gotFirstToken)
+	s.reportRunEnded(l)
 }
 
 // readStream reads an attempt's stream to its end.
--- a/shell/relay/limited.go
+++ b/shell/relay/limited.go
@@ -73,11 +73,11 @@
 	}
 }
 
-// capRetryAfter limits the retry-after time of a request that was refused because of upstreams' limits to a third of its
-// remaining time, so that a retry can still be served.
+// capRetryAfter limits the retry-after time of a request that was refused because of upstreams' limits, or for overload, to
+// a third of its remaining time, so that a retry can still be served.
 func (s *Session) capRetryAfter(code vaneyoke.Code, after time.Duration) time.Duration {
 	m, ok := s.mode.(*forwarded)
-	if !ok || code != vaneyoke.CodeWithheld {
+	if !ok || (code != vaneyoke.CodeWithheld && code != vaneyoke.CodeOverloaded) {
 		return after
 	}
 	const divisor = 3
--- a/shell/relay/place.go
+++ b/shell/relay/place.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -28,10 +27,15 @@
 		need.Canary = s.relay.rollouts != nil && s.relay.rollouts.DrawCanary(need.Service)
 		need.Prefer = s.findPromptHolder(need)
 	}
-	if !s.awaitCapacity(need, e.Attempt == 1) {
+	proceed, err := s.awaitCapacity(need, e.Attempt == 1)
+	if !proceed && err == nil {
 		return
 	}
-	upstream, expectedTTFT, err := s.chooseUpstream(need, e.Retry)
+	var upstream vaneyoke.Upstream
+	var expectedTTFT time.Duration
+	if proceed {
+		upstream, expectedTTFT, err = s.chooseUpstream(need, e.Retry)
+	}
 	if _, ok := s.mode.(*unary); ok {
 		expectedTTFT = 0 // times to the first token do not apply to unary answers
 	}
@@ -124,47 +128,6 @@
 	return known && id != upstream.ID
 }
 
-// awaitCapacity updates the placer with load reports of the prompt's affinity upstreams, which serve prompts and answers
-// of other nodes too, and of spillover upstreams if none of those is free, as far as the reports arrive in time. While
-// no upstream has room for a first attempt, which would evict runs or replicas of others, it delays the prompt. It
-// reports whether the session continues.
-func (s *Session) awaitCapacity(need placement.Need, isFirst bool) bool {
-	m, ok := s.mode.(*forwarded)
-	if !ok || need.Affinity == "" || need.Prefer.URL != "" || s.blockedErr() != nil {
-		return true
-	}
-	startedAt := time.Now()
-	capacityWait := placement.CapacityWait{Timeout: s.timeLeft(m, startedAt), LatencyGoal: cmp.Or(m.LatencyGoal, defaultLatencyGoal)}
-	for checks := 1; ; checks++ {
-		s.queryReports(s.relay.placer.AffinityUpstreams(need))
-		s.queryReports(s.relay.placer.SpilloverUpstreams(need))
-		hasRoom := !isFirst || s.relay.placer.HasRoom(need)
-		delay, waitMore := capacityWait.NextCheck(s.timeLeft(m, time.Now()))
-		if hasRoom || !waitMore {
-			if checks > 1 {
-				s.logCapacityWait(time.Since(startedAt), checks, hasRoom)
-			}
-			return true
-		}
-		if !pause.For(s.ctx, delay) {
-			return false
-		}
-	}
-}
-
-// timeLeft returns the remaining time of the caller; suspensions of the VM shorten it.
-func (s *Session) timeLeft(m *forwarded, now time.Time) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return m.Deadline.Sub(now)
-}
-
-func (s *Session) logCapacityWait(waited time.Duration, checks int, hasRoom bool) {
-	s.relay.log.WithFields(logrus.Fields{
-		"request": s.req.ID, "ms": waited.Milliseconds(), "looks": checks, "room": hasRoom,
-	}).Info("room_awaited")
-}
-
 func (s *Session) queryReports(upstreams []vaneyoke.Upstream) {
 	ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
 	defer cancel()
--- a/shell/relay/relay.go
+++ b/shell/relay/relay.go
@@ -89,6 +89,7 @@
 	guard      CrashGuard       // nil if crashes are not tracked
 	limiter    Limiter          // nil if upstreams declare no limits
 	pushbacks  PushbackTracker  // nil if pushbacks are not tracked
+	admitter   Admitter         // nil if prompts wait for room by themselves
 	meter      Meter            // nil if load is not measured
 	tracer     trace.Tracer
 	metrics    *Metrics
@@ -120,9 +121,10 @@
 	guard, _ := placer.(CrashGuard)
 	limiter, _ := placer.(Limiter)
 	pushbacks, _ := placer.(PushbackTracker)
+	admitter, _ := placer.(Admitter)
 	meter, _ := placer.(Meter)
 	return &Relay{
-		engines: engines, sender: sender, placer: placer, rollouts: rollouts, staleness: staleness, guard: guard, limiter: limiter, pushbacks: pushbacks, meter: meter, tracer: tracer, metrics: metrics, log: log, config: config,
+		engines: engines, sender: sender, placer: placer, rollouts: rollouts, staleness: staleness, guard: guard, limiter: limiter, pushbacks: pushbacks, admitter: admitter, meter: meter, tracer: tracer, metrics: metrics, log: log, config: config,
 		ctx: ctx, stop: stop, running: map[*Session]struct{}{},
 	}
 }
