Traffic about shutdowns does not grow with the fleet

Cause: each node that an engine tells of its shutdown reported it to all others every 300 ms for as long as answers came, and each was forwarded by all. A node without neighbours also kept what it had reported for good: the entries were removed only when something was sent.

Now the reports of the first two nodes in 5 s are forwarded and the others are not, a node repeats its own once a second, and entries are removed by time alone.

Ruled out: one report per node for 5 s, which a lost datagram would delay by as much where one node only was told.

--- a/decide/gossip/fleet_test.go
+++ b/decide/gossip/fleet_test.go
@@ -30,6 +30,7 @@
 	largest   int   // sightings in one datagram
 	gossipOff bool  // whether nodes send one another nothing
 	lossRate  float64
+	applied   func(node int, s gossip.Sighting) // nil if nothing else uses what a node applies
 }
 
 type member struct {
@@ -68,6 +69,9 @@
 	for _, effect := range m.gossip.Handle(f.now, ev) {
 		switch e := effect.(type) {
 		case gossip.ApplySighting:
+			if f.applied != nil {
+				f.applied(i, e.Sighting)
+			}
 			m.placer.RecordGossip(f.now, e.Sighting.Upstream, e.Sighting.Kind)
 		case gossip.SendSightings:
 			f.send(i, e)
--- a/decide/gossip/state.go
+++ b/decide/gossip/state.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"maps"
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
@@ -14,7 +15,8 @@
 	dedupWindow     = 5 * time.Second        // for which a sighting is remembered, to drop duplicates
 	failureWindow   = time.Second            // for which a failure counts
 	lostInterval    = 100 * time.Millisecond // between two reports about an upstream, for KindLost
-	reportInterval  = 300 * time.Millisecond // the same for each other kind
+	reportInterval  = 300 * time.Millisecond // the same for each other kind but KindLeaving
+	leavingInterval = time.Second            // the same for KindLeaving, which holds an upstream back for longer
 	minWitnesses    = 2                      // nodes that must have found an upstream unreachable before it is believed: a single one may be cut off itself
 	cleanupInterval = time.Second            // between two removals of expired entries
 	// isolationTimeout is the time without an answer from any upstream after which a node reports nothing: it may be cut off
@@ -31,6 +33,7 @@
 	seen       map[sightingID]time.Time
 	reportedAt map[reportKey]time.Time
 	failures   map[vaneyoke.UpstreamID]map[vaneyoke.VMID]time.Time // by the node that observed them
+	leaving    map[reportKey]map[vaneyoke.VMID]time.Time           // shutdowns, by the first minWitnesses nodes that reported them
 	outbox     []queuedSighting
 	flushAt    time.Time // zero while nothing is queued
 	cleanedAt  time.Time
@@ -57,7 +60,10 @@
 // New returns a state without sightings. A later start of the node needs a higher firstSequence, so that its sightings are not
 // taken for duplicates of those of an earlier start.
 func New(self vaneyoke.VMID, firstSequence uint64) *State {
-	return &State{self: self, sequence: firstSequence, seen: map[sightingID]time.Time{}, reportedAt: map[reportKey]time.Time{}, failures: map[vaneyoke.UpstreamID]map[vaneyoke.VMID]time.Time{}}
+	return &State{
+		self: self, sequence: firstSequence, seen: map[sightingID]time.Time{}, reportedAt: map[reportKey]time.Time{},
+		failures: map[vaneyoke.UpstreamID]map[vaneyoke.VMID]time.Time{}, leaving: map[reportKey]map[vaneyoke.VMID]time.Time{},
+	}
 }
 
 // NextTick returns when Tick is due; zero if it is not.
@@ -66,6 +72,10 @@
 // Handle processes an event and returns the actions to take; the slice is valid until the next call.
 func (s *State) Handle(now time.Time, ev Event) []Effect {
 	s.effects = s.effects[:0]
+	if now.Sub(s.cleanedAt) >= cleanupInterval {
+		s.cleanedAt = now
+		s.removeExpired(now)
+	}
 	switch ev := ev.(type) {
 	case NeighboursUpdated:
 		s.neighbours = ev.VMs
@@ -94,7 +104,11 @@
 		delete(s.failures, ev.Upstream)
 	case KindCrash, KindSurvived:
 	case KindLeaving:
+		interval = leavingInterval
 		s.answeredAt = now
+		if !s.recordLeaving(now, reportKey{ev.Upstream, ev.Kind, ev.Run}, s.self) {
+			return
+		}
 	case KindLost:
 		interval = lostInterval
 		s.recordFailure(now, ev.Upstream, s.self)
@@ -122,6 +136,9 @@
 		return
 	}
 	s.seen[id] = now
+	if sighting.Kind == KindLeaving && !s.recordLeaving(now, reportKey{sighting.Upstream, sighting.Kind, sighting.Run}, sighting.Origin) {
+		return
+	}
 	sighting.Hops++
 	s.enqueue(now, from, sighting)
 	switch sighting.Kind {
@@ -139,6 +156,21 @@
 	s.effects = append(s.effects, ApplySighting{Sighting: sighting})
 }
 
+// recordLeaving records that a node reported a shutdown, and returns false if minWitnesses others have just done so: of all the nodes that an
+// upstream answers, only the first ones are forwarded, so that the traffic does not grow with the fleet.
+func (s *State) recordLeaving(now time.Time, key reportKey, origin vaneyoke.VMID) bool {
+	reporters := s.leaving[key]
+	if reporters == nil {
+		reporters = map[vaneyoke.VMID]time.Time{}
+		s.leaving[key] = reporters
+	}
+	if _, ok := reporters[origin]; !ok && len(reporters) >= minWitnesses {
+		return false
+	}
+	reporters[origin] = now
+	return true
+}
+
 func (s *State) recordFailure(now time.Time, upstream vaneyoke.UpstreamID, origin vaneyoke.VMID) {
 	if s.failures[upstream] == nil {
 		s.failures[upstream] = map[vaneyoke.VMID]time.Time{}
@@ -170,7 +202,7 @@
 	}
 }
 
-// flush sends each neighbour the queued sightings that did not come from it, and removes expired entries.
+// flush sends each neighbour the queued sightings that did not come from it.
 func (s *State) flush(now time.Time) {
 	for _, to := range s.neighbours {
 		var sightings []Sighting
@@ -186,10 +218,6 @@
 		}
 	}
 	s.outbox, s.flushAt = nil, time.Time{}
-	if now.Sub(s.cleanedAt) >= cleanupInterval {
-		s.cleanedAt = now
-		s.removeExpired(now)
-	}
 }
 
 func (s *State) removeExpired(now time.Time) {
@@ -203,6 +231,12 @@
 			delete(s.reportedAt, key)
 		}
 	}
+	for key, reporters := range s.leaving {
+		maps.DeleteFunc(reporters, func(_ vaneyoke.VMID, at time.Time) bool { return now.Sub(at) > dedupWindow })
+		if len(reporters) == 0 {
+			delete(s.leaving, key)
+		}
+	}
 	for upstream := range s.failures {
 		if s.recentWitnesses(now, upstream) == 0 {
 			delete(s.failures, upstream)
