One node's word holds an engine back for 30 s, not for ten minutes

Cause: what another node reported (KindLeaving) was recorded as if the engine had told this node: ten minutes on one report, whatever the engine answered; an unknown incarnation (0) held back all later ones; and an incarnation beyond the listed one replaced the engine's own pushback and had its later signals ignored as those of an earlier life.

Now a report is kept beside the engine's own signals. The first one holds for 30 s, and its repetitions by the same node have no effect for ten minutes; a second node, or the engine's own answer, makes it ten minutes. A report of an unknown incarnation counts for the listed one, and never longer than 30 s; one of an incarnation before the listed one does not count. A hold of an unknown incarnation takes the one that the next signal names.

Ruled out: believing two nodes only (an engine that one node uses would go on getting new work from all others); ending the hold when the engine's row is written anew (rows are not rewritten on a schedule that the project is told, and not at all while the store is away); asking the engine itself (as many questions as there are nodes). What remains: where one node only was told and the engine still drains after 30 s, each other node may send it requests until the first answer.

--- a/decide/pushback/tracker.go
+++ b/decide/pushback/tracker.go
@@ -27,20 +27,43 @@
 		return nil, Hold{}
 	}
 	t.prune(now)
+	if signal.Reporter != "" {
+		return t.recordReport(now, signal)
+	}
 	u := &signal.Upstream
 	h := t.holds[u.ID]
 	switch {
 	case h != nil && u.Incarnation != 0 && u.Incarnation < h.Incarnation:
 		return nil, Hold{}
-	case h == nil || !h.appliesTo(u):
-		h = &Hold{Upstream: u.ID, Incarnation: u.Incarnation, URL: u.URL}
-		t.holds[u.ID] = h
+	case h == nil:
+		h = t.add(Hold{Upstream: u.ID, Incarnation: u.Incarnation, URL: u.URL})
+	case !h.appliesTo(u):
+		h = t.add(Hold{Upstream: u.ID, Incarnation: u.Incarnation, URL: u.URL, reported: h.reported})
+	case h.Incarnation == 0:
+		h.Incarnation = u.Incarnation // a later one did not send the earlier signals
 	}
 	before = *h
 	h.extend(now, signal)
 	return h, before
 }
 
+// recordReport applies a shutdown notice that another node reported. It changes nothing of what the upstream told this node.
+func (t *Tracker) recordReport(now time.Time, signal Signal) (hold *Hold, before Hold) {
+	u := &signal.Upstream
+	h := t.holds[u.ID]
+	if h == nil {
+		h = t.add(Hold{Upstream: u.ID, URL: u.URL})
+	}
+	before = *h
+	h.report(now, signal)
+	return h, before
+}
+
+func (t *Tracker) add(h Hold) *Hold {
+	t.holds[h.Upstream] = &h
+	return &h
+}
+
 // Hold returns the hold of an upstream's latest incarnation that sent a signal, or nil if there is none.
 func (t *Tracker) Hold(id vaneyoke.UpstreamID) *Hold { return t.holds[id] }
 
--- a/process/node/gateway_placer.go
+++ b/process/node/gateway_placer.go
@@ -16,7 +16,6 @@
 	"github.com/vaneyoke/vaneyoke/shell/ratelimits"
 	"github.com/vaneyoke/vaneyoke/shell/relay"
 	"github.com/vaneyoke/vaneyoke/shell/rollouts"
-	"github.com/vaneyoke/vaneyoke/wire/forward"
 )
 
 // gatewayPlacer is a balancer that borrows a retry from another node when the node's own budget is exhausted, and that reports to
@@ -48,12 +47,9 @@
 
 // recordLeaving holds back an upstream that announced its shutdown to another node, if it is listed: the hold needs its address.
 func (b *gatewayPlacer) recordLeaving(s gossip.Sighting) {
-	upstream, ok := b.Upstream(s.Upstream)
-	if !ok {
-		return
+	if upstream, ok := b.Upstream(s.Upstream); ok {
+		b.pushbacks.RecordReported(time.Now(), upstream, s.Incarnation, s.Origin)
 	}
-	upstream.Incarnation = s.Incarnation
-	b.pushbacks.RecordSignals(time.Now(), upstream, forward.Signals{Leaving: true})
 }
 
 // Place chooses an upstream for an attempt.
--- a/shell/pushbacks/node.go
+++ b/shell/pushbacks/node.go
@@ -79,21 +79,33 @@
 	if signals.Pushback == 0 && !signals.Leaving {
 		return
 	}
-	hold, before, ok := n.holds.RecordSignal(pushback.Signal{Upstream: upstream, Pushback: signals.Pushback, Leaving: signals.Leaving})
+	n.record(now, pushback.Signal{Upstream: upstream, Pushback: signals.Pushback, Leaving: signals.Leaving})
+}
+
+// RecordReported applies the shutdown notice of an incarnation of an upstream, 0 if unknown, that another node got.
+func (n *Node) RecordReported(now time.Time, listed vaneyoke.Upstream, incarnation vaneyoke.Incarnation, reporter vaneyoke.VMID) {
+	if signal, ok := pushback.Reported(listed, incarnation, reporter); ok {
+		n.record(now, signal)
+	}
+}
+
+func (n *Node) record(now time.Time, signal pushback.Signal) {
+	upstream := signal.Upstream
+	hold, before, ok := n.holds.RecordSignal(signal)
 	if !ok {
 		return
 	}
 	n.startCounting(now, upstream.ID)
-	fields := logrus.Fields{"upstream": upstream.ID, "incarnation": uint64(hold.Incarnation)}
-	if signals.Pushback > 0 {
+	fields := logrus.Fields{"upstream": upstream.ID, "incarnation": uint64(upstream.Incarnation)}
+	if signal.Pushback > 0 {
 		n.counts.Add("asked_total", 1)
 	}
-	if hold.PushbackEnds.Sub(later(now, before.PushbackEnds)) >= min(minLoggedExtension, signals.Pushback) && signals.Pushback > 0 {
+	if hold.PushbackEnds.Sub(later(now, before.PushbackEnds)) >= min(minLoggedExtension, signal.Pushback) && signal.Pushback > 0 {
 		n.log.WithFields(fields).WithFields(logrus.Fields{
-			"asked_ms": signals.Pushback.Milliseconds(), "ms": hold.PushbackEnds.Sub(now).Milliseconds(),
+			"asked_ms": signal.Pushback.Milliseconds(), "ms": hold.PushbackEnds.Sub(now).Milliseconds(),
 		}).Info("upstream_pushed_back")
 	}
-	if signals.Leaving && before.LeavingEnds.IsZero() {
+	if signal.Leaving && hold.IsLeaving(now, &upstream) && !before.IsLeaving(now, &upstream) {
 		n.counts.Add("leaving_total", 1)
 		n.log.WithFields(fields).Info("upstream_leaves")
 	}
