A token that waits anywhere restricts nobody else

Cause: Totals.MoreUrgentWaits and Overuse took a service for contended as soon as one token waited at any node. In a fleet of hundreds of nodes something waits at every moment, so all less urgent work and all workspaces over their fair share would be restricted all the time.

Now demand counts as unmet if requests were rejected, or if more waits than the whole service admits within 100 ms: a thirtieth of the latency goal of routes that declare none (3 s), so a wait that no caller notices. For MoreUrgentWaits that is the more urgent work against all that is admitted, since it may have that instead.

Evidence: TestSmallWaitsAnywhereRestrictNobody failed in the cases "one token" and "a tenth of a second"; go test ./decide/share passes.

Ruled out: a relative bound on rejections, which have no tokens and are each a caller that was turned away.

--- a/decide/share/summary.go
+++ b/decide/share/summary.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"hash/fnv"
-	"slices"
 	"time"
 	"unicode/utf8"
 
@@ -78,8 +77,13 @@
 // wanted returns the tokens that would be admitted within a second if there were room.
 func (f Flow) wanted() vaneyoke.Tokens { return max(f.Offered, f.Admitted) + f.Waiting }
 
-// contended reports whether some of the demand was not met at once.
-func (f Flow) contended() bool { return f.Waiting > 0 || f.Rejected > 0 }
+// waitTolerance is the wait that callers do not notice: a thirtieth of the latency goal of routes that declare none.
+const waitTolerance = 100 * time.Millisecond
+
+// contended reports whether some of the demand was rejected, or more waits than is admitted within waitTolerance.
+func (f Flow) contended() bool {
+	return f.Rejected > 0 || float64(f.Waiting) > waitTolerance.Seconds()*float64(f.Admitted)
+}
 
 // plus adds a flow that may have come from elsewhere.
 func (f Flow) plus(other Flow) Flow {
@@ -100,9 +104,13 @@
 	return name != "" && len(name) <= maxNameBytes && utf8.ValidString(string(name))
 }
 
-// contended reports whether some of the demand for a service was not met at once.
+// contended reports whether the demand for a service is not met.
 func (s *ServiceShare) contended() bool {
-	return slices.ContainsFunc(s.Urgencies, func(u UrgencyFlow) bool { return u.contended() })
+	var all Flow
+	for _, u := range s.Urgencies {
+		all = all.plus(u.Flow)
+	}
+	return all.contended()
 }
 
 // wanted returns the demand for a service.
--- a/decide/share/totals.go
+++ b/decide/share/totals.go
@@ -60,18 +60,21 @@
 	return !t.MeasuredAt.IsZero() && now.Sub(t.MeasuredAt) <= totalsTTL
 }
 
-// MoreUrgentWaits reports whether, anywhere in the fleet, more urgent requests for a service wait, or were rejected in the last interval.
+// MoreUrgentWaits reports whether, in the whole fleet, more urgent requests for a service were rejected in the last interval, or more of them wait
+// than the service admits within a tenth of a second.
 func (t Totals) MoreUrgentWaits(service vaneyoke.ServiceID, urgency Urgency) bool {
+	var more Flow
 	for other, flow := range t.Services[service].Urgencies {
-		if other < urgency && flow.contended() {
-			return true
+		if other >= urgency {
+			flow = Flow{Admitted: flow.Admitted} // which more urgent requests may have instead
 		}
+		more = more.plus(flow)
 	}
-	return false
+	return more.contended()
 }
 
 // Overuse returns the ratio of what a workspace had admitted to its max-min fair share of all that was admitted; 1 if it had no more than that,
-// if it is not known, and if all demand is met.
+// if it is not known, and if demand is met: nothing was rejected, and no more waits than is admitted within a tenth of a second.
 func (t Totals) Overuse(service vaneyoke.ServiceID, workspace vaneyoke.WorkspaceID) float64 {
 	s := t.Services[service]
 	if ratio := s.Overused[hashOf(workspace)]; ratio > 1 {
@@ -89,13 +92,13 @@
 	return max(1, float64(own.Admitted)/max(level, 1))
 }
 
+// contended reports whether the demand for a service is not met.
 func (s ServiceTotals) contended() bool {
+	var all Flow
 	for _, flow := range s.Urgencies {
-		if flow.contended() {
-			return true
-		}
+		all = all.plus(flow)
 	}
-	return false
+	return all.contended()
 }
 
 // fairShare divides what was admitted to some workspaces, and to a number of others of which only the sum is known, by max-min fairness: whoever
--- a/decide/share/totals_test.go
+++ b/decide/share/totals_test.go
@@ -105,3 +105,32 @@
 		must.InDelta(t, float64(count), float64(all.Count()), 1+0.15*float64(count))
 	}
 }
+
+// TestSmallWaitsAnywhereRestrictNobody has a fleet that admits 300,000 tokens a second let some more urgent work wait: a single waiting token
+// anywhere restricted all less urgent work, and the workspaces over their fair share.
+func TestSmallWaitsAnywhereRestrictNobody(t *testing.T) {
+	for name, tc := range map[string]struct {
+		urgent, routine share.Flow
+		restricts       bool
+	}{
+		"one token":                       {share.Flow{Admitted: 100_000, Waiting: 1}, share.Flow{Admitted: 200_000}, false},
+		"a tenth of a second":             {share.Flow{Admitted: 100_000, Waiting: 30_000}, share.Flow{Admitted: 200_000}, false},
+		"more than that":                  {share.Flow{Admitted: 100_000, Waiting: 30_001}, share.Flow{Admitted: 200_000}, true},
+		"a request of a small service":    {share.Flow{Admitted: 800, Waiting: 500}, share.Flow{Admitted: 800}, true},
+		"nothing is admitted":             {share.Flow{Waiting: 1}, share.Flow{}, true},
+		"one is rejected":                 {share.Flow{Admitted: 100_000, Rejected: 1}, share.Flow{Admitted: 200_000}, true},
+		"only less urgent work waits":     {share.Flow{Admitted: 100_000}, share.Flow{Admitted: 200_000, Waiting: 90_000}, false},
+		"only less urgent work is denied": {share.Flow{Admitted: 100_000}, share.Flow{Admitted: 200_000, Rejected: 9}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			all := share.Totals{Services: map[vaneyoke.ServiceID]share.ServiceTotals{"chat": {
+				Urgencies:  map[share.Urgency]share.Flow{1: tc.urgent, 2: tc.routine},
+				Workspaces: map[vaneyoke.WorkspaceID]share.Flow{"a": {Offered: 900, Admitted: 300}, "b": {Offered: 500, Admitted: 100}}, Active: 2,
+			}}}
+			must.EqOp(t, tc.restricts, all.MoreUrgentWaits("chat", 2))
+			must.False(t, all.MoreUrgentWaits("chat", 1))
+			contended := tc.restricts || tc.routine.Waiting > 30_000 || tc.routine.Rejected > 0
+			must.EqOp(t, contended, all.Overuse("chat", "a") > 1)
+		})
+	}
+}
