A cap beyond the 256 that nodes apply is refused

Cause: nodes apply the first 256 caps by name and skip the others, and "vaneyoke cap set" did not know: it wrote the row and printed what was in force before, as for any other cap.

Evidence: TestCapBeyondTheMostIsRefused failed (code 0 in place of 10), and passes now; changing one of the 256 still works.

Ruled out: keeping the newest 256, since nodes that read the rows in another order would differ.

--- a/cmd/vaneyoke/cap.go
+++ b/cmd/vaneyoke/cap.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/urfave/cli/v3"
 
 	"github.com/vaneyoke/vaneyoke"
@@ -58,7 +59,27 @@
 	c := admission.Cap{
 		Workspace: vaneyoke.WorkspaceID(cmd.String("workspace")), Route: vaneyoke.RouteID(cmd.String("route")), Share: cmd.Float("share"),
 	}
-	return changeCap(ctx, cmd, c, func(caps *platform.Caps, revision vaneyoke.Revision) error { return caps.Write(ctx, c, revision) })
+	return changeCap(ctx, cmd, c, func(caps *platform.Caps, revision vaneyoke.Revision) error {
+		if revision == 0 {
+			if err := checkCount(ctx, caps); err != nil {
+				return err
+			}
+		}
+		return caps.Write(ctx, c, revision)
+	})
+}
+
+// checkCount returns an error if nodes would not apply one more cap.
+func checkCount(ctx context.Context, caps *platform.Caps) error {
+	rows, err := caps.All(ctx)
+	if err != nil {
+		return err
+	}
+	count := lo.CountBy(rows, func(r platform.CapRow) bool { return r.Problem == "" })
+	if count >= platform.MaxCaps {
+		return vaneyoke.Err(vaneyoke.CodeUsage, "the cap was not set: there are %d, and nodes apply no more", count)
+	}
+	return nil
 }
 
 func clearCap(ctx context.Context, cmd *cli.Command) error {
@@ -86,6 +107,8 @@
 	}
 	switch err = change(caps, before.Revision); vaneyoke.CodeOf(err) {
 	case vaneyoke.CodeOK:
+	case vaneyoke.CodeUsage:
+		return err
 	case vaneyoke.CodeStoreRace:
 		return lostRace(ctx, caps, c, err)
 	case vaneyoke.CodeStoreUnknown:
--- a/cmd/vaneyoke/cap_test.go
+++ b/cmd/vaneyoke/cap_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"net/http/httputil"
@@ -12,6 +13,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/platform"
 	"github.com/vaneyoke/vaneyoke/platform/platformtest"
 )
 
@@ -132,3 +134,24 @@
 	}
 	must.Zero(t, store.AllCalls())
 }
+
+// TestCapBeyondTheMostIsRefused sets one cap more than nodes apply: it was written, and "before: no cap" printed, but it was not in force anywhere.
+func TestCapBeyondTheMostIsRefused(t *testing.T) {
+	store := newCapStore(t)
+	for i := range platform.MaxCaps {
+		workspace := fmt.Sprint("w", i)
+		store.Put("caps", workspace+"/", map[string]any{"workspace": workspace, "share": 0.5})
+	}
+	set := func(workspace string) error {
+		_, err := run(t, "cap", "set", "--store", store.Address(), "--workspace", workspace, "--share", "0")
+		return err
+	}
+	err := set("z")
+	must.EqOp(t, vaneyoke.CodeUsage, vaneyoke.CodeOf(err))
+	must.StrContains(t, err.Error(), "the cap was not set: there are 256, and nodes apply no more")
+	must.Nil(t, store.Read("caps", "z/"))
+	must.NoError(t, set("w7"))
+	_, err = run(t, "cap", "clear", "--store", store.Address(), "--workspace", "w8")
+	must.NoError(t, err)
+	must.NoError(t, set("z"))
+}
--- a/process/node/caps_wire.go
+++ b/process/node/caps_wire.go
@@ -16,9 +16,6 @@
 	"github.com/vaneyoke/vaneyoke/shell/watch"
 )
 
-// maxCaps is the largest number of caps in force; each request is compared with all of them.
-const maxCaps = 256
-
 // capSetter keeps requests to the caps that operators have set.
 type capSetter interface {
 	// SetCaps replaces the caps in force.
@@ -32,7 +29,7 @@
 	mu      sync.Mutex
 	setter  capSetter // nil until connected
 	caps    []admission.Cap
-	skipped int // rows that cannot be read, or beyond maxCaps
+	skipped int // rows that cannot be read, or beyond platform.MaxCaps
 }
 
 func newCapTables(vars *expvar.Map, log logrus.FieldLogger) *capTables {
@@ -60,7 +57,7 @@
 func (t *capTables) setRows(_ time.Time, rows watch.Rows) {
 	caps := readRows(rows, t.log, platform.DecodeCap)
 	slices.SortFunc(caps, compareCaps)
-	caps = caps[:min(len(caps), maxCaps)]
+	caps = caps[:min(len(caps), platform.MaxCaps)]
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	before := t.caps
--- a/process/node/caps_wire_test.go
+++ b/process/node/caps_wire_test.go
@@ -14,6 +14,7 @@
 	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/vaneyoke/vaneyoke/decide/admission"
+	"github.com/vaneyoke/vaneyoke/platform"
 	"github.com/vaneyoke/vaneyoke/shell/watch"
 )
 
@@ -104,17 +105,17 @@
 // TestTooManyCapsAreApplied checks that the number of caps in force is bounded, and that all nodes choose the same.
 func TestTooManyCapsAreApplied(t *testing.T) {
 	rows := map[string]string{}
-	for i := range 3 * maxCaps {
+	for i := range 3 * platform.MaxCaps {
 		name := fmt.Sprintf("w%04d", i)
 		rows[name+"/"] = fmt.Sprintf(`{"workspace":%q,"share":0}`, name)
 	}
 	tables, recorder, vars, _ := newRecordedCaps(t)
 	tables.setRows(time.Time{}, capRows(rows))
-	must.Len(t, maxCaps, recorder.caps)
-	must.EqOp(t, "w0255", recorder.caps[maxCaps-1].Workspace)
+	must.Len(t, platform.MaxCaps, recorder.caps)
+	must.EqOp(t, "w0255", recorder.caps[platform.MaxCaps-1].Workspace)
 	var published struct {
 		Skipped int `json:"rows_skipped"`
 	}
 	must.NoError(t, json.Unmarshal([]byte(vars.Get("caps").String()), &published))
-	must.EqOp(t, 2*maxCaps, published.Skipped)
+	must.EqOp(t, 2*platform.MaxCaps, published.Skipped)
 }
