One caller's long deadline does not make all others look like returns

Cause: the age of a caller is how much shorter its remaining time is than the longest on its route, which one caller with a longer deadline of its own set for all; first attempts of the others then took up the returns that were expected.

Now an age of more than 100 s (four of the longest waits that are told) is none, and the shorter remaining time becomes the longest.

--- a/decide/pacing/pacing_test.go
+++ b/decide/pacing/pacing_test.go
@@ -206,3 +206,16 @@
 		}
 	})
 }
+
+// TestOneLongDeadlineMakesOthersReturns has a single caller of a route allow an hour and all others half a minute: their first attempts looked
+// like returns until the hour had decayed, and used up what was expected of those that this node had rejected.
+func TestOneLongDeadlineMakesOthersReturns(t *testing.T) {
+	n := newNode()
+	n.classify("long", time.Hour)
+	n.reject("other", routeWait)
+	for i := range 5 {
+		n.now = n.now.Add(time.Second)
+		must.EqOp(t, pacing.ReturnNone, n.classify(fmt.Sprint("first ", i), routeWait))
+	}
+	must.EqOp(t, pacing.ReturnOnTime, n.classify("rejected elsewhere", routeWait-5*time.Second))
+}
--- a/decide/pacing/routes.go
+++ b/decide/pacing/routes.go
@@ -10,10 +10,11 @@
 const (
 	maxRoutes        = 1024
 	maxRemaining     = time.Hour
-	longestDecay     = 0.005            // share of the longest remaining time by which it decays each second
-	returnsPerReject = 2.0              // returns that are believed for each rejection of this node
-	maxReturns       = 4096.0           // returns that are believed at most
-	returnsHalfLife  = 10 * time.Second // after which half of the expected returns are given up
+	maxAge           = 4 * maxRetryAfter // beyond which a caller has another deadline than those that were seen, and does not return
+	longestDecay     = 0.005             // share of the longest remaining time by which it decays each second
+	returnsPerReject = 2.0               // returns that are believed for each rejection of this node
+	maxReturns       = 4096.0            // returns that are believed at most
+	returnsHalfLife  = 10 * time.Second  // after which half of the expected returns are given up
 )
 
 // routes holds what is known of the callers of each route.
@@ -62,6 +63,9 @@
 	elapsed := min(max(now.Sub(c.seenAt).Seconds(), 0), 1/longestDecay)
 	c.longest = max(time.Duration(float64(c.longest)*(1-longestDecay*elapsed)), remaining)
 	c.seenAt = now
+	if c.longest-remaining > maxAge {
+		c.longest = remaining
+	}
 	return c.longest - remaining
 }
 
--- a/decide/pushback/reported_test.go
+++ b/decide/pushback/reported_test.go
@@ -11,7 +11,7 @@
 	"github.com/vaneyoke/vaneyoke/decide/pushback"
 )
 
-// reported is a shutdown notice that another node reported; after some time.
+// reported is a shutdown notice that another node reported, received after some time.
 type reported struct {
 	after       time.Duration
 	incarnation vaneyoke.Incarnation
