--- a/decide/gossip/state.go
+++ b/decide/gossip/state.go
@@ -86,7 +86,7 @@
 			s.handleReceived(now, ev.From, sighting)
 		}
 	case Tick:
-		s.flush(now)
+		s.flush()
 	}
 	return s.effects
 }
@@ -203,7 +203,7 @@
 }
 
 // flush sends each neighbour the queued sightings that did not come from it.
-func (s *State) flush(now time.Time) {
+func (s *State) flush() {
 	for _, to := range s.neighbours {
 		var sightings []Sighting
 		for _, queued := range s.outbox {
--- a/shell/mesh/datagram.go
+++ b/shell/mesh/datagram.go
@@ -12,8 +12,8 @@
 	"github.com/vaneyoke/vaneyoke/shell/ratelimits"
 )
 
-// The type byte precedes the JSON of a datagram, or a summary as decide/share encodes it. It is a control character, with which no JSON text starts, so builds without type bytes
-// ignore such datagrams, and other builds ignore the types that they do not know.
+// The type byte precedes the JSON of a datagram, or a summary as decide/share encodes it. It is a control character, with which no JSON text
+// starts, so builds without type bytes ignore such datagrams, and other builds ignore the types that they do not know.
 const (
 	typeNone   = 0x00 // no type byte is sent
 	typeLimits = 0x01
--- a/shell/pushbacks/node_test.go
+++ b/shell/pushbacks/node_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/pushback"
@@ -70,3 +71,29 @@
 func (b *fakeHolds) IsHeld(id vaneyoke.UpstreamID) bool {
 	return b.tracker.Hold(id).Active(b.now, &b.latest)
 }
+
+// TestReportedShutdownIsLoggedOnce has other nodes report the shutdown of an upstream again and again: it must be logged when it starts to hold the
+// upstream back, and not for an incarnation before the listed one.
+func TestReportedShutdownIsLoggedOnce(t *testing.T) {
+	log, hook := logtest.NewNullLogger()
+	now := time.Unix(1000, 0)
+	listed := vaneyoke.Upstream{ID: "u1", URL: "http://u1", Incarnation: 5}
+	holds := &fakeHolds{tracker: pushback.NewTracker(), now: now}
+	n := pushbacks.New(holds, new(expvar.Map).Init(), log)
+	report := func(after time.Duration, incarnation vaneyoke.Incarnation, reporter vaneyoke.VMID) {
+		holds.now = now.Add(after)
+		n.RecordReported(holds.now, listed, incarnation, reporter)
+	}
+	report(0, 4, "a")
+	must.SliceEmpty(t, hook.AllEntries())
+	for i := range 100 {
+		report(time.Duration(i)*time.Second, 5, "a")
+	}
+	must.Len(t, 1, hook.AllEntries())
+	must.False(t, holds.IsHeld("u1"))
+	for range 100 {
+		report(100*time.Second, 5, "b")
+	}
+	must.Len(t, 2, hook.AllEntries())
+	must.True(t, holds.IsHeld("u1"))
+}
