--- a/decide/admission/state_test.go
+++ b/decide/admission/state_test.go
@@ -341,10 +341,10 @@
 		from   vaneyoke.WorkspaceID
 		want   []string
 	}{
-		"others wait":                        {totals(1000, 0), "a", nil},
-		"others wait with less urgent ones":  {totals(1000, 1000), "a", []string{"x"}},
+		"others wait":                        {totals(10_000, 0), "a", nil},
+		"others wait with less urgent ones":  {totals(10_000, 10_000), "a", []string{"x"}},
 		"no other waits":                     {totals(0, 0), "a", []string{"x"}},
-		"a workspace within its share waits": {totals(1000, 0), "b", []string{"x"}},
+		"a workspace within its share waits": {totals(10_000, 0), "b", []string{"x"}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			n := newNode(admission.ModeRanked)
