Split the recovery of generations by what is decided

Ruled out: a second package; the functions share the state of one answer. Evidence: go test ./decide/generation passes.

--- /dev/null
+++ b/decide/generation/placing.go
@@ -0,0 +1,122 @@
+package generation
+
+import (
+	"slices"
+	"time"
+
+	"github.com/vaneyoke/vaneyoke"
+)
+
+const jitterShare = 0.5 // random share of a backoff delay
+
+// place asks for an upstream for a new attempt.
+func (s *State) place(now time.Time, delay time.Duration, retry bool) {
+	s.lastAttempt++
+	s.runs = append(s.runs, run{attempt: s.lastAttempt, stream: s.lastAttempt, stage: stagePlacing, placedAt: now})
+	s.emit(Place{Attempt: s.lastAttempt, Avoid: slices.Clone(s.avoid), Prefer: s.replicaHolder, Delay: delay, Retry: retry})
+}
+
+func (s *State) placed(now time.Time, ev Placed) {
+	r := s.findRun(ev.Attempt)
+	if r == nil || r.stage != stagePlacing {
+		return
+	}
+	r.stage = stageStarted
+	s.lastCode = vaneyoke.CodeOK
+	r.upstream = ev.Upstream
+	r.placedAt = now
+	r.aliveAt = now
+	r.expectedTTFT = ev.ExpectedTTFT
+	r.replica = ev.Replica
+	r.fromReplica = ev.HoldsReplica && s.replicaHolder != ""
+	if s.answer.tailUncertain && s.answer.Len() > 0 {
+		s.emit(InspectTail{Attempt: r.attempt, Upstream: r.upstream, IDs: s.answer.IDs})
+		return
+	}
+	s.start(r)
+}
+
+// tailInspected removes the tokens whose text the lost engine buffered, so that the next engine generates and shows them.
+func (s *State) tailInspected(ev TailInspected) {
+	r := s.findRun(ev.Attempt)
+	if r == nil {
+		return
+	}
+	if s.answer.tailUncertain {
+		s.stats.DiscardedTokens += s.answer.trim(ev.Buffered)
+	}
+	s.start(r)
+}
+
+func (s *State) start(r *run) {
+	r.sent = true
+	s.possibleRuns++
+	s.possibleArrivals++
+	s.countedAttempts++
+	s.stats.Attempts++
+	start := Start{
+		Attempt: r.attempt, Upstream: r.upstream, From: s.answer.Len(), Replica: r.replica, FromReplica: r.fromReplica,
+	}
+	if s.answer.Len() > 0 && !s.cfg.Opaque {
+		start.Prefix = s.answer.Prefix()
+		s.stats.ReprefilledTokens += vaneyoke.Tokens(len(start.Prefix))
+	}
+	s.emit(start)
+}
+
+// notPlaced schedules another placement, or fails if retrying is pointless or the limits are exhausted.
+func (s *State) notPlaced(now time.Time, ev NotPlaced) {
+	if s.findRun(ev.Attempt) == nil {
+		return
+	}
+	s.removeRun(ev.Attempt)
+	s.lastCode = ev.Code
+	s.retryAfter = ev.RetryAfter
+	if len(s.runs) > 0 {
+		return
+	}
+	if ev.Code == vaneyoke.CodeQuarantined {
+		s.fail(s.failure())
+		return
+	}
+	if ev.Code == vaneyoke.CodeUnknownModel && s.answer.Len() == 0 && !s.cfg.Opaque {
+		s.fail(s.failure())
+		return
+	}
+	if hasRetryAfter(ev.Code) && !s.worthRetryWait(now, ev.RetryAfter) {
+		s.fail(s.failure())
+		return
+	}
+	s.consecutiveLosses++
+	s.placeAgain(now)
+}
+
+// placeAgain starts another attempt after a delay, or fails.
+func (s *State) placeAgain(now time.Time) {
+	if s.answer.Len() > 0 && s.answer.Prompt == nil && !s.cfg.Opaque {
+		s.fail(Fail{Code: vaneyoke.CodeInterrupted, Detail: "the engine did not tell the prompt's token ids"})
+		return
+	}
+	delay := s.backoff()
+	if hasRetryAfter(s.lastCode) {
+		delay = max(delay, s.retryAfter)
+	}
+	if s.exhausted(now.Add(delay)) {
+		s.fail(s.failure())
+		return
+	}
+	s.place(now, delay, s.possibleArrivals > 0)
+}
+
+// backoff returns 0 after the first of consecutive losses, and an exponentially growing, jittered delay after later ones.
+func (s *State) backoff() time.Duration {
+	if s.consecutiveLosses <= 1 {
+		return 0
+	}
+	full := s.cfg.Backoff.Cap
+	if shift := s.consecutiveLosses - 2; shift < 16 {
+		full = min(s.cfg.Backoff.Base<<shift, s.cfg.Backoff.Cap)
+	}
+	jitter := s.rng.Float64() * jitterShare
+	return time.Duration(float64(full) * (1 - jitter))
+}
--- a/decide/generation/silence.go
+++ b/decide/generation/silence.go
@@ -1,45 +1,102 @@
 package generation
 
-import "time"
+import (
+	"time"
+
+	"github.com/vaneyoke/vaneyoke"
+)
 
 const (
-	gapWeight       = 0.1 // weight of the latest gap in the moving averages
-	deviationWeight = 0.1
+	// The silence limit before the first token is ttftFactor times the expected TTFT, but at most ttftCapFactor times the expected TTFT or
+	// Silence.FirstToken, whichever is longer.
+	ttftFactor    = 8
+	ttftCapFactor = 3
+	floorFactor   = 3 // lower bound of the silence limit before the first token, as a multiple of Silence.Floor
 )
 
-// gapEstimate tracks exponentially weighted moving averages of the gap between batches and of its deviation.
-type gapEstimate struct {
-	last      time.Time
-	mean      time.Duration
-	deviation time.Duration
-	count     int
+// nextCheck returns when a run's silence requires a decision or a probe.
+func (s *State) nextCheck(r *run) time.Time {
+	at := s.silenceDeadline(r)
+	if s.cfg.ProbeEvery == 0 || r.stage != stageStarted || r.probing || r.gaps.count > 0 {
+		return at
+	}
+	if probe := r.aliveAt.Add(s.cfg.ProbeEvery); probe.Before(at) {
+		return probe
+	}
+	return at
 }
 
-// add records a batch that arrived at now.
-func (g *gapEstimate) add(now time.Time) {
-	if g.count > 0 {
-		g.addGap(now.Sub(g.last))
+// probed keeps waiting for an upstream that is alive, and gives up one that is not.
+func (s *State) probed(now time.Time, ev Probed) {
+	r := s.findRun(ev.Attempt)
+	if r == nil {
+		return
+	}
+	r.probing = false
+	r.aliveAt = now
+	if !ev.Alive && r.stage == stageStarted {
+		s.loseRun(now, r, CauseUnreachable)
 	}
-	g.last = now
-	g.count++
 }
 
-func (g *gapEstimate) addGap(gap time.Duration) {
-	if g.count == 1 {
-		g.mean = gap
-		g.deviation = gap / 2
-		return
+// silenceDeadline returns when a run's silence requires a decision.
+func (s *State) silenceDeadline(r *run) time.Time {
+	since := r.lastActivity()
+	if r.stage == stagePlacing {
+		return since.Add(s.cfg.MaxWait)
+	}
+	if s.cfg.KeepLastAttempt && s.attemptsLeft() <= 0 {
+		return s.cfg.Deadline
+	}
+	limit := r.gaps.limit(s.cfg.Silence)
+	if r.gaps.count == 0 && r.expectedTTFT > 0 {
+		limit = s.firstTokenLimit(r.expectedTTFT)
+	}
+	if r.resumed && r.gaps.count == 0 {
+		limit = s.cfg.Silence.Floor
+	}
+	if r.suspect || s.cfg.Recovery == vaneyoke.RecoverFrugal || !s.cfg.Repeatable {
+		limit = time.Duration(float64(limit) * s.cfg.Silence.Patience)
 	}
-	diff := gap - g.mean
-	g.mean += time.Duration(gapWeight * float64(diff))
-	g.deviation += time.Duration(deviationWeight * float64(diff.Abs()-g.deviation))
+	return since.Add(limit * time.Duration(1+r.queries))
 }
 
-// limit returns the silence after which the run is suspect.
-func (g *gapEstimate) limit(s Silence) time.Duration {
-	if g.count == 0 {
-		return s.FirstToken
+// attemptsLeft returns how many more attempts may be sent. It is meaningful only if MaxAttempts is set.
+func (s *State) attemptsLeft() int { return s.cfg.MaxAttempts - s.countedAttempts }
+
+// firstTokenLimit returns the silence before the first token that makes an attempt suspect, given the expected time to first token.
+func (s *State) firstTokenLimit(expected time.Duration) time.Duration {
+	silence := s.cfg.Silence
+	maxLimit := max(silence.FirstToken, ttftCapFactor*expected)
+	if s.cfg.ProbeEvery > 0 { // probes detect a dead upstream; a busy one must not be mistaken for it
+		return maxLimit
+	}
+	return min(max(ttftFactor*expected, floorFactor*silence.Floor), maxLimit)
+}
+
+// handleSilence hedges the silent run of a generation with fast recovery by a second attempt, and replaces any other silent run.
+func (s *State) handleSilence(now time.Time, r *run) {
+	if r.stage == stagePlacing {
+		s.removeRun(r.attempt)
+		s.consecutiveLosses++
+		s.placeAgain(now)
+		return
+	}
+	if s.shouldQuery(r) {
+		s.queryRun(now, r)
+		return
+	}
+	s.stats.Suspected++
+	race := !s.cfg.Opaque && s.cfg.Recovery == vaneyoke.RecoverFast && s.cfg.Repeatable && !r.suspect
+	if !race || len(s.runs) > 1 {
+		s.loseRun(now, r, CauseSilent)
+		return
+	}
+	if s.answer.Len() > 0 && s.answer.Prompt == nil {
+		r.suspect = true
+		return
 	}
-	limit := g.mean + time.Duration(s.Deviations*float64(g.deviation))
-	return max(min(max(limit, s.Floor), s.Ceiling), time.Duration(s.MinMeanGaps*float64(g.mean)))
+	r.suspect = true
+	s.avoid = append(s.avoid, r.upstream)
+	s.place(now, 0, true)
 }
