Begin no further attempt that cannot end before the deadline

Cause: with 0.3 s of the caller's 22.5 s left, a generation was begun anew on two more engines; a stream was begun on a third engine that answered "deadline" a second later. Each reads the prompt again for nothing. Change: decide/forecast keeps recent first-chunk times, chunk gaps and lengths by service and route, and returns those of a fast upstream. decide/generation refuses further attempts, continuations and replicas that need more than the time left by a quarter, keeps a silent run that no attempt could replace in time, and ends runs whose missing chunks cannot come in time. X-Token-Usage's second number bounds the answer. [recovery] useful_only = false leaves everything as it was; a property test plays both. Ruled out: the placer's upper bound of the first token (refuses what could be served); the pace of the answer's own slow engine alone; a refusal of first attempts (admission decides those).

--- a/api/gateway/gateway.go
+++ b/api/gateway/gateway.go
@@ -26,8 +26,9 @@
 	MaxWait      time.Duration // how long the caller waits; 0 if not given
 	LastEventID  string        // last event that the caller has received; "" for none
 	PromptTokens vaneyoke.Tokens
-	PromptParts  []string    // ids of the prompt's parts in order, the last one unique to it; nil if not given
-	Header       http.Header // headers forwarded to upstreams
+	AnswerTokens vaneyoke.Tokens // most that the answer has; 0 if not given
+	PromptParts  []string        // ids of the prompt's parts in order, the last one unique to it; nil if not given
+	Header       http.Header     // headers forwarded to upstreams
 }
 
 // Codec decodes the metadata in request headers.
@@ -176,6 +177,7 @@
 		Stream:            r.Kind == route.KindStream,
 		HealthPath:        service.HealthPath,
 		Replicate:         service.Replicas && r.Kind == route.KindStream && r.Resumable,
+		AnswerTokens:      envelope.AnswerTokens,
 		PromptParts:       envelope.PromptParts,
 		ResumeAfter:       envelope.LastEventID,
 		LatencyGoal:       r.LatencyGoal,
--- a/decide/generation/config.go
+++ b/decide/generation/config.go
@@ -29,9 +29,11 @@
 	KeepLastAttempt bool
 	// Opaque says that the chunks are not token ids: an attempt continues from the number of the last chunk alone, and no engine
 	// can send a run's stream a second time.
-	Opaque  bool
-	Silence Silence // when a silent attempt becomes suspect
-	Backoff Backoff // delay before the attempt that follows the second and later consecutive losses
+	Opaque bool
+	// UsefulOnly says that no further attempt, continuation or replica is begun that is not expected to end before the deadline.
+	UsefulOnly bool
+	Silence    Silence // when a silent attempt becomes suspect
+	Backoff    Backoff // delay before the attempt that follows the second and later consecutive losses
 }
 
 // Silence holds the thresholds of the failure detector, which suspects attempts that send nothing.
--- a/decide/generation/deadlines.go
+++ b/decide/generation/deadlines.go
@@ -13,6 +13,9 @@
 // NextTick returns when Tick is due, or the zero time if no timer is needed.
 func (s *State) NextTick() time.Time {
 	due := s.cfg.Deadline
+	if at := s.uselessAt(); !at.IsZero() {
+		due = at
+	}
 	for i := range s.runs {
 		at := s.nextCheck(&s.runs[i])
 		if due.IsZero() || at.Before(due) {
@@ -28,6 +31,9 @@
 		s.fail(s.deadlineFailure())
 		return
 	}
+	if s.endUseless(now) {
+		return
+	}
 	for _, r := range slices.Clone(s.runs) {
 		if s.ended || now.Before(s.nextCheck(&r)) {
 			continue
--- a/decide/generation/effect.go
+++ b/decide/generation/effect.go
@@ -16,6 +16,25 @@
 	Prefer  vaneyoke.UpstreamID   // upstream that holds a replica of the lost run's KV cache; "" for none
 	Delay   time.Duration         // delay before an upstream is chosen
 	Retry   bool                  // whether the attempt counts against the retry budget
+	// Replicate says whether the run could be continued from a replica of its KV cache.
+	Replicate bool
+}
+
+// NotBegun says that an attempt is not begun, or a replica not kept, because it could not be of use.
+type NotBegun struct {
+	Attempt       vaneyoke.Attempt
+	Reason        Reason
+	Remaining     time.Duration // until the deadline
+	ExpectedFirst time.Duration // expected time to the first chunk; 0 for unknown
+	ExpectedRest  time.Duration // expected time from then to the end of the answer; 0 for unknown
+	FromReplica   bool          // whether a replica holds the prompt, so that it would not have been read again
+}
+
+// GivenUp says that the runs of an answer are ended because they can no longer complete it before the deadline.
+type GivenUp struct {
+	Attempt      vaneyoke.Attempt
+	Remaining    time.Duration // until the deadline
+	ExpectedRest time.Duration // expected time for the chunks that are missing
 }
 
 // InspectTail asks an engine how many of the answer's last tokens have text that the detokenizer buffers, because it ends within a
@@ -84,6 +103,8 @@
 }
 
 func (Place) effect()       {}
+func (NotBegun) effect()    {}
+func (GivenUp) effect()     {}
 func (InspectTail) effect() {}
 func (Probe) effect()       {}
 func (QueryRun) effect()    {}
--- a/decide/generation/event.go
+++ b/decide/generation/event.go
@@ -21,6 +21,13 @@
 	Replica      vaneyoke.UpstreamID // upstream that is to keep a replica of the run's KV cache; "" for none
 }
 
+// Forecast holds what recent answers say about this one; a zero field is unknown. It applies to the events that follow it.
+type Forecast struct {
+	FirstChunk time.Duration   // from the start of a run to its first chunk on a fast upstream; for a call, to its answer
+	ChunkGap   time.Duration   // between two chunks from a fast upstream
+	Chunks     vaneyoke.Tokens // least number of chunks of the whole answer
+}
+
 // TailInspected answers InspectTail.
 type TailInspected struct {
 	Attempt  vaneyoke.Attempt
@@ -99,6 +106,7 @@
 
 func (Admitted) event()        {}
 func (Placed) event()          {}
+func (Forecast) event()        {}
 func (TailInspected) event()   {}
 func (RunReported) event()     {}
 func (Probed) event()          {}
--- a/decide/generation/losing.go
+++ b/decide/generation/losing.go
@@ -20,6 +20,7 @@
 	s.cancel(r, !resumable && (cause.mayHaveRun() || old.resumed), cause)
 	s.removeRun(old.attempt)
 	s.countLoss(&old, cause)
+	s.recordPace(&old)
 	if s.complete() {
 		s.finish(vaneyoke.FinishLength)
 		return
--- a/decide/generation/model_test.go
+++ b/decide/generation/model_test.go
@@ -60,6 +60,7 @@
 	config := generation.DefaultConfig()
 	config.Repeatable = rapid.IntRange(0, 4).Draw(t, "once") > 0
 	config.Recovery = rapid.SampledFrom([]vaneyoke.Recovery{vaneyoke.RecoverFast, vaneyoke.RecoverFrugal}).Draw(t, "recovery")
+	config.UsefulOnly = rapid.Bool().Draw(t, "useful only")
 	if rapid.Bool().Draw(t, "limited") {
 		config.MaxTokens = vaneyoke.Tokens(rapid.IntRange(1, 12).Draw(t, "limit"))
 	}
@@ -70,6 +71,7 @@
 		streams: map[vaneyoke.Attempt]*stream{},
 	}
 	m.state = generation.New(config, rand.New(rand.NewPCG(1, 2)))
+	m.state.Handle(m.now, drawForecast(t)) // without a deadline, it changes nothing
 	return m
 }
 
--- a/decide/generation/opaque_property_test.go
+++ b/decide/generation/opaque_property_test.go
@@ -24,6 +24,7 @@
 	mayHaveRun map[vaneyoke.Attempt]bool            // started attempts that may have run
 	sent       map[vaneyoke.Attempt]vaneyoke.Tokens // chunks that it has sent
 	fenced     map[vaneyoke.Attempt]bool            // attempts that were lost or cancelled
+	forecast   generation.Forecast
 	ended      bool
 	failed     *generation.Fail
 }
@@ -45,6 +46,7 @@
 	m.config.ProbeEvery = 200 * time.Millisecond
 	m.config.EventIntervalGoal = 700 * time.Millisecond
 	m.config.MaxRunQueries = rapid.IntRange(0, 2).Draw(t, "asks")
+	m.config.UsefulOnly = rapid.Bool().Draw(t, "useful only")
 	m.state = generation.New(m.config, rand.New(rand.NewPCG(1, 2)))
 	return m
 }
@@ -63,8 +65,13 @@
 	case generation.Start:
 		must.EqOp(m.t, m.state.Transcript().Len(), e.From)
 		must.Len(m.t, 0, e.Prefix)
+		m.checkUseful(e)
 		m.from[e.Attempt] = e.From
 		m.mayHaveRun[e.Attempt] = true
+	case generation.NotBegun:
+		must.True(m.t, m.config.UsefulOnly, must.Sprint("an attempt was refused with the rule off"))
+	case generation.GivenUp:
+		must.True(m.t, m.config.UsefulOnly, must.Sprint("a run was given up with the rule off"))
 	case generation.Cancel:
 		m.fenced[e.Attempt] = true
 	case generation.Resume:
@@ -77,6 +84,17 @@
 	}
 }
 
+// checkUseful checks that no further attempt starts that is expected to be late by a quarter, and that no first one is refused.
+func (m *opaqueModel) checkUseful(e generation.Start) {
+	if !m.config.UsefulOnly || len(m.from) == 0 || float64(e.From) >= 0.9*float64(m.forecast.Chunks) && m.forecast.Chunks > 0 {
+		return
+	}
+	if e.FromReplica || m.forecast.FirstChunk == 0 {
+		return
+	}
+	must.LessEq(m.t, m.config.Deadline.Sub(m.now), m.forecast.FirstChunk*8/10, must.Sprint("the first chunk of a further attempt comes too late"))
+}
+
 // checkInvariants checks the number of runs, the failure code and the order of the chunks.
 func (m *opaqueModel) checkInvariants() {
 	possibleRuns := 0
@@ -195,6 +213,10 @@
 				m.now = m.now.Add(time.Duration(rapid.SampledFrom([]int{1, 50, 300, 3000, 11_000}).Draw(t, "ms")) * time.Millisecond)
 				m.handle(generation.Tick{})
 			},
+			"forecast": func(t *rapid.T) {
+				m.forecast = drawForecast(t)
+				m.handle(m.forecast)
+			},
 			"node ends": func(t *rapid.T) {
 				if rapid.IntRange(0, 9).Draw(t, "ends") == 0 {
 					m.handle(generation.NodeStopping{})
--- a/decide/generation/placing.go
+++ b/decide/generation/placing.go
@@ -13,7 +13,10 @@
 func (s *State) place(now time.Time, delay time.Duration, retry bool) {
 	s.lastAttempt++
 	s.runs = append(s.runs, run{attempt: s.lastAttempt, stream: s.lastAttempt, stage: stagePlacing, placedAt: now})
-	s.emit(Place{Attempt: s.lastAttempt, Avoid: slices.Clone(s.avoid), Prefer: s.replicaHolder, Delay: delay, Retry: retry})
+	replicate := s.replicaUseful(now, now.Add(delay))
+	s.emit(Place{
+		Attempt: s.lastAttempt, Avoid: slices.Clone(s.avoid), Prefer: s.replicaHolder, Delay: delay, Retry: retry, Replicate: replicate,
+	})
 }
 
 func (s *State) placed(now time.Time, ev Placed) {
@@ -21,6 +24,10 @@
 	if r == nil || r.stage != stagePlacing {
 		return
 	}
+	fromReplica := ev.HoldsReplica && s.replicaHolder != ""
+	if s.refuseUseless(now, now, ev.Attempt, fromReplica) {
+		return
+	}
 	r.stage = stageStarted
 	s.lastCode = vaneyoke.CodeOK
 	r.upstream = ev.Upstream
@@ -28,7 +35,7 @@
 	r.aliveAt = now
 	r.expectedTTFT = ev.ExpectedTTFT
 	r.replica = ev.Replica
-	r.fromReplica = ev.HoldsReplica && s.replicaHolder != ""
+	r.fromReplica = fromReplica
 	if s.answer.tailUncertain && s.answer.Len() > 0 {
 		s.emit(InspectTail{Attempt: r.attempt, Upstream: r.upstream, IDs: s.answer.IDs})
 		return
@@ -105,6 +112,9 @@
 		s.fail(s.failure())
 		return
 	}
+	if s.refuseUseless(now, now.Add(delay), s.lastAttempt+1, s.replicaHolder != "") {
+		return
+	}
 	s.place(now, delay, s.possibleArrivals > 0)
 }
 
--- a/decide/generation/query.go
+++ b/decide/generation/query.go
@@ -42,7 +42,11 @@
 		return
 	}
 	s.stats.Suspected++
-	s.loseRun(now, r, CauseSilent)
+	if ev.State == vaneyoke.RunStateNone {
+		s.loseRun(now, r, CauseSilent)
+		return
+	}
+	s.giveUpSilent(now, r)
 }
 
 // keepWaiting reports whether to keep waiting for a silent run, given its upstream's report.
--- a/decide/generation/silence.go
+++ b/decide/generation/silence.go
@@ -45,7 +45,7 @@
 	if r.stage == stagePlacing {
 		return since.Add(s.cfg.MaxWait)
 	}
-	if s.cfg.KeepLastAttempt && s.attemptsLeft() <= 0 {
+	if r.kept || s.cfg.KeepLastAttempt && s.attemptsLeft() <= 0 {
 		return s.cfg.Deadline
 	}
 	limit := r.gaps.limit(s.cfg.Silence)
@@ -89,7 +89,7 @@
 	s.stats.Suspected++
 	race := !s.cfg.Opaque && s.cfg.Recovery == vaneyoke.RecoverFast && s.cfg.Repeatable && !r.suspect
 	if !race || len(s.runs) > 1 {
-		s.loseRun(now, r, CauseSilent)
+		s.giveUpSilent(now, r)
 		return
 	}
 	if s.answer.Len() > 0 && s.answer.Prompt == nil {
--- a/decide/generation/state.go
+++ b/decide/generation/state.go
@@ -34,6 +34,9 @@
 	countedAttempts   int                 // runs that count against MaxAttempts: those that may have reached their upstream
 	possibleArrivals  int                 // runs that may have reached an engine; later attempts count as retries
 	replicaHolder     vaneyoke.UpstreamID // holds a replica of the last lost run's KV cache; "" for none
+	forecast          Forecast
+	fastestGap        time.Duration // lowest mean gap between the chunks of a lost or silent run; 0 for unknown
+	lastNotBegun      vaneyoke.Attempt
 	ended             bool
 	lastCode          vaneyoke.Code // why the last attempt was not placed; CodeOK if it was
 	retryAfter        time.Duration
@@ -84,6 +87,8 @@
 		s.place(now, 0, false)
 	case Placed:
 		s.placed(now, ev)
+	case Forecast:
+		s.forecast = ev
 	case TailInspected:
 		s.tailInspected(ev)
 	case Probed:
@@ -176,7 +181,7 @@
 		return
 	}
 	r.stage = stageStreaming
-	r.suspect = false
+	r.suspect, r.kept = false, false
 	r.resetQueries()
 	r.gaps.add(now)
 	if len(ev.Batch.Text) == 0 {
--- a/process/node/config.go
+++ b/process/node/config.go
@@ -39,6 +39,7 @@
 	config := generation.DefaultConfig()
 	config.MaxWait = s.Limits.MaxWait
 	config.MaxLosses = s.Recovery.MaxLosses
+	config.UsefulOnly = s.Recovery.UsefulOnly
 	config.Silence = generation.Silence{
 		FirstToken: s.Recovery.FirstToken,
 		Floor:      s.Recovery.Floor,
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -105,6 +105,7 @@
 	Patience   float64       `ini:"patience" default:"4" min:"1" doc:"Times the suspect silence that a frugal workspace's attempt is waited for."`
 	Crashes    int           `ini:"crashes" default:"3" min:"0" max:"10" doc:"Upstreams that a request may end as they begin to run it, over all repeats with the same path, workspace and body and at all nodes, before it is sent to none; 0 for no bound."`
 	Quarantine time.Duration `ini:"quarantine" default:"1h" min:"1s" doc:"How long such a request is sent to no upstream."`
+	UsefulOnly bool          `ini:"useful_only" default:"true" doc:"Whether a further attempt at an opaque request, a continuation or a replica is begun only if it can still end before the caller's deadline, as far as recent answers tell."`
 	MaxLosses  int           `ini:"max_losses" default:"8" min:"1" doc:"Losses in a row without a token between them before a request is given up."`
 }
 
--- a/process/telemetry/events.go
+++ b/process/telemetry/events.go
@@ -18,6 +18,7 @@
 var events = []Event{
 	{"answers_not_kept", []string{"count"}, "A stopping node could not keep all answers that callers were given for those who ask again."},
 	{"attempt_lost", []string{"request", "content", "attempt", "upstream", "cause", "error", "begun", "pieces", "head_ms", "age_ms"}, "An attempt on an upstream was lost; cause says how. head_ms is when the head of its answer had come (-1 for not at all), pieces how many pieces had, and age_ms when it was lost, all since it was sent; requests with the same content ask the same."},
+	{"attempt_not_begun", []string{"request", "attempt", "reason", "remaining_ms", "expected_first_ms", "expected_rest_ms"}, "A further attempt was not begun, or a replica not kept (replica_useless), because its first chunk (first_chunk_late) or the end of the answer (answer_late) is expected after the caller's deadline, which is in remaining_ms; the expected times are those of fast upstreams, 0 for unknown."},
 	{"attempt_started", []string{"request", "attempt", "upstream", "from", "replica", "from_replica"}, "A further attempt was sent; from counts the pieces that the caller has."},
 	{"cancel_failed", []string{"request", "upstream", "stream", "error"}, "An engine could not be told to stop a run."},
 	{"claim_not_settled", []string{"request"}, "A claim whose write has an unknown outcome could not be settled."},
@@ -77,6 +78,7 @@
 	{"rollout_written", []string{"service", "target", "stage", "reason", "order", "error"}, "The next stage of a roll-out was written to the store; where there is an error, the row tells whether it was."},
 	{"room_awaited", []string{"request", "ms", "looks", "room"}, "No upstream that was asked had room for a prompt, and it was held until one had (room), or for half of the caller's time; looks is how often they were asked."},
 	{"row_unreadable", []string{"key", "error"}, "A row of the store cannot be read, or something else than what it is for wrote it; a configuration that it held before is kept, and it names no upstream."},
+	{"run_given_up", []string{"request", "attempt", "remaining_ms", "expected_rest_ms"}, "The run of an answer was ended before the caller's deadline, because the chunks that are missing take longer than remaining_ms even on a fast upstream."},
 	{"sent_while_held", []string{"upstream", "ms", "first", "repeats", "questions"}, "What this node has sent in ms to an upstream that told it to stay away: first attempts, repeats, and questions of its own."},
 	{"server_error", []string{"error"}, "A server told of an error that it went on after, such as a handler's panic."},
 	{"server_failed", []string{"error"}, "A listener ended."},
--- a/shell/relay/attempt.go
+++ b/shell/relay/attempt.go
@@ -126,7 +126,11 @@
 		return
 	}
 	l.outcomeReported = true
+	if l.isRetry && !l.started {
+		s.relay.placer.RefundRetry(s.need)
+	}
 	s.recordDecode(time.Now(), l, outcome)
+	s.recordChunkGap(time.Now(), l)
 	if l.replica.ID != "" {
 		s.relay.placer.ReleaseReplica(l.replica.ID, s.need)
 	}
@@ -197,6 +201,7 @@
 	}
 	if !l.sentAt.IsZero() && !l.fromReplica && !s.mayBeCached() {
 		s.relay.placer.FirstToken(l.upstream.ID, now.Sub(l.sentAt), s.need.PromptBytes)
+		s.recordFirstChunk(now, l)
 	}
 }
 
@@ -205,6 +210,7 @@
 	defer s.mu.Unlock()
 	s.reportOutcome(attempt, placement.OutcomeDone)
 	s.recordCompletion()
+	s.recordLength(now)
 	s.handleLocked(now, generation.Ended{Attempt: attempt, Reason: reason})
 	s.closeLink(attempt)
 }
--- a/shell/relay/forwarded.go
+++ b/shell/relay/forwarded.go
@@ -20,14 +20,15 @@
 type Forwarding struct {
 	Message           *forward.Message
 	Service           vaneyoke.ServiceID
-	Stream            bool          // whether the answer is a sequence of numbered events
-	Replicate         bool          // whether an engine may keep a replica of the run's KV cache
-	HealthPath        string        // path on which the service's upstreams return their identity; "" if they have none
-	PromptParts       []string      // ids of the prompt's parts in order, the last one identifies the whole prompt; nil for a request without a prompt
-	ResumeAfter       string        // id of the last event that the caller has; "" if it has none
-	Deadline          time.Time     // when the caller stops waiting
-	LatencyGoal       time.Duration // for the answer, or for its first event
-	EventIntervalGoal time.Duration // between two events
+	Stream            bool            // whether the answer is a sequence of numbered events
+	Replicate         bool            // whether an engine may keep a replica of the run's KV cache
+	HealthPath        string          // path on which the service's upstreams return their identity; "" if they have none
+	AnswerTokens      vaneyoke.Tokens // most that the answer has; 0 for unknown
+	PromptParts       []string        // ids of the prompt's parts in order, the last one identifies the whole prompt; nil for a request without a prompt
+	ResumeAfter       string          // id of the last event that the caller has; "" if it has none
+	Deadline          time.Time       // when the caller stops waiting
+	LatencyGoal       time.Duration   // for the answer, or for its first event
+	EventIntervalGoal time.Duration   // between two events
 	MaxAttempts       int
 	ConfigRevision    vaneyoke.Revision // revision of the configuration with these settings
 }
--- a/shell/relay/metrics.go
+++ b/shell/relay/metrics.go
@@ -13,6 +13,9 @@
 	Losses    *expvar.Map // attempts lost, by cause
 	Discarded *expvar.Int // tokens received but not accepted
 	Reprefill *expvar.Int // tokens sent to engines again as a prefix
+	NotBegun  *expvar.Map // attempts not begun and replicas not kept, by reason
+	GivenUp   *expvar.Int // answers whose runs were ended because they could not complete them in time
+	Saved     *expvar.Int // prompt tokens that were not read again for attempts not begun
 	Results   *expvar.Map // sessions ended, by result code
 	Routes    *expvar.Map // opaque requests ended, by route and result code
 	Latencies *Latencies  // of answered opaque requests, by route
@@ -28,6 +31,9 @@
 		Losses:    new(expvar.Map).Init(),
 		Discarded: new(expvar.Int),
 		Reprefill: new(expvar.Int),
+		NotBegun:  new(expvar.Map).Init(),
+		GivenUp:   new(expvar.Int),
+		Saved:     new(expvar.Int),
 		Results:   new(expvar.Map).Init(),
 		Routes:    new(expvar.Map).Init(),
 		Latencies: NewLatencies(),
@@ -39,6 +45,9 @@
 	vars.Set("losses_total", m.Losses)
 	vars.Set("discarded_tokens_total", m.Discarded)
 	vars.Set("reprefill_tokens_total", m.Reprefill)
+	vars.Set("attempts_not_begun_total", m.NotBegun)
+	vars.Set("runs_given_up_total", m.GivenUp)
+	vars.Set("saved_tokens_total", m.Saved)
 	vars.Set("results_total", m.Results)
 	vars.Set("routes_total", m.Routes)
 	vars.Set("latencies", expvar.Func(func() any { return m.Latencies.Snapshot() }))
--- a/shell/relay/place.go
+++ b/shell/relay/place.go
@@ -24,11 +24,12 @@
 	need := s.need
 	need.Avoid = e.Avoid
 	need.Prefer = s.replicaByID(e.Prefer)
+	need.Replicate = need.Replicate && e.Replicate
 	if e.Attempt == 1 {
 		need.Canary = s.relay.rollouts != nil && s.relay.rollouts.DrawCanary(need.Service)
 		need.Prefer = s.findPromptHolder(need)
 	}
-	if !s.awaitCapacity(need, e.Attempt == 1) {
+	if !s.awaitCapacity(need, e.Attempt == 1) || s.ctx.Err() != nil {
 		return
 	}
 	upstream, expectedTTFT, err := s.chooseUpstream(need, e.Retry)
--- a/shell/relay/relay.go
+++ b/shell/relay/relay.go
@@ -92,6 +92,7 @@
 	meter      Meter            // nil if load is not measured
 	tracer     trace.Tracer
 	metrics    *Metrics
+	forecasts  *forecasts
 	log        logrus.FieldLogger
 	config     Config
 	ctx        context.Context // canceled when the relay is closed
@@ -123,7 +124,7 @@
 	meter, _ := placer.(Meter)
 	return &Relay{
 		engines: engines, sender: sender, placer: placer, rollouts: rollouts, staleness: staleness, guard: guard, limiter: limiter, pushbacks: pushbacks, meter: meter, tracer: tracer, metrics: metrics, log: log, config: config,
-		ctx: ctx, stop: stop, running: map[*Session]struct{}{},
+		ctx: ctx, stop: stop, running: map[*Session]struct{}{}, forecasts: newForecasts(),
 	}
 }
 
--- a/shell/relay/session.go
+++ b/shell/relay/session.go
@@ -192,6 +192,9 @@
 	if s.relay.ctx.Err() != nil {
 		return
 	}
+	if s.needsForecast(ev) {
+		s.state.Handle(now, s.forecast(now))
+	}
 	for _, effect := range s.state.Handle(now, ev) {
 		s.apply(effect)
 	}
@@ -215,6 +218,10 @@
 	switch e := effect.(type) {
 	case generation.Place:
 		go s.place(e)
+	case generation.NotBegun:
+		s.recordNotBegun(e)
+	case generation.GivenUp:
+		s.recordGivenUp(e)
 	case generation.InspectTail:
 		go s.inspectTail(e, s.links[e.Attempt].upstream)
 	case generation.Probe:
