Report what was never sent as not run when a node stops

Cause: an attempt counted as possibly run from its start. Change: the sender asks a gate before the first byte of an attempt. A stopping node withdraws the attempts whose gate has not been passed, and a withdrawn or cancelled attempt sends nothing, even if it connects later. Ruled out: httptrace.GotConn, which can't keep the transport from writing; the context alone, which the transport reads after it has begun.

--- a/decide/generation/event.go
+++ b/decide/generation/event.go
@@ -78,6 +78,9 @@
 	Cause   Cause
 }
 
+// Unsent says that an attempt that was started has not been sent to its upstream, and will not be.
+type Unsent struct{ Attempt vaneyoke.Attempt }
+
 // Rejected says that an engine refused the request as invalid, as any other engine would.
 type Rejected struct {
 	Attempt vaneyoke.Attempt
@@ -115,6 +118,7 @@
 func (*Received) event()       {}
 func (Ended) event()           {}
 func (Lost) event()            {}
+func (Unsent) event()          {}
 func (Rejected) event()        {}
 func (CallerGone) event()      {}
 func (NodeStopping) event()    {}
--- a/decide/generation/losing.go
+++ b/decide/generation/losing.go
@@ -42,6 +42,18 @@
 	s.placeAgain(now)
 }
 
+// unsent withdraws an attempt that has not been sent. No other one follows, since the answer is about to end.
+func (s *State) unsent(ev Unsent) {
+	r := s.findRun(ev.Attempt)
+	if r == nil || !r.sent || r.resumed || r.stage == stageStreaming {
+		return
+	}
+	old := *r
+	s.cancel(r, false, 0)
+	s.removeRun(old.attempt)
+	s.countLoss(&old, CauseNotSent)
+}
+
 func (s *State) countLoss(old *run, cause Cause) {
 	if cause.mayHaveRun() {
 		s.stats.Losses++
--- a/decide/generation/opaque_property_test.go
+++ b/decide/generation/opaque_property_test.go
@@ -223,6 +223,16 @@
 					must.True(t, m.ended)
 				}
 			},
+			"node ends before it is sent": func(t *rapid.T) {
+				attempt, ok := m.drawAttempt()
+				if !ok || m.sent[attempt] > 0 || !m.mayHaveRun[attempt] || rapid.IntRange(0, 9).Draw(t, "ends") > 0 {
+					return
+				}
+				m.mayHaveRun[attempt] = false
+				m.handle(generation.Unsent{Attempt: attempt})
+				m.handle(generation.NodeStopping{})
+				must.True(t, m.ended)
+			},
 			"caller leaves": func(t *rapid.T) {
 				if rapid.IntRange(0, 9).Draw(t, "leaves") == 0 {
 					m.handle(generation.CallerGone{})
--- a/shell/relay/attempt.go
+++ b/shell/relay/attempt.go
@@ -56,6 +56,7 @@
 	case *unary:
 		go s.call(ctx, e.Attempt, l, m)
 	case *forwarded:
+		l.unsent = true
 		go s.forward(ctx, e, m, s.forwardAttempt(e, l, m))
 	}
 }
--- a/shell/relay/forwarded.go
+++ b/shell/relay/forwarded.go
@@ -103,7 +103,7 @@
 // forward sends an attempt and handles its answer.
 func (s *Session) forward(ctx context.Context, e generation.Start, m *forwarded, outgoing *forward.Attempt) {
 	attempt := e.Attempt
-	exchange, err := s.relay.sender.Send(ctx, outgoing)
+	exchange, err := s.send(ctx, attempt, outgoing)
 	if err != nil {
 		s.handleError(attempt, err)
 		return
@@ -122,6 +122,39 @@
 	s.handleResponse(attempt, m, response{head: exchange.Head(), body: body})
 }
 
+// send sends an attempt, unless it is withdrawn before anything was sent.
+func (s *Session) send(ctx context.Context, attempt vaneyoke.Attempt, outgoing *forward.Attempt) (forward.Response, error) {
+	gate := func() bool { return s.passGate(attempt) }
+	if sender, ok := s.relay.sender.(forward.GatedSender); ok {
+		return sender.SendGated(ctx, outgoing, gate)
+	}
+	if !gate() {
+		return nil, &engine.NotSentError{Reason: "withdrawn"}
+	}
+	return s.relay.sender.Send(ctx, outgoing)
+}
+
+// passGate reports whether an attempt may be sent, and records that it is.
+func (s *Session) passGate(attempt vaneyoke.Attempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.links[attempt]
+	if l.fenced {
+		return false
+	}
+	l.unsent = false
+	return true
+}
+
+// withdrawUnsent withdraws the attempts of which nothing has been sent. The answer must end next.
+func (s *Session) withdrawUnsent(now time.Time) {
+	for attempt, l := range s.links {
+		if l.unsent && !l.fenced {
+			s.handleLocked(now, generation.Unsent{Attempt: attempt})
+		}
+	}
+}
+
 // recordHead records that the head of an attempt's answer has arrived.
 func (s *Session) recordHead(attempt vaneyoke.Attempt) {
 	s.mu.Lock()
--- a/shell/relay/relay.go
+++ b/shell/relay/relay.go
@@ -174,11 +174,19 @@
 func interrupt(sessions []*Session) int {
 	now := time.Now()
 	for _, s := range sessions {
-		s.handle(now, generation.NodeStopping{})
+		s.interrupt(now)
 	}
 	return len(sessions)
 }
 
+// interrupt ends the session because the node stops.
+func (s *Session) interrupt(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.withdrawUnsent(now)
+	s.handleLocked(now, generation.NodeStopping{})
+}
+
 // sessions returns the sessions that have not ended.
 func (r *Relay) sessions() []*Session {
 	r.mu.Lock()
--- a/shell/relay/session.go
+++ b/shell/relay/session.go
@@ -48,7 +48,8 @@
 	streamName      string            // the engine's name of the run
 	base            vaneyoke.Tokens   // index in the answer of the first token of the run on the engine
 	fromReplica     bool              // whether the run resumes from a replica, so that its first token does not tell how long prefill takes
-	started         bool              // whether anything was sent
+	started         bool              // whether its run was started
+	unsent          bool              // whether nothing has been sent yet, so that it can be withdrawn
 	sentAt          time.Time         // when the run was started, zero for a resumed stream
 	isRetry         bool              // whether it counts against the retry budget
 	resumed         bool              // whether it is attached to an earlier attempt's stream
--- a/wire/forward/forward.go
+++ b/wire/forward/forward.go
@@ -105,6 +105,13 @@
 	Close() error
 }
 
+// GatedSender is a Sender that tells before it sends anything to an upstream.
+type GatedSender interface {
+	Sender
+	// SendGated sends an attempt as Send does. It calls the gate once, after it has connected, and sends nothing if the gate returns false.
+	SendGated(ctx context.Context, attempt *Attempt, gate func() bool) (Response, error)
+}
+
 // Sender sends attempts and queries to upstreams; the errors of Send are those of package engine.
 type Sender interface {
 	Send(ctx context.Context, attempt *Attempt) (Response, error)
