Bound what a node holds for callers that do not read

Cause: a node read a stream from its engine as fast as it came and kept all of it until the caller had read it; whole bodies and request bodies were held without any account. Hundreds of slow readers are the node's memory. Change: decide/backlog accounts for request bodies, complete answers and unread parts of streams. A caller with unread_bytes unread gets back-pressure: its upstream's stream is not read further, and the silence of the paused run means nothing. From half of buffer_bytes, who holds more than an equal share waits, and who has read nothing for stalled_after is cut off. An answer that its upstream cut off because it was not read is not begun anew. Delivered text is dropped. socket_bytes bounds the system's send buffer of a caller's connection. Ruled out: cutting at the bound at once (a short pause of a reader would lose its answer); one bound for all answers (one slow reader would stop the others).

--- a/api/gateway/answer.go
+++ b/api/gateway/answer.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"time"
 
@@ -50,8 +52,30 @@
 	a.announceClose()
 	a.http.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	a.http.WriteHeader(head.Status)
+	for offset := 0; offset < len(body); {
+		n := min(len(body)-offset, maxWrite)
+		if !a.writePiece(body[offset : offset+n]) {
+			return // package http closes the connection, since the body is shorter than announced
+		}
+		offset += n
+		a.session.Delivered(offset)
+	}
+}
+
+// maxWrite is the largest part of a body that is written at once.
+const maxWrite = 64 << 10
+
+// writePiece writes a part of the answer, which the caller must take within the write timeout; ok is false if it does not.
+func (a *responder) writePiece(p []byte) (ok bool) {
+	if a.isCut.Load() {
+		return false
+	}
 	_ = a.control.SetWriteDeadline(time.Now().Add(a.writeTimeout))
-	_, _ = a.http.Write(body)
+	_, err := a.http.Write(p)
+	if errors.Is(err, os.ErrDeadlineExceeded) && !a.isCut.Load() {
+		a.buffer.CutOff(err)
+	}
+	return err == nil
 }
 
 // writeEvents forwards events as they arrive.
@@ -72,12 +96,12 @@
 			a.http.WriteHeader(a.session.Head().Status)
 		}
 		offset += len(text)
-		_ = a.control.SetWriteDeadline(time.Now().Add(a.writeTimeout))
-		if _, err := a.http.Write(text); err != nil {
+		if !a.writePiece(text) {
 			a.session.Abandon()
 			panic(http.ErrAbortHandler)
 		}
 		_ = a.control.Flush()
+		a.session.Delivered(offset)
 	}
 }
 
--- a/api/gateway/gateway.go
+++ b/api/gateway/gateway.go
@@ -89,6 +89,18 @@
 	request  *http.Request // its context is cancelled when the caller disconnects
 	caller   serve.Caller
 	received time.Time
+	buffer   *relay.Buffer // accounts for what the node holds for the caller
+	session  atomic.Pointer[relay.Session]
+	isCut    atomic.Bool // whether the caller is cut off because it does not read
+}
+
+// cut ends what is done for a caller that does not read.
+func (c *call) cut() {
+	c.isCut.Store(true)
+	if session := c.session.Load(); session != nil {
+		session.Abandon()
+	}
+	_ = http.NewResponseController(c.http).SetWriteDeadline(time.Now())
 }
 
 // ServeHTTP serves one request.
@@ -100,6 +112,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	req, f, err := g.buildRequest(c)
+	defer c.buffer.Close()
 	if err != nil {
 		g.refuse(c, req, err)
 		return
@@ -112,6 +125,7 @@
 		}).Info("taken_while_stopping")
 	}
 	session := g.relay.Forward(r.Context(), req, f)
+	c.session.Store(session)
 	a := &responder{call: c, writeTimeout: g.config.WriteTimeout, control: http.NewResponseController(w), session: session, stream: f.Stream}
 	a.serve(r.Context())
 }
@@ -122,6 +136,7 @@
 	envelope, err := g.codec.Decode(r)
 	req := &vaneyoke.Request{ID: envelope.ID, ReceivedAt: c.received}
 	c.caller.SetRequestID(string(req.ID))
+	c.buffer = g.relay.OpenBuffer(req.ID, c.cut)
 	if err != nil {
 		return req, relay.Forwarding{}, err
 	}
@@ -153,6 +168,7 @@
 	req.Content = vaneyoke.NewContentID([]byte(workspace.ID), []byte(r.Method), []byte(r.Host), []byte(r.RequestURI), body)
 	f := newForwarding(table, matched, envelope)
 	f.Deadline = c.received.Add(maxWait)
+	f.Buffer = c.buffer
 	f.Message = &forward.Message{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: envelope.Header, Body: body}
 	return req, f, nil
 }
@@ -220,11 +236,13 @@
 	}
 	control := http.NewResponseController(c.http)
 	_ = control.SetReadDeadline(deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(c.http, c.request.Body, maxBytes))
+	ctx, cancel := context.WithDeadline(c.request.Context(), deadline)
+	defer cancel()
+	body, err := io.ReadAll(&bodyReader{ctx: ctx, Reader: http.MaxBytesReader(c.http, c.request.Body, maxBytes), buffer: c.buffer})
 	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
 		return nil, vaneyoke.Err(vaneyoke.CodeBodyTooLarge, "the body is larger than %d bytes", maxBytes)
 	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
 		return nil, vaneyoke.ErrRetryAfter(vaneyoke.CodeWaitExceeded, defaultRetryAfter, "the body did not come within the time for the answer")
 	}
 	_ = control.SetReadDeadline(time.Time{})
--- a/api/serve/server.go
+++ b/api/serve/server.go
@@ -15,6 +15,7 @@
 	ReadHeaderTimeout time.Duration // longest time for receiving a request's header
 	IdleTimeout       time.Duration // how long an idle connection is kept open
 	MaxHeaderBytes    int           // largest request header
+	WriteBufferBytes  int           // size of a connection's send buffer in the kernel; 0 for the system's own choice
 	ErrorLog          *log.Logger   // for handler panics and accept errors; nil means standard error
 }
 
@@ -23,6 +24,7 @@
 type Server struct {
 	http    *http.Server
 	handler http.Handler
+	config  Config
 
 	mu                 sync.Mutex
 	changed            *sync.Cond // signalled when a connection becomes idle or is closed
@@ -35,7 +37,7 @@
 
 // New returns a server that passes requests to the handler.
 func New(handler http.Handler, config Config) *Server {
-	s := &Server{handler: handler, conns: map[*conn]struct{}{}}
+	s := &Server{handler: handler, config: config, conns: map[*conn]struct{}{}}
 	s.changed = sync.NewCond(&s.mu)
 	s.http = &http.Server{
 		Handler:           http.HandlerFunc(s.handle),
@@ -152,6 +154,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if tcp, ok := inner.(*net.TCPConn); ok && l.server.config.WriteBufferBytes > 0 {
+		_ = tcp.SetWriteBuffer(l.server.config.WriteBufferBytes) // the connection works without
+	}
 	now := time.Now()
 	c := &conn{Conn: inner, server: l.server, opened: now, info: Conn{Since: now, Opened: now}}
 	l.server.mu.Lock()
--- /dev/null
+++ b/decide/backlog/ledger.go
@@ -0,0 +1,198 @@
+package backlog
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Bytes is an amount of memory.
+type Bytes int64
+
+// ID identifies a caller; later ones have higher IDs.
+type ID uint64
+
+// Limits bounds what is held; a zero field is no bound.
+type Limits struct {
+	Caller   Bytes         // unread bytes of an answer from which no more of it is read from its upstream
+	Node     Bytes         // bytes held for all callers together; the node is under pressure from half of it
+	Patience time.Duration // how long a caller may read nothing under pressure while more than its share is held for it
+}
+
+// caller is what is held for one caller.
+type caller struct {
+	held      Bytes // request body and unread part of the answer
+	unread    Bytes // part of the answer that the caller has not read
+	lastTaken time.Time
+	waiting   bool // whether it was refused growth
+	cut       bool
+}
+
+// Ledger holds the accounts of all callers.
+type Ledger struct {
+	limits  Limits
+	callers map[ID]*caller
+	lastID  ID
+	total   Bytes
+}
+
+// New returns a ledger without callers.
+func New(limits Limits) *Ledger { return &Ledger{limits: limits, callers: map[ID]*caller{}} }
+
+// Open adds a caller.
+func (l *Ledger) Open(now time.Time) ID {
+	l.lastID++
+	l.callers[l.lastID] = &caller{lastTaken: now}
+	return l.lastID
+}
+
+// Close removes a caller and all that is held for it.
+func (l *Ledger) Close(id ID) {
+	if c := l.callers[id]; c != nil {
+		l.total -= c.held
+		delete(l.callers, id)
+	}
+}
+
+// Total returns the bytes held for all callers.
+func (l *Ledger) Total() Bytes { return l.total }
+
+// Unread returns the part of a caller's answer that it has not read.
+func (l *Ledger) Unread(id ID) Bytes {
+	if c := l.callers[id]; c != nil {
+		return c.unread
+	}
+	return 0
+}
+
+// Receive records bytes of a caller's request, which are held until it is closed.
+func (l *Ledger) Receive(id ID, n Bytes) {
+	if c := l.callers[id]; c != nil {
+		c.held += n
+		l.total += n
+	}
+}
+
+// Buffer records bytes of an answer that its caller has yet to read.
+func (l *Ledger) Buffer(now time.Time, id ID, n Bytes) {
+	c := l.callers[id]
+	if c == nil {
+		return
+	}
+	if c.unread == 0 {
+		c.lastTaken = now
+	}
+	c.unread += n
+	c.held += n
+	l.total += n
+}
+
+// Deliver records that bytes of an answer that were received before are the caller's to read.
+func (l *Ledger) Deliver(now time.Time, id ID, n Bytes) {
+	if c := l.callers[id]; c != nil {
+		c.unread += min(n, c.held-c.unread)
+		c.lastTaken = now
+	}
+}
+
+// Take records that a caller has read bytes of its answer.
+func (l *Ledger) Take(now time.Time, id ID, n Bytes) {
+	c := l.callers[id]
+	if c == nil {
+		return
+	}
+	n = min(n, c.unread)
+	c.unread -= n
+	c.held -= n
+	l.total -= n
+	c.lastTaken = now
+}
+
+// Verdict says whether more may be held for a caller.
+type Verdict int
+
+// The verdicts.
+const (
+	MayGrow    Verdict = iota
+	WaitReader         // its own unread answer has reached its bound
+	WaitNode           // the node is under pressure, and more than an equal share is held for the caller
+)
+
+// String returns the verdict as it is logged.
+func (v Verdict) String() string {
+	switch v {
+	case MayGrow:
+		return "may_grow"
+	case WaitReader:
+		return "caller"
+	case WaitNode:
+		return "node"
+	default:
+		return "unknown"
+	}
+}
+
+// Check returns whether more may be held for a caller. Under pressure, the earliest of the waiting callers that have nothing to read may grow in any
+// case, so that callers whose bodies are half received do not wait for one another.
+func (l *Ledger) Check(id ID) Verdict {
+	c := l.callers[id]
+	if c == nil {
+		return MayGrow
+	}
+	verdict := MayGrow
+	switch {
+	case l.limits.Caller > 0 && c.unread >= l.limits.Caller:
+		verdict = WaitReader
+	case l.underPressure() && c.held > l.share() && !l.isFirstWaiting(id):
+		verdict = WaitNode
+	}
+	c.waiting = c.unread == 0 && l.underPressure() && (c.waiting || verdict == WaitNode)
+	return verdict
+}
+
+func (l *Ledger) underPressure() bool { return l.limits.Node > 0 && l.total > l.limits.Node/2 }
+
+// share returns an equal share of the half of the memory that is kept for callers that hold little.
+func (l *Ledger) share() Bytes { return l.limits.Node / 2 / Bytes(max(len(l.callers), 1)) }
+
+// isFirstWaiting reports whether a caller is the one with the lowest ID among those that were refused growth.
+func (l *Ledger) isFirstWaiting(id ID) bool {
+	if c := l.callers[id]; !c.waiting || c.unread > 0 {
+		return false
+	}
+	for other, c := range l.callers {
+		if other < id && c.waiting {
+			return false
+		}
+	}
+	return true
+}
+
+// Stalled returns the callers to cut off, those with the most unread bytes first: under pressure, callers with more than their share that have
+// read nothing for the patience, as many as it takes to end the pressure. It returns each caller once.
+func (l *Ledger) Stalled(now time.Time) []ID {
+	if !l.underPressure() {
+		return nil
+	}
+	var ids []ID
+	excess := l.total - l.limits.Node/2
+	for id, c := range l.callers {
+		if c.cut {
+			excess -= c.held
+			continue
+		}
+		if c.unread > 0 && c.held > l.share() && now.Sub(c.lastTaken) >= l.limits.Patience {
+			ids = append(ids, id)
+		}
+	}
+	slices.SortFunc(ids, func(a, b ID) int {
+		return cmp.Or(cmp.Compare(l.callers[b].unread, l.callers[a].unread), cmp.Compare(a, b))
+	})
+	n := 0
+	for ; n < len(ids) && excess > 0; n++ {
+		c := l.callers[ids[n]]
+		c.cut = true
+		excess -= c.held
+	}
+	return ids[:n]
+}
--- a/decide/generation/event.go
+++ b/decide/generation/event.go
@@ -78,6 +78,12 @@
 	Cause   Cause
 }
 
+// Paused says that an attempt's stream is not read because its caller does not read the answer, or that it is read again.
+type Paused struct {
+	Attempt vaneyoke.Attempt
+	Paused  bool
+}
+
 // Unsent says that an attempt that was started has not been sent to its upstream, and will not be.
 type Unsent struct{ Attempt vaneyoke.Attempt }
 
@@ -118,6 +124,7 @@
 func (*Received) event()       {}
 func (Ended) event()           {}
 func (Lost) event()            {}
+func (Paused) event()          {}
 func (Unsent) event()          {}
 func (Rejected) event()        {}
 func (CallerGone) event()      {}
--- a/decide/generation/run.go
+++ b/decide/generation/run.go
@@ -33,6 +33,7 @@
 	gaps         gapEstimate
 	replica      vaneyoke.UpstreamID // keeps a replica of the run's KV cache; "" for none
 	fromReplica  bool                // whether it continues from a replica of a lost run's KV cache
+	paused       bool                // whether its stream is not read, so that its silence means nothing
 	kept         bool                // silent for longer than its limit, but no other attempt could complete the answer in time
 	suspect      bool                // silent for longer than its limit; a second attempt races it if one could be started
 }
--- a/decide/generation/silence.go
+++ b/decide/generation/silence.go
@@ -45,7 +45,7 @@
 	if r.stage == stagePlacing {
 		return since.Add(s.cfg.MaxWait)
 	}
-	if r.kept || s.cfg.KeepLastAttempt && s.attemptsLeft() <= 0 {
+	if r.paused || r.kept || s.cfg.KeepLastAttempt && s.attemptsLeft() <= 0 {
 		return s.cfg.Deadline
 	}
 	limit := r.gaps.limit(s.cfg.Silence)
@@ -61,6 +61,17 @@
 	return since.Add(limit * time.Duration(1+r.queries))
 }
 
+// pause suspends the silence limit of a run whose stream is not read, or starts its silence anew.
+func (s *State) pause(now time.Time, ev Paused) {
+	r := s.findRun(ev.Attempt)
+	if r == nil || r.stage != stageStreaming {
+		return
+	}
+	r.paused = ev.Paused
+	r.resetQueries()
+	r.gaps.last = now
+}
+
 // attemptsLeft returns how many more attempts may be sent. It is meaningful only if MaxAttempts is set.
 func (s *State) attemptsLeft() int { return s.cfg.MaxAttempts - s.countedAttempts }
 
--- a/decide/generation/state.go
+++ b/decide/generation/state.go
@@ -105,6 +105,8 @@
 		s.runEnded(now, ev)
 	case Lost:
 		s.lost(now, ev)
+	case Paused:
+		s.pause(now, ev)
 	case Unsent:
 		s.unsent(ev)
 	case Rejected:
--- a/decide/generation/transcript.go
+++ b/decide/generation/transcript.go
@@ -8,11 +8,12 @@
 
 // Transcript is the answer so far: its token ids and their text.
 type Transcript struct {
-	Prompt  []vaneyoke.TokenID // nil until an engine reported the prompt's token ids
-	IDs     []vaneyoke.TokenID
-	Text    []byte // text of all ids; append-only, except that a stop string truncates it
-	Visible int    // bytes of Text that no stop string can truncate any more
-	Trims   int    // times that ids were removed from the end; an earlier copy is then no longer a prefix
+	Prompt    []vaneyoke.TokenID // nil until an engine reported the prompt's token ids
+	IDs       []vaneyoke.TokenID
+	Text      []byte // text of all ids; append-only, except that a stop string truncates it
+	Visible   int    // bytes of Text that no stop string can truncate any more
+	Forgotten int    // bytes before Text that were delivered and dropped
+	Trims     int    // times that ids were removed from the end; an earlier copy is then no longer a prefix
 
 	tailUncertain bool // whether the engine may still buffer text of the last ids
 }
@@ -25,6 +26,15 @@
 	return vaneyoke.Usage{Prompt: vaneyoke.Tokens(len(t.Prompt)), Completion: t.Len()}
 }
 
+// Forget drops the text before an offset within the whole answer, which must be visible and delivered. Only an opaque answer may be forgotten: no
+// other attempt needs its text.
+func (t *Transcript) Forget(offset int) {
+	n := min(max(offset-t.Forgotten, 0), t.Visible)
+	t.Text = t.Text[n:]
+	t.Visible -= n
+	t.Forgotten += n
+}
+
 // Prefix returns a new slice of the ids that an engine needs to continue from here.
 func (t *Transcript) Prefix() []vaneyoke.TokenID {
 	prefix := make([]vaneyoke.TokenID, 0, len(t.Prompt)+len(t.IDs))
--- a/process/node/config.go
+++ b/process/node/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/vaneyoke/vaneyoke/api/callerapi"
+	"github.com/vaneyoke/vaneyoke/decide/backlog"
 	"github.com/vaneyoke/vaneyoke/decide/generation"
 	"github.com/vaneyoke/vaneyoke/decide/retry"
 	"github.com/vaneyoke/vaneyoke/process/settings"
@@ -47,7 +48,10 @@
 		Deviations: s.Recovery.Deviations,
 		Patience:   s.Recovery.Patience,
 	}
-	return relay.Config{Generation: config, UneventfulLogEvery: uint64(s.Log.UneventfulLogEvery), CallSilence: s.Limits.CallSilence, UnaryTimeout: s.Limits.UnaryTimeout}
+	buffers := backlog.Limits{
+		Caller: backlog.Bytes(s.Limits.UnreadBytes), Node: backlog.Bytes(s.Limits.BufferBytes), Patience: s.Limits.StalledAfter,
+	}
+	return relay.Config{Generation: config, Buffers: buffers, UneventfulLogEvery: uint64(s.Log.UneventfulLogEvery), CallSilence: s.Limits.CallSilence, UnaryTimeout: s.Limits.UnaryTimeout}
 }
 
 func apiConfig(s settings.Limits) callerapi.Config {
--- a/process/node/gateway.go
+++ b/process/node/gateway.go
@@ -129,6 +129,7 @@
 	s := n.settings.Gateway
 	server := serve.New(handler, serve.Config{
 		ReadHeaderTimeout: s.HeaderWait, IdleTimeout: s.IdleWait, MaxHeaderBytes: s.HeaderBytes, ErrorLog: serverErrors(n.log),
+		WriteBufferBytes: n.settings.Limits.SocketBytes,
 	})
 	n.servers = append(n.servers, server)
 	n.tasks.Go(func() {
@@ -213,3 +214,6 @@
 	}
 	n.tasks.Wait()
 }
+
+// BufferedBytes returns the bytes of bodies and unread answers that the node holds for callers.
+func (n *GatewayNode) BufferedBytes() int64 { return n.relay.BufferedBytes() }
--- a/process/node/gateway_wire.go
+++ b/process/node/gateway_wire.go
@@ -93,6 +93,7 @@
 		relayConfig(s),
 	)
 	placer.crashes.OnBlock(r.Quarantine)
+	do.MustInvoke[*expvar.Map](i).Set("buffered_bytes", expvar.Func(func() any { return r.BufferedBytes() }))
 	return r, nil
 }
 
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -92,6 +92,10 @@
 	BodyBytes    int64         `ini:"body_bytes" default:"4194304" min:"1024" doc:"Largest request body in bytes."`
 	MaxWait      time.Duration `ini:"max_wait" default:"30s" min:"10ms" doc:"Longest time without progress before a request is given up."`
 	WriteTimeout time.Duration `ini:"write_timeout" default:"30s" min:"100ms" doc:"Longest time that a caller may take to read a piece of its answer."`
+	UnreadBytes  int64         `ini:"unread_bytes" default:"1048576" min:"0" doc:"Bytes of a streamed answer that its caller has not read, from which the node reads no more of it from the upstream; 0 for no bound."`
+	SocketBytes  int           `ini:"socket_bytes" default:"262144" min:"0" doc:"Size in bytes of the send buffer that the system keeps for a connection of a caller of opaque requests; 0 for the system's own choice, which may be megabytes."`
+	BufferBytes  int64         `ini:"buffer_bytes" default:"536870912" min:"0" doc:"Bytes of bodies and unread answers that the node holds for all callers of opaque requests; from half of it, who holds more than an equal share waits; 0 for no bound."`
+	StalledAfter time.Duration `ini:"stalled_after" default:"5s" min:"100ms" doc:"How long a caller that holds more than its share of buffer_bytes may read nothing before it is cut off, while others wait for memory."`
 	CallSilence  time.Duration `ini:"call_silence" default:"5s" min:"10ms" doc:"Silence of a service that makes a call suspect."`
 	UnaryTimeout time.Duration `ini:"whole_limit" default:"10m" min:"1s" doc:"Longest time that an engine may take for an answer that is not streamed."`
 }
--- a/process/telemetry/events.go
+++ b/process/telemetry/events.go
@@ -16,10 +16,12 @@
 func Events() []Event { return events }
 
 var events = []Event{
+	{"answer_paused", []string{"request", "attempt", "upstream", "reason"}, "A stream is read no further from its upstream, because its caller has not read unread_bytes of it (caller), or because the node holds more than half of buffer_bytes and more than an equal share of it for this caller (node)."},
 	{"answers_not_kept", []string{"count"}, "A stopping node could not keep all answers that callers were given for those who ask again."},
 	{"attempt_lost", []string{"request", "content", "attempt", "upstream", "cause", "error", "begun", "pieces", "head_ms", "age_ms"}, "An attempt on an upstream was lost; cause says how. head_ms is when the head of its answer had come (-1 for not at all), pieces how many pieces had, and age_ms when it was lost, all since it was sent; requests with the same content ask the same."},
 	{"attempt_not_begun", []string{"request", "attempt", "reason", "remaining_ms", "expected_first_ms", "expected_rest_ms"}, "A further attempt was not begun, or a replica not kept (replica_useless), because its first chunk (first_chunk_late) or the end of the answer (answer_late) is expected after the caller's deadline, which is in remaining_ms; the expected times are those of fast upstreams, 0 for unknown."},
 	{"attempt_started", []string{"request", "attempt", "upstream", "from", "replica", "from_replica"}, "A further attempt was sent; from counts the pieces that the caller has."},
+	{"caller_cut_off", []string{"request", "reason", "unread_bytes", "node_bytes", "error"}, "A caller that does not read its answer was cut off: it read nothing for stalled_after while others waited for memory (stalled), its upstream cut the answer off (upstream_cut_off), or it did not take a piece within write_timeout (write). unread_bytes is what it had not read, node_bytes what the node held for all callers."},
 	{"cancel_failed", []string{"request", "upstream", "stream", "error"}, "An engine could not be told to stop a run."},
 	{"claim_not_settled", []string{"request"}, "A claim whose write has an unknown outcome could not be settled."},
 	{"configuration_applied", []string{"policy"}, "The policies and upstreams of a revision are in force."},
--- a/shell/relay/forecast.go
+++ b/shell/relay/forecast.go
@@ -89,7 +89,7 @@
 
 // recordChunkGap records the mean gap between the chunks of an attempt that has ended.
 func (s *Session) recordChunkGap(now time.Time, l *link) {
-	if s.isStream() && l.chunks >= minGapChunks {
+	if s.isStream() && l.chunks >= minGapChunks && !l.pause.happened() {
 		s.relay.forecasts.addChunkGap(now, s.forecastKey(), l.lastReceivedAt.Sub(l.firstTokenAt)/time.Duration(l.chunks-1))
 	}
 }
--- a/shell/relay/forwarded.go
+++ b/shell/relay/forwarded.go
@@ -31,6 +31,7 @@
 	EventIntervalGoal time.Duration   // between two events
 	MaxAttempts       int
 	ConfigRevision    vaneyoke.Revision // revision of the configuration with these settings
+	Buffer            *Buffer           // accounts for what is held for the caller; nil for no account
 }
 
 // forwarded answers are passed on as they arrive; after a loss, a stream resumes after its last event.
@@ -97,6 +98,7 @@
 		LastEventID: m.lastEventID,
 		Replica:     l.replica,
 		FromReplica: e.FromReplica,
+		Received:    m.Buffer.Receive,
 	}
 }
 
@@ -228,6 +230,7 @@
 		received.Batch.Text = event.Data
 		s.handleEvent(received, m, exchange.Head(), event.ID)
 		received.Batch.First++
+		s.awaitReader(ctx, attempt, m.Buffer)
 	}
 }
 
@@ -244,6 +247,7 @@
 	if s.state.Transcript().Len() == lenBefore {
 		return
 	}
+	m.Buffer.buffered(now, len(received.Batch.Text))
 	m.lastEventID = id
 	if lenBefore == 0 {
 		m.head = head
@@ -292,6 +296,7 @@
 	s.recordFirstToken(now, attempt)
 	s.reportOutcome(attempt, placement.OutcomeDone)
 	s.recordCompletion()
+	m.Buffer.delivering(now, len(resp.body))
 	m.head = resp.head
 	batch := vaneyoke.Batch{IDs: []vaneyoke.TokenID{0}, Text: resp.body}
 	s.handleLocked(now, &generation.Received{Attempt: attempt, Batch: batch})
--- a/shell/relay/loss.go
+++ b/shell/relay/loss.go
@@ -22,6 +22,10 @@
 	if l.fenced || s.relay.ctx.Err() != nil {
 		return
 	}
+	if l.pause.explains(time.Now()) {
+		s.cutReader(err)
+		return
+	}
 	if refused, ok := errors.AsType[*engine.RefusedError](err); ok {
 		s.reportOutcome(attempt, placement.OutcomeDone)
 		s.handleLocked(time.Now(), generation.Rejected{Attempt: attempt, Detail: rejectionDetail(refused)})
--- a/shell/relay/metrics.go
+++ b/shell/relay/metrics.go
@@ -15,6 +15,8 @@
 	Reprefill *expvar.Int // tokens sent to engines again as a prefix
 	NotBegun  *expvar.Map // attempts not begun and replicas not kept, by reason
 	GivenUp   *expvar.Int // answers whose runs were ended because they could not complete them in time
+	Paused    *expvar.Map // times that an answer was read no further from its upstream, by whose bound was reached
+	Cut       *expvar.Map // callers that were cut off because they did not read, by what decided
 	Saved     *expvar.Int // prompt tokens that were not read again for attempts not begun
 	Results   *expvar.Map // sessions ended, by result code
 	Routes    *expvar.Map // opaque requests ended, by route and result code
@@ -33,6 +35,8 @@
 		Reprefill: new(expvar.Int),
 		NotBegun:  new(expvar.Map).Init(),
 		GivenUp:   new(expvar.Int),
+		Paused:    new(expvar.Map).Init(),
+		Cut:       new(expvar.Map).Init(),
 		Saved:     new(expvar.Int),
 		Results:   new(expvar.Map).Init(),
 		Routes:    new(expvar.Map).Init(),
@@ -47,6 +51,8 @@
 	vars.Set("reprefill_tokens_total", m.Reprefill)
 	vars.Set("attempts_not_begun_total", m.NotBegun)
 	vars.Set("runs_given_up_total", m.GivenUp)
+	vars.Set("answers_paused_total", m.Paused)
+	vars.Set("callers_cut_off_total", m.Cut)
 	vars.Set("saved_tokens_total", m.Saved)
 	vars.Set("results_total", m.Results)
 	vars.Set("routes_total", m.Routes)
--- a/shell/relay/relay.go
+++ b/shell/relay/relay.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/backlog"
 	"github.com/vaneyoke/vaneyoke/decide/capacity"
 	"github.com/vaneyoke/vaneyoke/decide/generation"
 	"github.com/vaneyoke/vaneyoke/decide/openai"
@@ -93,6 +94,7 @@
 	tracer     trace.Tracer
 	metrics    *Metrics
 	forecasts  *forecasts
+	buffers    *buffers
 	log        logrus.FieldLogger
 	config     Config
 	ctx        context.Context // canceled when the relay is closed
@@ -109,6 +111,7 @@
 	Generation         generation.Config
 	CallSilence        time.Duration // silence of a service after which a call is suspect
 	UneventfulLogEvery uint64        // one out of this many uneventful sessions is logged
+	Buffers            backlog.Limits
 	UnaryTimeout       time.Duration // longest time that an engine may take for a unary answer
 }
 
@@ -124,7 +127,7 @@
 	meter, _ := placer.(Meter)
 	return &Relay{
 		engines: engines, sender: sender, placer: placer, rollouts: rollouts, staleness: staleness, guard: guard, limiter: limiter, pushbacks: pushbacks, meter: meter, tracer: tracer, metrics: metrics, log: log, config: config,
-		ctx: ctx, stop: stop, running: map[*Session]struct{}{}, forecasts: newForecasts(),
+		ctx: ctx, stop: stop, running: map[*Session]struct{}{}, forecasts: newForecasts(), buffers: newBuffers(config.Buffers),
 	}
 }
 
--- a/shell/relay/rollout.go
+++ b/shell/relay/rollout.go
@@ -21,7 +21,7 @@
 // recordChunk records that a stream has produced a chunk.
 func (s *Session) recordChunk(now time.Time, l *link) {
 	s.recordReceived(now, l)
-	if l.chunks == paceChunks {
+	if l.chunks == paceChunks && !l.pause.happened() {
 		s.recordAnswer(l, rollout.Answer{Kind: rollout.AnswerChunkGap, Took: now.Sub(l.firstTokenAt) / (paceChunks - 1)})
 	}
 }
--- a/shell/relay/session.go
+++ b/shell/relay/session.go
@@ -49,6 +49,7 @@
 	base            vaneyoke.Tokens   // index in the answer of the first token of the run on the engine
 	fromReplica     bool              // whether the run resumes from a replica, so that its first token does not tell how long prefill takes
 	started         bool              // whether its run was started
+	pause           readPause         // when its stream was not read because the caller did not read the answer
 	unsent          bool              // whether nothing has been sent yet, so that it can be withdrawn
 	sentAt          time.Time         // when the run was started, zero for a resumed stream
 	isRetry         bool              // whether it counts against the retry budget
@@ -131,14 +132,15 @@
 		s.changed.Wait()
 	}
 	t := s.state.Transcript()
-	if t.Visible > offset {
-		return t.Text[offset:t.Visible:t.Visible], Result{}, nil
+	if from := max(offset-t.Forgotten, 0); t.Visible > from {
+		return t.Text[from:t.Visible:t.Visible], Result{}, nil
 	}
 	return nil, s.result, nil
 }
 
 func (s *Session) readable(offset int) bool {
-	return s.state.Transcript().Visible > offset || s.result.Ended
+	t := s.state.Transcript()
+	return t.Forgotten+t.Visible > offset || s.result.Ended
 }
 
 // Wait waits until the session has ended.
--- a/wire/forward/forward.go
+++ b/wire/forward/forward.go
@@ -30,6 +30,8 @@
 	LastEventID string            // last event already received; "" for none
 	Replica     vaneyoke.Upstream // upstream for a replica of the run's KV cache; the zero value for none
 	FromReplica bool              // whether the upstream holds a replica of the lost run
+	// Received is called with the size of each part of a complete body that was read; it may block. nil for none.
+	Received func(ctx context.Context, n int) error
 }
 
 // Kind classifies the requests that go to an upstream.
