End the run of a caller that left even if its handler ends first

Cause: a handler that saw its caller's context cancelled panicked at once, and its deferred stop unregistered the function that abandons the session. Package context calls the registered functions in any order, each in a goroutine: if the handler's own wake-up came first, the function was never called, and the run went on until its silence limit (3 s for calls, 1.4 s for streams) or its deadline, with retries. This is what TestDisconnectEndsAllWorkForTheCaller met. Ruled out: a missed close of the connection (100,542 disconnects at api/serve under load: all seen); a request of another process (the run carried the caller's own id). Change: the handler abandons its session whenever it returns. Evidence: TestRunOutlivesItsCaller fails without the change.

--- a/api/gateway/answer.go
+++ b/api/gateway/answer.go
@@ -25,6 +25,7 @@
 
 // serve forwards the answer until it ends or the caller disconnects.
 func (a *responder) serve(ctx context.Context) {
+	defer a.session.Abandon() // stop may come before the call of the function that it unregisters
 	stop := abandonOnDisconnect(ctx, a.session)
 	defer stop()
 	if a.stream {
