--- a/decide/generation/event.go
+++ b/decide/generation/event.go
@@ -21,6 +21,13 @@
 	Replica      vaneyoke.UpstreamID // upstream that is to keep a replica of the run's KV cache; "" for none
 }
 
+// Forecast holds what recent answers say about this one; a zero field is unknown. It applies to the events that follow it.
+type Forecast struct {
+	FirstChunk time.Duration   // from the start of a run to its first chunk on a fast upstream; for a call, to its answer
+	ChunkGap   time.Duration   // between two chunks from a fast upstream
+	Chunks     vaneyoke.Tokens // least number of chunks of the whole answer
+}
+
 // TailInspected answers InspectTail.
 type TailInspected struct {
 	Attempt  vaneyoke.Attempt
@@ -71,6 +78,15 @@
 	Cause   Cause
 }
 
+// Paused says that an attempt's stream is not read because its caller does not read the answer, or that it is read again.
+type Paused struct {
+	Attempt vaneyoke.Attempt
+	Paused  bool
+}
+
+// Unsent says that an attempt that was started has not been sent to its upstream, and will not be.
+type Unsent struct{ Attempt vaneyoke.Attempt }
+
 // Rejected says that an engine refused the request as invalid, as any other engine would.
 type Rejected struct {
 	Attempt vaneyoke.Attempt
@@ -99,6 +115,7 @@
 
 func (Admitted) event()        {}
 func (Placed) event()          {}
+func (Forecast) event()        {}
 func (TailInspected) event()   {}
 func (RunReported) event()     {}
 func (Probed) event()          {}
@@ -107,6 +124,8 @@
 func (*Received) event()       {}
 func (Ended) event()           {}
 func (Lost) event()            {}
+func (Paused) event()          {}
+func (Unsent) event()          {}
 func (Rejected) event()        {}
 func (CallerGone) event()      {}
 func (NodeStopping) event()    {}
--- a/process/telemetry/events.go
+++ b/process/telemetry/events.go
@@ -16,9 +16,12 @@
 func Events() []Event { return events }
 
 var events = []Event{
+	{"answer_paused", []string{"request", "attempt", "upstream", "reason"}, "A stream is read no further from its upstream, because its caller has not read unread_bytes of it (caller), or because the node holds more than half of buffer_bytes and more than an equal share of it for this caller (node)."},
 	{"answers_not_kept", []string{"count"}, "A stopping node could not keep all answers that callers were given for those who ask again."},
 	{"attempt_lost", []string{"request", "content", "attempt", "upstream", "cause", "error", "begun", "pieces", "head_ms", "age_ms"}, "An attempt on an upstream was lost; cause says how. head_ms is when the head of its answer had come (-1 for not at all), pieces how many pieces had, and age_ms when it was lost, all since it was sent; requests with the same content ask the same."},
+	{"attempt_not_begun", []string{"request", "attempt", "reason", "remaining_ms", "expected_first_ms", "expected_rest_ms"}, "A further attempt was not begun, or a replica not kept (replica_useless), because its first chunk (first_chunk_late) or the end of the answer (answer_late) is expected after the caller's deadline, which is in remaining_ms; the expected times are those of fast upstreams, 0 for unknown."},
 	{"attempt_started", []string{"request", "attempt", "upstream", "from", "replica", "from_replica"}, "A further attempt was sent; from counts the pieces that the caller has."},
+	{"caller_cut_off", []string{"request", "reason", "unread_bytes", "node_bytes", "error"}, "A caller that does not read its answer was cut off: it read nothing for stalled_after while others waited for memory (stalled), its upstream cut the answer off (upstream_cut_off), or it did not take a piece within write_timeout (write). unread_bytes is what it had not read, node_bytes what the node held for all callers."},
 	{"cancel_failed", []string{"request", "upstream", "stream", "error"}, "An engine could not be told to stop a run."},
 	{"cap_cleared", []string{"workspace", "route", "before"}, "An operator's cap on a workspace or a route is no longer in force; before is the share that it left, and an empty name stands for all."},
 	{"cap_set", []string{"workspace", "route", "share", "before"}, "An operator's cap on a workspace or a route is in force: share is the part of its requests that is still admitted while others wait, 0 for none at all; before is the share until then, and an empty name stands for all."},
@@ -80,6 +83,7 @@
 	{"rollout_written", []string{"service", "target", "stage", "reason", "order", "error"}, "The next stage of a roll-out was written to the store; where there is an error, the row tells whether it was."},
 	{"room_awaited", []string{"request", "ms", "looks", "room"}, "No upstream that was asked had room for a prompt, and it was held until one had (room), or for half of the caller's time; looks is how often they were asked."},
 	{"row_unreadable", []string{"key", "error"}, "A row of the store cannot be read, or something else than what it is for wrote it; a configuration that it held before is kept, and it names no upstream."},
+	{"run_given_up", []string{"request", "attempt", "remaining_ms", "expected_rest_ms"}, "The run of an answer was ended before the caller's deadline, because the chunks that are missing take longer than remaining_ms even on a fast upstream."},
 	{"sent_while_held", []string{"upstream", "ms", "first", "repeats", "questions"}, "What this node has sent in ms to an upstream that told it to stay away: first attempts, repeats, and questions of its own."},
 	{"server_error", []string{"error"}, "A server told of an error that it went on after, such as a handler's panic."},
 	{"server_failed", []string{"error"}, "A listener ended."},
--- a/shell/relay/admitter.go
+++ b/shell/relay/admitter.go
@@ -72,7 +72,7 @@
 	received := steadyNow.Add(s.req.ReceivedAt.Sub(now))
 	return admission.Request{
 		ID: s.req.ID, Service: s.need.Service, Route: vaneyoke.RouteID(s.req.Kind), Workspace: s.req.Workspace, Content: s.req.Content,
-		Urgency: share.Urgency(s.req.Priority), Prompt: vaneyoke.Tokens(s.req.PromptBytes), Answer: s.req.MaxTokens,
+		Urgency: share.Urgency(s.req.Priority), Prompt: vaneyoke.Tokens(s.req.PromptBytes), Answer: m.AnswerTokens,
 		Received: received, Goal: received.Add(cmp.Or(m.LatencyGoal, defaultLatencyGoal)), Deadline: steadyNow.Add(s.timeLeft(m, now)),
 		Bytes: m.size(),
 	}
--- a/shell/relay/forwarded.go
+++ b/shell/relay/forwarded.go
@@ -20,16 +20,18 @@
 type Forwarding struct {
 	Message           *forward.Message
 	Service           vaneyoke.ServiceID
-	Stream            bool          // whether the answer is a sequence of numbered events
-	Replicate         bool          // whether an engine may keep a replica of the run's KV cache
-	HealthPath        string        // path on which the service's upstreams return their identity; "" if they have none
-	PromptParts       []string      // ids of the prompt's parts in order, the last one identifies the whole prompt; nil for a request without a prompt
-	ResumeAfter       string        // id of the last event that the caller has; "" if it has none
-	Deadline          time.Time     // when the caller stops waiting
-	LatencyGoal       time.Duration // for the answer, or for its first event
-	EventIntervalGoal time.Duration // between two events
+	Stream            bool            // whether the answer is a sequence of numbered events
+	Replicate         bool            // whether an engine may keep a replica of the run's KV cache
+	HealthPath        string          // path on which the service's upstreams return their identity; "" if they have none
+	AnswerTokens      vaneyoke.Tokens // most that the answer has; 0 for unknown
+	PromptParts       []string        // ids of the prompt's parts in order, the last one identifies the whole prompt; nil for a request without a prompt
+	ResumeAfter       string          // id of the last event that the caller has; "" if it has none
+	Deadline          time.Time       // when the caller stops waiting
+	LatencyGoal       time.Duration   // for the answer, or for its first event
+	EventIntervalGoal time.Duration   // between two events
 	MaxAttempts       int
 	ConfigRevision    vaneyoke.Revision // revision of the configuration with these settings
+	Buffer            *Buffer           // accounts for what is held for the caller; nil for no account
 }
 
 // forwarded answers are passed on as they arrive; after a loss, a stream resumes after its last event.
@@ -96,13 +98,14 @@
 		LastEventID: m.lastEventID,
 		Replica:     l.replica,
 		FromReplica: e.FromReplica,
+		Received:    m.Buffer.Receive,
 	}
 }
 
 // forward sends an attempt and handles its answer.
 func (s *Session) forward(ctx context.Context, e generation.Start, m *forwarded, outgoing *forward.Attempt) {
 	attempt := e.Attempt
-	exchange, err := s.relay.sender.Send(ctx, outgoing)
+	exchange, err := s.send(ctx, attempt, outgoing)
 	if err != nil {
 		s.handleError(attempt, err)
 		return
@@ -121,6 +124,39 @@
 	s.handleResponse(attempt, m, response{head: exchange.Head(), body: body})
 }
 
+// send sends an attempt, unless it is withdrawn before anything was sent.
+func (s *Session) send(ctx context.Context, attempt vaneyoke.Attempt, outgoing *forward.Attempt) (forward.Response, error) {
+	gate := func() bool { return s.passGate(attempt) }
+	if sender, ok := s.relay.sender.(forward.GatedSender); ok {
+		return sender.SendGated(ctx, outgoing, gate)
+	}
+	if !gate() {
+		return nil, &engine.NotSentError{Reason: "withdrawn"}
+	}
+	return s.relay.sender.Send(ctx, outgoing)
+}
+
+// passGate reports whether an attempt may be sent, and records that it is.
+func (s *Session) passGate(attempt vaneyoke.Attempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.links[attempt]
+	if l.fenced {
+		return false
+	}
+	l.unsent = false
+	return true
+}
+
+// withdrawUnsent withdraws the attempts of which nothing has been sent. The answer must end next.
+func (s *Session) withdrawUnsent(now time.Time) {
+	for attempt, l := range s.links {
+		if l.unsent && !l.fenced {
+			s.handleLocked(now, generation.Unsent{Attempt: attempt})
+		}
+	}
+}
+
 // recordHead records that the head of an attempt's answer has arrived.
 func (s *Session) recordHead(attempt vaneyoke.Attempt) {
 	s.mu.Lock()
@@ -194,6 +230,7 @@
 		received.Batch.Text = event.Data
 		s.handleEvent(received, m, exchange.Head(), event.ID)
 		received.Batch.First++
+		s.awaitReader(ctx, attempt, m.Buffer)
 	}
 }
 
@@ -210,6 +247,7 @@
 	if s.state.Transcript().Len() == lenBefore {
 		return
 	}
+	m.Buffer.buffered(now, len(received.Batch.Text))
 	m.lastEventID = id
 	if lenBefore == 0 {
 		m.head = head
@@ -258,6 +296,7 @@
 	s.recordFirstToken(now, attempt)
 	s.reportOutcome(attempt, placement.OutcomeDone)
 	s.recordCompletion()
+	m.Buffer.delivering(now, len(resp.body))
 	m.head = resp.head
 	batch := vaneyoke.Batch{IDs: []vaneyoke.TokenID{0}, Text: resp.body}
 	s.handleLocked(now, &generation.Received{Attempt: attempt, Batch: batch})
--- a/shell/relay/place.go
+++ b/shell/relay/place.go
@@ -23,12 +23,13 @@
 	need := s.need
 	need.Avoid = e.Avoid
 	need.Prefer = s.replicaByID(e.Prefer)
+	need.Replicate = need.Replicate && e.Replicate
 	if e.Attempt == 1 {
 		need.Canary = s.relay.rollouts != nil && s.relay.rollouts.DrawCanary(need.Service)
 		need.Prefer = s.findPromptHolder(need)
 	}
 	proceed, err := s.awaitCapacity(need, e.Attempt == 1)
-	if !proceed && err == nil {
+	if (!proceed && err == nil) || s.ctx.Err() != nil {
 		return
 	}
 	var upstream vaneyoke.Upstream
--- a/shell/relay/relay.go
+++ b/shell/relay/relay.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/backlog"
 	"github.com/vaneyoke/vaneyoke/decide/capacity"
 	"github.com/vaneyoke/vaneyoke/decide/generation"
 	"github.com/vaneyoke/vaneyoke/decide/openai"
@@ -93,6 +94,8 @@
 	meter      Meter            // nil if load is not measured
 	tracer     trace.Tracer
 	metrics    *Metrics
+	forecasts  *forecasts
+	buffers    *buffers
 	log        logrus.FieldLogger
 	config     Config
 	ctx        context.Context // canceled when the relay is closed
@@ -109,6 +112,7 @@
 	Generation         generation.Config
 	CallSilence        time.Duration // silence of a service after which a call is suspect
 	UneventfulLogEvery uint64        // one out of this many uneventful sessions is logged
+	Buffers            backlog.Limits
 	UnaryTimeout       time.Duration // longest time that an engine may take for a unary answer
 }
 
@@ -125,7 +129,7 @@
 	meter, _ := placer.(Meter)
 	return &Relay{
 		engines: engines, sender: sender, placer: placer, rollouts: rollouts, staleness: staleness, guard: guard, limiter: limiter, pushbacks: pushbacks, admitter: admitter, meter: meter, tracer: tracer, metrics: metrics, log: log, config: config,
-		ctx: ctx, stop: stop, running: map[*Session]struct{}{},
+		ctx: ctx, stop: stop, running: map[*Session]struct{}{}, forecasts: newForecasts(), buffers: newBuffers(config.Buffers),
 	}
 }
 
@@ -175,11 +179,19 @@
 func interrupt(sessions []*Session) int {
 	now := time.Now()
 	for _, s := range sessions {
-		s.handle(now, generation.NodeStopping{})
+		s.interrupt(now)
 	}
 	return len(sessions)
 }
 
+// interrupt ends the session because the node stops.
+func (s *Session) interrupt(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.withdrawUnsent(now)
+	s.handleLocked(now, generation.NodeStopping{})
+}
+
 // sessions returns the sessions that have not ended.
 func (r *Relay) sessions() []*Session {
 	r.mu.Lock()
--- a/shell/relay/session.go
+++ b/shell/relay/session.go
@@ -48,7 +48,9 @@
 	streamName      string            // the engine's name of the run
 	base            vaneyoke.Tokens   // index in the answer of the first token of the run on the engine
 	fromReplica     bool              // whether the run resumes from a replica, so that its first token does not tell how long prefill takes
-	started         bool              // whether anything was sent
+	started         bool              // whether its run was started
+	pause           readPause         // when its stream was not read because the caller did not read the answer
+	unsent          bool              // whether nothing has been sent yet, so that it can be withdrawn
 	sentAt          time.Time         // when the run was started, zero for a resumed stream
 	isRetry         bool              // whether it counts against the retry budget
 	resumed         bool              // whether it is attached to an earlier attempt's stream
@@ -130,14 +132,15 @@
 		s.changed.Wait()
 	}
 	t := s.state.Transcript()
-	if t.Visible > offset {
-		return t.Text[offset:t.Visible:t.Visible], Result{}, nil
+	if from := max(offset-t.Forgotten, 0); t.Visible > from {
+		return t.Text[from:t.Visible:t.Visible], Result{}, nil
 	}
 	return nil, s.result, nil
 }
 
 func (s *Session) readable(offset int) bool {
-	return s.state.Transcript().Visible > offset || s.result.Ended
+	t := s.state.Transcript()
+	return t.Forgotten+t.Visible > offset || s.result.Ended
 }
 
 // Wait waits until the session has ended.
@@ -192,6 +195,9 @@
 	if s.relay.ctx.Err() != nil {
 		return
 	}
+	if s.needsForecast(ev) {
+		s.state.Handle(now, s.forecast(now))
+	}
 	for _, effect := range s.state.Handle(now, ev) {
 		s.apply(effect)
 	}
@@ -215,6 +221,10 @@
 	switch e := effect.(type) {
 	case generation.Place:
 		go s.place(e)
+	case generation.NotBegun:
+		s.recordNotBegun(e)
+	case generation.GivenUp:
+		s.recordGivenUp(e)
 	case generation.InspectTail:
 		go s.inspectTail(e, s.links[e.Attempt].upstream)
 	case generation.Probe:
--- a/wire/forward/forward.go
+++ b/wire/forward/forward.go
@@ -30,6 +30,8 @@
 	LastEventID string            // last event already received; "" for none
 	Replica     vaneyoke.Upstream // upstream for a replica of the run's KV cache; the zero value for none
 	FromReplica bool              // whether the upstream holds a replica of the lost run
+	// Received is called with the size of each part of a complete body that was read; it may block. nil for none.
+	Received func(ctx context.Context, n int) error
 }
 
 // Kind classifies the requests that go to an upstream.
@@ -105,6 +107,13 @@
 	Close() error
 }
 
+// GatedSender is a Sender that tells before it sends anything to an upstream.
+type GatedSender interface {
+	Sender
+	// SendGated sends an attempt as Send does. It calls the gate once, after it has connected, and sends nothing if the gate returns false.
+	SendGated(ctx context.Context, attempt *Attempt, gate func() bool) (Response, error)
+}
+
 // Sender sends attempts and queries to upstreams; the errors of Send are those of package engine.
 type Sender interface {
 	Send(ctx context.Context, attempt *Attempt) (Response, error)
