Children are told of those farthest over their fair share, in any service

Cause: a summary to the children names eight workspaces in all, and the services took these places by name: eight workspaces of one service that were a little over hid one of the next service that was far over.

Evidence: TestFarthestOverFairShareIsTold failed, and passes now; go test -race ./decide/share passes.

--- a/decide/share/sum.go
+++ b/decide/share/sum.go
@@ -110,16 +110,25 @@
 	return withinBytes(shares, workspaceBytes)
 }
 
-// forChildren returns the shares as they are sent to the children: in place of the workspaces, the overuse of those over their fair share.
+// forChildren returns the shares as they are sent to the children: in place of the workspaces, the overuse of those that are over their fair share
+// by most, of all services.
 func forChildren(shares []ServiceShare) []ServiceShare {
+	type overuse struct {
+		Overuse
+		service int // index into shares
+	}
 	result := make([]ServiceShare, len(shares))
-	left := maxOverused
+	var all []overuse
 	for i := range shares {
 		s := &shares[i]
 		result[i] = ServiceShare{Service: s.Service, Urgencies: s.Urgencies, Active: s.active()}
-		overused := s.overused()
-		result[i].Overused = overused[:min(len(overused), left)]
-		left -= len(result[i].Overused)
+		for _, o := range s.overused() {
+			all = append(all, overuse{o, i})
+		}
+	}
+	slices.SortStableFunc(all, func(a, b overuse) int { return cmp.Compare(b.Ratio, a.Ratio) })
+	for _, o := range all[:min(len(all), maxOverused)] {
+		result[o.service].Overused = append(result[o.service].Overused, o.Overuse)
 	}
 	return result
 }
