Shutdowns are told only to builds that state shares

Cause: sightings of shutdowns went to all builds that state a protocol version. Those from (limits) to take the name of a kind from an array and exit on one that they do not know; later ones without the kind drop it anyway, so nothing is lost by leaving them out.

Evidence: TestLaterSightingsAreSentOnlyToSupportingBuilds, extended by the version of limits, failed ("lost crash survived leaving" where "lost crash survived" is expected) and passes now.

--- a/decide/feed/member.go
+++ b/decide/feed/member.go
@@ -24,7 +24,7 @@
 const (
 	ProtocolInitial ProtocolVersion = iota // of builds that report no version
 	ProtocolLimits                         // adds sightings of crashed and survived requests, and messages about rate limits, which such builds enforce together
-	ProtocolShares                         // adds summaries of the demand, as datagrams of a type of their own
+	ProtocolShares                         // adds summaries of the demand, as datagrams of a type of their own, and sightings of shutdowns
 )
 
 // ProtocolCurrent is the version of this build.
--- a/decide/gossip/event.go
+++ b/decide/gossip/event.go
@@ -31,9 +31,6 @@
 // AboutContent reports whether the kind concerns the content of a request, and not the connection to an upstream.
 func (k Kind) AboutContent() bool { return k == KindCrash || k == KindSurvived }
 
-// IsInitial reports whether builds of the first protocol version understand the kind; they exit when they receive another one.
-func (k Kind) IsInitial() bool { return k <= KindHealthy }
-
 // Run is what a request did to an upstream; it is set for KindCrash and KindSurvived. For KindLeaving only the incarnation is set.
 type Run struct {
 	Content      vaneyoke.ContentID   `json:"c,omitempty"`
--- a/shell/mesh/datagram_test.go
+++ b/shell/mesh/datagram_test.go
@@ -84,12 +84,15 @@
 	must.Error(t, err)
 }
 
-// TestLaterSightingsAreSentOnlyToSupportingBuilds checks that a neighbour whose build states no protocol version receives only the first kinds of sighting.
+// TestLaterSightingsAreSentOnlyToSupportingBuilds checks that a neighbour receives only the kinds of sighting that its build understands: the first
+// builds that state a version exit when they receive a later kind, as do those that state none.
 func TestLaterSightingsAreSentOnlyToSupportingBuilds(t *testing.T) {
 	own, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = own.Close() })
-	for protocol, want := range map[feed.ProtocolVersion]string{feed.ProtocolInitial: "lost", feed.ProtocolCurrent: "lost crash survived leaving"} {
+	for protocol, want := range map[feed.ProtocolVersion]string{
+		feed.ProtocolInitial: "lost", feed.ProtocolLimits: "lost crash survived", feed.ProtocolCurrent: "lost crash survived leaving",
+	} {
 		to, err := net.ListenPacket("udp4", "127.0.0.1:0")
 		must.NoError(t, err)
 		t.Cleanup(func() { _ = to.Close() })
--- a/shell/mesh/gossip.go
+++ b/shell/mesh/gossip.go
@@ -93,15 +93,27 @@
 	n.log.WithFields(fields).Info("upstream_heard")
 }
 
-// sendSightings sends sightings to a neighbour. A neighbour whose build states no protocol version may be the first build with gossip, which
-// exits when it receives a kind that came later; it is sent only the others.
+// minProtocol returns the protocol version from which on builds understand a kind of sighting. Some builds of earlier versions exit when they
+// receive it.
+func minProtocol(kind gossip.Kind) feed.ProtocolVersion {
+	switch kind {
+	case gossip.KindLost, gossip.KindUnreachable, gossip.KindReplaced, gossip.KindHealthy:
+		return feed.ProtocolInitial
+	case gossip.KindCrash, gossip.KindSurvived:
+		return feed.ProtocolLimits
+	default:
+		return feed.ProtocolShares
+	}
+}
+
+// sendSightings sends a neighbour the sightings that its build understands.
 func (n *Node) sendSightings(s gossip.SendSightings) {
 	to, ok := lo.Find(n.registeredMembers(), func(m feed.Member) bool { return m.VM == s.To })
 	if !ok {
 		return
 	}
-	supportsLater := n.neighbours.protocol(s.To) >= feed.ProtocolLimits
-	sent := lo.Filter(s.Sightings, func(s gossip.Sighting, _ int) bool { return supportsLater || s.Kind.IsInitial() })
+	protocol := n.neighbours.protocol(s.To)
+	sent := lo.Filter(s.Sightings, func(s gossip.Sighting, _ int) bool { return protocol >= minProtocol(s.Kind) })
 	if len(sent) == 0 {
 		return
 	}
