--- a/process/node/gateway_placer.go
+++ b/process/node/gateway_placer.go
@@ -5,10 +5,12 @@
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/admission"
 	"github.com/vaneyoke/vaneyoke/decide/gossip"
 	"github.com/vaneyoke/vaneyoke/decide/placement"
 	"github.com/vaneyoke/vaneyoke/decide/rollout"
 	"github.com/vaneyoke/vaneyoke/internal/steady"
+	"github.com/vaneyoke/vaneyoke/shell/admissions"
 	"github.com/vaneyoke/vaneyoke/shell/balancer"
 	"github.com/vaneyoke/vaneyoke/shell/duties"
 	"github.com/vaneyoke/vaneyoke/shell/mesh"
@@ -30,6 +32,7 @@
 	duties   *duties.Node // nil without duties
 	// pushbacks records which upstreams announced their shutdown to other nodes.
 	pushbacks *pushbacks.Node
+	queue     *admissions.Node
 	crashGuard
 }
 
@@ -61,6 +64,16 @@
 	return b.Balancer.Place(need, false) // the lending node's budget pays for the retry
 }
 
+// Acquire waits until a prompt may be sent.
+func (b *gatewayPlacer) Acquire(ctx context.Context, r admission.Request, assess func(context.Context) admission.Room) error {
+	return b.queue.Acquire(ctx, r, assess)
+}
+
+// RunEnded records that an attempt on a service's upstream has ended.
+func (b *gatewayPlacer) RunEnded(service vaneyoke.ServiceID, prompt vaneyoke.Tokens) {
+	b.queue.RunEnded(service, prompt)
+}
+
 // Limited reports whether an upstream declares a rate limit.
 func (b *gatewayPlacer) Limited(id vaneyoke.UpstreamID) bool { return b.limits.Limited(id) }
 
