--- a/shell/relay/withdraw_test.go
+++ b/shell/relay/withdraw_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,7 +18,7 @@
 // dialingSender connects for a second, whatever becomes of the attempt, and then takes a second for the answer.
 type dialingSender struct {
 	fakeSender
-	sent int
+	sent atomic.Int32
 }
 
 func (s *dialingSender) SendGated(ctx context.Context, a *forward.Attempt, gate func() bool) (forward.Response, error) {
@@ -25,7 +26,7 @@
 	if !gate() {
 		return nil, &engine.ClosedError{Err: context.Canceled}
 	}
-	s.sent++
+	s.sent.Add(1)
 	time.Sleep(time.Second)
 	return s.Send(ctx, a)
 }
@@ -39,7 +40,7 @@
 		end   func(*relay.Relay, *relay.Session)
 		after time.Duration
 		code  vaneyoke.Code
-		sent  int
+		sent  int32
 	}{
 		"node stops while it connects":    {stop, 500 * time.Millisecond, vaneyoke.CodeStopping, 0},
 		"node stops after it was sent":    {stop, 1500 * time.Millisecond, vaneyoke.CodeMayHaveRun, 1},
@@ -60,7 +61,7 @@
 				must.NoError(t, err)
 				must.EqOp(t, tc.code, result.Code)
 				time.Sleep(time.Minute)
-				must.EqOp(t, tc.sent, sender.sent)
+				must.EqOp(t, tc.sent, sender.sent.Load())
 				r.Close()
 				synctest.Wait()
 			})
