--- a/shell/relay/useful_test.go
+++ b/shell/relay/useful_test.go
@@ -42,6 +42,12 @@
 	return &lateExchange{from: "x", delay: 100 * time.Millisecond, events: 20}, nil
 }
 
+func (s *timedSender) sentOf(request vaneyoke.RequestID) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sends[request]
+}
+
 // replicatingPlacer counts the replicas that it was asked for.
 type replicatingPlacer struct {
 	sequentialPlacer
@@ -113,7 +119,7 @@
 				result := u.ask(t, "broken", 10*time.Second)
 				must.EqOp(t, vaneyoke.CodeTimedOut, result.Code)
 				must.EqOp(t, tc.took, time.Since(before).Round(10*time.Millisecond))
-				must.EqOp(t, tc.sends, u.sender.sends["broken"])
+				must.EqOp(t, tc.sends, u.sender.sentOf("broken"))
 				must.EqOp(t, tc.saved, u.metrics.Saved.Value())
 				must.EqOp(t, tc.usefulOnly, bytes.Contains(u.log.Bytes(), []byte("attempt_not_begun")))
 				u.Close()
