placement: assess how soon an upstream could start a request

Cause: HasRoom counts the prompt alone. An engine that has room for it now preempts a run once the answers of its runs have grown, and the node's own attempts since the report are not counted. The queue also needs the expected times to the first token and to the last.

Change: State.Assess and Balancer.Assess return admission.Room. Free counts prompt and answer (Need.AnswerTokens), queued prompts, own attempts that the report may lack and the growth of runs and replicas; Start and Run come from moving averages of the service, 0 while unknown. The gateway decodes the most tokens of an answer and the tokens that other prompts may share, and the relay passes both on. Nothing uses them yet but Assess; HasRoom and the choice are as before.

Ruled out: counting attempts by the slots alone (an engine of 55,000 tokens is full at eight runs of 5,200); learning speeds without the queue at the time of the choice.

Evidence: go test ./decide/placement ./shell/relay ./api/gateway, and go test ./platform -run 'Decode|Misread|Fuzz', pass.

--- a/api/gateway/gateway.go
+++ b/api/gateway/gateway.go
@@ -26,8 +26,10 @@
 	MaxWait      time.Duration // how long the caller waits; 0 if not given
 	LastEventID  string        // last event that the caller has received; "" for none
 	PromptTokens vaneyoke.Tokens
-	PromptParts  []string    // ids of the prompt's parts in order, the last one unique to it; nil if not given
-	Header       http.Header // headers forwarded to upstreams
+	AnswerTokens vaneyoke.Tokens // most tokens of the answer; 0 if not given
+	SharedTokens vaneyoke.Tokens // tokens at the start of the prompt that others may share; all of them if not given
+	PromptParts  []string        // ids of the prompt's parts in order, the last one unique to it; nil if not given
+	Header       http.Header     // headers forwarded to upstreams
 }
 
 // Codec decodes the metadata in request headers.
@@ -177,6 +179,8 @@
 		HealthPath:        service.HealthPath,
 		Replicate:         service.Replicas && r.Kind == route.KindStream && r.Resumable,
 		PromptParts:       envelope.PromptParts,
+		AnswerTokens:      envelope.AnswerTokens,
+		SharedTokens:      envelope.SharedTokens,
 		ResumeAfter:       envelope.LastEventID,
 		LatencyGoal:       r.LatencyGoal,
 		EventIntervalGoal: r.EventIntervalGoal,
--- a/decide/placement/state.go
+++ b/decide/placement/state.go
@@ -31,10 +31,14 @@
 	Affinity    string            // identifies the prompt, so that it goes to upstreams that may have it in their cache; "" for none
 	Prefer      vaneyoke.Upstream // picked if it takes work, even under a new ID at the same address
 	PromptBytes int               // size of the prompt
-	Replicate   bool              // whether another upstream is to keep a replica of the run
-	AtMostOnce  bool              // whether it may be sent to one upstream only
-	Canary      bool              // whether it was selected to test the version that its service is moving to
-	Unlimited   bool              // whether only upstreams without a declared limit qualify
+	// AnswerTokens is the most tokens that the answer may have; 0 if unknown.
+	AnswerTokens vaneyoke.Tokens
+	// SharedTokens is how many tokens at the start of the prompt other prompts may begin with too; all of them if unknown.
+	SharedTokens vaneyoke.Tokens
+	Replicate    bool // whether another upstream is to keep a replica of the run
+	AtMostOnce   bool // whether it may be sent to one upstream only
+	Canary       bool // whether it was selected to test the version that its service is moving to
+	Unlimited    bool // whether only upstreams without a declared limit qualify
 }
 
 // Outcome is how an attempt on an upstream ended.
@@ -69,9 +73,10 @@
 	drained            bool
 	report             vaneyoke.LoadReport // its latest load report
 	reportedAt         time.Time
-	replaced           bool      // whether a newer upstream is listed at its address
-	replacedUntil      time.Time // until when it gets no work because another upstream answered at its address
-	vmLeaving          bool      // whether its VM is being removed
+	sent               []sentWork // by time
+	replaced           bool       // whether a newer upstream is listed at its address
+	replacedUntil      time.Time  // until when it gets no work because another upstream answered at its address
+	vmLeaving          bool       // whether its VM is being removed
 	limit              vaneyoke.Limit
 	limitedUntil       time.Time      // until when its rate limit leaves this node no request
 	lastRetryAt        time.Time      // retry-after time given to the last caller refused for its limit
@@ -101,6 +106,7 @@
 	sorted     []*entry // by ID, so that choices are deterministic for a given random source
 	scratch    []*entry
 	splits     map[vaneyoke.ServiceID]*serviceSplit // by service; only services that split requests by version
+	speeds     map[vaneyoke.ServiceID]*serviceSpeed
 }
 
 // New returns a state without upstreams for a node in the given data centre.
@@ -108,6 +114,7 @@
 	return &State{
 		dataCentre: dataCentre, breaker: breaker, entries: map[vaneyoke.UpstreamID]*entry{}, limits: map[vaneyoke.UpstreamID]vaneyoke.Limit{},
 		holds: pushback.NewTracker(), splits: map[vaneyoke.ServiceID]*serviceSplit{},
+		speeds: map[vaneyoke.ServiceID]*serviceSpeed{},
 	}
 }
 
@@ -177,7 +184,7 @@
 func (s *State) resetAfterRestart(e *entry) {
 	e.breaker = retry.NewBreaker(s.breaker)
 	e.firstToken, e.declines, e.report, e.replicaBytes = estimate{}, declines{}, vaneyoke.LoadReport{}, 0
-	e.replaced, e.replacedUntil, e.reportedAt = false, time.Time{}, time.Time{}
+	e.replaced, e.replacedUntil, e.reportedAt, e.sent = false, time.Time{}, time.Time{}, nil
 	e.limit, e.limitedUntil, e.lastRetryAt = vaneyoke.Limit{}, time.Time{}, time.Time{}
 }
 
@@ -285,6 +292,7 @@
 	if e, ok := s.entries[id]; ok {
 		e.awaitingFirstToken = max(e.awaitingFirstToken-1, 0)
 		e.firstToken.add(now, elapsed, promptBytes)
+		s.recordPrefill(now, e, elapsed)
 		e.breaker.Succeeded()
 	}
 }
--- a/shell/balancer/balancer.go
+++ b/shell/balancer/balancer.go
@@ -8,6 +8,7 @@
 	"github.com/samber/lo"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/admission"
 	"github.com/vaneyoke/vaneyoke/decide/gossip"
 	"github.com/vaneyoke/vaneyoke/decide/placement"
 	"github.com/vaneyoke/vaneyoke/decide/pushback"
@@ -101,6 +102,7 @@
 		return vaneyoke.Upstream{}, 0, b.placementError(now, need)
 	}
 	b.state.Sent(now, upstream.ID)
+	b.state.Reserve(now, upstream.ID, need)
 	return upstream, expectedTTFT, nil
 }
 
@@ -224,6 +226,20 @@
 	return b.state.HasRoom(time.Now(), need)
 }
 
+// Assess returns how soon an upstream could start a request, by the load reports of the upstreams that may get it.
+func (b *Balancer) Assess(need placement.Need) admission.Room {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state.Assess(time.Now(), need)
+}
+
+// Completed records the time from the first token of a run to its last.
+func (b *Balancer) Completed(id vaneyoke.UpstreamID, need placement.Need, decodeTime time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state.Completed(id, need, decodeTime)
+}
+
 // Reported records a load report of an upstream.
 func (b *Balancer) Reported(id vaneyoke.UpstreamID, report vaneyoke.LoadReport) {
 	b.mu.Lock()
--- a/shell/relay/forwarded.go
+++ b/shell/relay/forwarded.go
@@ -20,14 +20,16 @@
 type Forwarding struct {
 	Message           *forward.Message
 	Service           vaneyoke.ServiceID
-	Stream            bool          // whether the answer is a sequence of numbered events
-	Replicate         bool          // whether an engine may keep a replica of the run's KV cache
-	HealthPath        string        // path on which the service's upstreams return their identity; "" if they have none
-	PromptParts       []string      // ids of the prompt's parts in order, the last one identifies the whole prompt; nil for a request without a prompt
-	ResumeAfter       string        // id of the last event that the caller has; "" if it has none
-	Deadline          time.Time     // when the caller stops waiting
-	LatencyGoal       time.Duration // for the answer, or for its first event
-	EventIntervalGoal time.Duration // between two events
+	Stream            bool            // whether the answer is a sequence of numbered events
+	Replicate         bool            // whether an engine may keep a replica of the run's KV cache
+	HealthPath        string          // path on which the service's upstreams return their identity; "" if they have none
+	PromptParts       []string        // ids of the prompt's parts in order, the last one identifies the whole prompt; nil for a request without a prompt
+	AnswerTokens      vaneyoke.Tokens // most tokens of the answer; 0 if unknown
+	SharedTokens      vaneyoke.Tokens // tokens at the start of the prompt that others may share; all of them if unknown
+	ResumeAfter       string          // id of the last event that the caller has; "" if it has none
+	Deadline          time.Time       // when the caller stops waiting
+	LatencyGoal       time.Duration   // for the answer, or for its first event
+	EventIntervalGoal time.Duration   // between two events
 	MaxAttempts       int
 	ConfigRevision    vaneyoke.Revision // revision of the configuration with these settings
 }
@@ -60,7 +62,7 @@
 func (r *Relay) Forward(ctx context.Context, req *vaneyoke.Request, f Forwarding) *Session {
 	need := placement.Need{
 		Kind: vaneyoke.KindService, Service: f.Service, Order: req.Order, PromptBytes: req.PromptBytes, Replicate: f.Replicate,
-		Affinity: f.affinityKey(), AtMostOnce: !req.Repeatable,
+		AnswerTokens: f.AnswerTokens, SharedTokens: f.SharedTokens, Affinity: f.affinityKey(), AtMostOnce: !req.Repeatable,
 	}
 	return r.startSession(ctx, req, need, &forwarded{Forwarding: f, lastEventID: f.ResumeAfter})
 }
