placement: spread by memory, work left and speed where engines are uneven

Cause: nodes choose by reports of 100 to 200 ms ago, without the growth of what runs, and replicas are placed wherever. On the customers' heaviest load engines preempt runs for want of memory, and each prompt is read anew; the busiest engine gets 2.4 to 3.4 times the mean.

Change, for services that are spread ([placement] spread = auto, on, off): - Room and choice count the answer, own attempts and replicas that a report may lack, and the growth of runs. The choice is a random one of those with about the least work left. - Replicas go by told memory, and none is made while the engines that reported are short of it. - A prompt of which others share under a quarter has eight homes by hash in place of four, the same ones that PromptHolders searches. - The pace of streams tells how slow an engine is; nodes share it as gossip of a new kind, sent only to builds of protocol version 2 and later.

TestContentSightingsAreSentOnlyToSupportingBuilds gained a case.

--- a/decide/feed/member.go
+++ b/decide/feed/member.go
@@ -24,10 +24,11 @@
 const (
 	ProtocolInitial ProtocolVersion = iota // of builds that report no version
 	ProtocolLimits                         // adds sightings of crashed and survived requests, and messages about rate limits, which such builds enforce together
+	ProtocolPaced                          // adds sightings of the pace of upstreams
 )
 
 // ProtocolCurrent is the version of this build.
-const ProtocolCurrent = ProtocolLimits
+const ProtocolCurrent = ProtocolPaced
 
 // Outranks reports whether m ranks before other. Members of higher rank read the store for the others.
 func (m Member) Outranks(other Member) bool { return compareRanks(rankOf(m), rankOf(other)) < 0 }
--- a/decide/gossip/event.go
+++ b/decide/gossip/event.go
@@ -16,21 +16,24 @@
 	KindHealthy                     // it answered
 	KindCrash                       // it crashed when it began to run a content
 	KindSurvived                    // some upstream answered a content completely
+	KindPaced                       // it works slower or faster than it was taken to
 )
 
 // String returns the name of the kind in logs.
 func (k Kind) String() string {
-	return names.Of(k, "none", "lost", "unreachable", "gone", "well", "crash", "survived")
+	return names.Of(k, "none", "lost", "unreachable", "gone", "well", "crash", "survived", "paced")
 }
 
 // Valid reports whether this build understands the sighting. Others are neither applied nor forwarded: what a later build
 // reports may crash one of the first protocol version.
-func (s *Sighting) Valid() bool { return s.Kind >= KindLost && s.Kind <= KindSurvived && s.Hops >= 0 }
+func (s *Sighting) Valid() bool {
+	return s.Kind >= KindLost && s.Kind <= KindPaced && s.Hops >= 0 && (s.Kind != KindPaced || s.Factor.Valid())
+}
 
 // AboutContent reports whether the kind concerns the content of a request, and not the connection to an upstream.
 func (k Kind) AboutContent() bool { return k == KindCrash || k == KindSurvived }
 
-// Run is what a request did to an upstream; it is set for KindCrash and KindSurvived.
+// Run is what a request did to an upstream; it is set for KindCrash and KindSurvived. For KindPaced, only the incarnation is set.
 type Run struct {
 	Content      vaneyoke.ContentID   `json:"c,omitempty"`
 	Incarnation  vaneyoke.Incarnation `json:"i,omitempty"`
@@ -43,7 +46,8 @@
 	Sequence uint64              `json:"n"` // among the sightings of its origin
 	Upstream vaneyoke.UpstreamID `json:"u"`
 	Kind     Kind                `json:"k"`
-	Hops     int                 `json:"h"` // how often it was forwarded
+	Hops     int                 `json:"h"`           // how often it was forwarded
+	Factor   Factor              `json:"f,omitempty"` // set for KindPaced
 	Run
 }
 
@@ -57,7 +61,8 @@
 type Observed struct {
 	Upstream vaneyoke.UpstreamID
 	Kind     Kind
-	Run      Run // set for KindCrash and KindSurvived
+	Run      Run    // set for KindCrash, KindSurvived and, without a content, KindPaced
+	Factor   Factor // set for KindPaced
 }
 
 // SightingsReceived carries sightings that another node observed or forwards.
--- a/decide/gossip/state.go
+++ b/decide/gossip/state.go
@@ -15,6 +15,7 @@
 	failureWindow   = time.Second            // for which a failure counts
 	lostInterval    = 100 * time.Millisecond // between two reports about an upstream, for KindLost
 	reportInterval  = 300 * time.Millisecond // the same for each other kind
+	pacedInterval   = 2 * time.Second        // the same for KindPaced
 	minWitnesses    = 2                      // nodes that must have found an upstream unreachable before it is believed: a single one may be cut off itself
 	cleanupInterval = time.Second            // between two removals of expired entries
 	// isolationTimeout is the time without an answer from any upstream after which a node reports nothing: it may be cut off
@@ -93,6 +94,8 @@
 		}
 		delete(s.failures, ev.Upstream)
 	case KindCrash, KindSurvived:
+	case KindPaced:
+		interval = pacedInterval
 	case KindLost:
 		interval = lostInterval
 		s.recordFailure(now, ev.Upstream, s.self)
@@ -108,7 +111,7 @@
 	}
 	s.reportedAt[key] = now
 	s.sequence++
-	sighting := Sighting{Origin: s.self, Sequence: s.sequence, Upstream: ev.Upstream, Kind: ev.Kind, Run: ev.Run}
+	sighting := Sighting{Origin: s.self, Sequence: s.sequence, Upstream: ev.Upstream, Kind: ev.Kind, Run: ev.Run, Factor: ev.Factor}
 	s.seen[sightingID{s.self, s.sequence}] = now
 	s.enqueue(now, s.self, sighting)
 }
@@ -123,7 +126,7 @@
 	sighting.Hops++
 	s.enqueue(now, from, sighting)
 	switch sighting.Kind {
-	case KindCrash, KindSurvived:
+	case KindCrash, KindSurvived, KindPaced:
 	case KindHealthy:
 		delete(s.failures, sighting.Upstream)
 	case KindUnreachable:
@@ -156,8 +159,11 @@
 
 func (s *State) enqueue(now time.Time, from vaneyoke.VMID, sighting Sighting) {
 	limit := maxQueued
-	if sighting.Kind.AboutContent() { // there are few, and each one counts
+	switch {
+	case sighting.Kind.AboutContent(): // there are few, and each one counts
 		limit *= 2
+	case sighting.Kind == KindPaced: // failures go first
+		limit /= 2
 	}
 	if len(s.outbox) >= limit || len(s.neighbours) == 0 {
 		return
--- a/decide/placement/affinity.go
+++ b/decide/placement/affinity.go
@@ -42,7 +42,7 @@
 // AffinityUpstreams returns the upstreams that a prompt's affinity selects, so that they can be asked for load reports. Upstreams with a declared
 // limit are left out, because queries would count against it.
 func (s *State) AffinityUpstreams(now time.Time, need Need) []vaneyoke.Upstream {
-	return lo.FilterMap(topByHash(need.Affinity, s.candidates(now, need), affinityUpstreams), func(e *entry, _ int) (vaneyoke.Upstream, bool) {
+	return lo.FilterMap(topByHash(need.Affinity, s.candidates(now, need), s.homes(need)), func(e *entry, _ int) (vaneyoke.Upstream, bool) {
 		return e.upstream, !e.limit.Declared
 	})
 }
@@ -51,7 +51,7 @@
 // is free.
 func (s *State) SpilloverUpstreams(now time.Time, rng *rand.Rand, need Need) []vaneyoke.Upstream {
 	candidates := s.candidates(now, need)
-	if bestAffinity(now, need, candidates) != nil {
+	if s.hasIdleAffinity(now, need, candidates) {
 		return nil
 	}
 	sample := make([]vaneyoke.Upstream, 0, spilloverUpstreams)
@@ -70,6 +70,14 @@
 	return sample
 }
 
+// hasIdleAffinity reports whether an affinity upstream of a prompt has room and no prompt to read before it.
+func (s *State) hasIdleAffinity(now time.Time, need Need, candidates []*entry) bool {
+	if !s.IsUneven(need.Service) {
+		return bestAffinity(now, need, candidates) != nil
+	}
+	return slices.ContainsFunc(topByHash(need.Affinity, candidates, s.homes(need)), func(e *entry) bool { return e.isFreeNow(now, need) })
+}
+
 // leastReportedLoad returns the upstream with the fewest queued prompts, then the least memory in use, then the fewest runs, among those with a
 // fresh report; those with room are preferred. It returns nil if there is no fresh report.
 func leastReportedLoad(now time.Time, need Need, candidates []*entry) *entry {
@@ -87,6 +95,9 @@
 // HasRoom reports whether any candidate for a prompt has room for it according to its load report, or none has a fresh report. A prompt sent to an
 // upstream without room displaces runs or replicas.
 func (s *State) HasRoom(now time.Time, need Need) bool {
+	if s.IsUneven(need.Service) {
+		return s.Assess(now, need).Free
+	}
 	anyReported := false
 	for _, e := range s.candidates(now, need) {
 		if e.hasFreshReport(now) {
--- a/decide/placement/assess.go
+++ b/decide/placement/assess.go
@@ -40,7 +40,7 @@
 // roomAt returns how soon an upstream with a fresh load report could start a request.
 func (s *State) roomAt(now time.Time, e *entry, need Need) admission.Room {
 	isFree := e.fits(now, need)
-	return admission.Room{Free: isFree, Idle: isFree && e.isIdle(), Start: s.expectedStart(now, e, need), Run: s.expectedRun(e, need)}
+	return admission.Room{Free: isFree, Idle: isFree && e.isIdle(), Start: s.expectedStart(now, e, need), Run: s.expectedRun(now, e, need)}
 }
 
 // isSooner reports whether a request is better sent to the upstream with room a than to that with room b.
--- a/decide/placement/assess_test.go
+++ b/decide/placement/assess_test.go
@@ -86,7 +86,7 @@
 		elapsed := time.Duration(pending+1) * 1300 * time.Millisecond
 		s.FirstToken(now.Add(elapsed), "u", elapsed, longNeed.PromptBytes)
 		s.Ended(now.Add(elapsed), "u", placement.OutcomeDone, true)
-		s.Completed("u", longNeed, 8*time.Second)
+		s.Completed(now, "u", longNeed, 8*time.Second)
 	}
 	now = now.Add(20 * time.Second)
 	s.Reported(now, "u", vaneyoke.LoadReport{PendingPrompts: 2, Runs: 4, KVInUse: 20_000, KVSize: 55_000})
--- a/decide/placement/late_requests_test.go
+++ b/decide/placement/late_requests_test.go
@@ -50,7 +50,7 @@
 // among all.
 func (sim *outageSim) shortestQueue(r *outageRun, ignoreMemory bool) (best *outageEngine) {
 	for _, e := range sim.engines {
-		isFull := float64(e.memory()+e.queuedTokens()+r.prompt) > 0.8*outageMemory
+		isFull := float64(e.memory()+e.queuedTokens()+r.prompt) > 0.8*float64(sim.memory)
 		if !e.isUp(sim.now) || (isFull && !ignoreMemory) {
 			continue
 		}
--- a/decide/placement/memory_test.go
+++ b/decide/placement/memory_test.go
@@ -26,7 +26,7 @@
 func (o oracle) choose(sim *outageSim, r *outageRun) (*outageEngine, time.Duration) {
 	var best *outageEngine
 	for _, e := range sim.engines {
-		isFull := float64(e.memory()+e.queuedTokens()+r.prompt) > o.maxMemoryShare*outageMemory
+		isFull := float64(e.memory()+e.queuedTokens()+r.prompt) > o.maxMemoryShare*float64(sim.memory)
 		if !e.isUp(sim.now) || (isFull && r.generated == 0) {
 			continue
 		}
--- a/decide/placement/outage_sim_test.go
+++ b/decide/placement/outage_sim_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/placement"
 )
 
 // outageSim simulates engines in three data centres, one of which fails now and then, on a simulated clock. Engines read prompts in chunks between
@@ -16,6 +17,12 @@
 type outageSim struct {
 	rng         *rand.Rand
 	chunkTime   time.Duration // for a chunk of a prompt
+	memory      int           // tokens per engine
+	arrivalRate func(at time.Duration) float64
+	newRun      func(rng *rand.Rand) *outageRun
+	outages     []time.Duration                                  // when a data centre fails
+	speed       func(e *outageEngine, now time.Duration) float64 // of an engine; 1 is usual
+	observer    outageObserver                                   // nil for none
 	now         time.Duration
 	chooser     outageChooser
 	engines     []*outageEngine
@@ -26,6 +33,18 @@
 	inTime      int
 	rejected    int
 	tokensRead  int
+	firstTokens []time.Duration // times to the first token
+	displaced   int             // runs that were displaced for lack of memory
+}
+
+// outageObserver learns what nodes see of their runs.
+type outageObserver interface {
+	// produced reports that a run has produced a token.
+	produced(sim *outageSim, e *outageEngine, r *outageRun, at time.Duration)
+	// ended reports that a run has ended, or was lost with its engine.
+	ended(sim *outageSim, e *outageEngine, r *outageRun, at time.Duration, lost bool)
+	// replica returns the engine for a replica of a run, nil for none.
+	replica(sim *outageSim, e *outageEngine, r *outageRun) *outageEngine
 }
 
 // outageChooser chooses engines for requests.
@@ -44,6 +63,8 @@
 	replicas   map[*outageRun]bool
 	prefilled  int // tokens already read of the first prompt in the queue
 	reports    []vaneyoke.LoadReport
+	prompts    int // sent to it
+	busy       time.Duration
 }
 
 type outageRun struct {
@@ -54,6 +75,12 @@
 	late              bool
 	nextCheck         time.Duration // when a waiting request is placed again
 	replica           *outageEngine
+	node              int           // that sent it, plus one; 0 before that
+	name              string        // of its prompt
+	plannedReplica    *outageEngine // chosen when it was sent
+	sentAt            time.Duration // to the latest engine
+	firstTokenAt      time.Duration // from the latest engine; 0 for none
+	pace              placement.Pace
 }
 
 const (
@@ -74,7 +101,18 @@
 var outages = []time.Duration{4100 * time.Millisecond, 11 * time.Second, 17 * time.Second, 24 * time.Second, 30 * time.Second}
 
 func newOutageSim(seed uint64, engines int, chooser outageChooser) *outageSim {
-	sim := &outageSim{chunkTime: outageChunkTime, rng: rand.New(rand.NewPCG(seed, 9)), chooser: chooser}
+	sim := &outageSim{
+		chunkTime: outageChunkTime, memory: outageMemory, rng: rand.New(rand.NewPCG(seed, 9)), chooser: chooser, outages: outages,
+		arrivalRate: func(at time.Duration) float64 {
+			return outageArrivalRate * (1 + 0.27*math.Sin(2*math.Pi*at.Seconds()/11))
+		},
+		newRun: func(rng *rand.Rand) *outageRun {
+			return &outageRun{
+				prompt: int(min(max(8200+2400*rng.NormFloat64(), 600), 14_600)), outputLen: 5 * int(min(max(130+26*rng.NormFloat64(), 5), 190)),
+			}
+		},
+		speed: func(*outageEngine, time.Duration) float64 { return 1 },
+	}
 	for i := range engines {
 		sim.engines = append(sim.engines, &outageEngine{id: vaneyoke.UpstreamID(fmt.Sprint("e", i)), dataCentre: i % 3, replicas: map[*outageRun]bool{}})
 	}
@@ -85,14 +123,14 @@
 func (sim *outageSim) run() float64 {
 	begun := 0
 	for ; sim.now < outageArrivalTime+outageTimeout; sim.now += outageTick {
-		if begun < len(outages) && sim.now >= outages[begun] {
+		if begun < len(sim.outages) && sim.now >= sim.outages[begun] {
 			sim.failDataCentre(sim.rng.IntN(3))
 			begun++
 		}
 		sim.admit()
 		for _, e := range sim.engines {
 			sim.advance(e)
-			e.reports = append(e.reports, vaneyoke.LoadReport{PendingPrompts: len(e.queue), Runs: len(e.queue) + len(e.runs), KVInUse: vaneyoke.Tokens(e.memory()), KVSize: outageMemory})
+			e.reports = append(e.reports, vaneyoke.LoadReport{PendingPrompts: len(e.queue), Runs: len(e.queue) + len(e.runs), KVInUse: vaneyoke.Tokens(e.memory()), KVSize: vaneyoke.Tokens(sim.memory)})
 		}
 	}
 	return float64(sim.inTime) / float64(sim.requests)
@@ -109,13 +147,11 @@
 		sim.place(r)
 	}
 	for sim.now < outageArrivalTime && sim.nextArrival <= sim.now {
-		rate := outageArrivalRate * (1 + 0.27*math.Sin(2*math.Pi*sim.nextArrival.Seconds()/11))
-		sim.nextArrival += time.Duration(sim.rng.ExpFloat64() / rate * float64(time.Second))
+		sim.nextArrival += time.Duration(sim.rng.ExpFloat64() / sim.arrivalRate(sim.nextArrival) * float64(time.Second))
 		sim.requests++
-		sim.place(&outageRun{
-			arrivedAt: sim.now,
-			prompt:    int(min(max(8200+2400*sim.rng.NormFloat64(), 600), 14_600)), outputLen: 5 * int(min(max(130+26*sim.rng.NormFloat64(), 5), 190)),
-		})
+		r := sim.newRun(sim.rng)
+		r.arrivedAt = sim.now
+		sim.place(r)
 	}
 }
 
@@ -144,6 +180,8 @@
 	e, retryAfter := sim.chooser.choose(sim, r)
 	switch {
 	case e != nil && e.isUp(sim.now):
+		e.prompts++
+		r.sentAt, r.firstTokenAt, r.pace = sim.now, 0, placement.Pace{}
 		e.queue = append(e.queue, r)
 	case e != nil: // the connection fails, and the request is placed again
 		r.nextCheck = sim.now + outageTick
@@ -166,7 +204,9 @@
 		if len(e.runs) == 0 && len(e.queue) == 0 {
 			return
 		}
-		e.stepEnd += sim.step(e)
+		took := sim.step(e)
+		e.stepEnd += took
+		e.busy += took
 	}
 }
 
@@ -188,31 +228,42 @@
 			sim.replicate(e, r)
 		}
 	}
+	elapsed = time.Duration(float64(elapsed) / sim.speed(e, sim.now))
 	at := e.stepEnd + elapsed
 	for _, r := range slices.Clone(e.runs) {
 		sim.emitToken(e, r, at)
 	}
-	for e.memory() > outageMemory && len(e.runs) > 0 { // the newest run is displaced and read again
+	for e.memory() > sim.memory && len(e.runs) > 0 { // the newest run is displaced and read again
 		r := e.runs[len(e.runs)-1]
 		e.runs = e.runs[:len(e.runs)-1]
 		e.queue, e.prefilled = slices.Insert(e.queue, 0, r), 0
+		sim.displaced++
 		sim.release(r)
 	}
 	return elapsed
 }
 
 func (sim *outageSim) hasRoom(e *outageEngine, r *outageRun) bool {
-	return e.prefilled > 0 || e.memory()+r.prompt+r.generated <= outageMemory
+	return e.prefilled > 0 || e.memory()+r.prompt+r.generated <= sim.memory
 }
 
 func (sim *outageSim) emitToken(e *outageEngine, r *outageRun, at time.Duration) {
 	r.late = r.late || (r.lastTokenAt == 0 && at-r.arrivedAt > outageLatencyGoal) || (r.lastTokenAt > 0 && at-r.lastTokenAt > outageMaxTokenGap)
+	if r.lastTokenAt == 0 {
+		sim.firstTokens = append(sim.firstTokens, at-r.arrivedAt)
+	}
 	r.lastTokenAt = at
+	if sim.observer != nil {
+		sim.observer.produced(sim, e, r, at)
+	}
 	if r.generated++; r.generated < r.outputLen {
 		return
 	}
 	e.runs = slices.DeleteFunc(e.runs, func(q *outageRun) bool { return q == r })
 	sim.release(r)
+	if sim.observer != nil {
+		sim.observer.ended(sim, e, r, at, false)
+	}
 	if at-r.arrivedAt <= outageTimeout {
 		sim.served++
 		if !r.late {
@@ -234,8 +285,14 @@
 		return
 	}
 	var best *outageEngine
+	if sim.observer != nil {
+		best = sim.observer.replica(sim, e, r)
+	}
 	for _, o := range sim.engines {
-		if o.dataCentre != e.dataCentre && o.isUp(sim.now) && o.memory()+o.queuedTokens()+r.prompt+r.outputLen <= outageMemory &&
+		if sim.observer != nil {
+			break
+		}
+		if o.dataCentre != e.dataCentre && o.isUp(sim.now) && o.memory()+o.queuedTokens()+r.prompt+r.outputLen <= sim.memory &&
 			(best == nil || o.memory()+o.queuedTokens() < best.memory()+best.queuedTokens()) {
 			best = o
 		}
@@ -255,8 +312,12 @@
 		for r := range e.replicas {
 			r.replica = nil
 		}
-		displaced = append(displaced, e.runs...)
-		displaced = append(displaced, e.queue...)
+		for _, r := range slices.Concat(e.runs, e.queue) {
+			displaced = append(displaced, r)
+			if sim.observer != nil {
+				sim.observer.ended(sim, e, r, sim.now, true)
+			}
+		}
 		e.runs, e.queue, e.prefilled, e.replicas, e.downUntil = nil, nil, 0, map[*outageRun]bool{}, sim.now+outageDowntime
 	}
 	slices.SortFunc(displaced, func(a, b *outageRun) int { return cmp.Compare(a.arrivedAt, b.arrivedAt) })
--- a/decide/placement/pick.go
+++ b/decide/placement/pick.go
@@ -84,7 +84,11 @@
 
 // choose returns the upstream for a need among its candidates.
 func (s *State) choose(now time.Time, rng *rand.Rand, need Need, candidates []*entry) *entry {
-	if need.Affinity != "" {
+	if need.Affinity != "" && s.IsUneven(need.Service) {
+		if e := s.leastWorkOf(now, rng, need, candidates); e != nil {
+			return e
+		}
+	} else if need.Affinity != "" {
 		if e := bestAffinity(now, need, candidates); e != nil {
 			return e
 		}
--- a/decide/placement/state.go
+++ b/decide/placement/state.go
@@ -74,6 +74,7 @@
 	report             vaneyoke.LoadReport // its latest load report
 	reportedAt         time.Time
 	sent               []sentWork // by time
+	slowness           *slowness  // nil if its pace is unknown
 	replaced           bool       // whether a newer upstream is listed at its address
 	replacedUntil      time.Time  // until when it gets no work because another upstream answered at its address
 	vmLeaving          bool       // whether its VM is being removed
@@ -107,6 +108,8 @@
 	scratch    []*entry
 	splits     map[vaneyoke.ServiceID]*serviceSplit // by service; only services that split requests by version
 	speeds     map[vaneyoke.ServiceID]*serviceSpeed
+	spread     Spread
+	uneven     map[vaneyoke.ServiceID]*unevenness
 }
 
 // New returns a state without upstreams for a node in the given data centre.
@@ -114,7 +117,7 @@
 	return &State{
 		dataCentre: dataCentre, breaker: breaker, entries: map[vaneyoke.UpstreamID]*entry{}, limits: map[vaneyoke.UpstreamID]vaneyoke.Limit{},
 		holds: pushback.NewTracker(), splits: map[vaneyoke.ServiceID]*serviceSplit{},
-		speeds: map[vaneyoke.ServiceID]*serviceSpeed{},
+		speeds: map[vaneyoke.ServiceID]*serviceSpeed{}, uneven: map[vaneyoke.ServiceID]*unevenness{},
 	}
 }
 
@@ -185,6 +188,7 @@
 	e.breaker = retry.NewBreaker(s.breaker)
 	e.firstToken, e.declines, e.report, e.replicaBytes = estimate{}, declines{}, vaneyoke.LoadReport{}, 0
 	e.replaced, e.replacedUntil, e.reportedAt, e.sent = false, time.Time{}, time.Time{}, nil
+	e.slowness = nil
 	e.limit, e.limitedUntil, e.lastRetryAt = vaneyoke.Limit{}, time.Time{}, time.Time{}
 }
 
--- a/decide/route/table.go
+++ b/decide/route/table.go
@@ -60,6 +60,22 @@
 	return found, found != nil
 }
 
+// RankedServices returns, for each service of a route, whether its routes differ in priority.
+func (t *Table) RankedServices() map[vaneyoke.ServiceID]bool {
+	priorities := map[vaneyoke.ServiceID]int{}
+	ranked := map[vaneyoke.ServiceID]bool{}
+	for _, routes := range t.byHost {
+		for i := range routes {
+			for _, target := range routes[i].Targets {
+				priority, known := priorities[target.Service]
+				ranked[target.Service] = ranked[target.Service] || (known && priority != routes[i].Priority)
+				priorities[target.Service] = routes[i].Priority
+			}
+		}
+	}
+	return ranked
+}
+
 // canonicalHost returns a host name in lower case without its port.
 func canonicalHost(host string) string {
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 && !strings.HasSuffix(host, "]") {
--- a/decide/route/table_test.go
+++ b/decide/route/table_test.go
@@ -102,3 +102,21 @@
 	must.EqOp(t, int64(9), table().Limits().BodyBytes)
 	must.EqOp(t, vaneyoke.Revision(3), table().Version())
 }
+
+// TestServiceIsTakenForRanked checks which services have routes of different priority.
+func TestServiceIsTakenForRanked(t *testing.T) {
+	to := func(services ...vaneyoke.ServiceID) (targets []route.Target) {
+		for _, s := range services {
+			targets = append(targets, route.Target{Service: s, Weight: 1})
+		}
+		return targets
+	}
+	table := route.NewTable(1, []route.Route{
+		{ID: "urgent", Host: "a", Prefix: "/u/", Priority: 0, Targets: to("lm")},
+		{ID: "routine", Host: "b", Prefix: "/r/", Priority: 4, Targets: to("lm", "old")},
+		{ID: "first", Host: "a", Prefix: "/f/", Priority: 2, Targets: to("plain")},
+		{ID: "second", Host: "a", Prefix: "/s/", Priority: 2, Targets: to("plain")},
+	}, nil, nil, route.Limits{})
+	must.Eq(t, map[vaneyoke.ServiceID]bool{"lm": true, "old": false, "plain": false}, table.RankedServices())
+	must.MapEmpty(t, route.NewTable(1, nil, nil, nil, route.Limits{}).RankedServices())
+}
--- a/process/node/active_config.go
+++ b/process/node/active_config.go
@@ -56,6 +56,9 @@
 		}
 		c.log.WithFields(logrus.Fields{"version": table.Version(), "before": c.version()}).Info("configuration_in_force")
 		c.table.Store(table)
+		for service, isRanked := range table.RankedServices() {
+			c.balancer.SetUneven(service, isRanked)
+		}
 	}
 }
 
--- a/process/node/config.go
+++ b/process/node/config.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/vaneyoke/vaneyoke/api/callerapi"
 	"github.com/vaneyoke/vaneyoke/decide/generation"
+	"github.com/vaneyoke/vaneyoke/decide/placement"
 	"github.com/vaneyoke/vaneyoke/decide/retry"
 	"github.com/vaneyoke/vaneyoke/process/settings"
 	"github.com/vaneyoke/vaneyoke/shell/failover"
@@ -13,6 +14,11 @@
 	return retry.BreakerConfig{Failures: s.Failures, OpenFor: s.OpenFor, OpenMax: s.OpenMax}
 }
 
+// spreads maps the values of the setting.
+var spreads = map[string]placement.Spread{
+	placement.SpreadAuto.String(): placement.SpreadAuto, placement.SpreadOn.String(): placement.SpreadOn, placement.SpreadOff.String(): placement.SpreadOff,
+}
+
 func budgetConfig(s settings.Retry) retry.BudgetConfig {
 	return retry.BudgetConfig{Ratio: s.Ratio, PerSecond: s.PerSecond, Burst: s.Burst}
 }
--- a/process/node/gateway_placer.go
+++ b/process/node/gateway_placer.go
@@ -77,6 +77,13 @@
 	b.gossip.Observe(id, gossip.KindHealthy)
 }
 
+// RecordPace records the time between the events of a stream, and gossips how slow the upstream is if that has changed.
+func (b *gatewayPlacer) RecordPace(upstream vaneyoke.Upstream, interval time.Duration) {
+	if factor, isNews := b.Paced(upstream.ID, interval); isNews {
+		b.gossip.ObservePace(upstream.ID, upstream.Incarnation, factor)
+	}
+}
+
 // Ended records the outcome of an attempt, and gossips it if it says something about the upstream's reachability.
 func (b *gatewayPlacer) Ended(id vaneyoke.UpstreamID, outcome placement.Outcome, begun bool) {
 	b.Balancer.Ended(id, outcome, begun)
--- a/process/node/gateway_wire.go
+++ b/process/node/gateway_wire.go
@@ -166,6 +166,7 @@
 	vars.Set("speaks", expvar.Func(func() any { return feed.ProtocolCurrent }))
 	node = mesh.New(self, config, hub, members, newPeerClient(), mesh.NewMetrics(vars), do.MustInvoke[logrus.FieldLogger](i))
 	vars.Set("upstreams", expvar.Func(func() any { return countUpstreams(active.balancer.Loads()) }))
+	vars.Set("services_spread", expvar.Func(func() any { return active.balancer.Spread() }))
 	vars.Set("upstreams_failing", expvar.Func(func() any { return failingUpstreams(active.balancer.Loads()) }))
 	vars.Set("retries_left", expvar.Func(func() any { return active.balancer.RetriesLeft() }))
 	vars.Set("memory_bytes", expvar.Func(func() any { return memoryBytes() }))
@@ -194,6 +195,7 @@
 
 func newBalancer(s settings.Settings) *balancer.Balancer {
 	state := placement.New(vaneyoke.DataCentreID(s.Node.DataCentre), breakerConfig(s.Retry))
+	state.SetSpread(spreads[s.Placement.Spread])
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return balancer.New(state, fleetBudgetConfig(s.Retry, defaultFleetSize), rng)
 }
--- a/process/node/upstream_metrics.go
+++ b/process/node/upstream_metrics.go
@@ -18,9 +18,13 @@
 	BreakerOpen int `json:"open"`      // live ones whose circuit breaker is open
 	Limited     int `json:"limited"`   // live ones that declare a rate limit
 	Held        int `json:"held"`      // live ones that get no requests after a pushback or a shutdown notice
+	Slow        int `json:"slow"`      // live ones that are seen to be slower than usual
 	InFlight    int `json:"in_flight"` // this node's open attempts
 }
 
+// slowFactor is from which factor on an upstream counts as slow.
+const slowFactor = 1.5
+
 // countUpstreams counts upstreams by service and state; engines of the caller API count under "".
 func countUpstreams(loads []placement.Load) map[vaneyoke.ServiceID]upstreamCounts {
 	counts := map[vaneyoke.ServiceID]upstreamCounts{}
@@ -41,6 +45,9 @@
 			if l.Held {
 				c.Held++
 			}
+			if l.Factor >= slowFactor {
+				c.Slow++
+			}
 		}
 		counts[l.Upstream.Service] = c
 	}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -7,18 +7,19 @@
 
 // Settings is the configuration file of a node; docs/SETTINGS.md is generated from its tags.
 type Settings struct {
-	Node     Node     `ini:"node" doc:"Who and where the node is."`
-	Gateway  Gateway  `ini:"gateway" doc:"How opaque requests are taken; a node with a listening address here serves them in place of the caller API, and needs neither [platform] nor [peers]."`
-	Platform Platform `ini:"platform" only:"callers" doc:"Where the platform's service is."`
-	Peers    Peers    `ini:"peers" only:"callers" doc:"How the nodes of a fleet back one another up."`
-	Claims   Claims   `ini:"claims" doc:"How requests that may run at most once are claimed in the platform's table."`
-	Limits   Limits   `ini:"limits" doc:"Bounds on what callers may ask for."`
-	Recovery Recovery `ini:"recovery" doc:"When an attempt is taken for lost, and what follows."`
-	Retry    Retry    `ini:"retry" doc:"Bounds on retries, so that failures do not multiply the load."`
-	Rollout  Rollout  `ini:"rollout" doc:"How the work of a service moves to another version of its upstreams."`
-	Duties   Duties   `ini:"duties" doc:"What one node at a time does at the platform: reports of usage, and orders of upstreams."`
-	Log      Log      `ini:"log" doc:"Log lines."`
-	Trace    Trace    `ini:"trace" doc:"Traces."`
+	Node      Node      `ini:"node" doc:"Who and where the node is."`
+	Gateway   Gateway   `ini:"gateway" doc:"How opaque requests are taken; a node with a listening address here serves them in place of the caller API, and needs neither [platform] nor [peers]."`
+	Platform  Platform  `ini:"platform" only:"callers" doc:"Where the platform's service is."`
+	Peers     Peers     `ini:"peers" only:"callers" doc:"How the nodes of a fleet back one another up."`
+	Claims    Claims    `ini:"claims" doc:"How requests that may run at most once are claimed in the platform's table."`
+	Limits    Limits    `ini:"limits" doc:"Bounds on what callers may ask for."`
+	Recovery  Recovery  `ini:"recovery" doc:"When an attempt is taken for lost, and what follows."`
+	Retry     Retry     `ini:"retry" doc:"Bounds on retries, so that failures do not multiply the load."`
+	Placement Placement `ini:"placement" doc:"How upstreams are chosen."`
+	Rollout   Rollout   `ini:"rollout" doc:"How the work of a service moves to another version of its upstreams."`
+	Duties    Duties    `ini:"duties" doc:"What one node at a time does at the platform: reports of usage, and orders of upstreams."`
+	Log       Log       `ini:"log" doc:"Log lines."`
+	Trace     Trace     `ini:"trace" doc:"Traces."`
 }
 
 // Node identifies the node and its addresses.
@@ -121,6 +122,11 @@
 	OpenMax     time.Duration `ini:"open_max" default:"15s" min:"10ms" doc:"Longest pause before an open breaker lets a trial through."`
 }
 
+// Placement configures the choice of upstreams.
+type Placement struct {
+	Spread string `ini:"spread" default:"auto" check:"spread" doc:"Which services have their requests spread over upstreams by free memory, work left and speed: on is all, off is none, auto is those whose routes differ in priority and those whose upstreams are seen to differ in speed."`
+}
+
 // Rollout configures the rollout of new versions of a service's upstreams.
 type Rollout struct {
 	Exposure float64       `ini:"exposure" default:"0" min:"0" max:"1" doc:"Share of a service's requests that a version which is not judged good may get, from all nodes together; where it is 0, orders for roll-outs are not followed."`
--- a/process/settings/value.go
+++ b/process/settings/value.go
@@ -12,7 +12,10 @@
 	"time"
 )
 
-var logLevels = []string{"debug", "info", "warning", "error"}
+var (
+	logLevels = []string{"debug", "info", "warning", "error"}
+	spreads   = []string{"auto", "on", "off"}
+)
 
 // setField parses and validates the text of one setting.
 func setField(field reflect.Value, tag reflect.StructTag, text string) error {
@@ -81,6 +84,10 @@
 		return checkText("address", text)
 	case "url":
 		return checkURL(text)
+	case "spread":
+		if !slices.Contains(spreads, text) {
+			return fmt.Errorf("must be one of %v, got %q", spreads, text)
+		}
 	case "level":
 		if !slices.Contains(logLevels, text) {
 			return fmt.Errorf("must be one of %v, got %q", logLevels, text)
--- a/shell/balancer/balancer.go
+++ b/shell/balancer/balancer.go
@@ -237,7 +237,7 @@
 func (b *Balancer) Completed(id vaneyoke.UpstreamID, need placement.Need, decodeTime time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.state.Completed(id, need, decodeTime)
+	b.state.Completed(time.Now(), id, need, decodeTime)
 }
 
 // Reported records a load report of an upstream.
@@ -261,10 +261,35 @@
 	b.state.ReleaseReplica(replica, need)
 }
 
+// SetUneven marks a service to be spread by memory, work left and speed because its queue is ranked.
+func (b *Balancer) SetUneven(service vaneyoke.ServiceID, isRanked bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state.SetUneven(service, isRanked)
+}
+
+// Spread returns the services that are spread by memory, work left and speed.
+func (b *Balancer) Spread() []vaneyoke.ServiceID {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state.UnevenServices()
+}
+
+// Paced records the time between the events of a stream, and returns the upstream's factor if other nodes are to be told.
+func (b *Balancer) Paced(id vaneyoke.UpstreamID, interval time.Duration) (gossip.Factor, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state.Paced(time.Now(), id, interval)
+}
+
 // RecordGossip records an observation of an upstream by another node.
 func (b *Balancer) RecordGossip(sighting gossip.Sighting) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if sighting.Kind == gossip.KindPaced {
+		b.state.RecordSlowness(time.Now(), sighting.Upstream, sighting.Incarnation, sighting.Factor)
+		return
+	}
 	b.state.RecordGossip(time.Now(), sighting.Upstream, sighting.Kind)
 }
 
--- a/shell/mesh/datagram_test.go
+++ b/shell/mesh/datagram_test.go
@@ -84,12 +84,13 @@
 	must.Error(t, err)
 }
 
-// TestContentSightingsAreSentOnlyToSupportingBuilds checks that a neighbour whose build states no protocol version receives sightings of upstreams, but none about requests.
+// TestContentSightingsAreSentOnlyToSupportingBuilds checks that a neighbour whose build states no protocol version receives sightings of upstreams, but none about requests,
+// and that only builds which state that they know the pace of upstreams receive sightings of it.
 func TestContentSightingsAreSentOnlyToSupportingBuilds(t *testing.T) {
 	own, err := net.ListenPacket("udp4", "127.0.0.1:0")
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = own.Close() })
-	for protocol, want := range map[feed.ProtocolVersion]string{feed.ProtocolInitial: "lost", feed.ProtocolCurrent: "lost crash survived"} {
+	for protocol, want := range map[feed.ProtocolVersion]string{feed.ProtocolInitial: "lost", feed.ProtocolLimits: "lost crash survived", feed.ProtocolCurrent: "lost crash survived paced"} {
 		to, err := net.ListenPacket("udp4", "127.0.0.1:0")
 		must.NoError(t, err)
 		t.Cleanup(func() { _ = to.Close() })
@@ -98,7 +99,7 @@
 		n.SetMembers([]feed.Member{{VM: "to", Address: to.LocalAddr().String(), Protocol: feed.ProtocolCurrent}}) // the row may have been written by a later build
 		defer n.neighbours.connected("to", protocol)()
 		n.sendSightings(gossip.SendSightings{To: "to", Sightings: []gossip.Sighting{{Kind: gossip.KindCrash}}}) // the first build gets no datagram at all, not even an empty one
-		n.sendSightings(gossip.SendSightings{To: "to", Sightings: []gossip.Sighting{{Kind: gossip.KindLost}, {Kind: gossip.KindCrash}, {Kind: gossip.KindSurvived}}})
+		n.sendSightings(gossip.SendSightings{To: "to", Sightings: []gossip.Sighting{{Kind: gossip.KindLost}, {Kind: gossip.KindCrash}, {Kind: gossip.KindSurvived}, {Kind: gossip.KindPaced, Factor: 2}}})
 		buffer := make([]byte, maxReceivedBytes)
 		must.NoError(t, to.SetReadDeadline(time.Now().Add(20*time.Second)))
 		size, _, err := to.ReadFrom(buffer)
--- a/shell/mesh/gossip.go
+++ b/shell/mesh/gossip.go
@@ -77,10 +77,15 @@
 	}
 }
 
-// logSighting logs a sighting of another node. Single lost requests are logged at debug level: they are frequent, and only three in a row have an effect.
+// ObservePace sends the other nodes how slow an upstream is.
+func (g *Gossip) ObservePace(upstream vaneyoke.UpstreamID, incarnation vaneyoke.Incarnation, factor gossip.Factor) {
+	g.handle(gossip.Observed{Upstream: upstream, Kind: gossip.KindPaced, Run: gossip.Run{Incarnation: incarnation}, Factor: factor})
+}
+
+// logSighting logs a sighting of another node. Single lost requests and the pace of upstreams are logged at debug level, since they are frequent.
 func (n *Node) logSighting(s gossip.Sighting) {
 	fields := logrus.Fields{"upstream": s.Upstream, "kind": s.Kind.String(), "peer": s.Origin, "hops": s.Hops}
-	if s.Kind == gossip.KindLost {
+	if s.Kind == gossip.KindLost || s.Kind == gossip.KindPaced {
 		n.log.WithFields(fields).Debug("upstream_heard")
 		return
 	}
@@ -88,14 +93,17 @@
 }
 
 // sendSightings sends sightings to a neighbour. A neighbour whose build states no protocol version may be the first build with gossip, which
-// exits when it receives sightings about requests; it is sent only the others.
+// exits when it receives sightings about requests; it is sent only the others. Sightings of the pace of upstreams are sent only to builds that
+// understand them.
 func (n *Node) sendSightings(s gossip.SendSightings) {
 	to, ok := lo.Find(n.registeredMembers(), func(m feed.Member) bool { return m.VM == s.To })
 	if !ok {
 		return
 	}
-	supportsContent := n.neighbours.protocol(s.To) >= feed.ProtocolLimits
-	sent := lo.Filter(s.Sightings, func(s gossip.Sighting, _ int) bool { return supportsContent || !s.Kind.AboutContent() })
+	protocol := n.neighbours.protocol(s.To)
+	sent := lo.Filter(s.Sightings, func(s gossip.Sighting, _ int) bool {
+		return (protocol >= feed.ProtocolLimits || !s.Kind.AboutContent()) && (protocol >= feed.ProtocolPaced || s.Kind != gossip.KindPaced)
+	})
 	if len(sent) == 0 {
 		return
 	}
--- a/shell/relay/attempt.go
+++ b/shell/relay/attempt.go
@@ -127,6 +127,7 @@
 	}
 	l.outcomeReported = true
 	s.recordDecode(time.Now(), l, outcome)
+	s.recordRun(time.Now(), l, outcome)
 	if l.replica.ID != "" {
 		s.relay.placer.ReleaseReplica(l.replica.ID, s.need)
 	}
--- a/shell/relay/relay.go
+++ b/shell/relay/relay.go
@@ -71,6 +71,14 @@
 	RecordReplaced(need placement.Need, retry bool, id vaneyoke.UpstreamID)
 }
 
+// SpeedRecorder learns how fast upstreams work.
+type SpeedRecorder interface {
+	// RecordPace records the time between the events of a stream.
+	RecordPace(upstream vaneyoke.Upstream, interval time.Duration)
+	// Completed records the time from the first token of a run to its last.
+	Completed(id vaneyoke.UpstreamID, need placement.Need, decodeTime time.Duration)
+}
+
 // Meter measures the load of requests on upstreams.
 type Meter interface {
 	// CountRequest counts a request of a workspace that an upstream has started; it is called once for each request.
@@ -90,6 +98,7 @@
 	limiter    Limiter          // nil if upstreams declare no limits
 	pushbacks  PushbackTracker  // nil if pushbacks are not tracked
 	meter      Meter            // nil if load is not measured
+	speeds     SpeedRecorder    // nil if speeds are not measured
 	tracer     trace.Tracer
 	metrics    *Metrics
 	log        logrus.FieldLogger
@@ -121,8 +130,9 @@
 	limiter, _ := placer.(Limiter)
 	pushbacks, _ := placer.(PushbackTracker)
 	meter, _ := placer.(Meter)
+	speeds, _ := placer.(SpeedRecorder)
 	return &Relay{
-		engines: engines, sender: sender, placer: placer, rollouts: rollouts, staleness: staleness, guard: guard, limiter: limiter, pushbacks: pushbacks, meter: meter, tracer: tracer, metrics: metrics, log: log, config: config,
+		engines: engines, sender: sender, placer: placer, rollouts: rollouts, staleness: staleness, guard: guard, limiter: limiter, pushbacks: pushbacks, meter: meter, speeds: speeds, tracer: tracer, metrics: metrics, log: log, config: config,
 		ctx: ctx, stop: stop, running: map[*Session]struct{}{},
 	}
 }
--- a/shell/relay/rollout.go
+++ b/shell/relay/rollout.go
@@ -21,6 +21,7 @@
 // recordChunk records that a stream has produced a chunk.
 func (s *Session) recordChunk(now time.Time, l *link) {
 	s.recordReceived(now, l)
+	s.recordPace(now, l)
 	if l.chunks == paceChunks {
 		s.recordAnswer(l, rollout.Answer{Kind: rollout.AnswerChunkGap, Took: now.Sub(l.firstTokenAt) / (paceChunks - 1)})
 	}
--- a/shell/relay/session.go
+++ b/shell/relay/session.go
@@ -58,6 +58,7 @@
 	headAt          time.Time         // when the head of its answer arrived; zero if it has not
 	firstTokenAt    time.Time         // when its first chunk arrived
 	chunks          int               // number that has arrived
+	pace            placement.Pace    // of its chunks
 	lastReceivedAt  time.Time         // when the head or the last chunk arrived
 	headAtStart     bool              // whether the head of its answer arrives when its run starts
 }
