--- a/api/gateway/gateway.go
+++ b/api/gateway/gateway.go
@@ -27,6 +27,7 @@
 	LastEventID  string        // last event that the caller has received; "" for none
 	PromptTokens vaneyoke.Tokens
 	AnswerTokens vaneyoke.Tokens // most that the answer has; 0 if not given
+	SharedTokens vaneyoke.Tokens // tokens at the start of the prompt that others may share; all of them if not given
 	PromptParts  []string        // ids of the prompt's parts in order, the last one unique to it; nil if not given
 	Header       http.Header     // headers forwarded to upstreams
 }
@@ -195,6 +196,7 @@
 		Replicate:         service.Replicas && r.Kind == route.KindStream && r.Resumable,
 		AnswerTokens:      envelope.AnswerTokens,
 		PromptParts:       envelope.PromptParts,
+		SharedTokens:      envelope.SharedTokens,
 		ResumeAfter:       envelope.LastEventID,
 		LatencyGoal:       r.LatencyGoal,
 		EventIntervalGoal: r.EventIntervalGoal,
--- a/decide/placement/capacity_wait.go
+++ b/decide/admission/capacity_wait.go
@@ -1,4 +1,4 @@
-package placement
+package admission
 
 import "time"
 
--- a/decide/placement/capacity_wait_test.go
+++ b/decide/admission/capacity_wait_test.go
@@ -1,4 +1,4 @@
-package placement_test
+package admission_test
 
 import (
 	"testing"
@@ -6,7 +6,7 @@
 
 	"github.com/shoenig/test/must"
 
-	"github.com/vaneyoke/vaneyoke/decide/placement"
+	"github.com/vaneyoke/vaneyoke/decide/admission"
 )
 
 // TestCapacityWait checks for room ten times per latency goal, at least every half second, for up to half of the caller's time.
@@ -23,7 +23,7 @@
 		"no goal":                      {20 * time.Second, 0, 20 * time.Second, 0, false},
 	} {
 		t.Run(name, func(t *testing.T) {
-			wait, ok := placement.CapacityWait{Timeout: tc.timeout, LatencyGoal: tc.goal}.NextCheck(tc.remaining)
+			wait, ok := admission.CapacityWait{Timeout: tc.timeout, LatencyGoal: tc.goal}.NextCheck(tc.remaining)
 			must.EqOp(t, tc.wait, wait)
 			must.EqOp(t, tc.ok, ok)
 		})
--- a/decide/admission/passive.go
+++ b/decide/admission/passive.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/vaneyoke/vaneyoke/decide/placement"
 )
 
 // assessPassive starts an assessment of one request of a passive service.
@@ -16,7 +14,7 @@
 // handlePassive admits a request if there is room, or if too little of its caller's time is left to wait for it.
 func (s *State) handlePassive(now time.Time, e *entry, room Room) {
 	e.room, e.checked = room, true
-	wait := placement.CapacityWait{Timeout: e.Deadline.Sub(e.arrivedAt), LatencyGoal: e.Goal.Sub(e.Received)}
+	wait := CapacityWait{Timeout: e.Deadline.Sub(e.arrivedAt), LatencyGoal: e.Goal.Sub(e.Received)}
 	delay, ok := wait.NextCheck(e.Deadline.Sub(now))
 	if room.Free || !ok {
 		s.admitCapped(now, e, !room.Free)
--- a/decide/admission/state.go
+++ b/decide/admission/state.go
@@ -7,7 +7,6 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/pacing"
-	"github.com/vaneyoke/vaneyoke/decide/placement"
 	"github.com/vaneyoke/vaneyoke/decide/share"
 )
 
@@ -184,7 +183,7 @@
 
 // intervalOf returns the time between two assessments of a request.
 func intervalOf(r Request) time.Duration {
-	interval, _ := placement.CapacityWait{LatencyGoal: r.Goal.Sub(r.Received)}.NextCheck(0)
+	interval, _ := CapacityWait{LatencyGoal: r.Goal.Sub(r.Received)}.NextCheck(0)
 	return min(max(interval, 0), maxInterval)
 }
 
--- a/decide/gossip/event.go
+++ b/decide/gossip/event.go
@@ -17,21 +17,24 @@
 	KindCrash                       // it crashed when it began to run a content
 	KindSurvived                    // some upstream answered a content completely
 	KindLeaving                     // it announced in an answer that it shuts down
+	KindPaced                       // it works slower or faster than it was taken to
 )
 
 // String returns the name of the kind in logs.
 func (k Kind) String() string {
-	return names.Of(k, "none", "lost", "unreachable", "gone", "well", "crash", "survived", "leaving")
+	return names.Of(k, "none", "lost", "unreachable", "gone", "well", "crash", "survived", "leaving", "paced")
 }
 
 // Valid reports whether this build understands the sighting. Others are neither applied nor forwarded: what a later build
 // reports may crash one of the first protocol version.
-func (s *Sighting) Valid() bool { return s.Kind >= KindLost && s.Kind <= KindLeaving && s.Hops >= 0 }
+func (s *Sighting) Valid() bool {
+	return s.Kind >= KindLost && s.Kind <= KindPaced && s.Hops >= 0 && (s.Kind != KindPaced || s.Factor.Valid())
+}
 
 // AboutContent reports whether the kind concerns the content of a request, and not the connection to an upstream.
 func (k Kind) AboutContent() bool { return k == KindCrash || k == KindSurvived }
 
-// Run is what a request did to an upstream; it is set for KindCrash and KindSurvived. For KindLeaving only the incarnation is set.
+// Run is what a request did to an upstream; it is set for KindCrash and KindSurvived. For KindLeaving and KindPaced only the incarnation is set.
 type Run struct {
 	Content      vaneyoke.ContentID   `json:"c,omitempty"`
 	Incarnation  vaneyoke.Incarnation `json:"i,omitempty"`
@@ -44,7 +47,8 @@
 	Sequence uint64              `json:"n"` // among the sightings of its origin
 	Upstream vaneyoke.UpstreamID `json:"u"`
 	Kind     Kind                `json:"k"`
-	Hops     int                 `json:"h"` // how often it was forwarded
+	Hops     int                 `json:"h"`           // how often it was forwarded
+	Factor   Factor              `json:"f,omitempty"` // set for KindPaced
 	Run
 }
 
@@ -58,7 +62,8 @@
 type Observed struct {
 	Upstream vaneyoke.UpstreamID
 	Kind     Kind
-	Run      Run // set for KindCrash, KindSurvived and KindLeaving
+	Run      Run    // set for KindCrash and KindSurvived and, without a content, for KindLeaving and KindPaced
+	Factor   Factor // set for KindPaced
 }
 
 // SightingsReceived carries sightings that another node observed or forwards.
--- a/decide/placement/memory_test.go
+++ b/decide/placement/memory_test.go
@@ -12,6 +12,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/admission"
 	"github.com/vaneyoke/vaneyoke/decide/placement"
 	"github.com/vaneyoke/vaneyoke/decide/retry"
 )
@@ -26,7 +27,7 @@
 func (o oracle) choose(sim *outageSim, r *outageRun) (*outageEngine, time.Duration) {
 	var best *outageEngine
 	for _, e := range sim.engines {
-		isFull := float64(e.memory()+e.queuedTokens()+r.prompt) > o.maxMemoryShare*outageMemory
+		isFull := float64(e.memory()+e.queuedTokens()+r.prompt) > o.maxMemoryShare*float64(sim.memory)
 		if !e.isUp(sim.now) || (isFull && r.generated == 0) {
 			continue
 		}
@@ -66,7 +67,7 @@
 	c.report(sim, s, now, s.AffinityUpstreams(now, wanted))
 	c.report(sim, s, now, s.SpilloverUpstreams(now, c.rng, wanted))
 	if r.generated == 0 && !s.HasRoom(now, wanted) {
-		if wait, ok := (placement.CapacityWait{Timeout: outageTimeout, LatencyGoal: outageLatencyGoal}).NextCheck(outageTimeout - (sim.now - r.arrivedAt)); ok {
+		if wait, ok := (admission.CapacityWait{Timeout: outageTimeout, LatencyGoal: outageLatencyGoal}).NextCheck(outageTimeout - (sim.now - r.arrivedAt)); ok {
 			return nil, wait
 		}
 	}
--- a/process/node/active_config.go
+++ b/process/node/active_config.go
@@ -58,6 +58,9 @@
 		c.log.WithFields(logrus.Fields{"version": table.Version(), "before": c.version()}).Info("configuration_in_force")
 		c.table.Store(table)
 		c.queue.apply(table)
+		for service, isRanked := range table.StreamServices() {
+			c.balancer.SetUneven(service, isRanked)
+		}
 	}
 }
 
--- a/process/settings/value.go
+++ b/process/settings/value.go
@@ -16,6 +16,7 @@
 var (
 	logLevels      = []string{"debug", "info", "warning", "error"}
 	admissionModes = []string{"auto", "ranked", "passive"}
+	spreads        = []string{"auto", "on", "off"}
 )
 
 // setField parses and validates the text of one setting.
@@ -89,6 +90,10 @@
 		if !slices.Contains(admissionModes, text) {
 			return fmt.Errorf("must be one of %v, got %q", admissionModes, text)
 		}
+	case "spread":
+		if !slices.Contains(spreads, text) {
+			return fmt.Errorf("must be one of %v, got %q", spreads, text)
+		}
 	case "level":
 		if !slices.Contains(logLevels, text) {
 			return fmt.Errorf("must be one of %v, got %q", logLevels, text)
--- a/shell/mesh/datagram_test.go
+++ b/shell/mesh/datagram_test.go
@@ -91,7 +91,7 @@
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = own.Close() })
 	for protocol, want := range map[feed.ProtocolVersion]string{
-		feed.ProtocolInitial: "lost", feed.ProtocolLimits: "lost crash survived", feed.ProtocolCurrent: "lost crash survived leaving",
+		feed.ProtocolInitial: "lost", feed.ProtocolLimits: "lost crash survived", feed.ProtocolCurrent: "lost crash survived leaving paced",
 	} {
 		to, err := net.ListenPacket("udp4", "127.0.0.1:0")
 		must.NoError(t, err)
@@ -101,7 +101,9 @@
 		n.SetMembers([]feed.Member{{VM: "to", Address: to.LocalAddr().String(), Protocol: feed.ProtocolCurrent}}) // the row may have been written by a later build
 		defer n.neighbours.connected("to", protocol)()
 		n.sendSightings(gossip.SendSightings{To: "to", Sightings: []gossip.Sighting{{Kind: gossip.KindCrash}}}) // the first build gets no datagram at all, not even an empty one
-		n.sendSightings(gossip.SendSightings{To: "to", Sightings: []gossip.Sighting{{Kind: gossip.KindLost}, {Kind: gossip.KindCrash}, {Kind: gossip.KindSurvived}, {Kind: gossip.KindLeaving}}})
+		n.sendSightings(gossip.SendSightings{To: "to", Sightings: []gossip.Sighting{
+			{Kind: gossip.KindLost}, {Kind: gossip.KindCrash}, {Kind: gossip.KindSurvived}, {Kind: gossip.KindLeaving}, {Kind: gossip.KindPaced, Factor: 2},
+		}})
 		buffer := make([]byte, maxReceivedBytes)
 		must.NoError(t, to.SetReadDeadline(time.Now().Add(20*time.Second)))
 		size, _, err := to.ReadFrom(buffer)
--- a/shell/mesh/gossip.go
+++ b/shell/mesh/gossip.go
@@ -83,10 +83,15 @@
 	}
 }
 
-// logSighting logs a sighting of another node. Single lost requests are logged at debug level: they are frequent, and only three in a row have an effect.
+// ObservePace sends the other nodes how slow an upstream is.
+func (g *Gossip) ObservePace(upstream vaneyoke.UpstreamID, incarnation vaneyoke.Incarnation, factor gossip.Factor) {
+	g.handle(gossip.Observed{Upstream: upstream, Kind: gossip.KindPaced, Run: gossip.Run{Incarnation: incarnation}, Factor: factor})
+}
+
+// logSighting logs a sighting of another node. Single lost requests and the pace of upstreams are logged at debug level, since they are frequent.
 func (n *Node) logSighting(s gossip.Sighting) {
 	fields := logrus.Fields{"upstream": s.Upstream, "kind": s.Kind.String(), "peer": s.Origin, "hops": s.Hops}
-	if s.Kind == gossip.KindLost {
+	if s.Kind == gossip.KindLost || s.Kind == gossip.KindPaced {
 		n.log.WithFields(fields).Debug("upstream_heard")
 		return
 	}
--- a/shell/relay/admitter.go
+++ b/shell/relay/admitter.go
@@ -17,8 +17,8 @@
 type Admitter interface {
 	// Acquire waits until a prompt may be sent, or returns an error with a result code. Assess tells whether there is room for it.
 	Acquire(ctx context.Context, r admission.Request, assess func(context.Context) admission.Room) error
-	// Room returns how soon an upstream could start a prompt, as far as is known.
-	Room(need placement.Need) admission.Room
+	// Assess returns how soon an upstream could start a prompt, as far as is known.
+	Assess(need placement.Need) admission.Room
 	// RunEnded records that an attempt on a service's upstream has ended, which had prefilled its prompt of that length.
 	RunEnded(service vaneyoke.ServiceID, prompt vaneyoke.Tokens)
 }
@@ -42,7 +42,7 @@
 		if ctx.Err() != nil {
 			return admission.Room{}
 		}
-		return s.relay.admitter.Room(need)
+		return s.relay.admitter.Assess(need)
 	})
 	if s.ctx.Err() != nil {
 		return false, nil
@@ -53,7 +53,7 @@
 // awaitRoom holds a prompt until an upstream has room, for a part of its caller's time. It reports whether the session continues.
 func (s *Session) awaitRoom(need placement.Need, m *forwarded) bool {
 	startedAt := time.Now()
-	capacityWait := placement.CapacityWait{Timeout: s.timeLeft(m, startedAt), LatencyGoal: cmp.Or(m.LatencyGoal, defaultLatencyGoal)}
+	capacityWait := admission.CapacityWait{Timeout: s.timeLeft(m, startedAt), LatencyGoal: cmp.Or(m.LatencyGoal, defaultLatencyGoal)}
 	for {
 		s.updateReports(need)
 		delay, waitMore := capacityWait.NextCheck(s.timeLeft(m, time.Now()))
--- a/shell/relay/admitter_test.go
+++ b/shell/relay/admitter_test.go
@@ -34,7 +34,7 @@
 	return &queueingPlacer{busyPlacer: busyPlacer{from: roomFrom}, Node: n}
 }
 
-func (p *queueingPlacer) Room(need placement.Need) admission.Room {
+func (p *queueingPlacer) Assess(need placement.Need) admission.Room {
 	return admission.Room{Free: p.HasRoom(need)}
 }
 
@@ -92,7 +92,7 @@
 	return vaneyoke.ErrRetryAfter(vaneyoke.CodeOverloaded, time.Minute, "rejected")
 }
 
-func (p *rejectingPlacer) Room(placement.Need) admission.Room { return admission.Room{} }
+func (p *rejectingPlacer) Assess(placement.Need) admission.Room { return admission.Room{} }
 
 func (p *rejectingPlacer) RunEnded(_ vaneyoke.ServiceID, prompt vaneyoke.Tokens) {
 	p.mu.Lock()
--- a/shell/relay/attempt.go
+++ b/shell/relay/attempt.go
@@ -132,6 +132,7 @@
 	}
 	s.recordDecode(time.Now(), l, outcome)
 	s.recordChunkGap(time.Now(), l)
+	s.recordRun(time.Now(), l, outcome)
 	if l.replica.ID != "" {
 		s.relay.placer.ReleaseReplica(l.replica.ID, s.need)
 	}
