placement: replicas up to 0.8 of all reported memory

Change: no replica is made while the engines that reported have promised over 0.8 of their memory, in place of 0.75.

Both tests stay as they were.

--- a/decide/placement/replica.go
+++ b/decide/placement/replica.go
@@ -11,7 +11,7 @@
 
 const (
 	// maxReplicaMean is the share of the memory of all reporting upstreams above which no replica is made.
-	maxReplicaMean = 0.75
+	maxReplicaMean = 0.8
 	// maxReplicaShare is the share of an upstream's memory up to which it gets replicas.
 	maxReplicaShare = 0.9
 )
