placement: an engine that has just rejected a prompt has no room

Assess counted such an engine as free while its report showed room, so that a waiting prompt was sent although the choice leaves that engine out.

Change: Assess counts an engine as not free within the half-life of a rejection. Only services that are spread, and the queue, ask Assess.

Evidence: TestFullEngineCountsAsFree; go test ./decide/placement ./shell/relay passes.

--- a/decide/placement/assess.go
+++ b/decide/placement/assess.go
@@ -39,7 +39,7 @@
 
 // roomAt returns how soon an upstream with a fresh load report could start a request.
 func (s *State) roomAt(now time.Time, e *entry, need Need) admission.Room {
-	isFree := e.fits(now, need)
+	isFree := e.fits(now, need) && !e.declines.isRecent(now)
 	return admission.Room{Free: isFree, Idle: isFree && e.isIdle(), Start: s.expectedStart(now, e, need), Run: s.expectedRun(now, e, need)}
 }
 
--- a/decide/placement/assess_test.go
+++ b/decide/placement/assess_test.go
@@ -98,3 +98,18 @@
 	s.Reported(now, "v", vaneyoke.LoadReport{Runs: 4, KVInUse: 52_000, KVSize: 55_000})
 	must.Between(t, 3800*time.Millisecond, s.Assess(now, longNeed).Start, 4*time.Second) // at the one with room
 }
+
+// TestFullEngineCountsAsFree has an engine reject a prompt although its report shows room.
+func TestFullEngineCountsAsFree(t *testing.T) {
+	now, s := time.Unix(1000, 0), stateWith("u", "v")
+	s.Sent(now, "u")
+	s.Ended(now, "u", placement.OutcomeDeclined, false)
+	s.Reported(now, "u", vaneyoke.LoadReport{KVSize: 55_000})
+	must.False(t, s.Assess(now, longNeed).Free)
+	must.False(t, s.Assess(now, longNeed).Idle)
+	s.Reported(now, "v", vaneyoke.LoadReport{KVSize: 55_000})
+	must.True(t, s.Assess(now, longNeed).Free)
+	now = now.Add(2 * time.Second)
+	s.Reported(now, "u", vaneyoke.LoadReport{KVSize: 55_000})
+	must.True(t, s.Assess(now, longNeed).Free)
+}
