--- a/decide/generation/useful.go
+++ b/decide/generation/useful.go
@@ -147,10 +147,11 @@
 	r.resetQueries()
 }
 
-// uselessAt returns when the runs that were sent can no longer complete the answer even if their next chunk comes at once; zero if that is unknown.
+// uselessAt returns when the runs that were sent can no longer complete the answer even if its first chunk comes at once; zero if that is unknown. A
+// stream that has begun is left to the deadline, since its caller still gets a part of the answer.
 func (s *State) uselessAt() time.Time {
 	rest := scaled(s.expectedWork(true).rest)
-	if !s.cfg.UsefulOnly || s.cfg.Deadline.IsZero() || rest == 0 || !s.hasSentRun() || s.isNearlyWhole() {
+	if !s.cfg.UsefulOnly || s.cfg.Deadline.IsZero() || rest == 0 || s.answer.Len() > 0 || !s.hasSentRun() {
 		return time.Time{}
 	}
 	return s.cfg.Deadline.Add(-rest)
