--- a/process/node/gateway.go
+++ b/process/node/gateway.go
@@ -25,6 +25,7 @@
 	"github.com/vaneyoke/vaneyoke/shell/ratelimits"
 	"github.com/vaneyoke/vaneyoke/shell/relay"
 	"github.com/vaneyoke/vaneyoke/shell/rollouts"
+	"github.com/vaneyoke/vaneyoke/shell/shares"
 )
 
 const (
@@ -45,6 +46,7 @@
 	crashes  *quarantines.Node
 	limits   *ratelimits.Node
 	duties   *duties.Node // nil without duties
+	shares   *shares.Node // nil without peers
 	active   *activeConfig
 	vars     *expvar.Map
 	tracing  *telemetry.Tracing
@@ -101,6 +103,9 @@
 	if n.duties != nil {
 		n.tasks.Go(func() { n.duties.Run(run) })
 	}
+	if n.shares != nil {
+		n.tasks.Go(func() { n.shares.Run(run) })
+	}
 	for i, l := range n.listeners {
 		n.serve(l, handlers[i])
 	}
@@ -125,6 +130,9 @@
 	return "http://" + n.listeners[1].Addr().String() + "/readyz"
 }
 
+// AdminURL returns the base URL of the metrics, which must have been opened.
+func (n *GatewayNode) AdminURL() string { return "http://" + n.listeners[2].Addr().String() }
+
 func (n *GatewayNode) serve(l net.Listener, handler http.Handler) {
 	s := n.settings.Gateway
 	server := serve.New(handler, serve.Config{
@@ -193,16 +201,28 @@
 	}
 	n.log.WithFields(logrus.Fields{"open": n.gateway.InFlight(), "grace": s.Node.Grace, "lame": s.Gateway.LameDuck}).Info("node_stopping")
 	pause.For(ctx, min(s.Gateway.LameDuck, grace))
+	drained, stopWaiting := context.WithDeadline(ctx, deadline)
+	var flush sync.WaitGroup
+	flush.Go(func() { n.flushDuties(ctx, drained) })
 	interrupted := drainServer(ctx, n.callers(), n.relay, deadline)
 	cutOff := logCutOff(n.log, n.callers(), stopping)
-	if n.duties != nil {
-		n.duties.Flush(ctx)
-	}
+	stopWaiting()
+	flush.Wait()
 	n.Kill()
 	err := logStopped(n.log, stopping, interrupted, cutOff)
 	return errors.Join(err, n.tracing.Close(context.WithoutCancel(ctx)))
 }
 
+// flushDuties forwards the remaining counts of the duties when drained ends: once no request is open, or at the deadline of the drain, so that
+// it takes its time beside the final answers and not after them.
+func (n *GatewayNode) flushDuties(ctx, drained context.Context) {
+	if n.duties == nil {
+		return
+	}
+	<-drained.Done()
+	n.duties.Flush(ctx)
+}
+
 // Kill closes the node immediately, as a crash of its process would.
 func (n *GatewayNode) Kill() {
 	n.stop()
--- a/process/node/gateway_placer.go
+++ b/process/node/gateway_placer.go
@@ -5,13 +5,16 @@
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/admission"
 	"github.com/vaneyoke/vaneyoke/decide/gossip"
 	"github.com/vaneyoke/vaneyoke/decide/placement"
 	"github.com/vaneyoke/vaneyoke/decide/rollout"
 	"github.com/vaneyoke/vaneyoke/internal/steady"
+	"github.com/vaneyoke/vaneyoke/shell/admissions"
 	"github.com/vaneyoke/vaneyoke/shell/balancer"
 	"github.com/vaneyoke/vaneyoke/shell/duties"
 	"github.com/vaneyoke/vaneyoke/shell/mesh"
+	"github.com/vaneyoke/vaneyoke/shell/pushbacks"
 	"github.com/vaneyoke/vaneyoke/shell/ratelimits"
 	"github.com/vaneyoke/vaneyoke/shell/relay"
 	"github.com/vaneyoke/vaneyoke/shell/rollouts"
@@ -27,16 +30,29 @@
 	gossip   *mesh.Gossip
 	limits   *ratelimits.Node
 	duties   *duties.Node // nil without duties
+	// pushbacks records which upstreams announced their shutdown to other nodes.
+	pushbacks *pushbacks.Node
+	queue     *admissions.Node
 	crashGuard
 }
 
 // handleSighting applies what another node observed about an upstream or about a request content.
 func (b *gatewayPlacer) handleSighting(s gossip.Sighting) {
-	if s.Kind.AboutContent() {
+	switch {
+	case s.Kind.AboutContent():
 		b.crashes.RecordGossip(s)
-		return
+	case s.Kind == gossip.KindLeaving:
+		b.recordLeaving(s)
+	default:
+		b.RecordGossip(s)
+	}
+}
+
+// recordLeaving holds back an upstream that announced its shutdown to another node, if it is listed: the hold needs its address.
+func (b *gatewayPlacer) recordLeaving(s gossip.Sighting) {
+	if upstream, ok := b.Upstream(s.Upstream); ok {
+		b.pushbacks.RecordReported(time.Now(), upstream, s.Incarnation, s.Origin)
 	}
-	b.RecordGossip(s)
 }
 
 // Place chooses an upstream for an attempt.
@@ -48,6 +64,16 @@
 	return b.Balancer.Place(need, false) // the lending node's budget pays for the retry
 }
 
+// Acquire waits until a prompt may be sent.
+func (b *gatewayPlacer) Acquire(ctx context.Context, r admission.Request, assess func(context.Context) admission.Room) error {
+	return b.queue.Acquire(ctx, r, assess)
+}
+
+// RunEnded records that an attempt on a service's upstream has ended.
+func (b *gatewayPlacer) RunEnded(service vaneyoke.ServiceID, prompt vaneyoke.Tokens) {
+	b.queue.RunEnded(service, prompt)
+}
+
 // Limited reports whether an upstream declares a rate limit.
 func (b *gatewayPlacer) Limited(id vaneyoke.UpstreamID) bool { return b.limits.Limited(id) }
 
--- a/process/node/gateway_wire.go
+++ b/process/node/gateway_wire.go
@@ -18,12 +18,14 @@
 	"github.com/vaneyoke/vaneyoke/platform"
 	"github.com/vaneyoke/vaneyoke/process/settings"
 	"github.com/vaneyoke/vaneyoke/process/telemetry"
+	"github.com/vaneyoke/vaneyoke/shell/admissions"
 	"github.com/vaneyoke/vaneyoke/shell/balancer"
 	"github.com/vaneyoke/vaneyoke/shell/duties"
 	"github.com/vaneyoke/vaneyoke/shell/mesh"
 	"github.com/vaneyoke/vaneyoke/shell/ratelimits"
 	"github.com/vaneyoke/vaneyoke/shell/relay"
 	"github.com/vaneyoke/vaneyoke/shell/rollouts"
+	"github.com/vaneyoke/vaneyoke/shell/shares"
 	"github.com/vaneyoke/vaneyoke/shell/watch"
 )
 
@@ -43,11 +45,15 @@
 	do.Provide(i, provideRollouts)
 	do.Provide(i, provideCrashTables)
 	do.Provide(i, provideLimitTables)
+	do.Provide(i, provideCapTables)
 	do.Provide(i, provideLimits)
+	do.Provide(i, provideShares)
 	do.Provide(i, providePushbacks)
 	do.Provide(i, provideSignalListener)
 	do.Provide(i, provideDutyTables)
 	do.Provide(i, provideDuties)
+	do.Provide(i, provideCallers)
+	do.Provide(i, provideQueue)
 	do.Provide(i, providePlacer)
 	do.Provide(i, provideForwarder)
 	do.Provide(i, provideGateway)
@@ -118,6 +124,7 @@
 		crashes:  do.MustInvoke[*gatewayPlacer](i).crashes,
 		limits:   do.MustInvoke[*ratelimits.Node](i),
 		duties:   do.MustInvoke[*duties.Node](i),
+		shares:   do.MustInvoke[*shares.Node](i),
 		active:   do.MustInvoke[*activeConfig](i),
 		vars:     do.MustInvoke[*expvar.Map](i),
 		tracing:  do.MustInvoke[*telemetry.Tracing](i),
@@ -145,6 +152,7 @@
 	limitUpdates := do.MustInvoke[*limitTables](i)
 	active.limits = limitUpdates
 	active.duties = do.MustInvoke[*dutyTables](i)
+	active.queue = &queueModes{node: do.MustInvoke[*admissions.Node](i), setting: s.Admission.Mode}
 	var node *mesh.Node
 	tables := map[string]mesh.Table{
 		"routes":    {Source: platform.NewConfig(client, s.Gateway.Store), Apply: active.setRoutes},
@@ -157,6 +165,7 @@
 		}},
 	}
 	tables["limits"] = mesh.Table{Source: platform.NewLimits(client, s.Gateway.Store), MayLag: true, Optional: true, Apply: limitUpdates.setRows}
+	tables["caps"] = mesh.Table{Source: platform.NewCaps(client, s.Gateway.Store), MayLag: true, Optional: true, Apply: do.MustInvoke[*capTables](i).setRows}
 	if s.Rollout.Exposure > 0 {
 		tables["rollouts"] = mesh.Table{Source: platform.NewRollouts(client, s.Gateway.Store), MayLag: true, Apply: rolloutUpdates.setRecords}
 	}
--- a/shell/balancer/balancer.go
+++ b/shell/balancer/balancer.go
@@ -8,6 +8,7 @@
 	"github.com/samber/lo"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/admission"
 	"github.com/vaneyoke/vaneyoke/decide/gossip"
 	"github.com/vaneyoke/vaneyoke/decide/placement"
 	"github.com/vaneyoke/vaneyoke/decide/pushback"
@@ -137,6 +138,13 @@
 	return *current, before, true
 }
 
+// Upstream returns a listed upstream.
+func (b *Balancer) Upstream(id vaneyoke.UpstreamID) (vaneyoke.Upstream, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state.Upstream(id)
+}
+
 // IsHeld reports whether an upstream gets no new attempts because of a signal that it sent.
 func (b *Balancer) IsHeld(id vaneyoke.UpstreamID) bool {
 	b.mu.Lock()
@@ -224,6 +232,11 @@
 	return b.state.HasRoom(time.Now(), need)
 }
 
+// Room returns how soon an upstream that may get a prompt could start it, as far as upstreams report.
+func (b *Balancer) Room(need placement.Need) admission.Room {
+	return admission.Room{Free: b.HasRoom(need)}
+}
+
 // Reported records a load report of an upstream.
 func (b *Balancer) Reported(id vaneyoke.UpstreamID, report vaneyoke.LoadReport) {
 	b.mu.Lock()
--- a/shell/mesh/fuzz_test.go
+++ b/shell/mesh/fuzz_test.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"expvar"
+	"io"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
 
+	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/gossip"
 	"github.com/vaneyoke/vaneyoke/shell/ratelimits"
+	"github.com/vaneyoke/vaneyoke/shell/shares"
 	"github.com/vaneyoke/vaneyoke/shell/watch"
 )
 
@@ -17,6 +22,11 @@
 	n := idleNode()
 	NewGossip(n, apply)
 	n.OnLimits(func(ratelimits.Message) {})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	summed := shares.New(n.self.VM, n, &demand{}, shares.NewMetrics(new(expvar.Map).Init()), log)
+	summed.SetTree("vm-1", []vaneyoke.VMID{"vm-2"})
+	n.OnShares(summed.HandleDatagram)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel() // no event loop reads the offers
 	return n, ctx
@@ -35,7 +45,7 @@
 	n, ctx := newReceiver(func(s gossip.Sighting) { applied = append(applied, s) })
 	g := n.gossip.Load()
 	n.handleDatagram(ctx, []byte(`{"by":"vm-1","sightings":[{"o":"vm-2","n":1,"u":"u1","k":99},{"o":"vm-2","n":2,"u":"u1","k":-1},{"o":"vm-2","n":3,"u":"u1","k":0},`+
-		`{"o":"vm-2","n":4,"u":"u1","k":7},{"o":"vm-2","n":5,"u":"u1","k":1,"h":-9},{"o":"vm-2","n":6,"u":"u1","k":1,"later":{"a":1}}],"later":[1]}`))
+		`{"o":"vm-2","n":4,"u":"u1","k":8},{"o":"vm-2","n":5,"u":"u1","k":1,"h":-9},{"o":"vm-2","n":6,"u":"u1","k":1,"later":{"a":1}}],"later":[1]}`))
 	must.Len(t, 1, applied)
 	must.EqOp(t, gossip.KindLost, applied[0].Kind)
 	must.EqOp(t, 6, applied[0].Sequence)
--- a/shell/mesh/gossip.go
+++ b/shell/mesh/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -49,6 +50,11 @@
 	g.handle(gossip.Observed{Upstream: upstream, Kind: kind, Run: run})
 }
 
+// ObserveLeaving sends the other nodes that an incarnation of an upstream announced that it shuts down.
+func (g *Gossip) ObserveLeaving(upstream vaneyoke.UpstreamID, incarnation vaneyoke.Incarnation) {
+	g.handle(gossip.Observed{Upstream: upstream, Kind: gossip.KindLeaving, Run: gossip.Run{Incarnation: incarnation}})
+}
+
 func (g *Gossip) handle(event gossip.Event) {
 	var applied []gossip.Sighting
 	var sends []gossip.SendSightings
@@ -87,15 +93,27 @@
 	n.log.WithFields(fields).Info("upstream_heard")
 }
 
-// sendSightings sends sightings to a neighbour. A neighbour whose build states no protocol version may be the first build with gossip, which
-// exits when it receives sightings about requests; it is sent only the others.
+// minProtocol returns the protocol version from which on builds understand a kind of sighting. Some builds of earlier versions exit when they
+// receive it.
+func minProtocol(kind gossip.Kind) feed.ProtocolVersion {
+	switch kind {
+	case gossip.KindLost, gossip.KindUnreachable, gossip.KindReplaced, gossip.KindHealthy:
+		return feed.ProtocolInitial
+	case gossip.KindCrash, gossip.KindSurvived:
+		return feed.ProtocolLimits
+	default:
+		return feed.ProtocolShares
+	}
+}
+
+// sendSightings sends a neighbour the sightings that its build understands.
 func (n *Node) sendSightings(s gossip.SendSightings) {
 	to, ok := lo.Find(n.registeredMembers(), func(m feed.Member) bool { return m.VM == s.To })
 	if !ok {
 		return
 	}
-	supportsContent := n.neighbours.protocol(s.To) >= feed.ProtocolLimits
-	sent := lo.Filter(s.Sightings, func(s gossip.Sighting, _ int) bool { return supportsContent || !s.Kind.AboutContent() })
+	protocol := n.neighbours.protocol(s.To)
+	sent := lo.Filter(s.Sightings, func(s gossip.Sighting, _ int) bool { return protocol >= minProtocol(s.Kind) })
 	if len(sent) == 0 {
 		return
 	}
@@ -117,8 +135,13 @@
 
 // setNeighbours passes on the source and the followers of this node.
 func (n *Node) setNeighbours(state *feed.State) {
-	neighbours := state.FollowerVMs()
-	if source, ok := state.Source(); ok {
+	followers := state.FollowerVMs()
+	source, ok := state.Source()
+	if n.onTree != nil {
+		n.onTree(source.VM, slices.Clone(followers))
+	}
+	neighbours := followers
+	if ok {
 		neighbours = append(neighbours, source.VM)
 	}
 	if g := n.gossip.Load(); g != nil {
