--- a/decide/generation/useful_test.go
+++ b/decide/generation/useful_test.go
@@ -204,7 +204,9 @@
 func TestUselessRunIsLeftToItsDeadline(t *testing.T) {
 	for name, chunks := range map[string]vaneyoke.Tokens{"before the first chunk": 0, "in the stream": 20} {
 		t.Run(name, func(t *testing.T) {
-			o := newUsefulAnswer(t, func(c *generation.Config) { c.Silence.FirstToken, c.Silence.Floor, c.Silence.Ceiling = c.MaxWait, c.MaxWait, c.MaxWait })
+			o := newUsefulAnswer(t, func(c *generation.Config) {
+				c.Silence.FirstToken, c.Silence.Floor, c.Silence.Ceiling = c.MaxWait, c.MaxWait, c.MaxWait
+			})
 			deadline := o.now.Add(10 * time.Second)
 			o.handle(usualForecast)
 			o.place(o.handle(generation.Admitted{}), "e1", "")
