--- a/decide/placement/assess.go
+++ b/decide/placement/assess.go
@@ -12,6 +12,9 @@
 	growthShare = 0.5
 	// fullMemoryShare is the share of an upstream's memory up to which it gets prompts if the length of their answers is known.
 	fullMemoryShare = 0.95
+	// maxPromptsAhead is how many prompts may wait at an upstream before one that is sent to it. Prompts that wait at a node are ordered among each
+	// other and can still go elsewhere; those at an upstream cannot.
+	maxPromptsAhead = 1
 	// idleMemoryShare is the share of an upstream's memory below which it counts as idle.
 	idleMemoryShare = 0.5
 )
--- a/process/node/crashes_wire.go
+++ b/process/node/crashes_wire.go
@@ -57,7 +57,7 @@
 		Balancer: do.MustInvoke[*balancer.Balancer](i), lender: do.MustInvoke[*mesh.Lender](i), mesh: member,
 		rollouts: do.MustInvoke[*rollouts.Node](i), limits: do.MustInvoke[*ratelimits.Node](i),
 		duties: do.MustInvoke[*duties.Node](i), pushbacks: do.MustInvoke[*pushbacks.Node](i),
-		queue: do.MustInvoke[*admissions.Node](i),
+		queue: do.MustInvoke[*admissions.Node](i), modes: do.MustInvoke[*activeConfig](i).queue,
 	}
 	p.gossip = mesh.NewGossip(member, p.handleSighting)
 	do.MustInvoke[*signalListener](i).gossip = p.gossip
--- a/process/node/gateway_placer.go
+++ b/process/node/gateway_placer.go
@@ -33,6 +33,7 @@
 	// pushbacks records which upstreams announced their shutdown to other nodes.
 	pushbacks *pushbacks.Node
 	queue     *admissions.Node
+	modes     *queueModes
 	crashGuard
 }
 
@@ -66,6 +67,7 @@
 
 // Acquire waits until a prompt may be sent.
 func (b *gatewayPlacer) Acquire(ctx context.Context, r admission.Request, assess func(context.Context) admission.Room) error {
+	b.modes.update(r.Service, b.IsUneven(r.Service))
 	return b.queue.Acquire(ctx, r, assess)
 }
 
--- a/process/node/gateway_wire.go
+++ b/process/node/gateway_wire.go
@@ -152,7 +152,7 @@
 	limitUpdates := do.MustInvoke[*limitTables](i)
 	active.limits = limitUpdates
 	active.duties = do.MustInvoke[*dutyTables](i)
-	active.queue = &queueModes{node: do.MustInvoke[*admissions.Node](i), setting: s.Admission.Mode}
+	active.queue = newQueueModes(do.MustInvoke[*admissions.Node](i), s.Admission.Mode)
 	var node *mesh.Node
 	tables := map[string]mesh.Table{
 		"routes":    {Source: platform.NewConfig(client, s.Gateway.Store), Apply: active.setRoutes},
--- a/process/node/queue_wire_test.go
+++ b/process/node/queue_wire_test.go
@@ -32,7 +32,7 @@
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		n := admissions.New(admission.Config{MaxQueued: 1}, pacing.New(), admissions.NewMetrics(new(expvar.Map).Init()), log)
-		modes := &queueModes{node: n, setting: setting}
+		modes := newQueueModes(n, setting)
 		var got []string
 		for _, tbl := range []*route.Table{table(1, 1), table(0, 1), table(2), table(0, 1), table()} {
 			modes.apply(tbl)
--- a/shell/balancer/balancer.go
+++ b/shell/balancer/balancer.go
@@ -233,6 +233,13 @@
 	return b.state.HasRoom(time.Now(), need)
 }
 
+// IsUneven reports whether the requests of a service are spread by memory, work left and speed of its upstreams.
+func (b *Balancer) IsUneven(service vaneyoke.ServiceID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state.IsUneven(service)
+}
+
 // Assess returns how soon an upstream could start a request, by the load reports of the upstreams that may get it.
 func (b *Balancer) Assess(need placement.Need) admission.Room {
 	b.mu.Lock()
