--- a/process/node/config_test.go
+++ b/process/node/config_test.go
@@ -5,6 +5,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/vaneyoke/vaneyoke/decide/backlog"
 	"github.com/vaneyoke/vaneyoke/process/settings"
 )
 
@@ -21,3 +22,14 @@
 	must.EqOp(t, 500, config.Burst)
 	must.EqOp(t, 0.2, config.Ratio)
 }
+
+// TestSwitchesDoNotReachTheRelay checks that the settings turn off the refusal of useless attempts and the bounds on unread answers.
+func TestSwitchesDoNotReachTheRelay(t *testing.T) {
+	s := settings.Settings{Recovery: settings.Recovery{UsefulOnly: true}, Limits: settings.Limits{UnreadBytes: 1, BufferBytes: 2, StalledAfter: 3}}
+	on := relayConfig(s)
+	must.True(t, on.Generation.UsefulOnly)
+	must.Eq(t, backlog.Limits{Caller: 1, Node: 2, Patience: 3}, on.Buffers)
+	off := relayConfig(settings.Settings{})
+	must.False(t, off.Generation.UsefulOnly)
+	must.Eq(t, backlog.Limits{}, off.Buffers)
+}
