Queues are ranked where upstreams are uneven; a reported shutdown counts after 1.5 s

An engine that leaves has to be without new work after a few seconds, so a node that was not told itself goes on for 1.5 s.

--- a/decide/pushback/hold.go
+++ b/decide/pushback/hold.go
@@ -12,6 +12,9 @@
 	defaultPushback = 5 * time.Second
 	// shutdownHold is how long an upstream that is shutting down gets no requests, even if it is still listed. It exceeds any drain time.
 	shutdownHold = 10 * time.Minute
+	// reportedDelay is how long a node still uses an upstream of whose shutdown only others were told. It is shorter than the time in which an
+	// upstream that leaves has to be without new work, and until then the upstream serves as before, which counts where many leave at once.
+	reportedDelay = 1500 * time.Millisecond
 	// reportedHold is how long it gets none if a single other node reported its shutdown: that node may be wrong. The upstream's own answers, or
 	// those to a second node, confirm it.
 	reportedHold = 30 * time.Second
@@ -51,6 +54,7 @@
 	url         string
 	reporter    vaneyoke.VMID // the first one, "" for no report
 	keptUntil   time.Time     // until when repetitions of the first reporter have no effect
+	starts      time.Time     // of the hold
 	ends        time.Time     // of the hold
 }
 
@@ -64,13 +68,22 @@
 	return h != nil && now.Before(h.PushbackEnds) && h.appliesTo(u)
 }
 
-// IsLeaving reports whether the upstream announced that it is shutting down, to this node or to others.
+// IsLeaving reports whether the upstream gets no requests because it is shutting down.
 func (h *Hold) IsLeaving(now time.Time, u *vaneyoke.Upstream) bool {
-	if h == nil {
-		return false
-	}
-	r := &h.reported
-	return now.Before(h.LeavingEnds) && h.appliesTo(u) || now.Before(r.ends) && applies(r.url, r.incarnation, u)
+	return h != nil && (h.toldLeaving(now, u) || h.reportedLeaving(now, u) && !now.Before(h.reported.starts))
+}
+
+// HasAnnouncedLeaving reports whether the upstream announced that it is shutting down, to this node or to others.
+func (h *Hold) HasAnnouncedLeaving(now time.Time, u *vaneyoke.Upstream) bool {
+	return h != nil && (h.toldLeaving(now, u) || h.reportedLeaving(now, u))
+}
+
+func (h *Hold) toldLeaving(now time.Time, u *vaneyoke.Upstream) bool {
+	return now.Before(h.LeavingEnds) && h.appliesTo(u)
+}
+
+func (h *Hold) reportedLeaving(now time.Time, u *vaneyoke.Upstream) bool {
+	return now.Before(h.reported.ends) && applies(h.reported.url, h.reported.incarnation, u)
 }
 
 // appliesTo reports whether the hold applies to the listed incarnation of the upstream. The list may be older than the upstream's own signal, so
@@ -92,7 +105,10 @@
 	r, u := &h.reported, &signal.Upstream
 	switch {
 	case !now.Before(r.keptUntil), !applies(r.url, r.incarnation, u), r.incarnation == 0 && u.Incarnation != 0:
-		h.reported = report{incarnation: u.Incarnation, url: u.URL, reporter: signal.Reporter, keptUntil: now.Add(shutdownHold), ends: now.Add(reportedHold)}
+		h.reported = report{
+			incarnation: u.Incarnation, url: u.URL, reporter: signal.Reporter,
+			keptUntil: now.Add(shutdownHold), starts: now.Add(reportedDelay), ends: now.Add(reportedHold),
+		}
 	case u.Incarnation == r.incarnation && u.Incarnation != 0 && signal.Reporter != r.reporter:
 		r.ends = now.Add(shutdownHold)
 	}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -141,7 +141,7 @@
 
 // Admission configures the queues of prompts.
 type Admission struct {
-	Mode      string `ini:"mode" default:"auto" check:"admission_mode" doc:"How the prompts of a service wait: ranked among each other, and rejected when they cannot be served in their callers' time; passive, each by itself and sent after half of its caller's time in any case; auto ranks them where routes of different priority lead to the service."`
+	Mode      string `ini:"mode" default:"auto" check:"admission_mode" doc:"How the prompts of a service wait: ranked among each other, and rejected when they cannot be served in their callers' time; passive, each by itself and sent after half of its caller's time in any case; auto ranks them where routes of different priority lead to the service, or where its upstreams are seen to differ in speed."`
 	MaxQueued int    `ini:"max_queued" default:"4096" min:"1" doc:"Most prompts of ranked services that wait on the node; over that, those that lose least are rejected."`
 	MaxBytes  int    `ini:"max_bytes" default:"268435456" min:"1048576" doc:"Most bytes of their requests that are held."`
 }
--- a/shell/pushbacks/node.go
+++ b/shell/pushbacks/node.go
@@ -105,7 +105,7 @@
 			"asked_ms": signal.Pushback.Milliseconds(), "ms": hold.PushbackEnds.Sub(now).Milliseconds(),
 		}).Info("upstream_pushed_back")
 	}
-	if signal.Leaving && hold.IsLeaving(now, &upstream) && !before.IsLeaving(now, &upstream) {
+	if signal.Leaving && hold.HasAnnouncedLeaving(now, &upstream) && !before.HasAnnouncedLeaving(now, &upstream) {
 		n.counts.Add("leaving_total", 1)
 		n.log.WithFields(fields).Info("upstream_leaves")
 	}
