The soak ranks its prompts

Callers of the soak ask for streams by two routes of different priority, so that its processes queue them by rank and exchange their demand while nodes and engines fall, stop and freeze.

--- a/cmd/vaneyoked/soak_callers_test.go
+++ b/cmd/vaneyoked/soak_callers_test.go
@@ -48,9 +48,10 @@
 
 // stream requests a stream until it is complete. After a broken attempt it resumes after the last complete event.
 func (s *soak) stream(ctx context.Context, rng *rand.Rand) {
+	path := []string{"/tell/x", "/draft/x"}[rng.IntN(2)]
 	after := 0
 	for try := 0; try < 20 && ctx.Err() == nil; try++ {
-		call := platformtest.Call{Path: "/tell/x", Stream: true, Prompt: fmt.Sprintf("%x", rng.Uint32()), After: after}
+		call := platformtest.Call{Path: path, Stream: true, Prompt: fmt.Sprintf("%x", rng.Uint32()), After: after}
 		id, res, err := s.send(ctx, rng, call)
 		if err != nil || res.StatusCode != http.StatusOK {
 			if err == nil {
--- a/cmd/vaneyoked/soak_faults_test.go
+++ b/cmd/vaneyoked/soak_faults_test.go
@@ -22,6 +22,7 @@
 	s.version++
 	s.store.Configure(s.version, soakHost, soakKey,
 		platformtest.Route{Name: "tell", Kind: platformtest.Streaming, Service: "lm", Attempts: 5},
+		platformtest.Route{Name: "draft", Kind: platformtest.Streaming, Service: "lm", Attempts: 5, Priority: 2}, // ranks the service's queue
 		platformtest.Route{Name: "look", Kind: platformtest.Repeatable, Service: "shop", Attempts: 2},
 		platformtest.Route{Name: "buy", Kind: platformtest.Once, Service: "shop", Attempts: 1},
 	)
