--- a/decide/admission/load_test.go
+++ b/decide/admission/load_test.go
@@ -13,7 +13,7 @@
 const (
 	loadTime  = 40 * time.Second
 	normal    = 0.8 // load at which a fleet is run, as a share of its capacity
-	loadSeeds = 8
+	loadSeeds = 3
 )
 
 var (
