A change of the configuration leaves the queue of uneven upstreams ranked

Cause: the modes of services were set anew from the routes alone, so that a service ranked for its upstreams' speeds became passive at each change, until the next prompt came: what waited was sent after half of its caller's time, room or not, and lost its order. Change: routes and speeds are kept side by side, and the mode follows from both. Evidence: TestServiceWithUnevenUpstreamsIsRanked with a change of the configuration in between fails without the change (passive where ranked is due).

--- a/process/node/queue_wire.go
+++ b/process/node/queue_wire.go
@@ -2,7 +2,6 @@
 
 import (
 	"expvar"
-	"maps"
 	"sync"
 
 	"github.com/samber/do/v2"
@@ -28,51 +27,43 @@
 	setting string
 
 	mu     sync.Mutex
-	ranked map[vaneyoke.ServiceID]bool // by the setting and the routes
+	mixed  map[vaneyoke.ServiceID]bool // services of the active configuration, and whether their routes differ in priority
+	uneven map[vaneyoke.ServiceID]bool // whether a service's upstreams are seen to differ in speed
 	modes  map[vaneyoke.ServiceID]admission.Mode
 }
 
 func newQueueModes(node *admissions.Node, setting string) *queueModes {
-	return &queueModes{node: node, setting: setting, ranked: map[vaneyoke.ServiceID]bool{}, modes: map[vaneyoke.ServiceID]admission.Mode{}}
+	return &queueModes{
+		node: node, setting: setting,
+		mixed: map[vaneyoke.ServiceID]bool{}, uneven: map[vaneyoke.ServiceID]bool{}, modes: map[vaneyoke.ServiceID]admission.Mode{},
+	}
 }
 
 // apply takes over the services of a route table; a service that it does not name any more is passive.
 func (m *queueModes) apply(table *route.Table) {
-	ranked := map[vaneyoke.ServiceID]bool{}
-	for service, isMixed := range table.StreamServices() {
-		ranked[service] = m.setting == modeRanked || (m.setting == modeAuto && isMixed)
-	}
 	m.mu.Lock()
-	m.ranked = ranked
-	known := maps.Clone(m.modes)
-	m.mu.Unlock()
-	for service := range known {
-		if _, isListed := ranked[service]; !isListed {
-			m.set(service, false)
-		}
+	defer m.mu.Unlock()
+	m.mixed = table.StreamServices()
+	for service := range m.modes {
+		m.setLocked(service)
 	}
-	for service, isRanked := range ranked {
-		m.set(service, isRanked)
+	for service := range m.mixed {
+		m.setLocked(service)
 	}
 }
 
-// update ranks a service whose upstreams are seen to differ in speed, unless the setting says otherwise.
+// update records whether the upstreams of a service are seen to differ in speed.
 func (m *queueModes) update(service vaneyoke.ServiceID, isUneven bool) {
 	m.mu.Lock()
-	isRanked, isListed := m.ranked[service]
-	m.mu.Unlock()
-	if isListed && m.setting == modeAuto {
-		m.set(service, isRanked || isUneven)
+	defer m.mu.Unlock()
+	if _, isListed := m.mixed[service]; isListed {
+		m.uneven[service] = isUneven
+		m.setLocked(service)
 	}
 }
 
-func (m *queueModes) set(service vaneyoke.ServiceID, isRanked bool) {
-	mode := admission.ModePassive
-	if isRanked {
-		mode = admission.ModeRanked
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
+func (m *queueModes) setLocked(service vaneyoke.ServiceID) {
+	mode := m.modeOf(service)
 	if before, known := m.modes[service]; known && before == mode {
 		return
 	}
@@ -80,6 +71,17 @@
 	m.node.SetMode(service, mode)
 }
 
+func (m *queueModes) modeOf(service vaneyoke.ServiceID) admission.Mode {
+	isMixed, isListed := m.mixed[service]
+	if !isListed {
+		return admission.ModePassive
+	}
+	if m.setting == modeRanked || (m.setting == modeAuto && (isMixed || m.uneven[service])) {
+		return admission.ModeRanked
+	}
+	return admission.ModePassive
+}
+
 // provideCallers returns the record of callers that were rejected.
 func provideCallers(do.Injector) (*pacing.State, error) { return pacing.New(), nil }
 
--- a/process/node/queue_wire_test.go
+++ b/process/node/queue_wire_test.go
@@ -53,9 +53,9 @@
 // TestServiceWithUnevenUpstreamsIsRanked has the upstreams of a service with routes of one priority differ in speed, and then work alike again.
 func TestServiceWithUnevenUpstreamsIsRanked(t *testing.T) {
 	for setting, want := range map[string][]string{
-		"auto":    {"passive", "ranked", "ranked", "passive"},
-		"ranked":  {"ranked", "ranked", "ranked", "ranked"},
-		"passive": {"passive", "passive", "passive", "passive"},
+		"auto":    {"passive", "ranked", "ranked", "ranked", "passive"},
+		"ranked":  {"ranked", "ranked", "ranked", "ranked", "ranked"},
+		"passive": {"passive", "passive", "passive", "passive", "passive"},
 	} {
 		n := idleQueue()
 		modes := newQueueModes(n, setting)
@@ -66,7 +66,8 @@
 		}
 		step(func() { modes.apply(tableOf(1, 1)) })
 		step(func() { modes.update("lm", true) })
-		step(func() { modes.apply(tableOf(1, 1)); modes.update("lm", true) })
+		step(func() { modes.apply(tableOf(1, 1)) }) // a change of the configuration
+		step(func() { modes.update("lm", true) })
 		step(func() { modes.update("lm", false) })
 		must.Eq(t, want, got, must.Sprint(setting))
 		modes.update("unknown", true)
