Tests of two mechanisms that had none of their own

A reported shutdown counts after 1.5 s, the engine's own notice at once; a service is uneven by the quarters of its upstreams' speeds. With the delay at 0, and with the slowest and the fastest upstream in place of quarters (trials on the tree, taken back), TestReportedShutdownActsAtOnce and TestFewSlowUpstreamsMakeAServiceUneven fail.

--- a/decide/placement/slowness_test.go
+++ b/decide/placement/slowness_test.go
@@ -184,6 +184,26 @@
 	must.True(t, s.IsUneven("other"))
 }
 
+// TestFewSlowUpstreamsMakeAServiceUneven has some of eight upstreams work three times slower for twenty seconds: one alone is passed over by breakers and
+// factors, and does not change how the whole service is served.
+func TestFewSlowUpstreamsMakeAServiceUneven(t *testing.T) {
+	ids := []vaneyoke.UpstreamID{"a", "b", "c", "d", "e", "f", "g", "h"}
+	for slow, want := range map[int]bool{0: false, 1: false, 3: true} {
+		now, s := time.Unix(1000, 0), stateWith(ids...)
+		for range 20 {
+			now = now.Add(time.Second)
+			for i, id := range ids {
+				interval := usualInterval
+				if i < slow {
+					interval *= 3
+				}
+				_, _ = s.Paced(now, id, interval)
+			}
+		}
+		must.EqOp(t, want, s.IsUneven("lm"), must.Sprint(slow, " slow"))
+	}
+}
+
 // TestChoicesChangeThoughSwitchedOff has a node for which the spread is off, and one that knows nothing of it, choose by the same events.
 func TestChoicesChangeThoughSwitchedOff(t *testing.T) {
 	ids := []vaneyoke.UpstreamID{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"}
--- a/decide/pushback/reported_test.go
+++ b/decide/pushback/reported_test.go
@@ -64,6 +64,20 @@
 	}
 }
 
+// TestReportedShutdownActsAtOnce compares an upstream's own notice with one that another node got: an upstream that leaves still serves for a while, and
+// has to be without new work after a few seconds only.
+func TestReportedShutdownActsAtOnce(t *testing.T) {
+	own, told := pushback.NewTracker(), pushback.NewTracker()
+	answer{0, upstream, 0, true}.record(own)
+	signal, ok := pushback.Reported(upstream, upstream.Incarnation, "a")
+	must.True(t, ok)
+	told.Record(start, signal)
+	must.True(t, own.Hold("u").Active(start, &upstream))
+	must.True(t, told.Hold("u").HasAnnouncedLeaving(start, &upstream))
+	must.False(t, told.Hold("u").Active(start.Add(time.Second), &upstream))
+	must.True(t, told.Hold("u").Active(start.Add(2*time.Second), &upstream))
+}
+
 // TestReportsDoNotReplaceSignals has another node report a shutdown while the upstream asks for no requests itself: its own signals must count
 // as before, whichever incarnation the report is about. A report of a later incarnation ended the pushback and had later signals ignored.
 func TestReportsDoNotReplaceSignals(t *testing.T) {
