An aged prompt that finds no room holds up nobody

Under three and eight times the load prompts were late in the same way. Cause: one of eight admissions belongs to a late prompt that has waited for a third of its caller's time. Its turn lasted until it was admitted, and the queue assesses its head only. While that prompt found no room, or left what it found to more urgent ones elsewhere, nothing behind it was assessed. Ruled out as the whole cause: late prompts of other nodes. Change: if a late prompt is not admitted and the first in order can be in time, that one is assessed at once. An arrival that is first in order is assessed also while an aged prompt has its turn. Evidence after: TestAgedRequestWithoutRoomHoldsUpOthers fails without the change (its eighth prompt is not admitted).

--- a/decide/admission/order.go
+++ b/decide/admission/order.go
@@ -62,10 +62,11 @@
 }
 
 // head returns the request that goes next; the queue must not be empty. Requests that are late wait behind those that are in time, but if they
-// have waited long, a part of the admissions is theirs.
+// have waited long, a part of the admissions is theirs. The turn of such a request lasts until it is admitted, but while it finds no room it holds
+// up nobody: the first in order is assessed right after it.
 func (q *queue) head(now time.Time) *entry {
 	first := q.first(now)
-	if q.inTime < agedEvery-1 || first.isEarly() || q.isLate(now, first) {
+	if q.skipAged || q.inTime < agedEvery-1 || first.isEarly() || q.isLate(now, first) {
 		return first
 	}
 	var aged *entry
--- a/decide/admission/ranked.go
+++ b/decide/admission/ranked.go
@@ -25,8 +25,8 @@
 	q := e.queue
 	e.room, e.checked, q.assessed = room, true, nil
 	q.notePrefill(e)
-	q.blocked = q.blocked && !room.Free
-	first := q.head(now)
+	q.blocked, q.skipAged = q.blocked && !room.Free, false
+	first := q.first(now)
 	switch {
 	case first.Urgency < e.Urgency: // arrived while this one was assessed
 		s.assessHead(now, q)
@@ -37,13 +37,20 @@
 		s.admitCapped(now, e, false)
 		s.continueQueue(now, q)
 	default:
-		q.blocked = true
-		if q.stale {
-			s.assessHead(now, q)
-			return
-		}
-		q.due = now.Add(q.intervalOf(now))
+		s.waitForRoom(now, e, first)
+	}
+}
+
+// waitForRoom handles that an assessed request was not admitted. If it is late and the first in order is not, that one is assessed at once.
+func (s *State) waitForRoom(now time.Time, e, first *entry) {
+	q := e.queue
+	q.blocked = true
+	q.skipAged = first != e && q.isLate(now, e) && !q.isLate(now, first)
+	if q.stale || q.skipAged {
+		s.assessHead(now, q)
+		return
 	}
+	q.due = now.Add(q.intervalOf(now))
 }
 
 // admitCapped admits a request that has reached the head of its queue, unless a cap excludes it by now.
--- a/decide/admission/state.go
+++ b/decide/admission/state.go
@@ -46,6 +46,7 @@
 	assessed *entry    // ranked: the request that is being assessed; nil if none is
 	stale    bool      // whether another assessment is to follow at once, as a run has ended since or its request has left
 	blocked  bool      // whether the last assessment led to no admission
+	skipAged bool      // whether the aged request whose turn it is has just been assessed in vain
 	inTime   int       // consecutive admissions of requests that could still be in time
 	prefill  float64   // expected seconds to the first token for each prompt token, smoothed; 0 if unknown
 }
@@ -176,7 +177,7 @@
 		s.reject(now, e, reason)
 		return
 	}
-	if q.assessed == nil && (!q.blocked || q.head(now) == e) {
+	if q.assessed == nil && (!q.blocked || q.first(now) == e) {
 		s.assessHead(now, q)
 	}
 }
--- a/decide/admission/state_test.go
+++ b/decide/admission/state_test.go
@@ -193,6 +193,33 @@
 	must.Unreachable(t)
 }
 
+// TestAgedRequestWithoutRoomHoldsUpOthers has the turn of a large request that is late come while there is room for small ones only: those that
+// were in time waited behind it until it was admitted or rejected.
+func TestAgedRequestWithoutRoomHoldsUpOthers(t *testing.T) {
+	n := newNode(admission.ModeRanked)
+	answer := func() {
+		for len(n.assess) > 0 {
+			for _, id := range n.takeAssess() {
+				n.do(admission.Assessed{ID: id, Room: admission.Room{Free: id != "large"}})
+			}
+		}
+	}
+	n.arrive("large", goal(time.Second))
+	n.answer(admission.Room{})
+	n.pass(7 * time.Second)
+	var want []string
+	for i := range 20 {
+		id := vaneyoke.RequestID(fmt.Sprint(i))
+		n.arrive(id)
+		answer()
+		want = append(want, string(id))
+		must.Eq(t, want, n.decisions)
+	}
+	n.arrive("last")
+	n.answer(admission.Room{Free: true})
+	must.Eq(t, append(want, "large"), n.decisions)
+}
+
 // TestOnlyTheHeadIsAssessed has many requests wait: however many there are, one assessment is under way, at the interval of the head.
 func TestOnlyTheHeadIsAssessed(t *testing.T) {
 	n := newNode(admission.ModeRanked)
