Late prompts leave room to those in time at other nodes

Prompts that came at half of the normal load waited 3 to 5 s beside late ones. Cause: a node whose prompts are all late took whatever room it found, and did not know that prompts at other nodes could still be in time with it: the totals of the fleet counted late and timely waiting alike. Change: Flow.Waiting counts what can still be in time. A late prompt takes only idle upstreams while, anywhere in the fleet, more equally or more urgent work can be in time and waits than is admitted in a tenth of a second.

--- a/decide/admission/demand.go
+++ b/decide/admission/demand.go
@@ -44,12 +44,13 @@
 func (d *demandCounts) admit(e *entry)  { d.of(e).admitted += max(e.Prompt, 1) }
 func (d *demandCounts) reject(e *entry) { d.of(e).rejected++ }
 
-// Demands returns the demand since its last call, and starts to count anew. A request counts as waiting if it was assessed and there was no room.
+// Demands returns the demand since its last call, and starts to count anew. A request counts as waiting if it was assessed and there was no room,
+// as long as it can still be in time.
 func (s *State) Demands(now time.Time) []share.Demand {
 	d := &s.demands
 	for _, q := range s.queues {
 		for _, e := range q.entries {
-			if e.isHeldUp(now) {
+			if e.isHeldUp(now) && !q.isLate(now, e) {
 				d.of(e).waiting += max(e.Prompt, 1)
 			}
 		}
--- a/decide/admission/ranked.go
+++ b/decide/admission/ranked.go
@@ -64,7 +64,7 @@
 
 // leavesRoom reports whether a request leaves room to others that wait at any node, unless it has an upstream to itself.
 func (s *State) leavesRoom(now time.Time, e *entry) bool {
-	return s.isMoreUrgentWaiting(now, e.queue, e.Urgency) || s.yields(now, e)
+	return s.isMoreUrgentWaiting(now, e.queue, e.Urgency) || s.yields(now, e) || s.yieldsAsLate(now, e)
 }
 
 // isMoreUrgentWaiting reports whether more urgent requests for a service wait at any node, or were rejected for load, as far as this node has
@@ -73,6 +73,11 @@
 	return s.hasFreshTotals(now) && s.totals.MoreUrgentWaits(q.service, than)
 }
 
+// yieldsAsLate reports whether a request that is late leaves room to requests that can still be in time and wait at any node.
+func (s *State) yieldsAsLate(now time.Time, e *entry) bool {
+	return e.queue.isLate(now, e) && s.hasFreshTotals(now) && s.totals.WaitsInTime(e.Service, e.Urgency)
+}
+
 func (s *State) hasFreshTotals(now time.Time) bool {
 	return s.totals.Fresh(now)
 }
--- a/decide/admission/reject_test.go
+++ b/decide/admission/reject_test.go
@@ -246,6 +246,7 @@
 		{Service: "lm", Workspace: "d", Flow: share.Flow{Offered: 2000}},
 	}, n.Demands(n.now))
 	must.Eq(t, []share.Demand{{Service: "lm", Workspace: "b", Urgency: 1, Flow: share.Flow{Waiting: 1000}}}, n.Demands(n.now.Add(time.Second)))
+	must.SliceEmpty(t, n.Demands(n.now.Add(4*time.Second)), must.Sprint("y is late"))
 }
 
 // TestQueues checks what operators see.
--- a/decide/admission/state_test.go
+++ b/decide/admission/state_test.go
@@ -354,6 +354,39 @@
 	}
 }
 
+// TestLateRequestsTakeRoomFromThoseInTime has a late request find room that is not idle while others that can be in time wait at another node, which
+// would see none.
+func TestLateRequestsTakeRoomFromThoseInTime(t *testing.T) {
+	waits := func(u share.Urgency) share.ServiceTotals {
+		return share.ServiceTotals{Urgencies: map[share.Urgency]share.Flow{u: {Waiting: 500}}}
+	}
+	for name, tc := range map[string]struct {
+		totals share.ServiceTotals
+		goal   time.Duration
+		room   admission.Room
+		want   []string
+	}{
+		"equally urgent ones wait":                   {waits(1), time.Second, admission.Room{Free: true}, nil},
+		"equally urgent ones wait, but idle":         {waits(1), time.Second, admission.Room{Free: true, Idle: true}, []string{"x"}},
+		"equally urgent ones wait, both are in time": {waits(1), time.Minute, admission.Room{Free: true}, []string{"x"}},
+		"less urgent ones wait":                      {waits(2), time.Second, admission.Room{Free: true}, []string{"x"}},
+		"equally urgent ones were rejected":          {share.ServiceTotals{Urgencies: map[share.Urgency]share.Flow{1: {Rejected: 1}}}, time.Second, admission.Room{Free: true}, []string{"x"}},
+		"nothing is known":                           {share.ServiceTotals{}, time.Second, admission.Room{Free: true}, []string{"x"}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newNode(admission.ModeRanked)
+			n.arrive("x", urgency(1), goal(tc.goal))
+			n.answer(admission.Room{})
+			n.pass(2 * time.Second)
+			n.do(demand(n.now, tc.totals))
+			n.now = n.NextTick()
+			n.do(admission.Tick{})
+			n.answer(tc.room)
+			must.Eq(t, tc.want, n.decisions)
+		})
+	}
+}
+
 // TestWorkspaceOverItsShareYields has a workspace with most of the fleet find room while others wait at another node, which would see none.
 func TestWorkspaceOverItsShareYields(t *testing.T) {
 	totals := func(waiting, lessUrgent vaneyoke.Tokens) share.ServiceTotals {
--- a/decide/share/event.go
+++ b/decide/share/event.go
@@ -13,7 +13,7 @@
 type Flow struct {
 	Offered  vaneyoke.Tokens // prompt tokens a second that arrived
 	Admitted vaneyoke.Tokens // prompt tokens a second that were sent to upstreams
-	Waiting  vaneyoke.Tokens // prompt tokens that wait now
+	Waiting  vaneyoke.Tokens // prompt tokens that wait now and can still be in time
 	Rejected int             // requests a second that were rejected for load
 }
 
--- a/decide/share/totals.go
+++ b/decide/share/totals.go
@@ -63,14 +63,27 @@
 // MoreUrgentWaits reports whether, in the whole fleet, more urgent requests for a service were rejected in the last interval, or more of them wait
 // than the service admits within a tenth of a second.
 func (t Totals) MoreUrgentWaits(service vaneyoke.ServiceID, urgency Urgency) bool {
-	var more Flow
+	return t.unmet(service, urgency-1).contended()
+}
+
+// WaitsInTime reports whether, in the whole fleet, more requests that are at least as urgent wait and can still be in time than the service admits
+// within a tenth of a second.
+func (t Totals) WaitsInTime(service vaneyoke.ServiceID, urgency Urgency) bool {
+	flow := t.unmet(service, urgency)
+	flow.Rejected = 0
+	return flow.contended()
+}
+
+// unmet returns the demand for a service of the given urgency and more urgent ones, with all that the service admits, which they could have.
+func (t Totals) unmet(service vaneyoke.ServiceID, urgency Urgency) Flow {
+	var sum Flow
 	for other, flow := range t.Services[service].Urgencies {
-		if other >= urgency {
-			flow = Flow{Admitted: flow.Admitted} // which more urgent requests may have instead
+		if other > urgency {
+			flow = Flow{Admitted: flow.Admitted}
 		}
-		more = more.plus(flow)
+		sum = sum.plus(flow)
 	}
-	return more.contended()
+	return sum
 }
 
 // Overuse returns the ratio of what a workspace had admitted to its max-min fair share of all that was admitted; 1 if it had no more than that,
--- a/decide/share/totals_test.go
+++ b/decide/share/totals_test.go
@@ -83,6 +83,18 @@
 	must.False(t, met.MoreUrgentWaits("chat", 2))
 }
 
+// TestLateRequestsIgnoreThoseInTime checks which waiting work precedes late requests of an urgency.
+func TestLateRequestsIgnoreThoseInTime(t *testing.T) {
+	waits := totals(share.Flow{Waiting: 5}, nil, share.Flow{}, 0)
+	must.False(t, waits.WaitsInTime("chat", 0))
+	must.True(t, waits.WaitsInTime("chat", 1))
+	must.True(t, waits.WaitsInTime("chat", 2))
+	must.False(t, waits.WaitsInTime("other", 2))
+	must.False(t, totals(share.Flow{Rejected: 1}, nil, share.Flow{}, 0).WaitsInTime("chat", 1))
+	must.False(t, totals(share.Flow{Admitted: 50, Waiting: 5}, nil, share.Flow{}, 0).WaitsInTime("chat", 1))
+	must.True(t, totals(share.Flow{Admitted: 50, Waiting: 6}, nil, share.Flow{}, 0).WaitsInTime("chat", 1))
+}
+
 // TestOldTotalsCountAsFresh checks when totals are too old, and that totals of nothing are never fresh.
 func TestOldTotalsCountAsFresh(t *testing.T) {
 	all := totals(share.Flow{}, nil, share.Flow{}, 0)
