A test notices a Retry-After that ignores the node's drain

What was seen: leaving the drain rate out of a rejection (decide/admission/state.go) failed no test of admission, pacing, share or shell/admissions. Callers would come back after the default drain of 4,000 tokens a second, whatever the node drains. Change: TestRetryAfterIgnoresTheDrain rejects a caller behind 12,000 tokens at a node that drains 1,000 a second. With the drain left out it fails (4.08 s, at least 10 s required); with it it passes.

--- a/decide/admission/reject_test.go
+++ b/decide/admission/reject_test.go
@@ -33,6 +33,16 @@
 	return n
 }
 
+// TestRetryAfterIgnoresTheDrain has a caller be rejected behind 12 seconds of work, as this node drains it.
+func TestRetryAfterIgnoresTheDrain(t *testing.T) {
+	n := measured()
+	n.do(admission.CapsUpdated{Caps: []admission.Cap{{Workspace: "capped"}}})
+	n.arrive("x", workspace("capped"), urgency(1), func(r *admission.Request) { r.Deadline = n.now.Add(time.Hour) })
+	must.Eq(t, []string{"x capped"}, n.decisions)
+	must.EqOp(t, 12_000, n.rejects["x"].Ahead)
+	must.GreaterEq(t, 10*time.Second, n.rejects["x"].RetryAfter)
+}
+
 // TestHopelessRequestsAreRejectedAtOnce checks which of those that arrive behind 12 seconds of work are rejected.
 func TestHopelessRequestsAreRejectedAtOnce(t *testing.T) {
 	for name, tc := range map[string]struct {
