A node's datagram socket is closed when it stops listening

What was looked for: the class of, a function that returns before one that it has registered was called, and unregisters it on the way (context.AfterFunc in api/, shell/; deferred stops). All other places were read: serve.waitFor, relay.Session.Read and failover's waitUntil only wake their own loop; callerapi abandons its session by itself; timers of the cores are stopped by their Close. What was seen: mesh.Node.listen may read a datagram after its context has ended, return, and unregister the function that would have closed its socket. The socket then stays open, and a node at the same address in the same process gets no datagrams (listen_failed). No caller has been seen to suffer from it; a process that ends closes it. Change: listen closes its socket itself. Evidence: TestAddressStaysTakenAfterAStop, with a context that has not called its functions yet: address already in use before, free after.

--- a/shell/mesh/offer.go
+++ b/shell/mesh/offer.go
@@ -46,6 +46,7 @@
 		n.log.WithField("error", err).Error("listen_failed")
 		return
 	}
+	defer func() { _ = conn.Close() }() // the function registered below may not have been called when this one returns
 	n.datagrams.Store(&conn)
 	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
 	buffer := make([]byte, maxReceivedBytes)
