A stop leaves time for the process's exit

What callers saw: a node that is stopped runs past its grace and is killed by its supervisor (TestSoakOverlappingStops on: 3,254 ms after SIGTERM with a grace of 3 s). Cause: of the reserved 300 ms, final answers take 150 and counts 250 from the same moment, so that 50 ms are left. Beside other load the kernel takes 67 to 168 ms from os.Exit to the end of the last thread (states read from outside; 2 to 11 threads had yet to be scheduled). Ruled out: the time from signal to stop (at most 10 ms), the log's writer (closed within 1 ms), tracing (off), late tasks (at most 6 ms). Change: the counts are handed on 250 ms before the drain's deadline and again beside the final answers; both end 150 ms before the end of the grace. The drain's deadline stays. The node with the caller API ends 150 ms before its grace too. node_stopped says when the callers' part was over (drained_ms).

--- a/process/node/gateway.go
+++ b/process/node/gateway.go
@@ -29,7 +29,7 @@
 )
 
 const (
-	stopReserve           = 300 * time.Millisecond  // part of the grace reserved for answering open requests and flushing the log
+	countsLead            = 250 * time.Millisecond  // before the end of a drain, in which the counts so far are handed on
 	lameDuckStreamDivisor = 3                       // requests that may outlast the node are accepted for at most 1/3 of the grace
 	notReadyPropagation   = 2200 * time.Millisecond // time until the platform stops sending new connections to a node that is not ready
 )
@@ -188,38 +188,50 @@
 // callers returns the server that callers use.
 func (n *GatewayNode) callers() *serve.Server { return n.servers[0] }
 
+// StopDeadline returns until when a stop that begins at the given time ends the node.
+func (n *GatewayNode) StopDeadline(begins time.Time) time.Time {
+	return begins.Add(n.current.Load().Node.Grace - exitReserve)
+}
+
 // Stop reports that the node is not ready, serves on for the lame-duck time, and waits up to the grace for open requests to finish.
 // Requests that are still open then get a final answer with what is known about them.
 func (n *GatewayNode) Stop(ctx context.Context) error {
 	s := n.current.Load()
-	grace := s.Node.Grace - stopReserve
 	stopping := time.Now()
-	deadline := stopping.Add(grace)
+	ends := n.StopDeadline(stopping)
+	deadline := ends.Add(-finalAnswerTimeout)
 	n.EnterLameDuck(stopping, deadline)
 	if n.duties != nil {
 		n.duties.ReleaseLeases()
 	}
 	n.log.WithFields(logrus.Fields{"open": n.gateway.InFlight(), "grace": s.Node.Grace, "lame": s.Gateway.LameDuck}).Info("node_stopping")
-	pause.For(ctx, min(s.Gateway.LameDuck, grace))
+	pause.For(ctx, min(s.Gateway.LameDuck, deadline.Sub(stopping)))
 	drained, stopWaiting := context.WithDeadline(ctx, deadline)
 	var flush sync.WaitGroup
-	flush.Go(func() { n.flushDuties(ctx, drained) })
+	flush.Go(func() { n.flushDuties(ctx, drained, ends) })
 	interrupted := drainServer(ctx, n.callers(), n.relay, deadline)
 	cutOff := logCutOff(n.log, n.callers(), stopping)
+	drainedAt := time.Now()
 	stopWaiting()
 	flush.Wait()
 	n.Kill()
-	err := logStopped(n.log, stopping, interrupted, cutOff)
+	err := logStopped(n.log, stopping, drainedAt, interrupted, cutOff)
 	return errors.Join(err, n.tracing.Close(context.WithoutCancel(ctx)))
 }
 
-// flushDuties forwards the remaining counts of the duties when drained ends: once no request is open, or at the deadline of the drain, so that
-// it takes its time beside the final answers and not after them.
-func (n *GatewayNode) flushDuties(ctx, drained context.Context) {
+// flushDuties forwards the remaining counts of the duties, shortly before the deadline of drained and again once drained has ended because no
+// request is open any more or the deadline has passed. It returns by ends, unless the process was suspended.
+func (n *GatewayNode) flushDuties(ctx, drained context.Context, ends time.Time) {
 	if n.duties == nil {
 		return
 	}
-	<-drained.Done()
+	deadline, _ := drained.Deadline()
+	if pause.For(drained, time.Until(deadline.Add(-countsLead))) {
+		n.duties.Flush(drained)
+		<-drained.Done()
+	}
+	ctx, cancel := context.WithDeadline(ctx, laterOf(ends, time.Now().Add(finalAnswerTimeout)))
+	defer cancel()
 	n.duties.Flush(ctx)
 }
 
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -170,6 +170,11 @@
 	n.log.WithField("taken", false).Info("settings_reloaded")
 }
 
+// StopDeadline returns until when a stop that begins at the given time ends the node.
+func (n *Node) StopDeadline(begins time.Time) time.Time {
+	return begins.Add(n.settings.Node.Grace - exitReserve)
+}
+
 // Stop refuses new requests, waits up to the grace for open requests to finish, and closes the node. Requests that are still open
 // then get a final answer, and callers with an idempotency key can resume at another node. It returns an error if there were any.
 func (n *Node) Stop(ctx context.Context) error {
@@ -179,13 +184,15 @@
 		server.DisableKeepAlives()
 	}
 	n.log.WithFields(logrus.Fields{"open": n.api.InFlight(), "grace": n.settings.Node.Grace}).Info("node_stopping")
-	ctx, cancel := context.WithDeadline(ctx, stopping.Add(n.settings.Node.Grace))
+	ends := n.StopDeadline(stopping)
+	ctx, cancel := context.WithDeadline(ctx, ends)
 	defer cancel()
 	interrupted := n.drain(ctx, stopping)
 	n.shutDown(ctx)
 	cutOff := logCutOff(n.log, n.callers(), stopping)
+	drainedAt := time.Now()
 	n.Kill()
-	err := logStopped(n.log, stopping, interrupted, cutOff)
+	err := logStopped(n.log, stopping, drainedAt, interrupted, cutOff)
 	return errors.Join(err, n.tracing.Close(context.WithoutCancel(ctx)))
 }
 
--- a/process/node/stop.go
+++ b/process/node/stop.go
@@ -14,6 +14,9 @@
 )
 
 const (
+	// exitReserve is the last part of the grace, which is left to the process's exit: the kernel ends its threads one after the other, each
+	// when it gets a processor.
+	exitReserve = 150 * time.Millisecond
 	// finalAnswerTimeout bounds the time for sending the final answers to interrupted requests.
 	finalAnswerTimeout = 150 * time.Millisecond
 	// interruptLeadPerStream is how much earlier streams are interrupted for each open stream, so that unary calls which are answered
@@ -73,10 +76,17 @@
 	return cutOff
 }
 
-// logStopped logs how the node stopped, and returns an error if requests were interrupted or cut off.
-func logStopped(log logrus.FieldLogger, stopping time.Time, interrupted, cutOff int) error {
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// logStopped logs how the node stopped, and returns an error if requests were interrupted or cut off. drained is when it had no requests any more.
+func logStopped(log logrus.FieldLogger, stopping, drained time.Time, interrupted, cutOff int) error {
 	log.WithFields(logrus.Fields{
-		"interrupted": interrupted, "cut_off": cutOff, "ms": time.Since(stopping).Milliseconds(),
+		"interrupted": interrupted, "cut_off": cutOff, "drained_ms": drained.Sub(stopping).Milliseconds(), "ms": time.Since(stopping).Milliseconds(),
 	}).Info("node_stopped")
 	if interrupted+cutOff > 0 {
 		return vaneyoke.Err(vaneyoke.CodeInterrupted, "%d requests were interrupted and %d cut off at the end of the grace", interrupted, cutOff)
--- a/process/telemetry/events.go
+++ b/process/telemetry/events.go
@@ -61,7 +61,7 @@
 	{"node_joined", []string{"vm"}, "The node has become a member whose confirmation counts."},
 	{"node_removed", []string{"vm"}, "A VM that is gone was taken off the members."},
 	{"node_started", []string{"vm", "data_centre", "listen", "admin", "peer", "build", "speaks"}, "The node serves; build names what it was built from, and speaks what it understands of what nodes say to one another."},
-	{"node_stopped", []string{"interrupted", "cut_off", "ms"}, "The node has ended; interrupted counts the requests whose answer it ended because the grace was over, cut_off the connections that it closed without one, and ms says how long the stop took."},
+	{"node_stopped", []string{"interrupted", "cut_off", "drained_ms", "ms"}, "The node has ended; interrupted counts the requests whose answer it ended because the grace was over, cut_off the connections that it closed without one, drained_ms says how long the stop took until all connections of callers were answered or cut off, and ms until its counts were handed on and its tasks had ended."},
 	{"node_stopping", []string{"open", "grace", "lame"}, "The node was told to stop; open counts the requests being answered."},
 	{"open_failed", []string{"peer", "error"}, "A home could not be asked who owns a request."},
 	{"owner_unreachable", []string{"peer", "error"}, "The owner of a request did not answer."},
