The exit waits for a stalled reader no longer than the grace allows

A node whose log or spans nobody reads any more outlives its grace: by up to 350 ms for the log, without end for spans on standard output, until it is killed. Cause: the log's writer waits 500 ms for its reader and the export of spans without a bound, both after the stop, which may have taken the whole grace. Change: both end with the stop's deadline (150 ms before the end of the grace), with 50 ms each in any case. A last line, process_ending, tells the time since the stop began and how long the log may take.

--- a/cmd/vaneyoked/main.go
+++ b/cmd/vaneyoked/main.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"os"
-	"time"
 	_ "time/tzdata" // a VM may have no time zone database
 
 	"github.com/urfave/cli/v3"
@@ -16,9 +15,6 @@
 	"github.com/vaneyoke/vaneyoke/process/telemetry"
 )
 
-// logCloseTimeout is how long the process waits at its end for the reader of the log to take the remaining lines.
-const logCloseTimeout = 500 * time.Millisecond
-
 func main() {
 	if err := command(catchSignals()).Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "vaneyoked:", err)
@@ -51,7 +47,8 @@
 		return nil
 	}
 	out := telemetry.NewAsyncWriter(os.Stdout)
-	defer out.Close(logCloseTimeout)
+	r := &runner{path: cmd.String("config"), signals: sigs}
+	defer r.closeLog(out)
 	log, err := telemetry.NewLogger(out, s.Log.Level)
 	if err != nil {
 		return vaneyoke.WrapErr(vaneyoke.CodeSettingsValue, err, "[log] level")
@@ -60,5 +57,6 @@
 	if err != nil {
 		return err
 	}
-	return (&runner{node: n, path: cmd.String("config"), log: log, signals: sigs}).run(ctx)
+	r.node, r.log = n, log
+	return r.run(ctx)
 }
--- a/cmd/vaneyoked/signals.go
+++ b/cmd/vaneyoked/signals.go
@@ -6,12 +6,14 @@
 	"os/signal"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/process/node"
 	"github.com/vaneyoke/vaneyoke/process/settings"
+	"github.com/vaneyoke/vaneyoke/process/telemetry"
 )
 
 // signals holds the signals that the process receives. Each kind has its own channel, so that SIGHUPs cannot displace a SIGTERM.
@@ -30,14 +32,21 @@
 	return s
 }
 
+// Bounds of the time that the process waits at its end for the reader of the log to take the remaining lines.
+const (
+	minLogCloseTimeout = 50 * time.Millisecond
+	maxLogCloseTimeout = 500 * time.Millisecond
+)
+
 // runner runs a node under the control of the process's signals. They are caught until the process ends, so that none interrupts
 // a graceful stop.
 type runner struct {
-	node     node.Process
-	path     string // of the settings file
-	log      logrus.FieldLogger
-	signals  *signals
-	stopping atomic.Bool
+	node      node.Process
+	path      string // of the settings file
+	log       logrus.FieldLogger
+	signals   *signals
+	stopping  atomic.Bool
+	stopBegan time.Time // zero before the node's stop
 }
 
 // stopOnSignal returns a context that is cancelled by the first SIGTERM or interrupt. Further ones are logged until done is closed,
@@ -86,9 +95,20 @@
 	go r.reloadOnHangup(done)
 	<-running.Done()
 	r.stopping.Store(true)
+	r.stopBegan = time.Now()
 	return r.node.Stop(context.WithoutCancel(ctx))
 }
 
+// closeLog writes out the log. Its reader may take what is left of the grace, within bounds.
+func (r *runner) closeLog(out *telemetry.AsyncWriter) {
+	timeout := maxLogCloseTimeout
+	if now := time.Now(); !r.stopBegan.IsZero() {
+		timeout = min(max(r.node.StopDeadline(r.stopBegan).Sub(now), minLogCloseTimeout), maxLogCloseTimeout)
+		r.log.WithFields(logrus.Fields{"ms": now.Sub(r.stopBegan).Milliseconds(), "log_ms": timeout.Milliseconds()}).Info("process_ending")
+	}
+	out.Close(timeout)
+}
+
 // reload reads the settings file and applies it to the node. If the file has errors, they are logged and the node keeps its settings.
 func (r *runner) reload() {
 	s, err := settings.Load(r.path)
--- a/cmd/vaneyoked/signals_test.go
+++ b/cmd/vaneyoked/signals_test.go
@@ -32,8 +32,9 @@
 	reloads             int
 }
 
-func (*blockingNode) Start(context.Context) error { return nil }
-func (s *blockingNode) Reload(settings.Settings)  { s.reloads++ }
+func (*blockingNode) Start(context.Context) error             { return nil }
+func (s *blockingNode) Reload(settings.Settings)              { s.reloads++ }
+func (*blockingNode) StopDeadline(begins time.Time) time.Time { return begins }
 func (s *blockingNode) Stop(context.Context) error {
 	close(s.stopCalled)
 	<-s.release
--- a/process/node/gateway.go
+++ b/process/node/gateway.go
@@ -216,7 +216,7 @@
 	flush.Wait()
 	n.Kill()
 	err := logStopped(n.log, stopping, drainedAt, interrupted, cutOff)
-	return errors.Join(err, n.tracing.Close(context.WithoutCancel(ctx)))
+	return errors.Join(err, closeTracing(ctx, n.tracing, ends))
 }
 
 // flushDuties forwards the remaining counts of the duties, shortly before the deadline of drained and again once drained has ended because no
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -193,7 +193,7 @@
 	drainedAt := time.Now()
 	n.Kill()
 	err := logStopped(n.log, stopping, drainedAt, interrupted, cutOff)
-	return errors.Join(err, n.tracing.Close(context.WithoutCancel(ctx)))
+	return errors.Join(err, closeTracing(ctx, n.tracing, ends))
 }
 
 // drain waits for the callers' requests to finish, reserves the last part of the grace, and then interrupts the remaining
--- a/process/node/process.go
+++ b/process/node/process.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -15,6 +16,8 @@
 	Start(ctx context.Context) error
 	// Reload applies those changed settings that can change while the node runs.
 	Reload(s settings.Settings)
+	// StopDeadline returns until when a stop that begins at the given time ends the node; the rest of the grace is left to the process's exit.
+	StopDeadline(begins time.Time) time.Time
 	// Stop waits up to the grace for open requests to finish, and closes the node.
 	Stop(ctx context.Context) error
 }
--- a/process/node/stop.go
+++ b/process/node/stop.go
@@ -10,13 +10,16 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/api/serve"
+	"github.com/vaneyoke/vaneyoke/process/telemetry"
 	"github.com/vaneyoke/vaneyoke/shell/relay"
 )
 
 const (
-	// exitReserve is the last part of the grace, which is left to the process's exit: the kernel ends its threads one after the other, each
-	// when it gets a processor.
+	// exitReserve is the last part of the grace, which is left to the process's exit: it writes out the log, and the kernel ends its threads one
+	// after the other, each when it gets a processor.
 	exitReserve = 150 * time.Millisecond
+	// traceCloseTimeout is how long the export of the last spans may take even if the exit is due.
+	traceCloseTimeout = 50 * time.Millisecond
 	// finalAnswerTimeout bounds the time for sending the final answers to interrupted requests.
 	finalAnswerTimeout = 150 * time.Millisecond
 	// interruptLeadPerStream is how much earlier streams are interrupted for each open stream, so that unary calls which are answered
@@ -76,6 +79,13 @@
 	return cutOff
 }
 
+// closeTracing exports the remaining spans, until the given time or at least for a moment: their reader may have stalled.
+func closeTracing(ctx context.Context, tracing *telemetry.Tracing, until time.Time) error {
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), laterOf(until, time.Now().Add(traceCloseTimeout)))
+	defer cancel()
+	return tracing.Close(ctx)
+}
+
 func laterOf(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/process/telemetry/events.go
+++ b/process/telemetry/events.go
@@ -69,6 +69,7 @@
 	{"peer_lost", []string{"peer", "relied", "error"}, "Another node cannot be relied on for the store's tables any more."},
 	{"permit_withheld", []string{"request", "upstream", "ms", "retry_after_ms"}, "An upstream names a limit that left an attempt nothing, and another one is looked for; ms is until it may have something again, and retry_after_ms when a caller would be told to come back."},
 	{"policy_not_understood", []string{"policy", "problem"}, "A policy in the table cannot be read; it is left aside."},
+	{"process_ending", []string{"ms", "log_ms"}, "The process has nothing left to do but to write out its log, for log_ms at the longest; ms is the time since its stop began. What it runs on after that is the kernel's."},
 	{"prompt_found", []string{"request", "attempt", "upstream"}, "A caller came back for the rest of its answer, and its prompt is still kept by an upstream, which gets the attempt."},
 	{"push_failed", []string{"peer", "sessions", "error"}, "Journals could not be pushed to their backup."},
 	{"reads_store", []string{"reading", "members"}, "The node reads the store itself: all tables, the members alone, or once, to find out whether the store answers."},
