The first windows after a first start are reported in time

Cause: three waits add up. A new ledger begins with a window that ended 3 to 4 s ago, by the clock's phase; a node that has just begun to write waits 3 s for late counts; a write and a report whose replies are lost are repeated after 0.5 s each. On a quiet machine the first windows are reported 7.0, 6.1, 5.2 s after their ends, all later ones after 4.5 s. Ruled out: the time of the store's and the platform's calls (100 ms and 1 ms in the same log); waits between tries alone (a lost reply is repeated once 0.5 s later). Change: without an outage of the store, a window waits for late counts until a quarter of its time is left. Evidence: TestFirstWindowsAreReportedLate, on a clock of its own, all phases of a window: 8.05 s with two lost replies each of store and platform before (fails), within 8 s with up to three and two after.

--- a/decide/usage/reporter.go
+++ b/decide/usage/reporter.go
@@ -16,6 +16,7 @@
 
 const (
 	finalizeDivisor   = 2                      // a window's counts become final after this part of ReportDeadline
+	repeatDivisor     = 4                      // the last part of ReportDeadline is left to repeated calls to the store and the platform
 	commitInterval    = 500 * time.Millisecond // minimum time between two transactions
 	retryDelay        = 500 * time.Millisecond // time after a failed call before the next one
 	maxPendingBatches = 256                    // batches waiting to be written
@@ -44,7 +45,8 @@
 	loading      bool
 	sending      bool
 	failingSince time.Time // since when store calls fail; zero if the last one succeeded
-	recoveredAt  time.Time // end of the last outage
+	recoveredAt  time.Time // end of the last outage, or when the node began to write
+	afterOutage  bool      // whether recoveredAt is the end of an outage
 	lateCountsAt time.Time // when counts of a due window were last received
 	wall         time.Time // at the last Tick
 	retryAt      time.Time // the store is not called before this
@@ -108,15 +110,21 @@
 
 // storeAnswered records that the store has answered. After an outage, and when the node has just begun to write, other nodes still hold counts of due windows.
 func (r *Reporter) storeAnswered(now time.Time) {
-	if r.recoveredAt.IsZero() || !r.failingSince.IsZero() && now.Sub(r.failingSince) >= minOutage {
-		r.recoveredAt, r.lateCountsAt = now, now
+	outage := !r.failingSince.IsZero() && now.Sub(r.failingSince) >= minOutage
+	if r.recoveredAt.IsZero() || outage {
+		r.recoveredAt, r.lateCountsAt, r.afterOutage = now, now, outage
 	}
 	r.failingSince = time.Time{}
 }
 
-// awaitsLateCounts reports whether no window may become final yet, because other nodes still send the counts that they buffered during an outage.
-func (r *Reporter) awaitsLateCounts(now time.Time) bool {
-	return now.Sub(r.lateCountsAt) < lateCountsQuiet && now.Sub(r.recoveredAt) < maxLateCountsWait
+// awaitsLateCounts reports whether a window may not become final yet, because other nodes still send the counts that they buffered during an outage,
+// or while no node wrote. In the latter case they buffered them for seconds only, and the window is reported in time.
+func (r *Reporter) awaitsLateCounts(now time.Time, window Window) bool {
+	if now.Sub(r.lateCountsAt) >= lateCountsQuiet || now.Sub(r.recoveredAt) >= maxLateCountsWait {
+		return false
+	}
+	latest := window.End(r.config.WindowLength).Add(r.config.ReportDeadline - r.config.ReportDeadline/repeatDivisor)
+	return r.afterOutage || r.wall.Before(latest)
 }
 
 func (r *Reporter) load(now time.Time, e Loaded) {
@@ -196,7 +204,7 @@
 	}
 	put := map[Window]Row{}
 	added := r.addPending(c, put, current)
-	finalized := t.MayReport && !r.awaitsLateCounts(now) && r.finalize(c, put)
+	finalized := t.MayReport && r.finalize(now, c, put)
 	removed := t.MayReport && r.removeReported(c, put)
 	if !created && !added && !finalized && !removed {
 		return
@@ -290,8 +298,8 @@
 }
 
 // finalize makes the counts of due windows final.
-func (r *Reporter) finalize(c *Commit, put map[Window]Row) (any bool) {
-	for window := max(c.Ledger.FirstUnreported, r.nextReport); r.isDue(window); window++ {
+func (r *Reporter) finalize(now time.Time, c *Commit, put map[Window]Row) (any bool) {
+	for window := max(c.Ledger.FirstUnreported, r.nextReport); r.isDue(window) && !r.awaitsLateCounts(now, window); window++ {
 		row := r.rowFor(put, window)
 		if row.Final {
 			continue
