A late notice of a shutdown stops new work at the other nodes too

What engines saw: an engine that leaves gets new work for up to 1.5 s after a node has been told, however long ago it began to leave. Asked: does the promise of hold since, which lets another node's word count after 1.5 s only, when the announcement comes late, or when the one node that knows dies? Cause: the delay began with the report. An engine that nobody asked for two seconds had to be without new work by then, and the others went on for 1.5 s. Change: the sighting tells how long ago the last request was sent that the engine answered without the notice (an engine has been leaving for no longer). Who hears it counts the 1.5 s from there, or from its own last such answer, and acts at once if they are over. A node that has no such answer says a minute. The field is new; earlier builds ignore it, and from theirs the delay begins with the report. Left: 30 s after a report of one node alone others use the engine again until it tells them, if the store is away all that time.

--- a/decide/gossip/event.go
+++ b/decide/gossip/event.go
@@ -1,6 +1,8 @@
 package gossip
 
 import (
+	"time"
+
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/internal/names"
 )
@@ -49,6 +51,8 @@
 	Kind     Kind                `json:"k"`
 	Hops     int                 `json:"h"`           // how often it was forwarded
 	Factor   Factor              `json:"f,omitempty"` // set for KindPaced
+	// Since is the time from the last request to the upstream that its origin had an answer to without this notice; set for KindLeaving, 0 if unknown.
+	Since time.Duration `json:"s,omitempty"`
 	Run
 }
 
@@ -62,8 +66,9 @@
 type Observed struct {
 	Upstream vaneyoke.UpstreamID
 	Kind     Kind
-	Run      Run    // set for KindCrash and KindSurvived and, without a content, for KindLeaving and KindPaced
-	Factor   Factor // set for KindPaced
+	Run      Run           // set for KindCrash and KindSurvived and, without a content, for KindLeaving and KindPaced
+	Factor   Factor        // set for KindPaced
+	Since    time.Duration // as in Sighting; set for KindLeaving
 }
 
 // SightingsReceived carries sightings that another node observed or forwards.
--- a/decide/gossip/state.go
+++ b/decide/gossip/state.go
@@ -127,7 +127,7 @@
 	}
 	s.reportedAt[key] = now
 	s.sequence++
-	sighting := Sighting{Origin: s.self, Sequence: s.sequence, Upstream: ev.Upstream, Kind: ev.Kind, Run: ev.Run, Factor: ev.Factor}
+	sighting := Sighting{Origin: s.self, Sequence: s.sequence, Upstream: ev.Upstream, Kind: ev.Kind, Run: ev.Run, Factor: ev.Factor, Since: ev.Since}
 	s.seen[sightingID{s.self, s.sequence}] = now
 	s.enqueue(now, s.self, sighting)
 }
--- a/decide/pushback/hold.go
+++ b/decide/pushback/hold.go
@@ -12,8 +12,9 @@
 	defaultPushback = 5 * time.Second
 	// shutdownHold is how long an upstream that is shutting down gets no requests, even if it is still listed. It exceeds any drain time.
 	shutdownHold = 10 * time.Minute
-	// reportedDelay is how long a node still uses an upstream of whose shutdown only others were told. It is shorter than the time in which an
-	// upstream that leaves has to be without new work, and until then the upstream serves as before, which counts where many leave at once.
+	// reportedDelay is how long a node still uses an upstream of whose shutdown only others were told, from when the shutdown may have begun. It is
+	// shorter than the time in which an upstream that leaves has to be without new work, and until then the upstream serves as before, which counts
+	// where many leave at once.
 	reportedDelay = 1500 * time.Millisecond
 	// reportedHold is how long it gets none if a single other node reported its shutdown: that node may be wrong. The upstream's own answers, or
 	// those to a second node, confirm it.
@@ -26,16 +27,17 @@
 	Pushback time.Duration     // how long it wants no requests from this node; 0 if not stated
 	Leaving  bool              // whether it is shutting down
 	Reporter vaneyoke.VMID     // node that got the response and reported the notice to this node; "" for a response to this node
+	Since    time.Duration     // how long it may have been shutting down when a report came; 0 if unknown
 }
 
-// Reported returns the signal for a shutdown notice that another node got from an incarnation of an upstream, 0 if unknown; ok is false if this
-// node's list has a later incarnation.
-func Reported(listed vaneyoke.Upstream, incarnation vaneyoke.Incarnation, reporter vaneyoke.VMID) (signal Signal, ok bool) {
+// Reported returns the signal for a shutdown notice that another node got from an incarnation of an upstream, 0 if unknown, which may have been
+// shutting down for since, 0 if unknown; ok is false if this node's list has a later incarnation.
+func Reported(listed vaneyoke.Upstream, incarnation vaneyoke.Incarnation, reporter vaneyoke.VMID, since time.Duration) (signal Signal, ok bool) {
 	if incarnation != 0 && incarnation < listed.Incarnation {
 		return Signal{}, false
 	}
 	listed.Incarnation = max(incarnation, listed.Incarnation)
-	return Signal{Upstream: listed, Leaving: true, Reporter: reporter}, true
+	return Signal{Upstream: listed, Leaving: true, Reporter: reporter, Since: max(since, 0)}, true
 }
 
 // Hold is the time for which a node sends no requests to one incarnation of an upstream; the zero value holds nothing back.
@@ -107,7 +109,7 @@
 	case !now.Before(r.keptUntil), !applies(r.url, r.incarnation, u), r.incarnation == 0 && u.Incarnation != 0:
 		h.reported = report{
 			incarnation: u.Incarnation, url: u.URL, reporter: signal.Reporter,
-			keptUntil: now.Add(shutdownHold), starts: now.Add(reportedDelay), ends: now.Add(reportedHold),
+			keptUntil: now.Add(shutdownHold), starts: now.Add(max(reportedDelay-signal.Since, 0)), ends: now.Add(reportedHold),
 		}
 	case u.Incarnation == r.incarnation && u.Incarnation != 0 && signal.Reporter != r.reporter:
 		r.ends = now.Add(shutdownHold)
--- a/decide/pushback/reported_test.go
+++ b/decide/pushback/reported_test.go
@@ -49,7 +49,7 @@
 		t.Run(name, func(t *testing.T) {
 			tracker := pushback.NewTracker()
 			for _, r := range tc.reports {
-				if signal, ok := pushback.Reported(tc.listedBefore, r.incarnation, r.reporter); ok {
+				if signal, ok := pushback.Reported(tc.listedBefore, r.incarnation, r.reporter, 0); ok {
 					tracker.Record(start.Add(r.after), signal)
 				}
 			}
@@ -69,7 +69,7 @@
 func TestReportedShutdownActsAtOnce(t *testing.T) {
 	own, told := pushback.NewTracker(), pushback.NewTracker()
 	answer{0, upstream, 0, true}.record(own)
-	signal, ok := pushback.Reported(upstream, upstream.Incarnation, "a")
+	signal, ok := pushback.Reported(upstream, upstream.Incarnation, "a", 0)
 	must.True(t, ok)
 	told.Record(start, signal)
 	must.True(t, own.Hold("u").Active(start, &upstream))
@@ -78,13 +78,28 @@
 	must.True(t, told.Hold("u").Active(start.Add(2*time.Second), &upstream))
 }
 
+// TestReportedShutdownBeganEarlier has a node hear of shutdowns that may have begun some time before: the upstream has to be without new work that much
+// sooner. The delay always began with the report.
+func TestReportedShutdownBeganEarlier(t *testing.T) {
+	for since, starts := range map[time.Duration]time.Duration{
+		0: 1500 * time.Millisecond, time.Second: 500 * time.Millisecond, 1500 * time.Millisecond: 0, time.Hour: 0, -time.Hour: 1500 * time.Millisecond, math.MinInt64: 1500 * time.Millisecond,
+	} {
+		told := pushback.NewTracker()
+		signal, ok := pushback.Reported(upstream, upstream.Incarnation, "a", since)
+		must.True(t, ok)
+		told.Record(start, signal)
+		must.False(t, told.Hold("u").Active(start.Add(starts-time.Millisecond), &upstream) && starts > 0, must.Sprint(since))
+		must.True(t, told.Hold("u").Active(start.Add(starts), &upstream), must.Sprint(since))
+	}
+}
+
 // TestReportsDoNotReplaceSignals has another node report a shutdown while the upstream asks for no requests itself: its own signals must count
 // as before, whichever incarnation the report is about. A report of a later incarnation ended the pushback and had later signals ignored.
 func TestReportsDoNotReplaceSignals(t *testing.T) {
 	for _, incarnation := range []vaneyoke.Incarnation{0, 4, 5, 6, math.MaxUint64} {
 		tracker := pushback.NewTracker()
 		answer{0, upstream, 50 * time.Second, false}.record(tracker)
-		if signal, ok := pushback.Reported(upstream, incarnation, "a"); ok {
+		if signal, ok := pushback.Reported(upstream, incarnation, "a", 0); ok {
 			tracker.Record(start, signal)
 		}
 		must.True(t, tracker.Hold("u").IsPushedBack(start.Add(49*time.Second), &upstream), must.Sprint(incarnation))
--- a/process/node/gateway_placer.go
+++ b/process/node/gateway_placer.go
@@ -52,7 +52,7 @@
 // recordLeaving holds back an upstream that announced its shutdown to another node, if it is listed: the hold needs its address.
 func (b *gatewayPlacer) recordLeaving(s gossip.Sighting) {
 	if upstream, ok := b.Upstream(s.Upstream); ok {
-		b.pushbacks.RecordReported(time.Now(), upstream, s.Incarnation, s.Origin)
+		b.pushbacks.RecordReported(time.Now(), upstream, s.Incarnation, s.Origin, s.Since)
 	}
 }
 
--- a/process/node/pushbacks_wire.go
+++ b/process/node/pushbacks_wire.go
@@ -33,10 +33,13 @@
 	if signals.Limit != nil {
 		l.limits.RecordLimit(upstream, *signals.Limit, sentAt)
 	}
-	l.pushbacks.RecordSignals(time.Now(), upstream, signals)
+	now := time.Now()
+	l.pushbacks.RecordSignals(now, upstream, signals)
 	if signals.Leaving {
-		l.gossip.ObserveLeaving(upstream.ID, upstream.Incarnation)
+		l.gossip.ObserveLeaving(upstream.ID, upstream.Incarnation, l.pushbacks.SinceAnswered(now, upstream.ID))
+		return
 	}
+	l.pushbacks.RecordAnswered(upstream.ID, sentAt)
 }
 
 func providePushbacks(i do.Injector) (*pushbacks.Node, error) {
--- a/shell/mesh/gossip.go
+++ b/shell/mesh/gossip.go
@@ -50,9 +50,9 @@
 	g.handle(gossip.Observed{Upstream: upstream, Kind: kind, Run: run})
 }
 
-// ObserveLeaving sends the other nodes that an incarnation of an upstream announced that it shuts down.
-func (g *Gossip) ObserveLeaving(upstream vaneyoke.UpstreamID, incarnation vaneyoke.Incarnation) {
-	g.handle(gossip.Observed{Upstream: upstream, Kind: gossip.KindLeaving, Run: gossip.Run{Incarnation: incarnation}})
+// ObserveLeaving sends the other nodes that an incarnation of an upstream announced that it shuts down, which it may have begun that long ago.
+func (g *Gossip) ObserveLeaving(upstream vaneyoke.UpstreamID, incarnation vaneyoke.Incarnation, since time.Duration) {
+	g.handle(gossip.Observed{Upstream: upstream, Kind: gossip.KindLeaving, Run: gossip.Run{Incarnation: incarnation}, Since: since})
 }
 
 func (g *Gossip) handle(event gossip.Event) {
--- a/shell/pushbacks/node.go
+++ b/shell/pushbacks/node.go
@@ -17,6 +17,8 @@
 	logInterval        = time.Second            // minimum time between two log lines on the requests sent to an upstream that is held back, or on invalid headers
 	minLoggedExtension = 500 * time.Millisecond // a pushback that is extended by less is not logged again
 	maxCounted         = 1024                   // upstreams that were held back and for which sent requests are counted
+	maxAnswered        = 1 << 14                // upstreams of which it is known when they last answered
+	answeredTTL        = time.Minute            // for which that is known
 )
 
 // Holds decides which upstreams get no new attempts.
@@ -35,6 +37,7 @@
 
 	mu                 sync.Mutex
 	sent               map[vaneyoke.UpstreamID]*sendCounts // to upstreams that were held back when last checked
+	answered           map[vaneyoke.UpstreamID]time.Time   // when the last request was sent that was answered without a shutdown notice
 	unreadableLoggedAt time.Time                           // when an invalid header was last logged
 }
 
@@ -46,7 +49,7 @@
 
 // New returns a node that has received no signals; its metrics are published under "pushback" in vars.
 func New(holds Holds, vars *expvar.Map, log logrus.FieldLogger) *Node {
-	n := &Node{holds: holds, counts: new(expvar.Map).Init(), log: log, sent: map[vaneyoke.UpstreamID]*sendCounts{}}
+	n := &Node{holds: holds, counts: new(expvar.Map).Init(), log: log, sent: map[vaneyoke.UpstreamID]*sendCounts{}, answered: map[vaneyoke.UpstreamID]time.Time{}}
 	vars.Set("pushback", n.counts)
 	return n
 }
@@ -82,9 +85,36 @@
 	n.record(now, pushback.Signal{Upstream: upstream, Pushback: signals.Pushback, Leaving: signals.Leaving})
 }
 
-// RecordReported applies the shutdown notice of an incarnation of an upstream, 0 if unknown, that another node got.
-func (n *Node) RecordReported(now time.Time, listed vaneyoke.Upstream, incarnation vaneyoke.Incarnation, reporter vaneyoke.VMID) {
-	if signal, ok := pushback.Reported(listed, incarnation, reporter); ok {
+// RecordAnswered records that an upstream answered a request, sent at sentAt, without a shutdown notice.
+func (n *Node) RecordAnswered(upstream vaneyoke.UpstreamID, sentAt time.Time) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if _, known := n.answered[upstream]; !known && len(n.answered) >= maxAnswered {
+		maps.DeleteFunc(n.answered, func(_ vaneyoke.UpstreamID, at time.Time) bool { return sentAt.Sub(at) >= answeredTTL })
+		if len(n.answered) >= maxAnswered {
+			return
+		}
+	}
+	n.answered[upstream] = later(n.answered[upstream], sentAt)
+}
+
+// SinceAnswered returns the time since the last request that an upstream answered without a shutdown notice, answeredTTL at most. An upstream that
+// sends a notice now has been shutting down for no longer, or for an unknown time if this is answeredTTL.
+func (n *Node) SinceAnswered(now time.Time, upstream vaneyoke.UpstreamID) time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	at, known := n.answered[upstream]
+	if !known {
+		return answeredTTL
+	}
+	return min(max(now.Sub(at), 1), answeredTTL)
+}
+
+// RecordReported applies the shutdown notice of an incarnation of an upstream, 0 if unknown, that another node got. The upstream may have been
+// shutting down for since, 0 if unknown.
+func (n *Node) RecordReported(now time.Time, listed vaneyoke.Upstream, incarnation vaneyoke.Incarnation, reporter vaneyoke.VMID, since time.Duration) {
+	since = min(since, n.SinceAnswered(now, listed.ID))
+	if signal, ok := pushback.Reported(listed, incarnation, reporter, since); ok {
 		n.record(now, signal)
 	}
 }
--- a/shell/pushbacks/node_test.go
+++ b/shell/pushbacks/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"expvar"
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -82,7 +83,7 @@
 	n := pushbacks.New(holds, new(expvar.Map).Init(), log)
 	report := func(after time.Duration, incarnation vaneyoke.Incarnation, reporter vaneyoke.VMID) {
 		holds.now = now.Add(after)
-		n.RecordReported(holds.now, listed, incarnation, reporter)
+		n.RecordReported(holds.now, listed, incarnation, reporter, 0)
 	}
 	report(0, 4, "a")
 	must.SliceEmpty(t, hook.AllEntries())
@@ -97,3 +98,48 @@
 	must.Len(t, 2, hook.AllEntries())
 	must.True(t, holds.IsHeld("u1"))
 }
+
+// TestReportIgnoresTheLastAnswer has another node report a shutdown that may have begun long ago. The upstream is used on only if it answered this node
+// lately, or if the report does not say when the shutdown may have begun.
+func TestReportIgnoresTheLastAnswer(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for name, tc := range map[string]struct {
+		since, answered time.Duration // answered is how long ago this node sent the last request that was answered; 0 for none
+		held            bool
+	}{
+		"just begun":                            {time.Millisecond, 0, false},
+		"begun long ago":                        {time.Minute, 0, true},
+		"begun long ago, but for this node":     {time.Minute, time.Second, false},
+		"begun long ago, for this node as well": {time.Minute, 2 * time.Second, true},
+		"just begun, long ago for this node":    {time.Millisecond, 2 * time.Second, false},
+		"of an earlier build":                   {0, 2 * time.Second, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			log, _ := logtest.NewNullLogger()
+			holds := &fakeHolds{tracker: pushback.NewTracker(), now: now}
+			n := pushbacks.New(holds, new(expvar.Map).Init(), log)
+			if tc.answered > 0 {
+				n.RecordAnswered("u1", now.Add(-tc.answered))
+				n.RecordAnswered("u1", now.Add(-tc.answered-time.Second)) // an answer that took longer
+			}
+			n.RecordReported(now, vaneyoke.Upstream{ID: "u1", URL: "http://u1", Incarnation: 5}, 5, "a", tc.since)
+			must.EqOp(t, tc.held, holds.IsHeld("u1"))
+		})
+	}
+}
+
+// TestAnsweredUpstreamsAreNotBounded has more upstreams answer than a node remembers.
+func TestAnsweredUpstreamsAreNotBounded(t *testing.T) {
+	log, _ := logtest.NewNullLogger()
+	n := pushbacks.New(&fakeHolds{tracker: pushback.NewTracker()}, new(expvar.Map).Init(), log)
+	now := time.Unix(1000, 0)
+	const most = 1 << 14
+	for i := range most + 1 {
+		n.RecordAnswered(vaneyoke.UpstreamID(fmt.Sprint(i)), now)
+	}
+	must.EqOp(t, time.Second, n.SinceAnswered(now.Add(time.Second), "0"))
+	must.EqOp(t, time.Minute, n.SinceAnswered(now, vaneyoke.UpstreamID(fmt.Sprint(most))), must.Sprint("not remembered"))
+	n.RecordAnswered("later", now.Add(2*time.Minute))
+	must.EqOp(t, time.Second, n.SinceAnswered(now.Add(2*time.Minute+time.Second), "later"))
+	must.EqOp(t, time.Minute, n.SinceAnswered(now.Add(time.Second), "0"), must.Sprint("forgotten"))
+}
