Logs and metrics tell an upstream that is down from a lost path to it

Cause: attempt_lost names an attempt's error only, so that a node that had lost its links to all upstreams looked like one whose upstreams were down; successes were not counted at all. Change: connections to upstreams are opened by one dialer, which counts dials by outcome (dials_total), keeps what the last attempt on each path showed (paths), and logs upstream_not_reached with how many upstreams the node reached and missed in the last second. decide/overlay holds that evidence. Connections can be opened by another dialer in tests (internal/cutline). No decision changes.

--- a/process/node/active_config.go
+++ b/process/node/active_config.go
@@ -12,6 +12,7 @@
 	"github.com/vaneyoke/vaneyoke/decide/route"
 	"github.com/vaneyoke/vaneyoke/platform"
 	"github.com/vaneyoke/vaneyoke/shell/balancer"
+	"github.com/vaneyoke/vaneyoke/shell/tunnels"
 	"github.com/vaneyoke/vaneyoke/shell/watch"
 )
 
@@ -26,6 +27,7 @@
 	limits      *limitTables
 	duties      *dutyTables
 	queue       *queueModes
+	dialer      *tunnels.Dialer
 }
 
 func newActiveConfig(b *balancer.Balancer, log logrus.FieldLogger) *activeConfig {
@@ -71,6 +73,7 @@
 	c.balancer.SetUpstreams(upstreams, nil)
 	c.limits.setUpstreams(upstreams)
 	c.duties.setUpstreams(now, upstreams)
+	c.dialer.SetUpstreams(upstreamsByAddress(upstreams))
 }
 
 // decodeCache caches decoded rows, so that an update decodes only the rows that changed.
--- a/process/node/gateway_wire.go
+++ b/process/node/gateway_wire.go
@@ -26,11 +26,12 @@
 	"github.com/vaneyoke/vaneyoke/shell/relay"
 	"github.com/vaneyoke/vaneyoke/shell/rollouts"
 	"github.com/vaneyoke/vaneyoke/shell/shares"
+	"github.com/vaneyoke/vaneyoke/shell/tunnels"
 	"github.com/vaneyoke/vaneyoke/shell/watch"
 )
 
 // BuildGateway assembles a node that serves opaque requests from its settings.
-func BuildGateway(s settings.Settings, log logrus.FieldLogger) (*GatewayNode, error) {
+func BuildGateway(s settings.Settings, log logrus.FieldLogger, options ...Option) (*GatewayNode, error) {
 	i := do.New()
 	do.ProvideValue(i, s)
 	do.ProvideValue(i, log)
@@ -38,6 +39,8 @@
 	do.Provide(i, provideTracing)
 	do.Provide(i, provideBalancer)
 	do.Provide(i, provideStoreClient)
+	do.Provide(i, provideNetDialer)
+	do.Provide(i, provideDialer)
 	do.Provide(i, provideActiveConfig)
 	do.Provide(i, provideMesh)
 	do.Provide(i, provideLender)
@@ -58,6 +61,9 @@
 	do.Provide(i, provideForwarder)
 	do.Provide(i, provideGateway)
 	do.Provide(i, provideGatewayNode)
+	for _, option := range options {
+		option(i)
+	}
 	return do.Invoke[*GatewayNode](i)
 }
 
@@ -87,11 +93,10 @@
 
 func provideForwarder(i do.Injector) (*relay.Relay, error) {
 	s := do.MustInvoke[settings.Settings](i)
-	dialer := &net.Dialer{Timeout: s.Gateway.DialWait, KeepAliveConfig: upstreamKeepAlive}
 	placer := do.MustInvoke[*gatewayPlacer](i)
 	r := relay.New(
 		nil,
-		platform.NewSender(dialer, do.MustInvoke[*signalListener](i)),
+		platform.NewSender(do.MustInvoke[*tunnels.Dialer](i), do.MustInvoke[*signalListener](i)),
 		placer,
 		do.MustInvoke[*telemetry.Tracing](i).Tracer,
 		relay.NewMetrics(do.MustInvoke[*expvar.Map](i)),
@@ -152,6 +157,7 @@
 	limitUpdates := do.MustInvoke[*limitTables](i)
 	active.limits = limitUpdates
 	active.duties = do.MustInvoke[*dutyTables](i)
+	active.dialer = do.MustInvoke[*tunnels.Dialer](i)
 	active.queue = newQueueModes(do.MustInvoke[*admissions.Node](i), s.Admission.Mode)
 	var node *mesh.Node
 	tables := map[string]mesh.Table{
--- /dev/null
+++ b/shell/tunnels/doc.go
@@ -0,0 +1,2 @@
+// Package tunnels connects this node to upstreams, and records which of them it reaches.
+package tunnels
--- a/upstream.go
+++ b/upstream.go
@@ -1,5 +1,7 @@
 package vaneyoke
 
+import "strings"
+
 // UpstreamKind distinguishes engines from plain services.
 type UpstreamKind string
 
@@ -36,3 +38,6 @@
 	// Incarnation distinguishes restarts of the upstream, which may keep its id; 0 if unknown.
 	Incarnation Incarnation `json:"incarnation,omitempty"`
 }
+
+// Address returns the IP address and port of the upstream.
+func (u *Upstream) Address() string { return strings.TrimPrefix(u.URL, "http://") }
--- a/wire/forward/forward.go
+++ b/wire/forward/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -65,6 +66,12 @@
 	return KindFirst
 }
 
+// Dialer opens connections to upstreams.
+type Dialer interface {
+	// DialContext connects to an address; it bounds the time that this takes.
+	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+}
+
 // Listener is notified of requests sent to upstreams, and of the signals in their responses.
 type Listener interface {
 	// RecordSent records that a request is sent to an upstream.
