A node that has lost its path to upstreams reaches them through another node

Callers saw 503 for each request at nodes that had lost their links to the upstreams, for as long as that lasted (0 of 43 first tries served, 108 of 112 at the other nodes). Cause: a node had one way to an upstream, its own. Each attempt was a connection that could not be made, three of them ended a request after 370 ms, and nothing told a lost path from an upstream that is down. What a node lost over its own path also counted as the upstream's loss: gossip told the others that upstreams were unreachable (85 or 86 times in nine seconds to each of them).

Change: below the attempt, connections race (RFC 8305): the node's own path, and with a head start of 25 ms each other nodes that connect for it and pass bytes on (POST /detours; one hop; listed upstreams only). A path counts as lost once it failed while another node connected, and is then tried again every 0.5 s, up to 8 s if it flaps (decide/overlay). Sessions, ids, permits, deadlines and at most once stay where they were: a request is written to one connection, after the gate. Runs are asked for over the path of their own connection. Losses and lost answers are gossiped and counted for rollouts only if the node's own path is not lost (HasHelpers; else as before).

Weighed: readiness (moves new connections only, after 2 s, nothing where most of a data centre is cut); handing the request to another node (ids, at most once, cancellation and budgets would have to follow it). The indirect path leaves all of that alone.

Before: TestPartitionedNodesRefuseCallers 0 of 93 or 94 served in 11 cases, TestPartitionBreaksStreams, TestPartitionedNodesMisleadOthers and TestHelpersThatStop fail. Now 95 of 95 or 96 of 96 in each case.

--- a/decide/placement/state.go
+++ b/decide/placement/state.go
@@ -53,13 +53,14 @@
 	OutcomeUnreachable                    // the upstream accepts no connections
 	OutcomeGone                           // another upstream answered at its address
 	OutcomeDeclined                       // the upstream received the request and rejected it
+	OutcomePathLost                       // this node could not connect to the upstream, which other nodes may reach
 
 	numOutcomes = iota + 1 // number of outcomes, including the zero value
 )
 
 // String returns the outcome's name in metrics.
 func (o Outcome) String() string {
-	return names.Of(o, "none", "done", "failed", "lost", "dropped", "unreachable", "gone", "declined")
+	return names.Of(o, "none", "done", "failed", "lost", "dropped", "unreachable", "gone", "declined", "path_lost")
 }
 
 // entry is the node's state for one upstream.
@@ -331,7 +332,7 @@
 	case OutcomeDeclined:
 		e.breaker.Inconclusive()
 		e.declines.add(now)
-	case OutcomeUnreachable:
+	case OutcomeUnreachable, OutcomePathLost:
 		e.breaker.Open(now)
 	case OutcomeGone:
 		e.replacedUntil = now.Add(replacedTTL)
--- a/process/node/active_config.go
+++ b/process/node/active_config.go
@@ -12,7 +12,7 @@
 	"github.com/vaneyoke/vaneyoke/decide/route"
 	"github.com/vaneyoke/vaneyoke/platform"
 	"github.com/vaneyoke/vaneyoke/shell/balancer"
-	"github.com/vaneyoke/vaneyoke/shell/tunnels"
+	"github.com/vaneyoke/vaneyoke/shell/detours"
 	"github.com/vaneyoke/vaneyoke/shell/watch"
 )
 
@@ -27,7 +27,7 @@
 	limits      *limitTables
 	duties      *dutyTables
 	queue       *queueModes
-	dialer      *tunnels.Dialer
+	dialer      *detours.Dialer
 }
 
 func newActiveConfig(b *balancer.Balancer, log logrus.FieldLogger) *activeConfig {
--- a/process/node/crashes_wire.go
+++ b/process/node/crashes_wire.go
@@ -7,10 +7,12 @@
 	"github.com/samber/do/v2"
 	"github.com/sirupsen/logrus"
 
+	"github.com/vaneyoke/vaneyoke/internal/background"
 	"github.com/vaneyoke/vaneyoke/platform"
 	"github.com/vaneyoke/vaneyoke/process/settings"
 	"github.com/vaneyoke/vaneyoke/shell/admissions"
 	"github.com/vaneyoke/vaneyoke/shell/balancer"
+	"github.com/vaneyoke/vaneyoke/shell/detours"
 	"github.com/vaneyoke/vaneyoke/shell/duties"
 	"github.com/vaneyoke/vaneyoke/shell/mesh"
 	"github.com/vaneyoke/vaneyoke/shell/pushbacks"
@@ -57,6 +59,7 @@
 		Balancer: do.MustInvoke[*balancer.Balancer](i), lender: do.MustInvoke[*mesh.Lender](i), mesh: member,
 		rollouts: do.MustInvoke[*rollouts.Node](i), limits: do.MustInvoke[*ratelimits.Node](i),
 		duties: do.MustInvoke[*duties.Node](i), pushbacks: do.MustInvoke[*pushbacks.Node](i),
+		dialer: do.MustInvoke[*detours.Dialer](i), checks: background.New(maxPathChecks, pathCheckTimeout),
 		queue: do.MustInvoke[*admissions.Node](i), modes: do.MustInvoke[*activeConfig](i).queue,
 	}
 	p.gossip = mesh.NewGossip(member, p.handleSighting)
--- a/process/node/gateway.go
+++ b/process/node/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/vaneyoke/vaneyoke/internal/pause"
 	"github.com/vaneyoke/vaneyoke/process/settings"
 	"github.com/vaneyoke/vaneyoke/process/telemetry"
+	"github.com/vaneyoke/vaneyoke/shell/detours"
 	"github.com/vaneyoke/vaneyoke/shell/duties"
 	"github.com/vaneyoke/vaneyoke/shell/mesh"
 	"github.com/vaneyoke/vaneyoke/shell/quarantines"
@@ -47,6 +48,7 @@
 	limits   *ratelimits.Node
 	duties   *duties.Node // nil without duties
 	shares   *shares.Node // nil without peers
+	detours  *detours.Server
 	active   *activeConfig
 	vars     *expvar.Map
 	tracing  *telemetry.Tracing
@@ -152,6 +154,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", n.mesh.Handler())
 	mux.Handle("POST "+mesh.BorrowPath, n.lender)
+	mux.Handle("POST "+detours.Path, n.detours)
 	if n.rollouts != nil {
 		mux.Handle("POST "+rollouts.Path, n.rollouts)
 	}
@@ -183,6 +186,7 @@
 	lameDuckStreams := min(n.current.Load().Gateway.LameDuckStreams, deadline.Sub(now)/lameDuckStreamDivisor)
 	n.gateway.Stop(gateway.StopPlan{Since: now, Deadline: deadline, ReroutingDelay: notReadyPropagation, LongRequestWindow: lameDuckStreams})
 	n.callers().DisableKeepAlives()
+	n.detours.Stop()
 }
 
 // callers returns the server that callers use.
@@ -210,6 +214,7 @@
 	var flush sync.WaitGroup
 	flush.Go(func() { n.flushDuties(ctx, drained, ends) })
 	interrupted := drainServer(ctx, n.callers(), n.relay, deadline)
+	n.detours.WaitIdle(drained)
 	cutOff := logCutOff(n.log, n.callers(), stopping)
 	drainedAt := time.Now()
 	stopWaiting()
@@ -241,6 +246,7 @@
 	n.crashes.Close()
 	n.limits.Close()
 	n.relay.Close()
+	n.detours.Close()
 	for _, server := range n.servers {
 		_ = server.Close()
 	}
--- a/process/node/gateway_placer.go
+++ b/process/node/gateway_placer.go
@@ -9,9 +9,11 @@
 	"github.com/vaneyoke/vaneyoke/decide/gossip"
 	"github.com/vaneyoke/vaneyoke/decide/placement"
 	"github.com/vaneyoke/vaneyoke/decide/rollout"
+	"github.com/vaneyoke/vaneyoke/internal/background"
 	"github.com/vaneyoke/vaneyoke/internal/steady"
 	"github.com/vaneyoke/vaneyoke/shell/admissions"
 	"github.com/vaneyoke/vaneyoke/shell/balancer"
+	"github.com/vaneyoke/vaneyoke/shell/detours"
 	"github.com/vaneyoke/vaneyoke/shell/duties"
 	"github.com/vaneyoke/vaneyoke/shell/mesh"
 	"github.com/vaneyoke/vaneyoke/shell/pushbacks"
@@ -20,6 +22,11 @@
 	"github.com/vaneyoke/vaneyoke/shell/rollouts"
 )
 
+const (
+	maxPathChecks    = 64                     // concurrent checks of this node's own paths; what is lost beyond that is not reported
+	pathCheckTimeout = 500 * time.Millisecond // bound of a check
+)
+
 // gatewayPlacer is a balancer that borrows a retry from another node when the node's own budget is exhausted, and that reports to
 // the rollouts, duties and gossip components how upstreams answered.
 type gatewayPlacer struct {
@@ -32,6 +39,8 @@
 	duties   *duties.Node // nil without duties
 	// pushbacks records which upstreams announced their shutdown to other nodes.
 	pushbacks *pushbacks.Node
+	dialer    *detours.Dialer
+	checks    *background.Runner // of this node's own paths after losses
 	queue     *admissions.Node
 	modes     *queueModes
 	crashGuard
@@ -89,11 +98,33 @@
 	b.Balancer.LimitReached(need, isRetry, id, permit.AvailableIn, permit.RetryAfter)
 }
 
-// RecordAnswer records an upstream's answer for the rollout of its service.
+// RecordAnswer records an upstream's answer for the rollout of its service. An answer that was lost counts only if this node's own path to the
+// upstream is not lost as well.
 func (b *gatewayPlacer) RecordAnswer(upstream vaneyoke.Upstream, route vaneyoke.RouteID, answer rollout.Answer) {
-	if b.rollouts != nil {
-		b.rollouts.RecordAnswer(steady.Now(), upstream, route, answer)
+	if b.rollouts == nil {
+		return
+	}
+	record := func() { b.rollouts.RecordAnswer(steady.Now(), upstream, route, answer) }
+	if answer.Kind == rollout.AnswerLost {
+		b.unlessPathLost(upstream, record)
+		return
 	}
+	record()
+}
+
+// unlessPathLost calls record, later if need be, unless this node's own path to an upstream turns out to be lost: what it lost over that says nothing
+// about the upstream.
+func (b *gatewayPlacer) unlessPathLost(upstream vaneyoke.Upstream, record func()) {
+	if !b.dialer.HasHelpers() {
+		record()
+		return
+	}
+	b.checks.Go(func(ctx context.Context) error {
+		if !b.dialer.IsOwnPathLost(ctx, upstream.Address()) {
+			record()
+		}
+		return nil
+	}, func(error) {})
 }
 
 // MayBeStale reports whether the list of upstreams may be stale, so that it may miss upstreams that were replaced.
@@ -119,11 +150,18 @@
 	case placement.OutcomeDone:
 		b.gossip.Observe(id, gossip.KindHealthy)
 	case placement.OutcomeLost:
-		b.gossip.Observe(id, gossip.KindLost)
+		b.observeLoss(id, gossip.KindLost)
 	case placement.OutcomeUnreachable:
-		b.gossip.Observe(id, gossip.KindUnreachable)
+		b.observeLoss(id, gossip.KindUnreachable)
 	case placement.OutcomeGone:
 		b.gossip.Observe(id, gossip.KindReplaced)
 	default: // says nothing about whether the upstream is reachable
 	}
 }
+
+// observeLoss gossips that an upstream was lost, unless only this node's own path to it was.
+func (b *gatewayPlacer) observeLoss(id vaneyoke.UpstreamID, kind gossip.Kind) {
+	if upstream, ok := b.Upstream(id); ok {
+		b.unlessPathLost(upstream, func() { b.gossip.Observe(id, kind) })
+	}
+}
--- a/process/node/gateway_wire.go
+++ b/process/node/gateway_wire.go
@@ -20,13 +20,13 @@
 	"github.com/vaneyoke/vaneyoke/process/telemetry"
 	"github.com/vaneyoke/vaneyoke/shell/admissions"
 	"github.com/vaneyoke/vaneyoke/shell/balancer"
+	"github.com/vaneyoke/vaneyoke/shell/detours"
 	"github.com/vaneyoke/vaneyoke/shell/duties"
 	"github.com/vaneyoke/vaneyoke/shell/mesh"
 	"github.com/vaneyoke/vaneyoke/shell/ratelimits"
 	"github.com/vaneyoke/vaneyoke/shell/relay"
 	"github.com/vaneyoke/vaneyoke/shell/rollouts"
 	"github.com/vaneyoke/vaneyoke/shell/shares"
-	"github.com/vaneyoke/vaneyoke/shell/tunnels"
 	"github.com/vaneyoke/vaneyoke/shell/watch"
 )
 
@@ -41,6 +41,7 @@
 	do.Provide(i, provideStoreClient)
 	do.Provide(i, provideNetDialer)
 	do.Provide(i, provideDialer)
+	do.Provide(i, provideDetourServer)
 	do.Provide(i, provideActiveConfig)
 	do.Provide(i, provideMesh)
 	do.Provide(i, provideLender)
@@ -96,7 +97,7 @@
 	placer := do.MustInvoke[*gatewayPlacer](i)
 	r := relay.New(
 		nil,
-		platform.NewSender(do.MustInvoke[*tunnels.Dialer](i), do.MustInvoke[*signalListener](i)),
+		platform.NewSender(do.MustInvoke[*detours.Dialer](i), do.MustInvoke[*signalListener](i)),
 		placer,
 		do.MustInvoke[*telemetry.Tracing](i).Tracer,
 		relay.NewMetrics(do.MustInvoke[*expvar.Map](i)),
@@ -130,6 +131,7 @@
 		limits:   do.MustInvoke[*ratelimits.Node](i),
 		duties:   do.MustInvoke[*duties.Node](i),
 		shares:   do.MustInvoke[*shares.Node](i),
+		detours:  do.MustInvoke[*detours.Server](i),
 		active:   do.MustInvoke[*activeConfig](i),
 		vars:     do.MustInvoke[*expvar.Map](i),
 		tracing:  do.MustInvoke[*telemetry.Tracing](i),
@@ -157,7 +159,7 @@
 	limitUpdates := do.MustInvoke[*limitTables](i)
 	active.limits = limitUpdates
 	active.duties = do.MustInvoke[*dutyTables](i)
-	active.dialer = do.MustInvoke[*tunnels.Dialer](i)
+	active.dialer = do.MustInvoke[*detours.Dialer](i)
 	active.queue = newQueueModes(do.MustInvoke[*admissions.Node](i), s.Admission.Mode)
 	var node *mesh.Node
 	tables := map[string]mesh.Table{
@@ -167,6 +169,7 @@
 		"members": {Source: members, MayLag: true, Apply: func(_ time.Time, rows watch.Rows) {
 			node.SetMembers(mesh.DecodeMembers(rows))
 			limitUpdates.setMembers(node.Registered())
+			active.dialer.SetMembers(node.Registered())
 			active.balancer.SetRetryBurst(fleetBudgetConfig(s.Retry, node.Members()).Burst)
 		}},
 	}
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -44,6 +44,7 @@
 	HeaderWait      time.Duration `ini:"header_wait" default:"10s" min:"100ms" doc:"Longest time that a caller may take to send a request's header."`
 	IdleWait        time.Duration `ini:"idle_wait" default:"60s" min:"1s" doc:"How long a connection without a request is kept."`
 	HeaderBytes     int           `ini:"header_bytes" default:"65536" min:"1024" doc:"Largest header of a request in bytes."`
+	Detours         int           `ini:"detours" default:"256" min:"0" doc:"Most connections to upstreams that the node keeps open for other nodes which have lost their own path there; 0 for none."`
 	DialWait        time.Duration `ini:"dial_wait" default:"120ms" min:"1ms" doc:"Longest wait for a connection to an upstream."`
 	PollWait        time.Duration `ini:"feed_wait" default:"3s" min:"100ms" max:"30s" doc:"How long one call to the store waits for changes, by a node that has no others to ask."`
 	RecoverWithin   time.Duration `ini:"back_within" default:"3s" min:"500ms" doc:"Time after an outage of the store, or of the way to it, within which the node goes by what the store then holds; it bounds how long one call to the store may hang."`
--- a/shell/tunnels/metrics.go
+++ b/shell/detours/metrics.go
@@ -1,4 +1,4 @@
-package tunnels
+package detours
 
 import (
 	"errors"
--- /dev/null
+++ b/shell/detours/server.go
@@ -0,0 +1,269 @@
+package detours
+
+import (
+	"bufio"
+	"context"
+	"expvar"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httputil"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/vaneyoke/vaneyoke/decide/overlay"
+)
+
+// Path is the HTTP path at which a node opens a detour to an upstream for another node.
+const Path = "/detours"
+
+const (
+	addressKey    = "address"             // query key of the upstream's address
+	helperTimeout = 60 * time.Millisecond // bound of the connection to the upstream
+	bufferBytes   = 8 << 10               // read at a time, in each direction
+	// lingerTimeout bounds how long the rest of what a node sends is read after the upstream has ended its connection: closing with unread bytes
+	// resets the connection and may lose the end of the answer.
+	lingerTimeout = time.Second
+	responseHead  = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+
+// Server opens detours for other nodes. It connects over the node's own paths only, and only to listed upstreams.
+type Server struct {
+	dialer *Dialer
+	most   int // detours that it keeps open
+	log    logrus.FieldLogger
+	counts *expvar.Map
+
+	mu       sync.Mutex
+	changed  *sync.Cond
+	open     map[*passage]struct{}
+	opening  int
+	stopping bool
+}
+
+// NewServer returns a server that keeps at most the given number of detours open; its metrics are published under "detours" in vars.
+func NewServer(dialer *Dialer, most int, vars *expvar.Map, log logrus.FieldLogger) *Server {
+	s := &Server{dialer: dialer, most: most, log: log, counts: new(expvar.Map).Init(), open: map[*passage]struct{}{}}
+	s.changed = sync.NewCond(&s.mu)
+	s.counts.Set("open", expvar.Func(func() any { return s.Open() }))
+	vars.Set("detours", s.counts)
+	return s
+}
+
+// Open returns the number of open detours.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
+// ServeHTTP opens a detour. It answers 404 for an address that no listed upstream has, 503 while the node stops, 429 if it keeps as many as it may, 424 if
+// its own path may be lost, and 502 if it reaches other upstreams but not this one.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	address := r.URL.Query().Get(addressKey)
+	if status := s.reserve(address); status != http.StatusOK {
+		s.refuse(w, status)
+		return
+	}
+	defer s.unreserve()
+	ctx, cancel := context.WithTimeout(r.Context(), helperTimeout)
+	defer cancel()
+	upstream, err := s.dialer.dialDirect(ctx, "tcp", address)
+	if err != nil {
+		s.refuse(w, statusOf(s.dialer.helpAfterMiss()))
+		return
+	}
+	node, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		_ = upstream.Close()
+		s.refuse(w, http.StatusInternalServerError)
+		return
+	}
+	p := &passage{node: node, received: buffered.Reader, upstream: upstream, opened: time.Now()}
+	if !s.add(p) {
+		p.breakOff()
+		return
+	}
+	s.counts.Add("opened_total", 1)
+	go s.pass(p, address)
+}
+
+func (s *Server) refuse(w http.ResponseWriter, status int) {
+	s.counts.Add(fmt.Sprintf("refused_total %d", status), 1)
+	w.WriteHeader(status)
+}
+
+// reserve makes room for a detour, or returns the status with which it is refused.
+func (s *Server) reserve(address string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.stopping:
+		return http.StatusServiceUnavailable
+	case !s.dialer.isListed(address):
+		return http.StatusNotFound
+	case len(s.open)+s.opening >= s.most:
+		return http.StatusTooManyRequests
+	}
+	status := statusOf(s.dialer.help(address))
+	if status == http.StatusOK {
+		s.opening++
+	}
+	return status
+}
+
+func (s *Server) unreserve() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.opening--
+	s.changed.Broadcast()
+}
+
+// statusOf returns the status that stands for what this node can do.
+func statusOf(help overlay.Help) int {
+	switch help {
+	case overlay.HelpConnects:
+		return http.StatusOK
+	case overlay.HelpMissed:
+		return http.StatusBadGateway
+	default:
+		return http.StatusFailedDependency
+	}
+}
+
+func (s *Server) add(p *passage) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping {
+		return false
+	}
+	s.open[p] = struct{}{}
+	return true
+}
+
+// pass passes bytes on until the detour ends.
+func (s *Server) pass(p *passage, address string) {
+	sent, received, err := p.run()
+	s.mu.Lock()
+	delete(s.open, p)
+	s.changed.Broadcast()
+	s.mu.Unlock()
+	s.counts.Add("bytes_total", sent+received)
+	s.log.WithFields(logrus.Fields{
+		"address": address, "peer": p.node.RemoteAddr(), "ms": time.Since(p.opened).Milliseconds(), "sent_bytes": sent, "received_bytes": received, "error": err,
+	}).Debug("detour_ended")
+}
+
+// Stop refuses new detours.
+func (s *Server) Stop() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+}
+
+// WaitIdle waits until no detour is open, and reports whether that happened before ctx is done.
+func (s *Server) WaitIdle(ctx context.Context) bool {
+	stop := context.AfterFunc(ctx, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.changed.Broadcast()
+	})
+	defer stop()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.open)+s.opening > 0 && ctx.Err() == nil {
+		s.changed.Wait()
+	}
+	return len(s.open)+s.opening == 0
+}
+
+// Close breaks all detours off.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+	for p := range s.open {
+		p.breakOff()
+	}
+}
+
+// passage is a detour that this node carries for another one.
+type passage struct {
+	node     net.Conn
+	received *bufio.Reader // of node
+	upstream net.Conn
+	opened   time.Time
+}
+
+// breakOff closes both connections. The node does not take that for the end of an answer, since the last chunk is missing.
+func (p *passage) breakOff() { _, _ = p.node.Close(), p.upstream.Close() }
+
+// run passes bytes on until either end closes or breaks off its connection. It returns the bytes sent to the upstream and received from it.
+func (p *passage) run() (sent, received int64, err error) {
+	if _, err := io.WriteString(p.node, responseHead); err != nil {
+		p.breakOff()
+		return 0, 0, err
+	}
+	requestEnded := make(chan int64, 1)
+	go func() {
+		n, _ := io.CopyBuffer(writerOnly{p.upstream}, readerOnly{p.received}, make([]byte, bufferBytes))
+		_ = p.upstream.Close() // the node has left: the upstream must not go on working for it
+		requestEnded <- n
+	}()
+	received, err = p.passAnswer()
+	if err == nil {
+		err = p.endAnswer()
+	}
+	if err != nil {
+		p.breakOff()
+		return <-requestEnded, received, err
+	}
+	_ = p.node.SetReadDeadline(time.Now().Add(lingerTimeout))
+	sent = <-requestEnded
+	_ = p.node.Close()
+	return sent, received, nil
+}
+
+// passAnswer passes on what the upstream sends, in chunks.
+func (p *passage) passAnswer() (received int64, err error) {
+	out := bufio.NewWriterSize(p.node, bufferBytes)
+	chunks := httputil.NewChunkedWriter(out)
+	buffer := make([]byte, bufferBytes)
+	for {
+		n, err := p.upstream.Read(buffer)
+		if n > 0 {
+			received += int64(n)
+			if _, err := chunks.Write(buffer[:n]); err != nil {
+				return received, err
+			}
+			if err := out.Flush(); err != nil {
+				return received, err
+			}
+		}
+		if err == io.EOF { //nolint:errorlint // a wrapped one would not be the upstream's own end
+			return received, nil
+		}
+		if err != nil {
+			return received, err
+		}
+	}
+}
+
+// endAnswer says that the upstream has ended its connection.
+func (p *passage) endAnswer() error {
+	if _, err := io.WriteString(p.node, "0\r\n\r\n"); err != nil {
+		return err
+	}
+	if c, ok := p.node.(interface{ CloseWrite() error }); ok {
+		return c.CloseWrite()
+	}
+	return nil
+}
+
+// writerOnly and readerOnly hide the methods by which io.Copy would bypass its buffer.
+type writerOnly struct{ io.Writer }
+
+type readerOnly struct{ io.Reader }
--- a/shell/relay/forwarded.go
+++ b/shell/relay/forwarded.go
@@ -127,25 +127,25 @@
 
 // send sends an attempt, unless it is withdrawn before anything was sent.
 func (s *Session) send(ctx context.Context, attempt vaneyoke.Attempt, outgoing *forward.Attempt) (forward.Response, error) {
-	gate := func() bool { return s.passGate(attempt) }
+	gate := func(path forward.Path) bool { return s.passGate(attempt, path) }
 	if sender, ok := s.relay.sender.(forward.GatedSender); ok {
 		return sender.SendGated(ctx, outgoing, gate)
 	}
-	if !gate() {
+	if !gate(forward.DirectPath) {
 		return nil, &engine.NotSentError{Reason: "withdrawn"}
 	}
 	return s.relay.sender.Send(ctx, outgoing)
 }
 
-// passGate reports whether an attempt may be sent, and records that it is.
-func (s *Session) passGate(attempt vaneyoke.Attempt) bool {
+// passGate reports whether an attempt may be sent, and records that it is and over which path.
+func (s *Session) passGate(attempt vaneyoke.Attempt, path forward.Path) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l := s.links[attempt]
 	if l.fenced {
 		return false
 	}
-	l.unsent = false
+	l.unsent, l.path = false, path
 	return true
 }
 
@@ -177,8 +177,9 @@
 func (s *Session) probe(e generation.Probe) {
 	s.mu.Lock()
 	l := s.links[e.Attempt]
+	path := l.path
 	s.mu.Unlock()
-	reachable := s.relay.isReachable(s.ctx, l.upstream)
+	reachable := s.relay.isReachable(s.ctx, l.upstream, path)
 	s.handle(time.Now(), generation.Probed{Attempt: e.Attempt, Alive: reachable})
 }
 
@@ -186,22 +187,24 @@
 func (s *Session) queryRun(e generation.QueryRun) {
 	s.mu.Lock()
 	l := s.links[e.Attempt]
+	path := l.path
 	s.mu.Unlock()
 	ctx, cancel := context.WithTimeout(s.ctx, s.queryTimeout(e))
 	defer cancel()
-	state, produced := s.runState(ctx, e, l.upstream)
+	state, produced := s.runState(ctx, e, l.upstream, path)
 	s.logAttempt(e.Attempt, l.upstream.ID).WithFields(logrus.Fields{
 		"work": state, "made": produced, "silent_ms": e.SilentFor.Milliseconds(),
 	}).Info("upstream_asked")
 	s.handle(time.Now(), generation.RunReported{Attempt: e.Attempt, State: state, Produced: produced})
 }
 
-// runState returns the state of a run on an upstream and the number of chunks that it has produced.
-func (s *Session) runState(ctx context.Context, e generation.QueryRun, upstream vaneyoke.Upstream) (vaneyoke.RunState, vaneyoke.Tokens) {
+// runState returns the state of a run on an upstream and the number of chunks that it has produced. The upstream is asked over the path of the run's
+// connection: over another one it may say that it works on a run whose answer cannot arrive.
+func (s *Session) runState(ctx context.Context, e generation.QueryRun, upstream vaneyoke.Upstream, path forward.Path) (vaneyoke.RunState, vaneyoke.Tokens) {
 	if s.relay.mayQuery(ctx, upstream.ID) {
-		return s.relay.sender.RunState(ctx, upstream, s.req.ID)
+		return s.relay.sender.RunState(ctx, upstream, path, s.req.ID)
 	}
-	return s.inferRunState(e, upstream)
+	return s.inferRunState(e, upstream, path)
 }
 
 // queryTimeout returns how long to wait for an upstream's answer to a query.
--- a/shell/relay/guard.go
+++ b/shell/relay/guard.go
@@ -6,6 +6,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/generation"
+	"github.com/vaneyoke/vaneyoke/wire/forward"
 )
 
 const (
@@ -70,7 +71,7 @@
 	s.crashChecked = checked
 	go func() {
 		defer close(checked)
-		if cause == generation.CauseUnreachable || s.relay.hasExited(l.upstream) {
+		if s.relay.hasExited(l.upstream) {
 			s.relay.guard.RecordCrash(s.req.Content, l.upstream, l.sentAt)
 			return
 		}
@@ -85,7 +86,7 @@
 		defer cancel()
 		return !r.engines.Reachable(ctx, upstream.URL)
 	}
-	if !r.sender.Probe(r.ctx, upstream) {
+	if !r.sender.Probe(r.ctx, upstream, forward.AnyPath) {
 		return true
 	}
 	if upstream.Incarnation == 0 || r.isLimited(upstream.ID) || r.isPushedBack(upstream.ID) {
--- a/shell/relay/limited.go
+++ b/shell/relay/limited.go
@@ -9,6 +9,7 @@
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/generation"
 	"github.com/vaneyoke/vaneyoke/decide/placement"
+	"github.com/vaneyoke/vaneyoke/wire/forward"
 )
 
 // How many upstreams in a row may deny an attempt a permit before upstreams without a limit are preferred, and before
@@ -86,8 +87,8 @@
 
 // inferRunState returns the assumed state of a run whose upstream must not be queried because of its limit or a
 // pushback: an upstream that accepts connections is assumed to work on the run.
-func (s *Session) inferRunState(e generation.QueryRun, upstream vaneyoke.Upstream) (vaneyoke.RunState, vaneyoke.Tokens) {
-	if !s.relay.isReachable(s.ctx, upstream) {
+func (s *Session) inferRunState(e generation.QueryRun, upstream vaneyoke.Upstream, path forward.Path) (vaneyoke.RunState, vaneyoke.Tokens) {
+	if !s.relay.isReachable(s.ctx, upstream, path) {
 		return vaneyoke.RunStateUnknown, 0
 	}
 	if !e.HasOutput {
--- a/shell/relay/loss.go
+++ b/shell/relay/loss.go
@@ -47,7 +47,7 @@
 	if cause == generation.CauseClosed || cause == generation.CauseMalformed {
 		s.recordAnswer(l, rollout.Answer{Kind: rollout.AnswerLost})
 	}
-	s.reportOutcome(attempt, l.lossOutcome(cause))
+	s.reportOutcome(attempt, l.lossOutcome(cause, err))
 	s.handleLocked(time.Now(), generation.Lost{Attempt: attempt, Cause: cause})
 	s.closeLink(attempt)
 }
@@ -71,13 +71,16 @@
 
 // lossOutcome returns the outcome of a loss for the placer; the loss of a stream that could not be resumed was counted
 // when the stream broke.
-func (l *link) lossOutcome(cause generation.Cause) placement.Outcome {
+func (l *link) lossOutcome(cause generation.Cause, err error) placement.Outcome {
 	if l.resumed {
 		return placement.OutcomeDropped
 	}
 	if cause == generation.CauseGone {
 		return placement.OutcomeGone
 	}
+	if notSent, ok := errors.AsType[*engine.NotSentError](err); ok && notSent.Unconfirmed {
+		return placement.OutcomePathLost
+	}
 	return outcomeOf(cause)
 }
 
--- a/shell/relay/pushback.go
+++ b/shell/relay/pushback.go
@@ -7,6 +7,7 @@
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/pushback"
 	"github.com/vaneyoke/vaneyoke/wire/engine"
+	"github.com/vaneyoke/vaneyoke/wire/forward"
 )
 
 // PushbackTracker is a Placer that knows which upstreams have asked for no requests for a while.
@@ -23,9 +24,9 @@
 	return r.pushbacks != nil && r.pushbacks.IsPushedBack(id)
 }
 
-// isReachable reports whether an upstream accepts connections; one that pushes back is not probed and assumed to be up.
-func (r *Relay) isReachable(ctx context.Context, upstream vaneyoke.Upstream) bool {
-	return r.isPushedBack(upstream.ID) || r.sender.Probe(ctx, upstream)
+// isReachable reports whether an upstream accepts connections over a path; one that pushes back is not probed and assumed to be up.
+func (r *Relay) isReachable(ctx context.Context, upstream vaneyoke.Upstream, path forward.Path) bool {
+	return r.isPushedBack(upstream.ID) || r.sender.Probe(ctx, upstream, path)
 }
 
 // recordPushback records the pushback of an engine that declined an attempt; the sender records those of services
--- a/shell/relay/session.go
+++ b/shell/relay/session.go
@@ -12,6 +12,7 @@
 	"github.com/vaneyoke/vaneyoke/decide/generation"
 	"github.com/vaneyoke/vaneyoke/decide/placement"
 	"github.com/vaneyoke/vaneyoke/wire/engine"
+	"github.com/vaneyoke/vaneyoke/wire/forward"
 )
 
 // Session is one running or finished answer.
@@ -50,6 +51,7 @@
 	fromReplica     bool              // whether the run resumes from a replica, so that its first token does not tell how long prefill takes
 	started         bool              // whether its run was started
 	pause           readPause         // when its stream was not read because the caller did not read the answer
+	path            forward.Path      // of its connection; forward.AnyPath until it is open
 	unsent          bool              // whether nothing has been sent yet, so that it can be withdrawn
 	sentAt          time.Time         // when the run was started, zero for a resumed stream
 	isRetry         bool              // whether it counts against the retry budget
--- a/shell/tunnels/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package tunnels connects this node to upstreams, and records which of them it reaches.
-package tunnels
--- a/wire/engine/failure.go
+++ b/wire/engine/failure.go
@@ -12,6 +12,8 @@
 type NotSentError struct {
 	Reason   string
 	Pushback time.Duration // how long the engine wants no further requests; 0 if it does not say
+	// Unconfirmed says that other nodes may reach the engine: this one could not, and none confirmed it.
+	Unconfirmed bool
 }
 
 // DeclinedError reports that an upstream received the request and did not run it.
@@ -66,10 +68,20 @@
 // Unwrap returns the cause.
 func (e *ClosedError) Unwrap() error { return e.Err }
 
+// UnconfirmedError reports that no connection could be made to an upstream, which other nodes may reach all the same.
+type UnconfirmedError struct{ Err error }
+
+// Error returns the cause.
+func (e *UnconfirmedError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *UnconfirmedError) Unwrap() error { return e.Err }
+
 // ClassifySendError returns a NotSentError if the request cannot have reached the engine, and otherwise a ClosedError.
 func ClassifySendError(err error) error {
 	if op, ok := errors.AsType[*net.OpError](err); ok && op.Op == "dial" {
-		return &NotSentError{Reason: op.Err.Error()}
+		_, unconfirmed := errors.AsType[*UnconfirmedError](err)
+		return &NotSentError{Reason: op.Err.Error(), Unconfirmed: unconfirmed}
 	}
 	return &ClosedError{Err: err}
 }
--- a/wire/forward/forward.go
+++ b/wire/forward/forward.go
@@ -70,6 +70,16 @@
 type Dialer interface {
 	// DialContext connects to an address; it bounds the time that this takes.
 	DialContext(ctx context.Context, network, address string) (net.Conn, error)
+	// DialPath connects to an address over one path.
+	DialPath(ctx context.Context, path Path, address string) (net.Conn, error)
+}
+
+// DirectDialer is a Dialer that knows no paths but the node's own.
+type DirectDialer struct{ *net.Dialer }
+
+// DialPath connects to an address.
+func (d DirectDialer) DialPath(ctx context.Context, _ Path, address string) (net.Conn, error) {
+	return d.DialContext(ctx, "tcp", address)
 }
 
 // Listener is notified of requests sent to upstreams, and of the signals in their responses.
@@ -117,8 +127,9 @@
 // GatedSender is a Sender that tells before it sends anything to an upstream.
 type GatedSender interface {
 	Sender
-	// SendGated sends an attempt as Send does. It calls the gate once, after it has connected, and sends nothing if the gate returns false.
-	SendGated(ctx context.Context, attempt *Attempt, gate func() bool) (Response, error)
+	// SendGated sends an attempt as Send does. It calls the gate once, with the path of the connection that it has opened, and sends nothing if
+	// the gate returns false.
+	SendGated(ctx context.Context, attempt *Attempt, gate func(Path) bool) (Response, error)
 }
 
 // Sender sends attempts and queries to upstreams; the errors of Send are those of package engine.
@@ -127,13 +138,13 @@
 	// LoadReport returns the load that an upstream reports; ok is false if it does not report any.
 	LoadReport(ctx context.Context, upstream vaneyoke.Upstream) (report vaneyoke.LoadReport, ok bool)
 	// RunState returns the recent state of a request's run at an upstream, and how many events of its answer it has
-	// produced.
-	RunState(ctx context.Context, upstream vaneyoke.Upstream, request vaneyoke.RequestID) (vaneyoke.RunState, vaneyoke.Tokens)
+	// produced, as asked over a path.
+	RunState(ctx context.Context, upstream vaneyoke.Upstream, path Path, request vaneyoke.RequestID) (vaneyoke.RunState, vaneyoke.Tokens)
 	// HoldsPrompt reports whether an upstream has all parts of a prompt in its KV cache, so that it need not be prefilled again.
 	HoldsPrompt(ctx context.Context, upstream vaneyoke.Upstream, parts []string) bool
 	// Identity returns the id that the upstream at an address reports on its health path; ok is false if it reports
 	// none.
 	Identity(ctx context.Context, address vaneyoke.Upstream, healthPath string) (id vaneyoke.UpstreamID, ok bool)
-	// Probe reports whether an upstream accepts connections.
-	Probe(ctx context.Context, upstream vaneyoke.Upstream) bool
+	// Probe reports whether an upstream accepts connections over a path.
+	Probe(ctx context.Context, upstream vaneyoke.Upstream, path Path) bool
 }
