Brittle upstreams get no more at once than their slots from all nodes together

What callers saw: engines that say how many rejections a second they bear (Server-Brittle) got more than that from nodes that each send a little too much, fell over and took what they ran with them; nothing read the header. Ruled out: the permits of named limits (rates; what these upstreams lack is room), and pauses alone (the first answers of all nodes come at once).

--- a/decide/placement/pick.go
+++ b/decide/placement/pick.go
@@ -45,7 +45,7 @@
 		return nil
 	}
 	for _, e := range s.sorted {
-		if e.upstream.URL == need.Prefer.URL && e.takesWork(now) && offers(&e.upstream, need) && s.matchesSplit(need, e, false) {
+		if e.upstream.URL == need.Prefer.URL && e.takesWork(now) && s.hasBrittleRoom(now, e) && offers(&e.upstream, need) && s.matchesSplit(need, e, false) {
 			return e
 		}
 	}
@@ -64,7 +64,7 @@
 	s.scratch = s.scratch[:0]
 	for _, e := range s.sorted {
 		if !e.isEligible(now) || (!t.ignoreBreaker && !e.breakerAllows(now, need)) || !offers(&e.upstream, need) || !selector.Matches(&e.upstream) ||
-			!s.matchesSplit(need, e, t.fallbackVersion) || (need.Unlimited && e.limit.Declared) {
+			!s.matchesSplit(need, e, t.fallbackVersion) || (need.Unlimited && e.limit.Declared) || !s.hasBrittleRoom(now, e) {
 			continue
 		}
 		if slices.Contains(need.Avoid, e.upstream.ID) == t.avoided {
--- a/decide/placement/state.go
+++ b/decide/placement/state.go
@@ -82,6 +82,8 @@
 	limit              vaneyoke.Limit
 	limitedUntil       time.Time      // until when its rate limit leaves this node no request
 	lastRetryAt        time.Time      // retry-after time given to the last caller refused for its limit
+	isBrittle          bool           // whether it last said that it is brittle
+	rejectedUntil      time.Time      // until when it gets nothing because it rejected a request while its service is brittle
 	hold               *pushback.Hold // latest hold of any incarnation; nil for none
 	breaker            *retry.Breaker
 	outcomes           Outcomes
@@ -111,6 +113,8 @@
 	speeds     map[vaneyoke.ServiceID]*serviceSpeed
 	spread     Spread
 	uneven     map[vaneyoke.ServiceID]*unevenness
+	brittle    map[vaneyoke.ServiceID]brittleness
+	fleet      Fleet
 }
 
 // New returns a state without upstreams for a node in the given data centre.
@@ -119,6 +123,7 @@
 		dataCentre: dataCentre, breaker: breaker, entries: map[vaneyoke.UpstreamID]*entry{}, limits: map[vaneyoke.UpstreamID]vaneyoke.Limit{},
 		holds: pushback.NewTracker(), splits: map[vaneyoke.ServiceID]*serviceSplit{},
 		speeds: map[vaneyoke.ServiceID]*serviceSpeed{}, uneven: map[vaneyoke.ServiceID]*unevenness{},
+		brittle: map[vaneyoke.ServiceID]brittleness{},
 	}
 }
 
@@ -332,6 +337,7 @@
 	case OutcomeDeclined:
 		e.breaker.Inconclusive()
 		e.declines.add(now)
+		s.pauseAfterRejection(now, e)
 	case OutcomeUnreachable, OutcomePathLost:
 		e.breaker.Open(now)
 	case OutcomeGone:
--- a/process/node/gateway_wire.go
+++ b/process/node/gateway_wire.go
@@ -161,6 +161,7 @@
 	active.duties = do.MustInvoke[*dutyTables](i)
 	active.dialer = do.MustInvoke[*detours.Dialer](i)
 	active.queue = newQueueModes(do.MustInvoke[*admissions.Node](i), s.Admission.Mode)
+	self := feed.Member{VM: vaneyoke.VMID(s.Node.VM), DataCentre: vaneyoke.DataCentreID(s.Node.DataCentre), Address: s.Gateway.Peers, Bandwidth: s.Node.Bandwidth, Protocol: feed.ProtocolCurrent}
 	var node *mesh.Node
 	tables := map[string]mesh.Table{
 		"routes":    {Source: platform.NewConfig(client, s.Gateway.Store), Apply: active.setRoutes},
@@ -170,6 +171,7 @@
 			node.SetMembers(mesh.DecodeMembers(rows))
 			limitUpdates.setMembers(node.Registered())
 			active.dialer.SetMembers(node.Registered())
+			active.balancer.SetFleet(fleetOf(self.VM, node.Registered()))
 			active.balancer.SetRetryBurst(fleetBudgetConfig(s.Retry, node.Members()).Burst)
 		}},
 	}
@@ -179,7 +181,6 @@
 		tables["rollouts"] = mesh.Table{Source: platform.NewRollouts(client, s.Gateway.Store), MayLag: true, Apply: rolloutUpdates.setRecords}
 	}
 	hub := mesh.NewHub(tables)
-	self := feed.Member{VM: vaneyoke.VMID(s.Node.VM), DataCentre: vaneyoke.DataCentreID(s.Node.DataCentre), Address: s.Gateway.Peers, Bandwidth: s.Node.Bandwidth, Protocol: feed.ProtocolCurrent}
 	vars := do.MustInvoke[*expvar.Map](i)
 	vars.Set("build", expvar.Func(func() any { return vaneyoke.Build() }))
 	vars.Set("speaks", expvar.Func(func() any { return feed.ProtocolCurrent }))
--- a/process/node/pushbacks_wire.go
+++ b/process/node/pushbacks_wire.go
@@ -8,6 +8,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/feed"
+	"github.com/vaneyoke/vaneyoke/decide/placement"
 	"github.com/vaneyoke/vaneyoke/shell/balancer"
 	"github.com/vaneyoke/vaneyoke/shell/mesh"
 	"github.com/vaneyoke/vaneyoke/shell/pushbacks"
@@ -49,3 +51,15 @@
 func provideSignalListener(i do.Injector) (*signalListener, error) {
 	return &signalListener{limits: do.MustInvoke[*ratelimits.Node](i), pushbacks: do.MustInvoke[*pushbacks.Node](i)}, nil
 }
+
+// fleetOf returns a node's part of a fleet; of one whose members do not include it, the last.
+func fleetOf(self vaneyoke.VMID, members []feed.Member) placement.Fleet {
+	fleet := placement.Fleet{Size: max(len(members), 1)}
+	for _, m := range members {
+		if m.VM < self {
+			fleet.Rank++
+		}
+	}
+	fleet.Rank = min(fleet.Rank, fleet.Size-1)
+	return fleet
+}
--- a/process/telemetry/events.go
+++ b/process/telemetry/events.go
@@ -92,6 +92,7 @@
 	{"sent_while_held", []string{"upstream", "ms", "first", "repeats", "questions"}, "What this node has sent in ms to an upstream that told it to stay away: first attempts, repeats, and questions of its own."},
 	{"server_error", []string{"error"}, "A server told of an error that it went on after, such as a handler's panic."},
 	{"server_failed", []string{"error"}, "A listener ended."},
+	{"service_brittle", []string{"upstream", "service", "rejections", "brittle"}, "An upstream said that it falls over if it has to make more rejections in a second, or (brittle=false) the last one of its service no longer does. While any does, this node sends each of them no more at once than its share of the slots, and nothing for a while after a rejection."},
 	{"session_dropped", []string{"request", "route", "upstream", "sent", "tokens", "attempts", "ms", "left_ms"}, "A request was being answered when the node ended, and was left where it stood; sent says whether an upstream may have run it."},
 	{"session_ended", []string{"request", "content", "workspace", "policy", "route", "upstream", "version", "code", "tokens", "attempts", "losses", "discarded", "first_ms", "gap_ms", "ms", "left_ms", "prompt"}, "A request has been answered or has failed."},
 	{"session_given_up", []string{"request", "peer"}, "A session was given to another node that had taken it over."},
--- a/shell/balancer/balancer.go
+++ b/shell/balancer/balancer.go
@@ -139,6 +139,21 @@
 	return *current, before, true
 }
 
+// RecordBrittle records how many rejections in a second an upstream says that it bears, 0 if it does not say. It reports whether that changes whether
+// the upstreams of its service count as brittle.
+func (b *Balancer) RecordBrittle(id vaneyoke.UpstreamID, maxRejections int) (service vaneyoke.ServiceID, changed bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state.RecordBrittle(time.Now(), id, maxRejections)
+}
+
+// SetFleet sets this node's part of the fleet.
+func (b *Balancer) SetFleet(fleet placement.Fleet) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state.SetFleet(fleet)
+}
+
 // Upstream returns a listed upstream.
 func (b *Balancer) Upstream(id vaneyoke.UpstreamID) (vaneyoke.Upstream, bool) {
 	b.mu.Lock()
--- a/shell/pushbacks/node.go
+++ b/shell/pushbacks/node.go
@@ -27,6 +27,9 @@
 	RecordSignal(signal pushback.Signal) (hold, before pushback.Hold, ok bool)
 	// IsHeld reports whether an upstream gets no new attempts because of a pushback or its shutdown.
 	IsHeld(id vaneyoke.UpstreamID) bool
+	// RecordBrittle records how many rejections in a second an upstream says that it bears, 0 if it does not say, and reports whether that changes
+	// whether the upstreams of its service count as brittle.
+	RecordBrittle(id vaneyoke.UpstreamID, maxRejections int) (service vaneyoke.ServiceID, changed bool)
 }
 
 // Node records the signals that upstreams send to this node.
@@ -79,12 +82,25 @@
 	if signals.InvalidHeader != "" {
 		n.logUnreadable(now, upstream.ID, signals.InvalidHeader)
 	}
+	if signals.Brittle.Known {
+		n.recordBrittle(upstream.ID, signals.Brittle.MaxRejections)
+	}
 	if signals.Pushback == 0 && !signals.Leaving {
 		return
 	}
 	n.record(now, pushback.Signal{Upstream: upstream, Pushback: signals.Pushback, Leaving: signals.Leaving})
 }
 
+// recordBrittle applies what an upstream says of the rejections that it bears.
+func (n *Node) recordBrittle(upstream vaneyoke.UpstreamID, maxRejections int) {
+	if maxRejections > 0 {
+		n.counts.Add("brittle_total", 1)
+	}
+	if service, changed := n.holds.RecordBrittle(upstream, maxRejections); changed {
+		n.log.WithFields(logrus.Fields{"upstream": upstream, "service": service, "rejections": maxRejections, "brittle": maxRejections > 0}).Info("service_brittle")
+	}
+}
+
 // RecordAnswered records that an upstream answered a request, sent at sentAt, without a shutdown notice.
 func (n *Node) RecordAnswered(upstream vaneyoke.UpstreamID, sentAt time.Time) {
 	n.mu.Lock()
--- a/shell/pushbacks/node_test.go
+++ b/shell/pushbacks/node_test.go
@@ -49,18 +49,31 @@
 	recordSignals(5*time.Second, forward.Signals{Leaving: true})
 	recordSignals(5*time.Second, forward.Signals{InvalidHeader: "Retry-After"})
 	recordSignals(5*time.Second, forward.Signals{InvalidHeader: "Retry-After"})
+	for _, rejections := range []int{3, 3, 0, 0} {
+		recordSignals(6*time.Second, forward.Signals{Brittle: forward.Brittleness{Known: true, MaxRejections: rejections}})
+	}
 	must.EqOp(t, `level=info msg=upstream_pushed_back asked_ms=3000 incarnation=5 ms=3000 upstream=u1
 level=info msg=sent_while_held first=1 ms=1200 questions=1 repeats=1 upstream=u1
 level=info msg=upstream_leaves incarnation=5 upstream=u1
 level=warning msg=signal_unreadable header=Retry-After upstream=u1
+level=info msg=service_brittle brittle=true rejections=3 service=shop upstream=u1
+level=info msg=service_brittle brittle=false rejections=0 service=shop upstream=u1
 `, out.String())
 }
 
+// RecordBrittle implements pushbacks.Holds for the only upstream of a service.
+func (b *fakeHolds) RecordBrittle(_ vaneyoke.UpstreamID, maxRejections int) (service vaneyoke.ServiceID, changed bool) {
+	changed = b.isBrittle != (maxRejections > 0)
+	b.isBrittle = maxRejections > 0
+	return "shop", changed
+}
+
 // fakeHolds decides by the upstream's signals alone.
 type fakeHolds struct {
-	tracker *pushback.Tracker
-	now     time.Time
-	latest  vaneyoke.Upstream // sender of the latest signal
+	isBrittle bool
+	tracker   *pushback.Tracker
+	now       time.Time
+	latest    vaneyoke.Upstream // sender of the latest signal
 }
 
 func (b *fakeHolds) RecordSignal(signal pushback.Signal) (hold, before pushback.Hold, ok bool) {
--- a/wire/forward/forward.go
+++ b/wire/forward/forward.go
@@ -95,7 +95,14 @@
 	Limit         *vaneyoke.Limit // declared rate limit, the zero value for none; nil if the response does not mention limits
 	Pushback      time.Duration   // how long it wants no further requests from this node; 0 if it does not say
 	Leaving       bool            // whether it is shutting down
-	InvalidHeader string          // name of a header with an invalid value; "" for none
+	Brittle       Brittleness
+	InvalidHeader string // name of a header with an invalid value; "" for none
+}
+
+// Brittleness is how many rejections an upstream says that it bears.
+type Brittleness struct {
+	Known         bool // whether the response tells
+	MaxRejections int  // in a second for want of room; 0 if the upstream is not brittle
 }
 
 // Head is the status and header of an upstream's response.
