--- a/cmd/vaneyoked/main.go
+++ b/cmd/vaneyoked/main.go
@@ -15,6 +15,9 @@
 	"github.com/vaneyoke/vaneyoke/process/telemetry"
 )
 
+// nodeOptions change how the node is assembled, in tests only.
+var nodeOptions []node.Option
+
 func main() {
 	if err := command(catchSignals()).Run(context.Background(), os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, "vaneyoked:", err)
@@ -53,7 +56,7 @@
 	if err != nil {
 		return vaneyoke.WrapErr(vaneyoke.CodeSettingsValue, err, "[log] level")
 	}
-	n, err := node.New(s, log, out.Lost)
+	n, err := node.New(s, log, out.Lost, nodeOptions...)
 	if err != nil {
 		return err
 	}
--- a/cmd/vaneyoked/soak_test.go
+++ b/cmd/vaneyoked/soak_test.go
@@ -16,6 +16,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/vaneyoke/vaneyoke/platform/platformtest"
+	"github.com/vaneyoke/vaneyoke/process/node"
 )
 
 var (
@@ -40,6 +41,7 @@
 func TestMain(m *testing.M) {
 	if path := os.Getenv(nodeSettingsVar); path != "" {
 		os.Args = []string{"vaneyoked", "--config", path}
+		nodeOptions = append(nodeOptions, node.WithUpstreamDialer(cuttableDialer(path+cutsSuffix)))
 		main()
 		return
 	}
--- a/process/node/process.go
+++ b/process/node/process.go
@@ -23,11 +23,11 @@
 }
 
 // New assembles the kind of node that the settings select: one that serves opaque requests, or one with the caller API.
-// lostLineCount returns how many log lines were lost.
-func New(s settings.Settings, log logrus.FieldLogger, lostLineCount func() int64) (Process, error) {
+// lostLineCount returns how many log lines were lost; the options apply to a node that serves opaque requests.
+func New(s settings.Settings, log logrus.FieldLogger, lostLineCount func() int64, options ...Option) (Process, error) {
 	lost := expvar.Func(func() any { return lostLineCount() })
 	if s.Gateway.ServesOpaque() {
-		n, err := BuildGateway(s, log)
+		n, err := BuildGateway(s, log, options...)
 		if err != nil {
 			return nil, err
 		}
--- a/shell/detours/client.go
+++ b/shell/detours/client.go
@@ -6,9 +6,11 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -130,7 +132,10 @@
 	if res.StatusCode != http.StatusOK {
 		return nil, &refusedError{helper, refusalOf(res.StatusCode), errors.New(res.Status)}
 	}
-	header.N = 1 << 62 // the bound is for the header only
+	if !slices.Equal(res.TransferEncoding, []string{"chunked"}) { // its end could not be told from the helper's
+		return nil, unusable(errors.New("the answer does not come in chunks"))
+	}
+	header.N = math.MaxInt64 // the bound is for the header only
 	return &detour{Conn: conn, helper: helper, received: res.Body}, nil
 }
 
