--- a/process/node/gateway_placer.go
+++ b/process/node/gateway_placer.go
@@ -113,9 +113,9 @@
 }
 
 // unlessPathLost calls record, later if need be, unless this node's own path to an upstream turns out to be lost: what it lost over that says nothing
-// about the upstream.
+// about the upstream. An upstream that pushes back is not connected to for that.
 func (b *gatewayPlacer) unlessPathLost(upstream vaneyoke.Upstream, record func()) {
-	if !b.dialer.HasHelpers() {
+	if !b.dialer.HasHelpers() || b.IsPushedBack(upstream.ID) {
 		record()
 		return
 	}
