--- a/decide/overlay/helper.go
+++ b/decide/overlay/helper.go
@@ -14,7 +14,7 @@
 	maxKnown      = 64                     // helpers of which something is remembered
 	provenTTL     = 10 * time.Second       // for which a helper that connected is preferred
 	refusedPause  = 500 * time.Millisecond // without requests to a helper that is busy or slow, or to one for an upstream to which it may have no path
-	unhelpfulTTL  = 10 * time.Second       // the same for one that is stopping, does not answer or does not offer detours
+	unhelpfulTTL  = 10 * time.Second       // the same for one that is stopping or gone, or does not offer detours
 	confirmations = 2                      // helpers that must miss an upstream before it counts as down
 )
 
@@ -55,9 +55,22 @@
 			break
 		}
 	}
+	if len(picked) == 0 { // rather one that may not help than none
+		picked = h.firstAgain()
+	}
 	return picked[:min(len(picked), maxHelpers)]
 }
 
+// firstAgain returns the helper whose pause ends first, if there is one.
+func (h *helpers) firstAgain() (first []vaneyoke.VMID) {
+	for _, vm := range slices.Sorted(maps.Keys(h.known)) {
+		if len(first) == 0 || h.known[vm].pausedUntil.Before(h.known[first[0]].pausedUntil) {
+			first = []vaneyoke.VMID{vm}
+		}
+	}
+	return first
+}
+
 // proven returns the helpers that connected lately, in random order but those of the node's data centre first.
 func (h *helpers) proven(now time.Time, rng Rand, p *path) []vaneyoke.VMID {
 	var local, remote []vaneyoke.VMID
--- a/decide/overlay/path.go
+++ b/decide/overlay/path.go
@@ -14,6 +14,7 @@
 
 	probeInterval    = 500 * time.Millisecond // between two trials of a lost path
 	maxProbeInterval = 8 * time.Second        // upper bound of the interval, which doubles each time that a restored path is lost again
+	searchInterval   = 250 * time.Millisecond // between two searches for a detour to an upstream to which no way connected
 	maxRefusals      = 8                      // helpers remembered that have no path to an upstream
 	relapseWindow    = 10 * time.Second       // in which a restored path that is lost again counts as flapping
 )
@@ -27,6 +28,7 @@
 	restoredAt  time.Time // when it was last found to work again after a loss
 	probeAt     time.Time // when a lost path is tried next
 	interval    time.Duration
+	searchedAt  time.Time           // when no way connected last
 	missedBy    [confirmations]miss // the last helpers that could not connect to the upstream either
 	refusedBy   [maxRefusals]miss   // the last helpers whose own path to it may be lost, too
 }
--- a/decide/overlay/state.go
+++ b/decide/overlay/state.go
@@ -51,11 +51,14 @@
 	RefusalMissed   Refusal = iota // it reaches other upstreams, but not this one
 	RefusalNoPath                  // its own path to the upstream may be lost
 	RefusalBusy                    // it keeps as many connections for others as it may
-	RefusalUnusable                // it is stopping, does not answer, or does not know the upstream or the request
+	RefusalNoAnswer                // it did not answer in time
+	RefusalUnusable                // it is stopping or gone, or does not know the upstream or the request
 )
 
 // String returns the reason's name in logs and metrics.
-func (r Refusal) String() string { return names.Of(r, "missed", "no_path", "busy", "unusable") }
+func (r Refusal) String() string {
+	return names.Of(r, "missed", "no_path", "busy", "no_answer", "unusable")
+}
 
 // State tracks a node's paths and helpers.
 type State struct {
@@ -116,6 +119,9 @@
 	if s.IsDown(now, address) {
 		return false
 	}
+	if !p.isLost() && now.Sub(p.searchedAt) < searchInterval {
+		return false
+	}
 	s.searches = min(s.searches+searchRate*now.Sub(s.searchedAt).Seconds(), maxSearches)
 	s.searchedAt = now
 	if s.searches < 1 || (!p.isLost() && s.trials < 1) {
@@ -128,6 +134,9 @@
 	return true
 }
 
+// NoneConnected records that no way of a plan connected to an address.
+func (s *State) NoneConnected(now time.Time, address string) { s.path(now, address).searchedAt = now }
+
 // DirectConnected records a direct connection to an address. It returns for how long the path had been lost; restored is false if it had not.
 func (s *State) DirectConnected(now time.Time, address string) (lostFor time.Duration, restored bool) {
 	p := s.path(now, address)
@@ -165,7 +174,7 @@
 		return
 	case RefusalNoPath:
 		record(p.refusedBy[:], now, vm)
-	case RefusalBusy:
+	case RefusalBusy, RefusalNoAnswer:
 		s.helpers.recordRefused(now, vm, refusedPause)
 	case RefusalUnusable:
 		s.helpers.recordRefused(now, vm, unhelpfulTTL)
--- a/decide/overlay/state_test.go
+++ b/decide/overlay/state_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -160,13 +161,16 @@
 		"missed":   {overlay.RefusalMissed, 0, 0},
 		"no path":  {overlay.RefusalNoPath, 500 * time.Millisecond, 0},
 		"busy":     {overlay.RefusalBusy, 500 * time.Millisecond, 500 * time.Millisecond},
+		"slow":     {overlay.RefusalNoAnswer, 500 * time.Millisecond, 500 * time.Millisecond},
 		"unusable": {overlay.RefusalUnusable, 10 * time.Second, 10 * time.Second},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			s := newState(1)
+			s := newState(2)
 			s.DetourRefused(start, upstream, "h0", tc.refusal)
-			asked := func(at time.Duration, address string) bool { return len(s.Plan(start.Add(at), address).Ways) == 2 }
+			asked := func(at time.Duration, address string) bool {
+				return slices.Contains(s.Plan(start.Add(at), address).Ways, overlay.Way{Helper: "h0"})
+			}
 			for address, until := range map[string]time.Duration{upstream: tc.here, "10.0.0.2:80": tc.there} {
 				must.True(t, asked(until, address))
 				if until > 0 {
@@ -177,6 +181,28 @@
 	}
 }
 
+// TestSlowHelpersLeaveNone has all helpers answer too late, as in a moment of load: a node without a path of its own must go on asking one.
+func TestSlowHelpersLeaveNone(t *testing.T) {
+	for _, refusal := range []overlay.Refusal{overlay.RefusalBusy, overlay.RefusalNoAnswer, overlay.RefusalUnusable} {
+		s := newState(3)
+		for i := range 3 {
+			s.DetourRefused(start, upstream, vaneyoke.VMID(fmt.Sprint("h", i)), refusal)
+		}
+		must.Len(t, 2, s.Plan(start, upstream).Ways)
+	}
+}
+
+// TestUpstreamWithoutWaysDelaysAttempts checks that after a search without success others for the same upstream are not held up by one for a while.
+func TestUpstreamWithoutWaysDelaysAttempts(t *testing.T) {
+	s := newState(3)
+	h0 := overlay.Way{Helper: "h0"}
+	must.True(t, s.MayTry(start, upstream, h0))
+	s.NoneConnected(start, upstream)
+	must.False(t, s.MayTry(start.Add(249*time.Millisecond), upstream, h0))
+	must.True(t, s.MayTry(start, "10.0.0.2:80", h0))
+	must.True(t, s.MayTry(start.Add(250*time.Millisecond), upstream, h0))
+}
+
 // TestStateIsBounded connects to many addresses through many helpers, all of which refuse.
 func TestStateIsBounded(t *testing.T) {
 	s := newState(2000)
--- a/decide/overlay/world_test.go
+++ b/decide/overlay/world_test.go
@@ -83,6 +83,7 @@
 			return true
 		}
 	}
+	n.state.NoneConnected(w.now.Add(dialTimeout), address)
 	return w.tryDirect(n, address)
 }
 
--- a/process/telemetry/events.go
+++ b/process/telemetry/events.go
@@ -42,7 +42,7 @@
 	{"crashes_removed", []string{"content", "error"}, "A content's crashes were removed from the store, unless there is an error."},
 	{"crashes_written", []string{"content", "error"}, "A content's crashes were written to the store, unless there is an error."},
 	{"detour_ended", []string{"address", "peer", "ms", "sent_bytes", "received_bytes", "error"}, "A connection to an upstream that this node kept open for another one has ended; peer is that node's address."},
-	{"detour_refused", []string{"upstream", "address", "peer", "reason", "error", "ms"}, "Another node was asked to connect to an upstream and did not: missed (it reaches others, but not this one), no_path (its own path may be lost), busy (it keeps as many connections for others as it may), or unusable (it stops, does not answer, or knows no such upstream). At most one line a second for each node and reason."},
+	{"detour_refused", []string{"upstream", "address", "peer", "reason", "error", "ms"}, "Another node was asked to connect to an upstream and did not: missed (it reaches others, but not this one), no_path (its own path may be lost), busy (it keeps as many connections for others as it may), no_answer (not in time), or unusable (it stops, is gone, or knows no such upstream). At most one line a second for each node and reason."},
 	{"frame_unwritable", []string{"error"}, "The node cannot tell another its tables."},
 	{"history_lost", []string{"table", "version"}, "The store has forgotten the changes since a version, and the table is read anew."},
 	{"homes_not_told", []string{"request", "error"}, "The homes of a request could not be told who owns it."},
--- a/shell/detours/client.go
+++ b/shell/detours/client.go
@@ -98,12 +98,12 @@
 	dialer := net.Dialer{KeepAliveConfig: keepAlive}
 	conn, err := dialer.DialContext(ctx, "tcp", helperAddress)
 	if err != nil {
-		return nil, &refusedError{helper, overlay.RefusalUnusable, err}
+		return nil, &refusedError{helper, unreachedRefusal(err), err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
 	c, err := requestDetour(conn, helper, upstreamAddress)
-	if !stop() && err == nil {
-		err = &refusedError{helper, overlay.RefusalUnusable, context.Cause(ctx)}
+	if !stop() {
+		err = &refusedError{helper, overlay.RefusalNoAnswer, context.Cause(ctx)}
 	}
 	if err != nil {
 		_ = conn.Close()
@@ -112,6 +112,15 @@
 	return c, nil
 }
 
+// unreachedRefusal returns the reason that an error of the connection to a helper stands for: one that is slow may help later, one that refuses
+// connections is gone.
+func unreachedRefusal(err error) overlay.Refusal {
+	if timeout, ok := errors.AsType[net.Error](err); ok && timeout.Timeout() {
+		return overlay.RefusalNoAnswer
+	}
+	return overlay.RefusalUnusable
+}
+
 // requestDetour sends the request for a detour and reads the header of the response.
 func requestDetour(conn net.Conn, helper vaneyoke.VMID, upstreamAddress string) (*detour, error) {
 	unusable := func(err error) error { return &refusedError{helper, overlay.RefusalUnusable, err} }
--- a/shell/detours/dialer.go
+++ b/shell/detours/dialer.go
@@ -93,7 +93,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.state.IsDown(time.Now(), address) {
+	now := time.Now()
+	d.state.NoneConnected(now, address)
+	if !d.state.IsDown(now, address) {
 		return nil, &engine.UnconfirmedError{Err: err}
 	}
 	return nil, err
