--- a/api/gateway/gateway.go
+++ b/api/gateway/gateway.go
@@ -22,9 +22,10 @@
 // Envelope holds the metadata in a request's headers.
 type Envelope struct {
 	ID           vaneyoke.RequestID
-	APIKey       string        // key of the workspace; "" for none
-	MaxWait      time.Duration // how long the caller waits; 0 if not given
-	LastEventID  string        // last event that the caller has received; "" for none
+	APIKey       string             // key of the workspace; "" for none
+	MaxWait      time.Duration      // how long the caller waits; 0 if not given
+	LastEventID  string             // last event that the caller has received; "" for none
+	Resumes      vaneyoke.RequestID // attempt that brought the first event to a caller who has received events; "" if not given
 	PromptTokens vaneyoke.Tokens
 	AnswerTokens vaneyoke.Tokens // most that the answer has; 0 if not given
 	SharedTokens vaneyoke.Tokens // tokens at the start of the prompt that others may share; all of them if not given
@@ -198,6 +199,7 @@
 		PromptParts:       envelope.PromptParts,
 		SharedTokens:      envelope.SharedTokens,
 		ResumeAfter:       envelope.LastEventID,
+		Resumes:           envelope.Resumes,
 		LatencyGoal:       r.LatencyGoal,
 		EventIntervalGoal: r.EventIntervalGoal,
 		MaxAttempts:       r.MaxAttempts,
--- a/shell/relay/attempt.go
+++ b/shell/relay/attempt.go
@@ -44,7 +44,7 @@
 	s.relay.metrics.Attempts.Add(1)
 	if e.Attempt > 1 {
 		s.logAttempt(e.Attempt, l.upstream.ID).WithFields(logrus.Fields{
-			"from": e.From, "replica": l.replica.ID, "from_replica": e.FromReplica,
+			"from": e.From, "replica": l.replica.ID, "from_replica": e.FromReplica, "software": l.upstream.Version,
 		}).Info("attempt_started")
 	}
 	switch m := s.mode.(type) {
@@ -56,6 +56,7 @@
 	case *unary:
 		go s.call(ctx, e.Attempt, l, m)
 	case *forwarded:
+		s.recordContinuation(e, l, m)
 		l.unsent = true
 		go s.forward(ctx, e, m, s.forwardAttempt(e, l, m))
 	}
--- a/shell/relay/forwarded.go
+++ b/shell/relay/forwarded.go
@@ -20,16 +20,17 @@
 type Forwarding struct {
 	Message           *forward.Message
 	Service           vaneyoke.ServiceID
-	Stream            bool            // whether the answer is a sequence of numbered events
-	Replicate         bool            // whether an engine may keep a replica of the run's KV cache
-	HealthPath        string          // path on which the service's upstreams return their identity; "" if they have none
-	AnswerTokens      vaneyoke.Tokens // most tokens of the answer; 0 if unknown
-	SharedTokens      vaneyoke.Tokens // tokens at the start of the prompt that others may share; all of them if unknown
-	PromptParts       []string        // ids of the prompt's parts in order, the last one identifies the whole prompt; nil for a request without a prompt
-	ResumeAfter       string          // id of the last event that the caller has; "" if it has none
-	Deadline          time.Time       // when the caller stops waiting
-	LatencyGoal       time.Duration   // for the answer, or for its first event
-	EventIntervalGoal time.Duration   // between two events
+	Stream            bool               // whether the answer is a sequence of numbered events
+	Replicate         bool               // whether an engine may keep a replica of the run's KV cache
+	HealthPath        string             // path on which the service's upstreams return their identity; "" if they have none
+	AnswerTokens      vaneyoke.Tokens    // most tokens of the answer; 0 if unknown
+	SharedTokens      vaneyoke.Tokens    // tokens at the start of the prompt that others may share; all of them if unknown
+	PromptParts       []string           // ids of the prompt's parts in order, the last one identifies the whole prompt; nil for a request without a prompt
+	ResumeAfter       string             // id of the last event that the caller has; "" if it has none
+	Resumes           vaneyoke.RequestID // attempt that brought the first event to a caller who has events; "" if unknown
+	Deadline          time.Time          // when the caller stops waiting
+	LatencyGoal       time.Duration      // for the answer, or for its first event
+	EventIntervalGoal time.Duration      // between two events
 	MaxAttempts       int
 	ConfigRevision    vaneyoke.Revision // revision of the configuration with these settings
 	Buffer            *Buffer           // accounts for what is held for the caller; nil for no account
@@ -39,6 +40,7 @@
 type forwarded struct {
 	Forwarding
 	lastEventID string       // id of the last accepted event, or of the last event that the caller had
+	origin      origin       // of the events that the caller has
 	head        forward.Head // of the first upstream whose answer was accepted
 	lastFailure *response    // the last response with a server error; nil if there is none
 }
@@ -255,6 +257,7 @@
 	m.lastEventID = id
 	if lenBefore == 0 {
 		m.head = head
+		m.origin = originOf(s.links[received.Attempt].upstream)
 	}
 }
 
--- a/shell/relay/metrics.go
+++ b/shell/relay/metrics.go
@@ -13,6 +13,7 @@
 	Losses    *expvar.Map // attempts lost, by cause
 	Discarded *expvar.Int // tokens received but not accepted
 	Reprefill *expvar.Int // tokens sent to engines again as a prefix
+	Continued *expvar.Map // attempts that continue a stream of which the caller has events, by how their software version compares with that of the events
 	NotBegun  *expvar.Map // attempts not begun and replicas not kept, by reason
 	GivenUp   *expvar.Int // answers whose runs were ended because they could not complete them in time
 	Paused    *expvar.Map // times that an answer was read no further from its upstream, by whose bound was reached
@@ -33,6 +34,7 @@
 		Losses:    new(expvar.Map).Init(),
 		Discarded: new(expvar.Int),
 		Reprefill: new(expvar.Int),
+		Continued: new(expvar.Map).Init(),
 		NotBegun:  new(expvar.Map).Init(),
 		GivenUp:   new(expvar.Int),
 		Paused:    new(expvar.Map).Init(),
@@ -49,6 +51,7 @@
 	vars.Set("losses_total", m.Losses)
 	vars.Set("discarded_tokens_total", m.Discarded)
 	vars.Set("reprefill_tokens_total", m.Reprefill)
+	vars.Set("continuations_total", m.Continued)
 	vars.Set("attempts_not_begun_total", m.NotBegun)
 	vars.Set("runs_given_up_total", m.GivenUp)
 	vars.Set("answers_paused_total", m.Paused)
