An answer that has begun goes on at the software version that began it

Cause: a placement knew versions only through the split of a roll-out, and none was ordered. Replicas, too, were kept at another version where no roll-out was under way, so that the copy could be of no use.

Change: the first output that is accepted, and so may have reached the caller, pins all further attempts of the answer to the version of the upstream that gave it. What offers a service to a pinned attempt is of that version only, so that candidates, replicas, cached prompts, load reports, retry-after times of limits and pushbacks all go by it, over splits, affinity and circuit breakers. Before the first output any version may be tried, and the loser of a race binds nothing. A replica is of its run's version always. Where the version was taken back, or had upstreams of which none takes work any more, the answer ends at once (71 version_gone, without a Retry-After); while upstreams restart under other ids, and where the list may be late, it waits as before.

--- a/api/gateway/answer.go
+++ b/api/gateway/answer.go
@@ -126,7 +126,7 @@
 		return
 	}
 	a.announceClose()
-	writeFailure(a.http, statusOf(result.Code), result.RetryAfter, result.Err().Error())
+	writeFailure(a.http, result.Code, result.RetryAfter, result.Err().Error())
 }
 
 // statusOf returns the HTTP status for a code. A 503 guarantees that the request was not run and will not be.
@@ -147,9 +147,9 @@
 }
 
 // writeFailure writes the node's own error response. Retry-After is in seconds and may be fractional.
-func writeFailure(w http.ResponseWriter, status int, retryAfter time.Duration, text string) {
-	header := w.Header()
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+func writeFailure(w http.ResponseWriter, code vaneyoke.Code, retryAfter time.Duration, text string) {
+	header, status := w.Header(), statusOf(code)
+	if (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) && (!code.IsFinal() || retryAfter > 0) {
 		if retryAfter <= 0 {
 			retryAfter = defaultRetryAfter
 		}
--- a/api/gateway/gateway.go
+++ b/api/gateway/gateway.go
@@ -261,7 +261,7 @@
 		"request": req.ID, "code": int(code), "host": c.request.Host, "path": c.request.URL.Path, "error": err,
 		"retry_after_ms": vaneyoke.RetryAfterOf(err).Milliseconds(), "opened_ms": time.Since(c.caller.OpenedAt()).Milliseconds(),
 	}).Info("request_refused")
-	writeFailure(c.http, statusOf(code), vaneyoke.RetryAfterOf(err), err.Error())
+	writeFailure(c.http, code, vaneyoke.RetryAfterOf(err), err.Error())
 }
 
 // abandonOnDisconnect abandons a session when its caller disconnects.
--- a/code.go
+++ b/code.go
@@ -42,6 +42,8 @@
 	CodeWithheld       Code = 68
 	CodePushedBack     Code = 69
 	CodeOverloaded     Code = 70
+	CodeVersionGone    Code = 71
+	CodeOriginUnknown  Code = 72
 
 	CodeInterrupted Code = 80
 	CodeMayHaveRun  Code = 81
@@ -99,6 +101,8 @@
 	{CodeWithheld, "withheld", http.StatusServiceUnavailable, true, "Each upstream that could take the request names how many it takes, and gets as many already."},
 	{CodePushedBack, "pushed_back", http.StatusServiceUnavailable, true, "Each upstream that could take the request has asked for nothing for a while."},
 	{CodeOverloaded, "overloaded", http.StatusServiceUnavailable, true, "The request could not be served in its time, or others go first; nothing was run."},
+	{CodeVersionGone, "version_gone", http.StatusServiceUnavailable, true, "The stream was begun by a software version of which no upstream is left, and cannot go on; it has to be asked for anew."},
+	{CodeOriginUnknown, "origin_unknown", http.StatusServiceUnavailable, true, "It is not known which of several software versions began the stream, so that it cannot go on; it has to be asked for anew."},
 	{CodeInterrupted, "interrupted", http.StatusBadGateway, false, "The answer broke off and could not be continued."},
 	{CodeMayHaveRun, "may_have_run", http.StatusBadGateway, false, "The request was sent to an upstream and its outcome is unknown."},
 	{CodeAnswerLost, "answer_lost", http.StatusGone, false, "The answer was given before and is no longer held."},
@@ -127,5 +131,8 @@
 	return CodeInternal.Info()
 }
 
+// IsFinal reports whether no repetition of the request can succeed, so that its caller is given no retry-after time.
+func (c Code) IsFinal() bool { return c == CodeVersionGone || c == CodeOriginUnknown }
+
 // String returns the code's number and name.
 func (c Code) String() string { return strconv.Itoa(int(c)) + " " + c.Info().Name }
--- a/decide/generation/placing.go
+++ b/decide/generation/placing.go
@@ -82,7 +82,7 @@
 	if len(s.runs) > 0 {
 		return
 	}
-	if ev.Code == vaneyoke.CodeQuarantined {
+	if ev.Code == vaneyoke.CodeQuarantined || ev.Code.IsFinal() {
 		s.fail(s.failure())
 		return
 	}
--- /dev/null
+++ b/decide/placement/pin_test.go
@@ -0,0 +1,86 @@
+package placement_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/placement"
+	"github.com/vaneyoke/vaneyoke/decide/rollout"
+)
+
+// Guards against answers that go on at another software version because of a split, a replica, a cached prompt, or the loss of all upstreams of theirs.
+func TestPinnedAttemptsLeaveTheirVersion(t *testing.T) {
+	now := time.Unix(1000, 0)
+	splits := map[string]struct {
+		split rollout.Split
+		moved bool // whether attempts that are pinned to the new version get no upstream
+	}{
+		"no split":   {},
+		"trial":      {split: rollout.Split{Target: "new", Share: 0.1}},
+		"moved":      {split: rollout.Split{Target: "new", Share: 1}},
+		"held":       {split: rollout.Split{Held: []vaneyoke.SoftwareVersion{"new"}}},
+		"taken back": {split: rollout.Split{Target: "new", Blocked: true}, moved: true},
+	}
+	for name, tc := range splits {
+		t.Run(name, func(t *testing.T) {
+			for _, version := range []vaneyoke.SoftwareVersion{"old", "new"} {
+				s := twoVersions(4)
+				s.SetSplit("lm", tc.split)
+				pinned := need
+				pinned.Pin = vaneyoke.Pin{IsSet: true, Version: version}
+				for n := range 40 {
+					pinned.Canary, pinned.Affinity = n%2 == 0, []string{"", fmt.Sprint("prompt ", n)}[n/2%2]
+					u, _, ok := s.Pick(now, rng(), pinned)
+					must.EqOp(t, !(tc.moved && version == "new"), ok)
+					must.EqOp(t, !ok, s.IsPinnedToBlocked(pinned))
+					if !ok {
+						continue
+					}
+					must.EqOp(t, version, u.Version)
+					for _, holder := range s.PromptHolders(now, pinned) {
+						must.EqOp(t, version, holder.Version)
+					}
+					other := map[vaneyoke.SoftwareVersion]vaneyoke.UpstreamID{"old": "new0", "new": "old0"}[version]
+					pinned.Prefer = vaneyoke.Upstream{URL: "http://" + string(other)}
+					u, _, _ = s.Pick(now, rng(), pinned)
+					must.EqOp(t, version, u.Version)
+					pinned.Prefer = vaneyoke.Upstream{}
+				}
+			}
+		})
+	}
+}
+
+// Guards against attempts that are sent to another version when all upstreams of their own are down or gone.
+func TestPinnedAttemptsOfALostVersionGoElsewhere(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := twoVersions(2)
+	pinned := need
+	pinned.Pin = vaneyoke.Pin{IsSet: true, Version: "old"}
+	for _, id := range []vaneyoke.UpstreamID{"old0", "old1"} {
+		s.Sent(now, id)
+		s.Ended(now, id, placement.OutcomeUnreachable, false)
+	}
+	u, _, ok := s.Pick(now, rng(), pinned)
+	must.True(t, ok) // the tier whose circuit breakers are open
+	must.EqOp(t, "old", u.Version)
+	s.SetUpstreams([]vaneyoke.Upstream{{ID: "new0", Kind: vaneyoke.KindService, Service: "lm", State: vaneyoke.StateLive, Slots: 8, URL: "http://new0", Version: "new"}})
+	_, _, ok = s.Pick(now, rng(), pinned)
+	must.False(t, ok)
+	must.False(t, s.Offers(pinned))
+}
+
+// Guards against replicas at another software version, from which no run may go on.
+func TestReplicasAreKeptAtAnotherVersion(t *testing.T) {
+	s := twoVersions(4)
+	for n := range 40 {
+		primary := vaneyoke.Upstream{ID: "old0", DataCentre: vaneyoke.DataCentreID(fmt.Sprint(n % 4)), Version: "old", Service: "lm"}
+		replica, ok := s.PickReplica(time.Unix(1000, 0), rng(), need, primary)
+		must.True(t, ok)
+		must.EqOp(t, "old", replica.Version)
+	}
+}
--- a/decide/placement/split.go
+++ b/decide/placement/split.go
@@ -67,6 +67,8 @@
 		return !fallback
 	}
 	switch {
+	case need.Pin.IsSet: // an answer goes on at its own version whatever its share is, unless that has failed
+		return !fallback && !s.IsPinnedToBlocked(need)
 	case sp.isTarget(e):
 		switch {
 		case sp.Blocked:
@@ -87,10 +89,10 @@
 	}
 }
 
-// mayReplicateTo reports whether an upstream may keep a replica of a run on the primary: not one of another version during a rollout, which may be
-// reverted.
-func (s *State) mayReplicateTo(replica, primary *vaneyoke.Upstream) bool {
-	return s.splits[primary.Service] == nil || replica.Version == primary.Version
+// IsPinnedToBlocked reports whether a need is pinned to a version that was taken back, so that it gets nothing any more.
+func (s *State) IsPinnedToBlocked(need Need) bool {
+	sp := s.splits[need.Service]
+	return sp != nil && need.Kind == vaneyoke.KindService && need.Pin.IsSet && sp.Blocked && need.Pin.Version == sp.Target
 }
 
 // DrawCanary reports whether a new request is to test the version that its service is moving to. Requests are drawn independently, so that the
--- a/decide/placement/state.go
+++ b/decide/placement/state.go
@@ -38,6 +38,7 @@
 	Replicate    bool // whether another upstream is to keep a replica of the run
 	AtMostOnce   bool // whether it may be sent to one upstream only
 	Canary       bool // whether it was selected to test the version that its service is moving to
+	Pin          vaneyoke.Pin
 	Unlimited    bool // whether only upstreams without a declared limit qualify
 }
 
@@ -281,7 +282,7 @@
 
 // offers reports whether an upstream offers the required model or service.
 func offers(u *vaneyoke.Upstream, need Need) bool {
-	if u.Kind != need.Kind {
+	if u.Kind != need.Kind || !need.Pin.Allows(u) {
 		return false
 	}
 	if need.Kind == vaneyoke.KindEngine {
--- a/shell/balancer/balancer.go
+++ b/shell/balancer/balancer.go
@@ -10,6 +10,7 @@
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/admission"
 	"github.com/vaneyoke/vaneyoke/decide/gossip"
+	"github.com/vaneyoke/vaneyoke/decide/pinning"
 	"github.com/vaneyoke/vaneyoke/decide/placement"
 	"github.com/vaneyoke/vaneyoke/decide/pushback"
 	"github.com/vaneyoke/vaneyoke/decide/retry"
@@ -23,6 +24,7 @@
 type Balancer struct {
 	mu           sync.Mutex
 	state        *placement.State
+	history      *pinning.History
 	budgetConfig retry.BudgetConfig
 	budgets      map[vaneyoke.ServiceID]*retry.Budget // by service; all engines share the entry ""
 	rng          *rand.Rand
@@ -32,7 +34,7 @@
 
 // New returns a Balancer for the given state.
 func New(state *placement.State, budgetConfig retry.BudgetConfig, rng *rand.Rand) *Balancer {
-	return &Balancer{state: state, budgetConfig: budgetConfig, budgets: map[vaneyoke.ServiceID]*retry.Budget{}, rng: rng}
+	return &Balancer{state: state, history: pinning.NewHistory(), budgetConfig: budgetConfig, budgets: map[vaneyoke.ServiceID]*retry.Budget{}, rng: rng}
 }
 
 // budget returns the retry budget of a service. Budgets are separate so that retries of one service do not use up those of another.
@@ -49,6 +51,7 @@
 func (b *Balancer) SetUpstreams(upstreams []vaneyoke.Upstream, drained []vaneyoke.Selector) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.history.Update(time.Now(), upstreams)
 	b.state.SetUpstreams(upstreams)
 	b.state.SetDrained(drained)
 	b.state.SetLeaving(b.leaving)
@@ -200,9 +203,25 @@
 }
 
 func (b *Balancer) placementError(now time.Time, need placement.Need) error {
+	if need.Pin.IsSet {
+		return b.pinnedError(now, need)
+	}
 	if !b.state.Offers(need) {
 		return vaneyoke.Err(vaneyoke.CodeUnknownModel, "no upstream offers %s%s", need.Model, need.Service)
 	}
+	return b.unavailableError(now, need)
+}
+
+// pinnedError returns why no upstream of its software version takes the attempt of an answer that has begun.
+func (b *Balancer) pinnedError(now time.Time, need placement.Need) error {
+	if b.state.IsPinnedToBlocked(need) || b.history.IsGone(now, need.Kind, need.Service, need.Pin.Version) {
+		return vaneyoke.Err(vaneyoke.CodeVersionGone, "no upstream of %s%s goes on at version %q", need.Model, need.Service, need.Pin.Version)
+	}
+	return b.unavailableError(now, need)
+}
+
+// unavailableError returns why none of the upstreams that offer what is needed takes an attempt.
+func (b *Balancer) unavailableError(now time.Time, need placement.Need) error {
 	pushbackRetryAfter, isPushedBack := b.state.PushbackRetryAfter(now, b.rng, need)
 	if limitRetryAfter, ok := b.state.LimitRetryAfter(now, need); ok && (!isPushedBack || limitRetryAfter <= pushbackRetryAfter) {
 		return vaneyoke.ErrRetryAfter(vaneyoke.CodeWithheld, limitRetryAfter, "the upstreams that could take the request get as many as they name already")
--- a/shell/relay/attempt.go
+++ b/shell/relay/attempt.go
@@ -190,6 +190,9 @@
 		s.recordReceived(now, l)
 	}
 	s.handleLocked(now, received)
+	if s.state.Transcript().Len() > 0 {
+		s.pinTo(received.Attempt)
+	}
 }
 
 // recordFirstToken records the first token of an attempt that was started here.
--- a/shell/relay/continuation.go
+++ b/shell/relay/continuation.go
@@ -9,32 +9,33 @@
 	"github.com/vaneyoke/vaneyoke/decide/generation"
 )
 
-// origin is what is known of the upstream whose events the caller has; the zero value if nothing is.
-type origin struct {
-	upstream vaneyoke.UpstreamID
-	version  vaneyoke.SoftwareVersion
+// pinTo restricts further attempts to the software version of an attempt's upstream, whose output was accepted, unless an earlier one does.
+func (s *Session) pinTo(attempt vaneyoke.Attempt) {
+	if s.pin.IsSet {
+		return
+	}
+	l := s.links[attempt]
+	s.pin, s.origin = vaneyoke.PinTo(&l.upstream), l.upstream.ID
 }
 
-func originOf(u vaneyoke.Upstream) origin { return origin{upstream: u.ID, version: u.Version} }
-
 // recordContinuation logs and counts an attempt that continues a stream of which the caller has events.
 func (s *Session) recordContinuation(e generation.Start, l *link, m *forwarded) {
 	if !m.Stream || m.lastEventID == "" {
 		return
 	}
-	s.relay.metrics.Continued.Add(m.origin.compare(l.upstream), 1)
+	s.relay.metrics.Continued.Add(compareVersions(s.pin, l.upstream), 1)
 	s.logAttempt(e.Attempt, l.upstream.ID).WithFields(logrus.Fields{
-		"software": l.upstream.Version, "origin": m.origin.upstream, "origin_software": m.origin.version, "resumes": m.Resumes, "after": m.lastEventID,
+		"software": l.upstream.Version, "origin": s.origin, "origin_software": s.pin.Version, "resumes": m.Resumes, "after": m.lastEventID,
 		"age_ms": time.Since(s.req.ReceivedAt).Milliseconds(),
 	}).Info("stream_continued")
 }
 
-// compare returns how the software version of an upstream that continues a stream compares with that of the stream's origin.
-func (o origin) compare(u vaneyoke.Upstream) string {
+// compareVersions returns how the software version of an upstream that continues a stream compares with the one that began it.
+func compareVersions(pin vaneyoke.Pin, u vaneyoke.Upstream) string {
 	switch {
-	case o.upstream == "":
+	case !pin.IsSet:
 		return "unknown_version"
-	case o.version != u.Version:
+	case !pin.Allows(&u):
 		return "other_version"
 	default:
 		return "same_version"
--- a/shell/relay/forwarded.go
+++ b/shell/relay/forwarded.go
@@ -40,7 +40,6 @@
 type forwarded struct {
 	Forwarding
 	lastEventID string       // id of the last accepted event, or of the last event that the caller had
-	origin      origin       // of the events that the caller has
 	head        forward.Head // of the first upstream whose answer was accepted
 	lastFailure *response    // the last response with a server error; nil if there is none
 }
@@ -257,7 +256,7 @@
 	m.lastEventID = id
 	if lenBefore == 0 {
 		m.head = head
-		m.origin = originOf(s.links[received.Attempt].upstream)
+		s.pinTo(received.Attempt)
 	}
 }
 
--- a/shell/relay/place.go
+++ b/shell/relay/place.go
@@ -20,10 +20,7 @@
 		return
 	}
 	s.awaitCrashCheck(s.ctx)
-	need := s.need
-	need.Avoid = e.Avoid
-	need.Prefer = s.replicaByID(e.Prefer)
-	need.Replicate = need.Replicate && e.Replicate
+	need := s.needOf(e)
 	if e.Attempt == 1 {
 		need.Canary = s.relay.rollouts != nil && s.relay.rollouts.DrawCanary(need.Service)
 		need.Prefer = s.findPromptHolder(need)
@@ -143,10 +140,20 @@
 	queries.Wait()
 }
 
-// replicaByID returns the upstream chosen to keep a replica of an earlier attempt, the zero value if there is none.
-func (s *Session) replicaByID(id vaneyoke.UpstreamID) vaneyoke.Upstream {
+// needOf returns what an attempt requires of its upstream.
+func (s *Session) needOf(e generation.Place) placement.Need {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	need := s.need
+	need.Avoid = e.Avoid
+	need.Prefer = s.replicaByID(e.Prefer)
+	need.Replicate = need.Replicate && e.Replicate
+	need.Pin = s.pin
+	return need
+}
+
+// replicaByID returns the upstream chosen to keep a replica of an earlier attempt, the zero value if there is none.
+func (s *Session) replicaByID(id vaneyoke.UpstreamID) vaneyoke.Upstream {
 	for _, l := range s.links {
 		if id != "" && l.replica.ID == id {
 			return l.replica
--- a/shell/relay/session.go
+++ b/shell/relay/session.go
@@ -35,6 +35,8 @@
 	lastUpstream vaneyoke.UpstreamID // of the last attempt
 	pace         pace                // of the accepted chunks
 	epoch        uint64              // counts the owners of the request from 1
+	pin          vaneyoke.Pin        // of its further attempts, set by the first output that may have reached the caller
+	origin       vaneyoke.UpstreamID // that gave that output; "" if it is not known
 
 	counted      bool          // whether the request was counted as started by an upstream
 	provenSafe   bool          // whether an upstream has run the request for so long that it is not one that crashes upstreams
