Streams of an upstream that restarted under its id are not taken for its earlier version

What callers would see: an engine starts again under its id and address with another software version while its row in the list is still the old one (the store is away, or late).

Cause: no answer states the version. A node knows it by the row, which holds for the incarnation (born) that it states; load reports tell a later incarnation sooner than the row.

Change: an upstream whose report tells of a later incarnation than its row has an unknown version until its row states that incarnation: it begins streams that may have to go on only where there is no other, and none goes on there. A pin that turns out wrong is corrected (stream_repinned) and its record with a higher revision; while the version is not known the record says so, and other nodes refuse. Rows that state no incarnation are relied on as before.

What remains: an engine that restarts and answers within the report's 0.4 s, or whose report does not come in time, is held for its earlier incarnation until its row comes.

--- a/decide/pinning/codec.go
+++ b/decide/pinning/codec.go
@@ -22,6 +22,7 @@
 	fieldVersion   = 3
 	fieldTTL       = 4 // in ms
 	fieldAmbiguous = 5
+	fieldRevision  = 6
 
 	fieldHeld      = 2 // of a reply
 	fieldCandidate = 3 // repeated
@@ -30,6 +31,7 @@
 
 const (
 	maxItems     = 256 // of a kind in a message
+	maxRevision  = 1 << 20
 	maxNameBytes = 200 // of a service, a version, a VM or an address, as of the store's keys
 	maxWireMs    = uint64(24 * time.Hour / time.Millisecond)
 	itemOverhead = 24 // bytes of tags, lengths and numbers of an item
@@ -93,7 +95,7 @@
 	if r.Ambiguous {
 		b = protofield.AppendNumber(b, fieldAmbiguous, 1)
 	}
-	return b
+	return protofield.AppendCount(b, fieldRevision, int64(r.Revision))
 }
 
 func appendSoftware(b []byte, s Software) []byte {
@@ -178,6 +180,8 @@
 			r.TTL = durationOf(number)
 		case fieldAmbiguous:
 			r.Ambiguous = number != 0
+		case fieldRevision:
+			r.Revision = int(min(number, maxRevision)) //nolint:gosec // bounded
 		}
 		return nil
 	})
--- a/decide/pinning/event.go
+++ b/decide/pinning/event.go
@@ -25,7 +25,10 @@
 type StreamBegun struct {
 	Stream   StreamID
 	Software Software
-	Deadline time.Time // until which the caller waits for the end of the stream
+	// VersionUnknown says that Software.Version is not to be relied on, Revision how often this node has corrected it.
+	VersionUnknown bool
+	Revision       int
+	Deadline       time.Time // until which the caller waits for the end of the stream
 }
 
 // StreamEnded says that this node does not serve a stream any more; each StreamBegun is followed by one.
--- a/decide/pinning/record.go
+++ b/decide/pinning/record.go
@@ -25,9 +25,11 @@
 type Record struct {
 	Stream   StreamID
 	Software Software
-	// Ambiguous says that two streams have the same id and were begun by different software, so that the record tells nothing.
+	// Ambiguous says that the record tells nothing: the version is not known, or two streams have the same id and were begun by different software.
 	Ambiguous bool
-	TTL       time.Duration
+	// Revision is higher in a record that corrects an earlier one of the same node.
+	Revision int
+	TTL      time.Duration
 }
 
 // Basis says why a stream goes on at a software version.
@@ -39,7 +41,7 @@
 	BasisOwn                      // this node holds a record of the stream
 	BasisPeer                     // another node holds a record of the stream
 	BasisOnlyVersion              // no node that answered knows of a second version
-	BasisAmbiguous                // two streams with this id were begun by different versions
+	BasisAmbiguous                // two streams with this id were begun by different versions, or by one that is not known
 )
 
 // String returns the basis as it is logged.
--- a/decide/pinning/state.go
+++ b/decide/pinning/state.go
@@ -172,7 +172,8 @@
 
 // begin keeps the record of a stream that this node serves, and sends it to its holders.
 func (s *State) begin(now time.Time, ev StreamBegun) {
-	r := s.keep(now, Record{Stream: ev.Stream, Software: ev.Software, TTL: ev.Deadline.Sub(now)})
+	begun := Record{Stream: ev.Stream, Software: ev.Software, Ambiguous: ev.VersionUnknown, Revision: ev.Revision, TTL: ev.Deadline.Sub(now)}
+	r := s.keep(now, begun)
 	v := s.serving[ev.Stream]
 	if v == nil {
 		v = &serving{}
@@ -183,7 +184,7 @@
 		v.deadline = ev.Deadline
 	}
 	if r == nil { // there are too many; the others may keep it
-		r = &record{Record: Record{Stream: ev.Stream, Software: ev.Software}}
+		r = &record{Record: begun}
 	}
 	s.refresh(now, v, r.Record)
 }
@@ -204,7 +205,7 @@
 	expires := now.Add(min(max(r.TTL, 0)+minRecordTTL, maxRecordTTL))
 	kept := s.records[r.Stream]
 	if kept != nil && now.Before(kept.expires) {
-		kept.Ambiguous = kept.Ambiguous || r.Ambiguous || kept.Software != r.Software
+		kept.merge(r)
 		kept.expires = later(kept.expires, expires)
 		return kept
 	}
@@ -224,6 +225,16 @@
 	return kept
 }
 
+// merge adds another record of the same stream.
+func (r *record) merge(other Record) {
+	switch {
+	case other.Revision > r.Revision:
+		r.Software, r.Ambiguous, r.Revision = other.Software, other.Ambiguous, other.Revision
+	case other.Revision == r.Revision:
+		r.Ambiguous = r.Ambiguous || other.Ambiguous || r.Software != other.Software
+	}
+}
+
 // held returns a record that has not expired; nil if there is none.
 func (s *State) held(now time.Time, stream StreamID) *record {
 	r := s.records[stream]
--- a/decide/pinning/state_test.go
+++ b/decide/pinning/state_test.go
@@ -94,6 +94,11 @@
 		"two streams with one id": {listing{nil, 0}, []pinning.Event{
 			from(1, pinning.Message{Records: []pinning.Record{record}}), pinning.StreamBegun{Stream: id, Software: v2, Deadline: epoch.Add(time.Minute)},
 		}, id, pinning.Origin{Basis: pinning.BasisAmbiguous, Software: v1}},
+		"corrected record": {listing{nil, 0}, []pinning.Event{
+			pinning.StreamBegun{Stream: id, Software: v1, Deadline: epoch.Add(time.Minute)}, pinning.StreamEnded{Stream: id},
+			pinning.StreamBegun{Stream: id, Software: v2, Revision: 1, Deadline: epoch.Add(time.Minute)}, from(1, pinning.Message{Records: []pinning.Record{record}}),
+		}, id, pinning.Origin{Basis: pinning.BasisOwn, Software: v2}},
+		"version that was not known": {listing{nil, 0}, []pinning.Event{pinning.StreamBegun{Stream: id, Software: v2, VersionUnknown: true, Deadline: epoch.Add(time.Minute)}}, id, pinning.Origin{Basis: pinning.BasisAmbiguous, Software: v2}},
 		"unnamed, one version":       {listing{[]vaneyoke.SoftwareVersion{"v1"}, 0}, nil, "", pinning.Origin{Basis: pinning.BasisOnlyVersion, Software: v1}},
 		"unnamed, no stated version": {listing{[]vaneyoke.SoftwareVersion{""}, 0}, nil, "", pinning.Origin{Basis: pinning.BasisOnlyVersion, Software: pinning.Software{Service: "lm"}}},
 		"unnamed, two versions":      {listing{[]vaneyoke.SoftwareVersion{"v1", "v2"}, longWatch}, nil, "", pinning.Origin{Candidates: []pinning.Software{v1, v2}}},
--- a/decide/placement/affinity.go
+++ b/decide/placement/affinity.go
@@ -140,6 +140,7 @@
 	if report.Incarnation > e.upstream.Incarnation {
 		if e.upstream.Incarnation != 0 {
 			s.resetAfterRestart(e)
+			e.upstream.VersionUnknown = true
 		}
 		e.upstream.Incarnation = report.Incarnation
 	}
--- a/decide/placement/pick.go
+++ b/decide/placement/pick.go
@@ -67,13 +67,18 @@
 			!s.matchesSplit(need, e, t.fallbackVersion) || (need.Unlimited && e.limit.Declared) || !s.hasBrittleRoom(now, e) {
 			continue
 		}
-		if slices.Contains(need.Avoid, e.upstream.ID) == t.avoided {
+		if isAvoided(e, need) == t.avoided {
 			s.scratch = append(s.scratch, e)
 		}
 	}
 	return s.scratch
 }
 
+// isAvoided reports whether an upstream is used only if there is no other.
+func isAvoided(e *entry, need Need) bool {
+	return slices.Contains(need.Avoid, e.upstream.ID) || (need.Continuable && e.upstream.VersionUnknown)
+}
+
 // breakerAllows reports whether the circuit breaker lets the request through.
 func (e *entry) breakerAllows(now time.Time, need Need) bool {
 	if need.AtMostOnce {
--- a/decide/placement/pin_test.go
+++ b/decide/placement/pin_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/placement"
+	"github.com/vaneyoke/vaneyoke/decide/retry"
 	"github.com/vaneyoke/vaneyoke/decide/rollout"
 )
 
@@ -84,3 +85,47 @@
 		must.EqOp(t, "old", replica.Version)
 	}
 }
+
+// Guards against streams that begin or go on at an upstream which has restarted, at the version that the list names for its earlier incarnation.
+func TestVersionOfRestartedUpstreamIsRelied(t *testing.T) {
+	now := time.Unix(1000, 0)
+	upstream := func(id vaneyoke.UpstreamID, incarnation vaneyoke.Incarnation, version vaneyoke.SoftwareVersion) vaneyoke.Upstream {
+		return vaneyoke.Upstream{
+			ID: id, Kind: vaneyoke.KindService, Service: "lm", State: vaneyoke.StateLive, Slots: 8, URL: "http://" + string(id), Version: version, Incarnation: incarnation,
+		}
+	}
+	listed := []vaneyoke.Upstream{upstream("a", 5, "v1"), upstream("b", 5, "v1")}
+	s := placement.New("a", retry.DefaultBreakerConfig())
+	s.SetUpstreams(listed)
+	s.Reported(now, "a", vaneyoke.LoadReport{Incarnation: 6})
+	s.SetUpstreams(listed) // the old entry again
+	stream, pinned, call := need, need, need
+	stream.Continuable, pinned.Pin = true, vaneyoke.Pin{IsSet: true, Version: "v1"}
+	r := rng()
+	picked := func(need placement.Need) map[vaneyoke.UpstreamID]bool {
+		found := map[vaneyoke.UpstreamID]bool{}
+		for range 60 {
+			if u, _, ok := s.Pick(now, r, need); ok {
+				found[u.ID] = true
+				s.Sent(now, u.ID)
+				defer s.Ended(now, u.ID, placement.OutcomeDropped, false)
+			}
+		}
+		return found
+	}
+	must.Eq(t, map[vaneyoke.UpstreamID]bool{"b": true}, picked(stream))
+	must.Eq(t, map[vaneyoke.UpstreamID]bool{"b": true}, picked(pinned))
+	must.Eq(t, map[vaneyoke.UpstreamID]bool{"a": true, "b": true}, picked(call))
+	s.SetUpstreams(listed[:1])
+	must.Eq(t, map[vaneyoke.UpstreamID]bool{"a": true}, picked(stream)) // rather than none
+	must.MapEmpty(t, picked(pinned))
+	s.SetUpstreams([]vaneyoke.Upstream{upstream("a", 6, "v2"), upstream("b", 5, "v1")})
+	u, _ := s.Upstream("a")
+	must.False(t, u.VersionUnknown)
+	must.EqOp(t, "v2", u.Version)
+	s.Reported(now, "a", vaneyoke.LoadReport{Incarnation: 7})
+	s.SetUpstreams([]vaneyoke.Upstream{upstream("a", 0, "v2")})
+	must.Eq(t, map[vaneyoke.UpstreamID]bool{"a": true}, picked(stream)) // its entry does not state an incarnation
+	u, _ = s.Upstream("a")
+	must.False(t, u.VersionUnknown)
+}
--- a/decide/placement/state.go
+++ b/decide/placement/state.go
@@ -40,6 +40,7 @@
 	Canary       bool // whether it was selected to test the version that its service is moving to
 	Pin          vaneyoke.Pin
 	Unlimited    bool // whether only upstreams without a declared limit qualify
+	Continuable  bool // whether another attempt may go on with the answer, so that the upstream's software version should be known
 }
 
 // Outcome is how an attempt on an upstream ended.
@@ -182,6 +183,7 @@
 // update applies the list's entry for an upstream; known says whether the upstream was listed before.
 func (s *State) update(e *entry, known bool, u vaneyoke.Upstream) {
 	if u.Incarnation < e.upstream.Incarnation { // the entry is older than the upstream's own report
+		u.VersionUnknown = e.upstream.VersionUnknown && u.Incarnation != 0 // an entry that states no incarnation may be of any
 		u.Incarnation = e.upstream.Incarnation
 	}
 	if known && (e.upstream.Incarnation != 0 && u.Incarnation > e.upstream.Incarnation || u.URL != e.upstream.URL) {
@@ -263,6 +265,12 @@
 	return e.upstream, true
 }
 
+// HasFreshReport reports whether an upstream's incarnation is known by a load report of a moment ago.
+func (s *State) HasFreshReport(now time.Time, id vaneyoke.UpstreamID) bool {
+	e, ok := s.entries[id]
+	return ok && e.hasFreshReport(now)
+}
+
 // AcceptsWork reports whether an upstream may get new work.
 func (s *State) AcceptsWork(now time.Time, id vaneyoke.UpstreamID) bool {
 	e, ok := s.entries[id]
--- a/process/node/gateway_placer.go
+++ b/process/node/gateway_placer.go
@@ -89,9 +89,7 @@
 }
 
 // StreamBegun has other nodes keep which software began a stream.
-func (b *gatewayPlacer) StreamBegun(stream pinning.StreamID, software pinning.Software, deadline time.Time) {
-	b.streams.StreamBegun(stream, software, deadline)
-}
+func (b *gatewayPlacer) StreamBegun(begun pinning.StreamBegun) { b.streams.StreamBegun(begun) }
 
 // StreamEnded records that this node does not serve a stream any more.
 func (b *gatewayPlacer) StreamEnded(stream pinning.StreamID) { b.streams.StreamEnded(stream) }
--- a/shell/balancer/balancer.go
+++ b/shell/balancer/balancer.go
@@ -123,6 +123,13 @@
 	b.undoPlacement(time.Now(), need, isRetry, id, placement.OutcomeGone)
 }
 
+// RecordRestarted undoes a placement on an upstream that has restarted, so that its software version is not known. Nothing was sent to it.
+func (b *Balancer) RecordRestarted(need placement.Need, isRetry bool, id vaneyoke.UpstreamID) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.undoPlacement(time.Now(), need, isRetry, id, placement.OutcomeDropped)
+}
+
 // SetLimit sets the limit that an upstream declares; the zero Limit means none.
 func (b *Balancer) SetLimit(id vaneyoke.UpstreamID, limit vaneyoke.Limit) {
 	b.mu.Lock()
@@ -164,6 +171,13 @@
 	return b.state.Upstream(id)
 }
 
+// HasFreshReport reports whether an upstream's incarnation is known by a load report of a moment ago.
+func (b *Balancer) HasFreshReport(id vaneyoke.UpstreamID) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state.HasFreshReport(time.Now(), id)
+}
+
 // IsHeld reports whether an upstream gets no new attempts because of a signal that it sent.
 func (b *Balancer) IsHeld(id vaneyoke.UpstreamID) bool {
 	b.mu.Lock()
--- a/shell/pins/node.go
+++ b/shell/pins/node.go
@@ -61,9 +61,10 @@
 func (n *Node) SetMembers(all []pinning.Member) { n.handle(pinning.MembersUpdated{All: all}) }
 
 // StreamBegun has the record of a stream kept elsewhere. It returns when the record is on its way, so that it is called before the stream's first
-// event is given to the caller, who waits until the deadline.
-func (n *Node) StreamBegun(stream pinning.StreamID, software pinning.Software, deadline time.Time) {
-	n.handle(pinning.StreamBegun{Stream: stream, Software: software, Deadline: steady.Now().Add(time.Until(deadline))})
+// event is given to the caller.
+func (n *Node) StreamBegun(begun pinning.StreamBegun) {
+	begun.Deadline = steady.Now().Add(time.Until(begun.Deadline))
+	n.handle(begun)
 }
 
 // StreamEnded says that a stream is not served here any more.
--- a/shell/relay/continuation.go
+++ b/shell/relay/continuation.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -8,6 +9,7 @@
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/generation"
 	"github.com/vaneyoke/vaneyoke/decide/pinning"
+	"github.com/vaneyoke/vaneyoke/decide/placement"
 )
 
 // basisFirstOutput is the basis of a pin that an answer's first output on this node has set, as it is logged.
@@ -19,7 +21,89 @@
 	if s.pin.IsSet || l == nil {
 		return
 	}
-	s.pin, s.pinnedBy = vaneyoke.PinTo(&l.upstream), l.upstream.ID
+	s.pinToProcess(s.currentProcess(l.upstream))
+}
+
+func (s *Session) pinToProcess(u vaneyoke.Upstream) { s.pin, s.pinnedBy = vaneyoke.PinTo(&u), u }
+
+// currentProcess returns an upstream with the latest incarnation that is known: where output arrives, the earlier one has ended.
+func (s *Session) currentProcess(u vaneyoke.Upstream) vaneyoke.Upstream {
+	if s.relay.processes == nil {
+		return u
+	}
+	if current, ok := s.relay.processes.Upstream(u.ID); ok && current.Incarnation > u.Incarnation {
+		return current
+	}
+	return u
+}
+
+// isConfirmed reports whether the incarnation of an upstream is known for certain, so that its version is that of its entry in the list.
+func (s *Session) isConfirmed(u vaneyoke.Upstream) bool {
+	return s.relay.processes == nil || u.Incarnation == 0 || s.relay.processes.HasFreshReport(u.ID)
+}
+
+// confirmPin asks the upstream that gave the first output for its incarnation, unless that is known: it may have restarted with another version while
+// its entry in the list is of the earlier one.
+func (s *Session) confirmPin(attempt vaneyoke.Attempt) {
+	l := s.links[attempt]
+	if s.pinnedBy.ID != l.upstream.ID || l.isConfirmed || s.relay.isLimited(l.upstream.ID) {
+		return
+	}
+	l.isConfirmed = true
+	go func() {
+		ctx, cancel := context.WithTimeout(s.ctx, confirmTimeout)
+		defer cancel()
+		report, ok := s.relay.sender.LoadReport(ctx, l.upstream)
+		if !ok {
+			return
+		}
+		s.relay.placer.Reported(l.upstream.ID, report)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if current := s.currentProcess(l.upstream); current.Incarnation > s.pinnedBy.Incarnation && !s.result.Ended {
+			s.repin(current)
+		}
+	}()
+}
+
+// hasRestarted reports whether an upstream that was chosen to go on with an answer has restarted, so that its version is not known any more. It is asked
+// unless its incarnation is known.
+func (s *Session) hasRestarted(need placement.Need, u vaneyoke.Upstream) bool {
+	if !need.Pin.IsSet || s.relay.staleness == nil || s.isConfirmed(u) || s.relay.isLimited(u.ID) {
+		return false
+	}
+	s.queryReports([]vaneyoke.Upstream{u})
+	current, ok := s.relay.processes.Upstream(u.ID)
+	return ok && !need.Pin.Allows(&current)
+}
+
+// confirmTimeout bounds the wait for the incarnation of an upstream.
+const confirmTimeout = 500 * time.Millisecond
+
+// repin corrects the pin of an answer whose upstream turns out to be a later incarnation than was known.
+func (s *Session) repin(u vaneyoke.Upstream) {
+	s.relay.log.WithFields(logrus.Fields{
+		"request": s.req.ID, "upstream": u.ID, "incarnation": uint64(u.Incarnation), "before_incarnation": uint64(s.pinnedBy.Incarnation),
+		"software": u.Version, "before_software": s.pin.Version, "known": !u.VersionUnknown,
+	}).Info("stream_repinned")
+	s.pinToProcess(u)
+	s.repins++
+	if s.registered != "" {
+		s.unregisterStream()
+		s.registered = ""
+		s.registerStream()
+	}
+}
+
+// resolvePin returns the pin of the next attempt; where the version was not known, it may be by now.
+func (s *Session) resolvePin() vaneyoke.Pin {
+	if !s.pin.VersionUnknown || s.relay.processes == nil {
+		return s.pin
+	}
+	if current, ok := s.relay.processes.Upstream(s.pinnedBy.ID); ok && current.Incarnation == s.pinnedBy.Incarnation && !current.VersionUnknown {
+		s.repin(current)
+	}
+	return s.pin
 }
 
 // pinToOrigin restricts all attempts to the software that began the stream of which the caller has events.
@@ -43,7 +127,10 @@
 		attempt = m.Resumes
 	}
 	s.registered = pinning.NewStreamID(s.req.Workspace, attempt)
-	s.relay.registry.StreamBegun(s.registered, pinning.Software{Service: s.need.Service, Version: s.pin.Version}, m.Deadline)
+	s.relay.registry.StreamBegun(pinning.StreamBegun{
+		Stream: s.registered, Software: pinning.Software{Service: s.need.Service, Version: s.pin.Version},
+		VersionUnknown: s.pin.VersionUnknown, Revision: s.repins, Deadline: m.Deadline,
+	})
 }
 
 // unregisterStream ends what registerStream began.
@@ -64,7 +151,7 @@
 	}
 	s.relay.metrics.Continued.Add(compareVersions(s.pin, l.upstream), 1)
 	s.logAttempt(e.Attempt, l.upstream.ID).WithFields(logrus.Fields{
-		"software": l.upstream.Version, "origin": s.pinnedBy, "origin_software": s.pin.Version, "basis": basis, "resumes": m.Resumes, "after": m.lastEventID,
+		"software": l.upstream.Version, "origin": s.pinnedBy.ID, "origin_software": s.pin.Version, "basis": basis, "resumes": m.Resumes, "after": m.lastEventID,
 		"age_ms": time.Since(s.req.ReceivedAt).Milliseconds(),
 	}).Info("stream_continued")
 }
--- a/shell/relay/forwarded.go
+++ b/shell/relay/forwarded.go
@@ -67,6 +67,7 @@
 	need := placement.Need{
 		Kind: vaneyoke.KindService, Service: f.Service, Order: req.Order, PromptBytes: req.PromptBytes, Replicate: f.Replicate,
 		AnswerTokens: f.AnswerTokens, SharedTokens: f.SharedTokens, Affinity: f.affinityKey(), AtMostOnce: !req.Repeatable,
+		Continuable: f.Stream && req.Repeatable,
 	}
 	return r.startSession(ctx, req, need, &forwarded{Forwarding: f, lastEventID: f.ResumeAfter})
 }
@@ -260,6 +261,7 @@
 		m.head = head
 		s.pinTo(received.Attempt)
 		s.registerStream()
+		s.confirmPin(received.Attempt)
 	}
 }
 
--- a/shell/relay/place.go
+++ b/shell/relay/place.go
@@ -48,7 +48,7 @@
 		})
 		return
 	}
-	l := &link{upstream: upstream, cancel: func() {}, isRetry: e.Retry}
+	l := &link{upstream: upstream, cancel: func() {}, isRetry: e.Retry, isConfirmed: s.isConfirmed(upstream)}
 	s.links[e.Attempt] = l
 	if need.Replicate {
 		l.replica, _ = s.relay.placer.PickReplica(need, upstream)
@@ -101,9 +101,16 @@
 func (s *Session) chooseCurrent(need placement.Need, retry bool) (vaneyoke.Upstream, time.Duration, error) {
 	for tries := 0; ; tries++ {
 		upstream, expectedTTFT, err := s.relay.placer.Place(need, retry)
-		if err != nil || tries == maxReplaced || !s.isReplaced(upstream) {
+		if err != nil || tries == maxReplaced {
 			return upstream, expectedTTFT, err
 		}
+		if s.hasRestarted(need, upstream) {
+			s.relay.staleness.RecordRestarted(need, retry, upstream.ID)
+			continue
+		}
+		if !s.isReplaced(upstream) {
+			return upstream, expectedTTFT, nil
+		}
 		s.relay.log.WithFields(logrus.Fields{"request": s.req.ID, "upstream": upstream.ID}).Info("upstream_replaced")
 		s.relay.staleness.RecordReplaced(need, retry, upstream.ID)
 	}
@@ -148,7 +155,7 @@
 	need.Avoid = e.Avoid
 	need.Prefer = s.replicaByID(e.Prefer)
 	need.Replicate = need.Replicate && e.Replicate
-	need.Pin = s.pin
+	need.Pin = s.resolvePin()
 	return need
 }
 
--- a/shell/relay/relay.go
+++ b/shell/relay/relay.go
@@ -69,6 +69,8 @@
 type StalenessChecker interface {
 	// MayBeStale reports whether upstreams may have been replaced without the list showing it.
 	MayBeStale() bool
+	// RecordRestarted records that a placed upstream has restarted, so that its software version is not known; nothing was sent to it.
+	RecordRestarted(need placement.Need, retry bool, id vaneyoke.UpstreamID)
 	// RecordReplaced records that another upstream has the address of one that was placed.
 	RecordReplaced(need placement.Need, retry bool, id vaneyoke.UpstreamID)
 }
@@ -83,12 +85,20 @@
 
 // StreamRegistry has other nodes keep which software began a stream, so that its caller can come back anywhere.
 type StreamRegistry interface {
-	// StreamBegun is called before a caller gets the first event of a stream from this node, and waits for its end until the deadline.
-	StreamBegun(stream pinning.StreamID, software pinning.Software, deadline time.Time)
+	// StreamBegun is called before a caller gets the first event of a stream from this node.
+	StreamBegun(begun pinning.StreamBegun)
 	// StreamEnded is called once for each StreamBegun, when the node does not serve the stream any more.
 	StreamEnded(stream pinning.StreamID)
 }
 
+// ProcessTracker knows which processes of upstreams run.
+type ProcessTracker interface {
+	// Upstream returns a listed upstream with the latest incarnation that is known.
+	Upstream(id vaneyoke.UpstreamID) (vaneyoke.Upstream, bool)
+	// HasFreshReport reports whether an upstream's incarnation is known by a load report of a moment ago.
+	HasFreshReport(id vaneyoke.UpstreamID) bool
+}
+
 // Meter measures the load of requests on upstreams.
 type Meter interface {
 	// CountRequest counts a request of a workspace that an upstream has started; it is called once for each request.
@@ -108,6 +118,7 @@
 	limiter    Limiter          // nil if upstreams declare no limits
 	pushbacks  PushbackTracker  // nil if pushbacks are not tracked
 	admitter   Admitter         // nil if prompts wait for room by themselves
+	processes  ProcessTracker   // nil if upstreams are assumed not to restart
 	meter      Meter            // nil if load is not measured
 	speeds     SpeedRecorder    // nil if speeds are not measured
 	registry   StreamRegistry   // nil if no other node keeps what began a stream
@@ -146,11 +157,12 @@
 	pushbacks, _ := placer.(PushbackTracker)
 	admitter, _ := placer.(Admitter)
 	meter, _ := placer.(Meter)
+	processes, _ := placer.(ProcessTracker)
 	speeds, _ := placer.(SpeedRecorder)
 	registry, _ := placer.(StreamRegistry)
 	return &Relay{
 		engines: engines, sender: sender, placer: placer, rollouts: rollouts, staleness: staleness, guard: guard, limiter: limiter, pushbacks: pushbacks,
-		admitter: admitter, meter: meter, speeds: speeds, registry: registry, tracer: tracer, metrics: metrics, log: log, config: config,
+		admitter: admitter, processes: processes, meter: meter, speeds: speeds, registry: registry, tracer: tracer, metrics: metrics, log: log, config: config,
 		ctx: ctx, stop: stop, running: map[*Session]struct{}{}, forecasts: newForecasts(), buffers: newBuffers(config.Buffers),
 	}
 }
--- a/shell/relay/session.go
+++ b/shell/relay/session.go
@@ -37,7 +37,8 @@
 	pace         pace                // of the accepted chunks
 	epoch        uint64              // counts the owners of the request from 1
 	pin          vaneyoke.Pin        // of its further attempts, set by the first output that may have reached the caller
-	pinnedBy     vaneyoke.UpstreamID // that gave that output; "" if it is not known
+	pinnedBy     vaneyoke.Upstream   // that gave that output; the zero value if it is not known
+	repins       int                 // how often the pin was corrected
 	registered   pinning.StreamID    // the stream that the registry knows this session to serve; "" for none
 
 	counted      bool          // whether the request was counted as started by an upstream
@@ -55,6 +56,7 @@
 	fromReplica     bool              // whether the run resumes from a replica, so that its first token does not tell how long prefill takes
 	started         bool              // whether its run was started
 	pause           readPause         // when its stream was not read because the caller did not read the answer
+	isConfirmed     bool              // whether the incarnation of the upstream was known for certain when the attempt was placed
 	path            forward.Path      // of its connection; forward.AnyPath until it is open
 	unsent          bool              // whether nothing has been sent yet, so that it can be withdrawn
 	sentAt          time.Time         // when the run was started, zero for a resumed stream
--- a/upstream.go
+++ b/upstream.go
@@ -33,6 +33,8 @@
 	Slots      int           `json:"slots,omitempty"`   // concurrent generations before the engine queues
 	// Version is the version of the upstream's software; "" if unknown.
 	Version SoftwareVersion `json:"version,omitempty"`
+	// VersionUnknown says that the upstream has restarted since Version was stated, so that it may run another one.
+	VersionUnknown bool `json:"-"`
 	// Preemptible says whether the platform may reclaim the upstream at any time, at short notice.
 	Preemptible bool `json:"preemptible,omitempty"`
 	// Incarnation distinguishes restarts of the upstream, which may keep its id; 0 if unknown.
