Caller API: an answer keeps its software version over takeovers

Where engines state no version nothing changes. In-answer continuations were mended with the pin itself.

--- a/decide/journal/record.go
+++ b/decide/journal/record.go
@@ -37,6 +37,7 @@
 	Name     string
 	Upstream vaneyoke.UpstreamID
 	Base     vaneyoke.Tokens // index of the run's first token within the answer
+	Pin      vaneyoke.Pin    // of the answer to the software version that began it
 }
 
 // Result says how a session ended.
--- a/shell/failover/cursor_tail_test.go
+++ b/shell/failover/cursor_tail_test.go
@@ -54,3 +54,13 @@
 		})
 	}
 }
+
+// Guards against an answer whose tail is from another run and that goes on at another software version.
+func TestTailOfAnotherRunKeepsTheVersion(t *testing.T) {
+	pin := vaneyoke.Pin{IsSet: true, Version: "v1"}
+	d := &journal.Delta{IDs: tokenIDs("ab"), Text: []byte("ab"), Stream: &journal.Stream{Name: "s1", Upstream: "engine-1", Base: 1, Pin: pin}}
+	must.True(t, applyCursorTail(d, &cursor.Cursor{
+		Offset: 4, Digest: cursor.TextDigest([]byte("abcd")), TailFrom: 2, TailIDs: tokenIDs("cd"), TailTextFrom: 2, TailText: []byte("cd"), Stream: cursor.StreamDigest("s2"),
+	}))
+	must.Eq(t, &journal.Stream{Pin: pin}, d.Stream)
+}
--- a/shell/failover/open.go
+++ b/shell/failover/open.go
@@ -241,11 +241,19 @@
 		}
 	}
 	if added := len(d.IDs) - held; added > 0 && cursor.StreamDigest(streamName(d)) != cur.Stream {
-		d.Stream = nil // the tail is from another run, so the journal's run does not continue it
+		d.Stream = pinOnly(d.Stream) // the tail is from another run, so the journal's run does not continue it
 	}
 	return cur.Offset <= len(d.Text) && cursor.TextDigest(d.Text[:cur.Offset]) == cur.Digest
 }
 
+// pinOnly returns a stream without its run, which keeps the software version that began the answer; nil if that is not known.
+func pinOnly(s *journal.Stream) *journal.Stream {
+	if s == nil || !s.Pin.IsSet {
+		return nil
+	}
+	return &journal.Stream{Pin: s.Pin}
+}
+
 // streamName returns the name of the session's run on an engine, or "" if there is none.
 func streamName(d *journal.Delta) string {
 	if d.Stream == nil {
@@ -261,9 +269,12 @@
 		Restored: generation.Restored{Prompt: d.Prompt, IDs: d.IDs, Text: d.Text},
 	}
 	if s := d.Stream; s != nil {
-		saved.Restored.Upstream, saved.StreamName, saved.StreamBase = s.Upstream, s.Name, s.Base
+		saved.Restored.Upstream, saved.StreamName, saved.StreamBase, saved.Pin = s.Upstream, s.Name, s.Base, s.Pin
 		if upstream, ok := m.fleet.Upstream(s.Upstream); ok {
 			saved.Upstream = upstream
+			if !saved.Pin.IsSet && len(d.IDs) > 0 { // the journal is of a build that does not keep it
+				saved.Pin = vaneyoke.PinTo(&upstream)
+			}
 		}
 	}
 	if r := d.Result; r != nil {
--- a/shell/failover/session.go
+++ b/shell/failover/session.go
@@ -133,7 +133,7 @@
 }
 
 func streamOf(saved relay.Saved) journal.Stream {
-	return journal.Stream{Name: saved.StreamName, Upstream: saved.Restored.Upstream, Base: saved.StreamBase}
+	return journal.Stream{Name: saved.StreamName, Upstream: saved.Restored.Upstream, Base: saved.StreamBase, Pin: saved.Pin}
 }
 
 // nextDelta returns the delta that the backup lacks; ok is false if there is nothing to push or a push is in progress.
--- a/shell/relay/restore.go
+++ b/shell/relay/restore.go
@@ -18,6 +18,7 @@
 	StreamName string
 	StreamBase vaneyoke.Tokens
 	Upstream   vaneyoke.Upstream // of the stream; its URL is "" if it is no longer known
+	Pin        vaneyoke.Pin      // of the answer to the software version that began it
 	Result     *Result           // nil if the session was running
 	Answer     engine.Answer
 }
@@ -45,6 +46,7 @@
 		Restored: generation.Restored{Prompt: t.Prompt, IDs: t.IDs, Text: t.Text},
 		Trims:    t.Trims,
 		Answer:   s.answer,
+		Pin:      s.pin,
 	}
 	if l := s.links[s.state.StreamingAttempt()]; l != nil {
 		saved.StreamName, saved.StreamBase, saved.Upstream = l.streamName, l.base, l.upstream
@@ -75,7 +77,7 @@
 	}
 	state, effects := generation.Restore(now, r.configOf(req, need, m), newRand(), from)
 	s := newSession(ctx, r, req, need, m, state)
-	s.epoch = saved.Epoch
+	s.epoch, s.pin = saved.Epoch, saved.Pin
 	mayRun := r.track(s)
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/tools/fleet/fleet.go
+++ b/tools/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"strconv"
 
 	"github.com/sirupsen/logrus"
@@ -41,6 +42,7 @@
 	Services        int
 	FirstPort       int // first port of the nodes; 0 for ephemeral ports
 	Engine          standin.EngineConfig
+	EngineVersions  []vaneyoke.SoftwareVersion // software versions of the engines in turn; nil for none stated
 	Recovery        vaneyoke.Recovery
 	RegisterMembers bool // register all nodes as members before they start, so that they need not join one by one
 	Log             io.Writer
@@ -152,6 +154,7 @@
 			State:      vaneyoke.StateLive,
 			Models:     []vaneyoke.ModelID{Model},
 			Slots:      f.config.Engine.Slots,
+			Version:    f.engineVersion(i),
 		})
 	}
 	for i, s := range f.Services {
@@ -240,6 +243,23 @@
 	}
 }
 
+func (f *Fleet) engineVersion(engine int) vaneyoke.SoftwareVersion {
+	if len(f.config.EngineVersions) == 0 {
+		return ""
+	}
+	return f.config.EngineVersions[engine%len(f.config.EngineVersions)]
+}
+
+// VersionsRun returns the software versions of the engines that have run anything.
+func (f *Fleet) VersionsRun() (versions []vaneyoke.SoftwareVersion) {
+	for i, e := range f.Engines {
+		if v := f.engineVersion(i); e.Stats().Runs > 0 && !slices.Contains(versions, v) {
+			versions = append(versions, v)
+		}
+	}
+	return versions
+}
+
 // BusyEngine returns an engine with an open run, or nil if there is none.
 func (f *Fleet) BusyEngine() *standin.Engine {
 	for _, e := range f.Engines {
--- a/wire/peer/convert.go
+++ b/wire/peer/convert.go
@@ -58,7 +58,7 @@
 		wire.Key, wire.Entry = keyToWire(d.Key), entryToWire(d.Entry)
 	}
 	if s := d.Stream; s != nil {
-		wire.Stream = &peerpb.Stream{Name: s.Name, Upstream: string(s.Upstream), Base: int64(s.Base)}
+		wire.Stream = &peerpb.Stream{Name: s.Name, Upstream: string(s.Upstream), Base: int64(s.Base), Version: versionToWire(s.Pin)}
 	}
 	if r := d.Result; r != nil {
 		wire.Result = &peerpb.Result{
@@ -69,6 +69,22 @@
 	return wire
 }
 
+// versionToWire returns the version to which an answer is pinned, nil if it is not.
+func versionToWire(p vaneyoke.Pin) *string {
+	if !p.IsSet || p.VersionUnknown {
+		return nil
+	}
+	version := string(p.Version)
+	return &version
+}
+
+func pinFromWire(s *peerpb.Stream) vaneyoke.Pin {
+	if s.Version == nil {
+		return vaneyoke.Pin{}
+	}
+	return vaneyoke.Pin{IsSet: true, Version: vaneyoke.SoftwareVersion(s.GetVersion())}
+}
+
 func deltaFromWire(wire *peerpb.Delta, sender vaneyoke.NodeID) journal.Delta {
 	d := journal.Delta{
 		Handle:   journal.Handle{Owner: sender, Number: wire.GetHandle()},
@@ -82,7 +98,7 @@
 		d.Key, d.Entry = keyFromWire(wire.GetKey()), entryFromWire(wire.GetEntry())
 	}
 	if s := wire.GetStream(); s != nil {
-		d.Stream = &journal.Stream{Name: s.GetName(), Upstream: vaneyoke.UpstreamID(s.GetUpstream()), Base: vaneyoke.Tokens(s.GetBase())}
+		d.Stream = &journal.Stream{Name: s.GetName(), Upstream: vaneyoke.UpstreamID(s.GetUpstream()), Base: vaneyoke.Tokens(s.GetBase()), Pin: pinFromWire(s)}
 	}
 	if r := wire.GetResult(); r != nil {
 		d.Result = &journal.Result{
