A node that hears from nobody does not rely on its own list of versions

What callers would see: a node that is cut from the store and from all other nodes keeps an old list. Where that names one version, and a second one has been listed since, a caller who comes back there goes on at the first, whichever began its stream.

Change: without a record and without any answer, a stream goes on at the only known version only if the node has watched the list for as long as the stream may be old, and its tables are not stale; otherwise it is refused (72), with a time to come back, as another node may know. A fleet of one node, and a fleet that was killed whole and whose nodes answer one another, go on as before.

--- a/decide/pinning/lookup.go
+++ b/decide/pinning/lookup.go
@@ -139,9 +139,11 @@
 	s.conclude(l, origin)
 }
 
-// decide decides a lookup that found no record: the stream goes on if only one version can have begun it.
+// decide decides a lookup that found no record: the stream goes on if only one version can have begun it. A list that this node alone knows of, and has not
+// watched for long, may be out of date.
 func (s *State) decide(l *lookup) {
-	if len(l.candidates) == 1 {
+	isCurrent := l.isWatched || len(l.asked) == 0 || slices.ContainsFunc(l.asked, func(a *asked) bool { return a.answered })
+	if len(l.candidates) == 1 && isCurrent {
 		s.conclude(l, Origin{Basis: BasisOnlyVersion, Software: l.candidates[0]})
 		return
 	}
--- a/decide/pinning/state.go
+++ b/decide/pinning/state.go
@@ -26,7 +26,8 @@
 
 // Listing tells which software versions are known.
 type Listing interface {
-	// Software returns the versions of services' upstreams that may have begun a stream, and for how long they have been watched.
+	// Software returns the versions of services' upstreams that may have begun a stream, and for how long they have been watched; 0 if the list may be out
+	// of date.
 	Software(services []vaneyoke.ServiceID) (all []Software, watched time.Duration)
 }
 
--- a/process/node/pins_wire.go
+++ b/process/node/pins_wire.go
@@ -17,6 +17,21 @@
 	"github.com/vaneyoke/vaneyoke/shell/pins"
 )
 
+// pinListing tells the software versions that a node has seen listed.
+type pinListing struct {
+	balancer *balancer.Balancer
+	mesh     *mesh.Node
+}
+
+// Software returns the versions of services' upstreams, and for how long they have been watched; 0 while the node's tables are stale.
+func (l pinListing) Software(services []vaneyoke.ServiceID) ([]pinning.Software, time.Duration) {
+	all, watched := l.balancer.Software(services)
+	if l.mesh.Stale() {
+		return all, 0
+	}
+	return all, watched
+}
+
 // providePins returns the component that keeps which software began streams.
 func providePins(i do.Injector) (*pins.Node, error) {
 	s := do.MustInvoke[settings.Settings](i)
@@ -26,7 +41,7 @@
 		Incarnation: vaneyoke.Incarnation(time.Now().UnixMilli()), //nolint:gosec // after 1970
 	}
 	node := pins.New(
-		self, do.MustInvoke[*balancer.Balancer](i), member, pins.NewMetrics(do.MustInvoke[*expvar.Map](i)), do.MustInvoke[logrus.FieldLogger](i),
+		self, pinListing{do.MustInvoke[*balancer.Balancer](i), member}, member, pins.NewMetrics(do.MustInvoke[*expvar.Map](i)), do.MustInvoke[logrus.FieldLogger](i),
 	)
 	member.OnPins(node.HandleDatagram)
 	do.MustInvoke[*activeConfig](i).pins = node
