--- a/cmd/vaneyoked/soak_faults_test.go
+++ b/cmd/vaneyoked/soak_faults_test.go
@@ -9,10 +9,14 @@
 	"github.com/vaneyoke/vaneyoke/platform/platformtest"
 )
 
-func (s *soak) addEngine(service, zone string) {
+func (s *soak) addEngine(service, zone string) { s.addEngineOf(service, zone, "v1") }
+
+// addEngineOf starts an engine of a software version and lists it.
+func (s *soak) addEngineOf(service, zone, version string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := platformtest.NewEngine(fmt.Sprintf("i-%d", len(s.engines)), service, zone)
+	e.Version = version
 	s.engines = append(s.engines, e)
 	s.live = append(s.live, e)
 	s.store.ListEngine(e, false)
@@ -70,6 +74,11 @@
 func (s *soak) replaceEngine(rng *rand.Rand, announced bool) {
 	e := s.randomEngine(rng)
 	s.addEngine(e.Service, e.Zone)
+	s.endEngine(e, announced)
+}
+
+// endEngine ends an engine. If announced, it is listed as leaving first.
+func (s *soak) endEngine(e *platformtest.Engine, announced bool) {
 	if announced {
 		s.store.ListEngine(e, true)
 		time.Sleep(faultPause)
