A report of before a loss does not show which incarnation of an upstream runs

What callers would see: a stream at the only engine of its version, which restarted under its id with another version within 250 ms, went on there (soak seed 9: one stream of v2 got two events of v3).

Cause, traced in the soak's log: seven attempts found the connection refused, the eighth was answered by the next incarnation; its load report of before the crash was younger than 0.4 s, so that the incarnation counted as known.

Change: a report shows the incarnation for 100 ms, and not after this node has lost an attempt on the upstream since. Where it does not, an upstream that is to go on with a stream is asked first, as before.

--- a/cmd/vaneyoked/soak_versions_test.go
+++ b/cmd/vaneyoked/soak_versions_test.go
@@ -183,6 +183,16 @@
 // replaced by ones of other versions, and restart under their ids with another one. No stream may hold events of two versions, and of those whose callers come back at
 // least half as many must go on as begin.
 func TestSoakVersions(t *testing.T) {
+	seeds := []uint64{*soakSeed}
+	if *soakSeed == 1 {
+		seeds = append(seeds, 9) // which once had a stream go on at an engine that had restarted 0.25 s before
+	}
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { soakVersions(t, seed) })
+	}
+}
+
+func soakVersions(t *testing.T, seed uint64) {
 	s := &versionSoak{soak: newSoak(t, orDefault(*soakNodes, versionNodes), shortLameDuck...), refused: map[string]int{}}
 	for _, zone := range []string{"a", "b"} {
 		for range 2 {
@@ -193,21 +203,21 @@
 	ctx, stop := context.WithCancel(t.Context())
 	var callers sync.WaitGroup
 	for c := range orDefault(*soakCallers, versionCallers) {
-		rng := rand.New(rand.NewPCG(*soakSeed, uint64(c)))
+		rng := rand.New(rand.NewPCG(seed, uint64(c)))
 		callers.Go(func() {
 			for ctx.Err() == nil {
 				s.versioned(ctx, rng)
 			}
 		})
 	}
-	rng := rand.New(rand.NewPCG(*soakSeed, 7<<32))
+	rng := rand.New(rand.NewPCG(seed, 7<<32))
 	for round := range versionRounds {
 		time.Sleep(time.Duration(rng.Int64N(int64(600 * time.Millisecond))))
 		s.disrupt(rng, round)
 	}
 	stop()
 	callers.Wait()
-	t.Logf("seed %d: %d of %d streams began, %d of %d went on; others: %v", *soakSeed, s.served, s.begun, s.goOn, s.resumed, s.refused)
+	t.Logf("seed %d: %d of %d streams began, %d of %d went on; others: %v", seed, s.served, s.begun, s.goOn, s.resumed, s.refused)
 	for _, violation := range s.violations {
 		t.Log(violation)
 	}
--- a/decide/placement/state.go
+++ b/decide/placement/state.go
@@ -76,6 +76,7 @@
 	drained            bool
 	report             vaneyoke.LoadReport // its latest load report
 	reportedAt         time.Time
+	lostAt             time.Time // when this node last lost an attempt on it
 	sent               []sentWork // by time
 	slowness           *slowness  // nil if its pace is unknown
 	replaced           bool       // whether a newer upstream is listed at its address
@@ -265,10 +266,13 @@
 	return e.upstream, true
 }
 
-// HasFreshReport reports whether an upstream's incarnation is known by a load report of a moment ago.
-func (s *State) HasFreshReport(now time.Time, id vaneyoke.UpstreamID) bool {
+// confirmTTL is how long a load report shows which incarnation of an upstream runs; a restart takes longer.
+const confirmTTL = 100 * time.Millisecond
+
+// IsConfirmed reports whether an upstream's incarnation is known by a load report of a moment ago, since which no attempt on it was lost.
+func (s *State) IsConfirmed(now time.Time, id vaneyoke.UpstreamID) bool {
 	e, ok := s.entries[id]
-	return ok && e.hasFreshReport(now)
+	return ok && now.Sub(e.reportedAt) < confirmTTL && e.reportedAt.After(e.lostAt)
 }
 
 // AcceptsWork reports whether an upstream may get new work.
@@ -341,6 +345,7 @@
 		e.breaker.Succeeded()
 	case OutcomeFailed, OutcomeLost:
 		e.breaker.Failed(now)
+		e.lostAt = now
 	case OutcomeDropped:
 		e.breaker.Inconclusive()
 	case OutcomeDeclined:
@@ -349,6 +354,7 @@
 		s.pauseAfterRejection(now, e)
 	case OutcomeUnreachable, OutcomePathLost:
 		e.breaker.Open(now)
+		e.lostAt = now
 	case OutcomeGone:
 		e.replacedUntil = now.Add(replacedTTL)
 	}
--- a/shell/balancer/balancer.go
+++ b/shell/balancer/balancer.go
@@ -171,11 +171,11 @@
 	return b.state.Upstream(id)
 }
 
-// HasFreshReport reports whether an upstream's incarnation is known by a load report of a moment ago.
-func (b *Balancer) HasFreshReport(id vaneyoke.UpstreamID) bool {
+// IsConfirmed reports whether an upstream's incarnation is known by a load report of a moment ago.
+func (b *Balancer) IsConfirmed(id vaneyoke.UpstreamID) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.state.HasFreshReport(time.Now(), id)
+	return b.state.IsConfirmed(time.Now(), id)
 }
 
 // IsHeld reports whether an upstream gets no new attempts because of a signal that it sent.
--- a/shell/relay/continuation.go
+++ b/shell/relay/continuation.go
@@ -39,7 +39,7 @@
 
 // isConfirmed reports whether the incarnation of an upstream is known for certain, so that its version is that of its entry in the list.
 func (s *Session) isConfirmed(u vaneyoke.Upstream) bool {
-	return s.relay.processes == nil || u.Incarnation == 0 || s.relay.processes.HasFreshReport(u.ID)
+	return s.relay.processes == nil || u.Incarnation == 0 || s.relay.processes.IsConfirmed(u.ID)
 }
 
 // confirmPin asks the upstream that gave the first output for its incarnation, unless that is known: it may have restarted with another version while
--- a/shell/relay/relay.go
+++ b/shell/relay/relay.go
@@ -95,8 +95,8 @@
 type ProcessTracker interface {
 	// Upstream returns a listed upstream with the latest incarnation that is known.
 	Upstream(id vaneyoke.UpstreamID) (vaneyoke.Upstream, bool)
-	// HasFreshReport reports whether an upstream's incarnation is known by a load report of a moment ago.
-	HasFreshReport(id vaneyoke.UpstreamID) bool
+	// IsConfirmed reports whether an upstream's incarnation is known by a load report of a moment ago.
+	IsConfirmed(id vaneyoke.UpstreamID) bool
 }
 
 // Meter measures the load of requests on upstreams.
