--- a/shell/balancer/balancer.go
+++ b/shell/balancer/balancer.go
@@ -123,13 +123,6 @@
 	b.undoPlacement(time.Now(), need, isRetry, id, placement.OutcomeGone)
 }
 
-// RecordRestarted undoes a placement on an upstream that has restarted, so that its software version is not known. Nothing was sent to it.
-func (b *Balancer) RecordRestarted(need placement.Need, isRetry bool, id vaneyoke.UpstreamID) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.undoPlacement(time.Now(), need, isRetry, id, placement.OutcomeDropped)
-}
-
 // SetLimit sets the limit that an upstream declares; the zero Limit means none.
 func (b *Balancer) SetLimit(id vaneyoke.UpstreamID, limit vaneyoke.Limit) {
 	b.mu.Lock()
@@ -171,13 +164,6 @@
 	return b.state.Upstream(id)
 }
 
-// IsConfirmed reports whether an upstream's incarnation is known by a load report of a moment ago.
-func (b *Balancer) IsConfirmed(id vaneyoke.UpstreamID) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.state.IsConfirmed(time.Now(), id)
-}
-
 // IsHeld reports whether an upstream gets no new attempts because of a signal that it sent.
 func (b *Balancer) IsHeld(id vaneyoke.UpstreamID) bool {
 	b.mu.Lock()
@@ -226,14 +212,6 @@
 	return b.unavailableError(now, need)
 }
 
-// pinnedError returns why no upstream of its software version takes the attempt of an answer that has begun.
-func (b *Balancer) pinnedError(now time.Time, need placement.Need) error {
-	if b.state.IsPinnedToBlocked(need) || b.history.IsGone(now, need.Kind, need.Service, need.Pin.Version) {
-		return vaneyoke.Err(vaneyoke.CodeVersionGone, "no upstream of %s%s goes on at version %q", need.Model, need.Service, need.Pin.Version)
-	}
-	return b.unavailableError(now, need)
-}
-
 // unavailableError returns why none of the upstreams that offer what is needed takes an attempt.
 func (b *Balancer) unavailableError(now time.Time, need placement.Need) error {
 	pushbackRetryAfter, isPushedBack := b.state.PushbackRetryAfter(now, b.rng, need)
@@ -246,19 +224,6 @@
 	return vaneyoke.ErrRetryAfter(vaneyoke.CodeNoUpstream, noUpstreamRetryAfter, "no upstream is live")
 }
 
-// Software returns the versions of services' upstreams that may have begun a stream, and for how long the list of upstreams has been known.
-func (b *Balancer) Software(services []vaneyoke.ServiceID) (all []pinning.Software, watched time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := time.Now()
-	for _, service := range services {
-		for _, version := range b.history.Versions(now, service) {
-			all = append(all, pinning.Software{Service: service, Version: version})
-		}
-	}
-	return all, b.history.Watched(now)
-}
-
 // Offers reports whether any upstream offers the model or service of need.
 func (b *Balancer) Offers(need placement.Need) bool {
 	b.mu.Lock()
