--- a/shell/relay/continuation.go
+++ b/shell/relay/continuation.go
@@ -156,6 +156,16 @@
 	}).Info("stream_continued")
 }
 
+// recordNotContinued logs that an answer cannot go on because its software version is gone.
+func (s *Session) recordNotContinued(e generation.Place, err error) {
+	if code := vaneyoke.CodeOf(err); code.IsFinal() {
+		s.relay.log.WithFields(logrus.Fields{
+			"request": s.req.ID, "attempt": int(e.Attempt), "software": s.pin.Version, "origin": s.pinnedBy.ID, "tokens": s.state.Transcript().Len(),
+			"code": int(code), "error": err, "age_ms": time.Since(s.req.ReceivedAt).Milliseconds(),
+		}).Info("stream_not_continued")
+	}
+}
+
 // compareVersions returns how the software version of an upstream that continues a stream compares with the one that began it.
 func compareVersions(pin vaneyoke.Pin, u vaneyoke.Upstream) string {
 	switch {
--- a/shell/relay/place.go
+++ b/shell/relay/place.go
@@ -41,6 +41,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	if err != nil {
+		s.recordNotContinued(e, err)
 		s.handleLocked(now, generation.NotPlaced{
 			Attempt:    e.Attempt,
 			Code:       vaneyoke.CodeOf(err),
