RecordRestarted belongs to the interface that knows processes

It had been added to StalenessChecker, so that a placer of the tests no longer was one and TestReplacedUpstreamsAreDetectedBeforeAnAttempt failed (0 of 2 replaced upstreams found; not so in a node, whose placer implements both). The test is unchanged and passes.

--- a/shell/relay/continuation.go
+++ b/shell/relay/continuation.go
@@ -69,7 +69,7 @@
 // hasRestarted reports whether an upstream that was chosen to go on with an answer has restarted, so that its version is not known any more. It is asked
 // unless its incarnation is known.
 func (s *Session) hasRestarted(need placement.Need, u vaneyoke.Upstream) bool {
-	if !need.Pin.IsSet || s.relay.staleness == nil || s.isConfirmed(u) || s.relay.isLimited(u.ID) {
+	if !need.Pin.IsSet || s.isConfirmed(u) || s.relay.isLimited(u.ID) {
 		return false
 	}
 	s.queryReports([]vaneyoke.Upstream{u})
--- a/shell/relay/place.go
+++ b/shell/relay/place.go
@@ -106,7 +106,7 @@
 			return upstream, expectedTTFT, err
 		}
 		if s.hasRestarted(need, upstream) {
-			s.relay.staleness.RecordRestarted(need, retry, upstream.ID)
+			s.relay.processes.RecordRestarted(need, retry, upstream.ID)
 			continue
 		}
 		if !s.isReplaced(upstream) {
--- a/shell/relay/relay.go
+++ b/shell/relay/relay.go
@@ -69,8 +69,6 @@
 type StalenessChecker interface {
 	// MayBeStale reports whether upstreams may have been replaced without the list showing it.
 	MayBeStale() bool
-	// RecordRestarted records that a placed upstream has restarted, so that its software version is not known; nothing was sent to it.
-	RecordRestarted(need placement.Need, retry bool, id vaneyoke.UpstreamID)
 	// RecordReplaced records that another upstream has the address of one that was placed.
 	RecordReplaced(need placement.Need, retry bool, id vaneyoke.UpstreamID)
 }
@@ -97,6 +95,8 @@
 	Upstream(id vaneyoke.UpstreamID) (vaneyoke.Upstream, bool)
 	// IsConfirmed reports whether an upstream's incarnation is known by a load report of a moment ago.
 	IsConfirmed(id vaneyoke.UpstreamID) bool
+	// RecordRestarted records that a placed upstream has restarted, so that its software version is not known; nothing was sent to it.
+	RecordRestarted(need placement.Need, retry bool, id vaneyoke.UpstreamID)
 }
 
 // Meter measures the load of requests on upstreams.
