--- a/decide/placement/state.go
+++ b/decide/placement/state.go
@@ -76,7 +76,7 @@
 	drained            bool
 	report             vaneyoke.LoadReport // its latest load report
 	reportedAt         time.Time
-	lostAt             time.Time // when this node last lost an attempt on it
+	lostAt             time.Time  // when this node last lost an attempt on it
 	sent               []sentWork // by time
 	slowness           *slowness  // nil if its pace is unknown
 	replaced           bool       // whether a newer upstream is listed at its address
--- a/pin.go
+++ b/pin.go
@@ -10,7 +10,9 @@
 }
 
 // PinTo returns the pin of an answer that an upstream has begun.
-func PinTo(u *Upstream) Pin { return Pin{IsSet: true, Version: u.Version, VersionUnknown: u.VersionUnknown} }
+func PinTo(u *Upstream) Pin {
+	return Pin{IsSet: true, Version: u.Version, VersionUnknown: u.VersionUnknown}
+}
 
 // Allows reports whether an upstream may go on with the answer.
 func (p Pin) Allows(u *Upstream) bool {
