--- a/api/gateway/continuation.go
+++ b/api/gateway/continuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -19,9 +20,6 @@
 	Find(ctx context.Context, lookup pins.Lookup) (pinning.Origin, error)
 }
 
-// unansweredRetryAfter is when a caller retries whose stream's record may be kept by a node that did not answer.
-const unansweredRetryAfter = time.Second
-
 // findOrigin returns the software that began the stream of a caller who comes back for the rest, the zero value for any other caller. Errors carry
 // CodeOriginUnknown, CodeVersionGone or CodeCallerGone.
 func (g *Gateway) findOrigin(c *call, r *route.Route, workspace route.Workspace, envelope Envelope) (pinning.Origin, error) {
@@ -38,7 +36,7 @@
 	case !origin.IsKnown():
 		retryAfter := time.Duration(0)
 		if origin.Basis == pinning.BasisNone && origin.Answered < origin.Asked {
-			retryAfter = unansweredRetryAfter
+			retryAfter = randomRetryAfter(envelope.MaxWait, rand.Float64()) // a node that did not answer may have the record
 		}
 		return pinning.Origin{}, vaneyoke.ErrRetryAfter(vaneyoke.CodeOriginUnknown, retryAfter, "%d of %d nodes answered, none knows which software began the stream (%s)", origin.Answered, origin.Asked, origin.Basis)
 	case !slices.Contains(services, origin.Software.Service):
