A node that asked nobody does not guess the version of a stream

What callers would see: a node that has just started and does not know the others yet, or has 4,096 lookups under way, sends a caller who comes back to the only version on its own list without having asked anybody, though a second one may have been listed since.

Cause: a lookup that had asked no node counted as one of a fleet of one. Found by reading the change again; TestLookupWaitsForMembers (one version, members unknown for 300 ms) and TestLookupsBeyondTheBoundAreDecidedUnasked failed before with only_version.

Change: without an answer a list counts only if it has been watched for as long as the stream may be old, or if the members are known and there is none else.

--- a/decide/pinning/lookup.go
+++ b/decide/pinning/lookup.go
@@ -139,17 +139,22 @@
 	s.conclude(l, origin)
 }
 
-// decide decides a lookup that found no record: the stream goes on if only one version can have begun it. A list that this node alone knows of, and has not
-// watched for long, may be out of date.
+// decide decides a lookup that found no record: the stream goes on if only one version can have begun it.
 func (s *State) decide(l *lookup) {
-	isCurrent := l.isWatched || len(l.asked) == 0 || slices.ContainsFunc(l.asked, func(a *asked) bool { return a.answered })
-	if len(l.candidates) == 1 && isCurrent {
+	if len(l.candidates) == 1 && s.isListCurrent(l) {
 		s.conclude(l, Origin{Basis: BasisOnlyVersion, Software: l.candidates[0]})
 		return
 	}
 	s.conclude(l, Origin{Candidates: l.candidates})
 }
 
+// isListCurrent reports whether the versions that a lookup has learned of can be relied on: this node or another has watched them for long, another one has
+// answered, or there is none to ask.
+func (s *State) isListCurrent(l *lookup) bool {
+	isAlone := s.membersKnown && len(s.members) == 0
+	return l.isWatched || isAlone || l.Stream == "" || slices.ContainsFunc(l.asked, func(a *asked) bool { return a.answered })
+}
+
 func (s *State) conclude(l *lookup, origin Origin) {
 	s.drop(l)
 	origin.Asked = len(l.asked)
--- a/decide/pinning/state_test.go
+++ b/decide/pinning/state_test.go
@@ -180,9 +180,25 @@
 	must.NotNil(t, got)
 	must.EqOp(t, pinning.BasisPeer, got.Basis)
 
-	alone := pinning.New(member(0), listing{[]vaneyoke.SoftwareVersion{"v1", "v2"}, 0})
-	alone.Handle(epoch, lookup("a-stream"))
-	must.EqOp(t, pinning.BasisNone, decision(alone.Handle(epoch.Add(300*time.Millisecond), pinning.Tick{})).Basis)
+	for _, versions := range [][]vaneyoke.SoftwareVersion{{"v1", "v2"}, {"v1"}} { // the members stay unknown
+		unaware := pinning.New(member(0), listing{versions, 0})
+		unaware.Handle(epoch, lookup("a-stream"))
+		must.EqOp(t, pinning.BasisNone, decision(unaware.Handle(epoch.Add(300*time.Millisecond), pinning.Tick{})).Basis)
+	}
+}
+
+// Guards against a node with too many lookups under way that decides without asking anybody.
+func TestLookupsBeyondTheBoundAreDecidedUnasked(t *testing.T) {
+	for watched, basis := range map[time.Duration]pinning.Basis{time.Second: pinning.BasisNone, longWatch: pinning.BasisOnlyVersion} {
+		s := newState(4, listing{[]vaneyoke.SoftwareVersion{"v1"}, watched})
+		const most = 4096
+		for i := range most {
+			s.Handle(epoch, pinning.Lookup{ID: pinning.LookupID(i + 2), Stream: pinning.StreamID(fmt.Sprint(i)), Services: []vaneyoke.ServiceID{"lm"}, MaxAge: time.Minute})
+		}
+		got := decision(s.Handle(epoch, lookup("one more")))
+		must.NotNil(t, got)
+		must.EqOp(t, basis, got.Basis)
+	}
 }
 
 // Guards against records that nobody keeps, because a datagram was lost, or the nodes that were to keep it are down or have restarted.
