Upstreams that push back are not asked for their incarnation

What upstreams would see: one that has asked for nothing for a while was asked for its load report when it gave the first event of a stream whose incarnation was not known for certain. Questions count as requests there. TestPushedBackUpstreamsAreAskedForTheirIncarnation: 1 question before, 0 now; found by reading the change again.

Streams that no other upstream may go on with are not recorded at other nodes any more: nobody can come back for them. A comment is wrapped and two are made exact.

--- a/code.go
+++ b/code.go
@@ -131,7 +131,7 @@
 	return CodeInternal.Info()
 }
 
-// IsFinal reports whether no repetition of the request can succeed, so that its caller is given no retry-after time.
+// IsFinal reports whether no repetition of the request can succeed, so that its caller is given no retry-after time unless the refusal has one.
 func (c Code) IsFinal() bool { return c == CodeVersionGone || c == CodeOriginUnknown }
 
 // String returns the code's number and name.
--- a/decide/placement/replica.go
+++ b/decide/placement/replica.go
@@ -17,8 +17,8 @@
 )
 
 // PickReplica returns an upstream to keep a replica of a run. It prefers another data centre than the run's, because the upstreams of one data
-// centre fail together, and never returns one with a declared limit, or of another software version, which could not go on with the run. Among a few random candidates it picks the one with the least memory in
-// use for this node's runs and replicas.
+// centre fail together, and never returns one with a declared limit, or of another software version, which could not go on with the run. Among a few
+// random candidates it picks the one with the least memory in use for this node's runs and replicas.
 func (s *State) PickReplica(now time.Time, rng *rand.Rand, need Need, primary vaneyoke.Upstream) (vaneyoke.Upstream, bool) {
 	for _, remote := range []bool{true, false} {
 		s.scratch = s.scratch[:0]
--- a/decide/placement/state.go
+++ b/decide/placement/state.go
@@ -35,12 +35,12 @@
 	AnswerTokens vaneyoke.Tokens
 	// SharedTokens is how many tokens at the start of the prompt other prompts may begin with too; all of them if unknown.
 	SharedTokens vaneyoke.Tokens
-	Replicate    bool // whether another upstream is to keep a replica of the run
-	AtMostOnce   bool // whether it may be sent to one upstream only
-	Canary       bool // whether it was selected to test the version that its service is moving to
-	Pin          vaneyoke.Pin
-	Unlimited    bool // whether only upstreams without a declared limit qualify
-	Continuable  bool // whether another attempt may go on with the answer, so that the upstream's software version should be known
+	Replicate    bool         // whether another upstream is to keep a replica of the run
+	AtMostOnce   bool         // whether it may be sent to one upstream only
+	Canary       bool         // whether it was selected to test the version that its service is moving to
+	Pin          vaneyoke.Pin // of the answer to the software version that began it
+	Unlimited    bool         // whether only upstreams without a declared limit qualify
+	Continuable  bool         // whether another attempt may go on with the answer, so that the upstream's software version should be known
 }
 
 // Outcome is how an attempt on an upstream ended.
--- /dev/null
+++ b/shell/relay/confirm_test.go
@@ -0,0 +1,64 @@
+package relay_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/placement"
+	"github.com/vaneyoke/vaneyoke/wire/forward"
+)
+
+// unconfirmedPlacer places attempts on upstreams whose incarnation is not known for certain.
+type unconfirmedPlacer struct{ pushbackPlacer }
+
+func (*unconfirmedPlacer) Upstream(id vaneyoke.UpstreamID) (vaneyoke.Upstream, bool) {
+	return vaneyoke.Upstream{ID: id, URL: "http://" + string(id), Incarnation: 5}, true
+}
+func (*unconfirmedPlacer) IsConfirmed(vaneyoke.UpstreamID) bool                      { return false }
+func (*unconfirmedPlacer) RecordRestarted(placement.Need, bool, vaneyoke.UpstreamID) {}
+func (*unconfirmedPlacer) Reported(vaneyoke.UpstreamID, vaneyoke.LoadReport)         {}
+
+// reportCounter counts the load reports that upstreams are asked for.
+type reportCounter struct {
+	fakeSender
+	reports atomic.Int32
+}
+
+func (s *reportCounter) LoadReport(context.Context, vaneyoke.Upstream) (vaneyoke.LoadReport, bool) {
+	s.reports.Add(1)
+	return vaneyoke.LoadReport{Incarnation: 5}, true
+}
+
+// Guards against upstreams that have pushed back and are asked for their incarnation all the same, when they give the first event of a stream.
+func TestPushedBackUpstreamsAreAskedForTheirIncarnation(t *testing.T) {
+	for name, tc := range map[string]struct {
+		after   time.Duration
+		reports int32
+	}{
+		"pushes back before the first event": {time.Millisecond, 0},
+		"does not push back":                 {time.Hour, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &reportCounter{fakeSender: fakeSender{
+					answers: map[vaneyoke.UpstreamID]forward.Response{"a": &lateExchange{from: "a", events: 2, delay: 10 * time.Millisecond}}, reachable: true,
+				}}
+				placer := &unconfirmedPlacer{pushbackPlacer{from: time.Now().Add(tc.after)}}
+				placer.incarnation = 5
+				r := newForwarderWith(s, placer)
+				_, err := forwardPrompt(t.Context(), r).Wait(t.Context())
+				must.NoError(t, err)
+				synctest.Wait()
+				must.EqOp(t, tc.reports, s.reports.Load())
+				r.Close()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/shell/relay/continuation.go
+++ b/shell/relay/continuation.go
@@ -46,7 +46,7 @@
 // its entry in the list is of the earlier one.
 func (s *Session) confirmPin(attempt vaneyoke.Attempt) {
 	l := s.links[attempt]
-	if s.pinnedBy.ID != l.upstream.ID || l.isConfirmed || s.relay.isLimited(l.upstream.ID) {
+	if s.pinnedBy.ID != l.upstream.ID || l.isConfirmed || s.relay.isLimited(l.upstream.ID) || s.relay.isPushedBack(l.upstream.ID) {
 		return
 	}
 	l.isConfirmed = true
@@ -69,7 +69,7 @@
 // hasRestarted reports whether an upstream that was chosen to go on with an answer has restarted, so that its version is not known any more. It is asked
 // unless its incarnation is known.
 func (s *Session) hasRestarted(need placement.Need, u vaneyoke.Upstream) bool {
-	if !need.Pin.IsSet || s.isConfirmed(u) || s.relay.isLimited(u.ID) {
+	if !need.Pin.IsSet || s.isConfirmed(u) || s.relay.isLimited(u.ID) || s.relay.isPushedBack(u.ID) {
 		return false
 	}
 	s.queryReports([]vaneyoke.Upstream{u})
@@ -119,7 +119,7 @@
 // registerStream has other nodes keep the software that began the stream.
 func (s *Session) registerStream() {
 	m, ok := s.mode.(*forwarded)
-	if !ok || !m.Stream || s.relay.registry == nil || s.registered != "" {
+	if !ok || !s.need.Continuable || s.relay.registry == nil || s.registered != "" {
 		return
 	}
 	attempt := s.req.ID
