A killed node gives callers no events after its messages have ended

Seen by callers in tests: streams that began in the moment of a kill, 1 to 4 of 30, were refused to their end with 72, as no node knew which software version began them. Trace of one: its record was to be sent at 54.240 s, no other node ever received it, and the caller got the first event at the same moment; the kill had closed the node's datagrams first and the callers' connections last, and on a busy machine that takes so long that events still go out. A process that is killed ends both at once, so only Kill of both nodes' types was wrong; a stop drains callers before.

Kill closes the connections to callers first.

--- a/process/node/gateway.go
+++ b/process/node/gateway.go
@@ -244,15 +244,15 @@
 
 // Kill closes the node immediately, as a crash of its process would.
 func (n *GatewayNode) Kill() {
+	for _, server := range n.servers { // first, so that callers get nothing of which other nodes cannot be told
+		_ = server.Close()
+	}
 	n.stop()
 	n.crashes.Close()
 	n.limits.Close()
 	n.pins.Close()
 	n.relay.Close()
 	n.detours.Close()
-	for _, server := range n.servers {
-		_ = server.Close()
-	}
 	n.tasks.Wait()
 }
 
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -269,10 +269,10 @@
 
 // Kill closes the node immediately, as a crash of its process would.
 func (n *Node) Kill() {
-	n.stop()
-	n.relay.Close()
-	for _, server := range n.servers {
+	for _, server := range n.servers { // first, so that callers get nothing of which other nodes cannot be told
 		_ = server.Close()
 	}
+	n.stop()
+	n.relay.Close()
 	n.tasks.Wait()
 }
