The process that began a stream may go on with it while its version is not known

Seen by callers: a stream that was begun by an upstream which had restarted under its id, before the list told its new version, ended at its first loss (80 after 5 s of waiting), though that process itself could go on.

Cause: a pin whose version is unknown allowed no upstream at all. One process has one version, known or not, so such a pin now allows the same incarnation of the same upstream; it is confirmed by a load report before the attempt as before, and a further restart ends it. Over tries such a stream is still refused with 72, since records hold versions, not processes.

--- a/decide/placement/pin_test.go
+++ b/decide/placement/pin_test.go
@@ -119,11 +119,17 @@
 	s.SetUpstreams(listed[:1])
 	must.Eq(t, map[vaneyoke.UpstreamID]bool{"a": true}, picked(stream)) // rather than none
 	must.MapEmpty(t, picked(pinned))
-	s.SetUpstreams([]vaneyoke.Upstream{upstream("a", 6, "v2"), upstream("b", 5, "v1")})
+	begun := need
+	restarted, _ := s.Upstream("a")
+	begun.Pin = vaneyoke.PinTo(&restarted)
+	must.Eq(t, map[vaneyoke.UpstreamID]bool{"a": true}, picked(begun)) // the process that began it has one version, known or not
+	s.Reported(now, "a", vaneyoke.LoadReport{Incarnation: 7})
+	must.MapEmpty(t, picked(begun))
+	s.SetUpstreams([]vaneyoke.Upstream{upstream("a", 7, "v2"), upstream("b", 5, "v1")})
 	u, _ := s.Upstream("a")
 	must.False(t, u.VersionUnknown)
 	must.EqOp(t, "v2", u.Version)
-	s.Reported(now, "a", vaneyoke.LoadReport{Incarnation: 7})
+	s.Reported(now, "a", vaneyoke.LoadReport{Incarnation: 8})
 	s.SetUpstreams([]vaneyoke.Upstream{upstream("a", 0, "v2")})
 	must.Eq(t, map[vaneyoke.UpstreamID]bool{"a": true}, picked(stream)) // its entry does not state an incarnation
 	u, _ = s.Upstream("a")
