An earlier restart of an upstream is not charged to the request that it lost

Cause: the check after a loss compares the upstream's report with the incarnation of its list entry. Where the stream's first output was confirmed by a report, that incarnation is compared now. Ruled out: comparing with the latest known incarnation, which may be that of after the crash.

TestEarlierRestartCountsAsACrash: one crash counted before, none after.

--- a/shell/relay/confirm_test.go
+++ b/shell/relay/confirm_test.go
@@ -14,15 +14,21 @@
 	"github.com/vaneyoke/vaneyoke/wire/forward"
 )
 
-// unconfirmedPlacer places attempts on upstreams whose incarnation is not known for certain.
-type unconfirmedPlacer struct{ pushbackPlacer }
+// unconfirmedProcesses are upstreams whose incarnation is not known for certain.
+type unconfirmedProcesses struct{ reported vaneyoke.Incarnation }
 
-func (*unconfirmedPlacer) Upstream(id vaneyoke.UpstreamID) (vaneyoke.Upstream, bool) {
-	return vaneyoke.Upstream{ID: id, URL: "http://" + string(id), Incarnation: 5}, true
+func (p *unconfirmedProcesses) Upstream(id vaneyoke.UpstreamID) (vaneyoke.Upstream, bool) {
+	return vaneyoke.Upstream{ID: id, URL: "http://" + string(id), Incarnation: p.reported}, true
+}
+func (*unconfirmedProcesses) IsConfirmed(vaneyoke.UpstreamID) bool                      { return false }
+func (*unconfirmedProcesses) RecordRestarted(placement.Need, bool, vaneyoke.UpstreamID) {}
+func (*unconfirmedProcesses) Reported(vaneyoke.UpstreamID, vaneyoke.LoadReport)         {}
+
+// unconfirmedPlacer places attempts on upstreams that may push back.
+type unconfirmedPlacer struct {
+	pushbackPlacer
+	unconfirmedProcesses
 }
-func (*unconfirmedPlacer) IsConfirmed(vaneyoke.UpstreamID) bool                      { return false }
-func (*unconfirmedPlacer) RecordRestarted(placement.Need, bool, vaneyoke.UpstreamID) {}
-func (*unconfirmedPlacer) Reported(vaneyoke.UpstreamID, vaneyoke.LoadReport)         {}
 
 // reportCounter counts the load reports that upstreams are asked for.
 type reportCounter struct {
@@ -49,7 +55,7 @@
 				s := &reportCounter{fakeSender: fakeSender{
 					answers: map[vaneyoke.UpstreamID]forward.Response{"a": &lateExchange{from: "a", events: 2, delay: 10 * time.Millisecond}}, reachable: true,
 				}}
-				placer := &unconfirmedPlacer{pushbackPlacer{from: time.Now().Add(tc.after)}}
+				placer := &unconfirmedPlacer{pushbackPlacer{from: time.Now().Add(tc.after)}, unconfirmedProcesses{reported: 5}}
 				placer.incarnation = 5
 				r := newForwarderWith(s, placer)
 				_, err := forwardPrompt(t.Context(), r).Wait(t.Context())
@@ -62,3 +68,29 @@
 		})
 	}
 }
+
+// unconfirmedRecorder places attempts on such upstreams and counts crashes.
+type unconfirmedRecorder struct {
+	crashRecorder
+	unconfirmedProcesses
+}
+
+// Guards against requests that are taken to have ended an upstream which had restarted before they were sent to it.
+func TestEarlierRestartCountsAsACrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &unconfirmedRecorder{unconfirmedProcesses: unconfirmedProcesses{reported: 6}}
+		g.incarnation = 5
+		s := &crashingSender{incarnation: 6}
+		s.answers = map[vaneyoke.UpstreamID]forward.Response{
+			"a": &lateExchange{from: "a", events: 3, delay: 30 * time.Millisecond, breaks: true}, "b": &lateExchange{from: "b", events: 3},
+		}
+		r := newForwarderWith(s, g)
+		_, err := forwardRequest(t, r, true).Wait(t.Context())
+		must.NoError(t, err)
+		synctest.Wait()
+		must.SliceEmpty(t, g.crashes)
+		must.EqOp(t, 1, g.lossesWithoutCrash)
+		r.Close()
+		synctest.Wait()
+	})
+}
--- a/shell/relay/guard.go
+++ b/shell/relay/guard.go
@@ -69,13 +69,15 @@
 	}
 	checked := make(chan struct{})
 	s.crashChecked = checked
+	upstream := l.upstream
+	upstream.Incarnation = max(upstream.Incarnation, l.ranAt)
 	go func() {
 		defer close(checked)
-		if s.relay.hasExited(l.upstream) {
-			s.relay.guard.RecordCrash(s.req.Content, l.upstream, l.sentAt)
+		if s.relay.hasExited(upstream) {
+			s.relay.guard.RecordCrash(s.req.Content, upstream, l.sentAt)
 			return
 		}
-		s.relay.guard.RecordLossWithoutCrash(s.req.Content, l.upstream, l.sentAt)
+		s.relay.guard.RecordLossWithoutCrash(s.req.Content, upstream, l.sentAt)
 	}()
 }
 
--- a/shell/relay/session.go
+++ b/shell/relay/session.go
@@ -50,27 +50,28 @@
 type link struct {
 	cancel          context.CancelFunc
 	upstream        vaneyoke.Upstream
-	replica         vaneyoke.Upstream // keeps a replica of the run's KV cache; the zero value if there is none
-	streamName      string            // the engine's name of the run
-	base            vaneyoke.Tokens   // index in the answer of the first token of the run on the engine
-	fromReplica     bool              // whether the run resumes from a replica, so that its first token does not tell how long prefill takes
-	started         bool              // whether its run was started
-	pause           readPause         // when its stream was not read because the caller did not read the answer
-	isConfirmed     bool              // whether the incarnation of the upstream was known for certain when the attempt was placed
-	path            forward.Path      // of its connection; forward.AnyPath until it is open
-	unsent          bool              // whether nothing has been sent yet, so that it can be withdrawn
-	sentAt          time.Time         // when the run was started, zero for a resumed stream
-	isRetry         bool              // whether it counts against the retry budget
-	resumed         bool              // whether it is attached to an earlier attempt's stream
-	gotFirstToken   bool              // whether its first token has arrived
-	fenced          bool              // whether the attempt was cancelled
-	outcomeReported bool              // whether the placer knows the outcome of the attempt
-	headAt          time.Time         // when the head of its answer arrived; zero if it has not
-	firstTokenAt    time.Time         // when its first chunk arrived
-	chunks          int               // number that has arrived
-	pace            placement.Pace    // of its chunks
-	lastReceivedAt  time.Time         // when the head or the last chunk arrived
-	headAtStart     bool              // whether the head of its answer arrives when its run starts
+	replica         vaneyoke.Upstream    // keeps a replica of the run's KV cache; the zero value if there is none
+	streamName      string               // the engine's name of the run
+	base            vaneyoke.Tokens      // index in the answer of the first token of the run on the engine
+	fromReplica     bool                 // whether the run resumes from a replica, so that its first token does not tell how long prefill takes
+	started         bool                 // whether its run was started
+	pause           readPause            // when its stream was not read because the caller did not read the answer
+	isConfirmed     bool                 // whether the incarnation of the upstream was known for certain when the attempt was placed
+	ranAt           vaneyoke.Incarnation // of the upstream, as it told during the attempt; 0 if it has not
+	path            forward.Path         // of its connection; forward.AnyPath until it is open
+	unsent          bool                 // whether nothing has been sent yet, so that it can be withdrawn
+	sentAt          time.Time            // when the run was started, zero for a resumed stream
+	isRetry         bool                 // whether it counts against the retry budget
+	resumed         bool                 // whether it is attached to an earlier attempt's stream
+	gotFirstToken   bool                 // whether its first token has arrived
+	fenced          bool                 // whether the attempt was cancelled
+	outcomeReported bool                 // whether the placer knows the outcome of the attempt
+	headAt          time.Time            // when the head of its answer arrived; zero if it has not
+	firstTokenAt    time.Time            // when its first chunk arrived
+	chunks          int                  // number that has arrived
+	pace            placement.Pace       // of its chunks
+	lastReceivedAt  time.Time            // when the head or the last chunk arrived
+	headAtStart     bool                 // whether the head of its answer arrives when its run starts
 }
 
 // Result is the outcome of a session; it is zero while the session runs.
