--- a/shell/relay/continuation.go
+++ b/shell/relay/continuation.go
@@ -60,7 +60,7 @@
 		s.relay.placer.Reported(l.upstream.ID, report)
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		l.ranAt = report.Incarnation
+		l.incarnation = report.Incarnation
 		if current := s.currentProcess(l.upstream); current.Incarnation > s.pinnedBy.Incarnation && !s.result.Ended {
 			s.repin(current)
 		}
--- a/shell/relay/guard.go
+++ b/shell/relay/guard.go
@@ -70,7 +70,7 @@
 	checked := make(chan struct{})
 	s.crashChecked = checked
 	upstream := l.upstream
-	upstream.Incarnation = max(upstream.Incarnation, l.ranAt)
+	upstream.Incarnation = max(upstream.Incarnation, l.incarnation)
 	go func() {
 		defer close(checked)
 		if s.relay.hasExited(upstream) {
--- a/shell/relay/session.go
+++ b/shell/relay/session.go
@@ -57,7 +57,7 @@
 	started         bool                 // whether its run was started
 	pause           readPause            // when its stream was not read because the caller did not read the answer
 	isConfirmed     bool                 // whether the incarnation of the upstream was known for certain when the attempt was placed
-	ranAt           vaneyoke.Incarnation // of the upstream, as it told during the attempt; 0 if it has not
+	incarnation     vaneyoke.Incarnation // that ran the attempt, as the upstream reported meanwhile; 0 if it has not
 	path            forward.Path         // of its connection; forward.AnyPath until it is open
 	unsent          bool                 // whether nothing has been sent yet, so that it can be withdrawn
 	sentAt          time.Time            // when the run was started, zero for a resumed stream
