A stream whose process of unknown version has ended is refused at once

Seen by callers: a stream that a process of unknown software version began waited 4.5 to 4.8 s for an upstream after that process had ended, and was cut off then (80, with nothing to wait for). Cause: what is gone was decided by the stale version of the pin, whose other upstreams may be there; such a pin allows one process only, so that it is gone when no entry of the list is that process. It ends with 71 now, and a stale version that is gone does not end a stream whose process still runs. Ruled out: the list, since a load report tells of the restart before the attempt is placed.

TestStreamOfAnEndedProcessWaits fails before (2 of 2) and passes after (3 of 3).

--- a/shell/balancer/pins.go
+++ b/shell/balancer/pins.go
@@ -24,7 +24,10 @@
 
 // pinnedError returns why no upstream of its software version takes the attempt of an answer that has begun.
 func (b *Balancer) pinnedError(now time.Time, need placement.Need) error {
-	if b.state.IsPinnedToBlocked(need) || b.history.IsGone(now, need.Kind, need.Service, need.Pin.Version) {
+	switch {
+	case need.Pin.VersionUnknown && !b.state.Offers(need):
+		return vaneyoke.Err(vaneyoke.CodeVersionGone, "the process of %s%s that began the answer has ended, and its version is not known", need.Model, need.Service)
+	case b.state.IsPinnedToBlocked(need), !need.Pin.VersionUnknown && b.history.IsGone(now, need.Kind, need.Service, need.Pin.Version):
 		return vaneyoke.Err(vaneyoke.CodeVersionGone, "no upstream of %s%s goes on at version %q", need.Model, need.Service, need.Pin.Version)
 	}
 	return b.unavailableError(now, need)
