--- a/shell/balancer/balancer.go
+++ b/shell/balancer/balancer.go
@@ -8,11 +8,8 @@
 	"github.com/samber/lo"
 
 	"github.com/vaneyoke/vaneyoke"
-	"github.com/vaneyoke/vaneyoke/decide/admission"
-	"github.com/vaneyoke/vaneyoke/decide/gossip"
 	"github.com/vaneyoke/vaneyoke/decide/pinning"
 	"github.com/vaneyoke/vaneyoke/decide/placement"
-	"github.com/vaneyoke/vaneyoke/decide/pushback"
 	"github.com/vaneyoke/vaneyoke/decide/retry"
 	"github.com/vaneyoke/vaneyoke/decide/rollout"
 )
@@ -123,40 +120,6 @@
 	b.undoPlacement(time.Now(), need, isRetry, id, placement.OutcomeGone)
 }
 
-// SetLimit sets the limit that an upstream declares; the zero Limit means none.
-func (b *Balancer) SetLimit(id vaneyoke.UpstreamID, limit vaneyoke.Limit) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.state.SetLimit(id, limit)
-}
-
-// RecordSignal records a pushback or shutdown signal from an upstream's answer. It returns the resulting hold and the previous one; ok is false
-// if the signal has no effect.
-func (b *Balancer) RecordSignal(signal pushback.Signal) (hold, before pushback.Hold, ok bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	current, before := b.state.RecordSignal(time.Now(), signal)
-	if current == nil {
-		return pushback.Hold{}, before, false
-	}
-	return *current, before, true
-}
-
-// RecordBrittle records how many rejections in a second an upstream says that it bears, 0 if it does not say. It reports whether that changes whether
-// the upstreams of its service count as brittle.
-func (b *Balancer) RecordBrittle(id vaneyoke.UpstreamID, maxRejections int) (service vaneyoke.ServiceID, changed bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.state.RecordBrittle(time.Now(), id, maxRejections)
-}
-
-// SetFleet sets this node's part of the fleet.
-func (b *Balancer) SetFleet(fleet placement.Fleet) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.state.SetFleet(fleet)
-}
-
 // Upstream returns a listed upstream.
 func (b *Balancer) Upstream(id vaneyoke.UpstreamID) (vaneyoke.Upstream, bool) {
 	b.mu.Lock()
@@ -164,29 +127,6 @@
 	return b.state.Upstream(id)
 }
 
-// IsHeld reports whether an upstream gets no new attempts because of a signal that it sent.
-func (b *Balancer) IsHeld(id vaneyoke.UpstreamID) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.state.IsHeld(time.Now(), id)
-}
-
-// IsPushedBack reports whether an upstream has asked for a time without any requests, queries included.
-func (b *Balancer) IsPushedBack(id vaneyoke.UpstreamID) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.state.IsPushedBack(time.Now(), id)
-}
-
-// LimitReached undoes a placement on an upstream whose limit does not permit the attempt. Nothing was sent to it.
-func (b *Balancer) LimitReached(need placement.Need, isRetry bool, id vaneyoke.UpstreamID, availableIn, retryAfter time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := time.Now()
-	b.state.LimitReached(now, id, availableIn, retryAfter)
-	b.undoPlacement(now, need, isRetry, id, placement.OutcomeDropped)
-}
-
 // undoPlacement reverts a placement on an upstream to which nothing was sent.
 func (b *Balancer) undoPlacement(now time.Time, need placement.Need, isRetry bool, id vaneyoke.UpstreamID, outcome placement.Outcome) {
 	b.state.Ended(now, id, outcome, false)
@@ -252,45 +192,6 @@
 	return b.state.SpilloverUpstreams(time.Now(), b.rng, need)
 }
 
-// HasRoom reports whether an upstream that may get a prompt has memory for it, as far as upstreams report their memory.
-func (b *Balancer) HasRoom(need placement.Need) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.state.HasRoom(time.Now(), need)
-}
-
-// IsUneven reports whether the requests of a service are spread by memory, work left and speed of its upstreams.
-func (b *Balancer) IsUneven(service vaneyoke.ServiceID) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.state.IsUneven(service)
-}
-
-// Assess returns how soon an upstream could start a request, by the load reports of the upstreams that may get it.
-func (b *Balancer) Assess(need placement.Need) admission.Room {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	now := time.Now()
-	if !b.state.IsUneven(need.Service) {
-		return admission.Room{Free: b.state.HasRoom(now, need)}
-	}
-	return b.state.Assess(now, need)
-}
-
-// Completed records the time from the first token of a run to its last.
-func (b *Balancer) Completed(id vaneyoke.UpstreamID, need placement.Need, decodeTime time.Duration) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.state.Completed(time.Now(), id, need, decodeTime)
-}
-
-// Reported records a load report of an upstream.
-func (b *Balancer) Reported(id vaneyoke.UpstreamID, report vaneyoke.LoadReport) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.state.Reported(time.Now(), id, report)
-}
-
 // PickReplica selects an upstream for a replica of a run on primary, in another data centre if possible.
 func (b *Balancer) PickReplica(need placement.Need, primary vaneyoke.Upstream) (vaneyoke.Upstream, bool) {
 	b.mu.Lock()
@@ -305,38 +206,6 @@
 	b.state.ReleaseReplica(replica, need)
 }
 
-// SetUneven marks a service to be spread by memory, work left and speed because its queue is ranked.
-func (b *Balancer) SetUneven(service vaneyoke.ServiceID, isRanked bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.state.SetUneven(service, isRanked)
-}
-
-// Spread returns the services that are spread by memory, work left and speed.
-func (b *Balancer) Spread() []vaneyoke.ServiceID {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.state.UnevenServices()
-}
-
-// Paced records the time between the events of a stream, and returns the upstream's factor if other nodes are to be told.
-func (b *Balancer) Paced(id vaneyoke.UpstreamID, interval time.Duration) (gossip.Factor, bool) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.state.Paced(time.Now(), id, interval)
-}
-
-// RecordGossip records an observation of an upstream by another node.
-func (b *Balancer) RecordGossip(sighting gossip.Sighting) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if sighting.Kind == gossip.KindPaced {
-		b.state.RecordSlowness(time.Now(), sighting.Upstream, sighting.Incarnation, sighting.Factor)
-		return
-	}
-	b.state.RecordGossip(time.Now(), sighting.Upstream, sighting.Kind)
-}
-
 // Resumed records that an attempt reconnected to its upstream after a lost connection.
 func (b *Balancer) Resumed(id vaneyoke.UpstreamID) {
 	b.mu.Lock()
@@ -400,10 +269,3 @@
 	now := time.Now()
 	return lo.MapValues(b.budgets, func(budget *retry.Budget, _ vaneyoke.ServiceID) int { return int(budget.Left(now)) })
 }
-
-// Loads returns the load of each upstream as this node sees it.
-func (b *Balancer) Loads() []placement.Load {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.state.Loads(time.Now())
-}
