A handler's panic is answered, counted and logged with the request's id

What operators saw: `server_error` with a stack but without the request's id, and no counter, so that nobody got from a failed request to its cause.

Change: serve recovers a handler's panic. `handler_panicked` names the request, the path, the panic and the calls that led to it, and `handler_panics_total` counts by what the caller got.

--- a/api/callerapi/api.go
+++ b/api/callerapi/api.go
@@ -86,5 +86,5 @@
 }
 
 func (a *API) notFound(w http.ResponseWriter, r *http.Request) {
-	writeError(w, vaneyoke.Err(vaneyoke.CodeNotFound, "no such path: %s %s", r.Method, r.URL.Path))
+	WriteError(w, vaneyoke.Err(vaneyoke.CodeNotFound, "no such path: %s %s", r.Method, r.URL.Path))
 }
--- a/api/callerapi/error.go
+++ b/api/callerapi/error.go
@@ -64,8 +64,8 @@
 	return body
 }
 
-// writeError writes an error response outside of huma's operations.
-func writeError(w http.ResponseWriter, err error) {
+// WriteError writes an error response outside of huma's operations.
+func WriteError(w http.ResponseWriter, err error) {
 	body := NewErrorBody(err)
 	for name, values := range body.header {
 		w.Header()[name] = values
--- a/api/gateway/answer.go
+++ b/api/gateway/answer.go
@@ -146,6 +146,12 @@
 	}
 }
 
+// WriteError writes the response to a request whose handler panicked.
+func WriteError(w http.ResponseWriter, err error) {
+	code := vaneyoke.CodeOf(err)
+	writeFailure(w, code, 0, code.Info().Text)
+}
+
 // writeFailure writes the node's own error response. Retry-After is in seconds and may be fractional.
 func writeFailure(w http.ResponseWriter, code vaneyoke.Code, retryAfter time.Duration, text string) {
 	header, status := w.Header(), statusOf(code)
--- a/api/serve/caller.go
+++ b/api/serve/caller.go
@@ -27,6 +27,16 @@
 	c.conn.info.Request = id
 }
 
+// requestID returns the id of the current request, "" if it is not known.
+func (c Caller) requestID() string {
+	if c.conn == nil {
+		return ""
+	}
+	c.conn.server.mu.Lock()
+	defer c.conn.server.mu.Unlock()
+	return c.conn.info.Request
+}
+
 // WillClose reports whether the connection will be closed after the response, which must then say so in its header. Handlers
 // check it when they write the response, since the shutdown may begin while the request is being handled.
 func (c Caller) WillClose() bool {
--- /dev/null
+++ b/api/serve/panic.go
@@ -0,0 +1,85 @@
+package serve
+
+import (
+	"net/http"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/internal/recovered"
+)
+
+// Panic describes a handler that panicked.
+type Panic struct {
+	Request  string // id of the request; "" if the handler has not set one
+	Host     string
+	Path     string
+	Err      *recovered.Error
+	Answered bool // whether the caller got an error response; otherwise its connection was closed in the middle of the response
+}
+
+// response is a handler's response; it records whether it has begun.
+type response struct {
+	http.ResponseWriter
+	begun bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (r *response) WriteHeader(status int) {
+	r.ResponseWriter.WriteHeader(status) // panics if the status is invalid
+	r.begun = r.begun || status >= http.StatusOK
+}
+
+// Write implements http.ResponseWriter.
+func (r *response) Write(p []byte) (int, error) {
+	r.begun = true
+	return r.ResponseWriter.Write(p)
+}
+
+// Flush implements http.Flusher.
+func (r *response) Flush() { _ = r.FlushError() }
+
+// FlushError is called by http.ResponseController.
+func (r *response) FlushError() error {
+	r.begun = true
+	return http.NewResponseController(r.ResponseWriter).Flush()
+}
+
+// Unwrap is called by http.ResponseController.
+func (r *response) Unwrap() http.ResponseWriter { return r.ResponseWriter }
+
+// run calls the handler. If it panics before its response has begun, the caller gets an error response in its place, and the connection goes on. Otherwise
+// the connection is closed, as after http.ErrAbortHandler, so that the response does not look complete.
+func (s *Server) run(w *response, r *http.Request) {
+	defer func() {
+		value := recover()
+		if value == nil {
+			return
+		}
+		if value == http.ErrAbortHandler { //nolint:errorlint // package http compares it in the same way
+			panic(value)
+		}
+		err := recovered.New(value)
+		if s.config.OnPanic != nil {
+			s.config.OnPanic(Panic{Request: CallerOf(r.Context()).requestID(), Host: r.Host, Path: r.URL.Path, Err: err, Answered: !w.begun})
+		}
+		if w.begun {
+			panic(http.ErrAbortHandler)
+		}
+		s.writeError(w, vaneyoke.WrapErr(vaneyoke.CodeInternal, err, "the handler of the request panicked"))
+	}()
+	s.handler.ServeHTTP(w, r)
+}
+
+// writeError writes an error response without the headers that the handler has set for its own; a handler's decision to close the connection holds.
+func (s *Server) writeError(w http.ResponseWriter, err error) {
+	connection := w.Header().Values("Connection")
+	clear(w.Header())
+	for _, value := range connection {
+		w.Header().Add("Connection", value)
+	}
+	if s.config.WriteError != nil {
+		s.config.WriteError(w, err)
+		return
+	}
+	info := vaneyoke.CodeOf(err).Info()
+	http.Error(w, info.Text, info.Status)
+}
--- a/api/serve/server.go
+++ b/api/serve/server.go
@@ -16,7 +16,10 @@
 	IdleTimeout       time.Duration // how long an idle connection is kept open
 	MaxHeaderBytes    int           // largest request header
 	WriteBufferBytes  int           // size of a connection's send buffer in the kernel; 0 for the system's own choice
-	ErrorLog          *log.Logger   // for handler panics and accept errors; nil means standard error
+	ErrorLog          *log.Logger   // for accept errors; nil means standard error
+	OnPanic           func(Panic)   // is told of each handler that panics; nil for none
+	// WriteError writes the error response for a handler that panicked before its response began; nil means plain text.
+	WriteError func(http.ResponseWriter, error)
 }
 
 // Server is an HTTP server on one listener. It stops in steps, none of which cuts off a request: DisableKeepAlives, WaitIdle,
@@ -95,7 +98,7 @@
 	tracked := &body{ReadCloser: r.Body}
 	copied := r.WithContext(r.Context()) // a copy, since net/http relies on the body of the original
 	copied.Body = tracked
-	s.handler.ServeHTTP(w, copied)
+	s.run(&response{ResponseWriter: w}, copied)
 	tracked.discard(w, r)
 }
 
--- /dev/null
+++ b/internal/recovered/doc.go
@@ -0,0 +1,2 @@
+// Package recovered turns a recovered panic into an error that says where it happened.
+package recovered
--- a/process/node/gateway.go
+++ b/process/node/gateway.go
@@ -53,6 +53,7 @@
 	pins     *pins.Node
 	active   *activeConfig
 	vars     *expvar.Map
+	panics   *panicRecorder
 	tracing  *telemetry.Tracing
 	log      logrus.FieldLogger
 
@@ -141,7 +142,7 @@
 	s := n.settings.Gateway
 	server := serve.New(handler, serve.Config{
 		ReadHeaderTimeout: s.HeaderWait, IdleTimeout: s.IdleWait, MaxHeaderBytes: s.HeaderBytes, ErrorLog: serverErrors(n.log),
-		WriteBufferBytes: n.settings.Limits.SocketBytes,
+		WriteBufferBytes: n.settings.Limits.SocketBytes, OnPanic: n.panics.record, WriteError: gateway.WriteError,
 	})
 	n.servers = append(n.servers, server)
 	n.tasks.Go(func() {
--- a/process/node/gateway_wire.go
+++ b/process/node/gateway_wire.go
@@ -137,6 +137,7 @@
 		pins:     do.MustInvoke[*pins.Node](i),
 		active:   do.MustInvoke[*activeConfig](i),
 		vars:     do.MustInvoke[*expvar.Map](i),
+		panics:   newPanicRecorder(do.MustInvoke[*expvar.Map](i), do.MustInvoke[logrus.FieldLogger](i)),
 		tracing:  do.MustInvoke[*telemetry.Tracing](i),
 		log:      do.MustInvoke[logrus.FieldLogger](i),
 	}, nil
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -57,6 +57,7 @@
 	control  *controlClient
 	peerAPI  http.Handler
 	vars     *expvar.Map
+	panics   *panicRecorder
 	tracing  *telemetry.Tracing
 	log      logrus.FieldLogger
 
@@ -121,7 +122,9 @@
 }
 
 func (n *Node) serve(handler http.Handler, l net.Listener) {
-	server := serve.New(handler, serve.Config{ReadHeaderTimeout: headerTimeout, ErrorLog: serverErrors(n.log)})
+	server := serve.New(handler, serve.Config{
+		ReadHeaderTimeout: headerTimeout, ErrorLog: serverErrors(n.log), OnPanic: n.panics.record, WriteError: callerapi.WriteError,
+	})
 	n.servers = append(n.servers, server)
 	n.tasks.Go(func() {
 		if err := server.Serve(l); err != nil {
--- a/process/node/stop.go
+++ b/process/node/stop.go
@@ -104,7 +104,7 @@
 	return nil
 }
 
-// serverErrors returns a logger for the errors that package http reports, such as a handler's panic.
+// serverErrors returns a logger for the errors that package http reports, such as a connection that could not be accepted.
 func serverErrors(logger logrus.FieldLogger) *log.Logger {
 	return log.New(&errorLogger{logger: logger}, "", 0)
 }
--- a/process/node/wire.go
+++ b/process/node/wire.go
@@ -219,6 +219,7 @@
 		operator: operatorapi.New(do.MustInvoke[*aws.Client](i), follower, do.MustInvoke[*balancer.Balancer](i), do.MustInvoke[logrus.FieldLogger](i)),
 		peerAPI:  peer.Handler(do.MustInvoke[*peer.Journals](i), manager, follower, s.Peers.KeyList(), do.MustInvoke[*telemetry.Tracing](i).Tracer),
 		vars:     do.MustInvoke[*expvar.Map](i),
+		panics:   newPanicRecorder(do.MustInvoke[*expvar.Map](i), do.MustInvoke[logrus.FieldLogger](i)),
 		tracing:  do.MustInvoke[*telemetry.Tracing](i),
 		log:      do.MustInvoke[logrus.FieldLogger](i),
 		stopping: do.MustInvoke[*atomic.Bool](i),
