A stream that ends without an event keeps the head of the attempt that ended it

Cause: a session copied the head of its answer when it accepted the first event (handleEvent) or a complete response (deliverResponse). A stream that ends well without an event passes neither place, so that its answer was complete with a zero head, whose status 0 panics in WriteHeader. Ruled out: the look-up of the stream's version (`only_version`), a refused or lost attempt (no such line), a time-out; and that the kill matters, as a caller who comes back at the same undisturbed node meets the same.

Change: nobody copies the head any more. Each attempt keeps its own; the state machine names the attempt that the answer began with, by its first accepted output or by its end without output (State.Origin), and Session.Head is that attempt's. An answer cannot be complete without an origin, and an origin has a head, as an attempt's head comes before all else of it.

--- a/decide/generation/opaque_property_test.go
+++ b/decide/generation/opaque_property_test.go
@@ -24,6 +24,7 @@
 	mayHaveRun map[vaneyoke.Attempt]bool            // started attempts that may have run
 	sent       map[vaneyoke.Attempt]vaneyoke.Tokens // chunks that it has sent
 	fenced     map[vaneyoke.Attempt]bool            // attempts that were lost or cancelled
+	origin     vaneyoke.Attempt                     // whose chunk was accepted first, or who ended the answer before any
 	forecast   generation.Forecast
 	ended      bool
 	failed     *generation.Fail
@@ -78,6 +79,7 @@
 		m.t.Fatalf("resumed an opaque stream: %+v", e)
 	case generation.Finish:
 		m.ended = true
+		must.Positive(m.t, m.state.Origin(), must.Sprint("a complete answer without an origin"))
 	case generation.Fail:
 		m.ended = true
 		m.failed = &e
@@ -110,6 +112,7 @@
 	if m.failed != nil && m.failed.Code.Info().NotRun {
 		must.EqOp(m.t, 0, possibleRuns, must.Sprint("possible runs with code ", m.failed.Code))
 	}
+	must.EqOp(m.t, m.origin, m.state.Origin(), must.Sprint("origin of the answer"))
 	text := m.state.Transcript().Text
 	for at := 0; at < len(text); at += chunkBytes {
 		must.EqOp(m.t, position(at/chunkBytes), text[at+1], must.Sprint("position of a chunk of the answer"))
@@ -145,6 +148,9 @@
 	at := max(m.from[attempt]+m.sent[attempt]+offset, 0)
 	m.sent[attempt]++
 	before, fenced := m.state.Transcript().Len(), m.fenced[attempt] || m.ended
+	if before == 0 && !fenced && at == 0 {
+		m.origin = attempt
+	}
 	m.handle(&generation.Received{Attempt: attempt, Batch: vaneyoke.Batch{
 		First: at, IDs: []vaneyoke.TokenID{0}, Text: chunk(attempt, at),
 	}})
@@ -178,7 +184,10 @@
 				}
 			},
 			"end": func(*rapid.T) {
-				if attempt, ok := m.drawAttempt(); ok && m.sent[attempt] > 0 {
+				if attempt, ok := m.drawAttempt(); ok && m.mayHaveRun[attempt] {
+					if m.origin == 0 && !m.fenced[attempt] && !m.ended {
+						m.origin = attempt
+					}
 					m.handle(generation.Ended{Attempt: attempt, Reason: vaneyoke.FinishStop})
 				}
 			},
--- a/decide/generation/state.go
+++ b/decide/generation/state.go
@@ -23,7 +23,8 @@
 	rng     *rand.Rand
 	effects []Effect
 
-	answer            Transcript // accepted tokens
+	answer            Transcript       // accepted tokens
+	origin            vaneyoke.Attempt // that the answer began with; 0 before that
 	runs              []run
 	lastAttempt       vaneyoke.Attempt // the last number assigned
 	avoid             []vaneyoke.UpstreamID
@@ -57,6 +58,16 @@
 // Transcript returns the answer so far; the caller must not modify it.
 func (s *State) Transcript() *Transcript { return &s.answer }
 
+// Origin returns the attempt whose output, or whose end without output, the answer began with; 0 before that, and if another node began the answer.
+func (s *State) Origin() vaneyoke.Attempt { return s.origin }
+
+// setOrigin records that the answer begins with an attempt, unless it has begun.
+func (s *State) setOrigin(attempt vaneyoke.Attempt) {
+	if s.origin == 0 {
+		s.origin = attempt
+	}
+}
+
 // StreamingAttempt returns the attempt whose stream provides the answer's tokens, or -1 if there is none.
 func (s *State) StreamingAttempt() vaneyoke.Attempt {
 	for i := range s.runs {
@@ -197,6 +208,7 @@
 
 // accept appends a batch to the answer and cancels all other runs.
 func (s *State) accept(now time.Time, r *run, b vaneyoke.Batch) {
+	s.setOrigin(r.attempt)
 	s.cancelOthers(r.attempt)
 	r = s.findRun(r.attempt)
 	s.answer.IDs = append(s.answer.IDs, r.pending...)
@@ -246,6 +258,7 @@
 	if s.ended {
 		return
 	}
+	s.setOrigin(ev.Attempt)
 	s.removeRun(ev.Attempt)
 	s.finish(ev.Reason)
 }
--- a/shell/relay/attempt.go
+++ b/shell/relay/attempt.go
@@ -16,6 +16,7 @@
 	"github.com/vaneyoke/vaneyoke/decide/placement"
 	"github.com/vaneyoke/vaneyoke/decide/rollout"
 	"github.com/vaneyoke/vaneyoke/wire/engine"
+	"github.com/vaneyoke/vaneyoke/wire/forward"
 )
 
 // cancelTimeout bounds a request to an engine to cancel a run.
@@ -149,7 +150,7 @@
 		return
 	}
 	defer func() { _ = stream.Close() }()
-	s.recordHead(attempt)
+	s.recordHead(attempt, forward.Head{})
 	received := &generation.Received{Attempt: attempt}
 	for {
 		message, err := stream.Next()
--- a/shell/relay/forwarded.go
+++ b/shell/relay/forwarded.go
@@ -41,9 +41,8 @@
 // forwarded answers are passed on as they arrive; after a loss, a stream resumes after its last event.
 type forwarded struct {
 	Forwarding
-	lastEventID string       // id of the last accepted event, or of the last event that the caller had
-	head        forward.Head // of the first upstream whose answer was accepted
-	lastFailure *response    // the last response with a server error; nil if there is none
+	lastEventID string    // id of the last accepted event, or of the last event that the caller had
+	lastFailure *response // the last response with a server error; nil if there is none
 }
 
 type response struct {
@@ -78,14 +77,15 @@
 	return ok && m.Stream
 }
 
-// Head returns the head of the answer; it is set once Read has returned data.
+// Head returns the head of the attempt that the answer began with. It panics unless Read has returned data or the end of a complete answer.
 func (s *Session) Head() forward.Head {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if m, ok := s.mode.(*forwarded); ok {
-		return m.head
+	l := s.links[s.state.Origin()]
+	if l == nil || l.headAt.IsZero() {
+		panic("relay: the answer has no head")
 	}
-	return forward.Head{}
+	return l.head
 }
 
 // forwardAttempt returns the message for an upstream.
@@ -116,7 +116,7 @@
 		return
 	}
 	defer func() { _ = exchange.Close() }()
-	s.recordHead(attempt)
+	s.recordHead(attempt, exchange.Head())
 	if exchange.IsEventStream() {
 		s.handleEvents(ctx, e, m, exchange)
 		return
@@ -162,12 +162,12 @@
 	}
 }
 
-// recordHead records that the head of an attempt's answer has arrived.
-func (s *Session) recordHead(attempt vaneyoke.Attempt) {
+// recordHead records the head of an attempt's answer.
+func (s *Session) recordHead(attempt vaneyoke.Attempt, head forward.Head) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	s.links[attempt].headAt, s.links[attempt].lastReceivedAt = now, now
+	l, now := s.links[attempt], time.Now()
+	l.head, l.headAt, l.lastReceivedAt = head, now, now
 }
 
 // mayBeCached reports whether the caller has received a part of the answer before, so that the prompt may be cached and
@@ -236,15 +236,14 @@
 			return
 		}
 		received.Batch.Text = event.Data
-		s.handleEvent(received, m, exchange.Head(), event.ID)
+		s.handleEvent(received, m, event.ID)
 		received.Batch.First++
 		s.awaitReader(ctx, attempt, m.Buffer)
 	}
 }
 
-// handleEvent passes one event to the state machine; if it was accepted, it keeps the event's id and the head of the
-// first event's answer.
-func (s *Session) handleEvent(received *generation.Received, m *forwarded, head forward.Head, id string) {
+// handleEvent passes one event to the state machine; if it was accepted, it keeps the event's id.
+func (s *Session) handleEvent(received *generation.Received, m *forwarded, id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
@@ -258,7 +257,6 @@
 	m.Buffer.buffered(now, len(received.Batch.Text))
 	m.lastEventID = id
 	if lenBefore == 0 {
-		m.head = head
 		s.pinTo(received.Attempt)
 		s.registerStream()
 		s.confirmPin(received.Attempt)
@@ -308,7 +306,6 @@
 	s.reportOutcome(attempt, placement.OutcomeDone)
 	s.recordCompletion()
 	m.Buffer.delivering(now, len(resp.body))
-	m.head = resp.head
 	batch := vaneyoke.Batch{IDs: []vaneyoke.TokenID{0}, Text: resp.body}
 	s.handleLocked(now, &generation.Received{Attempt: attempt, Batch: batch})
 	s.handleLocked(now, generation.Ended{Attempt: attempt, Reason: vaneyoke.FinishStop})
--- a/shell/relay/forwarded_test.go
+++ b/shell/relay/forwarded_test.go
@@ -131,6 +131,15 @@
 	return relay.New(nil, s, placer, noop.NewTracerProvider().Tracer(""), relay.NewMetrics(new(expvar.Map).Init()), log, config)
 }
 
+// forwardStream starts a stream that may be lost twice.
+func forwardStream(t *testing.T, r *relay.Relay) *relay.Session {
+	now := time.Now()
+	return r.Forward(t.Context(), &vaneyoke.Request{ID: "r", Repeatable: true, ReceivedAt: now}, relay.Forwarding{
+		Message: &forward.Message{}, Service: "lm", Stream: true, Deadline: now.Add(time.Minute),
+		LatencyGoal: 10 * time.Second, EventIntervalGoal: 10 * time.Second, MaxAttempts: 3,
+	})
+}
+
 // TestLateOutputOfAbandonedAttemptIsNotMixedIn has the first attempt's answer arrive after a probe has found its
 // upstream gone: neither its events nor its head may appear in the answer of the second attempt.
 func TestLateOutputOfAbandonedAttemptIsNotMixedIn(t *testing.T) {
@@ -149,11 +158,7 @@
 					waits: map[vaneyoke.UpstreamID]time.Duration{"a": tc.headWait},
 				}
 				r := newForwarder(s)
-				now := time.Now()
-				session := r.Forward(t.Context(), &vaneyoke.Request{ID: "r", Repeatable: true, ReceivedAt: now}, relay.Forwarding{
-					Message: &forward.Message{}, Service: "lm", Stream: true, Deadline: now.Add(time.Minute),
-					LatencyGoal: 10 * time.Second, EventIntervalGoal: 10 * time.Second, MaxAttempts: 3,
-				})
+				session := forwardStream(t, r)
 				result, err := session.Wait(t.Context())
 				must.NoError(t, err)
 				must.EqOp(t, vaneyoke.CodeOK, result.Code)
--- a/shell/relay/session.go
+++ b/shell/relay/session.go
@@ -66,6 +66,7 @@
 	gotFirstToken   bool                 // whether its first token has arrived
 	fenced          bool                 // whether the attempt was cancelled
 	outcomeReported bool                 // whether the placer knows the outcome of the attempt
+	head            forward.Head         // of the answer to an opaque request; set together with headAt
 	headAt          time.Time            // when the head of its answer arrived; zero if it has not
 	firstTokenAt    time.Time            // when its first chunk arrived
 	chunks          int                  // number that has arrived
