An answer without output counts with the time to its end

What operators saw: a stream that ends without an event was counted in `latencies` with a first event after 1 ms, and never as late, as the time of its first chunk is the zero time (a difference of some hundred years below zero).

Change: the time to the first chunk is the time to the end where no chunk has come. TestAnswerWithoutOutputCountsAsInTime fails before (1 ms in place of 2 s).

--- a/shell/relay/forwarded_test.go
+++ b/shell/relay/forwarded_test.go
@@ -125,10 +125,14 @@
 func newForwarder(s forward.Sender) *relay.Relay { return newForwarderWith(s, &sequentialPlacer{}) }
 
 func newForwarderWith(s forward.Sender, placer relay.Placer) *relay.Relay {
+	return newForwarderCounting(s, placer, relay.NewMetrics(new(expvar.Map).Init()))
+}
+
+func newForwarderCounting(s forward.Sender, placer relay.Placer, metrics *relay.Metrics) *relay.Relay {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	config := relay.Config{Generation: generation.DefaultConfig()}
-	return relay.New(nil, s, placer, noop.NewTracerProvider().Tracer(""), relay.NewMetrics(new(expvar.Map).Init()), log, config)
+	return relay.New(nil, s, placer, noop.NewTracerProvider().Tracer(""), metrics, log, config)
 }
 
 // forwardStream starts a stream that may be lost twice.
--- a/shell/relay/latency_test.go
+++ b/shell/relay/latency_test.go
@@ -1,13 +1,17 @@
 package relay_test
 
 import (
+	"expvar"
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
+	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/shell/relay"
+	"github.com/vaneyoke/vaneyoke/wire/forward"
 )
 
 func TestLatencies(t *testing.T) {
@@ -30,3 +34,18 @@
 	must.MapLen(t, 65, snapshot)
 	must.EqOp(t, int64(1000-64), snapshot["other"].FirstChunk.Count)
 }
+
+// Guards against a stream that ends late and without an event, and is counted as one whose first event came at once.
+func TestAnswerWithoutOutputCountsAsInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		answers := map[vaneyoke.UpstreamID]forward.Response{"a": &lateExchange{from: "a", delay: 2 * time.Second}}
+		metrics := relay.NewMetrics(new(expvar.Map).Init())
+		r := newForwarderCounting(&fakeSender{answers: answers, reachable: true}, &sequentialPlacer{}, metrics)
+		result, err := forwardStream(t, r).Wait(t.Context())
+		must.NoError(t, err)
+		must.EqOp(t, vaneyoke.CodeOK, result.Code)
+		must.Between(t, 1900, metrics.Latencies.Snapshot()[""].FirstChunk.Max, 2100)
+		r.Close()
+		synctest.Wait()
+	})
+}
--- a/shell/relay/record.go
+++ b/shell/relay/record.go
@@ -31,7 +31,7 @@
 	}
 	s.relay.metrics.Routes.Add(s.req.Kind+" "+s.result.Code.Info().Name, 1)
 	if s.result.Code == vaneyoke.CodeOK {
-		s.relay.metrics.Latencies.Add(s.req.Kind, s.pace.first.Sub(s.req.ReceivedAt), s.pace.longestGap, time.Since(s.req.ReceivedAt))
+		s.relay.metrics.Latencies.Add(s.req.Kind, s.timeToFirst(), s.pace.longestGap, time.Since(s.req.ReceivedAt))
 	}
 }
 
@@ -44,7 +44,15 @@
 // isLate reports whether an opaque answer missed a goal of its route.
 func (s *Session) isLate() bool {
 	m, ok := s.mode.(*forwarded)
-	return ok && (s.pace.first.Sub(s.req.ReceivedAt) > m.LatencyGoal || (m.EventIntervalGoal > 0 && s.pace.longestGap > m.EventIntervalGoal))
+	return ok && (s.timeToFirst() > m.LatencyGoal || (m.EventIntervalGoal > 0 && s.pace.longestGap > m.EventIntervalGoal))
+}
+
+// timeToFirst returns the time to the first chunk, or until now if none has arrived.
+func (s *Session) timeToFirst() time.Duration {
+	if s.pace.first.IsZero() {
+		return time.Since(s.req.ReceivedAt)
+	}
+	return s.pace.first.Sub(s.req.ReceivedAt)
 }
 
 // configRevision returns the revision of the configuration that an opaque request used, 0 for any other request.
