Roll-outs count streams that end without an event

What callers saw: a version whose engines end a part of the streams at once, without an event, could be rolled out in full: a stream counted as answered at its first event, so that those without one were in no count. One that ends all of them so was taken back only at the deadline, for too few answers.

Change: such an end is an answer of its own kind (AnswerEmpty), which the verdict takes for a failure; it compares with the version that stands, so that models that now and then answer nothing change no verdict. An end after the last event that the caller has is a good answer. Each such stream has its `session_ended` line, so that the counts can be traced.

--- a/decide/rollout/tally.go
+++ b/decide/rollout/tally.go
@@ -166,6 +166,7 @@
 	AnswerFailed                         // a failure that the upstream reported
 	AnswerLost                           // the upstream closed the connection, went silent or sent an invalid answer
 	AnswerChunkGap                       // a stream has sent enough chunks to measure the gap between them
+	AnswerEmpty                          // a stream whose caller had no events ended without one
 )
 
 // count adds an answer to the target's or the baseline's statistics on a route.
@@ -180,7 +181,7 @@
 	case AnswerGood:
 		versionStats.Answers++
 		versionStats.Latency = versionStats.Latency.merge(Histogram{bucketOf(a.Took): 1})
-	case AnswerFailed, AnswerLost:
+	case AnswerFailed, AnswerLost, AnswerEmpty:
 		versionStats.Answers++
 		versionStats.Failed++
 	case AnswerChunkGap:
--- a/decide/rollout/verdict_test.go
+++ b/decide/rollout/verdict_test.go
@@ -15,6 +15,7 @@
 // behaviour describes the answers of a version's upstreams.
 type behaviour struct {
 	failureRate float64
+	emptyRate   float64 // of streams that end without an event
 	slowdown    float64 // factor on the latency of the baseline
 }
 
@@ -23,6 +24,9 @@
 	if rng.Float64() < b.failureRate {
 		return rollout.Answer{Kind: rollout.AnswerFailed, Took: usual}
 	}
+	if b.emptyRate > 0 && rng.Float64() < b.emptyRate {
+		return rollout.Answer{Kind: rollout.AnswerEmpty, Took: usual}
+	}
 	jitter := 0.5 + rng.ExpFloat64()*0.5
 	return rollout.Answer{Kind: rollout.AnswerGood, Took: time.Duration(float64(usual) * jitter * max(b.slowdown, 1))}
 }
@@ -68,6 +72,30 @@
 	}
 }
 
+// Guards against a version that ends streams without an event and is found good, as those are in no count.
+func TestVersionThatEndsStreamsWithoutAnEventIsFoundGood(t *testing.T) {
+	cases := map[string]struct {
+		baseline, target float64 // share of streams that end without an event
+		isBad            bool
+	}{
+		"all":                  {0, 1, true},
+		"half":                 {0, 0.5, true},
+		"as many as before":    {0.3, 0.3, false},
+		"more than before":     {0.1, 0.6, true},
+		"fewer than before":    {0.5, 0, false},
+		"none, before as well": {0, 0, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(5, 13))
+			for range 50 {
+				verdict, _ := answersUntilVerdict(rng, behaviour{emptyRate: tc.baseline}, behaviour{emptyRate: tc.target}, 1000)
+				must.EqOp(t, tc.isBad, verdict == rollout.VerdictBad)
+			}
+		})
+	}
+}
+
 // answersUntilVerdict draws answers until there is a verdict; the baseline gives nine for each of the target's.
 func answersUntilVerdict(rng *rand.Rand, baseline, target behaviour, maxAnswers int) (rollout.Verdict, int) {
 	c := newCounter()
--- a/shell/relay/attempt.go
+++ b/shell/relay/attempt.go
@@ -216,6 +216,7 @@
 func (s *Session) handleEnd(now time.Time, attempt vaneyoke.Attempt, reason vaneyoke.FinishReason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.recordEmptyEnd(now, s.links[attempt])
 	s.reportOutcome(attempt, placement.OutcomeDone)
 	s.recordCompletion()
 	s.recordLength(now)
--- a/shell/relay/record.go
+++ b/shell/relay/record.go
@@ -38,7 +38,13 @@
 // isUneventful reports whether the session succeeded without anything notable.
 func (s *Session) isUneventful() bool {
 	stats := s.result.Stats
-	return s.result.Code == vaneyoke.CodeOK && stats.Attempts <= 1 && stats.Losses == 0 && stats.Suspected == 0 && !s.isLate()
+	return s.result.Code == vaneyoke.CodeOK && stats.Attempts <= 1 && stats.Losses == 0 && stats.Suspected == 0 && !s.isLate() && !s.isEmpty()
+}
+
+// isEmpty reports whether a stream has ended without a chunk for a caller who had none before.
+func (s *Session) isEmpty() bool {
+	m, ok := s.mode.(*forwarded)
+	return ok && m.Stream && m.lastEventID == "" && s.state.Transcript().Len() == 0
 }
 
 // isLate reports whether an opaque answer missed a goal of its route.
--- a/shell/relay/rollout.go
+++ b/shell/relay/rollout.go
@@ -27,6 +27,18 @@
 	}
 }
 
+// recordEmptyEnd records for rollouts that an attempt at a stream has ended without a chunk, which is a good answer if it comes after others.
+func (s *Session) recordEmptyEnd(now time.Time, l *link) {
+	if !s.isStream() || l.gotFirstToken || l.outcomeReported || l.fromReplica {
+		return
+	}
+	kind := rollout.AnswerGood
+	if s.isEmpty() {
+		kind = rollout.AnswerEmpty
+	}
+	s.recordAnswer(l, rollout.Answer{Kind: kind, Took: now.Sub(l.sentAt)})
+}
+
 // answerOf returns the answer for rollouts by the status of a complete response.
 func answerOf(status int, elapsed time.Duration) rollout.Answer {
 	if status >= http.StatusInternalServerError {
