A panic in the work on one request ends that request only

What callers would see: a panic in a goroutine of a session (which sends an attempt, reads an answer, places it) ends the process, and with it the answers of all other callers; the request then comes back at the next node.

Decision: a session's goroutines contain their panics, as package http does for handlers. What panics there is most likely this request or its answers, and the state machine is the session's own. The session ends with code 200, which promises nothing; its attempts are cancelled and reported to the placer as usual. A panic anywhere else (mesh, feeds, timers of shared tables) still ends the process: tables that all callers share may be wrong after it, and a restart builds them anew. That a contained panic cannot leave a lock held that others wait for, the shared tables on a session's way (pins, limits, quarantine, the ledger of buffers) release theirs by defer now; a handler's panic there would have kept the lock before.

`session_panicked` names the request and the calls that led to it; `session_panics_total` counts.

--- a/decide/generation/event.go
+++ b/decide/generation/event.go
@@ -104,6 +104,9 @@
 // Quarantined says that the request's content crashes the upstreams that run it, so that it is not sent to any more of them.
 type Quarantined struct{ RetryAfter time.Duration }
 
+// Broken says that the node has found a fault in itself, so that nothing more is known of the attempts.
+type Broken struct{}
+
 // Suspended says that the VM was suspended for a time that the clocks of the node did not count but the caller's did.
 type Suspended struct{ For time.Duration }
 
@@ -130,6 +133,7 @@
 func (CallerGone) event()      {}
 func (NodeStopping) event()    {}
 func (Quarantined) event()     {}
+func (Broken) event()          {}
 func (Suspended) event()       {}
 func (Superseded) event()      {}
 func (Tick) event()            {}
--- a/decide/generation/state.go
+++ b/decide/generation/state.go
@@ -128,6 +128,8 @@
 		s.nodeStopping(ev)
 	case Quarantined:
 		s.quarantine(ev.RetryAfter)
+	case Broken:
+		s.fail(Fail{Code: vaneyoke.CodeInternal})
 	case Suspended:
 		s.suspended(now, ev.For)
 	case Superseded:
--- a/process/telemetry/events.go
+++ b/process/telemetry/events.go
@@ -97,6 +97,7 @@
 	{"session_dropped", []string{"request", "route", "upstream", "sent", "tokens", "attempts", "ms", "left_ms"}, "A request was being answered when the node ended, and was left where it stood; sent says whether an upstream may have run it."},
 	{"session_ended", []string{"request", "content", "workspace", "policy", "route", "upstream", "version", "code", "tokens", "attempts", "losses", "discarded", "first_ms", "gap_ms", "ms", "left_ms", "prompt"}, "A request has been answered or has failed."},
 	{"session_given_up", []string{"request", "peer"}, "A session was given to another node that had taken it over."},
+	{"session_panicked", []string{"request", "error", "stack", "age_ms"}, "Work on a request panicked, a fault of the node: stack names the functions that were being called, the innermost first. Its caller got a 500 with code 200, or its connection was closed as the answer had begun; no other request was touched."},
 	{"session_superseded", []string{"request"}, "A session ended here because another node goes on with it."},
 	{"session_taken_over", []string{"request", "epoch", "tokens", "finished"}, "A session of another node goes on here."},
 	{"settings_refused", []string{"code", "error"}, "Changed settings have errors and are left aside."},
--- a/shell/pins/node.go
+++ b/shell/pins/node.go
@@ -121,8 +121,15 @@
 
 // handle passes an event to the state and applies the effects.
 func (n *Node) handle(ev pinning.Event) {
-	var sends []pinning.Send
+	for _, e := range n.update(ev) {
+		n.send(e)
+	}
+}
+
+// update passes an event to the state and returns what is to be sent.
+func (n *Node) update(ev pinning.Event) (sends []pinning.Send) {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	now := steady.Now()
 	for _, effect := range n.state.Handle(now, ev) {
 		switch e := effect.(type) {
@@ -138,10 +145,7 @@
 	if at := n.state.NextTick(); !at.IsZero() && !n.closed {
 		n.timer.Reset(at.Sub(now))
 	}
-	n.mu.Unlock()
-	for _, e := range sends {
-		n.send(e)
-	}
+	return sends
 }
 
 func (n *Node) send(e pinning.Send) {
--- a/shell/quarantines/node.go
+++ b/shell/quarantines/node.go
@@ -145,15 +145,20 @@
 
 // handle passes an event to the state and applies the effects; calls to other components are made without the lock.
 func (n *Node) handle(event quarantine.Event) {
+	for _, effect := range n.update(event) {
+		n.apply(effect)
+	}
+}
+
+// update passes an event to the state and returns the effects.
+func (n *Node) update(event quarantine.Event) []quarantine.Effect {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	effects := append([]quarantine.Effect(nil), n.state.Handle(time.Now(), event)...)
 	if at := n.state.NextTick(); !at.IsZero() && !n.closed {
 		n.timer.Reset(time.Until(at))
 	}
-	n.mu.Unlock()
-	for _, effect := range effects {
-		n.apply(effect)
-	}
+	return effects
 }
 
 func (n *Node) apply(effect quarantine.Effect) {
--- a/shell/ratelimits/node.go
+++ b/shell/ratelimits/node.go
@@ -158,11 +158,18 @@
 	}
 }
 
-// handle passes an event to the state and applies the effects. Updates of limits are delivered under the lock: two responses may arrive at the same
-// time, and the last update delivered must be the current limit.
+// handle passes an event to the state and applies the effects.
 func (n *Node) handle(ev ratelimit.Event) {
-	var unlocked []ratelimit.Effect
+	for _, effect := range n.update(ev) {
+		n.apply(effect)
+	}
+}
+
+// update passes an event to the state and returns the effects that need no lock. Updates of limits are delivered under the lock: two responses may arrive
+// at the same time, and the last update delivered must be the current limit.
+func (n *Node) update(ev ratelimit.Event) (unlocked []ratelimit.Effect) {
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	now := steady.Now()
 	for _, effect := range n.state.Handle(now, ev) {
 		switch e := effect.(type) {
@@ -177,10 +184,7 @@
 	if at := n.state.NextTick(); !at.IsZero() && !n.closed {
 		n.timer.Reset(at.Sub(now))
 	}
-	n.mu.Unlock()
-	for _, effect := range unlocked {
-		n.apply(effect)
-	}
+	return unlocked
 }
 
 func (n *Node) deliverDecisionLocked(d ratelimit.PermitDecided) {
--- a/shell/relay/attempt.go
+++ b/shell/relay/attempt.go
@@ -51,15 +51,18 @@
 	switch m := s.mode.(type) {
 	case *streaming:
 		engineReq := openai.StreamRequest(m.req, e.Prefix, e.From)
-		go s.readStream(ctx, e.Attempt, func() (*engine.Stream, error) {
-			return s.relay.engines.Start(ctx, l.upstream.URL, l.streamName, engineReq, e.From, m.req.Repeatable)
+		s.spawn(func() {
+			s.readStream(ctx, e.Attempt, func() (*engine.Stream, error) {
+				return s.relay.engines.Start(ctx, l.upstream.URL, l.streamName, engineReq, e.From, m.req.Repeatable)
+			})
 		})
 	case *unary:
-		go s.call(ctx, e.Attempt, l, m)
+		s.spawn(func() { s.call(ctx, e.Attempt, l, m) })
 	case *forwarded:
 		s.recordContinuation(e, l, m)
 		l.unsent = true
-		go s.forward(ctx, e, m, s.forwardAttempt(e, l, m))
+		outgoing := s.forwardAttempt(e, l, m)
+		s.spawn(func() { s.forward(ctx, e, m, outgoing) })
 	}
 }
 
@@ -71,8 +74,10 @@
 	s.links[e.Attempt] = l
 	ctx := s.openLink(l, e.Attempt, "resume")
 	s.relay.metrics.Attempts.Add(1)
-	go s.readStream(ctx, e.Attempt, func() (*engine.Stream, error) {
-		return s.relay.engines.Resume(ctx, l.upstream.URL, l.streamName, l.base, e.From)
+	s.spawn(func() {
+		s.readStream(ctx, e.Attempt, func() (*engine.Stream, error) {
+			return s.relay.engines.Resume(ctx, l.upstream.URL, l.streamName, l.base, e.From)
+		})
 	})
 }
 
@@ -109,7 +114,7 @@
 	}
 	s.reportOutcome(e.Attempt, outcome)
 	if _, opaque := s.mode.(*forwarded); e.Stop && !opaque { // closing the connection cancels an opaque run
-		go s.stopRun(l.upstream, l.streamName)
+		s.spawn(func() { s.stopRun(l.upstream, l.streamName) })
 	}
 }
 
--- a/shell/relay/buffer.go
+++ b/shell/relay/buffer.go
@@ -63,15 +63,19 @@
 	delete(all.open, b.id)
 }
 
+// account calls a function with the node's ledger.
+func (b *Buffer) account(do func(*backlog.Ledger)) {
+	b.relay.buffers.mu.Lock()
+	defer b.relay.buffers.mu.Unlock()
+	do(b.relay.buffers.ledger)
+}
+
 // Receive records bytes of the request or of a complete answer, and waits until more may be held. It fails if ctx ends first.
 func (b *Buffer) Receive(ctx context.Context, n int) error {
 	if b == nil {
 		return nil
 	}
-	all := b.relay.buffers
-	all.mu.Lock()
-	all.ledger.Receive(b.id, backlog.Bytes(n))
-	all.mu.Unlock()
+	b.account(func(l *backlog.Ledger) { l.Receive(b.id, backlog.Bytes(n)) })
 	for b.check() == backlog.WaitNode {
 		if !b.wait(ctx) {
 			return ctx.Err()
@@ -85,9 +89,7 @@
 	if b == nil {
 		return
 	}
-	b.relay.buffers.mu.Lock()
-	defer b.relay.buffers.mu.Unlock()
-	b.relay.buffers.ledger.Buffer(now, b.id, backlog.Bytes(n))
+	b.account(func(l *backlog.Ledger) { l.Buffer(now, b.id, backlog.Bytes(n)) })
 }
 
 // delivering records that a complete answer, which was received before, is the caller's to read.
@@ -95,9 +97,7 @@
 	if b == nil {
 		return
 	}
-	b.relay.buffers.mu.Lock()
-	defer b.relay.buffers.mu.Unlock()
-	b.relay.buffers.ledger.Deliver(now, b.id, backlog.Bytes(n))
+	b.account(func(l *backlog.Ledger) { l.Deliver(now, b.id, backlog.Bytes(n)) })
 }
 
 // Delivered records that the caller's connection has taken bytes of the answer.
@@ -105,10 +105,7 @@
 	if b == nil {
 		return
 	}
-	all := b.relay.buffers
-	all.mu.Lock()
-	all.ledger.Take(time.Now(), b.id, backlog.Bytes(n))
-	all.mu.Unlock()
+	b.account(func(l *backlog.Ledger) { l.Take(time.Now(), b.id, backlog.Bytes(n)) })
 	select {
 	case b.taken <- struct{}{}:
 	default:
@@ -161,8 +158,7 @@
 }
 
 func (b *Buffer) recordCutNow(reason string, err error) {
-	b.relay.buffers.mu.Lock()
-	unread, total := b.relay.buffers.ledger.Unread(b.id), b.relay.buffers.ledger.Total()
-	b.relay.buffers.mu.Unlock()
+	var unread, total backlog.Bytes
+	b.account(func(l *backlog.Ledger) { unread, total = l.Unread(b.id), l.Total() })
 	b.recordCut(reason, unread, total, err)
 }
--- a/shell/relay/continuation.go
+++ b/shell/relay/continuation.go
@@ -50,7 +50,7 @@
 		return
 	}
 	l.isConfirmed = true
-	go func() {
+	s.spawn(func() {
 		ctx, cancel := context.WithTimeout(s.ctx, confirmTimeout)
 		defer cancel()
 		report, ok := s.relay.sender.LoadReport(ctx, l.upstream)
@@ -64,7 +64,7 @@
 		if current := s.currentProcess(l.upstream); current.Incarnation > s.pinnedBy.Incarnation && !s.result.Ended {
 			s.repin(current)
 		}
-	}()
+	})
 }
 
 // hasRestarted reports whether an upstream that was chosen to go on with an answer has restarted, so that its version is not known any more. It is asked
--- a/shell/relay/forwarded.go
+++ b/shell/relay/forwarded.go
@@ -177,26 +177,28 @@
 	return ok && m.ResumeAfter != ""
 }
 
+// connectionOf returns the upstream of an attempt and the path of its connection.
+func (s *Session) connectionOf(attempt vaneyoke.Attempt) (vaneyoke.Upstream, forward.Path) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.links[attempt]
+	return l.upstream, l.path
+}
+
 // probe checks whether an attempt's upstream accepts connections.
 func (s *Session) probe(e generation.Probe) {
-	s.mu.Lock()
-	l := s.links[e.Attempt]
-	path := l.path
-	s.mu.Unlock()
-	reachable := s.relay.isReachable(s.ctx, l.upstream, path)
+	upstream, path := s.connectionOf(e.Attempt)
+	reachable := s.relay.isReachable(s.ctx, upstream, path)
 	s.handle(time.Now(), generation.Probed{Attempt: e.Attempt, Alive: reachable})
 }
 
 // queryRun asks an attempt's upstream for the state of its run.
 func (s *Session) queryRun(e generation.QueryRun) {
-	s.mu.Lock()
-	l := s.links[e.Attempt]
-	path := l.path
-	s.mu.Unlock()
+	upstream, path := s.connectionOf(e.Attempt)
 	ctx, cancel := context.WithTimeout(s.ctx, s.queryTimeout(e))
 	defer cancel()
-	state, produced := s.runState(ctx, e, l.upstream, path)
-	s.logAttempt(e.Attempt, l.upstream.ID).WithFields(logrus.Fields{
+	state, produced := s.runState(ctx, e, upstream, path)
+	s.logAttempt(e.Attempt, upstream.ID).WithFields(logrus.Fields{
 		"work": state, "made": produced, "silent_ms": e.SilentFor.Milliseconds(),
 	}).Info("upstream_asked")
 	s.handle(time.Now(), generation.RunReported{Attempt: e.Attempt, State: state, Produced: produced})
--- a/shell/relay/guard.go
+++ b/shell/relay/guard.go
@@ -71,14 +71,14 @@
 	s.crashChecked = checked
 	upstream := l.upstream
 	upstream.Incarnation = max(upstream.Incarnation, l.incarnation)
-	go func() {
+	s.spawn(func() {
 		defer close(checked)
 		if s.relay.hasExited(upstream) {
 			s.relay.guard.RecordCrash(s.req.Content, upstream, l.sentAt)
 			return
 		}
 		s.relay.guard.RecordLossWithoutCrash(s.req.Content, upstream, l.sentAt)
-	}()
+	})
 }
 
 // hasExited reports whether an upstream accepts no connections, or has restarted since an attempt was sent to it.
--- a/shell/relay/metrics.go
+++ b/shell/relay/metrics.go
@@ -15,6 +15,7 @@
 	Reprefill *expvar.Int // tokens sent to engines again as a prefix
 	Continued *expvar.Map // attempts that continue a stream of which the caller has events, by how their software version compares with that of the events
 	NotBegun  *expvar.Map // attempts not begun and replicas not kept, by reason
+	Panics    *expvar.Int // sessions that a panic ended
 	GivenUp   *expvar.Int // answers whose runs were ended because they could not complete them in time
 	Paused    *expvar.Map // times that an answer was read no further from its upstream, by whose bound was reached
 	Cut       *expvar.Map // callers that were cut off because they did not read, by what decided
@@ -36,6 +37,7 @@
 		Reprefill: new(expvar.Int),
 		Continued: new(expvar.Map).Init(),
 		NotBegun:  new(expvar.Map).Init(),
+		Panics:    new(expvar.Int),
 		GivenUp:   new(expvar.Int),
 		Paused:    new(expvar.Map).Init(),
 		Cut:       new(expvar.Map).Init(),
@@ -53,6 +55,7 @@
 	vars.Set("reprefill_tokens_total", m.Reprefill)
 	vars.Set("continuations_total", m.Continued)
 	vars.Set("attempts_not_begun_total", m.NotBegun)
+	vars.Set("session_panics_total", m.Panics)
 	vars.Set("runs_given_up_total", m.GivenUp)
 	vars.Set("answers_paused_total", m.Paused)
 	vars.Set("callers_cut_off_total", m.Cut)
--- a/shell/relay/session.go
+++ b/shell/relay/session.go
@@ -116,7 +116,7 @@
 		links: map[vaneyoke.Attempt]*link{},
 	}
 	s.changed = sync.NewCond(&s.mu)
-	s.timer = time.AfterFunc(time.Hour, s.tick)
+	s.timer = time.AfterFunc(time.Hour, func() { s.contain(s.tick) })
 	r.metrics.Open.Add(1)
 	return s
 }
@@ -231,17 +231,18 @@
 func (s *Session) apply(effect generation.Effect) {
 	switch e := effect.(type) {
 	case generation.Place:
-		go s.place(e)
+		s.spawn(func() { s.place(e) })
 	case generation.NotBegun:
 		s.recordNotBegun(e)
 	case generation.GivenUp:
 		s.recordGivenUp(e)
 	case generation.InspectTail:
-		go s.inspectTail(e, s.links[e.Attempt].upstream)
+		upstream := s.links[e.Attempt].upstream
+		s.spawn(func() { s.inspectTail(e, upstream) })
 	case generation.Probe:
-		go s.probe(e)
+		s.spawn(func() { s.probe(e) })
 	case generation.QueryRun:
-		go s.queryRun(e)
+		s.spawn(func() { s.queryRun(e) })
 	case generation.Start:
 		s.start(e)
 	case generation.Resume:
