A line that is longer than the reader's buffer is read as one

A line whose rest after 4,096 bytes begins with `id:` was taken for the event's number, and the stream failed at each engine.

Ruled out: the writing side, as the wrong bytes are those of the events that the reader returned.

The engine client of the caller API did so already; it has a test at its buffer's multiples now.

--- a/wire/engine/stream_test.go
+++ b/wire/engine/stream_test.go
@@ -97,3 +97,21 @@
 		must.LessEq(t, len(body), ids)
 	})
 }
+
+// Guards against a line that is read as two where it is about as long as the reader's buffer or a multiple of it.
+func TestLongLineIsReadAsTwo(t *testing.T) {
+	stop := "data: {\"choices\":[{\"token_ids\":[],\"finish_reason\":\"stop\"}]}\n\n"
+	for multiple := 1; multiple <= 3; multiple++ {
+		for length := multiple*readBufferBytes - 4; length <= multiple*readBufferBytes+4; length++ {
+			for _, end := range []string{"\n", "\r\n"} {
+				head, tail := "data: {\"pad\":\"", "\",\"choices\":[{\"token_ids\":[7],\"text\":\"a\"}]}"
+				line := head + strings.Repeat("x", length-len(head)-len(tail)) + tail
+				text, ids, _, reason, err := readAll(strings.Repeat(line+end+end, 3)+stop, 0, 0)
+				must.ErrorIs(t, err, io.EOF)
+				must.EqOp(t, "aaa", text)
+				must.EqOp(t, 3, ids)
+				must.EqOp(t, vaneyoke.FinishStop, reason)
+			}
+		}
+	}
+}
