Bodies have room in the machine's memory before they are read, or are refused

Cause: what a node holds for its callers was bound by `buffer_bytes`, 512 MiB whatever the machine has; a body of n bytes took 2 n and more beside that, as it was read into a slice that doubles, and the collector lets the heap double again. Under the bound's pressure bodies waited half read until their callers' time was over, and streams were read no further because of the body that their own request had. Ruled out: unread answers (their bound held), sockets (no piece waited over 11 ms for the link).

Change: `[limits] memory` (MB; 256 where it is not set, the machine's `memoryMb` by the deployed template) is the one setting. Half of it bounds what is held for callers, unless `buffer_bytes` says less; from four fifths of it the collector works against growth. Both are checked at start. A body's memory is reserved before it is allocated, in a slice of the announced length (one in chunks doubles, with both halves reserved). Without room the request is refused before its body is read, with a code of its own (73 `no_memory`, 503) and a time to come back between a twentieth and a tenth of the caller's time, at random, so that callers of full nodes spread. An eighth is kept for answers and bodies of at most 64 KiB. Pressure on answers is counted on what bodies leave, so that a body stops no stream.

Open: complete answers are still read into a slice that doubles, and the caller API accounts for no bodies.

--- a/api/gateway/body.go
+++ b/api/gateway/body.go
@@ -2,26 +2,90 @@
 
 import (
 	"context"
+	"errors"
 	"io"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"time"
 
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/route"
 	"github.com/vaneyoke/vaneyoke/shell/relay"
 )
 
-// bodyReader accounts for a request's body while it is read, and reads no further while the node holds too much.
-type bodyReader struct {
-	io.Reader
-	ctx    context.Context
-	buffer *relay.Buffer
+// firstBodyBytes is the size of the buffer into which a body of unknown length is read first.
+const firstBodyBytes = 4 << 10
+
+// readBody reads the whole body, which must arrive before the deadline of the answer. Its errors carry CodeBodyTooLarge, CodeNoMemory, CodeWaitExceeded or
+// CodeBadRequest.
+func (g *Gateway) readBody(c *call, limits route.Limits, maxWait time.Duration) ([]byte, error) {
+	maxBytes := g.config.MaxBodyBytes
+	if limits.BodyBytes > 0 {
+		maxBytes = limits.BodyBytes
+	}
+	if c.request.ContentLength > maxBytes {
+		return nil, vaneyoke.Err(vaneyoke.CodeBodyTooLarge, "the body is larger than %d bytes", maxBytes)
+	}
+	deadline := c.received.Add(maxWait)
+	control := http.NewResponseController(c.http)
+	_ = control.SetReadDeadline(deadline)
+	body, err := readReserved(http.MaxBytesReader(c.http, c.request.Body, maxBytes), c.request.ContentLength, c.buffer)
+	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
+		return nil, vaneyoke.Err(vaneyoke.CodeBodyTooLarge, "the body is larger than %d bytes", maxBytes)
+	}
+	if vaneyoke.CodeOf(err) == vaneyoke.CodeNoMemory {
+		_ = control.SetReadDeadline(time.Time{})
+		return nil, vaneyoke.ErrRetryAfter(vaneyoke.CodeNoMemory, randomRetryAfter(maxWait, rand.Float64()), "%s", err)
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
+		return nil, vaneyoke.ErrRetryAfter(vaneyoke.CodeWaitExceeded, defaultRetryAfter, "the body did not come within the time for the answer")
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return body, vaneyoke.WrapErr(vaneyoke.CodeBadRequest, err, "read body")
 }
 
-// Read implements io.Reader.
-func (b *bodyReader) Read(p []byte) (int, error) {
-	n, err := b.Reader.Read(p)
-	if n == 0 {
-		return n, err
+// readReserved reads a body of a length, negative if it is not known. The memory is reserved before it is allocated, so that what is accounted for is what
+// the body takes. Errors carry CodeNoMemory or are those of the reader.
+func readReserved(r io.Reader, length int64, buffer *relay.Buffer) ([]byte, error) {
+	if length == 0 {
+		return nil, nil
 	}
-	if failed := b.buffer.Receive(b.ctx, n); failed != nil {
-		return n, failed
+	if length > 0 {
+		if err := buffer.Reserve(int(length)); err != nil {
+			return nil, err
+		}
+		body := make([]byte, length)
+		_, err := io.ReadFull(r, body)
+		return body, err
+	}
+	if err := buffer.Reserve(firstBodyBytes); err != nil {
+		return nil, err
+	}
+	body := make([]byte, 0, firstBodyBytes)
+	for {
+		n, err := r.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		if len(body) == cap(body) {
+			if body, err = grow(body, buffer); err != nil {
+				return nil, err
+			}
+		}
+	}
+}
+
+// grow returns a copy of a body with room for as much again.
+func grow(body []byte, buffer *relay.Buffer) ([]byte, error) {
+	if err := buffer.Reserve(2 * cap(body)); err != nil {
+		return nil, err
 	}
-	return n, err
+	grown := append(make([]byte, 0, 2*cap(body)), body...)
+	buffer.Release(cap(body))
+	return grown, nil
 }
--- a/api/gateway/gateway.go
+++ b/api/gateway/gateway.go
@@ -2,11 +2,8 @@
 
 import (
 	"context"
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
-	"os"
 	"sync/atomic"
 	"time"
 
@@ -164,7 +161,7 @@
 	if retryAfter, refused := g.stopping.Load().refusal(a); refused {
 		return req, relay.Forwarding{}, vaneyoke.ErrRetryAfter(vaneyoke.CodeStopping, retryAfter, "the node is stopping")
 	}
-	body, err := g.readBody(c, table.Limits(), c.received.Add(maxWait))
+	body, err := g.readBody(c, table.Limits(), maxWait)
 	if err != nil {
 		return req, relay.Forwarding{}, err
 	}
@@ -238,31 +235,6 @@
 	return maxWait
 }
 
-// readBody reads the whole body, which must arrive before the deadline of the answer. Its errors carry CodeBodyTooLarge,
-// CodeWaitExceeded or CodeBadRequest.
-func (g *Gateway) readBody(c *call, limits route.Limits, deadline time.Time) ([]byte, error) {
-	maxBytes := g.config.MaxBodyBytes
-	if limits.BodyBytes > 0 {
-		maxBytes = limits.BodyBytes
-	}
-	if c.request.ContentLength > maxBytes {
-		return nil, vaneyoke.Err(vaneyoke.CodeBodyTooLarge, "the body is larger than %d bytes", maxBytes)
-	}
-	control := http.NewResponseController(c.http)
-	_ = control.SetReadDeadline(deadline)
-	ctx, cancel := context.WithDeadline(c.request.Context(), deadline)
-	defer cancel()
-	body, err := io.ReadAll(&bodyReader{ctx: ctx, Reader: http.MaxBytesReader(c.http, c.request.Body, maxBytes), buffer: c.buffer})
-	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
-		return nil, vaneyoke.Err(vaneyoke.CodeBodyTooLarge, "the body is larger than %d bytes", maxBytes)
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, context.DeadlineExceeded) {
-		return nil, vaneyoke.ErrRetryAfter(vaneyoke.CodeWaitExceeded, defaultRetryAfter, "the body did not come within the time for the answer")
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	return body, vaneyoke.WrapErr(vaneyoke.CodeBadRequest, err, "read body")
-}
-
 // refuse writes the error response to a request that was not sent to an upstream.
 func (g *Gateway) refuse(c *call, req *vaneyoke.Request, err error) {
 	code := vaneyoke.CodeOf(err)
--- a/cmd/vaneyoked/gateway_test.go
+++ b/cmd/vaneyoked/gateway_test.go
@@ -42,6 +42,7 @@
 		"{{nodeName}}", "edge-1", "{{zone}}", "a", "{{limits.linkMbps}}", "1000.0", "{{ip}}:9100", admin, "{{ip}}:{{portRange.0}}", "127.0.0.1:0", "{{bounds.graceS}}", "8", "{{bounds.drainMs}}", "2000", "{{bounds.configMs}}", "2000", "{{bounds.contactMs}}", "3000", "{{bounds.retryRatio}}", "0.8", "{{bounds.retryAllowance}}", "150", "{{bounds.retryWindowS}}", "10",
 		"{{bootstrap}}", "false", "{{#cloud.address}}", "", "{{cloud.address}}", store, "{{/cloud.address}}", "", "{{bounds.leaseMs}}", "1000", "{{#bounds.fencing}}", "", "{{/bounds.fencing}}", "",
 		"{{#bounds.reportWindowS}}", "", "{{bounds.reportWindowS}}", "1", "{{/bounds.reportWindowS}}", "", "{{#bounds.usageLateS}}", "", "{{bounds.usageLateS}}", "6", "{{/bounds.usageLateS}}", "",
+		"{{#limits.memoryMb}}", "", "memory = {{.}}", "memory = 284", "{{/limits.memoryMb}}", "",
 		"{{#bounds.exposureShare}}", "", "{{.}}", "0.1", "{{/bounds.exposureShare}}", "",
 		"{{listen.frontend}}", listen, "{{listen.readiness}}", readiness, "{{platform.address}}", store,
 	).Replace(string(text))
@@ -57,6 +58,7 @@
 	must.True(t, s.Gateway.ServesOpaque())
 	must.EqOp(t, "10.0.0.1:1", s.Duties.Platform)
 	must.True(t, s.Duties.Fencing)
+	must.EqOp(t, 142_000_000, s.Limits.MaxBufferBytes())
 	must.EqOp(t, time.Second, s.Duties.Window)
 }
 
--- a/cmd/vaneyoked/main.go
+++ b/cmd/vaneyoked/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"os"
+	"runtime/debug"
 	_ "time/tzdata" // a VM may have no time zone database
 
 	"github.com/urfave/cli/v3"
@@ -56,6 +57,9 @@
 	if err != nil {
 		return vaneyoke.WrapErr(vaneyoke.CodeSettingsValue, err, "[log] level")
 	}
+	if limit, ok := s.Limits.CollectorBytes(); ok {
+		defer debug.SetMemoryLimit(debug.SetMemoryLimit(limit))
+	}
 	n, err := node.New(s, log, out.Lost, nodeOptions...)
 	if err != nil {
 		return err
--- a/code.go
+++ b/code.go
@@ -44,6 +44,7 @@
 	CodeOverloaded     Code = 70
 	CodeVersionGone    Code = 71
 	CodeOriginUnknown  Code = 72
+	CodeNoMemory       Code = 73
 
 	CodeInterrupted Code = 80
 	CodeMayHaveRun  Code = 81
@@ -103,6 +104,7 @@
 	{CodeOverloaded, "overloaded", http.StatusServiceUnavailable, true, "The request could not be served in its time, or others go first; nothing was run."},
 	{CodeVersionGone, "version_gone", http.StatusServiceUnavailable, true, "The stream was begun by a software version of which no upstream is left, and cannot go on; it has to be asked for anew."},
 	{CodeOriginUnknown, "origin_unknown", http.StatusServiceUnavailable, true, "It is not known which of several software versions began the stream, so that it cannot go on; it has to be asked for anew."},
+	{CodeNoMemory, "no_memory", http.StatusServiceUnavailable, true, "The node holds as much for its callers as it may, and has no room for the request's body."},
 	{CodeInterrupted, "interrupted", http.StatusBadGateway, false, "The answer broke off and could not be continued."},
 	{CodeMayHaveRun, "may_have_run", http.StatusBadGateway, false, "The request was sent to an upstream and its outcome is unknown."},
 	{CodeAnswerLost, "answer_lost", http.StatusGone, false, "The answer was given before and is no longer held."},
--- a/decide/backlog/ledger.go
+++ b/decide/backlog/ledger.go
@@ -15,13 +15,19 @@
 // Limits bounds what is held; a zero field is no bound.
 type Limits struct {
 	Caller   Bytes         // unread bytes of an answer from which no more of it is read from its upstream
-	Node     Bytes         // bytes held for all callers together; the node is under pressure from half of it
+	Node     Bytes         // bytes held for all callers together; the node is under pressure from half of what request bodies leave of it
 	Patience time.Duration // how long a caller may read nothing under pressure while more than its share is held for it
 }
 
+const (
+	smallBody = 64 << 10 // largest request body that gets the part of the memory which is kept from larger ones
+	keptPart  = 8        // one part in so many is kept for answers and small bodies
+)
+
 // caller is what is held for one caller.
 type caller struct {
-	held      Bytes // request body and unread part of the answer
+	body      Bytes // reserved for the request's body
+	held      Bytes // of the answer: what was received before it can be delivered, and what the caller has not read
 	unread    Bytes // part of the answer that the caller has not read
 	lastTaken time.Time
 	waiting   bool // whether it was refused growth
@@ -33,7 +39,8 @@
 	limits  Limits
 	callers map[ID]*caller
 	lastID  ID
-	total   Bytes
+	bodies  Bytes
+	answers Bytes
 }
 
 // New returns a ledger without callers.
@@ -49,13 +56,46 @@
 // Close removes a caller and all that is held for it.
 func (l *Ledger) Close(id ID) {
 	if c := l.callers[id]; c != nil {
-		l.total -= c.held
+		l.bodies -= c.body
+		l.answers -= c.held
 		delete(l.callers, id)
 	}
 }
 
 // Total returns the bytes held for all callers.
-func (l *Ledger) Total() Bytes { return l.total }
+func (l *Ledger) Total() Bytes { return l.bodies + l.answers }
+
+// Reserve reserves memory for bytes of a caller's request body, until Release or the end of the caller; ok is false if there is no room for them. A
+// body that is larger than the memory for bodies gets room while there is no other.
+func (l *Ledger) Reserve(id ID, n Bytes) (ok bool) {
+	c := l.callers[id]
+	if c == nil {
+		return false
+	}
+	if l.limits.Node > 0 && !l.hasRoom(n) && (l.bodies > c.body || n <= l.roomForBodies()) {
+		return false
+	}
+	c.body += n
+	l.bodies += n
+	return true
+}
+
+// Release returns memory that was reserved for a caller's request body.
+func (l *Ledger) Release(id ID, n Bytes) {
+	if c := l.callers[id]; c != nil {
+		n = min(n, c.body)
+		c.body -= n
+		l.bodies -= n
+	}
+}
+
+// hasRoom reports whether there is room for a request body.
+func (l *Ledger) hasRoom(n Bytes) bool {
+	return l.Total()+n <= l.limits.Node && (n <= smallBody || l.bodies+n <= l.roomForBodies())
+}
+
+// roomForBodies returns the most memory that large bodies may have together.
+func (l *Ledger) roomForBodies() Bytes { return l.limits.Node - l.limits.Node/keptPart }
 
 // Unread returns the part of a caller's answer that it has not read.
 func (l *Ledger) Unread(id ID) Bytes {
@@ -65,11 +105,11 @@
 	return 0
 }
 
-// Receive records bytes of a caller's request, which are held until it is closed.
+// Receive records bytes of an answer that can be delivered only when it is complete.
 func (l *Ledger) Receive(id ID, n Bytes) {
 	if c := l.callers[id]; c != nil {
 		c.held += n
-		l.total += n
+		l.answers += n
 	}
 }
 
@@ -84,7 +124,7 @@
 	}
 	c.unread += n
 	c.held += n
-	l.total += n
+	l.answers += n
 }
 
 // Deliver records that bytes of an answer that were received before are the caller's to read.
@@ -104,7 +144,7 @@
 	n = min(n, c.unread)
 	c.unread -= n
 	c.held -= n
-	l.total -= n
+	l.answers -= n
 	c.lastTaken = now
 }
 
@@ -132,8 +172,8 @@
 	}
 }
 
-// Check returns whether more may be held for a caller. Under pressure, the earliest of the waiting callers that have nothing to read may grow in any
-// case, so that callers whose bodies are half received do not wait for one another.
+// Check returns whether more of its answer may be held for a caller. Under pressure, the earliest of the waiting callers that have nothing to read may
+// grow in any case, so that callers whose answers are half received do not wait for one another.
 func (l *Ledger) Check(id ID) Verdict {
 	c := l.callers[id]
 	if c == nil {
@@ -150,10 +190,13 @@
 	return verdict
 }
 
-func (l *Ledger) underPressure() bool { return l.limits.Node > 0 && l.total > l.limits.Node/2 }
+func (l *Ledger) underPressure() bool { return l.limits.Node > 0 && l.answers > l.roomForAnswers()/2 }
+
+// roomForAnswers returns the memory that bodies leave.
+func (l *Ledger) roomForAnswers() Bytes { return max(l.limits.Node-l.bodies, 0) }
 
-// share returns an equal share of the half of the memory that is kept for callers that hold little.
-func (l *Ledger) share() Bytes { return l.limits.Node / 2 / Bytes(max(len(l.callers), 1)) }
+// share returns an equal share of the half of the memory for answers that is kept for callers that hold little.
+func (l *Ledger) share() Bytes { return l.roomForAnswers() / 2 / Bytes(max(len(l.callers), 1)) }
 
 // isFirstWaiting reports whether a caller is the one with the lowest ID among those that were refused growth.
 func (l *Ledger) isFirstWaiting(id ID) bool {
@@ -175,7 +218,7 @@
 		return nil
 	}
 	var ids []ID
-	excess := l.total - l.limits.Node/2
+	excess := l.answers - l.roomForAnswers()/2
 	for id, c := range l.callers {
 		if c.cut {
 			excess -= c.held
--- a/decide/backlog/ledger_test.go
+++ b/decide/backlog/ledger_test.go
@@ -72,6 +72,68 @@
 	must.Len(t, 0, l.Stalled(now.Add(time.Minute)), must.Sprint("there is no pressure"))
 }
 
+// drawBody draws the size of a body that has room while nothing else is held.
+func drawBody(t *rapid.T) backlog.Bytes {
+	return backlog.Bytes(rapid.IntRange(1, 300).Draw(t, "bytes"))
+}
+
+// Guards against bodies that take more memory than the node has for callers.
+func TestBodiesExceedTheLimit(t *testing.T) {
+	const node = 8 << 20
+	l := backlog.New(backlog.Limits{Node: node})
+	ids := make([]backlog.ID, 9)
+	for i := range ids {
+		ids[i] = l.Open(start)
+	}
+	for _, id := range ids[:7] {
+		must.True(t, l.Reserve(id, 1<<20))
+	}
+	must.False(t, l.Reserve(ids[7], 1<<20), must.Sprint("an eighth is kept from large bodies"))
+	for range 16 {
+		must.True(t, l.Reserve(ids[8], 64<<10), must.Sprint("for small ones"))
+	}
+	must.False(t, l.Reserve(ids[8], 64<<10))
+	must.EqOp(t, node, l.Total())
+	l.Close(ids[8])
+	l.Release(ids[0], 1<<20)
+	must.True(t, l.Reserve(ids[7], 1<<20))
+	must.False(t, l.Reserve(ids[8], 1), must.Sprint("a caller that has left"))
+	for _, id := range ids {
+		l.Close(id)
+	}
+	must.Zero(t, l.Total())
+}
+
+// Guards against a body that is larger than the node's memory for bodies and is never taken.
+func TestLargestBodyIsNeverTaken(t *testing.T) {
+	l := backlog.New(backlog.Limits{Node: 1 << 20})
+	first, second := l.Open(start), l.Open(start)
+	must.True(t, l.Reserve(first, 1<<19))
+	must.False(t, l.Reserve(second, 2<<20))
+	l.Close(first)
+	must.True(t, l.Reserve(second, 2<<20))
+	must.True(t, l.Reserve(second, 2<<20), must.Sprint("more of the same body"))
+	must.False(t, l.Reserve(l.Open(start), 1))
+}
+
+// Guards against streams that are read no further because large bodies are held, although their callers read all that comes.
+func TestBodiesStopStreamsOfReadingCallers(t *testing.T) {
+	l := backlog.New(backlog.Limits{Node: 8 << 20})
+	ids := make([]backlog.ID, 7)
+	for i := range ids {
+		ids[i] = l.Open(start)
+		must.True(t, l.Reserve(ids[i], 1<<20))
+	}
+	for _, id := range ids {
+		l.Buffer(start, id, 1000)
+		must.EqOp(t, backlog.MayGrow, l.Check(id))
+		l.Take(start, id, 1000)
+	}
+	l.Buffer(start, ids[0], 600<<10)
+	must.EqOp(t, backlog.WaitNode, l.Check(ids[0]), must.Sprint("who does not read waits"))
+	must.EqOp(t, backlog.MayGrow, l.Check(ids[1]))
+}
+
 // TestTotalExceedsTheLimit has callers that ask before they grow by one byte: the node's limit holds, but for one caller that is let through.
 func TestTotalExceedsTheLimit(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -79,6 +141,7 @@
 		now := start
 		held := map[backlog.ID]backlog.Bytes{}
 		unread := map[backlog.ID]backlog.Bytes{}
+		body := map[backlog.ID]backlog.Bytes{}
 		var ids []backlog.ID
 		for range rapid.IntRange(1, 8).Draw(t, "callers") {
 			ids = append(ids, l.Open(now))
@@ -86,7 +149,15 @@
 		for range rapid.IntRange(0, 2000).Draw(t, "steps") {
 			now = now.Add(10 * time.Millisecond)
 			id := rapid.SampledFrom(ids).Draw(t, "caller")
-			switch rapid.IntRange(0, 9).Draw(t, "step") {
+			switch rapid.IntRange(0, 11).Draw(t, "step") {
+			case 10:
+				if n := rapid.Custom(drawBody).Draw(t, "body"); l.Reserve(id, n) {
+					body[id] += n
+				}
+			case 11:
+				n := min(body[id], 70)
+				l.Release(id, n)
+				body[id] -= n
 			case 0:
 				n := min(unread[id], 5)
 				l.Take(now, id, n)
@@ -104,15 +175,17 @@
 					unread[id]++
 				}
 			}
-			total, most := backlog.Bytes(0), backlog.Bytes(0)
+			answers, bodies, most := backlog.Bytes(0), backlog.Bytes(0), backlog.Bytes(0)
 			for _, id := range ids {
 				must.EqOp(t, unread[id], l.Unread(id))
 				must.LessEq(t, limits.Caller, unread[id])
-				total += held[id]
+				answers += held[id]
+				bodies += body[id]
 				most = max(most, held[id])
 			}
-			must.EqOp(t, total, l.Total())
-			must.LessEq(t, limits.Node+most, total)
+			must.EqOp(t, answers+bodies, l.Total())
+			must.LessEq(t, limits.Node+most, answers+bodies)
+			must.LessEq(t, limits.Node, bodies)
 		}
 	})
 }
--- a/process/node/config.go
+++ b/process/node/config.go
@@ -55,7 +55,7 @@
 		Patience:   s.Recovery.Patience,
 	}
 	buffers := backlog.Limits{
-		Caller: backlog.Bytes(s.Limits.UnreadBytes), Node: backlog.Bytes(s.Limits.BufferBytes), Patience: s.Limits.StalledAfter,
+		Caller: backlog.Bytes(s.Limits.UnreadBytes), Node: backlog.Bytes(s.Limits.MaxBufferBytes()), Patience: s.Limits.StalledAfter,
 	}
 	return relay.Config{Generation: config, Buffers: buffers, UneventfulLogEvery: uint64(s.Log.UneventfulLogEvery), CallSilence: s.Limits.CallSilence, UnaryTimeout: s.Limits.UnaryTimeout}
 }
--- a/process/settings/load.go
+++ b/process/settings/load.go
@@ -43,9 +43,23 @@
 			return Settings{}, err
 		}
 	}
+	if err := s.Limits.check(name); err != nil {
+		return s, err
+	}
 	return s, s.checkRequired(name)
 }
 
+// check checks the bounds against one another.
+func (l Limits) check(name string) error {
+	if l.Memory > 0 && float64(l.BufferBytes) > l.Memory*megabyte*bufferShare {
+		return vaneyoke.Err(vaneyoke.CodeSettingsValue, "%s: [limits] buffer_bytes: must be at most half of memory (%g MB), got %d", name, l.Memory, l.BufferBytes)
+	}
+	if bound := l.MaxBufferBytes(); bound > 0 && l.BodyBytes > bound {
+		return vaneyoke.Err(vaneyoke.CodeSettingsValue, "%s: [limits] body_bytes: must be at most the %d bytes that are held for callers, got %d", name, bound, l.BodyBytes)
+	}
+	return nil
+}
+
 // checkRequired checks that a node for opaque requests has all the addresses that it needs.
 func (s *Settings) checkRequired(name string) error {
 	g := s.Gateway
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -92,12 +92,13 @@
 
 // Limits bounds the requests of callers.
 type Limits struct {
+	Memory       float64       `ini:"memory" default:"256" min:"0" doc:"Megabytes of memory that the process may have: at four fifths of it the garbage collector works against its growth, and buffer_bytes follows from it; 0 for no bound."`
 	BodyBytes    int64         `ini:"body_bytes" default:"4194304" min:"1024" doc:"Largest request body in bytes."`
 	MaxWait      time.Duration `ini:"max_wait" default:"30s" min:"10ms" doc:"Longest time without progress before a request is given up."`
 	WriteTimeout time.Duration `ini:"write_timeout" default:"30s" min:"100ms" doc:"Longest time that a caller may take to read a piece of its answer."`
 	UnreadBytes  int64         `ini:"unread_bytes" default:"1048576" min:"0" doc:"Bytes of a streamed answer that its caller has not read, from which the node reads no more of it from the upstream; 0 for no bound."`
 	SocketBytes  int           `ini:"socket_bytes" default:"262144" min:"0" doc:"Size in bytes of the send buffer that the system keeps for a connection of a caller of opaque requests; 0 for the system's own choice, which may be megabytes."`
-	BufferBytes  int64         `ini:"buffer_bytes" default:"536870912" min:"0" doc:"Bytes of bodies and unread answers that the node holds for all callers of opaque requests; from half of it, who holds more than an equal share waits; 0 for no bound."`
+	BufferBytes  int64         `ini:"buffer_bytes" default:"0" min:"0" doc:"Bytes of bodies and unread answers that the node holds for all callers of opaque requests, at most half of memory: a request whose body has no room is refused before it is read, and from half of what bodies leave, who holds more than an equal share of answers waits; 0 for half of memory."`
 	StalledAfter time.Duration `ini:"stalled_after" default:"5s" min:"100ms" doc:"How long a caller that holds more than its share of buffer_bytes may read nothing before it is cut off, while others wait for memory."`
 	CallSilence  time.Duration `ini:"call_silence" default:"5s" min:"10ms" doc:"Silence of a service that makes a call suspect."`
 	UnaryTimeout time.Duration `ini:"whole_limit" default:"10m" min:"1s" doc:"Longest time that an engine may take for an answer that is not streamed."`
@@ -168,6 +169,25 @@
 	Ratio  float64 `ini:"ratio" default:"1" min:"0" max:"1" doc:"Share of requests that are traced where the caller does not say."`
 }
 
+const (
+	megabyte       = 1_000_000
+	collectorShare = 0.8 // of the memory; the rest is for the program, what waits in sockets, and what the collector is late for
+	bufferShare    = 0.5 // of the memory
+)
+
+// CollectorBytes returns the memory from which the garbage collector works against the growth of the process; ok is false if there is no bound.
+func (l Limits) CollectorBytes() (bytes int64, ok bool) {
+	return int64(l.Memory * megabyte * collectorShare), l.Memory > 0
+}
+
+// MaxBufferBytes returns how much the node may hold for callers; 0 for no bound.
+func (l Limits) MaxBufferBytes() int64 {
+	if l.BufferBytes > 0 {
+		return l.BufferBytes
+	}
+	return int64(l.Memory * megabyte * bufferShare)
+}
+
 // ServesOpaque reports whether the node serves opaque requests.
 func (g Gateway) ServesOpaque() bool { return g.Listen != "" }
 
--- a/shell/relay/buffer.go
+++ b/shell/relay/buffer.go
@@ -70,7 +70,28 @@
 	do(b.relay.buffers.ledger)
 }
 
-// Receive records bytes of the request or of a complete answer, and waits until more may be held. It fails if ctx ends first.
+// Reserve reserves memory for the request's body; it fails with CodeNoMemory if the node holds too much for its callers.
+func (b *Buffer) Reserve(n int) error {
+	if b == nil {
+		return nil
+	}
+	var ok bool
+	var total backlog.Bytes
+	b.account(func(l *backlog.Ledger) { ok, total = l.Reserve(b.id, backlog.Bytes(n)), l.Total() })
+	if !ok {
+		return vaneyoke.Err(vaneyoke.CodeNoMemory, "no room for %d bytes of the body beside the %d that are held", n, total)
+	}
+	return nil
+}
+
+// Release returns memory that was reserved for the request's body.
+func (b *Buffer) Release(n int) {
+	if b != nil {
+		b.account(func(l *backlog.Ledger) { l.Release(b.id, backlog.Bytes(n)) })
+	}
+}
+
+// Receive records bytes of a complete answer, and waits until more may be held. It fails if ctx ends first.
 func (b *Buffer) Receive(ctx context.Context, n int) error {
 	if b == nil {
 		return nil
