--- a/tools/standin/run.go
+++ b/tools/standin/run.go
@@ -66,8 +66,8 @@
 	defer timer.Stop()
 	length, generated, hasLength := check.AnswerLength(r.prompt)
 	prefix, last := check.HashPrefix(r.prompt), r.prompt[len(r.prompt)-1]
-	if hasLength && generated > 0 && generated >= length && !check.EndsMidCharacter(last) {
-		r.endWithoutToken(vaneyoke.FinishStop) // the prefix already contains the complete answer
+	if hasLength && (generated > 0 || length == 0) && generated >= length && !check.EndsMidCharacter(last) {
+		r.endWithoutToken(vaneyoke.FinishStop) // the answer is empty, or the prefix already contains all of it
 		return
 	}
 	for n := vaneyoke.Tokens(1); r.awaitNextToken(timer); n++ {
