Soak: streams that never get their end, and panics, are violations

A stream whose caller has all events and asks twenty times without getting the end counts now, with one of a hundred requests allowed, as the twenty take half a second while nodes are killed; a panic that a node logs is a violation at once.

--- a/cmd/vaneyoked/soak_callers_test.go
+++ b/cmd/vaneyoked/soak_callers_test.go
@@ -79,4 +79,7 @@
 		}
 		after += strings.Count(string(text), "\n\n")
 	}
+	if ctx.Err() == nil && whole(after) == "" {
+		s.unended.Add(1)
+	}
 }
--- a/cmd/vaneyoked/soak_test.go
+++ b/cmd/vaneyoked/soak_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -64,6 +65,7 @@
 	atMostOnce     []atMostOnceCall
 	violations     []string
 	served         atomic.Int64
+	unended        atomic.Int64 // streams of which the caller had all events, and did not get the end however often it asked
 }
 
 // atMostOnceCall is the outcome of a call that may run at most once, as its caller saw it.
@@ -167,6 +169,24 @@
 	s.check()
 }
 
+// unendedShare is one out of how many requests may be a stream that has no end, as its callers ask again for half a second only.
+const unendedShare = 100
+
+// checkPanics records the panics that the nodes have logged as violations.
+func (s *soak) checkPanics() {
+	logs, err := filepath.Glob(filepath.Join(s.logs, "*.log"))
+	must.NoError(s.t, err)
+	for _, path := range logs {
+		text, err := os.ReadFile(path)
+		must.NoError(s.t, err)
+		for line := range strings.Lines(string(text)) {
+			if strings.Contains(line, "msg=handler_panicked") || strings.Contains(line, "msg=session_panicked") {
+				s.violations = append(s.violations, filepath.Base(path)+": "+line)
+			}
+		}
+	}
+}
+
 // check compares the answers of at-most-once calls with what engines ran, and fails on violations.
 func (s *soak) check() {
 	runs := map[string]int{}
@@ -182,6 +202,10 @@
 		}
 	}
 	s.t.Logf("seed %d: %d faults, %d answers, %d calls that may run once, %d attempts", *soakSeed, *soakFaults, s.served.Load(), len(s.atMostOnce), s.ids.Load())
+	s.checkPanics()
+	if unended := s.unended.Load(); unended > s.served.Load()/unendedShare {
+		s.violations = append(s.violations, fmt.Sprintf("%d streams had no end, %d requests were served", unended, s.served.Load()))
+	}
 	for _, violation := range s.violations {
 		s.t.Log(violation)
 	}
