--- a/process/node/gateway.go
+++ b/process/node/gateway.go
@@ -116,7 +116,7 @@
 	}
 	n.log.WithFields(logrus.Fields{
 		"vm": s.Node.VM, "data_centre": s.Node.DataCentre, "listen": s.Gateway.Listen, "admin": s.Node.Admin,
-		"build": vaneyoke.Build(), "speaks": int(feed.ProtocolCurrent),
+		"build": vaneyoke.Build(), "speaks": int(feed.ProtocolCurrent), "buffer_bytes": s.Limits.MaxBufferBytes(),
 	}).Info("node_started")
 	return nil
 }
--- a/process/telemetry/events.go
+++ b/process/telemetry/events.go
@@ -63,7 +63,7 @@
 	{"membership_unchanged", []string{"event", "error"}, "The list of members could not be changed."},
 	{"node_joined", []string{"vm"}, "The node has become a member whose confirmation counts."},
 	{"node_removed", []string{"vm"}, "A VM that is gone was taken off the members."},
-	{"node_started", []string{"vm", "data_centre", "listen", "admin", "peer", "build", "speaks"}, "The node serves; build names what it was built from, and speaks what it understands of what nodes say to one another."},
+	{"node_started", []string{"vm", "data_centre", "listen", "admin", "peer", "build", "speaks", "buffer_bytes"}, "The node serves; buffer_bytes is how much it may hold for callers of opaque requests, build names what it was built from, and speaks what it understands of what nodes say to one another."},
 	{"node_stopped", []string{"interrupted", "cut_off", "drained_ms", "ms"}, "The node has ended; interrupted counts the requests whose answer it ended because the grace was over, cut_off the connections that it closed without one, drained_ms says how long the stop took until all connections of callers were answered or cut off, and ms until its counts were handed on and its tasks had ended."},
 	{"node_stopping", []string{"open", "grace", "lame"}, "The node was told to stop; open counts the requests being answered."},
 	{"open_failed", []string{"peer", "error"}, "A home could not be asked who owns a request."},
