A connection attempt that times out over all paths says so, and is probed again

A probe is to be repeated after a time-out, as a single lost packet must not fail it; since connections have detours, it was not in any fleet of two nodes or more.

Cause: the errors of the ways were joined, and a joined error is no timeout, so that the probe took it for a refusal.

Change: the error of a race is a timeout if one of its ways timed out, unless the upstream refused a connection. TestTimeoutOverAllPathsIsNotToldFromARefusal fails before in two of three cases.

--- a/shell/detours/detour_test.go
+++ b/shell/detours/detour_test.go
@@ -304,6 +304,40 @@
 	must.False(t, node.dialer.IsOwnPathLost(t.Context(), upstream))
 }
 
+// Guards against a connection attempt that timed out over all paths and is not repeated, as its error does not say so.
+func TestTimeoutOverAllPathsIsNotToldFromARefusal(t *testing.T) {
+	for name, tc := range map[string]struct {
+		cut     func(node, helper *testNode, upstream string)
+		timeout bool
+	}{
+		"all paths time out": {func(node, _ *testNode, _ string) {
+			node.link.Cut(cutline.Silent, func(string) bool { return true })
+		}, true},
+		"own path times out, the helper misses": {func(node, helper *testNode, upstream string) {
+			node.link.Cut(cutline.Silent, func(address string) bool { return address == upstream })
+			helper.link.Cut(cutline.Silent, func(address string) bool { return address == upstream })
+		}, true},
+		"refused": {func(node, helper *testNode, _ string) {
+			node.link.Restore()
+			helper.link.Restore()
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			down, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // closed at once
+			must.NoError(t, err)
+			must.NoError(t, down.Close())
+			upstream := down.Addr().String()
+			node, helper := newPair(t, upstream)
+			tc.cut(node, helper, upstream)
+			_, err = node.dialer.DialContext(t.Context(), "tcp", upstream)
+			must.Error(t, err)
+			netErr, ok := errors.AsType[net.Error](err)
+			must.True(t, ok)
+			must.EqOp(t, tc.timeout, netErr.Timeout(), must.Sprint(err))
+		})
+	}
+}
+
 // TestUpstreamThatIsDownIsNoLostPath checks that the node tells an upstream that helpers miss as well from a lost path of its own.
 func TestUpstreamThatIsDownIsNoLostPath(t *testing.T) {
 	down, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // closed at once
--- a/shell/detours/race.go
+++ b/shell/detours/race.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
+	"syscall"
 	"time"
 
 	"github.com/vaneyoke/vaneyoke/decide/overlay"
@@ -51,7 +53,27 @@
 			r.startNext(detoursCtx)
 		}
 	}
-	return nil, &net.OpError{Op: "dial", Net: network, Err: errors.Join(r.errs...)}
+	return nil, &net.OpError{Op: "dial", Net: network, Err: raceError(r.errs)}
+}
+
+// raceError holds the errors of all ways that were tried. It is a timeout if one of them is, unless the upstream refused a connection.
+type raceError []error
+
+// Error implements error.
+func (e raceError) Error() string { return errors.Join(e...).Error() }
+
+// Unwrap is called by package errors.
+func (e raceError) Unwrap() []error { return e }
+
+// Timeout is called by net.OpError.
+func (e raceError) Timeout() bool {
+	if errors.Is(e, syscall.ECONNREFUSED) {
+		return false
+	}
+	return slices.ContainsFunc(e, func(err error) bool {
+		timeout, ok := errors.AsType[net.Error](err)
+		return ok && timeout.Timeout()
+	})
 }
 
 // startNext starts the next way that may be tried, if there is one.
