A body that gets no more room releases what it has at once

What callers would see: bodies in chunks that grow at the same time take the room that the others need to grow, and are refused all together although there is room for some.

Cause: a body in chunks is reserved part by part; one that was refused kept its parts until its handler had returned, while the others asked in vain. Change: Reserve releases them in the same step as it refuses. TestGrowingBodiesKeepOneAnotherOut lets 1 to 64 bodies grow in lock step; before, from 7 on none was left.

--- a/decide/backlog/ledger.go
+++ b/decide/backlog/ledger.go
@@ -65,14 +65,16 @@
 // Total returns the bytes held for all callers.
 func (l *Ledger) Total() Bytes { return l.bodies + l.answers }
 
-// Reserve reserves memory for bytes of a caller's request body, until Release or the end of the caller; ok is false if there is no room for them. A
-// body that is larger than the memory for bodies gets room while there is no other.
+// Reserve reserves memory for bytes of a caller's request body, until Release or the end of the caller; ok is false if there is no room for them. What
+// was reserved for other parts of the body is then released at once, as it is of no use but to others. A body that is larger than the memory for bodies
+// gets room while there is no other.
 func (l *Ledger) Reserve(id ID, n Bytes) (ok bool) {
 	c := l.callers[id]
 	if c == nil {
 		return false
 	}
 	if l.limits.Node > 0 && !l.hasRoom(n) && (l.bodies > c.body || n <= l.roomForBodies()) {
+		l.Release(id, c.body)
 		return false
 	}
 	c.body += n
--- a/decide/backlog/ledger_test.go
+++ b/decide/backlog/ledger_test.go
@@ -92,8 +92,10 @@
 	for range 16 {
 		must.True(t, l.Reserve(ids[8], 64<<10), must.Sprint("for small ones"))
 	}
-	must.False(t, l.Reserve(ids[8], 64<<10))
+	must.False(t, l.Reserve(ids[7], 64<<10))
 	must.EqOp(t, node, l.Total())
+	must.False(t, l.Reserve(ids[8], 64<<10), must.Sprint("its other parts are released"))
+	must.EqOp(t, 7<<20, l.Total())
 	l.Close(ids[8])
 	l.Release(ids[0], 1<<20)
 	must.True(t, l.Reserve(ids[7], 1<<20))
@@ -116,6 +118,32 @@
 	must.False(t, l.Reserve(l.Open(start), 1))
 }
 
+// Guards against bodies in chunks that grow at the same time, take the room that the others need, and are refused all together.
+func TestGrowingBodiesKeepOneAnotherOut(t *testing.T) {
+	for callers := 1; callers <= 64; callers++ {
+		l := backlog.New(backlog.Limits{Node: 16_000_000})
+		growing := map[backlog.ID]backlog.Bytes{}
+		for range callers {
+			growing[l.Open(start)] = 0
+		}
+		for size := backlog.Bytes(4 << 10); size <= 4<<20; size *= 2 { // each doubles, with both halves held meanwhile
+			var grown []backlog.ID
+			for id := range growing {
+				if l.Reserve(id, size) {
+					grown = append(grown, id)
+				} else {
+					delete(growing, id)
+				}
+			}
+			for _, id := range grown {
+				l.Release(id, growing[id])
+				growing[id] = size
+			}
+		}
+		must.MapNotEmpty(t, growing, must.Sprint(callers))
+	}
+}
+
 // Guards against streams that are read no further because large bodies are held, although their callers read all that comes.
 func TestBodiesStopStreamsOfReadingCallers(t *testing.T) {
 	l := backlog.New(backlog.Limits{Node: 8 << 20})
@@ -153,6 +181,8 @@
 			case 10:
 				if n := rapid.Custom(drawBody).Draw(t, "body"); l.Reserve(id, n) {
 					body[id] += n
+				} else {
+					body[id] = 0
 				}
 			case 11:
 				n := min(body[id], 70)
