Each request without a complete answer is logged and counted

Callers who got neither an answer nor a refusal left no line of their own: session_ended says why a session ended, but not that its connection was closed, nor how much had been sent; a write that failed and a request that met a closed connection left nothing.

A handler ends a response by a panic with serve.AbortError, which the server reports before it closes the connection as before. answer_aborted has the cause, code, bytes sent and the time since the last configuration, SIGHUP and SIGTERM; answers_aborted_total counts by cause.

No behaviour towards callers changes.

--- a/api/gateway/answer.go
+++ b/api/gateway/answer.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/api/serve"
 	"github.com/vaneyoke/vaneyoke/shell/relay"
 	"github.com/vaneyoke/vaneyoke/wire/forward"
 )
@@ -34,7 +35,7 @@
 	}
 	result, err := a.session.Wait(ctx)
 	if err != nil {
-		panic(http.ErrAbortHandler)
+		panic(a.callerGone(err))
 	}
 	a.writeResult(result)
 }
@@ -55,8 +56,8 @@
 	a.http.WriteHeader(head.Status)
 	for offset := 0; offset < len(body); {
 		n := min(len(body)-offset, maxWrite)
-		if !a.writePiece(body[offset : offset+n]) {
-			return // package http closes the connection, since the body is shorter than announced
+		if err := a.writePiece(body[offset : offset+n]); err != nil {
+			panic(a.writeFailed(err))
 		}
 		offset += n
 		a.session.Delivered(offset)
@@ -66,17 +67,28 @@
 // maxWrite is the largest part of a body that is written at once.
 const maxWrite = 64 << 10
 
-// writePiece writes a part of the answer, which the caller must take within the write timeout; ok is false if it does not.
-func (a *responder) writePiece(p []byte) (ok bool) {
+// errCutOff says that the caller was cut off because it does not read.
+var errCutOff = errors.New("the caller was cut off")
+
+// writePiece writes a part of the answer, which the caller must take within the write timeout.
+func (a *responder) writePiece(p []byte) error {
 	if a.isCut.Load() {
-		return false
+		return errCutOff
 	}
 	_ = a.control.SetWriteDeadline(time.Now().Add(a.writeTimeout))
 	_, err := a.http.Write(p)
 	if errors.Is(err, os.ErrDeadlineExceeded) && !a.isCut.Load() {
 		a.buffer.CutOff(err)
 	}
-	return err == nil
+	return err
+}
+
+func (a *responder) callerGone(err error) serve.AbortError {
+	return serve.AbortError{Cause: serve.AbortCallerGone, Code: vaneyoke.CodeCallerGone, Err: err}
+}
+
+func (a *responder) writeFailed(err error) serve.AbortError {
+	return serve.AbortError{Cause: serve.AbortWriteFailed, Code: vaneyoke.CodeCallerGone, Err: err}
 }
 
 // writeEvents forwards events as they arrive.
@@ -85,7 +97,7 @@
 	for {
 		text, result, err := a.session.Read(ctx, offset)
 		if err != nil {
-			panic(http.ErrAbortHandler)
+			panic(a.callerGone(err))
 		}
 		if result.Ended {
 			a.endStream(result, offset)
@@ -97,9 +109,9 @@
 			a.http.WriteHeader(a.session.Head().Status)
 		}
 		offset += len(text)
-		if !a.writePiece(text) {
+		if err := a.writePiece(text); err != nil {
 			a.session.Abandon()
-			panic(http.ErrAbortHandler)
+			panic(a.writeFailed(err))
 		}
 		_ = a.control.Flush()
 		a.session.Delivered(offset)
@@ -115,7 +127,7 @@
 	case sent == 0:
 		a.writeError(result)
 	default:
-		panic(http.ErrAbortHandler)
+		panic(serve.AbortError{Cause: serve.AbortInterrupted, Code: result.Code, Err: result.Err()})
 	}
 }
 
--- a/api/serve/panic.go
+++ b/api/serve/panic.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/internal/recovered"
@@ -16,10 +17,12 @@
 	Answered bool // whether the caller got an error response; otherwise its connection was closed in the middle of the response
 }
 
-// response is a handler's response; it records whether it has begun.
+// response is a handler's response; it records whether it has begun and how much of it was written.
 type response struct {
 	http.ResponseWriter
-	begun bool
+	started time.Time // when the handler began
+	begun   bool
+	sent    int64 // bytes of the body
 }
 
 // WriteHeader implements http.ResponseWriter.
@@ -31,7 +34,9 @@
 // Write implements http.ResponseWriter.
 func (r *response) Write(p []byte) (int, error) {
 	r.begun = true
-	return r.ResponseWriter.Write(p)
+	n, err := r.ResponseWriter.Write(p)
+	r.sent += int64(n)
+	return n, err
 }
 
 // Flush implements http.Flusher.
@@ -46,8 +51,8 @@
 // Unwrap is called by http.ResponseController.
 func (r *response) Unwrap() http.ResponseWriter { return r.ResponseWriter }
 
-// run calls the handler. If it panics before its response has begun, the caller gets an error response in its place, and the connection goes on. Otherwise
-// the connection is closed, as after http.ErrAbortHandler, so that the response does not look complete.
+// run calls the handler. If it panics before its response has begun, the caller gets an error response in its place, and the connection goes on. Otherwise,
+// and after an AbortError, the connection is closed, so that the response does not look complete.
 func (s *Server) run(w *response, r *http.Request) {
 	defer func() {
 		value := recover()
@@ -55,14 +60,17 @@
 			return
 		}
 		if value == http.ErrAbortHandler { //nolint:errorlint // package http compares it in the same way
-			panic(value)
+			s.abort(w, r, AbortError{Cause: AbortByHandler})
+		}
+		if aborted, ok := value.(AbortError); ok { //nolint:errorlint // a panic's value is not wrapped
+			s.abort(w, r, aborted)
 		}
 		err := recovered.New(value)
 		if s.config.OnPanic != nil {
 			s.config.OnPanic(Panic{Request: CallerOf(r.Context()).requestID(), Host: r.Host, Path: r.URL.Path, Err: err, Answered: !w.begun})
 		}
 		if w.begun {
-			panic(http.ErrAbortHandler)
+			s.abort(w, r, AbortError{Cause: AbortPanicked, Code: vaneyoke.CodeInternal, Err: err})
 		}
 		s.writeError(w, vaneyoke.WrapErr(vaneyoke.CodeInternal, err, "the handler of the request panicked"))
 	}()
--- a/api/serve/server.go
+++ b/api/serve/server.go
@@ -18,6 +18,7 @@
 	WriteBufferBytes  int           // size of a connection's send buffer in the kernel; 0 for the system's own choice
 	ErrorLog          *log.Logger   // for accept errors; nil means standard error
 	OnPanic           func(Panic)   // is told of each handler that panics; nil for none
+	OnAbort           func(Abort)   // is told of each request whose caller gets no complete response; nil for none
 	// WriteError writes the error response for a handler that panicked before its response began; nil means plain text.
 	WriteError func(http.ResponseWriter, error)
 }
@@ -89,8 +90,9 @@
 // together with the one before it.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	caller := CallerOf(r.Context())
+	answer := &response{ResponseWriter: w, started: time.Now()}
 	if !s.startAnswering(caller.conn) {
-		panic(http.ErrAbortHandler)
+		s.abort(answer, r, AbortError{Cause: AbortNotBegun})
 	}
 	if caller.WillClose() {
 		w.Header().Set("Connection", "close")
@@ -98,7 +100,7 @@
 	tracked := &body{ReadCloser: r.Body}
 	copied := r.WithContext(r.Context()) // a copy, since net/http relies on the body of the original
 	copied.Body = tracked
-	s.run(&response{ResponseWriter: w}, copied)
+	s.run(answer, copied)
 	tracked.discard(w, r)
 }
 
--- a/process/node/active_config.go
+++ b/process/node/active_config.go
@@ -30,10 +30,12 @@
 	queue       *queueModes
 	dialer      *detours.Dialer
 	pins        *pins.Node
+	changes     *plannedChanges
 }
 
-func newActiveConfig(b *balancer.Balancer, log logrus.FieldLogger) *activeConfig {
+func newActiveConfig(b *balancer.Balancer, changes *plannedChanges, log logrus.FieldLogger) *activeConfig {
 	return &activeConfig{
+		changes:     changes,
 		balancer:    b,
 		log:         log,
 		routeTables: decodeCache[*route.Table]{decode: platform.DecodeConfig, keepLast: true},
@@ -61,6 +63,7 @@
 		}
 		c.log.WithFields(logrus.Fields{"version": table.Version(), "before": c.version()}).Info("configuration_in_force")
 		c.table.Store(table)
+		c.changes.configured.Store(new(time.Now()))
 		c.queue.apply(table)
 		for service, isRanked := range table.StreamServices() {
 			c.balancer.SetUneven(service, isRanked)
--- a/process/node/gateway.go
+++ b/process/node/gateway.go
@@ -54,6 +54,8 @@
 	active   *activeConfig
 	vars     *expvar.Map
 	panics   *panicRecorder
+	aborts   *abortRecorder
+	changes  *plannedChanges
 	tracing  *telemetry.Tracing
 	log      logrus.FieldLogger
 
@@ -142,7 +144,7 @@
 	s := n.settings.Gateway
 	server := serve.New(handler, serve.Config{
 		ReadHeaderTimeout: s.HeaderWait, IdleTimeout: s.IdleWait, MaxHeaderBytes: s.HeaderBytes, ErrorLog: serverErrors(n.log),
-		WriteBufferBytes: n.settings.Limits.SocketBytes, OnPanic: n.panics.record, WriteError: gateway.WriteError,
+		WriteBufferBytes: n.settings.Limits.SocketBytes, OnPanic: n.panics.record, OnAbort: n.aborts.record, WriteError: gateway.WriteError,
 	})
 	n.servers = append(n.servers, server)
 	n.tasks.Go(func() {
@@ -177,6 +179,7 @@
 // Reload applies the changed grace and lame-duck time; all other changes need a restart.
 func (n *GatewayNode) Reload(s settings.Settings) {
 	n.current.Store(&s)
+	n.changes.reloaded.Store(new(time.Now()))
 	restart := s
 	restart.Node.Grace, restart.Gateway.LameDuck = n.settings.Node.Grace, n.settings.Gateway.LameDuck
 	n.log.WithFields(logrus.Fields{
@@ -187,6 +190,7 @@
 // EnterLameDuck makes the node report that it is not ready; it keeps accepting requests that it can answer before the deadline.
 func (n *GatewayNode) EnterLameDuck(now, deadline time.Time) {
 	lameDuckStreams := min(n.current.Load().Gateway.LameDuckStreams, deadline.Sub(now)/lameDuckStreamDivisor)
+	n.changes.stopping.Store(&now)
 	n.gateway.Stop(gateway.StopPlan{Since: now, Deadline: deadline, ReroutingDelay: notReadyPropagation, LongRequestWindow: lameDuckStreams})
 	n.callers().DisableKeepAlives()
 	n.detours.Stop()
--- a/process/node/gateway_wire.go
+++ b/process/node/gateway_wire.go
@@ -64,6 +64,7 @@
 	do.Provide(i, provideForwarder)
 	do.Provide(i, provideGateway)
 	do.Provide(i, provideGatewayNode)
+	do.ProvideValue(i, &plannedChanges{})
 	for _, option := range options {
 		option(i)
 	}
@@ -89,7 +90,7 @@
 }
 
 func provideActiveConfig(i do.Injector) (*activeConfig, error) {
-	active := newActiveConfig(do.MustInvoke[*balancer.Balancer](i), do.MustInvoke[logrus.FieldLogger](i))
+	active := newActiveConfig(do.MustInvoke[*balancer.Balancer](i), do.MustInvoke[*plannedChanges](i), do.MustInvoke[logrus.FieldLogger](i))
 	do.MustInvoke[*expvar.Map](i).Set("configuration_version", expvar.Func(func() any { return active.version() }))
 	return active, nil
 }
@@ -138,6 +139,8 @@
 		active:   do.MustInvoke[*activeConfig](i),
 		vars:     do.MustInvoke[*expvar.Map](i),
 		panics:   newPanicRecorder(do.MustInvoke[*expvar.Map](i), do.MustInvoke[logrus.FieldLogger](i)),
+		aborts:   newAbortRecorder(do.MustInvoke[*expvar.Map](i), do.MustInvoke[*plannedChanges](i), do.MustInvoke[logrus.FieldLogger](i)),
+		changes:  do.MustInvoke[*plannedChanges](i),
 		tracing:  do.MustInvoke[*telemetry.Tracing](i),
 		log:      do.MustInvoke[logrus.FieldLogger](i),
 	}, nil
--- a/process/telemetry/events.go
+++ b/process/telemetry/events.go
@@ -16,6 +16,7 @@
 func Events() []Event { return events }
 
 var events = []Event{
+	{"answer_aborted", []string{"request", "host", "path", "cause", "code", "error", "sent_bytes", "age_ms", "opened_ms", "configured_ms", "reloaded_ms", "stopping_ms"}, "A caller got no complete response, and its connection was closed: the answer ended midway (interrupted, code says why), the caller left (caller_gone) or did not take a part (write_failed), the handler panicked midway (panicked), or the node had closed the connection (not_begun). configured_ms, reloaded_ms and stopping_ms are since the node last got a configuration, SIGHUP and SIGTERM, -1 for never."},
 	{"answer_paused", []string{"request", "attempt", "upstream", "reason"}, "A stream is read no further from its upstream, because its caller has not read unread_bytes of it (caller), or because the node holds more than half of buffer_bytes and more than an equal share of it for this caller (node)."},
 	{"answers_not_kept", []string{"count"}, "A stopping node could not keep all answers that callers were given for those who ask again."},
 	{"attempt_lost", []string{"request", "content", "attempt", "upstream", "cause", "error", "begun", "pieces", "head_ms", "age_ms"}, "An attempt on an upstream was lost; cause says how. head_ms is when the head of its answer had come (-1 for not at all), pieces how many pieces had, and age_ms when it was lost, all since it was sent; requests with the same content ask the same."},
