A silent run goes on until another one takes over

Callers of streams saw them end midway although their upstream only paused: a run that was silent for a third of the goal between events, and whose upstream did not answer a query, was ended before another one was placed. Where none could be, the answer failed with it (code 80), or a call with 502.

Cause: break before make. giveUpSilent and probed ended the run by loseRun, whose next step, the placement, may be refused: retry budget, limits, push-back, a software version that is gone, quarantine, no live upstream, attempts used up.

Now the run goes on until another attempt is placed, which ends it in the same step, so that no two runs stand beside each other. What it sends before is taken, and the other attempt dropped. A refusal keeps it, and the next attempt is asked for when the refusal says; a final one keeps it to the deadline. An attempt placed on the same upstream, which does not answer, replaces nothing. The check for a crash still comes before the next attempt (Suspect).

Five tests that took the end of a run for its being given up now check Suspect, and that the run ends with the placement and not before. attempt_suspect and suspects_total show it.

--- a/decide/generation/effect.go
+++ b/decide/generation/effect.go
@@ -45,6 +45,13 @@
 	IDs      []vaneyoke.TokenID // the answer so far
 }
 
+// Suspect says that a run is silent or its upstream not reached, and that it goes on until another attempt is placed in its place.
+type Suspect struct {
+	Attempt  vaneyoke.Attempt
+	Upstream vaneyoke.UpstreamID
+	Cause    Cause
+}
+
 // Probe checks whether an attempt's upstream is alive.
 type Probe struct {
 	Attempt  vaneyoke.Attempt
@@ -107,6 +114,7 @@
 func (GivenUp) effect()     {}
 func (InspectTail) effect() {}
 func (Probe) effect()       {}
+func (Suspect) effect()     {}
 func (QueryRun) effect()    {}
 func (Start) effect()       {}
 func (Resume) effect()      {}
--- a/decide/generation/opaque_property_test.go
+++ b/decide/generation/opaque_property_test.go
@@ -24,6 +24,7 @@
 	mayHaveRun map[vaneyoke.Attempt]bool            // started attempts that may have run
 	sent       map[vaneyoke.Attempt]vaneyoke.Tokens // chunks that it has sent
 	fenced     map[vaneyoke.Attempt]bool            // attempts that were lost or cancelled
+	working    map[vaneyoke.Attempt]bool            // started attempts that were neither lost nor cancelled and have not ended
 	origin     vaneyoke.Attempt                     // whose chunk was accepted first, or who ended the answer before any
 	forecast   generation.Forecast
 	ended      bool
@@ -34,7 +35,7 @@
 	m := &opaqueModel{
 		t: t, now: time.Unix(1000, 0),
 		from: map[vaneyoke.Attempt]vaneyoke.Tokens{}, sent: map[vaneyoke.Attempt]vaneyoke.Tokens{},
-		mayHaveRun: map[vaneyoke.Attempt]bool{}, fenced: map[vaneyoke.Attempt]bool{},
+		mayHaveRun: map[vaneyoke.Attempt]bool{}, fenced: map[vaneyoke.Attempt]bool{}, working: map[vaneyoke.Attempt]bool{},
 	}
 	m.config = generation.DefaultConfig()
 	m.config.Opaque = true
@@ -53,10 +54,32 @@
 }
 
 func (m *opaqueModel) handle(ev generation.Event) {
+	switch ev := ev.(type) {
+	case generation.Lost:
+		delete(m.working, ev.Attempt)
+	case generation.Ended:
+		delete(m.working, ev.Attempt)
+	case generation.Unsent:
+		delete(m.working, ev.Attempt)
+	}
+	working, begun, endedBefore := len(m.working), m.state.Transcript().Len() > 0, m.ended
 	for _, effect := range m.state.Handle(m.now, ev) {
 		m.apply(effect)
 	}
 	m.checkInvariants()
+	if !endedBefore && m.failed != nil && begun && m.config.Repeatable && working > 0 && m.now.Before(m.config.Deadline) {
+		m.checkEnded(ev)
+	}
+}
+
+// checkEnded checks that an answer which fails before its deadline, while an upstream may still work on it, does so because of the caller, the node, or
+// an upstream that sends something else than the rest.
+func (m *opaqueModel) checkEnded(ev generation.Event) {
+	switch ev.(type) {
+	case generation.NodeStopping, generation.CallerGone, *generation.Received:
+	default:
+		m.t.Fatalf("the answer ended with %+v upon %#v while %v are at work", *m.failed, ev, m.working)
+	}
 }
 
 func (m *opaqueModel) apply(effect generation.Effect) {
@@ -69,12 +92,14 @@
 		m.checkUseful(e)
 		m.from[e.Attempt] = e.From
 		m.mayHaveRun[e.Attempt] = true
+		m.working[e.Attempt] = true
 	case generation.NotBegun:
 		must.True(m.t, m.config.UsefulOnly, must.Sprint("an attempt was refused with the rule off"))
 	case generation.GivenUp:
 		must.True(m.t, m.config.UsefulOnly, must.Sprint("a run was given up with the rule off"))
 	case generation.Cancel:
 		m.fenced[e.Attempt] = true
+		delete(m.working, e.Attempt)
 	case generation.Resume:
 		m.t.Fatalf("resumed an opaque stream: %+v", e)
 	case generation.Finish:
@@ -172,7 +197,10 @@
 				attempt := m.places[0]
 				m.places = m.places[1:]
 				if rapid.IntRange(0, 4).Draw(t, "none") == 0 {
-					m.handle(generation.NotPlaced{Attempt: attempt, Code: vaneyoke.CodeNoUpstream})
+					code := rapid.SampledFrom([]vaneyoke.Code{
+						vaneyoke.CodeNoUpstream, vaneyoke.CodeRetryExhausted, vaneyoke.CodePushedBack, vaneyoke.CodeVersionGone, vaneyoke.CodeQuarantined,
+					}).Draw(t, "refusal")
+					m.handle(generation.NotPlaced{Attempt: attempt, Code: code, RetryAfter: time.Duration(rapid.IntRange(0, 8).Draw(t, "retry after")) * time.Second})
 					return
 				}
 				upstream := vaneyoke.UpstreamID(rapid.SampledFrom([]string{"e1", "e2", "e3"}).Draw(t, "upstream"))
--- a/decide/generation/opaque_test.go
+++ b/decide/generation/opaque_test.go
@@ -52,9 +52,27 @@
 	return find[generation.Start](o.t, started)
 }
 
-func (o *opaqueAnswer) chunk(at vaneyoke.Tokens) {
+// replace places the attempt that is to replace the latest one, which ends with it and not before, and returns why it was replaced.
+func (o *opaqueAnswer) replace(effects []generation.Effect) generation.Cause {
+	o.t.Helper()
+	suspect, replaced := find[generation.Suspect](o.t, effects), o.last
+	must.EqOp(o.t, replaced, suspect.Attempt)
+	must.False(o.t, has[generation.Cancel](effects))
+	o.last = find[generation.Place](o.t, effects).Attempt
+	placed := o.handle(generation.Placed{Attempt: o.last, Upstream: "e9"})
+	cancelled, isFirst := placed[0].(generation.Cancel)
+	must.True(o.t, isFirst, must.Sprint("the replaced run is not ended before the other begins"))
+	must.EqOp(o.t, replaced, cancelled.Attempt)
+	must.EqOp(o.t, suspect.Cause, cancelled.Cause)
+	must.EqOp(o.t, o.last, find[generation.Start](o.t, placed).Attempt)
+	return suspect.Cause
+}
+
+func (o *opaqueAnswer) chunk(at vaneyoke.Tokens) { o.chunkOf(o.last, at) }
+
+func (o *opaqueAnswer) chunkOf(attempt vaneyoke.Attempt, at vaneyoke.Tokens) []generation.Effect {
 	batch := vaneyoke.Batch{First: at, IDs: []vaneyoke.TokenID{0}, Text: []byte("x")}
-	o.handle(&generation.Received{Attempt: o.last, Batch: batch})
+	return o.handle(&generation.Received{Attempt: attempt, Batch: batch})
 }
 
 func (o *opaqueAnswer) lose(cause generation.Cause) []generation.Effect {
@@ -160,8 +178,7 @@
 	o.now = o.state.NextTick()
 	find[generation.Probe](t, o.handle(generation.Tick{}))
 	effects := o.handle(generation.Probed{Attempt: o.last, Alive: false})
-	must.EqOp(t, generation.CauseUnreachable, find[generation.Cancel](t, effects).Cause)
-	must.True(t, has[generation.Place](effects))
+	must.EqOp(t, generation.CauseUnreachable, o.replace(effects))
 }
 
 // TestOverdueFirstChunkIsQueried has the first chunk of a run be overdue: an upstream that reports working on the run gets the same time
@@ -185,14 +202,13 @@
 	}
 	o.now = o.state.NextTick()
 	must.EqOp(t, 3*patience, o.now.Sub(sent))
-	must.EqOp(t, generation.CauseSilent, find[generation.Cancel](t, o.handle(generation.Tick{})).Cause)
+	must.EqOp(t, generation.CauseSilent, o.replace(o.handle(generation.Tick{})))
 
 	o = start()
 	o.now = o.state.NextTick()
 	find[generation.QueryRun](t, o.handle(generation.Tick{}))
 	effects := o.handle(generation.RunReported{Attempt: o.last, State: vaneyoke.RunStateUnknown})
-	must.EqOp(t, generation.CauseSilent, find[generation.Cancel](t, effects).Cause)
-	must.True(t, has[generation.Place](effects))
+	must.EqOp(t, generation.CauseSilent, o.replace(effects))
 
 	o = start()
 	must.Len(t, 0, o.handle(generation.RunReported{Attempt: o.last, State: vaneyoke.RunStateUnknown})) // without a query
@@ -275,9 +291,11 @@
 	for {
 		o.now = o.state.NextTick()
 		effects := o.handle(generation.Tick{})
-		if has[generation.Cancel](effects) {
+		if has[generation.Suspect](effects) {
+			must.EqOp(t, generation.CauseSilent, o.replace(effects))
 			break
 		}
+		must.False(t, has[generation.Cancel](effects))
 		find[generation.Probe](t, effects)
 		o.handle(generation.Probed{Attempt: o.last, Alive: true})
 	}
@@ -349,7 +367,7 @@
 		o.chunk(0)
 		o.chunk(1)
 		lost := o.silentFor(700 * time.Millisecond)
-		must.True(t, has[generation.Cancel](lost)) // two attempts are left
+		must.EqOp(t, generation.CauseSilent, find[generation.Suspect](t, lost).Cause) // two attempts are left
 		o.place(lost, "e2", "")
 		o.chunk(2)
 		o.chunk(3)
@@ -360,7 +378,7 @@
 		for range 5 {
 			effects := o.silentFor(700 * time.Millisecond)
 			must.True(t, has[generation.QueryRun](effects))
-			must.False(t, has[generation.Cancel](effects))
+			must.False(t, has[generation.Cancel](effects) || has[generation.Suspect](effects))
 			o.handle(generation.RunReported{Attempt: o.last, State: vaneyoke.RunStateRunning})
 		}
 		o.chunk(4)
@@ -372,7 +390,8 @@
 		lost := o.handle(generation.RunReported{Attempt: o.last, State: vaneyoke.RunStateUnknown})
 		o.place(lost, "e3", "")
 		o.chunk(4)
-		must.False(t, has[generation.Cancel](o.silentFor(5*time.Second)))
+		kept := o.silentFor(5 * time.Second)
+		must.False(t, has[generation.Cancel](kept) || has[generation.Suspect](kept))
 		o.chunk(5)
 		must.EqOp(t, 6, o.state.Transcript().Len())
 		must.EqOp(t, vaneyoke.CodeInterrupted, find[generation.Fail](t, o.silentFor(10*time.Second)).Code)
--- a/decide/generation/placing.go
+++ b/decide/generation/placing.go
@@ -24,10 +24,17 @@
 	if r == nil || r.stage != stagePlacing {
 		return
 	}
+	if s.isOwnReplacement(ev) {
+		s.removeRun(ev.Attempt)
+		s.replacementRefused(now, NotPlaced{Attempt: ev.Attempt, Code: vaneyoke.CodeNoUpstream})
+		return
+	}
 	fromReplica := ev.HoldsReplica && s.replicaHolder != ""
 	if s.refuseUseless(now, now, ev.Attempt, fromReplica) {
 		return
 	}
+	s.breakReplaced(ev.Attempt)
+	r = s.findRun(ev.Attempt)
 	r.stage = stageStarted
 	s.lastCode = vaneyoke.CodeOK
 	r.upstream = ev.Upstream
@@ -80,6 +87,7 @@
 	s.lastCode = ev.Code
 	s.retryAfter = ev.RetryAfter
 	if len(s.runs) > 0 {
+		s.replacementRefused(now, ev)
 		return
 	}
 	if ev.Code == vaneyoke.CodeQuarantined || ev.Code.IsFinal() {
@@ -119,12 +127,14 @@
 }
 
 // backoff returns 0 after the first of consecutive losses, and an exponentially growing, jittered delay after later ones.
-func (s *State) backoff() time.Duration {
-	if s.consecutiveLosses <= 1 {
+func (s *State) backoff() time.Duration { return s.backoffAfter(s.consecutiveLosses) }
+
+func (s *State) backoffAfter(losses int) time.Duration {
+	if losses <= 1 {
 		return 0
 	}
 	full := s.cfg.Backoff.Cap
-	if shift := s.consecutiveLosses - 2; shift < 16 {
+	if shift := losses - 2; shift < 16 {
 		full = min(s.cfg.Backoff.Base<<shift, s.cfg.Backoff.Cap)
 	}
 	jitter := s.rng.Float64() * jitterShare
--- a/decide/generation/query.go
+++ b/decide/generation/query.go
@@ -35,18 +35,15 @@
 // would repeat the work on another upstream and slow down what runs there.
 func (s *State) runReported(now time.Time, ev RunReported) {
 	r := s.findRun(ev.Attempt)
-	if r == nil || r.stage == stagePlacing || r.queries == 0 { // a chunk has arrived since the query
+	if r == nil || r.stage == stagePlacing || r.queries == 0 || r.successor != 0 { // a chunk has arrived since the query
 		return
 	}
+	r.answersQueries = ev.State != vaneyoke.RunStateUnknown
 	if s.keepWaiting(now, r, ev) {
 		return
 	}
 	s.stats.Suspected++
-	if ev.State == vaneyoke.RunStateNone {
-		s.loseRun(now, r, CauseSilent)
-		return
-	}
-	s.giveUpSilent(now, r)
+	s.replaceRun(now, r, CauseSilent)
 }
 
 // keepWaiting reports whether to keep waiting for a silent run, given its upstream's report.
@@ -101,5 +98,13 @@
 	return r.gaps.last
 }
 
-// resetQueries clears the query counters when a batch arrives.
+// resetQueries clears the query counters.
 func (r *run) resetQueries() { r.queries, r.aheadReports = 0, 0 }
+
+// recover records that a run is not silent any more.
+func (r *run) recover() {
+	r.resetQueries()
+	r.suspect, r.kept = false, false
+	r.successor, r.givenUpFor, r.answersQueries = 0, 0, false
+	r.refusals, r.waitUntil = 0, time.Time{}
+}
--- a/decide/generation/query_test.go
+++ b/decide/generation/query_test.go
@@ -67,10 +67,12 @@
 				must.EqOp(t, "e1", find[generation.QueryRun](t, effects).Upstream) // never given up without a query
 				reported := tc.reports[min(n, len(tc.reports)-1)]
 				effects = o.handle(generation.RunReported{Attempt: o.last, State: reported.state, Produced: reported.produced})
-				if has[generation.Cancel](effects) {
+				must.False(t, has[generation.Cancel](effects))
+				if has[generation.Suspect](effects) {
 					silent := o.now.Sub(last)
 					must.Between(t, tc.minSilence, silent, tc.maxSilence)
 					must.EqOp(t, tc.replica, find[generation.Place](t, effects).Prefer)
+					must.EqOp(t, generation.CauseSilent, o.replace(effects))
 					return
 				}
 			}
--- a/decide/generation/run.go
+++ b/decide/generation/run.go
@@ -17,25 +17,31 @@
 
 // run is one live attempt.
 type run struct {
-	attempt      vaneyoke.Attempt
-	stream       vaneyoke.Attempt // the attempt that started the stream; the engine knows the stream by its number
-	upstream     vaneyoke.UpstreamID
-	stage        stage
-	sent         bool               // whether it was sent to an upstream
-	resumed      bool               // attached to the stream of an earlier attempt
-	pending      []vaneyoke.TokenID // received, but not accepted yet: their text ends within a character
-	placedAt     time.Time
-	probing      bool          // whether a probe is in flight
-	aliveAt      time.Time     // when the upstream last answered a probe, or the run was placed
-	queries      int           // queries for the run's state since the last batch
-	aheadReports int           // consecutive reports of chunks that were produced but have not arrived
-	expectedTTFT time.Duration // expected time to first token
-	gaps         gapEstimate
-	replica      vaneyoke.UpstreamID // keeps a replica of the run's KV cache; "" for none
-	fromReplica  bool                // whether it continues from a replica of a lost run's KV cache
-	paused       bool                // whether its stream is not read, so that its silence means nothing
-	kept         bool                // silent for longer than its limit, but no other attempt could complete the answer in time
-	suspect      bool                // silent for longer than its limit; a second attempt races it if one could be started
+	attempt          vaneyoke.Attempt
+	stream           vaneyoke.Attempt // the attempt that started the stream; the engine knows the stream by its number
+	upstream         vaneyoke.UpstreamID
+	stage            stage
+	sent             bool               // whether it was sent to an upstream
+	resumed          bool               // attached to the stream of an earlier attempt
+	pending          []vaneyoke.TokenID // received, but not accepted yet: their text ends within a character
+	placedAt         time.Time
+	probing          bool          // whether a probe is in flight
+	aliveAt          time.Time     // when the upstream last answered a probe, or the run was placed
+	queries          int           // queries for the run's state since the last batch
+	aheadReports     int           // consecutive reports of chunks that were produced but have not arrived
+	expectedTTFT     time.Duration // expected time to first token
+	gaps             gapEstimate
+	replica          vaneyoke.UpstreamID // keeps a replica of the run's KV cache; "" for none
+	fromReplica      bool                // whether it continues from a replica of a lost run's KV cache
+	paused           bool                // whether its stream is not read, so that its silence means nothing
+	kept             bool                // silent for longer than its limit, but no other attempt could complete the answer
+	suspect          bool                // silent for longer than its limit; a second attempt races it if one could be started
+	successor        vaneyoke.Attempt    // that is being placed to replace it; 0 for none
+	answersQueries   bool                // whether its upstream answered the last query, so that a new connection to the same upstream may help
+	givenUpFor       Cause               // why it is to be replaced; 0 if it is not
+	unreachableSince time.Time           // when its upstream was first not reached since it last was; zero if it is
+	refusals         int                 // of its successors since its last batch
+	waitUntil        time.Time           // before which no other successor is asked for; zero for none
 }
 
 // cancel returns the effect that ends the run.
--- a/decide/generation/silence.go
+++ b/decide/generation/silence.go
@@ -17,10 +17,10 @@
 // nextCheck returns when a run's silence requires a decision or a probe.
 func (s *State) nextCheck(r *run) time.Time {
 	at := s.silenceDeadline(r)
-	if s.cfg.ProbeEvery == 0 || r.stage != stageStarted || r.probing || r.gaps.count > 0 {
+	if s.cfg.ProbeEvery == 0 || r.stage != stageStarted || r.probing || r.gaps.count > 0 || r.successor != 0 {
 		return at
 	}
-	if probe := r.aliveAt.Add(s.cfg.ProbeEvery); probe.Before(at) {
+	if probe := latest(r.aliveAt.Add(s.cfg.ProbeEvery), r.waitUntil); probe.Before(at) {
 		return probe
 	}
 	return at
@@ -34,8 +34,11 @@
 	}
 	r.probing = false
 	r.aliveAt = now
-	if !ev.Alive && r.stage == stageStarted {
-		s.loseRun(now, r, CauseUnreachable)
+	if ev.Alive {
+		r.unreachableSince = time.Time{}
+	}
+	if !ev.Alive && r.stage == stageStarted && r.successor == 0 {
+		s.replaceRun(now, r, CauseUnreachable)
 	}
 }
 
@@ -45,8 +48,8 @@
 	if r.stage == stagePlacing {
 		return since.Add(s.cfg.MaxWait)
 	}
-	if r.paused || r.kept || s.cfg.KeepLastAttempt && s.attemptsLeft() <= 0 {
-		return s.cfg.Deadline
+	if r.paused || r.kept || r.successor != 0 || s.cfg.KeepLastAttempt && s.attemptsLeft() <= 0 {
+		return s.waitLimit()
 	}
 	limit := r.gaps.limit(s.cfg.Silence)
 	if r.gaps.count == 0 && r.expectedTTFT > 0 {
@@ -58,7 +61,22 @@
 	if r.suspect || s.cfg.Recovery == vaneyoke.RecoverFrugal || !s.cfg.Repeatable {
 		limit = time.Duration(float64(limit) * s.cfg.Silence.Patience)
 	}
-	return since.Add(limit * time.Duration(1+r.queries))
+	return latest(since.Add(limit*time.Duration(1+r.queries)), r.waitUntil)
+}
+
+// waitLimit returns until when a run is waited for whose silence ends nothing.
+func (s *State) waitLimit() time.Time {
+	if s.cfg.Deadline.IsZero() {
+		return s.lastProgress.Add(s.cfg.MaxWait)
+	}
+	return s.cfg.Deadline
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // pause suspends the silence limit of a run whose stream is not read, or starts its silence anew.
@@ -87,6 +105,9 @@
 
 // handleSilence hedges the silent run of a generation with fast recovery by a second attempt, and replaces any other silent run.
 func (s *State) handleSilence(now time.Time, r *run) {
+	if r.stage == stagePlacing && s.keepReplaced(r.attempt) {
+		return
+	}
 	if r.stage == stagePlacing {
 		s.removeRun(r.attempt)
 		s.consecutiveLosses++
@@ -100,7 +121,7 @@
 	s.stats.Suspected++
 	race := !s.cfg.Opaque && s.cfg.Recovery == vaneyoke.RecoverFast && s.cfg.Repeatable && !r.suspect
 	if !race || len(s.runs) > 1 {
-		s.giveUpSilent(now, r)
+		s.replaceRun(now, r, CauseSilent)
 		return
 	}
 	if s.answer.Len() > 0 && s.answer.Prompt == nil {
--- /dev/null
+++ b/decide/generation/silent_run_test.go
@@ -0,0 +1,221 @@
+package generation_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/generation"
+)
+
+// pausedUpstreams plays upstreams that all send nothing for a while, do not answer queries either, and a placement that refuses each further attempt.
+type pausedUpstreams struct {
+	refusal    vaneyoke.Code
+	retryAfter time.Duration
+}
+
+// play advances the clock, answers what the state machine asks for, and returns all effects.
+func (p pausedUpstreams) play(o *opaqueAnswer, pause time.Duration) []generation.Effect {
+	end := o.now.Add(pause)
+	var all, pending []generation.Effect
+	for !o.state.Ended() && o.now.Before(end) {
+		if len(pending) == 0 {
+			due := o.state.NextTick()
+			if due.IsZero() || due.After(end) {
+				o.now = end
+				return all
+			}
+			o.now = latest(o.now, due)
+			pending = o.handle(generation.Tick{})
+			all = append(all, pending...)
+			continue
+		}
+		effect := pending[0]
+		pending = pending[1:]
+		answered := p.answer(o, effect)
+		all = append(all, answered...)
+		pending = append(pending, answered...)
+	}
+	return all
+}
+
+func (p pausedUpstreams) answer(o *opaqueAnswer, effect generation.Effect) []generation.Effect {
+	switch e := effect.(type) {
+	case generation.QueryRun:
+		return o.handle(generation.RunReported{Attempt: e.Attempt, State: vaneyoke.RunStateUnknown})
+	case generation.Probe:
+		return o.handle(generation.Probed{Attempt: e.Attempt, Alive: false})
+	case generation.Place:
+		o.now = o.now.Add(e.Delay)
+		return o.handle(generation.NotPlaced{Attempt: e.Attempt, Code: p.refusal, RetryAfter: p.retryAfter})
+	default:
+		return nil
+	}
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// refusals are the reasons for which a further attempt may not be placed.
+var refusals = map[string]pausedUpstreams{
+	"no upstream is live":            {vaneyoke.CodeNoUpstream, 2 * time.Second},
+	"no upstream is listed":          {vaneyoke.CodeUnknownModel, 0},
+	"the retry budget is spent":      {vaneyoke.CodeRetryExhausted, 2 * time.Second},
+	"limits are reached":             {vaneyoke.CodeWithheld, 100 * time.Millisecond},
+	"limits are reached for long":    {vaneyoke.CodeWithheld, 8 * time.Second},
+	"upstreams push back":            {vaneyoke.CodePushedBack, 100 * time.Millisecond},
+	"upstreams push back for long":   {vaneyoke.CodePushedBack, 8 * time.Second},
+	"others go first":                {vaneyoke.CodeOverloaded, 8 * time.Second},
+	"the software version is gone":   {vaneyoke.CodeVersionGone, 0},
+	"the content ends its upstreams": {vaneyoke.CodeQuarantined, time.Hour},
+}
+
+// Guards against a stream that is broken off although its upstream only pauses, as no other upstream takes it.
+func TestStreamOfAPausedUpstreamIsBrokenOff(t *testing.T) {
+	for name, upstreams := range refusals {
+		for replicaName, replica := range map[string]vaneyoke.UpstreamID{"with a replica": "e2", "without a replica": ""} {
+			t.Run(name+", "+replicaName, func(t *testing.T) {
+				o := newSilentStream(t, replica)
+				effects := upstreams.play(o, 1200*time.Millisecond)
+				must.True(t, has[generation.Place](effects))
+				must.False(t, has[generation.Fail](effects))
+				must.False(t, has[generation.Cancel](effects))
+				o.chunkOf(1, 2)
+				must.EqOp(t, 3, o.state.Transcript().Len())
+				must.True(t, has[generation.Finish](o.handle(generation.Ended{Attempt: 1, Reason: vaneyoke.FinishStop})))
+			})
+		}
+	}
+}
+
+// Guards against a stream that is broken off while its upstream pauses because the replacement was refused again and again.
+func TestRefusedReplacementsUseUpTheLossesOfAnAnswer(t *testing.T) {
+	o := newSilentStream(t, "")
+	effects := pausedUpstreams{refusal: vaneyoke.CodeRetryExhausted}.play(o, 8*time.Second)
+	must.False(t, has[generation.Fail](effects))
+	o.chunkOf(1, 2)
+	lost := o.handle(generation.Lost{Attempt: 1, Cause: generation.CauseClosed})
+	must.True(t, has[generation.Place](lost)) // a refusal that came before the chunk does not count
+}
+
+// Guards against a request that fails because its upstream accepts no connection for a moment and no other upstream takes it.
+func TestRequestOfAPausedUpstreamFails(t *testing.T) {
+	for name, upstreams := range refusals {
+		t.Run(name, func(t *testing.T) {
+			o := newOpaqueAnswer(t, func(c *generation.Config) { c.ProbeEvery = 400 * time.Millisecond })
+			o.place(o.handle(generation.Admitted{}), "e1", "")
+			effects := upstreams.play(o, 1200*time.Millisecond)
+			must.True(t, has[generation.Place](effects))
+			must.False(t, has[generation.Fail](effects))
+			o.chunkOf(1, 0)
+			must.True(t, has[generation.Finish](o.handle(generation.Ended{Attempt: 1, Reason: vaneyoke.FinishStop})))
+		})
+	}
+}
+
+// Guards against a call that fails before its time is over because its last upstream is silent.
+func TestCallOfAPausedUpstreamFailsEarly(t *testing.T) {
+	o := newOpaqueAnswer(t, func(c *generation.Config) {
+		c.MaxAttempts, c.ProbeEvery = 1, 0
+		c.Silence.FirstToken, c.Silence.Floor = 450*time.Millisecond, 450*time.Millisecond
+	})
+	o.place(o.handle(generation.Admitted{}), "e1", "")
+	must.False(t, has[generation.Fail](pausedUpstreams{refusal: vaneyoke.CodeNoUpstream}.play(o, 1200*time.Millisecond)))
+	o.chunkOf(1, 0)
+	must.EqOp(t, 1, o.state.Transcript().Len())
+}
+
+// Guards against a call that fails because the last upstream that may get it accepts no connection for a moment, and against one that waits for a dead
+// upstream until its time is over.
+func TestLastUpstreamIsGivenUpTooEarlyOrTooLate(t *testing.T) {
+	begin := func(t *testing.T) *opaqueAnswer {
+		o := newOpaqueAnswer(t, func(c *generation.Config) { c.MaxAttempts, c.ProbeEvery = 1, 75*time.Millisecond })
+		o.place(o.handle(generation.Admitted{}), "e1", "")
+		return o
+	}
+	unreachable := pausedUpstreams{refusal: vaneyoke.CodeNoUpstream}
+	t.Run("it pauses", func(t *testing.T) {
+		o := begin(t)
+		must.False(t, has[generation.Fail](unreachable.play(o, 1200*time.Millisecond)))
+		o.chunkOf(1, 0)
+		must.EqOp(t, 1, o.state.Transcript().Len())
+	})
+	t.Run("it is reached in between", func(t *testing.T) {
+		o := begin(t)
+		must.False(t, has[generation.Fail](unreachable.play(o, 1200*time.Millisecond)))
+		o.handle(generation.Probed{Attempt: 1, Alive: true})
+		must.False(t, has[generation.Fail](unreachable.play(o, 1200*time.Millisecond)))
+	})
+	t.Run("it is dead", func(t *testing.T) {
+		o := begin(t)
+		began := o.now
+		fail := find[generation.Fail](t, unreachable.play(o, 9*time.Second))
+		must.EqOp(t, vaneyoke.CodeUpstream, fail.Code)
+		must.Less(t, 2*time.Second, o.now.Sub(began))
+	})
+}
+
+// silentUntilPlaced has a stream fall silent until another attempt is asked for.
+func silentUntilPlaced(t *testing.T) (*opaqueAnswer, generation.Place) {
+	o := newSilentStream(t, "e2")
+	for {
+		o.now = o.state.NextTick()
+		effects := o.handle(generation.Tick{})
+		if has[generation.QueryRun](effects) {
+			effects = o.handle(generation.RunReported{Attempt: 1, State: vaneyoke.RunStateUnknown})
+		}
+		if has[generation.Place](effects) {
+			must.False(t, has[generation.Cancel](effects))
+			return o, find[generation.Place](t, effects)
+		}
+	}
+}
+
+// Guards against a second run beside one that goes on, and against two runs of one answer.
+func TestSilentRunAndItsReplacementRunBesideEachOther(t *testing.T) {
+	t.Run("it goes on before the replacement is placed", func(t *testing.T) {
+		o, place := silentUntilPlaced(t)
+		cancelled := find[generation.Cancel](t, o.chunkOf(1, 2))
+		must.EqOp(t, place.Attempt, cancelled.Attempt)
+		must.EqOp(t, 0, cancelled.Cause)
+		must.SliceEmpty(t, o.handle(generation.Placed{Attempt: place.Attempt, Upstream: "e2", HoldsReplica: true}))
+		o.chunkOf(1, 3)
+		must.EqOp(t, 4, o.state.Transcript().Len())
+	})
+	t.Run("the replacement is placed", func(t *testing.T) {
+		o, place := silentUntilPlaced(t)
+		effects := o.handle(generation.Placed{Attempt: place.Attempt, Upstream: "e2", HoldsReplica: true})
+		cancelled := find[generation.Cancel](t, effects)
+		must.EqOp(t, 1, cancelled.Attempt)
+		must.EqOp(t, generation.CauseSilent, cancelled.Cause)
+		must.True(t, cancelled.Stop)
+		must.True(t, find[generation.Start](t, effects).FromReplica)
+		o.chunkOf(1, 2) // too late
+		must.EqOp(t, 2, o.state.Transcript().Len())
+	})
+	t.Run("the replacement is placed on the same upstream", func(t *testing.T) {
+		o, place := silentUntilPlaced(t)
+		must.SliceEmpty(t, o.handle(generation.Placed{Attempt: place.Attempt, Upstream: "e1"}))
+		o.chunkOf(1, 2)
+		must.EqOp(t, 3, o.state.Transcript().Len())
+	})
+	t.Run("it is lost before the replacement is placed", func(t *testing.T) {
+		o, place := silentUntilPlaced(t)
+		effects := o.handle(generation.Lost{Attempt: 1, Cause: generation.CauseClosed})
+		must.False(t, has[generation.Place](effects)) // one is on its way
+		must.True(t, has[generation.Start](o.handle(generation.Placed{Attempt: place.Attempt, Upstream: "e2", HoldsReplica: true})))
+	})
+	t.Run("it is lost after the replacement was refused", func(t *testing.T) {
+		o, place := silentUntilPlaced(t)
+		must.SliceEmpty(t, o.handle(generation.NotPlaced{Attempt: place.Attempt, Code: vaneyoke.CodeVersionGone}))
+		again := find[generation.Place](t, o.handle(generation.Lost{Attempt: 1, Cause: generation.CauseClosed}))
+		must.EqOp(t, "e2", again.Prefer)
+		must.EqOp(t, vaneyoke.CodeInterrupted, find[generation.Fail](t, o.handle(generation.NotPlaced{Attempt: again.Attempt, Code: vaneyoke.CodeVersionGone})).Code)
+	})
+}
--- a/decide/generation/state.go
+++ b/decide/generation/state.go
@@ -144,8 +144,12 @@
 
 // findRun returns the live run of an attempt, or nil if the attempt is fenced.
 func (s *State) findRun(attempt vaneyoke.Attempt) *run {
+	return s.runWhere(func(r *run) bool { return r.attempt == attempt })
+}
+
+func (s *State) runWhere(matches func(*run) bool) *run {
 	for i := range s.runs {
-		if s.runs[i].attempt == attempt {
+		if matches(&s.runs[i]) {
 			return &s.runs[i]
 		}
 	}
@@ -198,8 +202,7 @@
 		return
 	}
 	r.stage = stageStreaming
-	r.suspect, r.kept = false, false
-	r.resetQueries()
+	r.recover()
 	r.gaps.add(now)
 	if len(ev.Batch.Text) == 0 {
 		r.pending = append(r.pending, ev.Batch.IDs...)
@@ -320,6 +323,9 @@
 		return
 	}
 	s.removeRun(ev.Attempt)
+	if len(s.runs) > 0 {
+		return
+	}
 	code := vaneyoke.CodeRefused
 	switch {
 	case s.answer.Len() > 0:
--- a/decide/generation/useful.go
+++ b/decide/generation/useful.go
@@ -96,6 +96,9 @@
 		return false
 	}
 	s.notBegun(now, attempt, reason, w, fromReplica)
+	if s.keepReplaced(attempt) {
+		return true
+	}
 	s.failUseless()
 	return true
 }
@@ -132,21 +135,6 @@
 	return false
 }
 
-// giveUpSilent gives up a silent run if another attempt can replace it in time, and keeps it otherwise.
-func (s *State) giveUpSilent(now time.Time, r *run) {
-	s.recordPace(r)
-	fromReplica := r.replica != "" && r.stage == stageStreaming
-	w := s.expectedWork(fromReplica)
-	reason := s.lateness(now, w)
-	if !s.cfg.Opaque || reason == 0 || s.cfg.MaxAttempts > 0 && s.attemptsLeft() <= 0 {
-		s.loseRun(now, r, CauseSilent)
-		return
-	}
-	s.notBegun(now, s.lastAttempt+1, reason, w, fromReplica)
-	r.kept = true
-	r.resetQueries()
-}
-
 // uselessAt returns when the runs that were sent can no longer complete the answer even if its first chunk comes at once; zero if that is unknown. A
 // stream that has begun is left to the deadline, since its caller still gets a part of the answer.
 func (s *State) uselessAt() time.Time {
--- a/decide/generation/useful_test.go
+++ b/decide/generation/useful_test.go
@@ -180,7 +180,7 @@
 	o.handle(usualForecast)
 	silent := o.handle(generation.Tick{})
 	must.True(t, isRefused(silent))
-	must.False(t, has[generation.Cancel](silent))
+	must.False(t, has[generation.Cancel](silent) || has[generation.Suspect](silent) || has[generation.Place](silent))
 	must.False(t, has[generation.NotBegun](o.handle(generation.Tick{})))
 	for at := range vaneyoke.Tokens(50) {
 		o.chunk(50 + at)
--- a/shell/relay/attempt.go
+++ b/shell/relay/attempt.go
@@ -107,7 +107,9 @@
 	if e.Cause == generation.CauseSilent || e.Cause == generation.CauseUnreachable {
 		outcome = outcomeOf(e.Cause)
 		s.recordLoss(e.Attempt, l, e.Cause, nil)
-		s.checkCrash(l, e.Cause)
+		if !l.suspected { // otherwise it was checked before the attempt that replaces it
+			s.checkCrash(l, e.Cause)
+		}
 	}
 	if e.Cause == generation.CauseSilent {
 		s.recordAnswer(l, rollout.Answer{Kind: rollout.AnswerLost})
@@ -118,6 +120,17 @@
 	}
 }
 
+// suspect logs and counts that another attempt is to replace one, which goes on until then.
+func (s *Session) suspect(e generation.Suspect) {
+	l := s.links[e.Attempt]
+	l.suspected = true
+	s.logAttempt(e.Attempt, e.Upstream).WithFields(logrus.Fields{
+		"cause": e.Cause, "pieces": l.chunks, "head_ms": l.headMs(), "age_ms": time.Since(l.sentAt).Milliseconds(), "left_ms": s.timeLeftMs(),
+	}).Info("attempt_suspect")
+	s.relay.metrics.Suspects.Add(e.Cause.String(), 1)
+	s.checkCrash(l, e.Cause)
+}
+
 func (s *Session) stopRun(upstream vaneyoke.Upstream, name string) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), cancelTimeout)
 	defer cancel()
--- a/shell/relay/guard.go
+++ b/shell/relay/guard.go
@@ -45,6 +45,7 @@
 // recordReceived records that a chunk of an attempt's answer has arrived.
 func (s *Session) recordReceived(now time.Time, l *link) {
 	l.chunks++
+	l.suspected = false
 	l.lastReceivedAt = now
 	s.provenSafe = s.provenSafe || now.Sub(l.headAt) > startWindow
 }
--- a/shell/relay/metrics.go
+++ b/shell/relay/metrics.go
@@ -11,6 +11,7 @@
 	Tokens    *expvar.Int // accepted
 	Attempts  *expvar.Int // runs started on upstreams
 	Losses    *expvar.Map // attempts lost, by cause
+	Suspects  *expvar.Map // attempts that another one was to replace, by cause
 	Discarded *expvar.Int // tokens received but not accepted
 	Reprefill *expvar.Int // tokens sent to engines again as a prefix
 	Continued *expvar.Map // attempts that continue a stream of which the caller has events, by how their software version compares with that of the events
@@ -33,6 +34,7 @@
 		Tokens:    new(expvar.Int),
 		Attempts:  new(expvar.Int),
 		Losses:    new(expvar.Map).Init(),
+		Suspects:  new(expvar.Map).Init(),
 		Discarded: new(expvar.Int),
 		Reprefill: new(expvar.Int),
 		Continued: new(expvar.Map).Init(),
@@ -51,6 +53,7 @@
 	vars.Set("tokens_total", m.Tokens)
 	vars.Set("attempts_total", m.Attempts)
 	vars.Set("losses_total", m.Losses)
+	vars.Set("suspects_total", m.Suspects)
 	vars.Set("discarded_tokens_total", m.Discarded)
 	vars.Set("reprefill_tokens_total", m.Reprefill)
 	vars.Set("continuations_total", m.Continued)
--- a/shell/relay/session.go
+++ b/shell/relay/session.go
@@ -64,6 +64,7 @@
 	isRetry         bool                 // whether it counts against the retry budget
 	resumed         bool                 // whether it is attached to an earlier attempt's stream
 	gotFirstToken   bool                 // whether its first token has arrived
+	suspected       bool                 // whether another attempt was asked for to replace it since its last chunk
 	fenced          bool                 // whether the attempt was cancelled
 	outcomeReported bool                 // whether the placer knows the outcome of the attempt
 	head            forward.Head         // of the answer to an opaque request; set together with headAt
@@ -236,6 +237,8 @@
 		s.recordNotBegun(e)
 	case generation.GivenUp:
 		s.recordGivenUp(e)
+	case generation.Suspect:
+		s.suspect(e)
 	case generation.InspectTail:
 		upstream := s.links[e.Attempt].upstream
 		s.spawn(func() { s.inspectTail(e, upstream) })
