A silent run ends when its replacement is connected, not when it is placed

The state machine now learns from the gate, which every attempt passes on its connection before its first byte, that it is sent (Sent), and ends the replaced run then. An attempt that does not get there counts for nothing: not against the attempts of the route, and its retry is given back.

--- a/decide/generation/effect.go
+++ b/decide/generation/effect.go
@@ -45,7 +45,7 @@
 	IDs      []vaneyoke.TokenID // the answer so far
 }
 
-// Suspect says that a run is silent or its upstream not reached, and that it goes on until another attempt is placed in its place.
+// Suspect says that a run is silent or its upstream not reached, and that it goes on until another attempt takes over.
 type Suspect struct {
 	Attempt  vaneyoke.Attempt
 	Upstream vaneyoke.UpstreamID
--- a/decide/generation/event.go
+++ b/decide/generation/event.go
@@ -41,6 +41,9 @@
 	RetryAfter time.Duration // 0 if the placement gives no time
 }
 
+// Sent says that an opaque attempt is connected and is about to be sent to its upstream.
+type Sent struct{ Attempt vaneyoke.Attempt }
+
 // RunReported answers QueryRun.
 type RunReported struct {
 	Attempt  vaneyoke.Attempt
@@ -120,6 +123,7 @@
 func (Placed) event()          {}
 func (Forecast) event()        {}
 func (TailInspected) event()   {}
+func (Sent) event()            {}
 func (RunReported) event()     {}
 func (Probed) event()          {}
 func (NotPlaced) event()       {}
--- a/decide/generation/losing.go
+++ b/decide/generation/losing.go
@@ -36,6 +36,7 @@
 		return
 	}
 	if len(s.runs) > 0 {
+		s.replacementRefused(now, NotPlaced{Attempt: old.attempt, Code: vaneyoke.CodeNoUpstream})
 		return
 	}
 	s.consecutiveLosses++
@@ -70,6 +71,13 @@
 	}
 }
 
+// uncount takes back the counts of a run that ends before it was sent.
+func (s *State) uncount(r *run) {
+	if r.onItsWay {
+		s.countLoss(r, CauseNotSent)
+	}
+}
+
 // updateReplicaHolder records which upstream holds a replica of the last lost run's KV cache.
 func (s *State) updateReplicaHolder(old *run, cause Cause) {
 	switch {
--- a/decide/generation/placing.go
+++ b/decide/generation/placing.go
@@ -33,8 +33,10 @@
 	if s.refuseUseless(now, now, ev.Attempt, fromReplica) {
 		return
 	}
-	s.breakReplaced(ev.Attempt)
-	r = s.findRun(ev.Attempt)
+	if !s.cfg.Opaque {
+		s.breakReplaced(ev.Attempt)
+		r = s.findRun(ev.Attempt)
+	}
 	r.stage = stageStarted
 	s.lastCode = vaneyoke.CodeOK
 	r.upstream = ev.Upstream
@@ -63,7 +65,7 @@
 }
 
 func (s *State) start(r *run) {
-	r.sent = true
+	r.sent, r.onItsWay = true, s.cfg.Opaque
 	s.possibleRuns++
 	s.possibleArrivals++
 	s.countedAttempts++
--- a/decide/generation/replacing.go
+++ b/decide/generation/replacing.go
@@ -7,7 +7,7 @@
 	"github.com/vaneyoke/vaneyoke"
 )
 
-// replaceRun asks for an upstream to take over from a run that is silent or whose upstream is not reached. The run goes on until there is one (make
+// replaceRun asks for an upstream to take over from a run that is silent or whose upstream is not reached. The run goes on until one is connected (make
 // before break): its upstream may only pause, and while nobody else takes the answer, nothing is gained by ending it.
 func (s *State) replaceRun(now time.Time, r *run, cause Cause) {
 	s.recordPace(r)
@@ -87,7 +87,15 @@
 	return s.cfg.Opaque && r != nil && r.upstream == ev.Upstream && !r.answersQueries
 }
 
-// breakReplaced ends the run that a placed attempt replaces.
+// sent ends the run that an attempt replaces, as late as that can be: before, the attempt may fail to connect.
+func (s *State) sent(ev Sent) {
+	if r := s.findRun(ev.Attempt); r != nil {
+		r.onItsWay = false
+		s.breakReplaced(ev.Attempt)
+	}
+}
+
+// breakReplaced ends the run that an attempt replaces.
 func (s *State) breakReplaced(attempt vaneyoke.Attempt) {
 	r := s.replacedBy(attempt)
 	if r == nil {
@@ -110,7 +118,8 @@
 	return true
 }
 
-// replacementRefused goes on with a run whose replacement was not placed. Another one is asked for later, unless none can be had.
+// replacementRefused goes on with a run whose replacement was not placed, or did not reach its upstream. Another one is asked for later, unless none can
+// be had.
 func (s *State) replacementRefused(now time.Time, ev NotPlaced) {
 	r := s.replacedBy(ev.Attempt)
 	if r == nil {
--- a/decide/generation/run.go
+++ b/decide/generation/run.go
@@ -21,7 +21,8 @@
 	stream           vaneyoke.Attempt // the attempt that started the stream; the engine knows the stream by its number
 	upstream         vaneyoke.UpstreamID
 	stage            stage
-	sent             bool               // whether it was sent to an upstream
+	sent             bool               // whether it was started
+	onItsWay         bool               // whether it was started and not yet sent to its upstream, as far as that is known
 	resumed          bool               // attached to the stream of an earlier attempt
 	pending          []vaneyoke.TokenID // received, but not accepted yet: their text ends within a character
 	placedAt         time.Time
--- a/decide/generation/state.go
+++ b/decide/generation/state.go
@@ -100,6 +100,8 @@
 		s.placed(now, ev)
 	case Forecast:
 		s.forecast = ev
+	case Sent:
+		s.sent(ev)
 	case TailInspected:
 		s.tailInspected(ev)
 	case Probed:
@@ -233,8 +235,9 @@
 		return
 	}
 	for i := range s.runs {
-		if s.runs[i].attempt != winner {
-			s.cancel(&s.runs[i], true, 0)
+		if r := &s.runs[i]; r.attempt != winner {
+			s.cancel(r, true, 0)
+			s.uncount(r)
 		}
 	}
 	s.runs = append(s.runs[:0], *s.findRun(winner))
--- a/decide/generation/useful_load_test.go
+++ b/decide/generation/useful_load_test.go
@@ -89,6 +89,7 @@
 	case generation.Start:
 		at := int(e.Upstream[0] - 'a')
 		f.engines[at] = append(f.engines[at], &failingRun{answer: a, attempt: e.Attempt, readLeft: promptTime, next: e.From, startedAt: f.now})
+		f.handle(a, generation.Sent{Attempt: e.Attempt})
 	case generation.Cancel:
 		f.remove(a, e.Attempt)
 	case generation.NotBegun:
--- a/shell/relay/attempt.go
+++ b/shell/relay/attempt.go
@@ -103,6 +103,9 @@
 	}
 	l.cancel()
 	l.fenced = true
+	if l.isRetry && l.unsent && !l.outcomeReported {
+		s.relay.placer.RefundRetry(s.need)
+	}
 	outcome := placement.OutcomeDropped
 	if e.Cause == generation.CauseSilent || e.Cause == generation.CauseUnreachable {
 		outcome = outcomeOf(e.Cause)
--- a/shell/relay/forwarded.go
+++ b/shell/relay/forwarded.go
@@ -150,6 +150,7 @@
 		return false
 	}
 	l.unsent, l.path = false, path
+	s.handleLocked(time.Now(), generation.Sent{Attempt: attempt})
 	return true
 }
 
