Replacements that are refused are asked for again at a growing pace, without queries

A run whose replacement was refused is not queried again before it sends something: its upstream was asked already. The next attempt is asked for after a backoff that doubles up to the run's own silence limit, or when the refusal says.

--- a/decide/generation/placing.go
+++ b/decide/generation/placing.go
@@ -7,7 +7,10 @@
 	"github.com/vaneyoke/vaneyoke"
 )
 
-const jitterShare = 0.5 // random share of a backoff delay
+const (
+	jitterShare     = 0.5 // random share of a backoff delay
+	maxBackoffShift = 16  // bound of the exponent of a backoff delay
+)
 
 // place asks for an upstream for a new attempt.
 func (s *State) place(now time.Time, delay time.Duration, retry bool) {
@@ -129,16 +132,14 @@
 }
 
 // backoff returns 0 after the first of consecutive losses, and an exponentially growing, jittered delay after later ones.
-func (s *State) backoff() time.Duration { return s.backoffAfter(s.consecutiveLosses) }
-
-func (s *State) backoffAfter(losses int) time.Duration {
-	if losses <= 1 {
+func (s *State) backoff() time.Duration {
+	if s.consecutiveLosses <= 1 {
 		return 0
 	}
-	full := s.cfg.Backoff.Cap
-	if shift := losses - 2; shift < 16 {
-		full = min(s.cfg.Backoff.Base<<shift, s.cfg.Backoff.Cap)
-	}
-	jitter := s.rng.Float64() * jitterShare
-	return time.Duration(float64(full) * (1 - jitter))
+	return s.jittered(min(s.cfg.Backoff.Base<<min(s.consecutiveLosses-2, maxBackoffShift), s.cfg.Backoff.Cap))
+}
+
+// jittered returns a delay that is shorter by a random share.
+func (s *State) jittered(full time.Duration) time.Duration {
+	return time.Duration(float64(full) * (1 - s.rng.Float64()*jitterShare))
 }
--- a/decide/generation/replacing.go
+++ b/decide/generation/replacing.go
@@ -132,7 +132,7 @@
 	r.successor, r.givenUpFor = 0, 0
 	r.resetQueries()
 	r.refusals++
-	delay := s.backoffAfter(r.refusals + 1)
+	delay := s.jittered(min(s.cfg.Backoff.Base<<min(r.refusals, maxBackoffShift), s.silenceLimit(r)))
 	if hasRetryAfter(ev.Code) {
 		delay = max(delay, ev.RetryAfter)
 	}
--- a/decide/generation/silence.go
+++ b/decide/generation/silence.go
@@ -51,6 +51,14 @@
 	if r.paused || r.kept || r.successor != 0 || s.cfg.KeepLastAttempt && s.attemptsLeft() <= 0 {
 		return s.waitLimit()
 	}
+	if r.refusals > 0 {
+		return r.waitUntil
+	}
+	return since.Add(s.silenceLimit(r) * time.Duration(1+r.queries))
+}
+
+// silenceLimit returns for how long a run may be silent before its upstream is queried, or the run is replaced.
+func (s *State) silenceLimit(r *run) time.Duration {
 	limit := r.gaps.limit(s.cfg.Silence)
 	if r.gaps.count == 0 && r.expectedTTFT > 0 {
 		limit = s.firstTokenLimit(r.expectedTTFT)
@@ -61,7 +69,7 @@
 	if r.suspect || s.cfg.Recovery == vaneyoke.RecoverFrugal || !s.cfg.Repeatable {
 		limit = time.Duration(float64(limit) * s.cfg.Silence.Patience)
 	}
-	return latest(since.Add(limit*time.Duration(1+r.queries)), r.waitUntil)
+	return limit
 }
 
 // waitLimit returns until when a run is waited for whose silence ends nothing.
@@ -114,7 +122,7 @@
 		s.placeAgain(now)
 		return
 	}
-	if s.shouldQuery(r) {
+	if r.refusals == 0 && s.shouldQuery(r) {
 		s.queryRun(now, r)
 		return
 	}
--- a/decide/generation/silent_run_test.go
+++ b/decide/generation/silent_run_test.go
@@ -104,6 +104,35 @@
 	must.True(t, has[generation.Place](lost)) // a refusal that came before the chunk does not count
 }
 
+// Guards against a node that spends its time and its upstreams' on the replacement of runs while nobody takes them over.
+func TestReplacementsAreAskedForWithoutAPause(t *testing.T) {
+	const silence = 8 * time.Second
+	for name, upstreams := range refusals {
+		t.Run(name, func(t *testing.T) {
+			for _, begun := range []bool{true, false} {
+				o := newSilentStream(t, "")
+				if !begun {
+					o = newOpaqueAnswer(t, func(c *generation.Config) {
+						c.MaxRunQueries, c.ProbeEvery, c.Silence.FirstToken = 8, 0, firstTokenLimit
+					})
+					o.place(o.handle(generation.Admitted{}), "e1", "")
+				}
+				queries, places := 0, 0
+				for _, effect := range upstreams.play(o, silence) {
+					switch effect.(type) {
+					case generation.QueryRun:
+						queries++
+					case generation.Place:
+						places++
+					}
+				}
+				must.LessEq(t, 2, queries)
+				must.LessEq(t, int(silence/(eventIntervalGoal/3)*2)+4, places) // as often as the run's own silence limit passes, less the jitter, after some at once
+			}
+		})
+	}
+}
+
 // Guards against a request that fails because its upstream accepts no connection for a moment and no other upstream takes it.
 func TestRequestOfAPausedUpstreamFails(t *testing.T) {
 	for name, upstreams := range refusals {
