A stop is no longer late by the sum of its parts' delays

A node that saw the deadline of its stop late gave the final answers, and the last counts, 150 ms from that moment on: each delay of the first timer added to the stop, which has to end 150 ms after the deadline whatever happened before. Traced in stops beside load 56: the drain was to end 4.85 s after SIGTERM and ended after 4.86 to 6.1 s,and closing the node took 2 to 98 ms more in 26 of the 30 latest stops, 171 to 870 ms in four.

Both now end at the stop's own end, or 50 ms from now if that is past (a suspended process still answers). The new test gives the drain and the flush a deadline that is seen 80 ms late, on a fake clock: before, both ended 80 ms late; now at the end. The deadline of a stop, the grace and the bounds of the tests are as before.

--- a/process/node/gateway.go
+++ b/process/node/gateway.go
@@ -219,7 +219,9 @@
 	pause.For(ctx, min(s.Gateway.LameDuck, deadline.Sub(stopping)))
 	drained, stopWaiting := context.WithDeadline(ctx, deadline)
 	var flush sync.WaitGroup
-	flush.Go(func() { n.flushDuties(ctx, drained, ends) })
+	if n.duties != nil {
+		flush.Go(func() { flushCounts(ctx, drained, n.duties, ends) })
+	}
 	interrupted := drainServer(ctx, n.callers(), n.relay, deadline)
 	n.detours.WaitIdle(drained)
 	cutOff := logCutOff(n.log, n.callers(), stopping)
@@ -231,22 +233,6 @@
 	return errors.Join(err, closeTracing(ctx, n.tracing, ends))
 }
 
-// flushDuties forwards the remaining counts of the duties, shortly before the deadline of drained and again once drained has ended because no
-// request is open any more or the deadline has passed. It returns by ends, unless the process was suspended.
-func (n *GatewayNode) flushDuties(ctx, drained context.Context, ends time.Time) {
-	if n.duties == nil {
-		return
-	}
-	deadline, _ := drained.Deadline()
-	if pause.For(drained, time.Until(deadline.Add(-countsLead))) {
-		n.duties.Flush(drained)
-		<-drained.Done()
-	}
-	ctx, cancel := context.WithDeadline(ctx, laterOf(ends, time.Now().Add(finalAnswerTimeout)))
-	defer cancel()
-	n.duties.Flush(ctx)
-}
-
 // Kill closes the node immediately, as a crash of its process would.
 func (n *GatewayNode) Kill() {
 	for _, server := range n.servers { // first, so that callers get nothing of which other nodes cannot be told
--- a/process/node/stop.go
+++ b/process/node/stop.go
@@ -10,6 +10,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/api/serve"
+	"github.com/vaneyoke/vaneyoke/internal/pause"
 	"github.com/vaneyoke/vaneyoke/process/telemetry"
 	"github.com/vaneyoke/vaneyoke/shell/relay"
 )
@@ -22,6 +23,8 @@
 	traceCloseTimeout = 50 * time.Millisecond
 	// finalAnswerTimeout bounds the time for sending the final answers to interrupted requests.
 	finalAnswerTimeout = 150 * time.Millisecond
+	// minFinalTimeout is what remains of it, and for the last counts, if the node is late, as after a suspension.
+	minFinalTimeout = 50 * time.Millisecond
 	// interruptLeadPerStream is how much earlier streams are interrupted for each open stream, so that unary calls which are answered
 	// just before the deadline are not cut off while streams are being ended: with the race detector, ending 120 streams took 35 to
 	// 130 ms on eight busy cores, and 100 to 230 ms with 60 busy loops beside it.
@@ -49,13 +52,35 @@
 		return interrupted
 	}
 	interrupted += r.Interrupt()
-	finalCtx, cancelFinal := context.WithTimeout(ctx, finalAnswerTimeout) // relative to now, because the process may have been suspended
+	finalCtx, cancelFinal := withFinalDeadline(ctx, deadline.Add(finalAnswerTimeout))
 	defer cancelFinal()
 	server.WaitIdle(finalCtx) // new callers are told to retry; a closed listener could not tell them
 	server.Shutdown(finalCtx)
 	return interrupted
 }
 
+// withFinalDeadline returns a context that ends when the stop has to end. If that is due, it ends a moment later; how late the node was before does not
+// add to the stop otherwise.
+func withFinalDeadline(ctx context.Context, ends time.Time) (context.Context, context.CancelFunc) {
+	return context.WithDeadline(ctx, laterOf(ends, time.Now().Add(minFinalTimeout)))
+}
+
+// countFlusher forwards counts that the node still holds.
+type countFlusher interface{ Flush(ctx context.Context) }
+
+// flushCounts forwards the remaining counts shortly before the deadline of drained, and again once drained has ended because no request is open any
+// more or the deadline has passed. It returns by ends, unless the node is late.
+func flushCounts(ctx, drained context.Context, counts countFlusher, ends time.Time) {
+	deadline, _ := drained.Deadline()
+	if pause.For(drained, time.Until(deadline.Add(-countsLead))) {
+		counts.Flush(drained)
+		<-drained.Done()
+	}
+	ctx, cancel := withFinalDeadline(ctx, ends)
+	defer cancel()
+	counts.Flush(ctx)
+}
+
 // settleBefore waits until no request is open, and reports whether that happened before the deadline.
 func settleBefore(ctx context.Context, server *serve.Server, deadline time.Time) bool {
 	ctx, cancel := context.WithDeadline(ctx, deadline)
--- a/process/node/stop_test.go
+++ b/process/node/stop_test.go
@@ -229,3 +229,36 @@
 		t.Logf("%d streams were ended with %v of processors", streams, after-before)
 	})
 }
+
+// stalledCounts are counts that nobody takes.
+type stalledCounts struct{}
+
+func (stalledCounts) Flush(ctx context.Context) { <-ctx.Done() }
+
+// Guards against a stop that is late by the sum of the times by which each of its parts is late: a busy node sees its deadline late.
+func TestLateDeadlineDelaysTheEndOfTheStop(t *testing.T) {
+	const late = 80 * time.Millisecond
+	cases := map[string]func(t *testing.T, deadline, ends time.Time){
+		"a call that is half received": func(t *testing.T, deadline, _ time.Time) {
+			s := newDrainSetup(t, &timedSender{}, nil)
+			s.dial(t, head("half", "/buy/x"))
+			synctest.Wait()
+			drainServer(t.Context(), s.server, s.relay, deadline)
+		},
+		"counts that are not taken": func(t *testing.T, deadline, ends time.Time) {
+			drained, cancel := context.WithDeadline(t.Context(), deadline)
+			defer cancel()
+			flushCounts(t.Context(), drained, stalledCounts{}, ends)
+		},
+	}
+	for name, stop := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				deadline := time.Now().Add(-late)
+				ends := deadline.Add(finalAnswerTimeout)
+				stop(t, deadline, ends)
+				must.EqOp(t, 0, time.Since(ends))
+			})
+		})
+	}
+}
