The head of an engine's answer has a bound

An engine in trouble may send a status line, header lines or 1xx answers without end. Callers saw none of it at first: the node read 10 MB of each head, package http's default, in several copies, until its machine killed it with all answers that it held.

[limits] head_bytes bounds what is read of a head, the heads of status 1xx before it included, for attempts and for questions to engines.

--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -94,6 +94,7 @@
 type Limits struct {
 	Memory       float64       `ini:"memory" default:"256" min:"0" doc:"Megabytes of memory that the process may have: at four fifths of it the garbage collector works against its growth, and buffer_bytes follows from it; 0 for no bound."`
 	BodyBytes    int64         `ini:"body_bytes" default:"4194304" min:"1024" doc:"Largest request body in bytes."`
+	HeadBytes    int           `ini:"head_bytes" default:"131072" min:"16384" max:"1048576" doc:"Largest head of an answer in bytes, from an upstream, another node or the store, together with the heads of status 1xx before it. One in trouble may send a head without end, which takes the node's memory; twice as much as header_bytes by default, since an answer may repeat the request's header."`
 	MaxWait      time.Duration `ini:"max_wait" default:"30s" min:"10ms" doc:"Longest time without progress before a request is given up."`
 	WriteTimeout time.Duration `ini:"write_timeout" default:"30s" min:"100ms" doc:"Longest time that a caller may take to read a piece of its answer."`
 	UnreadBytes  int64         `ini:"unread_bytes" default:"1048576" min:"0" doc:"Bytes of a streamed answer that its caller has not read, from which the node reads no more of it from the upstream; 0 for no bound."`
