What is ended on its way to an upstream has not run

An attempt that has not passed its gate is never sent once it is cancelled, so that its loss is not_sent, whatever the reason; at the deadline, attempts on their way count as not run.

--- a/decide/generation/deadlines.go
+++ b/decide/generation/deadlines.go
@@ -82,9 +82,9 @@
 	switch {
 	case s.answer.Len() > 0:
 		f.Code = vaneyoke.CodeInterrupted
-	case !s.MayHaveRun() && s.lastCode != vaneyoke.CodeOK:
+	case !s.mayHaveRunIfEnded() && s.lastCode != vaneyoke.CodeOK:
 		f.Code = s.lastCode
-	case !s.MayHaveRun():
+	case !s.mayHaveRunIfEnded():
 		f.Code = vaneyoke.CodeNoUpstream
 	}
 	return f
@@ -95,7 +95,7 @@
 	f := s.failure()
 	switch {
 	case s.answer.Len() > 0:
-	case s.MayHaveRun():
+	case s.mayHaveRunIfEnded():
 		f.Code = vaneyoke.CodeTimedOut
 	default:
 		f.Code = vaneyoke.CodeWaitExceeded
--- a/decide/generation/losing.go
+++ b/decide/generation/losing.go
@@ -16,6 +16,7 @@
 // loseRun fences a run and continues the answer: from the run's own stream if that may still exist, otherwise on another engine.
 func (s *State) loseRun(now time.Time, r *run, cause Cause) {
 	old := *r
+	cause = old.lossCause(cause)
 	resumable := s.canResume(&old, cause)
 	s.cancel(r, !resumable && (cause.mayHaveRun() || old.resumed), cause)
 	s.removeRun(old.attempt)
--- a/decide/generation/opaque_test.go
+++ b/decide/generation/opaque_test.go
@@ -54,22 +54,6 @@
 	return start
 }
 
-// replace places the attempt that is to replace the latest one, which ends with it and not before, and returns why it was replaced.
-func (o *opaqueAnswer) replace(effects []generation.Effect) generation.Cause {
-	o.t.Helper()
-	suspect, replaced := find[generation.Suspect](o.t, effects), o.last
-	must.EqOp(o.t, replaced, suspect.Attempt)
-	must.False(o.t, has[generation.Cancel](effects))
-	o.last = find[generation.Place](o.t, effects).Attempt
-	placed := o.handle(generation.Placed{Attempt: o.last, Upstream: "e9"})
-	must.EqOp(o.t, o.last, find[generation.Start](o.t, placed).Attempt)
-	must.False(o.t, has[generation.Cancel](placed), must.Sprint("the replaced run is ended before the other is connected"))
-	cancelled := find[generation.Cancel](o.t, o.handle(generation.Sent{Attempt: o.last}))
-	must.EqOp(o.t, replaced, cancelled.Attempt)
-	must.EqOp(o.t, suspect.Cause, cancelled.Cause)
-	return suspect.Cause
-}
-
 func (o *opaqueAnswer) chunk(at vaneyoke.Tokens) { o.chunkOf(o.last, at) }
 
 func (o *opaqueAnswer) chunkOf(attempt vaneyoke.Attempt, at vaneyoke.Tokens) []generation.Effect {
@@ -236,7 +220,11 @@
 		code   vaneyoke.Code
 	}{
 		"not placed": {func(*opaqueAnswer) {}, vaneyoke.CodeWaitExceeded},
-		"sent":       {func(o *opaqueAnswer) { o.handle(generation.Placed{Attempt: 1, Upstream: "e1"}) }, vaneyoke.CodeTimedOut},
+		"on its way": {func(o *opaqueAnswer) { o.handle(generation.Placed{Attempt: 1, Upstream: "e1"}) }, vaneyoke.CodeWaitExceeded},
+		"sent": {func(o *opaqueAnswer) {
+			o.handle(generation.Placed{Attempt: 1, Upstream: "e1"})
+			o.handle(generation.Sent{Attempt: 1})
+		}, vaneyoke.CodeTimedOut},
 		"begun": {func(o *opaqueAnswer) {
 			o.handle(generation.Placed{Attempt: 1, Upstream: "e1"})
 			o.last = 1
@@ -289,6 +277,7 @@
 	place := find[generation.Place](t, o.handle(generation.Admitted{}))
 	o.last = place.Attempt
 	o.handle(generation.Placed{Attempt: o.last, Upstream: "e1", ExpectedTTFT: 20 * time.Millisecond})
+	o.handle(generation.Sent{Attempt: o.last})
 	placed := o.now
 	for {
 		o.now = o.state.NextTick()
--- a/decide/generation/replacing.go
+++ b/decide/generation/replacing.go
@@ -102,9 +102,10 @@
 		return
 	}
 	old := *r
-	s.cancel(r, true, old.givenUpFor)
+	cause := old.lossCause(old.givenUpFor)
+	s.cancel(r, cause.mayHaveRun(), cause)
 	s.removeRun(old.attempt)
-	s.countLoss(&old, old.givenUpFor)
+	s.countLoss(&old, cause)
 	s.consecutiveLosses++
 }
 
--- a/decide/generation/run.go
+++ b/decide/generation/run.go
@@ -45,6 +45,14 @@
 	waitUntil        time.Time           // before which no other successor is asked for; zero for none
 }
 
+// lossCause returns the cause of a loss, given why the run is given up: a run that is ended on its way is not sent any more.
+func (r *run) lossCause(cause Cause) Cause {
+	if r.onItsWay && (cause == CauseSilent || cause == CauseUnreachable) {
+		return CauseNotSent
+	}
+	return cause
+}
+
 // cancel returns the effect that ends the run.
 func (r *run) cancel(stop bool, cause Cause) Cancel {
 	return Cancel{Attempt: r.attempt, Upstream: r.upstream, Stream: r.stream, Stop: stop, Cause: cause}
--- a/decide/generation/silent_run_test.go
+++ b/decide/generation/silent_run_test.go
@@ -62,6 +62,22 @@
 	return b
 }
 
+// replace places the attempt that is to replace the latest one, which ends with it and not before, and returns why it was replaced.
+func (o *opaqueAnswer) replace(effects []generation.Effect) generation.Cause {
+	o.t.Helper()
+	suspect, replaced := find[generation.Suspect](o.t, effects), o.last
+	must.EqOp(o.t, replaced, suspect.Attempt)
+	must.False(o.t, has[generation.Cancel](effects))
+	o.last = find[generation.Place](o.t, effects).Attempt
+	placed := o.handle(generation.Placed{Attempt: o.last, Upstream: "e9"})
+	must.EqOp(o.t, o.last, find[generation.Start](o.t, placed).Attempt)
+	must.False(o.t, has[generation.Cancel](placed), must.Sprint("the replaced run is ended before the other is connected"))
+	cancelled := find[generation.Cancel](o.t, o.handle(generation.Sent{Attempt: o.last}))
+	must.EqOp(o.t, replaced, cancelled.Attempt)
+	must.EqOp(o.t, suspect.Cause, cancelled.Cause)
+	return suspect.Cause
+}
+
 // refusals are the reasons for which a further attempt may not be placed.
 var refusals = map[string]pausedUpstreams{
 	"no upstream is live":            {vaneyoke.CodeNoUpstream, 2 * time.Second},
@@ -254,6 +270,16 @@
 		o.chunkOf(1, 2)
 		must.EqOp(t, 3, o.state.Transcript().Len())
 	})
+	t.Run("it has not been sent", func(t *testing.T) {
+		o := newOpaqueAnswer(t, func(c *generation.Config) { c.ProbeEvery, c.MaxAttempts, c.Silence.FirstToken = 0, 1, time.Second })
+		first := find[generation.Place](t, o.handle(generation.Admitted{}))
+		o.handle(generation.Placed{Attempt: first.Attempt, Upstream: "e1"})
+		for range 3 {
+			must.SliceEmpty(t, o.silentFor(900*time.Millisecond))
+		}
+		fail := find[generation.Fail](t, o.silentFor(10*time.Second))
+		must.True(t, fail.Code.Info().NotRun, must.Sprint("code ", fail.Code))
+	})
 	t.Run("the replacement is placed on the same upstream", func(t *testing.T) {
 		o, place := silentUntilPlaced(t)
 		must.SliceEmpty(t, o.handle(generation.Placed{Attempt: place.Attempt, Upstream: "e1"}))
--- a/decide/generation/state.go
+++ b/decide/generation/state.go
@@ -84,6 +84,17 @@
 // MayHaveRun reports whether any engine may have started a run.
 func (s *State) MayHaveRun() bool { return s.possibleRuns > 0 }
 
+// mayHaveRunIfEnded reports whether any engine may have started a run if the answer ends now, so that what is on its way is not sent any more.
+func (s *State) mayHaveRunIfEnded() bool {
+	unsent := 0
+	for i := range s.runs {
+		if s.runs[i].onItsWay {
+			unsent++
+		}
+	}
+	return s.possibleRuns > unsent
+}
+
 // Handle processes an event and returns the resulting effects; the slice is valid until the next call.
 func (s *State) Handle(now time.Time, ev Event) []Effect {
 	s.effects = s.effects[:0]
--- a/shell/relay/attempt.go
+++ b/shell/relay/attempt.go
@@ -107,7 +107,7 @@
 		s.relay.placer.RefundRetry(s.need)
 	}
 	outcome := placement.OutcomeDropped
-	if e.Cause == generation.CauseSilent || e.Cause == generation.CauseUnreachable {
+	if e.Cause != 0 && !l.outcomeReported { // the state machine has given it up
 		outcome = outcomeOf(e.Cause)
 		s.recordLoss(e.Attempt, l, e.Cause, nil)
 		if !l.suspected { // otherwise it was checked before the attempt that replaces it
