A stream is not broken off before its deadline because its upstream had less time

Its second upstream had it in its queue until the time that the node gave it, 2 % less than the caller's, and declined it then; nothing could follow, and the answer failed.

The margin stays 2 % for calls, but is at most 30 ms: the way to the caller does not grow with the time. An answer that has begun and cannot go on within 60 ms of its deadline is left to it; one that has not begun is refused at once, as before.

--- a/decide/generation/placing.go
+++ b/decide/generation/placing.go
@@ -96,7 +96,7 @@
 		return
 	}
 	if ev.Code == vaneyoke.CodeQuarantined || ev.Code.IsFinal() {
-		s.fail(s.failure())
+		s.failNow(now, s.failure())
 		return
 	}
 	if ev.Code == vaneyoke.CodeUnknownModel && s.answer.Len() == 0 && !s.cfg.Opaque {
@@ -104,7 +104,7 @@
 		return
 	}
 	if hasRetryAfter(ev.Code) && !s.worthRetryWait(now, ev.RetryAfter) {
-		s.fail(s.failure())
+		s.failNow(now, s.failure())
 		return
 	}
 	s.consecutiveLosses++
@@ -122,7 +122,7 @@
 		delay = max(delay, s.retryAfter)
 	}
 	if s.exhausted(now.Add(delay)) {
-		s.fail(s.failure())
+		s.failNow(now, s.failure())
 		return
 	}
 	if s.refuseUseless(now, now.Add(delay), s.lastAttempt+1, s.replicaHolder != "") {
@@ -131,6 +131,17 @@
 	s.place(now, delay, s.possibleArrivals > 0)
 }
 
+// nearDeadline is the time before the deadline in which an answer that has begun is left to it.
+const nearDeadline = 60 * time.Millisecond
+
+// failNow fails the answer, but leaves one that has begun to its deadline if that is near: upstreams are given slightly less time.
+func (s *State) failNow(now time.Time, f Fail) {
+	if s.answer.Len() > 0 && !s.cfg.Deadline.IsZero() && s.cfg.Deadline.Sub(now) <= nearDeadline {
+		return
+	}
+	s.fail(f)
+}
+
 // backoff returns 0 after the first of consecutive losses, and an exponentially growing, jittered delay after later ones.
 func (s *State) backoff() time.Duration {
 	if s.consecutiveLosses <= 1 {
--- a/decide/generation/useful.go
+++ b/decide/generation/useful.go
@@ -99,15 +99,15 @@
 	if s.keepReplaced(attempt) {
 		return true
 	}
-	s.failUseless()
+	s.failUseless(now)
 	return true
 }
 
 // failUseless fails an answer that cannot be completed before the deadline.
-func (s *State) failUseless() {
+func (s *State) failUseless(now time.Time) {
 	f := s.deadlineFailure()
 	f.Detail = "the answer cannot end in time"
-	s.fail(f)
+	s.failNow(now, f)
 }
 
 // notBegun reports an attempt that is not begun, once for each attempt.
@@ -156,7 +156,7 @@
 		return false
 	}
 	s.emit(GivenUp{Attempt: s.lastAttempt, Remaining: s.cfg.Deadline.Sub(now), ExpectedRest: s.expectedWork(true).rest})
-	s.failUseless()
+	s.failUseless(now)
 	return true
 }
 
--- a/shell/relay/bounds.go
+++ b/shell/relay/bounds.go
@@ -37,6 +37,7 @@
 // The time that an upstream is given, out of the caller's remaining time.
 const (
 	deadlineMargin      = 0.02 // fraction of the remaining time that the node reserves for itself
+	maxDeadlineMargin   = 30 * time.Millisecond
 	minForwardedTimeout = time.Millisecond
 )
 
@@ -47,6 +48,11 @@
 	retryMaxBackoff  = 100 * time.Millisecond
 )
 
+// upstreamTime returns the time that an upstream is given for a request whose caller waits for a remaining time.
+func upstreamTime(remaining time.Duration) time.Duration {
+	return max(remaining-min(scale(remaining, deadlineMargin), maxDeadlineMargin), minForwardedTimeout)
+}
+
 // applyTo adds the settings of the request's route and caller to the node's configuration.
 func (f *Forwarding) applyTo(config *generation.Config, now time.Time) {
 	config.Opaque = true
--- a/shell/relay/forwarded.go
+++ b/shell/relay/forwarded.go
@@ -90,13 +90,12 @@
 
 // forwardAttempt returns the message for an upstream.
 func (s *Session) forwardAttempt(e generation.Start, l *link, m *forwarded) *forward.Attempt {
-	remaining := time.Until(m.Deadline)
 	return &forward.Attempt{
 		Request:     s.req.ID,
 		Repeat:      l.isRetry,
 		Message:     m.Message,
 		Upstream:    l.upstream,
-		Remaining:   max(remaining-scale(remaining, deadlineMargin), minForwardedTimeout),
+		Remaining:   upstreamTime(time.Until(m.Deadline)),
 		Workspace:   s.req.Workspace,
 		Priority:    s.req.Priority,
 		Stream:      m.Stream,
