The tests of stops and connections use no names of the platform's wire

TestPlatformNamesStayInThisPackage failed on: the tests in process/node sent the platform's own header lines. They now have a codec of their own; what they check is as before.

--- a/process/node/connections_test.go
+++ b/process/node/connections_test.go
@@ -22,13 +22,13 @@
 }
 
 const (
-	requestHead = "POST %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: r\r\nX-Deadline-Ms: %d\r\n%s\r\n\r\n"
+	requestHead = "POST %s HTTP/1.1\r\nHost: h\r\nId: r\r\nWait: %s\r\n%s\r\n\r\n"
 	restDelay   = time.Second // after the event
 )
 
 // partialRequests returns the states in which an event can find a request that is received. Paths below /buy/ have a route.
 func partialRequests(wait time.Duration) map[string]partialRequest {
-	headOf := func(path, lines string) string { return fmt.Sprintf(requestHead, path, wait.Milliseconds(), lines) }
+	headOf := func(path, lines string) string { return fmt.Sprintf(requestHead, path, wait, lines) }
 	whole := headOf("/buy/x", "Content-Length: 4")
 	return map[string]partialRequest{
 		"half a head":            {first: whole[:30], rest: whole[30:] + "body"},
@@ -165,8 +165,8 @@
 		text   string
 		status int
 	}{
-		"no body, a short deadline": {fmt.Sprintf(requestHead, "/buy/x", 1000, "Content-Length: 0"), http.StatusGatewayTimeout},
-		"refused, its body unread":  {fmt.Sprintf(requestHead, "/none/x", 600_000, "Content-Length: 4") + "body", http.StatusNotFound},
+		"no body, a short deadline": {fmt.Sprintf(requestHead, "/buy/x", time.Second, "Content-Length: 0"), http.StatusGatewayTimeout},
+		"refused, its body unread":  {fmt.Sprintf(requestHead, "/none/x", 10*time.Minute, "Content-Length: 4") + "body", http.StatusNotFound},
 	}
 	for name, first := range firsts {
 		t.Run(name, func(t *testing.T) {
@@ -177,7 +177,9 @@
 				reader := bufio.NewReader(conn)
 				s.mustAnswer(t, reader, first.status)
 				time.Sleep(2 * s.stall)
-				go func() { _, _ = io.WriteString(conn, fmt.Sprintf(requestHead, "/buy/x", 600_000, "Content-Length: 0")) }()
+				go func() {
+					_, _ = io.WriteString(conn, fmt.Sprintf(requestHead, "/buy/x", 10*time.Minute, "Content-Length: 0"))
+				}()
 				s.mustAnswer(t, reader, http.StatusOK)
 			})
 		})
--- a/process/node/stop_test.go
+++ b/process/node/stop_test.go
@@ -25,7 +25,6 @@
 	"github.com/vaneyoke/vaneyoke/decide/generation"
 	"github.com/vaneyoke/vaneyoke/decide/placement"
 	"github.com/vaneyoke/vaneyoke/decide/route"
-	"github.com/vaneyoke/vaneyoke/platform"
 	"github.com/vaneyoke/vaneyoke/shell/relay"
 	"github.com/vaneyoke/vaneyoke/wire/forward"
 )
@@ -167,6 +166,14 @@
 	s.table.Store(route.NewTable(version, routes, []route.Service{{ID: "s"}, {ID: "s2"}}, nil, route.Limits{}))
 }
 
+// plainCodec reads a request's id and how long its caller waits.
+type plainCodec struct{}
+
+func (plainCodec) Decode(r *http.Request) (gateway.Envelope, error) {
+	wait, err := time.ParseDuration(r.Header.Get("Wait"))
+	return gateway.Envelope{ID: vaneyoke.RequestID(r.Header.Get("Id")), MaxWait: wait}, err
+}
+
 // Times of the server of a drainSetup.
 const (
 	headerWait = 10 * time.Second
@@ -197,7 +204,7 @@
 	config := generation.DefaultConfig()
 	config.Silence = generation.Silence{FirstToken: time.Hour, Floor: time.Hour, Ceiling: time.Hour}
 	r := relay.New(nil, sender, oneUpstream{}, noop.NewTracerProvider().Tracer(""), relay.NewMetrics(new(expvar.Map).Init()), log, relay.Config{Generation: config, CallSilence: time.Hour})
-	g := gateway.New(gateway.Config{MaxBodyBytes: maxBody, MaxWait: time.Hour, WriteTimeout: time.Hour}, platform.Codec{}, tables, r, nil, gateway.NewMetrics(new(expvar.Map).Init()), log)
+	g := gateway.New(gateway.Config{MaxBodyBytes: maxBody, MaxWait: time.Hour, WriteTimeout: time.Hour}, plainCodec{}, tables, r, nil, gateway.NewMetrics(new(expvar.Map).Init()), log)
 	s := &drainSetup{pipeListener: &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}, relay: r, gateway: g, tables: tables}
 	s.server = serve.New(g, serve.Config{ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, ErrorLog: serverErrors(log), OnAbort: onAbort})
 	go func() { _ = s.server.Serve(s.pipeListener) }()
@@ -210,7 +217,7 @@
 }
 
 func head(id, path string) string {
-	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: 600000\r\nX-Token-Usage: 9,9\r\nX-Model-Id: m\r\nContent-Length: 1\r\n\r\n", path, id)
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nWait: 10m\r\nContent-Length: 1\r\n\r\n", path, id)
 }
 
 // processorTime returns how long the process has used processors.
