Callers' connections stay open for as long as the configuration allows

A caller who kept to the configured limits could find its connection closed: the node closed idle connections after its own idle_wait (60 s by default) and gave up a head after header_wait (10 s), whatever the limits of the configuration said, of which it read the size of a body only. With 60 s in the settings and 90 s in the configuration, a caller who takes up a connection after 72 s (four fifths) loses its request on it.

The configured times now apply where they are longer than the node's own, from the next request or the next rest of a connection on: the connection moves the read deadlines that package http sets, by the difference. Shorter ones change nothing.

TestConnectionClosesBeforeTheConfiguredLimit: 1 s and 100 ms at the node, 3 s in the configuration, a rest of 2.4 s, and a head that pauses for 1 s. It failed before (broken pipe), fails with the idle time alone (unexpected EOF), and passes now (twice with the race detector).

Not done: the size of a head. package http takes its limit once; a head over header_bytes (64 KB) gets 431 even if the configuration allows more. The example configurations allow 16 KB.

--- a/api/serve/conn.go
+++ b/api/serve/conn.go
@@ -69,17 +69,30 @@
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	c.deadline = t
 	if c.info.Phase == PhaseIdle && !c.resting {
 		c.reopen()
 	}
 	c.resting = false
+	t = c.server.extend(t, c.info.Phase)
+	c.deadline = t
 	if c.closing {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
 }
 
+// extend returns when a read has to end that package http gives until t, by the timeout of the phase.
+func (s *Server) extend(t time.Time, phase Phase) time.Time {
+	if s.config.LongerTimeouts == nil || t.IsZero() || phase == PhaseAnswering {
+		return t
+	}
+	longer := s.config.LongerTimeouts()
+	if phase == PhaseIdle {
+		return t.Add(max(longer.Idle-s.config.IdleTimeout, 0))
+	}
+	return t.Add(max(longer.Header-s.config.ReadHeaderTimeout, 0))
+}
+
 // reopen records that a request has begun to arrive, for which the connection stays open.
 func (c *conn) reopen() {
 	c.setPhase(PhaseReading)
--- a/api/serve/server.go
+++ b/api/serve/server.go
@@ -19,10 +19,18 @@
 	ErrorLog          *log.Logger   // for accept errors; nil means standard error
 	OnPanic           func(Panic)   // is told of each handler that panics; nil for none
 	OnAbort           func(Abort)   // is told of each request whose caller gets no complete response; nil for none
+	// LongerTimeouts returns timeouts that apply in place of those above where they are longer; nil for none.
+	LongerTimeouts func() Timeouts
 	// WriteError writes the error response for a handler that panicked before its response began; nil means plain text.
 	WriteError func(http.ResponseWriter, error)
 }
 
+// Timeouts holds the times that callers are given; a zero value means no time of its own.
+type Timeouts struct {
+	Header time.Duration // for receiving a request's header
+	Idle   time.Duration // for which an idle connection is kept open
+}
+
 // Server is an HTTP server on one listener. It stops in steps, none of which cuts off a request: DisableKeepAlives, WaitIdle,
 // Shutdown.
 type Server struct {
--- a/process/node/active_config.go
+++ b/process/node/active_config.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/api/serve"
 	"github.com/vaneyoke/vaneyoke/decide/route"
 	"github.com/vaneyoke/vaneyoke/platform"
 	"github.com/vaneyoke/vaneyoke/shell/balancer"
@@ -53,6 +54,16 @@
 	return 0
 }
 
+// callerTimeouts returns the times that the configuration gives callers.
+func (c *activeConfig) callerTimeouts() serve.Timeouts {
+	table := c.table.Load()
+	if table == nil {
+		return serve.Timeouts{}
+	}
+	limits := table.Limits()
+	return serve.Timeouts{Header: limits.HeaderTimeout, Idle: limits.IdleTimeout}
+}
+
 // setRoutes activates the newest of the route tables. It must not be called concurrently.
 func (c *activeConfig) setRoutes(now time.Time, rows watch.Rows) {
 	c.rollouts.setOrders(now, rows)
--- a/process/node/gateway.go
+++ b/process/node/gateway.go
@@ -144,7 +144,7 @@
 	s := n.settings.Gateway
 	server := serve.New(handler, serve.Config{
 		ReadHeaderTimeout: s.HeaderWait, IdleTimeout: s.IdleWait, MaxHeaderBytes: s.HeaderBytes, ErrorLog: serverErrors(n.log),
-		WriteBufferBytes: n.settings.Limits.SocketBytes, OnPanic: n.panics.record, OnAbort: n.aborts.record, WriteError: gateway.WriteError,
+		WriteBufferBytes: n.settings.Limits.SocketBytes, OnPanic: n.panics.record, OnAbort: n.aborts.record, LongerTimeouts: n.active.callerTimeouts, WriteError: gateway.WriteError,
 	})
 	n.servers = append(n.servers, server)
 	n.tasks.Go(func() {
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -41,8 +41,8 @@
 	Peers           string        `ini:"peers" check:"optional_address" doc:"IP number and port at which the node tells other nodes what the store holds; without one, it reads the store itself."`
 	FirstStart      bool          `ini:"first_start" default:"false" doc:"Whether the whole system starts for the first time: the node then registers itself before it reads which others there are, which spares the store two calls of each node."`
 	MaxWait         time.Duration `ini:"max_wait" default:"60s" min:"10ms" doc:"Longest time for an answer where neither the route nor the caller names one."`
-	HeaderWait      time.Duration `ini:"header_wait" default:"10s" min:"100ms" doc:"Longest time that a caller may take to send a request's header."`
-	IdleWait        time.Duration `ini:"idle_wait" default:"60s" min:"1s" doc:"How long a connection without a request is kept."`
+	HeaderWait      time.Duration `ini:"header_wait" default:"10s" min:"100ms" doc:"Longest time that a caller may take to send a request's header; the configuration may give callers more."`
+	IdleWait        time.Duration `ini:"idle_wait" default:"60s" min:"1s" doc:"How long a connection without a request is kept; the configuration may give callers more."`
 	HeaderBytes     int           `ini:"header_bytes" default:"65536" min:"1024" doc:"Largest header of a request in bytes."`
 	Detours         int           `ini:"detours" default:"256" min:"0" doc:"Most connections to upstreams that the node keeps open for other nodes which have lost their own path there; 0 for none."`
 	DialWait        time.Duration `ini:"dial_wait" default:"120ms" min:"1ms" doc:"Longest wait for a connection to an upstream."`
