Heads from other nodes, the store and the platform have the same bound

The clients for the store, other nodes, reports, duties, the platform and the engines of the caller API read 10 MB of a head, package http's default, as those for engines of opaque requests did. One in trouble there takes a node's memory in the same way.

All transports of a node are made by newTransport, with [limits] head_bytes.

--- a/process/node/control.go
+++ b/process/node/control.go
@@ -7,6 +7,8 @@
 	"net/http"
 
 	"github.com/samber/do/v2"
+
+	"github.com/vaneyoke/vaneyoke/process/settings"
 )
 
 // controlClient is the HTTP client for the platform and other nodes; it counts the bytes sent and received.
@@ -21,17 +23,14 @@
 	vars.Set("control_sent_bytes_total", sent)
 	vars.Set("control_received_bytes_total", received)
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleTimeout,
-		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := dialer.DialContext(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			return &countedConn{Conn: conn, sent: sent, received: received}, nil
-		},
-	}
+	transport := newTransport(do.MustInvoke[settings.Settings](i).Limits, func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &countedConn{Conn: conn, sent: sent, received: received}, nil
+	})
+	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout = maxIdleConnsPerHost, idleTimeout
 	return &controlClient{http: &http.Client{Transport: transport, Timeout: platformTimeout}, sent: sent, received: received}, nil
 }
 
--- a/process/node/duties_wire.go
+++ b/process/node/duties_wire.go
@@ -3,8 +3,6 @@
 import (
 	"expvar"
 	"math/rand/v2"
-	"net"
-	"net/http"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -66,8 +64,8 @@
 	vm, client := vaneyoke.VMID(s.Node.VM), do.MustInvoke[*storeClient](i).http
 	node := duties.New(
 		vm, vaneyoke.Incarnation(rand.Uint64()), dutyConfig(s.Duties),
-		platform.NewLeases(client, s.Gateway.Store), platform.NewUsage(client, s.Gateway.Store), platform.NewDutyClient(newDutyClient(), s.Duties.Platform, vm),
-		do.MustInvoke[*mesh.Node](i), newReportClient(), duties.NewMetrics(do.MustInvoke[*expvar.Map](i)), do.MustInvoke[logrus.FieldLogger](i),
+		platform.NewLeases(client, s.Gateway.Store), platform.NewUsage(client, s.Gateway.Store), platform.NewDutyClient(newClientFor(s.Limits, dialTimeout, idleTimeout), s.Duties.Platform, vm),
+		do.MustInvoke[*mesh.Node](i), newReportClient(s.Limits), duties.NewMetrics(do.MustInvoke[*expvar.Map](i)), do.MustInvoke[logrus.FieldLogger](i),
 	)
 	do.MustInvoke[*dutyTables](i).node = node
 	return node, nil
@@ -84,12 +82,6 @@
 	return config
 }
 
-// newDutyClient returns the HTTP client for the calls of duties.
-func newDutyClient() *http.Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableCompression: true, IdleConnTimeout: idleTimeout}}
-}
-
 // CountRequest counts a request that an upstream started to run.
 func (b *gatewayPlacer) CountRequest(workspace vaneyoke.WorkspaceID) {
 	if b.duties != nil {
--- a/process/node/gateway_wire.go
+++ b/process/node/gateway_wire.go
@@ -83,7 +83,8 @@
 
 func provideStoreClient(i do.Injector) (*storeClient, error) {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, IdleConnTimeout: idleTimeout}
+	transport := newTransport(do.MustInvoke[settings.Settings](i).Limits, dialer.DialContext)
+	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout = 2, idleTimeout
 	total := new(expvar.Map).Init()
 	do.MustInvoke[*expvar.Map](i).Set("store_calls_total", total)
 	return &storeClient{http: &http.Client{Transport: &storeCallCounter{next: transport, total: total}}}, nil
@@ -192,7 +193,7 @@
 	vars := do.MustInvoke[*expvar.Map](i)
 	vars.Set("build", expvar.Func(func() any { return vaneyoke.Build() }))
 	vars.Set("speaks", expvar.Func(func() any { return feed.ProtocolCurrent }))
-	node = mesh.New(self, config, hub, members, newPeerClient(), mesh.NewMetrics(vars), do.MustInvoke[logrus.FieldLogger](i))
+	node = mesh.New(self, config, hub, members, newPeerClient(s.Limits), mesh.NewMetrics(vars), do.MustInvoke[logrus.FieldLogger](i))
 	vars.Set("upstreams", expvar.Func(func() any { return countUpstreams(active.balancer.Loads()) }))
 	vars.Set("services_spread", expvar.Func(func() any { return active.balancer.Spread() }))
 	vars.Set("upstreams_failing", expvar.Func(func() any { return failingUpstreams(active.balancer.Loads()) }))
@@ -216,9 +217,8 @@
 }
 
 // newPeerClient returns the HTTP client for other nodes. It has no timeout, because responses are endless streams.
-func newPeerClient() *http.Client {
-	dialer := &net.Dialer{Timeout: peerDialTimeout}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}}
+func newPeerClient(limits settings.Limits) *http.Client {
+	return newClientFor(limits, peerDialTimeout, 0)
 }
 
 func newBalancer(s settings.Settings) *balancer.Balancer {
--- a/process/node/rollouts_wire.go
+++ b/process/node/rollouts_wire.go
@@ -79,7 +79,7 @@
 		platform.NewRollouts(do.MustInvoke[*storeClient](i).http, s.Gateway.Store),
 		do.MustInvoke[*mesh.Node](i),
 		do.MustInvoke[*balancer.Balancer](i),
-		newReportClient(),
+		newReportClient(s.Limits),
 		rollouts.NewMetrics(do.MustInvoke[*expvar.Map](i)),
 		do.MustInvoke[logrus.FieldLogger](i),
 	)
@@ -89,8 +89,8 @@
 
 // newReportClient returns the HTTP client for reports to the parent node. It keeps connections open, because reports are sent
 // several times a second.
-func newReportClient() *http.Client {
-	client := newPeerClient()
+func newReportClient(limits settings.Limits) *http.Client {
+	client := newPeerClient(limits)
 	client.Transport.(*http.Transport).DisableKeepAlives = false
 	return client
 }
--- a/process/node/wire.go
+++ b/process/node/wire.go
@@ -121,7 +121,7 @@
 	s, vars, log := do.MustInvoke[settings.Settings](i), do.MustInvoke[*expvar.Map](i), do.MustInvoke[logrus.FieldLogger](i)
 	crashes := quarantines.NewStandalone(quarantineConfig(s.Recovery), quarantines.NewMetrics(vars), log)
 	r := relay.New(
-		engine.New(newUpstreamClient(), newSingleUseClient()),
+		engine.New(newUpstreamClient(s.Limits), newSingleUseClient(s.Limits)),
 		nil,
 		callerPlacer{Balancer: do.MustInvoke[*balancer.Balancer](i), crashGuard: crashGuard{crashes}},
 		do.MustInvoke[*telemetry.Tracing](i).Tracer,
@@ -227,20 +227,24 @@
 }
 
 // newSingleUseClient returns an HTTP client that opens a new connection for each request.
-func newSingleUseClient() *http.Client {
+func newSingleUseClient(limits settings.Limits) *http.Client {
+	return newClientFor(limits, dialTimeout, 0)
+}
+
+// newClientFor returns an HTTP client that keeps idle connections for a time, 0 for not at all.
+func newClientFor(limits settings.Limits, dialTimeout, idleTimeout time.Duration) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true}}
+	transport := newTransport(limits, dialer.DialContext)
+	transport.DisableCompression, transport.DisableKeepAlives, transport.IdleConnTimeout = true, idleTimeout == 0, idleTimeout
+	return &http.Client{Transport: transport}
 }
 
 // newUpstreamClient returns an HTTP client without a timeout for running streams and without retries.
-func newUpstreamClient() *http.Client {
+func newUpstreamClient(limits settings.Limits) *http.Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
-	return &http.Client{Transport: &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConnsPerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-		ReadBufferSize:      bufferBytes,
-		WriteBufferSize:     bufferBytes,
-	}}
+	transport := newTransport(limits, dialer.DialContext)
+	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout = maxIdleConnsPerHost, idleTimeout
+	transport.DisableCompression = true
+	transport.ReadBufferSize, transport.WriteBufferSize = bufferBytes, bufferBytes
+	return &http.Client{Transport: transport}
 }
