Bodies between nodes of the caller API and of the platform have a bound

A response of the platform (rows, objects, the list of VMs) and of another node, and a call of another node, were read to their end, whatever came. twirp and the store's library read them whole.

The control client ends a body with an error after 64 MB, twice the largest answer that is kept there, and the peer API takes no larger call. TestBodyWithoutEndIsReadOn covers the client; the bound of the peer API is package http's MaxBytesHandler and has no test of its own.

--- a/process/node/control.go
+++ b/process/node/control.go
@@ -31,7 +31,7 @@
 		return &countedConn{Conn: conn, sent: sent, received: received}, nil
 	})
 	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout = maxIdleConnsPerHost, idleTimeout
-	return &controlClient{http: &http.Client{Transport: transport, Timeout: platformTimeout}, sent: sent, received: received}, nil
+	return &controlClient{http: &http.Client{Transport: boundedBodies{transport}, Timeout: platformTimeout}, sent: sent, received: received}, nil
 }
 
 // countListener returns a listener whose connections are included in the byte counts.
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -88,7 +88,7 @@
 	n.tasks.Go(func() { n.claims.Run(run) })
 	n.serve(n.api.Handler(), n.callerListener)
 	n.serve(n.adminHandler(), n.adminListener)
-	n.serve(n.peerAPI, n.control.countListener(n.peerListener))
+	n.serve(http.MaxBytesHandler(n.peerAPI, maxControlBytes), n.control.countListener(n.peerListener))
 	n.log.WithFields(logrus.Fields{
 		"vm": n.settings.Node.VM, "data_centre": n.settings.Node.DataCentre,
 		"listen": n.callerListener.Addr(), "admin": n.adminListener.Addr(), "peer": n.peerListener.Addr(),
--- a/process/node/transport_test.go
+++ b/process/node/transport_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -70,3 +71,25 @@
 	}
 	return sent
 }
+
+// Guards against a body without end from another node or the platform, which is read until the memory is gone.
+func TestBodyWithoutEndIsReadOn(t *testing.T) {
+	i := do.New()
+	do.ProvideValue(i, settings.Settings{Limits: settings.Limits{HeadBytes: 32 << 10}})
+	do.ProvideValue(i, new(expvar.Map).Init())
+	do.Provide(i, provideControlClient)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		for piece := make([]byte, 32<<10); ; {
+			if _, err := w.Write(piece); err != nil {
+				return
+			}
+		}
+	}))
+	defer server.Close()
+	res, err := do.MustInvoke[*controlClient](i).http.Get(server.URL) //nolint:noctx // it ends by itself
+	must.NoError(t, err)
+	n, err := io.Copy(io.Discard, res.Body)
+	must.EqOp(t, maxControlBytes, n)
+	must.ErrorContains(t, err, "not complete")
+	must.NoError(t, res.Body.Close())
+}
