An old refusal of a replacement does not end the stream that went on

Callers of streams could have them end midway (code 80) with seconds left, or wait for seconds, when their run was lost: a run that had paused and gone on had left behind the refusal of its replacement (limits, push-back or overload, with a time to come back), which its loss took for its own. The next attempt was asked for only after that whole time, however long ago the refusal was, and if less time was left than that, the answer failed at once. A request whose run was declined was refused in the same way, without another placement.

Cause: since a placement can be refused while a run goes on, and notPlaced recorded its code and time for the answer. Now it records them only if no run is left; the refusal of a replacement concerns the run that it was to replace. After a loss the placer is asked again, once, and refuses again if its reason still stands.

TestOldRefusalEndsAStream: before, 3 of 6 cells ended 3 s before the deadline, and 3 waited for 3 s, 4 s after the refusal. TestOldRefusalEndsARequestThatHasNotRun failed before, too.

--- a/decide/generation/placing.go
+++ b/decide/generation/placing.go
@@ -89,12 +89,11 @@
 		return
 	}
 	s.removeRun(ev.Attempt)
-	s.lastCode = ev.Code
-	s.retryAfter = ev.RetryAfter
-	if len(s.runs) > 0 {
+	if len(s.runs) > 0 { // the refusal says nothing about a loss later on
 		s.replacementRefused(now, ev)
 		return
 	}
+	s.lastCode, s.retryAfter = ev.Code, ev.RetryAfter
 	if ev.Code == vaneyoke.CodeQuarantined || ev.Code.IsFinal() {
 		s.failNow(now, s.failure())
 		return
