A stream whose upstream paused once does not wait for it when it dies

Callers of streams waited for a dead upstream until their time was over, or for as long as upstreams had pushed back, although other upstreams were free: the stream had paused before, its replacement had been refused, and it had gone on.

Cause: after each event but the first the session left its timer alone, as it is set again when it fires. Since a refused replacement sets it to the time to come back, or to the deadline if the refusal is final, and an event of the run that goes on brought it forward no more. The timer is now left alone only if it does not fire too late.

TestStreamWaitsForADeadUpstreamAfterAPause: before, 20.6 s with a push-back of 20 s, and code 80 after 60 s, the deadline, with a version that is gone and with blocked content; now each is continued by the other upstream within 4 s. The row without a pause passed before.

--- a/shell/relay/restore.go
+++ b/shell/relay/restore.go
@@ -99,6 +99,6 @@
 	for _, effect := range effects {
 		s.apply(effect)
 	}
-	s.setTimer(now)
+	s.setTimer(now, false)
 	return s
 }
--- a/shell/relay/session.go
+++ b/shell/relay/session.go
@@ -31,6 +31,7 @@
 	state        *generation.State
 	links        map[vaneyoke.Attempt]*link
 	timer        *time.Timer
+	timerDue     time.Time // when it fires; zero if it is stopped
 	result       Result
 	answer       engine.Answer       // of a unary session
 	lastUpstream vaneyoke.UpstreamID // of the last attempt
@@ -213,19 +214,22 @@
 	for _, effect := range s.state.Handle(now, ev) {
 		s.apply(effect)
 	}
-	if _, ok := ev.(*generation.Received); ok && s.state.Transcript().Len() > 1 {
-		return // the timer is set again when it next fires
-	}
-	s.setTimer(now)
+	_, isChunk := ev.(*generation.Received)
+	s.setTimer(now, isChunk && s.state.Transcript().Len() > 1)
 }
 
-func (s *Session) setTimer(now time.Time) {
+// setTimer sets the timer for the state machine. After a chunk, one that fires too early is left alone, since it is set again then.
+func (s *Session) setTimer(now time.Time, isChunk bool) {
 	due := s.state.NextTick()
-	if s.result.Ended || due.IsZero() {
+	switch {
+	case s.result.Ended || due.IsZero():
 		s.timer.Stop()
-		return
+		s.timerDue = time.Time{}
+	case isChunk && !s.timerDue.IsZero() && !due.Before(s.timerDue):
+	default:
+		s.timer.Reset(due.Sub(now))
+		s.timerDue = due
 	}
-	s.timer.Reset(due.Sub(now))
 }
 
 // apply executes an effect; effects that block run in their own goroutines.
