A quarantine does not end a run that has a head because it paused

A caller whose answer had its head, but no event yet, got 502 (code 83) as its content was quarantined, though its upstream only paused and sent the whole answer afterwards. A quarantine ends the running attempts of a content except those whose answer has begun, and looked for the head at the latest attempt alone. Since that may be one that is only asked for, or was refused, while the run goes on.

A head of any live attempt now counts. TestQuarantineEndsARunThatPauses failed before with code 83; the attempts that wait without a head are ended as before (TestRequestIsQuarantinedAfterThreeCrashes).

--- a/shell/relay/guard.go
+++ b/shell/relay/guard.go
@@ -145,8 +145,18 @@
 	remaining, blocked := s.relay.guard.Blocked(s.req.Content)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l := s.links[s.state.LatestAttempt()]; !blocked || s.provenSafe || (l != nil && !l.headAt.IsZero() && !l.fenced) {
+	if !blocked || s.provenSafe || s.hasLiveHead() {
 		return
 	}
 	s.handleLocked(time.Now(), generation.Quarantined{RetryAfter: remaining})
 }
+
+// hasLiveHead reports whether the head of a live attempt's answer has arrived.
+func (s *Session) hasLiveHead() bool {
+	for _, l := range s.links {
+		if !l.headAt.IsZero() && !l.fenced && !l.outcomeReported {
+			return true
+		}
+	}
+	return false
+}
