A node that was held up does not query an upstream many times at once

A node that got no processor for some seconds queried the upstream of each of its silent runs as often as its silence limit had passed since the last event, without a pause, and gave a run without an event up before any of the answers: each query extends the limit by its initial length, counted from the last event.

The next query now also waits for half of the limit since the last one, so that one which is sent on time is followed at the same time as before.

TestLateTickSendsManyQueries: before, 20 queries in 20 ticks within 20 ms between two events, and 5 before the first event, after 5 s; one now.

--- a/decide/generation/opaque_property_test.go
+++ b/decide/generation/opaque_property_test.go
@@ -50,6 +50,11 @@
 	m.config.EventIntervalGoal = 700 * time.Millisecond
 	m.config.MaxRunQueries = rapid.IntRange(0, 2).Draw(t, "asks")
 	m.config.UsefulOnly = rapid.Bool().Draw(t, "useful only")
+	m.config.KeepLastAttempt = rapid.Bool().Draw(t, "keep last")
+	m.config.Silence.Patience = 1
+	if rapid.Bool().Draw(t, "no probe") {
+		m.config.ProbeEvery = 0
+	}
 	m.state = generation.New(m.config, rand.New(rand.NewPCG(1, 2)))
 	return m
 }
@@ -203,6 +208,20 @@
 	}
 }
 
+// tick has the timer fire until it is not due any more, which has to be soon, and checks that it fires by the deadline.
+func (m *opaqueModel) tick() {
+	const maxTicks = 3
+	for range maxTicks {
+		if !m.ended {
+			m.handle(generation.Tick{})
+		}
+	}
+	if !m.ended {
+		must.True(m.t, m.state.NextTick().After(m.now), must.Sprint("the timer fires without a pause"))
+		must.False(m.t, m.state.NextTick().After(m.config.Deadline), must.Sprint("the timer fires after the deadline"))
+	}
+}
+
 // TestOpaqueAnswerInvariants draws events in random order, including late ones of fenced attempts.
 func TestOpaqueAnswerInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -274,7 +293,7 @@
 			},
 			"time": func(t *rapid.T) {
 				m.now = m.now.Add(time.Duration(rapid.SampledFrom([]int{1, 50, 300, 3000, 11_000}).Draw(t, "ms")) * time.Millisecond)
-				m.handle(generation.Tick{})
+				m.tick()
 			},
 			"forecast": func(t *rapid.T) {
 				m.forecast = drawForecast(t)
--- a/decide/generation/query.go
+++ b/decide/generation/query.go
@@ -16,9 +16,10 @@
 	stallFactor = 2
 )
 
-// queryRun asks the upstream for the state of the run. Each query extends the run's silence limit by its initial length.
+// queryRun asks the upstream for the state of the run. Each query extends the run's silence limit by its initial length, also if the node was held up.
 func (s *State) queryRun(now time.Time, r *run) {
 	r.queries++
+	r.queriedAt = now
 	s.emit(QueryRun{Attempt: r.attempt, Upstream: r.upstream, SilentFor: now.Sub(r.lastActivity()), HasOutput: r.gaps.count > 0})
 }
 
--- a/decide/generation/query_test.go
+++ b/decide/generation/query_test.go
@@ -117,3 +117,28 @@
 	must.Zero(t, queries)
 	must.EqOp(t, chunks+2, o.state.Transcript().Len())
 }
+
+// Guards against a node that was held up, and then queries the upstream of a silent run many times at once, or gives the run up before the answer.
+func TestLateTickSendsManyQueries(t *testing.T) {
+	for name, begun := range map[string]bool{"before the first event": false, "between two events": true} {
+		t.Run(name, func(t *testing.T) {
+			o := newSilentStream(t, "")
+			if !begun {
+				o = newOpaqueAnswer(t, func(c *generation.Config) {
+					c.MaxRunQueries, c.ProbeEvery, c.Silence.FirstToken = 8, 0, firstTokenLimit
+				})
+				o.place(o.handle(generation.Admitted{}), "e1", "")
+			}
+			o.now = o.now.Add(5 * time.Second)
+			queries := 0
+			for range 20 { // each tick is 1 ms after the one before
+				effects := o.handle(generation.Tick{})
+				must.False(t, has[generation.Suspect](effects))
+				if has[generation.QueryRun](effects) {
+					queries++
+				}
+			}
+			must.EqOp(t, 1, queries)
+		})
+	}
+}
--- a/decide/generation/run.go
+++ b/decide/generation/run.go
@@ -29,6 +29,7 @@
 	probing          bool          // whether a probe is in flight
 	aliveAt          time.Time     // when the upstream last answered a probe, or the run was placed
 	queries          int           // queries for the run's state since the last batch
+	queriedAt        time.Time     // when the last of them was sent
 	aheadReports     int           // consecutive reports of chunks that were produced but have not arrived
 	expectedTTFT     time.Duration // expected time to first token
 	gaps             gapEstimate
--- a/decide/generation/silence.go
+++ b/decide/generation/silence.go
@@ -54,7 +54,12 @@
 	if r.refusals > 0 {
 		return r.waitUntil
 	}
-	return since.Add(s.silenceLimit(r) * time.Duration(1+r.queries))
+	limit := s.silenceLimit(r)
+	at := since.Add(limit * time.Duration(1+r.queries))
+	if r.queries > 0 {
+		return latest(at, r.queriedAt.Add(limit/2)) // the last query may have been late
+	}
+	return at
 }
 
 // silenceLimit returns for how long a run may be silent before its upstream is queried, or the run is replaced.
