A test shows token streams that end before their replacement is reached

The caller API ends a silent run as another attempt is placed (placed, breakReplaced), and not once that one is connected, as forwarded requests do since: if it is then not connected and no other can be placed, the answer ends although its engine would go on. The default recovery races a second attempt first, and replaces a run at its second silence; frugal recovery replaces it at the first.

Not mended here: the senders of the caller API have no gate that says when an attempt is sent, and a stream that is open at its engine before the other ends is a second run beside the first.

--- a/decide/generation/silent_run_test.go
+++ b/decide/generation/silent_run_test.go
@@ -300,3 +300,19 @@
 		must.EqOp(t, vaneyoke.CodeInterrupted, find[generation.Fail](t, o.handle(generation.NotPlaced{Attempt: again.Attempt, Code: vaneyoke.CodeVersionGone})).Code)
 	})
 }
+
+// Guards against a stream of the caller API whose run is ended before the attempt that replaces it has reached its engine.
+func TestTokenStreamEndsBeforeItsReplacementIsReached(t *testing.T) {
+	o := newOpaqueAnswer(t, func(c *generation.Config) {
+		c.Opaque, c.Recovery, c.ProbeEvery, c.MaxAttempts, c.Deadline = false, vaneyoke.RecoverFrugal, 0, 0, time.Time{}
+	})
+	o.place(o.handle(generation.Admitted{}), "e1", "")
+	o.handle(generation.PromptTokenized{Attempt: 1, IDs: []vaneyoke.TokenID{7}})
+	o.chunk(0)
+	o.chunk(1)
+	place := find[generation.Place](t, placeAgain(o))
+	o.handle(generation.Placed{Attempt: place.Attempt, Upstream: "e2"})
+	o.handle(generation.Lost{Attempt: place.Attempt, Cause: generation.CauseNotSent})
+	o.chunkOf(1, 2)
+	must.EqOp(t, 3, o.state.Transcript().Len())
+}
