Test of lent retries: an answer that comes too late is not part of it

A lender charges its account when it answers, and the borrower waits 60 ms for the answer; one that comes later is lent and not borrowed, which spends less than the shares and never more.

The test waits a minute for each answer now; what it checks is the same.

--- a/shell/mesh/borrow.go
+++ b/shell/mesh/borrow.go
@@ -29,8 +29,9 @@
 // Lender lets nodes lend retries to one another. Otherwise the share of a node could be too small for its failures while other shares of the
 // fleet's retry budget stay unused. A lent retry is charged to the lender, so the total budget stays the same.
 type Lender struct {
-	node *Node
-	lend func(vaneyoke.ServiceID) bool
+	node    *Node
+	lend    func(vaneyoke.ServiceID) bool
+	timeout time.Duration // of one request
 
 	mu        sync.Mutex
 	notBefore map[vaneyoke.ServiceID]time.Time // end of the pause after a refusal
@@ -38,7 +39,7 @@
 
 // NewLender returns a lender for the members of the mesh; lend takes a retry from this node's budget.
 func NewLender(node *Node, lend func(vaneyoke.ServiceID) bool) *Lender {
-	return &Lender{node: node, lend: lend, notBefore: map[vaneyoke.ServiceID]time.Time{}}
+	return &Lender{node: node, lend: lend, timeout: lenderTimeout, notBefore: map[vaneyoke.ServiceID]time.Time{}}
 }
 
 // ServeHTTP lends a retry: status 200, or 409 if none is left.
@@ -76,7 +77,7 @@
 }
 
 func (l *Lender) requestRetry(ctx context.Context, m feed.Member, service vaneyoke.ServiceID) bool {
-	ctx, cancel := context.WithTimeout(ctx, lenderTimeout)
+	ctx, cancel := context.WithTimeout(ctx, l.timeout)
 	defer cancel()
 	query := url.Values{serviceKey: {string(service)}}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+m.Address+BorrowPath+"?"+query.Encode(), nil)
--- a/shell/mesh/borrow_test.go
+++ b/shell/mesh/borrow_test.go
@@ -38,6 +38,7 @@
 	for i, p := range peers {
 		accounts[i] = &account{budget: retry.NewBudget(retry.BudgetConfig{Burst: burst, Window: time.Hour})}
 		lenders[i] = NewLender(p.Node, accounts[i].lend)
+		lenders[i].timeout = time.Minute // a retry whose answer comes too late is lent and not borrowed
 		mux := http.NewServeMux()
 		mux.Handle("POST "+BorrowPath, lenders[i])
 		server := httptest.NewServer(mux)
