--- a/decide/generation/silent_run_test.go
+++ b/decide/generation/silent_run_test.go
@@ -374,7 +374,9 @@
 
 // Guards against an answer of the caller API that ends because the engine that raced its silent run refused it.
 func TestRefusedHedgeEndsTheAnswer(t *testing.T) {
-	o := newOpaqueAnswer(t, func(c *generation.Config) { c.Opaque, c.ProbeEvery, c.MaxAttempts, c.Deadline = false, 0, 0, time.Time{} })
+	o := newOpaqueAnswer(t, func(c *generation.Config) {
+		c.Opaque, c.ProbeEvery, c.MaxAttempts, c.Deadline = false, 0, 0, time.Time{}
+	})
 	o.place(o.handle(generation.Admitted{}), "e1", "")
 	o.handle(generation.PromptTokenized{Attempt: 1, IDs: []vaneyoke.TokenID{7}})
 	o.chunk(0)
