A paused upstream is checked for a crash once for each silence

Now once until the run sends something again; a crash in between ends the connection, which is checked as before.

--- a/shell/relay/attempt.go
+++ b/shell/relay/attempt.go
@@ -123,9 +123,12 @@
 	}
 }
 
-// suspect logs and counts that another attempt is to replace one, which goes on until then.
+// suspect logs and counts that another attempt is to replace one, which goes on until then. It does so once for each silence.
 func (s *Session) suspect(e generation.Suspect) {
 	l := s.links[e.Attempt]
+	if l.suspected {
+		return
+	}
 	l.suspected = true
 	s.logAttempt(e.Attempt, e.Upstream).WithFields(logrus.Fields{
 		"cause": e.Cause, "pieces": l.chunks, "head_ms": l.headMs(), "age_ms": time.Since(l.sentAt).Milliseconds(), "left_ms": s.timeLeftMs(),
--- a/shell/relay/guard_test.go
+++ b/shell/relay/guard_test.go
@@ -13,6 +13,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/placement"
 	"github.com/vaneyoke/vaneyoke/shell/relay"
 	"github.com/vaneyoke/vaneyoke/wire/engine"
 	"github.com/vaneyoke/vaneyoke/wire/forward"
@@ -224,3 +225,35 @@
 		synctest.Wait()
 	})
 }
+
+// exhaustedGuard is a crash recorder without retries.
+type exhaustedGuard struct{ crashRecorder }
+
+func (g *exhaustedGuard) Place(need placement.Need, retry bool) (vaneyoke.Upstream, time.Duration, error) {
+	if retry {
+		return vaneyoke.Upstream{}, 0, vaneyoke.Err(vaneyoke.CodeRetryExhausted, "spent")
+	}
+	return g.crashRecorder.Place(need, retry)
+}
+
+// Guards against an upstream that pauses and is checked for a crash each time that the replacement of its run is asked for.
+func TestPausedUpstreamIsCheckedForACrashAgainAndAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &fakeSender{reachable: true, answers: map[vaneyoke.UpstreamID]forward.Response{
+			"a": &pausingExchange{lateExchange: lateExchange{from: "a"}, pauses: []time.Duration{50 * time.Millisecond, 8 * time.Second}},
+		}}
+		g := &exhaustedGuard{}
+		r := newForwarderWith(s, g)
+		defer time.Sleep(2 * time.Minute) // until the upstream has ended
+		defer r.Close()
+		began := time.Now()
+		r.Forward(t.Context(), &vaneyoke.Request{ID: "r", Content: "c", Repeatable: true, ReceivedAt: began}, relay.Forwarding{
+			Message: &forward.Message{}, Service: "lm", Stream: true, Deadline: began.Add(time.Minute),
+			LatencyGoal: 3 * time.Second, EventIntervalGoal: 700 * time.Millisecond, MaxAttempts: 3,
+		})
+		time.Sleep(7 * time.Second)
+		g.lock.Lock()
+		defer g.lock.Unlock()
+		must.EqOp(t, 1, g.lossesWithoutCrash)
+	})
+}
