A replica that is gone is not asked for again, and a replacement may go to the same upstream

- A replacement that was to continue from the replica was declined, as there was none.
The silent run goes on since, and the next replacement was sent to the same replica, until the attempts were used up.
The lines: attempt_started from_replica=true, attempt_lost cause=declined, twice.
Now the run has no replica any more once its replacement from it was lost.
- A replacement at the run's own upstream was refused if that had not answered a query.
Where it is the only one and just the connection is dead, nothing followed.
That rule is taken out.

--- a/decide/generation/losing.go
+++ b/decide/generation/losing.go
@@ -37,6 +37,7 @@
 		return
 	}
 	if len(s.runs) > 0 {
+		s.forgetReplica(&old)
 		s.replacementRefused(now, NotPlaced{Attempt: old.attempt, Code: vaneyoke.CodeNoUpstream})
 		return
 	}
--- a/decide/generation/placing.go
+++ b/decide/generation/placing.go
@@ -27,11 +27,6 @@
 	if r == nil || r.stage != stagePlacing {
 		return
 	}
-	if s.isOwnReplacement(ev) {
-		s.removeRun(ev.Attempt)
-		s.replacementRefused(now, NotPlaced{Attempt: ev.Attempt, Code: vaneyoke.CodeNoUpstream})
-		return
-	}
 	fromReplica := ev.HoldsReplica && s.replicaHolder != ""
 	if s.refuseUseless(now, now, ev.Attempt, fromReplica) {
 		return
--- a/decide/generation/query.go
+++ b/decide/generation/query.go
@@ -39,7 +39,6 @@
 	if r == nil || r.stage == stagePlacing || r.queries == 0 || r.successor != 0 { // a chunk has arrived since the query
 		return
 	}
-	r.answersQueries = ev.State != vaneyoke.RunStateUnknown
 	if s.keepWaiting(now, r, ev) {
 		return
 	}
@@ -107,6 +106,5 @@
 	r.resetQueries()
 	r.suspect, r.kept = false, false
 	r.endReplacement()
-	r.answersQueries = false
 	r.refusals, r.waitUntil = 0, time.Time{}
 }
--- a/decide/generation/replacing.go
+++ b/decide/generation/replacing.go
@@ -80,13 +80,6 @@
 	return s.runWhere(func(r *run) bool { return r.successor == attempt })
 }
 
-// isOwnReplacement reports whether an attempt was placed on the upstream whose run it is to replace, although that upstream does not answer. Only the
-// upstreams of opaque runs are queried.
-func (s *State) isOwnReplacement(ev Placed) bool {
-	r := s.replacedBy(ev.Attempt)
-	return s.cfg.Opaque && r != nil && r.upstream == ev.Upstream && !r.answersQueries
-}
-
 // handoverOverlap is how long a run goes on after its successor was sent, which may be declined. Both may work for so long, which is less than callers and
 // upstreams allow.
 const handoverOverlap = 200 * time.Millisecond
@@ -130,6 +123,13 @@
 	return true
 }
 
+// forgetReplica records that the replica of a run which was to be replaced is used up, as its replacement was to continue from it.
+func (s *State) forgetReplica(lost *run) {
+	if r := s.replacedBy(lost.attempt); r != nil && lost.fromReplica {
+		r.replica = ""
+	}
+}
+
 // replacementRefused goes on with a run whose replacement was not placed, did not reach its upstream, or was lost. Another one is asked for later, unless none can
 // be had.
 func (s *State) replacementRefused(now time.Time, ev NotPlaced) {
--- a/decide/generation/run.go
+++ b/decide/generation/run.go
@@ -39,7 +39,6 @@
 	kept             bool                // silent for longer than its limit, but no other attempt could complete the answer
 	suspect          bool                // silent for longer than its limit; a second attempt races it if one could be started
 	successor        vaneyoke.Attempt    // that is being placed to replace it; 0 for none
-	answersQueries   bool                // whether its upstream answered the last query, so that a new connection to the same upstream may help
 	handoverAt       time.Time           // when it ends because its successor was sent; zero if that has not been sent
 	givenUpFor       Cause               // why it is to be replaced; 0 if it is not
 	unreachableSince time.Time           // when its upstream was first not reached since it last was; zero if it is
--- a/decide/generation/silent_run_test.go
+++ b/decide/generation/silent_run_test.go
@@ -321,11 +321,19 @@
 		fail := find[generation.Fail](t, o.silentFor(10*time.Second))
 		must.True(t, fail.Code.Info().NotRun, must.Sprint("code ", fail.Code))
 	})
+	t.Run("the replica that the replacement was to continue from is gone", func(t *testing.T) {
+		o, place := silentUntilPlaced(t)
+		must.EqOp(t, "e2", place.Prefer)
+		o.handle(generation.Placed{Attempt: place.Attempt, Upstream: "e2", HoldsReplica: true})
+		o.handle(generation.Sent{Attempt: place.Attempt})
+		o.handle(generation.Lost{Attempt: place.Attempt, Cause: generation.CauseDeclined})
+		must.EqOp(t, "", find[generation.Place](t, placeAgain(o)).Prefer)
+	})
 	t.Run("the replacement is placed on the same upstream", func(t *testing.T) {
 		o, place := silentUntilPlaced(t)
-		must.SliceEmpty(t, o.handle(generation.Placed{Attempt: place.Attempt, Upstream: "e1"}))
-		o.chunkOf(1, 2)
-		must.EqOp(t, 3, o.state.Transcript().Len())
+		must.True(t, has[generation.Start](o.handle(generation.Placed{Attempt: place.Attempt, Upstream: "e1"})))
+		o.handle(generation.Sent{Attempt: place.Attempt})
+		must.EqOp(t, 1, find[generation.Cancel](t, o.silentFor(handoverOverlap)).Attempt) // its connection may be dead
 	})
 	t.Run("it is lost before the replacement is placed", func(t *testing.T) {
 		o, place := silentUntilPlaced(t)
--- a/shell/relay/pushback_test.go
+++ b/shell/relay/pushback_test.go
@@ -218,6 +218,7 @@
 		defer r.Close()
 		session := forwardRequest(t, r, true)
 		time.Sleep(7 * time.Second) // its replacement has been refused
+		synctest.Wait()
 		must.Nil(t, g.placer.refusal)
 		g.lock.Lock()
 		g.blocked = true
