Placement learns of a silent upstream while nobody takes over its run

Since a silent run goes on while its replacement is refused, and its outcome is reported when it ends, up to the deadline later: until then the circuit breaker and the other nodes did not learn that the upstream is silent, and it got further requests. No caller was seen to suffer from it; it was found by reading.

The first refusal of a replacement reports the loss (Suspected), once for each attempt; the end of the attempt then counts as dropped, unless it completes or is lost for another reason, so that one silence is one failure.

--- a/decide/placement/state.go
+++ b/decide/placement/state.go
@@ -335,11 +335,22 @@
 	if !ok {
 		return
 	}
-	e.outcomes[outcome]++
 	e.inFlight = max(e.inFlight-1, 0)
 	if !begun {
 		e.awaitingFirstToken = max(e.awaitingFirstToken-1, 0)
 	}
+	s.recordOutcome(now, e, outcome)
+}
+
+// Suspected records that an upstream does not go on with an attempt, which is still in flight as no other upstream takes it over.
+func (s *State) Suspected(now time.Time, id vaneyoke.UpstreamID, outcome Outcome) {
+	if e, ok := s.entries[id]; ok {
+		s.recordOutcome(now, e, outcome)
+	}
+}
+
+func (s *State) recordOutcome(now time.Time, e *entry, outcome Outcome) {
+	e.outcomes[outcome]++
 	switch outcome {
 	case OutcomeDone:
 		e.breaker.Succeeded()
--- a/process/node/gateway_placer.go
+++ b/process/node/gateway_placer.go
@@ -155,6 +155,16 @@
 // Ended records the outcome of an attempt, and gossips it if it says something about the upstream's reachability.
 func (b *gatewayPlacer) Ended(id vaneyoke.UpstreamID, outcome placement.Outcome, begun bool) {
 	b.Balancer.Ended(id, outcome, begun)
+	b.gossipOutcome(id, outcome)
+}
+
+// Suspected records that an upstream does not go on with an attempt, and gossips it.
+func (b *gatewayPlacer) Suspected(id vaneyoke.UpstreamID, outcome placement.Outcome) {
+	b.Balancer.Suspected(id, outcome)
+	b.gossipOutcome(id, outcome)
+}
+
+func (b *gatewayPlacer) gossipOutcome(id vaneyoke.UpstreamID, outcome placement.Outcome) {
 	switch outcome {
 	case placement.OutcomeDone:
 		b.gossip.Observe(id, gossip.KindHealthy)
--- a/shell/balancer/balancer.go
+++ b/shell/balancer/balancer.go
@@ -220,6 +220,13 @@
 	b.state.Ended(time.Now(), id, outcome, begun)
 }
 
+// Suspected records that an upstream does not go on with an attempt, which is still in flight.
+func (b *Balancer) Suspected(id vaneyoke.UpstreamID, outcome placement.Outcome) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.state.Suspected(time.Now(), id, outcome)
+}
+
 // FirstToken records the time to first token of an attempt.
 func (b *Balancer) FirstToken(id vaneyoke.UpstreamID, took time.Duration, promptBytes int) {
 	b.mu.Lock()
--- a/shell/relay/attempt.go
+++ b/shell/relay/attempt.go
@@ -126,6 +126,7 @@
 // suspect logs and counts that another attempt is to replace one, which goes on until then. It does so once for each silence.
 func (s *Session) suspect(e generation.Suspect) {
 	l := s.links[e.Attempt]
+	l.suspectedFor = e.Cause
 	if l.suspected {
 		return
 	}
@@ -137,6 +138,19 @@
 	s.checkCrash(l, e.Cause)
 }
 
+// reportSuspects tells the placer, once for each attempt, of those that nobody takes over.
+func (s *Session) reportSuspects() {
+	if s.relay.suspicions == nil {
+		return
+	}
+	for _, l := range s.links {
+		if l.suspected && !l.lossReported && !l.unsent && !l.fenced && !l.outcomeReported {
+			l.lossReported = true
+			s.relay.suspicions.Suspected(l.upstream.ID, outcomeOf(l.suspectedFor))
+		}
+	}
+}
+
 func (s *Session) stopRun(upstream vaneyoke.Upstream, name string) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(s.ctx), cancelTimeout)
 	defer cancel()
@@ -153,6 +167,9 @@
 		return
 	}
 	l.outcomeReported = true
+	if l.lossReported && outcome == outcomeOf(l.suspectedFor) {
+		outcome = placement.OutcomeDropped
+	}
 	if l.isRetry && !l.started {
 		s.relay.placer.RefundRetry(s.need)
 	}
--- a/shell/relay/place.go
+++ b/shell/relay/place.go
@@ -42,6 +42,7 @@
 	now := time.Now()
 	if err != nil {
 		s.recordNotContinued(e, err)
+		s.reportSuspects()
 		s.handleLocked(now, generation.NotPlaced{
 			Attempt:    e.Attempt,
 			Code:       vaneyoke.CodeOf(err),
--- a/shell/relay/relay.go
+++ b/shell/relay/relay.go
@@ -73,6 +73,12 @@
 	RecordReplaced(need placement.Need, retry bool, id vaneyoke.UpstreamID)
 }
 
+// SuspicionRecorder is a Placer that learns of attempts which their upstreams do not go on with before they end.
+type SuspicionRecorder interface {
+	// Suspected is called at most once for an attempt that nobody has taken over; its outcome is OutcomeDropped unless it completes.
+	Suspected(id vaneyoke.UpstreamID, outcome placement.Outcome)
+}
+
 // SpeedRecorder learns how fast upstreams work.
 type SpeedRecorder interface {
 	// RecordPace records the time between the events of a stream.
@@ -112,16 +118,17 @@
 	engines    *engine.Client
 	sender     forward.Sender // nil if no opaque requests are served
 	placer     Placer
-	rollouts   RolloutPlacer    // nil if there are no rollouts
-	staleness  StalenessChecker // nil if the list of upstreams is assumed to be current
-	guard      CrashGuard       // nil if crashes are not tracked
-	limiter    Limiter          // nil if upstreams declare no limits
-	pushbacks  PushbackTracker  // nil if pushbacks are not tracked
-	admitter   Admitter         // nil if prompts wait for room by themselves
-	processes  ProcessTracker   // nil if upstreams are assumed not to restart
-	meter      Meter            // nil if load is not measured
-	speeds     SpeedRecorder    // nil if speeds are not measured
-	registry   StreamRegistry   // nil if no other node keeps what began a stream
+	rollouts   RolloutPlacer     // nil if there are no rollouts
+	staleness  StalenessChecker  // nil if the list of upstreams is assumed to be current
+	guard      CrashGuard        // nil if crashes are not tracked
+	limiter    Limiter           // nil if upstreams declare no limits
+	pushbacks  PushbackTracker   // nil if pushbacks are not tracked
+	admitter   Admitter          // nil if prompts wait for room by themselves
+	processes  ProcessTracker    // nil if upstreams are assumed not to restart
+	meter      Meter             // nil if load is not measured
+	speeds     SpeedRecorder     // nil if speeds are not measured
+	suspicions SuspicionRecorder // nil if suspicions are not tracked
+	registry   StreamRegistry    // nil if no other node keeps what began a stream
 	tracer     trace.Tracer
 	metrics    *Metrics
 	forecasts  *forecasts
@@ -160,9 +167,10 @@
 	processes, _ := placer.(ProcessTracker)
 	speeds, _ := placer.(SpeedRecorder)
 	registry, _ := placer.(StreamRegistry)
+	suspicions, _ := placer.(SuspicionRecorder)
 	return &Relay{
 		engines: engines, sender: sender, placer: placer, rollouts: rollouts, staleness: staleness, guard: guard, limiter: limiter, pushbacks: pushbacks,
-		admitter: admitter, processes: processes, meter: meter, speeds: speeds, registry: registry, tracer: tracer, metrics: metrics, log: log, config: config,
+		admitter: admitter, processes: processes, meter: meter, speeds: speeds, registry: registry, suspicions: suspicions, tracer: tracer, metrics: metrics, log: log, config: config,
 		ctx: ctx, stop: stop, running: map[*Session]struct{}{}, forecasts: newForecasts(), buffers: newBuffers(config.Buffers),
 	}
 }
--- a/shell/relay/session.go
+++ b/shell/relay/session.go
@@ -66,6 +66,8 @@
 	resumed         bool                 // whether it is attached to an earlier attempt's stream
 	gotFirstToken   bool                 // whether its first token has arrived
 	suspected       bool                 // whether another attempt was asked for to replace it since its last chunk
+	suspectedFor    generation.Cause     // why, last
+	lossReported    bool                 // whether the placer knows that its upstream does not go on with it
 	fenced          bool                 // whether the attempt was cancelled
 	outcomeReported bool                 // whether the placer knows the outcome of the attempt
 	head            forward.Head         // of the answer to an opaque request; set together with headAt
