The caller API's silent runs go on until their replacement is open at its engine

A silent stream of the caller API that is replaced (the second silence with fast recovery, the first with frugal) was ended as the other attempt was placed.

Its senders have no gate, but a stream that is open, and a unary call that begins, say as much as the gate does: the relay sends Sent then, and the state machine treats both kinds alike. Where the replacement finds that the last token's text was buffered and removes it, the run cannot continue the shorter answer and ends at once (TestReplacedRunContinuesAShorterAnswer; its end came with its next token, as a malformed one, before).

--- a/decide/generation/event.go
+++ b/decide/generation/event.go
@@ -41,7 +41,7 @@
 	RetryAfter time.Duration // 0 if the placement gives no time
 }
 
-// Sent says that an opaque attempt is connected and is about to be sent to its upstream.
+// Sent says that an attempt has got to its upstream: an opaque one is connected and about to be sent, a stream of tokens is open, a unary call is begun.
 type Sent struct{ Attempt vaneyoke.Attempt }
 
 // RunReported answers QueryRun.
--- a/decide/generation/placing.go
+++ b/decide/generation/placing.go
@@ -31,10 +31,6 @@
 	if s.refuseUseless(now, now, ev.Attempt, fromReplica) {
 		return
 	}
-	if !s.cfg.Opaque {
-		s.breakReplaced(ev.Attempt)
-		r = s.findRun(ev.Attempt)
-	}
 	r.stage = stageStarted
 	s.lastCode = vaneyoke.CodeOK
 	r.upstream = ev.Upstream
@@ -56,6 +52,10 @@
 	if r == nil {
 		return
 	}
+	if s.answer.tailUncertain && ev.Buffered > 0 {
+		s.breakReplaced(ev.Attempt) // it cannot continue an answer that has become shorter
+		r = s.findRun(ev.Attempt)
+	}
 	if s.answer.tailUncertain {
 		s.stats.DiscardedTokens += s.answer.trim(ev.Buffered)
 	}
--- a/shell/relay/attempt.go
+++ b/shell/relay/attempt.go
@@ -192,6 +192,7 @@
 	}
 	defer func() { _ = stream.Close() }()
 	s.recordHead(attempt, forward.Head{})
+	s.handle(time.Now(), generation.Sent{Attempt: attempt})
 	received := &generation.Received{Attempt: attempt}
 	for {
 		message, err := stream.Next()
@@ -278,6 +279,7 @@
 	if !s.req.Repeatable {
 		send = s.relay.engines.CallOnce
 	}
+	s.handle(time.Now(), generation.Sent{Attempt: attempt})
 	answer, err := send(ctx, l.upstream.URL+m.path, l.streamName, m.body)
 	if err == nil && s.need.Kind == vaneyoke.KindEngine {
 		err = answer.Err()
