A caller who left in the middle of a stream is logged as gone

answer_aborted called some callers who had left interrupted, with code 85: their session ends as they leave, and the writer may see its end before the end of their context.

TestCallerWhoLeftIsReportedAsInterrupted failed before. The connection is closed as before.

--- a/api/gateway/answer.go
+++ b/api/gateway/answer.go
@@ -126,6 +126,8 @@
 	case result.Code == vaneyoke.CodeOK:
 	case sent == 0:
 		a.writeError(result)
+	case result.Code == vaneyoke.CodeCallerGone: // the session may end before Read notices that the caller left
+		panic(a.callerGone(result.Err()))
 	default:
 		panic(serve.AbortError{Cause: serve.AbortInterrupted, Code: result.Code, Err: result.Err()})
 	}
--- a/api/gateway/answer_test.go
+++ b/api/gateway/answer_test.go
@@ -17,6 +17,7 @@
 	"go.opentelemetry.io/otel/trace/noop"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/api/serve"
 	"github.com/vaneyoke/vaneyoke/decide/generation"
 	"github.com/vaneyoke/vaneyoke/decide/placement"
 	"github.com/vaneyoke/vaneyoke/shell/relay"
@@ -131,3 +132,20 @@
 		})
 	}
 }
+
+// Guards against a caller who left in the middle of a stream and is logged as one whose answer was interrupted.
+func TestCallerWhoLeftIsReportedAsInterrupted(t *testing.T) {
+	for code, cause := range map[vaneyoke.Code]serve.AbortCause{
+		vaneyoke.CodeCallerGone: serve.AbortCallerGone, vaneyoke.CodeInterrupted: serve.AbortInterrupted,
+	} {
+		func() {
+			defer func() {
+				aborted, ok := recover().(serve.AbortError)
+				must.True(t, ok)
+				must.EqOp(t, cause, aborted.Cause)
+				must.EqOp(t, code, aborted.Code)
+			}()
+			(&responder{stream: true}).endStream(relay.Result{Ended: true, Code: code}, 1)
+		}()
+	}
+}
