--- a/decide/generation/losing.go
+++ b/decide/generation/losing.go
@@ -75,7 +75,7 @@
 
 // uncount takes back the counts of a run that ends before it was sent.
 func (s *State) uncount(r *run) {
-	if r.onItsWay {
+	if r.connecting {
 		s.countLoss(r, CauseNotSent)
 	}
 }
--- a/decide/generation/opaque_test.go
+++ b/decide/generation/opaque_test.go
@@ -220,7 +220,7 @@
 		code   vaneyoke.Code
 	}{
 		"not placed": {func(*opaqueAnswer) {}, vaneyoke.CodeWaitExceeded},
-		"on its way": {func(o *opaqueAnswer) { o.handle(generation.Placed{Attempt: 1, Upstream: "e1"}) }, vaneyoke.CodeWaitExceeded},
+		"connecting": {func(o *opaqueAnswer) { o.handle(generation.Placed{Attempt: 1, Upstream: "e1"}) }, vaneyoke.CodeWaitExceeded},
 		"sent": {func(o *opaqueAnswer) {
 			o.handle(generation.Placed{Attempt: 1, Upstream: "e1"})
 			o.handle(generation.Sent{Attempt: 1})
--- a/decide/generation/placing.go
+++ b/decide/generation/placing.go
@@ -63,7 +63,7 @@
 }
 
 func (s *State) start(r *run) {
-	r.sent, r.onItsWay = true, s.cfg.Opaque
+	r.sent, r.connecting = true, s.cfg.Opaque
 	s.possibleRuns++
 	s.possibleArrivals++
 	s.countedAttempts++
--- a/decide/generation/replacing.go
+++ b/decide/generation/replacing.go
@@ -90,7 +90,7 @@
 	if r == nil {
 		return
 	}
-	r.onItsWay = false
+	r.connecting = false
 	if old := s.replacedBy(ev.Attempt); old != nil {
 		old.handoverAt = now.Add(handoverOverlap)
 	}
--- a/decide/generation/run.go
+++ b/decide/generation/run.go
@@ -22,7 +22,7 @@
 	upstream         vaneyoke.UpstreamID
 	stage            stage
 	sent             bool               // whether it was started
-	onItsWay         bool               // whether it was started and not yet sent to its upstream, as far as that is known
+	connecting       bool               // whether it is an opaque run of which nothing has been sent yet
 	resumed          bool               // attached to the stream of an earlier attempt
 	pending          []vaneyoke.TokenID // received, but not accepted yet: their text ends within a character
 	placedAt         time.Time
@@ -46,9 +46,9 @@
 	waitUntil        time.Time           // before which no other successor is asked for; zero for none
 }
 
-// lossCause returns the cause of a loss, given why the run is given up: a run that is ended on its way is not sent any more.
+// lossCause returns the cause of a loss, given why the run is given up: one that is ended while it connects is not sent any more.
 func (r *run) lossCause(cause Cause) Cause {
-	if r.onItsWay && (cause == CauseSilent || cause == CauseUnreachable) {
+	if r.connecting && (cause == CauseSilent || cause == CauseUnreachable) {
 		return CauseNotSent
 	}
 	return cause
--- a/decide/generation/state.go
+++ b/decide/generation/state.go
@@ -84,11 +84,11 @@
 // MayHaveRun reports whether any engine may have started a run.
 func (s *State) MayHaveRun() bool { return s.possibleRuns > 0 }
 
-// mayHaveRunIfEnded reports whether any engine may have started a run if the answer ends now, so that what is on its way is not sent any more.
+// mayHaveRunIfEnded reports whether any engine may have started a run if the answer ends now, so that what still connects is not sent any more.
 func (s *State) mayHaveRunIfEnded() bool {
 	unsent := 0
 	for i := range s.runs {
-		if s.runs[i].onItsWay {
+		if s.runs[i].connecting {
 			unsent++
 		}
 	}
