Streams do not go on at an upstream that restarts as it is chosen

Cause: before an attempt goes on with an answer its upstream is asked for its incarnation, and one that did not answer was held for the process of the list. The engine of the trace was down for 0.25 s; it refused the question and took the attempt some milliseconds later, with another version. Ruled out by the log: a wrong pin (v2 is right), another upstream (it is the same id), a run that was to be replaced (all earlier attempts were refused connections).

Change: an attempt that goes on with an answer passes on no event before it is known which process answers, by a report asked for less than 0.1 s before it was sent or after its head has come. A later incarnation ends it (cause=restarted); without a report its events wait, and silence is handled as before. A report counts from when it was asked for: one read late by a node that stood still showed an old process as confirmed. TestReportOfBeforeALossIsRelied states when its reports were asked for; its checks are unchanged, with one more that they do confirm at first.

Before: three of five cases of TestStreamGoesOnAtAnUpstreamThatRestartsAsItIsChosen fail, and TestReportReadLateIsReliedOn.

--- a/decide/generation/event.go
+++ b/decide/generation/event.go
@@ -156,6 +156,7 @@
 	CauseFailed                       // the upstream answered with a failure
 	CauseGone                         // the address now belongs to another upstream
 	CauseUnreachable                  // the upstream did not answer a probe
+	CauseRestarted                    // the upstream had restarted, perhaps with another software version, before it was sent the attempt
 )
 
 // String returns the cause as it is logged.
@@ -179,6 +180,8 @@
 		return "gone"
 	case CauseUnreachable:
 		return "unreachable"
+	case CauseRestarted:
+		return "restarted"
 	default:
 		return "unknown"
 	}
--- a/decide/placement/pin_test.go
+++ b/decide/placement/pin_test.go
@@ -141,14 +141,25 @@
 	now := time.Unix(1000, 0)
 	s := twoVersions(1)
 	must.False(t, s.IsConfirmed(now, "old0"))
-	s.Reported(now, "old0", vaneyoke.LoadReport{Incarnation: 5})
+	s.Reported(now, "old0", vaneyoke.LoadReport{Incarnation: 5, AskedAt: now})
 	must.True(t, s.IsConfirmed(now.Add(50*time.Millisecond), "old0"))
 	must.False(t, s.IsConfirmed(now.Add(100*time.Millisecond), "old0"))
 	for _, outcome := range []placement.Outcome{placement.OutcomeLost, placement.OutcomeFailed, placement.OutcomeUnreachable, placement.OutcomePathLost} {
-		s.Reported(now, "old0", vaneyoke.LoadReport{Incarnation: 5})
+		s.Reported(now, "old0", vaneyoke.LoadReport{Incarnation: 5, AskedAt: now})
+		must.True(t, s.IsConfirmed(now, "old0"))
 		s.Sent(now, "old0")
 		s.Ended(now.Add(time.Millisecond), "old0", outcome, false)
 		must.False(t, s.IsConfirmed(now.Add(2*time.Millisecond), "old0"))
 		now = now.Add(10 * time.Millisecond)
 	}
 }
+
+// Guards against a restart that goes unnoticed because a report that was read late, by a node that had stood still, is taken for one of that moment.
+func TestReportReadLateIsReliedOn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	s := twoVersions(1)
+	s.Reported(now, "old0", vaneyoke.LoadReport{Incarnation: 5, AskedAt: now.Add(-time.Second)})
+	must.False(t, s.IsConfirmed(now, "old0"))
+	s.Reported(now, "old0", vaneyoke.LoadReport{Incarnation: 5})
+	must.False(t, s.IsConfirmed(now, "old0"))
+}
--- a/decide/placement/state.go
+++ b/decide/placement/state.go
@@ -269,10 +269,10 @@
 // confirmTTL is how long a load report shows which incarnation of an upstream runs; a restart takes longer.
 const confirmTTL = 100 * time.Millisecond
 
-// IsConfirmed reports whether an upstream's incarnation is known by a load report of a moment ago, since which no attempt on it was lost.
+// IsConfirmed reports whether an upstream's incarnation is known by a load report that was asked for a moment ago, since when no attempt on it was lost.
 func (s *State) IsConfirmed(now time.Time, id vaneyoke.UpstreamID) bool {
 	e, ok := s.entries[id]
-	return ok && now.Sub(e.reportedAt) < confirmTTL && e.reportedAt.After(e.lostAt)
+	return ok && now.Sub(e.report.AskedAt) < confirmTTL && e.report.AskedAt.After(e.lostAt)
 }
 
 // AcceptsWork reports whether an upstream may get new work.
--- a/run_report.go
+++ b/run_report.go
@@ -1,5 +1,7 @@
 package vaneyoke
 
+import "time"
+
 // RunState is the state of a run, as its upstream reports it when asked.
 type RunState int
 
@@ -33,4 +35,5 @@
 	KVInUse, KVSize Tokens
 	// Incarnation is the upstream's current incarnation; 0 if not reported.
 	Incarnation Incarnation
+	AskedAt     time.Time // when the node asked for it, which is before any of it was stated; zero if not known
 }
--- a/shell/relay/attempt.go
+++ b/shell/relay/attempt.go
@@ -193,6 +193,9 @@
 	defer func() { _ = stream.Close() }()
 	s.recordHead(attempt, forward.Head{})
 	s.handle(time.Now(), generation.Sent{Attempt: attempt})
+	if !s.confirmContinuation(ctx, attempt) {
+		return
+	}
 	received := &generation.Received{Attempt: attempt}
 	for {
 		message, err := stream.Next()
--- a/shell/relay/confirm_test.go
+++ b/shell/relay/confirm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -94,3 +95,71 @@
 		synctest.Wait()
 	})
 }
+
+// restartingUpstreams are listed with incarnation 5; each load report that they are asked for tells the next of their incarnations, and the last one from then on.
+type restartingUpstreams struct {
+	fakeSender
+	sequentialPlacer
+
+	mu           sync.Mutex
+	incarnations map[vaneyoke.UpstreamID][]vaneyoke.Incarnation // 0 for a report that does not come
+	known        map[vaneyoke.UpstreamID]vaneyoke.Incarnation
+}
+
+func (u *restartingUpstreams) LoadReport(_ context.Context, upstream vaneyoke.Upstream) (vaneyoke.LoadReport, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	left := u.incarnations[upstream.ID]
+	if len(left) > 1 {
+		u.incarnations[upstream.ID] = left[1:]
+	}
+	return vaneyoke.LoadReport{Incarnation: left[0]}, left[0] != 0
+}
+
+func (u *restartingUpstreams) Reported(id vaneyoke.UpstreamID, report vaneyoke.LoadReport) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.known[id] = report.Incarnation
+}
+
+func (u *restartingUpstreams) Upstream(id vaneyoke.UpstreamID) (vaneyoke.Upstream, bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	incarnation := max(5, u.known[id])
+	return vaneyoke.Upstream{ID: id, URL: "http://" + string(id), Incarnation: incarnation, VersionUnknown: incarnation > 5}, true
+}
+func (*restartingUpstreams) IsConfirmed(vaneyoke.UpstreamID) bool                      { return false }
+func (*restartingUpstreams) RecordRestarted(placement.Need, bool, vaneyoke.UpstreamID) {}
+
+// Guards against streams that go on at an upstream which restarts, perhaps with another software version, between its choice and the attempt.
+func TestStreamGoesOnAtAnUpstreamThatRestartsAsItIsChosen(t *testing.T) {
+	for name, tc := range map[string]struct {
+		second []vaneyoke.Incarnation // of the second upstream, in its reports
+		want   string
+	}{
+		"restarts after it was asked":              {[]vaneyoke.Incarnation{0, 6}, "aacc"},
+		"restarts, and tells so late":              {[]vaneyoke.Incarnation{0, 0, 0, 6}, "aacc"},
+		"does not restart, and tells so late":      {[]vaneyoke.Incarnation{0, 0, 0, 5}, "aabb"},
+		"does not restart":                         {[]vaneyoke.Incarnation{5}, "aabb"},
+		"tells nothing while its events are there": {[]vaneyoke.Incarnation{0}, "aacc"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := &restartingUpstreams{known: map[vaneyoke.UpstreamID]vaneyoke.Incarnation{}}
+				u.incarnation = 5
+				u.incarnations = map[vaneyoke.UpstreamID][]vaneyoke.Incarnation{"a": {5}, "b": tc.second, "c": {5}}
+				u.answers = map[vaneyoke.UpstreamID]forward.Response{
+					"a": &lateExchange{from: "a", events: 2, breaks: true}, "b": &lateExchange{from: "b", events: 2}, "c": &lateExchange{from: "c", events: 2},
+				}
+				r := newForwarderWith(u, u)
+				s := forwardStream(t, r)
+				result, err := s.Wait(t.Context())
+				must.NoError(t, err)
+				must.EqOp(t, vaneyoke.CodeOK, result.Code)
+				must.EqOp(t, tc.want, string(s.Text()))
+				r.Close()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/shell/relay/continuation.go
+++ b/shell/relay/continuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -10,6 +11,7 @@
 	"github.com/vaneyoke/vaneyoke/decide/generation"
 	"github.com/vaneyoke/vaneyoke/decide/pinning"
 	"github.com/vaneyoke/vaneyoke/decide/placement"
+	"github.com/vaneyoke/vaneyoke/internal/pause"
 )
 
 // basisFirstOutput is the basis of a pin that an answer's first output on this node has set, as it is logged.
@@ -37,27 +39,28 @@
 	return u
 }
 
-// isConfirmed reports whether the incarnation of an upstream is known for certain, so that its version is that of its entry in the list.
+// isConfirmed reports whether an upstream is known for certain to be still the process that was listed, so that its version is that of its entry.
 func (s *Session) isConfirmed(u vaneyoke.Upstream) bool {
-	return s.relay.processes == nil || u.Incarnation == 0 || s.relay.processes.IsConfirmed(u.ID)
+	if s.relay.processes == nil || u.Incarnation == 0 {
+		return true
+	}
+	current, ok := s.relay.processes.Upstream(u.ID)
+	return ok && current.Incarnation == u.Incarnation && s.relay.processes.IsConfirmed(u.ID)
 }
 
 // confirmPin asks the upstream that gave the first output for its incarnation, unless that is known: it may have restarted with another version while
 // its entry in the list is of the earlier one.
 func (s *Session) confirmPin(attempt vaneyoke.Attempt) {
 	l := s.links[attempt]
-	if s.pinnedBy.ID != l.upstream.ID || l.isConfirmed || s.relay.isLimited(l.upstream.ID) || s.relay.isPushedBack(l.upstream.ID) {
+	if s.pinnedBy.ID != l.upstream.ID || l.isConfirmed || !s.mayConfirm(l.upstream.ID) {
 		return
 	}
 	l.isConfirmed = true
 	s.spawn(func() {
-		ctx, cancel := context.WithTimeout(s.ctx, confirmTimeout)
-		defer cancel()
-		report, ok := s.relay.sender.LoadReport(ctx, l.upstream)
+		report, ok := s.queryReport(s.ctx, l.upstream, confirmTimeout)
 		if !ok {
 			return
 		}
-		s.relay.placer.Reported(l.upstream.ID, report)
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		l.incarnation = report.Incarnation
@@ -70,7 +73,7 @@
 // hasRestarted reports whether an upstream that was chosen to go on with an answer has restarted, so that its version is not known any more. It is asked
 // unless its incarnation is known.
 func (s *Session) hasRestarted(need placement.Need, u vaneyoke.Upstream) bool {
-	if !need.Pin.IsSet || s.isConfirmed(u) || s.relay.isLimited(u.ID) || s.relay.isPushedBack(u.ID) {
+	if !need.Pin.IsSet || s.isConfirmed(u) || !s.mayConfirm(u.ID) {
 		return false
 	}
 	s.queryReports([]vaneyoke.Upstream{u})
@@ -78,8 +81,55 @@
 	return ok && !need.Pin.Allows(&current)
 }
 
-// confirmTimeout bounds the wait for the incarnation of an upstream.
-const confirmTimeout = 500 * time.Millisecond
+const (
+	confirmTimeout = 500 * time.Millisecond // longest wait for the incarnation of an upstream
+	confirmPause   = 50 * time.Millisecond  // before it is asked again
+)
+
+// confirmContinuation waits until it is known which process of its upstream goes on with an answer that another attempt has begun, and reports whether it is
+// the one that was chosen. An upstream that restarts while it is chosen answers the attempt with a version that the answer may not go on at.
+func (s *Session) confirmContinuation(ctx context.Context, attempt vaneyoke.Attempt) bool {
+	s.mu.Lock()
+	l := s.links[attempt]
+	s.mu.Unlock()
+	for l.continues && !l.isConfirmed && !s.isConfirmed(l.upstream) && s.mayConfirm(l.upstream.ID) {
+		if report, ok := s.queryReport(ctx, l.upstream, confirmTimeout); ok {
+			return s.handleConfirmation(attempt, report)
+		}
+		if !pause.For(ctx, confirmPause) {
+			return false
+		}
+	}
+	return true
+}
+
+// mayConfirm reports whether an upstream may be asked for its incarnation.
+func (s *Session) mayConfirm(id vaneyoke.UpstreamID) bool {
+	return s.relay.sender != nil && !s.relay.isLimited(id) && !s.relay.isPushedBack(id)
+}
+
+// handleConfirmation goes on with an attempt whose upstream has told its incarnation, unless that is a later one than was chosen.
+func (s *Session) handleConfirmation(attempt vaneyoke.Attempt, report vaneyoke.LoadReport) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := s.links[attempt]
+	if report.Incarnation <= l.upstream.Incarnation {
+		l.isConfirmed = true
+		return true
+	}
+	l.incarnation = report.Incarnation
+	if !l.fenced && !s.result.Ended {
+		s.handleLossLocked(attempt, generation.CauseRestarted, &restartedError{chosen: l.upstream.Incarnation, reported: report.Incarnation})
+	}
+	return false
+}
+
+// restartedError says that another process of an upstream runs than the one that was chosen.
+type restartedError struct{ chosen, reported vaneyoke.Incarnation }
+
+func (e *restartedError) Error() string {
+	return fmt.Sprintf("incarnation %d of the upstream runs, %d was chosen", e.reported, e.chosen)
+}
 
 // repin corrects the pin of an answer whose upstream turns out to be a later incarnation than was known.
 func (s *Session) repin(u vaneyoke.Upstream) {
--- a/shell/relay/forwarded.go
+++ b/shell/relay/forwarded.go
@@ -117,7 +117,9 @@
 	defer func() { _ = exchange.Close() }()
 	s.recordHead(attempt, exchange.Head())
 	if exchange.IsEventStream() {
-		s.handleEvents(ctx, e, m, exchange)
+		if s.confirmContinuation(ctx, attempt) {
+			s.handleEvents(ctx, e, m, exchange)
+		}
 		return
 	}
 	body, err := exchange.Body()
@@ -148,7 +150,7 @@
 	if l.fenced {
 		return false
 	}
-	l.unsent, l.path = false, path
+	l.unsent, l.path, l.isConfirmed = false, path, s.isConfirmed(l.upstream)
 	s.handleLocked(time.Now(), generation.Sent{Attempt: attempt})
 	return true
 }
--- a/shell/relay/loss.go
+++ b/shell/relay/loss.go
@@ -93,6 +93,8 @@
 		return placement.OutcomeUnreachable
 	case generation.CauseFailed:
 		return placement.OutcomeFailed
+	case generation.CauseRestarted:
+		return placement.OutcomeDropped
 	default:
 		return placement.OutcomeLost
 	}
--- a/shell/relay/place.go
+++ b/shell/relay/place.go
@@ -50,7 +50,7 @@
 		})
 		return
 	}
-	l := &link{upstream: upstream, cancel: func() {}, isRetry: e.Retry, isConfirmed: s.isConfirmed(upstream)}
+	l := &link{upstream: upstream, cancel: func() {}, isRetry: e.Retry, continues: need.Pin.IsSet}
 	s.links[e.Attempt] = l
 	if need.Replicate {
 		l.replica, _ = s.relay.placer.PickReplica(need, upstream)
@@ -136,19 +136,26 @@
 }
 
 func (s *Session) queryReports(upstreams []vaneyoke.Upstream) {
-	ctx, cancel := context.WithTimeout(s.ctx, reportTimeout)
-	defer cancel()
 	var queries sync.WaitGroup
 	for _, upstream := range upstreams {
-		queries.Go(func() {
-			if report, ok := s.relay.sender.LoadReport(ctx, upstream); ok {
-				s.relay.placer.Reported(upstream.ID, report)
-			}
-		})
+		queries.Go(func() { s.queryReport(s.ctx, upstream, reportTimeout) })
 	}
 	queries.Wait()
 }
 
+// queryReport asks an upstream for its load report, and tells the placer.
+func (s *Session) queryReport(ctx context.Context, upstream vaneyoke.Upstream, timeout time.Duration) (vaneyoke.LoadReport, bool) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	askedAt := time.Now()
+	report, ok := s.relay.sender.LoadReport(ctx, upstream)
+	if ok {
+		report.AskedAt = askedAt
+		s.relay.placer.Reported(upstream.ID, report)
+	}
+	return report, ok
+}
+
 // needOf returns what an attempt requires of its upstream.
 func (s *Session) needOf(e generation.Place) placement.Need {
 	s.mu.Lock()
--- a/shell/relay/session.go
+++ b/shell/relay/session.go
@@ -57,7 +57,8 @@
 	fromReplica     bool                 // whether the run resumes from a replica, so that its first token does not tell how long prefill takes
 	started         bool                 // whether its run was started
 	pause           readPause            // when its stream was not read because the caller did not read the answer
-	isConfirmed     bool                 // whether the incarnation of the upstream was known for certain when the attempt was placed
+	continues       bool                 // whether it goes on with an answer that another attempt has begun, here or before its caller came back
+	isConfirmed     bool                 // whether the incarnation of the upstream was known for certain when the attempt was sent
 	incarnation     vaneyoke.Incarnation // that ran the attempt, as the upstream reported meanwhile; 0 if it has not
 	path            forward.Path         // of its connection; forward.AnyPath until it is open
 	unsent          bool                 // whether nothing has been sent yet, so that it can be withdrawn
