Answers end when the upstream that was to go on with them is gone

Callers whose answer could not go on got its end only at their deadline: an upstream that took the last attempt, sent the head and was gone before it had told its incarnation was asked for it until then, and nobody read its connection.

Cause: confirmContinuation waits before the first event is read. An answer that has begun is waited for until the connection of its run fails, which only a read shows.

Change: the upstream is asked while the first event is read, which is passed on once the incarnation is known; a connection that closes is a loss at once, as before. An event that is there keeps a later close from being read, so an upstream that tells nothing and accepts no connections on the path of its run for 1.5 s loses the attempt, too (cause=unreachable). An end without an event is confirmed like an event. A relay that is closed loses nothing.

--- a/shell/relay/attempt.go
+++ b/shell/relay/attempt.go
@@ -193,9 +193,7 @@
 	defer func() { _ = stream.Close() }()
 	s.recordHead(attempt, forward.Head{})
 	s.handle(time.Now(), generation.Sent{Attempt: attempt})
-	if !s.confirmContinuation(ctx, attempt) {
-		return
-	}
+	isChosen := s.confirmContinuation(ctx, attempt)
 	received := &generation.Received{Attempt: attempt}
 	for {
 		message, err := stream.Next()
@@ -206,6 +204,9 @@
 			s.handleError(attempt, err)
 			return
 		}
+		if !isChosen() {
+			return
+		}
 		s.handleMessage(attempt, received, message)
 		if ctx.Err() != nil {
 			return
--- a/shell/relay/confirm_test.go
+++ b/shell/relay/confirm_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/placement"
+	"github.com/vaneyoke/vaneyoke/shell/relay"
 	"github.com/vaneyoke/vaneyoke/wire/forward"
 )
 
@@ -104,6 +105,11 @@
 	mu           sync.Mutex
 	incarnations map[vaneyoke.UpstreamID][]vaneyoke.Incarnation // 0 for a report that does not come
 	known        map[vaneyoke.UpstreamID]vaneyoke.Incarnation
+	down         map[vaneyoke.UpstreamID]bool // accept no connections any more
+}
+
+func (u *restartingUpstreams) Probe(_ context.Context, upstream vaneyoke.Upstream, _ forward.Path) bool {
+	return !u.down[upstream.ID]
 }
 
 func (u *restartingUpstreams) LoadReport(_ context.Context, upstream vaneyoke.Upstream) (vaneyoke.LoadReport, bool) {
@@ -163,3 +169,34 @@
 		})
 	}
 }
+
+// Guards against an answer that is waited for until its deadline because the upstream that goes on with it is gone before it has told which process it is.
+func TestUpstreamThatGoesOnIsLostBeforeItIsConfirmed(t *testing.T) {
+	for name, events := range map[string]int{"before its first event": 0, "after its first event": 1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := &restartingUpstreams{known: map[vaneyoke.UpstreamID]vaneyoke.Incarnation{}}
+				u.incarnation = 5
+				u.incarnations = map[vaneyoke.UpstreamID][]vaneyoke.Incarnation{"a": {5}, "b": {0}}
+				u.answers = map[vaneyoke.UpstreamID]forward.Response{
+					"a": &lateExchange{from: "a", events: 2, breaks: true}, "b": &lateExchange{from: "b", events: events, breaks: true},
+				}
+				u.down = map[vaneyoke.UpstreamID]bool{"b": true}
+				r := newForwarderWith(u, u)
+				began := time.Now()
+				now := time.Now()
+				s := r.Forward(t.Context(), &vaneyoke.Request{ID: "r", Repeatable: true, ReceivedAt: now}, relay.Forwarding{
+					Message: &forward.Message{}, Service: "lm", Stream: true, Deadline: now.Add(time.Minute),
+					LatencyGoal: 10 * time.Second, EventIntervalGoal: 10 * time.Second, MaxAttempts: 2,
+				})
+				result, err := s.Wait(t.Context())
+				must.NoError(t, err)
+				must.EqOp(t, vaneyoke.CodeInterrupted, result.Code)
+				must.Less(t, 5*time.Second, time.Since(began))
+				must.EqOp(t, "aa", string(s.Text()))
+				r.Close()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/shell/relay/continuation.go
+++ b/shell/relay/continuation.go
@@ -84,21 +84,50 @@
 const (
 	confirmTimeout = 500 * time.Millisecond // longest wait for the incarnation of an upstream
 	confirmPause   = 50 * time.Millisecond  // before it is asked again
+	// unreachedTimeout is how long an upstream that has not told its incarnation may accept no connections before its attempt is lost.
+	unreachedTimeout = 1500 * time.Millisecond
 )
 
-// confirmContinuation waits until it is known which process of its upstream goes on with an answer that another attempt has begun, and reports whether it is
-// the one that was chosen. An upstream that restarts while it is chosen answers the attempt with a version that the answer may not go on at.
-func (s *Session) confirmContinuation(ctx context.Context, attempt vaneyoke.Attempt) bool {
+// confirmContinuation finds out which process of its upstream goes on with an answer that another attempt has begun. The returned function waits until that is
+// known, and reports whether it is the one that was chosen: an upstream that restarts while it is chosen answers the attempt with a version that the answer may
+// not go on at. Meanwhile the answer is read, which shows that its connection has closed.
+func (s *Session) confirmContinuation(ctx context.Context, attempt vaneyoke.Attempt) (isChosen func() bool) {
 	s.mu.Lock()
 	l := s.links[attempt]
 	s.mu.Unlock()
-	for l.continues && !l.isConfirmed && !s.isConfirmed(l.upstream) && s.mayConfirm(l.upstream.ID) {
+	if !l.continues || l.isConfirmed || s.isConfirmed(l.upstream) || !s.mayConfirm(l.upstream.ID) {
+		return func() bool { return true }
+	}
+	done, confirmed := make(chan struct{}), false
+	s.spawn(func() {
+		defer close(done)
+		confirmed = s.awaitConfirmation(ctx, attempt, l)
+	})
+	return func() bool {
+		<-done
+		return confirmed
+	}
+}
+
+// awaitConfirmation asks the upstream of an attempt for its incarnation until it is known. An upstream that is gone never tells it.
+func (s *Session) awaitConfirmation(ctx context.Context, attempt vaneyoke.Attempt, l *link) bool {
+	reachedAt := time.Now()
+	for !s.isConfirmed(l.upstream) && s.mayConfirm(l.upstream.ID) {
 		if report, ok := s.queryReport(ctx, l.upstream, confirmTimeout); ok {
 			return s.handleConfirmation(attempt, report)
 		}
 		if !pause.For(ctx, confirmPause) {
 			return false
 		}
+		upstream, path := s.connectionOf(attempt)
+		if s.relay.isReachable(ctx, upstream, path) {
+			reachedAt = time.Now()
+			continue
+		}
+		if unreached := time.Since(reachedAt); unreached >= unreachedTimeout {
+			s.loseUnconfirmed(attempt, generation.CauseUnreachable, &unreachedError{after: unreached})
+			return false
+		}
 	}
 	return true
 }
@@ -118,12 +147,30 @@
 		return true
 	}
 	l.incarnation = report.Incarnation
-	if !l.fenced && !s.result.Ended {
-		s.handleLossLocked(attempt, generation.CauseRestarted, &restartedError{chosen: l.upstream.Incarnation, reported: report.Incarnation})
-	}
+	s.loseUnconfirmedLocked(attempt, generation.CauseRestarted, &restartedError{chosen: l.upstream.Incarnation, reported: report.Incarnation})
 	return false
 }
 
+func (s *Session) loseUnconfirmed(attempt vaneyoke.Attempt, cause generation.Cause, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loseUnconfirmedLocked(attempt, cause, err)
+}
+
+// loseUnconfirmedLocked ends an attempt that was to go on with an answer, unless it has ended.
+func (s *Session) loseUnconfirmedLocked(attempt vaneyoke.Attempt, cause generation.Cause, err error) {
+	if !s.links[attempt].fenced && !s.result.Ended && s.relay.ctx.Err() == nil {
+		s.handleLossLocked(attempt, cause, err)
+	}
+}
+
+// unreachedError says that an upstream accepts no connections and has not told which process of it runs.
+type unreachedError struct{ after time.Duration }
+
+func (e *unreachedError) Error() string {
+	return fmt.Sprintf("no connection to the upstream and no incarnation of it for %s", e.after)
+}
+
 // restartedError says that another process of an upstream runs than the one that was chosen.
 type restartedError struct{ chosen, reported vaneyoke.Incarnation }
 
--- a/shell/relay/forwarded.go
+++ b/shell/relay/forwarded.go
@@ -117,9 +117,7 @@
 	defer func() { _ = exchange.Close() }()
 	s.recordHead(attempt, exchange.Head())
 	if exchange.IsEventStream() {
-		if s.confirmContinuation(ctx, attempt) {
-			s.handleEvents(ctx, e, m, exchange)
-		}
+		s.handleEvents(ctx, e, m, exchange, s.confirmContinuation(ctx, attempt))
 		return
 	}
 	body, err := exchange.Body()
@@ -223,20 +221,24 @@
 	return maxQueryTimeout
 }
 
-// handleEvents handles the events of a stream.
-func (s *Session) handleEvents(ctx context.Context, e generation.Start, m *forwarded, exchange forward.Response) {
+// handleEvents handles the events of a stream once it is known that the chosen process gives them.
+func (s *Session) handleEvents(ctx context.Context, e generation.Start, m *forwarded, exchange forward.Response, isChosen func() bool) {
 	attempt := e.Attempt
 	received := &generation.Received{Attempt: attempt}
 	received.Batch.IDs = []vaneyoke.TokenID{0}
 	received.Batch.First = e.From
 	for ctx.Err() == nil {
 		event, err := exchange.Next()
-		if errors.Is(err, io.EOF) {
-			s.handleEnd(time.Now(), attempt, vaneyoke.FinishStop)
+		isEnd := errors.Is(err, io.EOF)
+		if err != nil && !isEnd {
+			s.handleError(attempt, err)
 			return
 		}
-		if err != nil {
-			s.handleError(attempt, err)
+		if !isChosen() {
+			return
+		}
+		if isEnd {
+			s.handleEnd(time.Now(), attempt, vaneyoke.FinishStop)
 			return
 		}
 		received.Batch.Text = event.Data
