Streams do not go on at an upstream whose list entry shows its restart

A stream that goes on at an upstream which names a limit, or has pushed back, was given its events although the list had named a later incarnation by the time that it answered.

Cause: an upstream that must not be asked counts as the chosen process, whatever is known of it without a question.

Change: before that, the latest known incarnation is compared with the chosen one. A later one ends the attempt (cause=restarted): the process that was chosen has ended.

TestStreamGoesOnAtAnUpstreamThatIsKnownToHaveRestarted gives aabb instead of aacc without the change, on it. An upstream that must not be asked and whose entry is still the earlier one is held for that, as before.

--- a/shell/relay/confirm_test.go
+++ b/shell/relay/confirm_test.go
@@ -106,6 +106,7 @@
 	incarnations map[vaneyoke.UpstreamID][]vaneyoke.Incarnation // 0 for a report that does not come
 	known        map[vaneyoke.UpstreamID]vaneyoke.Incarnation
 	down         map[vaneyoke.UpstreamID]bool // accept no connections any more
+	reports      int                          // that they were asked for
 }
 
 func (u *restartingUpstreams) Probe(_ context.Context, upstream vaneyoke.Upstream, _ forward.Path) bool {
@@ -115,6 +116,7 @@
 func (u *restartingUpstreams) LoadReport(_ context.Context, upstream vaneyoke.Upstream) (vaneyoke.LoadReport, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.reports++
 	left := u.incarnations[upstream.ID]
 	if len(left) > 1 {
 		u.incarnations[upstream.ID] = left[1:]
@@ -200,3 +202,40 @@
 		})
 	}
 }
+
+// limitedUpstreams are such upstreams that must not be asked, since they name a limit.
+type limitedUpstreams struct{ restartingUpstreams }
+
+func (*limitedUpstreams) Limited(vaneyoke.UpstreamID) bool { return true }
+func (*limitedUpstreams) AcquirePermit(context.Context, vaneyoke.UpstreamID) relay.Permit {
+	return relay.Permit{Granted: true}
+}
+func (*limitedUpstreams) LimitReached(placement.Need, bool, vaneyoke.UpstreamID, relay.Permit) {}
+
+// Send has the list name a later incarnation of the second upstream as it answers.
+func (u *limitedUpstreams) Send(ctx context.Context, a *forward.Attempt) (forward.Response, error) {
+	if a.Upstream.ID == "b" {
+		u.Reported("b", vaneyoke.LoadReport{Incarnation: 6})
+	}
+	return u.fakeSender.Send(ctx, a)
+}
+
+// Guards against streams that go on at an upstream which is known to have restarted by the time that it answers, where it must not be asked.
+func TestStreamGoesOnAtAnUpstreamThatIsKnownToHaveRestarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &limitedUpstreams{restartingUpstreams{known: map[vaneyoke.UpstreamID]vaneyoke.Incarnation{}}}
+		u.incarnation = 5
+		u.answers = map[vaneyoke.UpstreamID]forward.Response{
+			"a": &lateExchange{from: "a", events: 2, breaks: true}, "b": &lateExchange{from: "b", events: 2}, "c": &lateExchange{from: "c", events: 2},
+		}
+		r := newForwarderWith(u, u)
+		s := forwardStream(t, r)
+		result, err := s.Wait(t.Context())
+		must.NoError(t, err)
+		must.EqOp(t, vaneyoke.CodeOK, result.Code)
+		must.EqOp(t, "aacc", string(s.Text()))
+		must.Zero(t, u.reports)
+		r.Close()
+		synctest.Wait()
+	})
+}
--- a/shell/relay/continuation.go
+++ b/shell/relay/continuation.go
@@ -95,7 +95,7 @@
 	s.mu.Lock()
 	l := s.links[attempt]
 	s.mu.Unlock()
-	if !l.continues || l.isConfirmed || s.isConfirmed(l.upstream) || !s.mayConfirm(l.upstream.ID) {
+	if !l.continues || l.isConfirmed || s.isConfirmed(l.upstream) {
 		return func() bool { return true }
 	}
 	done, confirmed := make(chan struct{}), false
@@ -112,7 +112,13 @@
 // awaitConfirmation asks the upstream of an attempt for its incarnation until it is known. An upstream that is gone never tells it.
 func (s *Session) awaitConfirmation(ctx context.Context, attempt vaneyoke.Attempt, l *link) bool {
 	reachedAt := time.Now()
-	for !s.isConfirmed(l.upstream) && s.mayConfirm(l.upstream.ID) {
+	for !s.isConfirmed(l.upstream) {
+		if current := s.currentProcess(l.upstream); current.Incarnation > l.upstream.Incarnation {
+			return s.handleConfirmation(attempt, vaneyoke.LoadReport{Incarnation: current.Incarnation})
+		}
+		if !s.mayConfirm(l.upstream.ID) {
+			return true
+		}
 		if report, ok := s.queryReport(ctx, l.upstream, confirmTimeout); ok {
 			return s.handleConfirmation(attempt, report)
 		}
