Upstreams that tell no incarnation are asked less and less often

An upstream that answers no load reports was asked for one 20 times a second by each stream that was to go on there, for as long as it said that it worked on the run: 203 reports in 10 s for one stream. In a large failure each stream that was moved adds as many.

Change: the pause doubles up to 0.8 s.

TestUpstreamThatTellsNothingIsAskedOften: 203 reports before, 18 with the change, 25 allowed. The tests of shell/relay pass with the race detector.

--- a/shell/relay/confirm_test.go
+++ b/shell/relay/confirm_test.go
@@ -239,3 +239,26 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against upstreams in trouble that each waiting stream asks many times a second for their incarnation.
+func TestUpstreamThatTellsNothingIsAskedOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &restartingUpstreams{known: map[vaneyoke.UpstreamID]vaneyoke.Incarnation{}}
+		u.incarnation = 5
+		u.incarnations = map[vaneyoke.UpstreamID][]vaneyoke.Incarnation{"a": {5}, "b": {0}}
+		u.runState = vaneyoke.RunStateRunning
+		u.answers = map[vaneyoke.UpstreamID]forward.Response{
+			"a": &lateExchange{from: "a", events: 2, breaks: true}, "b": &lateExchange{from: "b", events: 2},
+		}
+		r := newForwarderWith(u, u)
+		s := forwardStream(t, r)
+		time.Sleep(10 * time.Second)
+		must.True(t, s.Running())
+		u.mu.Lock()
+		must.LessEq(t, 25, u.reports)
+		u.mu.Unlock()
+		s.Abandon()
+		r.Close()
+		synctest.Wait()
+	})
+}
--- a/shell/relay/continuation.go
+++ b/shell/relay/continuation.go
@@ -82,8 +82,9 @@
 }
 
 const (
-	confirmTimeout = 500 * time.Millisecond // longest wait for the incarnation of an upstream
-	confirmPause   = 50 * time.Millisecond  // before it is asked again
+	confirmTimeout  = 500 * time.Millisecond // longest wait for the incarnation of an upstream
+	confirmPause    = 50 * time.Millisecond  // before it is asked a second time; doubles with each question
+	maxConfirmPause = 800 * time.Millisecond
 	// unreachedTimeout is how long an upstream that has not told its incarnation may accept no connections before its attempt is lost.
 	unreachedTimeout = 1500 * time.Millisecond
 )
@@ -112,7 +113,7 @@
 // awaitConfirmation asks the upstream of an attempt for its incarnation until it is known. An upstream that is gone never tells it.
 func (s *Session) awaitConfirmation(ctx context.Context, attempt vaneyoke.Attempt, l *link) bool {
 	reachedAt := time.Now()
-	for !s.isConfirmed(l.upstream) {
+	for delay := confirmPause; !s.isConfirmed(l.upstream); delay = min(2*delay, maxConfirmPause) {
 		if current := s.currentProcess(l.upstream); current.Incarnation > l.upstream.Incarnation {
 			return s.handleConfirmation(attempt, vaneyoke.LoadReport{Incarnation: current.Incarnation})
 		}
@@ -122,7 +123,7 @@
 		if report, ok := s.queryReport(ctx, l.upstream, confirmTimeout); ok {
 			return s.handleConfirmation(attempt, report)
 		}
-		if !pause.For(ctx, confirmPause) {
+		if !pause.For(ctx, delay) {
 			return false
 		}
 		upstream, path := s.connectionOf(attempt)
