A stream is not held for begun at the listed version when one report is missing

A stream that an upstream with a later incarnation than the listed one had begun went on at the listed version after its upstream was lost, when the load report after the first event had not come.

A later incarnation in a report that was asked for again corrects the pin only once another event has come from the attempt: the process that began the answer may have ended since the first, and the connection not have said so. The first question is handled as before.

TestReportAfterTheFirstEventDoesNotCome: the case whose third report tells the restart gives aaabb without the change, and a broken-off aaa with it; the other cases pass on both. The tests of shell/relay pass with the race detector.

--- a/shell/relay/confirm_test.go
+++ b/shell/relay/confirm_test.go
@@ -262,3 +262,51 @@
 		synctest.Wait()
 	})
 }
+
+// pinnedUpstreams are such upstreams of which only the process that began an answer may go on with it once its version is not known.
+type pinnedUpstreams struct{ restartingUpstreams }
+
+func (u *pinnedUpstreams) Place(need placement.Need, retry bool) (vaneyoke.Upstream, time.Duration, error) {
+	if need.Pin.VersionUnknown {
+		return vaneyoke.Upstream{}, 0, vaneyoke.Err(vaneyoke.CodeVersionGone, "none")
+	}
+	return u.restartingUpstreams.Place(need, retry)
+}
+
+// Guards against streams that are taken for begun by the listed process of an upstream because a single report did not come.
+func TestReportAfterTheFirstEventDoesNotCome(t *testing.T) {
+	for name, tc := range map[string]struct {
+		first  []vaneyoke.Incarnation // of the first upstream, in its reports
+		events int                    // of the first upstream
+		code   vaneyoke.Code
+		want   string
+	}{
+		"had restarted, and tells so at once":        {[]vaneyoke.Incarnation{6}, 3, vaneyoke.CodeInterrupted, "aaa"},
+		"had restarted, and tells so later":          {[]vaneyoke.Incarnation{0, 0, 6}, 3, vaneyoke.CodeInterrupted, "aaa"},
+		"had not restarted, and tells so late":       {[]vaneyoke.Incarnation{0, 0, 5}, 3, vaneyoke.CodeOK, "aaabb"},
+		"may have restarted since its only event":    {[]vaneyoke.Incarnation{0, 0, 6}, 1, vaneyoke.CodeOK, "abb"},
+		"never tells, and is asked no more later on": {[]vaneyoke.Incarnation{0}, 3, vaneyoke.CodeOK, "aaabb"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := &pinnedUpstreams{restartingUpstreams{known: map[vaneyoke.UpstreamID]vaneyoke.Incarnation{}}}
+				u.incarnation = 5
+				u.incarnations = map[vaneyoke.UpstreamID][]vaneyoke.Incarnation{"a": tc.first, "b": {5}}
+				u.answers = map[vaneyoke.UpstreamID]forward.Response{
+					"a": &lateExchange{from: "a", events: tc.events, delay: 300 * time.Millisecond, breaks: true}, "b": &lateExchange{from: "b", events: 2},
+				}
+				r := newForwarderWith(u, u)
+				s := forwardStream(t, r)
+				result, err := s.Wait(t.Context())
+				must.NoError(t, err)
+				must.EqOp(t, tc.want, string(s.Text()))
+				must.EqOp(t, tc.code, result.Code)
+				u.mu.Lock()
+				must.LessEq(t, 6, u.reports)
+				u.mu.Unlock()
+				r.Close()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/shell/relay/continuation.go
+++ b/shell/relay/continuation.go
@@ -48,8 +48,8 @@
 	return ok && current.Incarnation == u.Incarnation && s.relay.processes.IsConfirmed(u.ID)
 }
 
-// confirmPin asks the upstream that gave the first output for its incarnation, unless that is known: it may have restarted with another version while
-// its entry in the list is of the earlier one.
+// confirmPin asks the upstream that gave the first output for its incarnation, a few times if it does not tell, unless that is known: it may have restarted with
+// another version while its entry in the list is of the earlier one.
 func (s *Session) confirmPin(attempt vaneyoke.Attempt) {
 	l := s.links[attempt]
 	if s.pinnedBy.ID != l.upstream.ID || l.isConfirmed || !s.mayConfirm(l.upstream.ID) {
@@ -57,19 +57,58 @@
 	}
 	l.isConfirmed = true
 	s.spawn(func() {
-		report, ok := s.queryReport(s.ctx, l.upstream, confirmTimeout)
-		if !ok {
-			return
-		}
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		l.incarnation = report.Incarnation
-		if current := s.currentProcess(l.upstream); current.Incarnation > s.pinnedBy.Incarnation && !s.result.Ended {
-			s.repin(current)
+		for delay := confirmPause; delay < maxConfirmPause && s.mayConfirm(l.upstream.ID); delay *= 2 {
+			report, ok := s.queryReport(s.ctx, l.upstream, confirmTimeout)
+			if ok {
+				s.handlePinReport(l, report, delay == confirmPause)
+				return
+			}
+			if !pause.For(s.ctx, delay) || !s.isLive(l) {
+				return
+			}
 		}
 	})
 }
 
+// handlePinReport corrects the pin if the upstream that gave the first output runs as a later incarnation than was known. A report that came late may be of a
+// process that has started since; an event after it shows that the connection's process still runs.
+func (s *Session) handlePinReport(l *link, report vaneyoke.LoadReport, isFirst bool) {
+	if !isFirst && report.Incarnation > l.upstream.Incarnation && !s.awaitChunk(l) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l.incarnation = report.Incarnation
+	if current := s.currentProcess(l.upstream); current.Incarnation > s.pinnedBy.Incarnation && !s.result.Ended {
+		s.repin(current)
+	}
+}
+
+// awaitChunk waits for another chunk of an attempt, and reports whether one came before the attempt ended.
+func (s *Session) awaitChunk(l *link) bool {
+	before := s.chunksOf(l)
+	for s.chunksOf(l) == before {
+		if !s.isLive(l) || !pause.For(s.ctx, confirmPause) {
+			return false
+		}
+	}
+	return true
+}
+
+// chunksOf returns how many chunks of an attempt have arrived.
+func (s *Session) chunksOf(l *link) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return l.chunks
+}
+
+// isLive reports whether an attempt has neither ended nor been given up.
+func (s *Session) isLive(l *link) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !l.fenced && !l.outcomeReported
+}
+
 // hasRestarted reports whether an upstream that was chosen to go on with an answer has restarted, so that its version is not known any more. It is asked
 // unless its incarnation is known.
 func (s *Session) hasRestarted(need placement.Need, u vaneyoke.Upstream) bool {
