Streams do not go on before it is known which process began them

A stream whose first event came from an upstream with a later incarnation than the listed one, and which was lost within the wait for that upstream's report, went on at the listed version: the report corrected the pin, but not the attempt that had been placed by then.

Cause: the question after the first event and the next attempt run side by side. confirmContinuation compares the upstream of the attempt with the chosen process only, not with the pin of that moment.

An attempt that the pin then does not allow is lost (cause=restarted). The process that began the answer may always go on.

TestStreamGoesOnBeforeItIsKnownWhatBeganIt: with a report after 200 ms the restarted case gives abb without the change, and a broken-off a with it. A process that ends without a report is still held for the listed one.

--- a/decide/generation/event.go
+++ b/decide/generation/event.go
@@ -156,7 +156,7 @@
 	CauseFailed                       // the upstream answered with a failure
 	CauseGone                         // the address now belongs to another upstream
 	CauseUnreachable                  // the upstream did not answer a probe
-	CauseRestarted                    // the upstream had restarted, perhaps with another software version, before it was sent the attempt
+	CauseRestarted                    // the upstream, or the one that began the answer, had restarted, perhaps with another software version, before it was sent its attempt
 )
 
 // String returns the cause as it is logged.
--- a/shell/relay/confirm_test.go
+++ b/shell/relay/confirm_test.go
@@ -310,3 +310,45 @@
 		})
 	}
 }
+
+// lateReports are such upstreams whose first one takes a while to tell its incarnation.
+type lateReports struct{ pinnedUpstreams }
+
+func (u *lateReports) LoadReport(ctx context.Context, upstream vaneyoke.Upstream) (vaneyoke.LoadReport, bool) {
+	if upstream.ID == "a" {
+		time.Sleep(200 * time.Millisecond)
+	}
+	return u.pinnedUpstreams.LoadReport(ctx, upstream)
+}
+
+// Guards against streams that go on at the listed version of the upstream that began them while it is being asked whether it had restarted.
+func TestStreamGoesOnBeforeItIsKnownWhatBeganIt(t *testing.T) {
+	for name, tc := range map[string]struct {
+		first vaneyoke.Incarnation // of the first upstream, in its reports; 0 for none
+		code  vaneyoke.Code
+		want  string
+	}{
+		"had restarted":     {6, vaneyoke.CodeInterrupted, "a"},
+		"had not restarted": {5, vaneyoke.CodeOK, "abb"},
+		"does not tell":     {0, vaneyoke.CodeOK, "abb"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := &lateReports{pinnedUpstreams{restartingUpstreams{known: map[vaneyoke.UpstreamID]vaneyoke.Incarnation{}}}}
+				u.incarnation = 5
+				u.incarnations = map[vaneyoke.UpstreamID][]vaneyoke.Incarnation{"a": {tc.first}, "b": {5}}
+				u.answers = map[vaneyoke.UpstreamID]forward.Response{
+					"a": &lateExchange{from: "a", events: 1, breaks: true}, "b": &lateExchange{from: "b", events: 2},
+				}
+				r := newForwarderWith(u, u)
+				s := forwardStream(t, r)
+				result, err := s.Wait(t.Context())
+				must.NoError(t, err)
+				must.EqOp(t, tc.want, string(s.Text()))
+				must.EqOp(t, tc.code, result.Code)
+				r.Close()
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/shell/relay/continuation.go
+++ b/shell/relay/continuation.go
@@ -56,14 +56,17 @@
 		return
 	}
 	l.isConfirmed = true
+	checked := make(chan struct{})
+	s.pinChecked = checked
 	s.spawn(func() {
+		defer close(checked)
 		for delay := confirmPause; delay < maxConfirmPause && s.mayConfirm(l.upstream.ID); delay *= 2 {
 			report, ok := s.queryReport(s.ctx, l.upstream, confirmTimeout)
 			if ok {
 				s.handlePinReport(l, report, delay == confirmPause)
 				return
 			}
-			if !pause.For(s.ctx, delay) || !s.isLive(l) {
+			if !s.isLive(l) || !pause.For(s.ctx, delay) || !s.isLive(l) {
 				return
 			}
 		}
@@ -133,15 +136,16 @@
 // not go on at. Meanwhile the answer is read, which shows that its connection has closed.
 func (s *Session) confirmContinuation(ctx context.Context, attempt vaneyoke.Attempt) (isChosen func() bool) {
 	s.mu.Lock()
-	l := s.links[attempt]
+	l, pinChecked := s.links[attempt], s.pinChecked
 	s.mu.Unlock()
-	if !l.continues || l.isConfirmed || s.isConfirmed(l.upstream) {
+	isKnown := !l.continues || l.isConfirmed || s.isConfirmed(l.upstream)
+	if isKnown && (!l.continues || pinChecked == nil) {
 		return func() bool { return true }
 	}
 	done, confirmed := make(chan struct{}), false
 	s.spawn(func() {
 		defer close(done)
-		confirmed = s.awaitConfirmation(ctx, attempt, l)
+		confirmed = s.awaitPin(ctx, attempt, pinChecked) && (isKnown || s.awaitConfirmation(ctx, attempt, l))
 	})
 	return func() bool {
 		<-done
@@ -149,6 +153,26 @@
 	}
 }
 
+// awaitPin waits until the process that began the answer has been asked for its incarnation, and reports whether the attempt's upstream may still go on.
+func (s *Session) awaitPin(ctx context.Context, attempt vaneyoke.Attempt, checked <-chan struct{}) bool {
+	if checked == nil {
+		return true
+	}
+	select {
+	case <-checked:
+	case <-ctx.Done():
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u, by := s.links[attempt].upstream, s.pinnedBy
+	if s.pin.Allows(&u) || (u.ID == by.ID && u.Incarnation == by.Incarnation) {
+		return true
+	}
+	s.loseUnconfirmedLocked(attempt, generation.CauseRestarted, &begunElsewhereError{upstream: by.ID, incarnation: by.Incarnation})
+	return false
+}
+
 // awaitConfirmation asks the upstream of an attempt for its incarnation until it is known. An upstream that is gone never tells it.
 func (s *Session) awaitConfirmation(ctx context.Context, attempt vaneyoke.Attempt, l *link) bool {
 	reachedAt := time.Now()
@@ -210,6 +234,16 @@
 	}
 }
 
+// begunElsewhereError says that the upstream which began an answer had restarted, so that the chosen one may not go on with it.
+type begunElsewhereError struct {
+	upstream    vaneyoke.UpstreamID
+	incarnation vaneyoke.Incarnation
+}
+
+func (e *begunElsewhereError) Error() string {
+	return fmt.Sprintf("incarnation %d of upstream %s began the answer, not the listed one", e.incarnation, e.upstream)
+}
+
 // unreachedError says that an upstream accepts no connections and has not told which process of it runs.
 type unreachedError struct{ after time.Duration }
 
--- a/shell/relay/session.go
+++ b/shell/relay/session.go
@@ -39,6 +39,7 @@
 	epoch        uint64              // counts the owners of the request from 1
 	pin          vaneyoke.Pin        // of its further attempts, set by the first output that may have reached the caller
 	pinnedBy     vaneyoke.Upstream   // that gave that output; the zero value if it is not known
+	pinChecked   chan struct{}       // closed when the upstream that gave it has been asked for its incarnation; nil if that was known
 	repins       int                 // how often the pin was corrected
 	registered   pinning.StreamID    // the stream that the registry knows this session to serve; "" for none
 
