--- a/shell/relay/confirm_test.go
+++ b/shell/relay/confirm_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/placement"
+	"github.com/vaneyoke/vaneyoke/shell/relay"
 	"github.com/vaneyoke/vaneyoke/wire/forward"
 )
 
@@ -104,11 +105,18 @@
 	mu           sync.Mutex
 	incarnations map[vaneyoke.UpstreamID][]vaneyoke.Incarnation // 0 for a report that does not come
 	known        map[vaneyoke.UpstreamID]vaneyoke.Incarnation
+	down         map[vaneyoke.UpstreamID]bool // accept no connections any more
+	reports      int                          // that they were asked for
+}
+
+func (u *restartingUpstreams) Probe(_ context.Context, upstream vaneyoke.Upstream, _ forward.Path) bool {
+	return !u.down[upstream.ID]
 }
 
 func (u *restartingUpstreams) LoadReport(_ context.Context, upstream vaneyoke.Upstream) (vaneyoke.LoadReport, bool) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.reports++
 	left := u.incarnations[upstream.ID]
 	if len(left) > 1 {
 		u.incarnations[upstream.ID] = left[1:]
@@ -163,3 +171,184 @@
 		})
 	}
 }
+
+// Guards against an answer that is waited for until its deadline because the upstream that goes on with it is gone before it has told which process it is.
+func TestUpstreamThatGoesOnIsLostBeforeItIsConfirmed(t *testing.T) {
+	for name, events := range map[string]int{"before its first event": 0, "after its first event": 1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := &restartingUpstreams{known: map[vaneyoke.UpstreamID]vaneyoke.Incarnation{}}
+				u.incarnation = 5
+				u.incarnations = map[vaneyoke.UpstreamID][]vaneyoke.Incarnation{"a": {5}, "b": {0}}
+				u.answers = map[vaneyoke.UpstreamID]forward.Response{
+					"a": &lateExchange{from: "a", events: 2, breaks: true}, "b": &lateExchange{from: "b", events: events, breaks: true},
+				}
+				u.down = map[vaneyoke.UpstreamID]bool{"b": true}
+				r := newForwarderWith(u, u)
+				began := time.Now()
+				now := time.Now()
+				s := r.Forward(t.Context(), &vaneyoke.Request{ID: "r", Repeatable: true, ReceivedAt: now}, relay.Forwarding{
+					Message: &forward.Message{}, Service: "lm", Stream: true, Deadline: now.Add(time.Minute),
+					LatencyGoal: 10 * time.Second, EventIntervalGoal: 10 * time.Second, MaxAttempts: 2,
+				})
+				result, err := s.Wait(t.Context())
+				must.NoError(t, err)
+				must.EqOp(t, vaneyoke.CodeInterrupted, result.Code)
+				must.Less(t, 5*time.Second, time.Since(began))
+				must.EqOp(t, "aa", string(s.Text()))
+				r.Close()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// limitedUpstreams are such upstreams that must not be asked, since they name a limit.
+type limitedUpstreams struct{ restartingUpstreams }
+
+func (*limitedUpstreams) Limited(vaneyoke.UpstreamID) bool { return true }
+func (*limitedUpstreams) AcquirePermit(context.Context, vaneyoke.UpstreamID) relay.Permit {
+	return relay.Permit{Granted: true}
+}
+func (*limitedUpstreams) LimitReached(placement.Need, bool, vaneyoke.UpstreamID, relay.Permit) {}
+
+// Send has the list name a later incarnation of the second upstream as it answers.
+func (u *limitedUpstreams) Send(ctx context.Context, a *forward.Attempt) (forward.Response, error) {
+	if a.Upstream.ID == "b" {
+		u.Reported("b", vaneyoke.LoadReport{Incarnation: 6})
+	}
+	return u.fakeSender.Send(ctx, a)
+}
+
+// Guards against streams that go on at an upstream which is known to have restarted by the time that it answers, where it must not be asked.
+func TestStreamGoesOnAtAnUpstreamThatIsKnownToHaveRestarted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &limitedUpstreams{restartingUpstreams{known: map[vaneyoke.UpstreamID]vaneyoke.Incarnation{}}}
+		u.incarnation = 5
+		u.answers = map[vaneyoke.UpstreamID]forward.Response{
+			"a": &lateExchange{from: "a", events: 2, breaks: true}, "b": &lateExchange{from: "b", events: 2}, "c": &lateExchange{from: "c", events: 2},
+		}
+		r := newForwarderWith(u, u)
+		s := forwardStream(t, r)
+		result, err := s.Wait(t.Context())
+		must.NoError(t, err)
+		must.EqOp(t, vaneyoke.CodeOK, result.Code)
+		must.EqOp(t, "aacc", string(s.Text()))
+		must.Zero(t, u.reports)
+		r.Close()
+		synctest.Wait()
+	})
+}
+
+// Guards against upstreams in trouble that each waiting stream asks many times a second for their incarnation.
+func TestUpstreamThatTellsNothingIsAskedOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &restartingUpstreams{known: map[vaneyoke.UpstreamID]vaneyoke.Incarnation{}}
+		u.incarnation = 5
+		u.incarnations = map[vaneyoke.UpstreamID][]vaneyoke.Incarnation{"a": {5}, "b": {0}}
+		u.runState = vaneyoke.RunStateRunning
+		u.answers = map[vaneyoke.UpstreamID]forward.Response{
+			"a": &lateExchange{from: "a", events: 2, breaks: true}, "b": &lateExchange{from: "b", events: 2},
+		}
+		r := newForwarderWith(u, u)
+		s := forwardStream(t, r)
+		time.Sleep(10 * time.Second)
+		must.True(t, s.Running())
+		u.mu.Lock()
+		must.LessEq(t, 25, u.reports)
+		u.mu.Unlock()
+		s.Abandon()
+		r.Close()
+		synctest.Wait()
+	})
+}
+
+// pinnedUpstreams are such upstreams of which only the process that began an answer may go on with it once its version is not known.
+type pinnedUpstreams struct{ restartingUpstreams }
+
+func (u *pinnedUpstreams) Place(need placement.Need, retry bool) (vaneyoke.Upstream, time.Duration, error) {
+	if need.Pin.VersionUnknown {
+		return vaneyoke.Upstream{}, 0, vaneyoke.Err(vaneyoke.CodeVersionGone, "none")
+	}
+	return u.restartingUpstreams.Place(need, retry)
+}
+
+// Guards against streams that are taken for begun by the listed process of an upstream because a single report did not come.
+func TestReportAfterTheFirstEventDoesNotCome(t *testing.T) {
+	for name, tc := range map[string]struct {
+		first  []vaneyoke.Incarnation // of the first upstream, in its reports
+		events int                    // of the first upstream
+		code   vaneyoke.Code
+		want   string
+	}{
+		"had restarted, and tells so at once":        {[]vaneyoke.Incarnation{6}, 3, vaneyoke.CodeInterrupted, "aaa"},
+		"had restarted, and tells so later":          {[]vaneyoke.Incarnation{0, 0, 6}, 3, vaneyoke.CodeInterrupted, "aaa"},
+		"had not restarted, and tells so late":       {[]vaneyoke.Incarnation{0, 0, 5}, 3, vaneyoke.CodeOK, "aaabb"},
+		"may have restarted since its only event":    {[]vaneyoke.Incarnation{0, 0, 6}, 1, vaneyoke.CodeOK, "abb"},
+		"never tells, and is asked no more later on": {[]vaneyoke.Incarnation{0}, 3, vaneyoke.CodeOK, "aaabb"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := &pinnedUpstreams{restartingUpstreams{known: map[vaneyoke.UpstreamID]vaneyoke.Incarnation{}}}
+				u.incarnation = 5
+				u.incarnations = map[vaneyoke.UpstreamID][]vaneyoke.Incarnation{"a": tc.first, "b": {5}}
+				u.answers = map[vaneyoke.UpstreamID]forward.Response{
+					"a": &lateExchange{from: "a", events: tc.events, delay: 300 * time.Millisecond, breaks: true}, "b": &lateExchange{from: "b", events: 2},
+				}
+				r := newForwarderWith(u, u)
+				s := forwardStream(t, r)
+				result, err := s.Wait(t.Context())
+				must.NoError(t, err)
+				must.EqOp(t, tc.want, string(s.Text()))
+				must.EqOp(t, tc.code, result.Code)
+				u.mu.Lock()
+				must.LessEq(t, 6, u.reports)
+				u.mu.Unlock()
+				r.Close()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// lateReports are such upstreams whose first one takes a while to tell its incarnation.
+type lateReports struct{ pinnedUpstreams }
+
+func (u *lateReports) LoadReport(ctx context.Context, upstream vaneyoke.Upstream) (vaneyoke.LoadReport, bool) {
+	if upstream.ID == "a" {
+		time.Sleep(200 * time.Millisecond)
+	}
+	return u.pinnedUpstreams.LoadReport(ctx, upstream)
+}
+
+// Guards against streams that go on at the listed version of the upstream that began them while it is being asked whether it had restarted.
+func TestStreamGoesOnBeforeItIsKnownWhatBeganIt(t *testing.T) {
+	for name, tc := range map[string]struct {
+		first vaneyoke.Incarnation // of the first upstream, in its reports; 0 for none
+		code  vaneyoke.Code
+		want  string
+	}{
+		"had restarted":     {6, vaneyoke.CodeInterrupted, "a"},
+		"had not restarted": {5, vaneyoke.CodeOK, "abb"},
+		"does not tell":     {0, vaneyoke.CodeOK, "abb"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := &lateReports{pinnedUpstreams{restartingUpstreams{known: map[vaneyoke.UpstreamID]vaneyoke.Incarnation{}}}}
+				u.incarnation = 5
+				u.incarnations = map[vaneyoke.UpstreamID][]vaneyoke.Incarnation{"a": {tc.first}, "b": {5}}
+				u.answers = map[vaneyoke.UpstreamID]forward.Response{
+					"a": &lateExchange{from: "a", events: 1, breaks: true}, "b": &lateExchange{from: "b", events: 2},
+				}
+				r := newForwarderWith(u, u)
+				s := forwardStream(t, r)
+				result, err := s.Wait(t.Context())
+				must.NoError(t, err)
+				must.EqOp(t, tc.want, string(s.Text()))
+				must.EqOp(t, tc.code, result.Code)
+				r.Close()
+				synctest.Wait()
+			})
+		})
+	}
+}
