A session goes on at its owner until another node can go on with its run

Callers of the caller API who lost their connection and asked another node with their key lost answers that were being worked on. An answer in one body (10 s) whose caller asked another node after 5 s was begun again there, and did not come within the 5 s that it had left; one that may run at most once got 81 may_have_run. The same held for streams before their first token.

Cause: break before make. HandOver ended the session before it was known whether its next owner could go on with it. A run can be resumed only under the name of its stream, from its first token on; without one the next owner begins it again, or refuses at once what may run only once.

Change: the owner gives a running session up only if its stream can be resumed, or if nothing works on the answer and it may be run again; a run counts as working from 1 s on, by which its connection is open or has failed. Otherwise the owner answers that it still owns the session, and the asking node asks again every 100 ms until the session ends or can move; as it stops, it answers its caller with 81. The owner's state and that it stays the owner are decided under one lock, so that a session which ends at the same time is kept. A node of an earlier build goes on with each session that it gets, as before, under the next epoch.

Before: 4 of 11 cases of TestCallerChangesNodes fail, and TestNodeStopsWhileACallerWaitsForTheOwner and TestConnectionsWaitForTheOwner.

--- /dev/null
+++ b/shell/failover/handover_test.go
@@ -0,0 +1,111 @@
+package failover
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/vaneyoke/vaneyoke"
+)
+
+// TestCallerChangesNodes has a caller lose its connection to the node that runs its request, and ask another node.
+//
+// Its owner ended a session before it was known whether the next one could go on with its run. Answers in one body were begun again, and those that may run at
+// most once were refused, as were streams before their first token.
+func TestCallerChangesNodes(t *testing.T) {
+	cases := map[string]struct {
+		stream, repeatable bool
+		leaves             time.Duration // after which the caller changes nodes
+		left               time.Duration // that the caller has then
+		fault              peerFault     // of the first node from then on
+	}{
+		"answer in one body":                     {false, true, 5 * time.Second, 6 * time.Second, 0},
+		"answer in one body, at most once":       {false, false, 5 * time.Second, 6 * time.Second, 0},
+		"before the first token":                 {true, true, 2 * time.Second, 9 * time.Second, 0},
+		"before the first token, at most once":   {true, false, 2 * time.Second, 9 * time.Second, 0},
+		"within the stream":                      {true, true, 6 * time.Second, 5 * time.Second, 0},
+		"within the stream, at most once":        {true, false, 6 * time.Second, 5 * time.Second, 0},
+		"within the stream, owner gone":          {true, false, 6 * time.Second, 5 * time.Second, peerRefuses},
+		"within the stream, owner silent":        {true, false, 6 * time.Second, 5 * time.Second, peerIsSilent},
+		"within the stream, reply lost":          {true, false, 6 * time.Second, 5 * time.Second, peerLosesNext},
+		"first tokens, reply lost":               {true, true, 4250 * time.Millisecond, 7 * time.Second, peerLosesNext},
+		"first tokens, reply lost, at most once": {true, false, 4250 * time.Millisecond, 7 * time.Second, peerLosesNext},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, "own", "other", "third")
+				defer f.close()
+				c := newTestCaller(f, tc.stream, tc.repeatable)
+				must.EqOp(t, vaneyoke.CodeCallerGone, c.ask(t, "own", tc.leaves))
+				f.spoil("own", tc.fault)
+				must.EqOp(t, vaneyoke.CodeOK, c.ask(t, "other", tc.left))
+				if tc.stream {
+					must.EqOp(t, answerText(), c.text)
+				}
+				must.EqOp(t, 1, f.engine.count())
+			})
+		})
+	}
+}
+
+// TestNodeStopsWhileACallerWaitsForTheOwner has the node stop at which a caller waits for an answer that goes on at its owner. The caller must get a final
+// answer, and the whole answer at a third node.
+func TestNodeStopsWhileACallerWaitsForTheOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, "own", "other", "third")
+		defer f.close()
+		c := newTestCaller(f, false, false)
+		must.EqOp(t, vaneyoke.CodeCallerGone, c.ask(t, "own", 3*time.Second))
+		time.AfterFunc(2*time.Second, func() { f.nodes["other"].Release() })
+		must.EqOp(t, vaneyoke.CodeMayHaveRun, c.ask(t, "other", 6*time.Second))
+		must.EqOp(t, vaneyoke.CodeOK, c.ask(t, "third", 6*time.Second))
+		must.EqOp(t, 1, f.engine.count())
+	})
+}
+
+// TestOwnerStopsWhileACallerWaits has the owner of a session end while a caller waits for it at another node: what may run again is run again there, and
+// the caller of anything else learns that it may have run.
+func TestOwnerStopsWhileACallerWaits(t *testing.T) {
+	for name, tc := range map[string]struct {
+		repeatable bool
+		code       vaneyoke.Code
+		runs       int
+	}{
+		"repeatable":   {true, vaneyoke.CodeOK, 2},
+		"at most once": {false, vaneyoke.CodeMayHaveRun, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, "own", "other", "third")
+				defer f.close()
+				c := newTestCaller(f, false, tc.repeatable)
+				must.EqOp(t, vaneyoke.CodeCallerGone, c.ask(t, "own", 3*time.Second))
+				time.AfterFunc(2*time.Second, func() { f.nodes["own"].Release() })
+				must.EqOp(t, tc.code, c.ask(t, "other", 20*time.Second))
+				must.EqOp(t, tc.runs, f.engine.count())
+			})
+		})
+	}
+}
+
+// TestConnectionsWaitForTheOwner has two connections of a caller wait at a node for an answer that goes on at its owner: both must get it.
+func TestConnectionsWaitForTheOwner(t *testing.T) {
+	for _, stream := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newTestFleet(t, "own", "other", "third")
+			defer f.close()
+			must.EqOp(t, vaneyoke.CodeCallerGone, newTestCaller(f, stream, false).ask(t, "own", 2*time.Second))
+			codes := make(chan vaneyoke.Code, 2)
+			for range 2 {
+				go func() { codes <- newTestCaller(f, stream, false).ask(t, "other", 11*time.Second) }()
+				time.Sleep(time.Second)
+			}
+			must.EqOp(t, vaneyoke.CodeOK, <-codes)
+			must.EqOp(t, vaneyoke.CodeOK, <-codes)
+			must.EqOp(t, 1, f.engine.count())
+		})
+	}
+}
--- a/shell/failover/manager.go
+++ b/shell/failover/manager.go
@@ -65,6 +65,8 @@
 	log        logrus.FieldLogger
 	pushNow    chan struct{} // triggers a push before the period ends
 
+	released chan struct{} // closed by Release
+
 	mu         sync.Mutex
 	sessions   map[journal.Key]*session
 	lastHandle uint64 // number of the latest handle
@@ -75,6 +77,7 @@
 	return &Manager{
 		self: self, dataCentre: dataCentre, config: config, keyring: keyring, peers: peers, fleet: fleet, relay: r, claims: c, metrics: metrics, log: log,
 		pushNow:  make(chan struct{}, 1),
+		released: make(chan struct{}),
 		sessions: map[journal.Key]*session{},
 	}
 }
@@ -197,20 +200,24 @@
 	s.changed.Broadcast()
 }
 
-// HandOver ends a running session on this node and returns it in full for its next owner. A finished session is returned and kept.
+// HandOver returns a session in full for its next owner. A running session ends here if another node can go on with it. If it goes on here, this node stays its
+// owner in what is returned; a finished one is kept.
 func (m *Manager) HandOver(key journal.Key, owner vaneyoke.NodeID) (journal.Delta, bool) {
 	s := m.find(key)
 	if s == nil {
 		return journal.Delta{}, false
 	}
-	if s.relay.Running() {
+	saved, ok := s.handOver()
+	d := s.fullDelta(saved)
+	switch {
+	case ok:
 		m.remove(s)
 		m.metrics.Superseded.Add(1)
-		d := s.fullDelta(s.relay.HandOver())
 		d.Entry.Owner = owner
-		d.Entry.Epoch++
 		m.log.WithFields(logrus.Fields{"request": d.Entry.Request, "peer": owner.VM}).Info("session_given_up")
-		return d, true
+	case saved.Result != nil:
+		return d, saved.Result.Code != vaneyoke.CodeSuperseded
 	}
-	return s.fullDelta(s.relay.Save()), true
+	d.Entry.Epoch++ // also for a node of an earlier build, which goes on with each session that it gets
+	return d, true
 }
--- a/shell/failover/open.go
+++ b/shell/failover/open.go
@@ -47,7 +47,13 @@
 			return nil, vaneyoke.ErrField(vaneyoke.CodeConflict, "header.Idempotency-Key", "was used for another request")
 		}
 	}
-	d, found := m.takeOver(ctx, key, existing, cur)
+	d, found, err := m.awaitSession(ctx, key, existing, cur)
+	if err != nil {
+		return nil, err
+	}
+	if s := m.find(key); s != nil { // another connection of the caller was first
+		return s, nil
+	}
 	if !found {
 		return m.restart(ctx, req, key, existing, cur, entry)
 	}
@@ -125,6 +131,26 @@
 	return m.start(ctx, req, key, entry), nil
 }
 
+// ownerPollInterval is the time between two requests for a session that goes on at its owner.
+const ownerPollInterval = 100 * time.Millisecond
+
+// awaitSession takes the session over. While no other node can go on with its run, it waits for the owner.
+func (m *Manager) awaitSession(ctx context.Context, key journal.Key, existing []journal.Entry, cur *cursor.Cursor) (journal.Delta, bool, error) {
+	for {
+		d, found := m.takeOver(ctx, key, existing, cur)
+		if !found || d.Result != nil || d.Entry.Owner == m.self {
+			return d, found, nil
+		}
+		select {
+		case <-time.After(ownerPollInterval):
+		case <-ctx.Done():
+			return d, false, vaneyoke.WrapErr(vaneyoke.CodeCallerGone, ctx.Err(), "caller is gone")
+		case <-m.released:
+			return d, false, vaneyoke.Err(vaneyoke.CodeMayHaveRun, "the node ended, the request runs at %s", d.Entry.Owner.VM)
+		}
+	}
+}
+
 // takeOver requests the session from its owner, and from the journals if no owner returns it.
 func (m *Manager) takeOver(ctx context.Context, key journal.Key, existing []journal.Entry, cur *cursor.Cursor) (journal.Delta, bool) {
 	for _, p := range m.ownerCandidates(existing, cur) {
@@ -133,7 +159,9 @@
 			m.log.WithFields(logrus.Fields{"peer": p.VM, "error": err}).Warn("owner_unreachable")
 		}
 		if ok {
-			m.metrics.TakenOver.Add(fromOwner, 1)
+			if d.Result != nil || d.Entry.Owner == m.self {
+				m.metrics.TakenOver.Add(fromOwner, 1)
+			}
 			return d, true
 		}
 	}
--- a/shell/failover/push.go
+++ b/shell/failover/push.go
@@ -146,6 +146,11 @@
 // Release ends all sessions on this node, so that other nodes can resume them from the state that the backups hold. It returns the number
 // of sessions that were running.
 func (m *Manager) Release() (running int) {
+	m.mu.Lock()
+	if !m.isReleased() {
+		close(m.released)
+	}
+	m.mu.Unlock()
 	for _, s := range m.all() {
 		m.remove(s)
 		if s.relay.Running() {
@@ -155,3 +160,12 @@
 	}
 	return running
 }
+
+func (m *Manager) isReleased() bool {
+	select {
+	case <-m.released:
+		return true
+	default:
+		return false
+	}
+}
--- a/shell/failover/session.go
+++ b/shell/failover/session.go
@@ -76,6 +76,16 @@
 // directoryKey returns the key by which the directory peers of a session are selected.
 func directoryKey(key journal.Key) string { return string(key.Workspace) + "\x00" + key.Key }
 
+// handOver ends the session here if another node can go on with it. Nothing of its end is pushed.
+func (s *session) handOver() (saved relay.Saved, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.idleSince = time.Now() // its caller waits at another node
+	saved, ok = s.relay.HandOver()
+	s.released = s.released || ok
+	return saved, ok
+}
+
 // dropBackup replaces a backup that failed.
 func (s *session) dropBackup(failed vaneyoke.VMID) {
 	s.mu.Lock()
--- a/shell/relay/restore.go
+++ b/shell/relay/restore.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/generation"
 	"github.com/vaneyoke/vaneyoke/decide/placement"
@@ -30,13 +32,30 @@
 	return s.saveLocked()
 }
 
-// HandOver ends the session here and returns its state for the next owner.
-func (s *Session) HandOver() Saved {
+// HandOver returns the session's state for the next owner, and ends the session here if another node can go on with it.
+func (s *Session) HandOver() (saved Saved, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	saved := s.saveLocked()
-	s.handleLocked(time.Now(), generation.Superseded{})
-	return saved
+	now := time.Now()
+	saved = s.saveLocked()
+	if s.result.Ended || !s.canMove(now, saved) {
+		return saved, false
+	}
+	s.handleLocked(now, generation.Superseded{})
+	return saved, true
+}
+
+// connectTime is how long it may take at most until a run has reached its upstream.
+const connectTime = time.Second
+
+// canMove reports whether the next owner can resume the session's run, or may start another one while none works on the answer.
+func (s *Session) canMove(now time.Time, saved Saved) bool {
+	if _, ok := s.mode.(*unary); !ok && saved.StreamName != "" {
+		return true
+	}
+	return s.req.Repeatable && !lo.SomeBy(lo.Values(s.links), func(l *link) bool {
+		return l.started && !l.fenced && !l.outcomeReported && now.Sub(l.sentAt) >= connectTime
+	})
 }
 
 func (s *Session) saveLocked() Saved {
--- a/wire/peer/server.go
+++ b/wire/peer/server.go
@@ -20,7 +20,8 @@
 
 // Sessions hands over the sessions that this node owns.
 type Sessions interface {
-	// HandOver ends a running session on this node and returns it in full for its next owner. A finished session is returned and kept.
+	// HandOver returns a session in full for its next owner. A running session ends on this node if another one can go on with it; otherwise this node stays its
+	// owner in what is returned.
 	HandOver(key journal.Key, owner vaneyoke.NodeID) (journal.Delta, bool)
 }
 
