A complete answer is read on at a node whose copy of it is not replicated

Callers who read an answer of the caller API that had ended while they were away, at another node than its owner, got the end "80 interrupted" and no text, although the whole answer stood at both nodes.

Cause: a finished session keeps its epoch as it is handed over. Its copy at the second node is pushed to a backup, which has the owner's record of the same epoch and refuses the push if the second node's name comes before the owner's. The second node took that for another owner that goes on with the answer, released the session, and a reader of a released session gets no text without a cursor from which another node can resume.

Change: a complete answer of which a push is refused as superseded is kept and read on, and is not replicated any more. Sessions that run, or ended otherwise, end as before.

A new epoch for each copy would only move the refusal to the node that took the answer first.

--- a/shell/failover/handover_test.go
+++ b/shell/failover/handover_test.go
@@ -109,3 +109,25 @@
 		})
 	}
 }
+
+// TestFinishedAnswerIsReadElsewhere reads an answer that ended while its caller was away at several nodes in turn.
+//
+// A finished answer keeps its epoch as it is handed over, so that the backup refuses the pushes of a node whose name comes before the owner's. The node then
+// ended the answer that its caller was reading with "80 interrupted".
+func TestFinishedAnswerIsReadElsewhere(t *testing.T) {
+	for _, owner := range []vaneyoke.VMID{"a", "b", "c", "d"} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newTestFleet(t, "a", "b", "c", "d")
+			defer f.close()
+			c := newTestCaller(f, true, false)
+			must.EqOp(t, vaneyoke.CodeCallerGone, c.ask(t, owner, 6*time.Second))
+			time.Sleep(5 * time.Second)
+			for _, vm := range []vaneyoke.VMID{"a", "b", "c", "d", "a"} {
+				again := *c
+				must.EqOp(t, vaneyoke.CodeOK, again.ask(t, vm, 5*time.Second), must.Sprint(owner, " ", vm))
+				must.EqOp(t, answerText(), again.text)
+				must.EqOp(t, 1, f.engine.count())
+			}
+		})
+	}
+}
--- a/shell/failover/push.go
+++ b/shell/failover/push.go
@@ -98,8 +98,11 @@
 // idWireBytes is the approximate encoded size of a token ID in a push.
 const idWireBytes = 4
 
-// supersede ends a session that another node has taken over.
+// supersede ends a session that another node has taken over. A complete answer is kept, without a backup: it is the same at both nodes.
 func (m *Manager) supersede(s *session) {
+	if s.keepComplete() {
+		return
+	}
 	m.remove(s)
 	m.metrics.Superseded.Add(1)
 	m.log.WithField("request", s.entry.Request).Warn("session_superseded")
--- a/shell/failover/session.go
+++ b/shell/failover/session.go
@@ -86,6 +86,18 @@
 	return saved, ok
 }
 
+// keepComplete ends the replication of a session whose answer is complete, and reports whether it is.
+func (s *session) keepComplete() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if result := s.relay.Save().Result; result == nil || result.Code != vaneyoke.CodeOK {
+		return false
+	}
+	s.backup, s.hasBackup, s.entry.Backup = membership.Peer{}, false, ""
+	s.changed.Broadcast()
+	return true
+}
+
 // dropBackup replaces a backup that failed.
 func (s *session) dropBackup(failed vaneyoke.VMID) {
 	s.mu.Lock()
