Nodes that are silent for a moment are asked again for an answer that no other node holds

Callers of the caller API who asked another node than the one that ran their request got "81 may_have_run" or "82 answer_lost", which they may not repeat, although the answer went on at its owner: owner and backup did not answer just then, or took no connection, and did a second later.

Cause: one question to each node that may hold the answer decided. A node that did not answer was taken for one that does not hold it. An owner that was silent for 300 ms while a caller waited for it at another node had the same end, or the answer was begun again.

Change: where a request would be refused, or its owner has said that it goes on with it, the nodes are asked again until all have answered or for 2 s, which is longer than the second for which the peer client asks a silent node nothing. What may be run again and has no owner that is known to work on it is begun again at once, as before.

Ruled out: streams whose backup answers need no owner (TestCallerChangesNodes); a silent owner and backup within the stream passed before too, as four questions of 300 ms outlast the second.

--- a/shell/failover/handover_test.go
+++ b/shell/failover/handover_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/samber/lo"
 	"github.com/shoenig/test/must"
 
 	"github.com/vaneyoke/vaneyoke"
@@ -131,3 +132,70 @@
 		})
 	}
 }
+
+// TestOwnerIsSilentForAMoment has nodes that hold an answer be silent, or not be reached, as its caller asks another node, and go on a second later.
+//
+// The node concluded after one question that no node holds the answer: the caller got "81 may_have_run" or "82 answer_lost", neither of which it may repeat.
+func TestOwnerIsSilentForAMoment(t *testing.T) {
+	const goneForGood = time.Hour
+	cases := map[string]struct {
+		stream, repeatable bool
+		leaves             time.Duration // after which the caller changes nodes
+		fault              peerFault
+		pause              time.Duration
+		code               vaneyoke.Code
+	}{
+		"answer in one body, at most once":          {false, false, 5 * time.Second, peerIsSilent, time.Second, vaneyoke.CodeOK},
+		"answer in one body, at most once, refuses": {false, false, 5 * time.Second, peerRefuses, time.Second, vaneyoke.CodeOK},
+		"within the stream":                         {true, true, 6 * time.Second, peerIsSilent, time.Second, vaneyoke.CodeOK},
+		"within the stream, at most once":           {true, false, 6 * time.Second, peerIsSilent, time.Second, vaneyoke.CodeOK},
+		"within the stream, refuses":                {true, true, 6 * time.Second, peerRefuses, time.Second, vaneyoke.CodeOK},
+		"at most once, gone":                        {false, false, 5 * time.Second, peerRefuses, goneForGood, vaneyoke.CodeMayHaveRun},
+		"within the stream, gone":                   {true, true, 6 * time.Second, peerRefuses, goneForGood, vaneyoke.CodeAnswerLost},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, "own", "other", "third")
+				defer f.close()
+				backup, ok := f.nodes["own"].backup(nil)
+				must.True(t, ok)
+				asked := lo.Ternary[vaneyoke.VMID](backup.VM == "other", "third", "other")
+				c := newTestCaller(f, tc.stream, tc.repeatable)
+				must.EqOp(t, vaneyoke.CodeCallerGone, c.ask(t, "own", tc.leaves))
+				for _, vm := range []vaneyoke.VMID{"own", backup.VM} {
+					f.spoil(vm, tc.fault)
+					time.AfterFunc(tc.pause, func() { f.spoil(vm, 0) })
+				}
+				if tc.pause == goneForGood {
+					f.nodes["own"].stop()
+				}
+				began := time.Now()
+				must.EqOp(t, tc.code, c.ask(t, asked, 6*time.Second))
+				if tc.code == vaneyoke.CodeOK && tc.stream {
+					must.EqOp(t, answerText(), c.text)
+				}
+				if tc.code != vaneyoke.CodeOK {
+					must.LessEq(t, 4*time.Second, time.Since(began))
+				}
+				must.EqOp(t, 1, f.engine.count())
+			})
+		})
+	}
+}
+
+// TestOwnerIsSilentWhileACallerWaits has the owner of a session be silent for a second while a caller waits for it at another node.
+func TestOwnerIsSilentWhileACallerWaits(t *testing.T) {
+	for _, repeatable := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newTestFleet(t, "own", "other", "third")
+			defer f.close()
+			c := newTestCaller(f, false, repeatable)
+			must.EqOp(t, vaneyoke.CodeCallerGone, c.ask(t, "own", 3*time.Second))
+			time.AfterFunc(2*time.Second, func() { f.spoil("own", peerIsSilent) })
+			time.AfterFunc(3*time.Second, func() { f.spoil("own", 0) })
+			must.EqOp(t, vaneyoke.CodeOK, c.ask(t, "other", 8*time.Second))
+			must.EqOp(t, 1, f.engine.count())
+		})
+	}
+}
--- a/shell/failover/open.go
+++ b/shell/failover/open.go
@@ -47,7 +47,8 @@
 			return nil, vaneyoke.ErrField(vaneyoke.CodeConflict, "header.Idempotency-Key", "was used for another request")
 		}
 	}
-	d, found, err := m.awaitSession(ctx, key, existing, cur)
+	mustFind := cur != nil || !req.Request.Repeatable
+	d, found, err := m.awaitSession(ctx, key, existing, cur, mustFind)
 	if err != nil {
 		return nil, err
 	}
@@ -134,11 +135,20 @@
 // ownerPollInterval is the time between two requests for a session that goes on at its owner.
 const ownerPollInterval = 100 * time.Millisecond
 
-// awaitSession takes the session over. While no other node can go on with its run, it waits for the owner.
-func (m *Manager) awaitSession(ctx context.Context, key journal.Key, existing []journal.Entry, cur *cursor.Cursor) (journal.Delta, bool, error) {
+// silencePatience is how long nodes that do not answer are asked again for a session without which its request is refused. It covers a pause of a node, and the
+// time for which the peer client asks a silent one nothing.
+const silencePatience = 2 * time.Second
+
+// awaitSession takes the session over. While no other node can go on with its run, it waits for the owner. A session that must be found is not given up before
+// each node that may hold it has answered or been silent for a while.
+func (m *Manager) awaitSession(ctx context.Context, key journal.Key, existing []journal.Entry, cur *cursor.Cursor, mustFind bool) (journal.Delta, bool, error) {
+	heardAt := time.Now()
 	for {
-		d, found := m.takeOver(ctx, key, existing, cur)
-		if !found || d.Result != nil || d.Entry.Owner == m.self {
+		d, found, answered := m.takeOver(ctx, key, existing, cur)
+		switch {
+		case found && d.Result == nil && d.Entry.Owner != m.self: // its owner goes on with it
+			heardAt, mustFind = time.Now(), true
+		case found, answered, !mustFind, time.Since(heardAt) >= silencePatience:
 			return d, found, nil
 		}
 		select {
@@ -146,31 +156,34 @@
 		case <-ctx.Done():
 			return d, false, vaneyoke.WrapErr(vaneyoke.CodeCallerGone, ctx.Err(), "caller is gone")
 		case <-m.released:
-			return d, false, vaneyoke.Err(vaneyoke.CodeMayHaveRun, "the node ended, the request runs at %s", d.Entry.Owner.VM)
+			return d, false, vaneyoke.Err(vaneyoke.CodeMayHaveRun, "the node ended, the request runs at another one")
 		}
 	}
 }
 
-// takeOver requests the session from its owner, and from the journals if no owner returns it.
-func (m *Manager) takeOver(ctx context.Context, key journal.Key, existing []journal.Entry, cur *cursor.Cursor) (journal.Delta, bool) {
+// takeOver requests the session from its owner, and from the journals if no owner returns it. answered reports whether it was found, or all nodes that may hold it
+// have answered.
+func (m *Manager) takeOver(ctx context.Context, key journal.Key, existing []journal.Entry, cur *cursor.Cursor) (d journal.Delta, found, answered bool) {
+	answered = true
 	for _, p := range m.ownerCandidates(existing, cur) {
 		d, ok, err := m.peers.TakeOver(ctx, p, key, m.self, true)
 		if err != nil {
 			m.log.WithFields(logrus.Fields{"peer": p.VM, "error": err}).Warn("owner_unreachable")
+			answered = false
 		}
 		if ok {
 			if d.Result != nil || d.Entry.Owner == m.self {
 				m.metrics.TakenOver.Add(fromOwner, 1)
 			}
-			return d, true
+			return d, true, true
 		}
 	}
 	var best journal.Delta
-	found := false
 	for _, p := range m.journalCandidates(key, existing, cur) {
 		d, ok, err := m.peers.TakeOver(ctx, p, key, m.self, false)
 		if err != nil {
 			m.log.WithFields(logrus.Fields{"peer": p.VM, "error": err}).Warn("journal_unreachable")
+			answered = false
 		}
 		if ok && (!found || better(d, best)) {
 			best, found = d, true
@@ -179,7 +192,7 @@
 	if found {
 		m.metrics.TakenOver.Add(fromJournal, 1)
 	}
-	return best, found
+	return best, found, answered || found
 }
 
 // better reports whether a is preferred to b: finished sessions first, then higher epochs, then longer answers.
