A session whose hand-over is not answered in time is handed over again

A caller of the caller API who asked another node than the one that ran its request got "82 answer_lost" if the owner's reply to that node was lost or late and the session had no backup, as in a fleet of two nodes after one was slow for a moment.

Cause: break before make. The owner ends the session before its next owner has the reply, and nothing else holds it.

Change: the owner keeps what it has handed over for 10 s, for the same next owner only: a node asks only for sessions that it does not hold.

Ruled out, by tests without a change: a taker, or the backup, that stops shortly after or before the owner (TestStopsOverlap); a connection with a cursor of another answer, which ends the session at its owner, whose caller can resume it at a third node (TestRefusedCursorLosesTheAnswer).

--- a/shell/failover/fleet_test.go
+++ b/shell/failover/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -158,7 +159,7 @@
 	}
 	to.mu.Lock()
 	defer to.mu.Unlock()
-	return lo.Map(deltas, func(d journal.Delta, _ int) journal.PushOutcome { return to.journals.Push(time.Now(), d) }), nil
+	return lo.Map(deltas, func(d journal.Delta, _ int) journal.PushOutcome { return to.journals.Push(time.Now(), onWire(d)) }), nil
 }
 
 func (n *testFleetNode) TakeOver(ctx context.Context, p membership.Peer, key journal.Key, owner vaneyoke.NodeID, fromOwner bool) (journal.Delta, bool, error) {
@@ -181,9 +182,18 @@
 		n.fleet.spoil(p.VM, 0)
 		return journal.Delta{}, false, silence(ctx)
 	}
+	if to != n {
+		d = onWire(d)
+	}
 	return d, ok, nil
 }
 
+// onWire returns what another node gets of a delta, which shares no memory with it.
+func onWire(d journal.Delta) journal.Delta {
+	d.IDs, d.Text, d.Prompt = slices.Clone(d.IDs), slices.Clone(d.Text), slices.Clone(d.Prompt)
+	return d
+}
+
 // allClaims grants each claim.
 type allClaims struct{}
 
@@ -328,3 +338,11 @@
 		c.cursor = chunk.Cursor
 	}
 }
+
+// gone stops a node, which nobody reaches from then on.
+func (f *testFleet) gone(vm vaneyoke.VMID) {
+	f.nodes[vm].Release()
+	f.nodes[vm].relay.Interrupt()
+	f.nodes[vm].stop()
+	f.spoil(vm, peerRefuses)
+}
--- a/shell/failover/handover_test.go
+++ b/shell/failover/handover_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/cursor"
 )
 
 // TestCallerChangesNodes has a caller lose its connection to the node that runs its request, and ask another node.
@@ -199,3 +200,77 @@
 		})
 	}
 }
+
+// TestStopsOverlap has nodes stop shortly one after another that run an answer, hold its journal, or have just taken it over.
+func TestStopsOverlap(t *testing.T) {
+	cases := map[string]func(f *testFleet, c *testCaller, t *testing.T) (asked vaneyoke.VMID){
+		"the taker stops as well": func(f *testFleet, c *testCaller, t *testing.T) vaneyoke.VMID {
+			f.gone("own")
+			time.AfterFunc(500*time.Millisecond, func() { f.gone("b") })
+			must.EqOp(t, vaneyoke.CodeInterrupted, c.ask(t, "b", time.Second))
+			return "c"
+		},
+		"the backup stops before the owner": func(f *testFleet, c *testCaller, t *testing.T) vaneyoke.VMID {
+			backup, _ := f.nodes["own"].backup(nil)
+			f.gone(backup.VM)
+			must.EqOp(t, vaneyoke.CodeCallerGone, c.ask(t, "own", time.Second))
+			f.gone("own")
+			return lo.Ternary[vaneyoke.VMID](backup.VM == "c", "d", "c")
+		},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, "own", "b", "c", "d")
+				defer f.close()
+				c := newTestCaller(f, true, false)
+				must.EqOp(t, vaneyoke.CodeCallerGone, c.ask(t, "own", 6*time.Second))
+				must.EqOp(t, vaneyoke.CodeOK, c.ask(t, tc(f, c, t), 5*time.Second))
+				must.EqOp(t, answerText(), c.text)
+				must.EqOp(t, 1, f.engine.count())
+			})
+		})
+	}
+}
+
+// TestReplyIsLostWithoutABackup hands a session over that has no backup, and loses the reply.
+//
+// Its owner had ended it, and no node held it any more: the caller got "82 answer_lost".
+func TestReplyIsLostWithoutABackup(t *testing.T) {
+	for name, leaves := range map[string]time.Duration{"within the stream": 6 * time.Second, "before its caller has any of it": 4001 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(t, "own", "other")
+				defer f.close()
+				f.spoil("other", peerRefuses)
+				c := newTestCaller(f, true, false)
+				must.EqOp(t, vaneyoke.CodeCallerGone, c.ask(t, "own", leaves))
+				f.spoil("other", 0)
+				f.spoil("own", peerLosesNext)
+				must.EqOp(t, vaneyoke.CodeOK, c.ask(t, "other", 7*time.Second))
+				must.EqOp(t, answerText(), c.text)
+				must.EqOp(t, 1, f.engine.count())
+			})
+		})
+	}
+}
+
+// TestRefusedCursorLosesTheAnswer has another connection ask another node with a cursor of another answer, while a caller reads the answer at its owner. The
+// caller must be able to resume it.
+func TestRefusedCursorLosesTheAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, "own", "other", "third")
+		defer f.close()
+		c := newTestCaller(f, true, false)
+		code := make(chan vaneyoke.Code, 1)
+		go func() { code <- c.ask(t, "own", 20*time.Second) }()
+		time.Sleep(6 * time.Second)
+		wrong := newTestCaller(f, true, false)
+		wrong.cursor = f.nodes["own"].keyring.Encode(cursor.Cursor{Workspace: "w", Request: "another", Owner: "own", Offset: 3, Digest: 1})
+		must.EqOp(t, vaneyoke.CodeAnswerLost, wrong.ask(t, "other", time.Second))
+		must.EqOp(t, vaneyoke.CodeSuperseded, <-code)
+		must.EqOp(t, vaneyoke.CodeOK, c.ask(t, "third", 5*time.Second))
+		must.EqOp(t, answerText(), c.text)
+		must.EqOp(t, 1, f.engine.count())
+	})
+}
--- a/shell/failover/manager.go
+++ b/shell/failover/manager.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"expvar"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -69,6 +70,7 @@
 
 	mu         sync.Mutex
 	sessions   map[journal.Key]*session
+	givenUp    map[journal.Key]givenUp
 	lastHandle uint64 // number of the latest handle
 }
 
@@ -79,6 +81,7 @@
 		pushNow:  make(chan struct{}, 1),
 		released: make(chan struct{}),
 		sessions: map[journal.Key]*session{},
+		givenUp:  map[journal.Key]givenUp{},
 	}
 }
 
@@ -205,7 +208,7 @@
 func (m *Manager) HandOver(key journal.Key, owner vaneyoke.NodeID) (journal.Delta, bool) {
 	s := m.find(key)
 	if s == nil {
-		return journal.Delta{}, false
+		return m.handOverAgain(key, owner)
 	}
 	saved, ok := s.handOver()
 	d := s.fullDelta(saved)
@@ -219,5 +222,34 @@
 		return d, saved.Result.Code != vaneyoke.CodeSuperseded
 	}
 	d.Entry.Epoch++ // also for a node of an earlier build, which goes on with each session that it gets
+	if ok {
+		m.mu.Lock()
+		m.givenUp[key] = givenUp{d, time.Now()}
+		m.mu.Unlock()
+	}
 	return d, true
 }
+
+// givenUp is a session as it was handed over. It is kept for a while, since the reply may be lost.
+type givenUp struct {
+	delta journal.Delta
+	at    time.Time
+}
+
+// givenUpRetention is longer than a node asks for a session.
+const givenUpRetention = 10 * time.Second
+
+// handOverAgain returns a session that was handed over, if its next owner asks again.
+func (m *Manager) handOverAgain(key journal.Key, owner vaneyoke.NodeID) (journal.Delta, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	g, ok := m.givenUp[key]
+	return g.delta, ok && g.delta.Entry.Owner == owner
+}
+
+// dropGivenUp forgets the sessions that were handed over a while ago.
+func (m *Manager) dropGivenUp(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	maps.DeleteFunc(m.givenUp, func(_ journal.Key, g givenUp) bool { return now.Sub(g.at) > givenUpRetention })
+}
--- a/shell/failover/push.go
+++ b/shell/failover/push.go
@@ -111,6 +111,7 @@
 
 // sweep abandons sessions whose callers have been away longer than Linger, and removes finished sessions after Retention.
 func (m *Manager) sweep(now time.Time) {
+	m.dropGivenUp(now)
 	for _, s := range m.all() {
 		idle := s.idleFor(now)
 		switch {
