A session that is taken over as the node stops is released as well

Cause: Release went over the sessions that the node held. One that was added right after it was not marked as released, so that its reader got what was taken over with a cursor that names no backup, after each backup had failed to confirm in the node's last moments.

Change: a session that comes after Release is released from the start: its reader gets text only with a cursor that another node can resume, and the caller goes on with the one it has.

Ruled out: the kept copy at the owner before, which is for the same taker only; a taker that stops 0.5 s later (passed before).

Before: the case "the taker stops as it takes over" of TestStopsOverlap fails. In the test the stopping node pushes nothing any more; whether a real one does in its last moments was not measured.

--- a/shell/failover/handover_test.go
+++ b/shell/failover/handover_test.go
@@ -210,6 +210,11 @@
 			must.EqOp(t, vaneyoke.CodeInterrupted, c.ask(t, "b", time.Second))
 			return "c"
 		},
+		"the taker stops as it takes over": func(f *testFleet, c *testCaller, t *testing.T) vaneyoke.VMID {
+			time.AfterFunc(2*time.Millisecond, func() { f.gone("b") })
+			must.EqOp(t, vaneyoke.CodeInterrupted, c.ask(t, "b", time.Second))
+			return "c"
+		},
 		"the backup stops before the owner": func(f *testFleet, c *testCaller, t *testing.T) vaneyoke.VMID {
 			backup, _ := f.nodes["own"].backup(nil)
 			f.gone(backup.VM)
--- a/shell/failover/manager.go
+++ b/shell/failover/manager.go
@@ -179,13 +179,15 @@
 	return m.sessions[key]
 }
 
-// add registers a session and returns it. If the key is already registered, it returns the registered session instead.
+// add registers a session and returns it. If the key is already registered, it returns the registered session instead. A session that comes after Release is
+// released as well.
 func (m *Manager) add(s *session) *session {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if old, ok := m.sessions[s.key]; ok {
 		return old
 	}
+	s.released = m.isReleased()
 	m.sessions[s.key] = s
 	return s
 }
