A run that is begun again by another owner has a name of its own

A caller of the caller API whose request was begun again at another node, as its owner was not reached, lost that run as well once the owner gave its own up (after [peers] linger): the stream started a third time, and a caller with little time left got no answer.

Cause: the name of a run at the engine holds the owner's epoch, but a request that is begun again was run in epoch 1, whatever its entry in the directory said. The owner's cancellation of its run named the one that had replaced it.

Change: the session is started in the epoch of its entry.

Ruled out: sessions that are taken over; they had the epoch of their state before.

--- a/shell/failover/fleet_test.go
+++ b/shell/failover/fleet_test.go
@@ -224,10 +224,15 @@
 // its connection.
 type testEngine struct {
 	mu    sync.Mutex
-	runs  map[string]time.Time // when each began, by its name
+	runs  map[string]*testRun // by name
 	begun int
 }
 
+type testRun struct {
+	began    time.Time
+	canceled chan struct{}
+}
+
 const (
 	engineWholeTime  = 10 * time.Second       // that an answer in one body takes
 	engineFirstToken = 4 * time.Second        // that a stream's first token takes
@@ -235,7 +240,7 @@
 	engineTokens     = 60                     // of an answer
 )
 
-func newTestEngine() *testEngine { return &testEngine{runs: map[string]time.Time{}} }
+func newTestEngine() *testEngine { return &testEngine{runs: map[string]*testRun{}} }
 
 // count returns how many runs have begun.
 func (e *testEngine) count() int {
@@ -251,28 +256,21 @@
 
 // RoundTrip answers a request to the engine.
 func (e *testEngine) RoundTrip(r *http.Request) (*http.Response, error) {
+	run, from := e.find(r)
+	if run == nil {
+		return &http.Response{StatusCode: http.StatusNotFound, Body: http.NoBody}, nil
+	}
 	if r.Method == http.MethodDelete {
+		close(run.canceled)
 		return &http.Response{StatusCode: http.StatusOK, Body: http.NoBody}, nil
 	}
-	name, from := r.Header.Get(engine.HeaderRequestID), 0
-	e.mu.Lock()
-	if r.Method == http.MethodPost {
-		e.runs[name] = time.Now()
-		e.begun++
-	} else {
-		name = r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:]
-		from, _ = strconv.Atoi(r.Header.Get(engine.HeaderLastEventID))
-	}
-	began, ok := e.runs[name]
-	e.mu.Unlock()
-	if !ok {
-		return &http.Response{StatusCode: http.StatusNotFound, Body: http.NoBody}, nil
-	}
 	body, _ := io.ReadAll(r.Body)
 	if r.Method == http.MethodPost && !strings.Contains(string(body), `"stream":true`) {
 		select {
 		case <-time.After(engineWholeTime):
 			return &http.Response{StatusCode: http.StatusOK, Body: io.NopCloser(strings.NewReader("whole"))}, nil
+		case <-run.canceled:
+			return nil, io.ErrUnexpectedEOF
 		case <-r.Context().Done():
 			return nil, r.Context().Err()
 		}
@@ -281,7 +279,12 @@
 	context.AfterFunc(r.Context(), func() { _ = in.CloseWithError(r.Context().Err()) })
 	go func() {
 		for i := from; i < engineTokens; i++ {
-			time.Sleep(time.Until(began.Add(engineFirstToken + time.Duration(i)*engineTokenGap)))
+			select {
+			case <-time.After(time.Until(run.began.Add(engineFirstToken + time.Duration(i)*engineTokenGap))):
+			case <-run.canceled:
+				_ = in.CloseWithError(io.ErrUnexpectedEOF)
+				return
+			}
 			event := fmt.Sprintf("id: %d\ndata: {\"choices\":[{\"index\":0,\"prompt_token_ids\":[1,2],\"token_ids\":[%d],\"text\":\" w%d\"}]}\n\n", i+1, 1000+i, i)
 			if _, err := io.WriteString(in, event); err != nil {
 				return
@@ -293,6 +296,25 @@
 	return &http.Response{StatusCode: http.StatusOK, Body: out}, nil
 }
 
+// find returns the run that a request begins, or names, and the number of tokens that its sender has. It forgets one that is canceled.
+func (e *testEngine) find(r *http.Request) (run *testRun, from int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if r.Method == http.MethodPost {
+		run = &testRun{began: time.Now(), canceled: make(chan struct{})}
+		e.runs[r.Header.Get(engine.HeaderRequestID)] = run
+		e.begun++
+		return run, 0
+	}
+	name := r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:]
+	from, _ = strconv.Atoi(r.Header.Get(engine.HeaderLastEventID))
+	run = e.runs[name]
+	if r.Method == http.MethodDelete {
+		delete(e.runs, name)
+	}
+	return run, from
+}
+
 // testCaller asks for one answer, at several nodes in turn.
 type testCaller struct {
 	fleet   *testFleet
--- a/shell/failover/handover_test.go
+++ b/shell/failover/handover_test.go
@@ -279,3 +279,20 @@
 		must.EqOp(t, 1, f.engine.count())
 	})
 }
+
+// TestAbandonedRunEndsTheOneThatFollows has a request be begun again, as its owner is not reached, which later abandons its own run of it.
+//
+// Both runs had the same name at the engine, so that the one which the caller was reading was canceled.
+func TestAbandonedRunEndsTheOneThatFollows(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(t, "own", "other", "third")
+		defer f.close()
+		f.nodes["own"].config.Linger = 2 * time.Second
+		c := newTestCaller(f, true, true)
+		must.EqOp(t, vaneyoke.CodeCallerGone, c.ask(t, "own", 2*time.Second))
+		f.spoil("own", peerRefuses)
+		must.EqOp(t, vaneyoke.CodeOK, c.ask(t, "other", 11*time.Second))
+		must.EqOp(t, answerText(), c.text)
+		must.EqOp(t, 2, f.engine.count())
+	})
+}
--- a/shell/failover/open.go
+++ b/shell/failover/open.go
@@ -103,7 +103,7 @@
 }
 
 func (m *Manager) start(ctx context.Context, req OpenRequest, key journal.Key, entry journal.Entry) *session {
-	s := newSession(m, key, entry, m.relay.Generate(ctx, req.Request))
+	s := newSession(m, key, entry, m.relay.GenerateInEpoch(ctx, req.Request, uint64(entry.Epoch)))
 	kept := m.add(s)
 	if kept != s {
 		s.relay.Abandon()
--- a/shell/relay/forwarded.go
+++ b/shell/relay/forwarded.go
@@ -68,7 +68,7 @@
 		AnswerTokens: f.AnswerTokens, SharedTokens: f.SharedTokens, Affinity: f.affinityKey(), AtMostOnce: !req.Repeatable,
 		Continuable: f.Stream && req.Repeatable,
 	}
-	return r.startSession(ctx, req, need, &forwarded{Forwarding: f, lastEventID: f.ResumeAfter})
+	return r.startSession(ctx, req, need, &forwarded{Forwarding: f, lastEventID: f.ResumeAfter}, 1)
 }
 
 // isStream reports whether the answer is a sequence of opaque events; this does not change during the session.
--- a/shell/relay/relay.go
+++ b/shell/relay/relay.go
@@ -258,8 +258,13 @@
 
 // Generate starts a generation; its session runs until it ends or is abandoned, even if ctx is canceled.
 func (r *Relay) Generate(ctx context.Context, req *vaneyoke.Request) *Session {
+	return r.GenerateInEpoch(ctx, req, 1)
+}
+
+// GenerateInEpoch is like Generate for a request that had other owners before: its runs must not have the names of theirs.
+func (r *Relay) GenerateInEpoch(ctx context.Context, req *vaneyoke.Request, epoch uint64) *Session {
 	need := placement.Need{Kind: vaneyoke.KindEngine, Model: req.Model, Order: req.Order, PromptBytes: req.PromptBytes}
-	return r.startSession(ctx, req, need, modeOf(req))
+	return r.startSession(ctx, req, need, modeOf(req), epoch)
 }
 
 func modeOf(req *vaneyoke.Request) mode {
@@ -273,13 +278,13 @@
 // Call starts a call to a service that answers in one body.
 func (r *Relay) Call(ctx context.Context, req *vaneyoke.Request, service vaneyoke.ServiceID, path string, body []byte) *Session {
 	need := placement.Need{Kind: vaneyoke.KindService, Service: service, Order: req.Order, PromptBytes: len(body)}
-	return r.startSession(ctx, req, need, &unary{path: path, body: body})
+	return r.startSession(ctx, req, need, &unary{path: path, body: body}, 1)
 }
 
-func (r *Relay) startSession(ctx context.Context, req *vaneyoke.Request, need placement.Need, m mode) *Session {
+func (r *Relay) startSession(ctx context.Context, req *vaneyoke.Request, need placement.Need, m mode, epoch uint64) *Session {
 	config := r.configOf(req, need, m)
 	s := newSession(ctx, r, req, need, m, generation.New(config, newRand()))
-	s.epoch = 1
+	s.epoch = epoch
 	s.pinToOrigin()
 	r.metrics.Sessions.Add(1)
 	if !r.track(s) {
