--- a/shell/failover/manager.go
+++ b/shell/failover/manager.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"expvar"
 	"fmt"
+	"maps"
 	"sync"
 	"time"
 
@@ -65,8 +66,11 @@
 	log        logrus.FieldLogger
 	pushNow    chan struct{} // triggers a push before the period ends
 
+	released chan struct{} // closed by Release
+
 	mu         sync.Mutex
 	sessions   map[journal.Key]*session
+	givenUp    map[journal.Key]givenUp
 	lastHandle uint64 // number of the latest handle
 }
 
@@ -75,7 +79,9 @@
 	return &Manager{
 		self: self, dataCentre: dataCentre, config: config, keyring: keyring, peers: peers, fleet: fleet, relay: r, claims: c, metrics: metrics, log: log,
 		pushNow:  make(chan struct{}, 1),
+		released: make(chan struct{}),
 		sessions: map[journal.Key]*session{},
+		givenUp:  map[journal.Key]givenUp{},
 	}
 }
 
@@ -173,13 +179,15 @@
 	return m.sessions[key]
 }
 
-// add registers a session and returns it. If the key is already registered, it returns the registered session instead.
+// add registers a session and returns it. If the key is already registered, it returns the registered session instead. A session that comes after Release is
+// released as well.
 func (m *Manager) add(s *session) *session {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if old, ok := m.sessions[s.key]; ok {
 		return old
 	}
+	s.released = m.isReleased()
 	m.sessions[s.key] = s
 	return s
 }
@@ -197,20 +205,53 @@
 	s.changed.Broadcast()
 }
 
-// HandOver ends a running session on this node and returns it in full for its next owner. A finished session is returned and kept.
+// HandOver returns a session in full for its next owner. A running session ends here if another node can go on with it. If it goes on here, this node stays its
+// owner in what is returned; a finished one is kept.
 func (m *Manager) HandOver(key journal.Key, owner vaneyoke.NodeID) (journal.Delta, bool) {
 	s := m.find(key)
 	if s == nil {
-		return journal.Delta{}, false
+		return m.handOverAgain(key, owner)
 	}
-	if s.relay.Running() {
+	saved, ok := s.handOver()
+	d := s.fullDelta(saved)
+	switch {
+	case ok:
 		m.remove(s)
 		m.metrics.Superseded.Add(1)
-		d := s.fullDelta(s.relay.HandOver())
 		d.Entry.Owner = owner
-		d.Entry.Epoch++
 		m.log.WithFields(logrus.Fields{"request": d.Entry.Request, "peer": owner.VM}).Info("session_given_up")
-		return d, true
+	case saved.Result != nil:
+		return d, saved.Result.Code != vaneyoke.CodeSuperseded
+	}
+	d.Entry.Epoch++ // also for a node of an earlier build, which goes on with each session that it gets
+	if ok {
+		m.mu.Lock()
+		m.givenUp[key] = givenUp{d, time.Now()}
+		m.mu.Unlock()
 	}
-	return s.fullDelta(s.relay.Save()), true
+	return d, true
+}
+
+// givenUp is a session as it was handed over. It is kept for a while, since the reply may be lost.
+type givenUp struct {
+	delta journal.Delta
+	at    time.Time
+}
+
+// givenUpRetention is longer than a node asks for a session.
+const givenUpRetention = 10 * time.Second
+
+// handOverAgain returns a session that was handed over, if its next owner asks again.
+func (m *Manager) handOverAgain(key journal.Key, owner vaneyoke.NodeID) (journal.Delta, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	g, ok := m.givenUp[key]
+	return g.delta, ok && g.delta.Entry.Owner == owner
+}
+
+// dropGivenUp forgets the sessions that were handed over a while ago.
+func (m *Manager) dropGivenUp(now time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	maps.DeleteFunc(m.givenUp, func(_ journal.Key, g givenUp) bool { return now.Sub(g.at) > givenUpRetention })
 }
--- a/shell/failover/push.go
+++ b/shell/failover/push.go
@@ -98,8 +98,11 @@
 // idWireBytes is the approximate encoded size of a token ID in a push.
 const idWireBytes = 4
 
-// supersede ends a session that another node has taken over.
+// supersede ends a session that another node has taken over. A complete answer is kept, without a backup: it is the same at both nodes.
 func (m *Manager) supersede(s *session) {
+	if s.keepComplete() {
+		return
+	}
 	m.remove(s)
 	m.metrics.Superseded.Add(1)
 	m.log.WithField("request", s.entry.Request).Warn("session_superseded")
@@ -108,6 +111,7 @@
 
 // sweep abandons sessions whose callers have been away longer than Linger, and removes finished sessions after Retention.
 func (m *Manager) sweep(now time.Time) {
+	m.dropGivenUp(now)
 	for _, s := range m.all() {
 		idle := s.idleFor(now)
 		switch {
@@ -146,6 +150,11 @@
 // Release ends all sessions on this node, so that other nodes can resume them from the state that the backups hold. It returns the number
 // of sessions that were running.
 func (m *Manager) Release() (running int) {
+	m.mu.Lock()
+	if !m.isReleased() {
+		close(m.released)
+	}
+	m.mu.Unlock()
 	for _, s := range m.all() {
 		m.remove(s)
 		if s.relay.Running() {
@@ -155,3 +164,12 @@
 	}
 	return running
 }
+
+func (m *Manager) isReleased() bool {
+	select {
+	case <-m.released:
+		return true
+	default:
+		return false
+	}
+}
