A late report of an upstream's incarnation is applied by the chunk that confirms it

Its goroutine looked every 50 ms whether another chunk had come. The report is kept at the attempt, and the next chunk applies it; nothing waits. The tests of shell/relay pass with the race detector, TestReportAfterTheFirstEventDoesNotCome among them.

--- a/shell/relay/confirm.go
+++ b/shell/relay/confirm.go
@@ -57,35 +57,31 @@
 }
 
 // handlePinReport corrects the pin if the upstream that gave the first output runs as a later incarnation than was known. A report that came late may be of a
-// process that has started since; an event after it shows that the connection's process still runs.
+// process that has started since; the attempt's next chunk shows that the connection's process still runs.
 func (s *Session) handlePinReport(l *link, report vaneyoke.LoadReport, isFirst bool) {
-	if !isFirst && report.Incarnation > l.upstream.Incarnation && !s.awaitChunk(l) {
-		return
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l.incarnation = report.Incarnation
-	if current := s.currentProcess(l.upstream); current.Incarnation > s.pinnedBy.Incarnation && !s.result.Ended {
-		s.repin(current)
+	if isFirst || report.Incarnation <= l.upstream.Incarnation {
+		s.correctPin(l, report.Incarnation)
+		return
 	}
+	l.lateIncarnation = report.Incarnation
 }
 
-// awaitChunk waits for another chunk of an attempt, and reports whether one came before the attempt ended.
-func (s *Session) awaitChunk(l *link) bool {
-	before := s.chunksOf(l)
-	for s.chunksOf(l) == before {
-		if !s.isLive(l) || !pause.For(s.ctx, confirmPause) {
-			return false
-		}
+// confirmLateReport corrects the pin by a report that came late, since a chunk of its attempt has come after it.
+func (s *Session) confirmLateReport(l *link) {
+	if l.lateIncarnation != 0 {
+		s.correctPin(l, l.lateIncarnation)
+		l.lateIncarnation = 0
 	}
-	return true
 }
 
-// chunksOf returns how many chunks of an attempt have arrived.
-func (s *Session) chunksOf(l *link) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return l.chunks
+// correctPin records the incarnation that gave the first output, and pins the answer to it if that was not known.
+func (s *Session) correctPin(l *link, incarnation vaneyoke.Incarnation) {
+	l.incarnation = incarnation
+	if current := s.currentProcess(l.upstream); current.Incarnation > s.pinnedBy.Incarnation && !s.result.Ended {
+		s.repin(current)
+	}
 }
 
 // isLive reports whether an attempt has neither ended nor been given up.
--- a/shell/relay/forwarded.go
+++ b/shell/relay/forwarded.go
@@ -255,6 +255,7 @@
 	now := time.Now()
 	s.recordFirstToken(now, received.Attempt)
 	s.recordChunk(now, s.links[received.Attempt])
+	s.confirmLateReport(s.links[received.Attempt])
 	lenBefore := s.state.Transcript().Len()
 	s.handleLocked(now, received)
 	if s.state.Transcript().Len() == lenBefore {
--- a/shell/relay/session.go
+++ b/shell/relay/session.go
@@ -61,6 +61,7 @@
 	continues       bool                 // whether it goes on with an answer that another attempt has begun, here or before its caller came back
 	isConfirmed     bool                 // whether the incarnation of the upstream was known for certain when the attempt was sent
 	incarnation     vaneyoke.Incarnation // that ran the attempt, as the upstream reported meanwhile; 0 if it has not
+	lateIncarnation vaneyoke.Incarnation // that a late report told, until a chunk after it shows that it runs the attempt; 0 for none
 	path            forward.Path         // of its connection; forward.AnyPath until it is open
 	unsent          bool                 // whether nothing has been sent yet, so that it can be withdrawn
 	sentAt          time.Time            // when the run was started, zero for a resumed stream
