Sessions that are kept after they were handed over have a bound

Each session of the caller API that a node hands over is kept for 10 s, in case that the reply is lost; many callers who change nodes at once made that a store without a bound.

--- a/shell/failover/handover_test.go
+++ b/shell/failover/handover_test.go
@@ -1,6 +1,7 @@
 package failover
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/cursor"
+	"github.com/vaneyoke/vaneyoke/decide/journal"
 )
 
 // TestCallerChangesNodes has a caller lose its connection to the node that runs its request, and ask another node.
@@ -260,6 +262,17 @@
 	}
 }
 
+// Guards against sessions that are kept without a bound where many callers change nodes at once.
+func TestHandedOverSessionsTakeTheNodesMemory(t *testing.T) {
+	m, now := &Manager{givenUp: map[journal.Key]givenUp{}}, time.Unix(1000, 0)
+	for i := range 1000 {
+		m.keepGivenUp(now, journal.Key{Workspace: "w", Key: fmt.Sprint(i)}, journal.Delta{})
+	}
+	must.MapLen(t, maxGivenUp, m.givenUp)
+	m.dropGivenUp(now.Add(givenUpRetention + 1))
+	must.MapEmpty(t, m.givenUp)
+}
+
 // TestRefusedCursorLosesTheAnswer has another connection ask another node with a cursor of another answer, while a caller reads the answer at its owner. The
 // caller must be able to resume it.
 func TestRefusedCursorLosesTheAnswer(t *testing.T) {
--- a/shell/failover/manager.go
+++ b/shell/failover/manager.go
@@ -225,9 +225,7 @@
 	}
 	d.Entry.Epoch++ // also for a node of an earlier build, which goes on with each session that it gets
 	if ok {
-		m.mu.Lock()
-		m.givenUp[key] = givenUp{d, time.Now()}
-		m.mu.Unlock()
+		m.keepGivenUp(time.Now(), key, d)
 	}
 	return d, true
 }
@@ -238,8 +236,19 @@
 	at    time.Time
 }
 
-// givenUpRetention is longer than a node asks for a session.
-const givenUpRetention = 10 * time.Second
+const (
+	givenUpRetention = 10 * time.Second // longer than a node asks for a session
+	maxGivenUp       = 256              // sessions that are kept; others have their backup only
+)
+
+// keepGivenUp keeps a session that is handed over, if there is room.
+func (m *Manager) keepGivenUp(now time.Time, key journal.Key, d journal.Delta) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(m.givenUp) < maxGivenUp {
+		m.givenUp[key] = givenUp{d, now}
+	}
+}
 
 // handOverAgain returns a session that was handed over, if its next owner asks again.
 func (m *Manager) handOverAgain(key journal.Key, owner vaneyoke.NodeID) (journal.Delta, bool) {
