A stream does not go on where a late report leaves open what began it

A stream of a single event went on at the listed version although the late report of its upstream named a later incarnation, which may have given the event: its caller may get two versions in one answer.

Cause: a later incarnation in a report that was asked for again counted only once another event had come. Until then the answer was held for begun by the listed process.

Change: until then nobody may go on with it, and its record says that the version is not known. Whether a report is late is decided by its time (0.1 s, less than an upstream takes to restart), not by which question it answers: the first may take 0.5 s too.

--- a/shell/relay/confirm.go
+++ b/shell/relay/confirm.go
@@ -46,7 +46,7 @@
 		for delay := confirmPause; delay < maxConfirmPause && s.mayConfirm(l.upstream.ID); delay *= 2 {
 			report, ok := s.queryReport(s.ctx, l.upstream, confirmTimeout)
 			if ok {
-				s.handlePinReport(l, report, delay == confirmPause)
+				s.handlePinReport(l, report)
 				return
 			}
 			if !s.isLive(l) || !pause.For(s.ctx, delay) || !s.isLive(l) {
@@ -57,15 +57,19 @@
 }
 
 // handlePinReport corrects the pin if the upstream that gave the first output runs as a later incarnation than was known. A report that came late may be of a
-// process that has started since; the attempt's next chunk shows that the connection's process still runs.
-func (s *Session) handlePinReport(l *link, report vaneyoke.LoadReport, isFirst bool) {
+// process that has started since: until the attempt's next chunk shows that it gives the answer, nobody may go on with it.
+func (s *Session) handlePinReport(l *link, report vaneyoke.LoadReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if isFirst || report.Incarnation <= l.upstream.Incarnation {
+	if report.Incarnation <= l.upstream.Incarnation || time.Since(report.AskedAt) < minRestartTime {
 		s.correctPin(l, report.Incarnation)
 		return
 	}
 	l.lateIncarnation = report.Incarnation
+	unsure := l.upstream
+	unsure.Incarnation, unsure.VersionUnknown = report.Incarnation, true
+	s.logRepinned(unsure)
+	s.setPin(vaneyoke.Pin{IsSet: true, Version: s.pin.Version, VersionUnknown: true})
 }
 
 // confirmLateReport corrects the pin by a report that came late, since a chunk of its attempt has come after it.
@@ -105,6 +109,7 @@
 const (
 	confirmTimeout  = 500 * time.Millisecond // longest wait for the incarnation of an upstream
 	confirmPause    = 50 * time.Millisecond  // before it is asked a second time; doubles with each question
+	minRestartTime  = 100 * time.Millisecond // an upstream takes longer to restart
 	maxConfirmPause = 800 * time.Millisecond
 	// unreachedTimeout is how long an upstream that has not told its incarnation may accept no connections before its attempt is lost.
 	unreachedTimeout = 1500 * time.Millisecond
--- a/shell/relay/continuation.go
+++ b/shell/relay/continuation.go
@@ -26,11 +26,21 @@
 
 // repin corrects the pin of an answer whose upstream turns out to be a later incarnation than was known.
 func (s *Session) repin(u vaneyoke.Upstream) {
+	s.logRepinned(u)
+	s.pinnedBy = u
+	s.setPin(vaneyoke.PinTo(&u))
+}
+
+func (s *Session) logRepinned(u vaneyoke.Upstream) {
 	s.relay.log.WithFields(logrus.Fields{
 		"request": s.req.ID, "upstream": u.ID, "incarnation": uint64(u.Incarnation), "before_incarnation": uint64(s.pinnedBy.Incarnation),
 		"software": u.Version, "before_software": s.pin.Version, "known": !u.VersionUnknown,
 	}).Info("stream_repinned")
-	s.pinToProcess(u)
+}
+
+// setPin corrects the pin of an answer, here and in the stream's record.
+func (s *Session) setPin(pin vaneyoke.Pin) {
+	s.pin = pin
 	s.repins++
 	if s.registered != "" {
 		s.unregisterStream()
