--- a/review/second/platform/fleet.go
+++ b/review/second/platform/fleet.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -42,14 +43,25 @@
 	resting          bool // whether the balancer sends it no callers
 }
 
-// freeAddress returns a loopback address with a port that is free.
+// given holds the ports that freeAddress has returned.
+var given = map[int]bool{}
+
+// freeAddress returns a loopback address with a port that is free, below those that the system gives to outgoing connections.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		cannotRun("no free port: %s", err)
+	const lowest, highest, tries = 15000, 32000, 1000
+	for range tries {
+		port := lowest + rand.IntN(highest-lowest)
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
+		if err != nil || given[port] {
+			continue
+		}
+		_ = l.Close()
+		given[port] = true
+		return address
 	}
-	defer l.Close()
-	return l.Addr().String()
+	cannotRun("no free port")
+	return ""
 }
 
 func newNode(name, zone, store, dir, extra string) *node {
--- a/review/second/platform/kept.go
+++ b/review/second/platform/kept.go
@@ -23,14 +23,14 @@
 	callWork    = 600 * time.Millisecond
 	callWait    = 1500 * time.Millisecond
 
-	storeAway   = 4400 * time.Millisecond // the store's longest outage on the sheet is 4.5 s (platform_down)
-	servesOn    = 12 * time.Second        // how long an engine serves on after its entry has gone
-	missingFor  = 2 * time.Second         // after the store's return, an entry that is still missing is to be taken as gone
-	roundLength = 21 * time.Second
-
-	restartAfter = 0 * time.Millisecond // the planned restart begins so long after the store has gone away
-	startDelay   = time.Second          // from the end of a process to its next start
-	rounds       = 4
+	storeAway   = 4400 * time.Millisecond  // the store's longest outage on the sheet is 4.5 s (platform_down)
+	servesOn    = 10500 * time.Millisecond // how long an engine serves on after its entry has gone
+	missingFor  = 2 * time.Second          // after the store's return, an entry that is still missing is to be taken as gone
+	roundLength = 17500 * time.Millisecond
+
+	awayAfter  = 300 * time.Millisecond // the store goes away so long after the planned restart has begun
+	startDelay = time.Second            // from the end of a process to its next start
+	rounds     = 6
 )
 
 // zones is the place of the seven machines of onma-souk.
@@ -136,7 +136,7 @@
 	began := time.Now()
 	leaving := newEngine(fmt.Sprintf("i-leaves%d", round), callService, zones[round%len(zones)], callWork, k.arrived)
 	k.store.Put("servers", leaving.id, leaving.entry("ready"))
-	time.Sleep(3 * time.Second)
+	time.Sleep(1500 * time.Millisecond)
 	first := k.reader()
 	if first == nil {
 		record.say("round %d: no node says that it reads the store", round)
@@ -144,13 +144,13 @@
 		return false
 	}
 	record.say("round %d: %s reads the store for the others", round, first.name)
+	restarted := k.restart(first)
+	time.Sleep(awayAfter)
 	if k.trouble {
 		k.store.Refuse(http.StatusServiceUnavailable)
 		record.say("the store is busy (503)")
 	}
 	awayFrom := time.Now()
-	time.Sleep(restartAfter)
-	restarted := k.restart(first)
 	time.Sleep(time.Until(awayFrom.Add(storeAway * 2 / 3)))
 	k.store.Delete("servers", leaving.id)
 	gone := time.Now()
