--- a/review/second/platform/engine.go
+++ b/review/second/platform/engine.go
@@ -27,7 +27,12 @@
 }
 
 func newEngine(id, service, zone string, work time.Duration, onRun func(*engine, string, *http.Request)) *engine {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	return newEngineAt("127.0.0.1:0", id, service, zone, work, onRun)
+}
+
+// newEngineAt starts an engine at an address.
+func newEngineAt(address, id, service, zone string, work time.Duration, onRun func(*engine, string, *http.Request)) *engine {
+	l, err := net.Listen("tcp", address)
 	if err != nil {
 		cannotRun("%s", err)
 	}
