--- a/review/second/platform/fleet.go
+++ b/review/second/platform/fleet.go
@@ -19,12 +19,19 @@
 	"time"
 )
 
-// Bounds of the sheet of onma-souk, which the settings of the nodes state.
-const (
-	drainMs   = 2000
-	configMs  = 2000
-	contactMs = 3000
-	graceS    = 8
+// graceS is how many seconds a machine has after SIGTERM, on all sheets.
+const graceS = 8
+
+// sheet holds the bounds of a deployment's sheet, which the settings of the nodes state.
+type sheet struct{ drain, config, contact time.Duration }
+
+var (
+	// smallSheet is that of onma-souk and trentfold-sort.
+	smallSheet = sheet{drain: 2 * time.Second, config: 2 * time.Second, contact: 3 * time.Second}
+	// fleetSheet is that of onma-souk-fleet.
+	fleetSheet = sheet{drain: 5 * time.Second, config: 5 * time.Second, contact: 6 * time.Second}
+
+	bounds = smallSheet
 )
 
 // node is one real node, which runs as a process.
@@ -71,7 +78,7 @@
 	}
 }
 
-// settings returns the node's settings file: deploy/node.ini, filled from the sheet of onma-souk.
+// settings returns the node's settings file: deploy/node.ini, filled from a sheet.
 func (n *node) settings(first bool) string {
 	return fmt.Sprintf(`[node]
 vm = %s
@@ -105,7 +112,7 @@
 [log]
 level = info
 plain_every = 10
-`, n.name, n.zone, n.admin, graceS, n.listen, n.ready, n.store, n.peers, first, drainMs, configMs, contactMs, n.extra)
+`, n.name, n.zone, n.admin, graceS, n.listen, n.ready, n.store, n.peers, first, bounds.drain.Milliseconds(), bounds.config.Milliseconds(), bounds.contact.Milliseconds(), n.extra)
 }
 
 // start starts the node's process with the command of the deploy file.
--- a/review/second/platform/kept.go
+++ b/review/second/platform/kept.go
@@ -166,12 +166,11 @@
 	first.rest(false)
 	time.Sleep(time.Until(gone.Add(servesOn)))
 	inWork := leaving.end()
-	ended := time.Now()
 	record.say("%s has ended with %d calls under way: %s", leaving.id, len(inWork), strings.Join(inWork, " "))
 	time.Sleep(callWait + 700*time.Millisecond)
 	// Core and machines are in touch contactMs after the store's return; the engine was acknowledged as gone by then. Requests may reach it for drainMs more.
-	bound := back.Add(max(contactMs*time.Millisecond, missingFor) + drainMs*time.Millisecond)
-	broken = k.judge(leaving, bound, ended, inWork)
+	bound := back.Add(max(bounds.contact, missingFor) + bounds.drain)
+	broken = k.judge(leaving, bound, inWork)
 	time.Sleep(time.Until(began.Add(roundLength)))
 	return broken
 }
@@ -201,7 +200,7 @@
 }
 
 // judge reports whether requests reached the engine after the bound.
-func (k *keptCase) judge(e *engine, bound, ended time.Time, inWork []string) bool {
+func (k *keptCase) judge(e *engine, bound time.Time, inWork []string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	late := map[string]int{}
--- a/review/second/platform/main.go
+++ b/review/second/platform/main.go
@@ -13,7 +13,7 @@
 )
 
 // cases are the scripted cases by name; each reports whether the rule held.
-var cases = map[string]func(trouble bool, dir string) bool{"kept": runKept, "versions": runVersions, "taken-up": runTakenUp, "reused": runReused}
+var cases = map[string]func(trouble bool, dir string) bool{"kept": runKept, "versions": runVersions, "taken-up": runTakenUp, "reused": runReused, "unreadable": runUnreadable}
 
 func main() {
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
--- a/review/second/platform/reused.go
+++ b/review/second/platform/reused.go
@@ -76,7 +76,7 @@
 		store.Put("servers", e.id, e.entry("draining"))
 		record.say("%s says that it is draining", e.id)
 	}
-	time.Sleep(drainMs*time.Millisecond - 300*time.Millisecond)
+	time.Sleep(bounds.drain - 300*time.Millisecond)
 	cutFrom := time.Now()
 	if trouble {
 		toStore.cut()
@@ -103,8 +103,8 @@
 	store.Put("op", "config", deskConfig(2, true))
 	acked := time.Now()
 	record.say("configuration 2 adds a route to the service %s", addedService)
-	time.Sleep(time.Until(acked.Add(configMs*time.Millisecond + contactMs*time.Millisecond)))
-	record.say("%s has been in touch for %d ms; its callers send on both routes", cut.name, contactMs)
+	time.Sleep(time.Until(acked.Add(bounds.config + bounds.contact)))
+	record.say("%s has been in touch for %s; its callers send on both routes", cut.name, bounds.contact)
 	served := map[string]int{}
 	statuses := map[string]map[int]int{callPath: {}, addedPath: {}}
 	for range addedCalls {
--- a/review/second/platform/takenup.go
+++ b/review/second/platform/takenup.go
@@ -74,11 +74,11 @@
 			n.start(false)
 		}
 		awaitReady(nodes, 10*time.Second)
-		inTouch = time.Now().Add(contactMs * time.Millisecond)
+		inTouch = time.Now().Add(bounds.contact)
 		for _, n := range nodes {
 			n.rest(false)
 		}
-		record.say("all nodes are ready again; they are in touch from %d ms later", contactMs)
+		record.say("all nodes are ready again; they are in touch from %s later", bounds.contact)
 	}
 	time.Sleep(time.Until(inTouch))
 	// New streams, as many, over the same time.
