--- a/review/second/platform/kept.go
+++ b/review/second/platform/kept.go
@@ -125,6 +125,7 @@
 	stop()
 	k.callers.work.Wait()
 	killAll()
+	k.mustServe()
 	for _, e := range engines {
 		e.end()
 	}
@@ -139,9 +140,7 @@
 	time.Sleep(1500 * time.Millisecond)
 	first := k.reader()
 	if first == nil {
-		record.say("round %d: no node says that it reads the store", round)
-		leaving.end()
-		return false
+		cannotRun("round %d: no node says that it reads the store", round)
 	}
 	record.say("round %d: %s reads the store for the others", round, first.name)
 	restarted := k.restart(first)
@@ -154,6 +153,7 @@
 	time.Sleep(time.Until(awayFrom.Add(storeAway * 2 / 3)))
 	k.store.Delete("servers", leaving.id)
 	gone := time.Now()
+	k.mustHaveRun(leaving)
 	record.say("the entry of %s has gone; it serves on for %s", leaving.id, servesOn)
 	time.Sleep(time.Until(awayFrom.Add(storeAway)))
 	if k.trouble {
@@ -170,7 +170,7 @@
 	time.Sleep(callWait + 700*time.Millisecond)
 	// Core and machines are in touch contactMs after the store's return; the engine was acknowledged as gone by then. Requests may reach it for drainMs more.
 	bound := back.Add(max(bounds.contact, missingFor) + bounds.drain)
-	broken = k.judge(leaving, bound, inWork)
+	broken = k.judge(leaving, first.name, bound, inWork)
 	time.Sleep(time.Until(began.Add(roundLength)))
 	return broken
 }
@@ -199,8 +199,34 @@
 	return done
 }
 
-// judge reports whether requests reached the engine after the bound.
-func (k *keptCase) judge(e *engine, bound time.Time, inWork []string) bool {
+// mustHaveRun ends the program if an engine that is about to leave has got no calls: whether nodes stop sending it some could not be told.
+func (k *keptCase) mustHaveRun(e *engine) {
+	k.mu.Lock()
+	got := slices.ContainsFunc(k.arrivals, func(a arrival) bool { return a.engine == e.id })
+	k.mu.Unlock()
+	if !got {
+		cannotRun("%s got no calls before its entry changed", e.id)
+	}
+}
+
+// mustServe ends the program if fewer than half of the calls were served, so that the run says nothing.
+func (k *keptCase) mustServe() {
+	k.callers.mu.Lock()
+	served, all := 0, len(k.callers.answers)
+	for _, a := range k.callers.answers {
+		if a.status == http.StatusOK {
+			served++
+		}
+	}
+	k.callers.mu.Unlock()
+	record.say("%d of %d calls were served", served, all)
+	if 2*served < all || all == 0 {
+		cannotRun("%d of %d calls were served", served, all)
+	}
+}
+
+// judge reports whether requests reached the engine after the bound from nodes that were in touch, so not from one that was restarted meanwhile.
+func (k *keptCase) judge(e *engine, restarted string, bound time.Time, inWork []string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	late := map[string]int{}
@@ -209,13 +235,13 @@
 		if a.engine != e.id || !a.at.After(bound) {
 			continue
 		}
-		count++
 		k.callers.mu.Lock()
 		answered := k.callers.answers[a.id]
 		k.callers.mu.Unlock()
-		if answered == nil {
+		if answered == nil || answered.node == restarted {
 			continue
 		}
+		count++
 		late[answered.node]++
 		record.printf("late arrival: call %s from %s reached %s %d ms after the bound; the caller got status %d %s", a.id, answered.node, e.id, a.at.Sub(bound).Milliseconds(), answered.status, answered.err)
 		if slices.Contains(inWork, a.id) && answered.status != http.StatusOK {
--- a/review/second/platform/takenup.go
+++ b/review/second/platform/takenup.go
@@ -11,7 +11,10 @@
 	"github.com/vaneyoke/vaneyoke/platform/platformtest"
 )
 
-const minTakenUp = 12 // streams that are taken up again from which on the rule counts
+const (
+	minTakenUp = 12                      // streams that are taken up again from which on the rule counts
+	comesBack  = 4500 * time.Millisecond // how long a client waits before it takes its stream up, once
+)
 
 // share is how many of the tries of some streams went on.
 type share struct{ tried, wentOn int }
@@ -54,7 +57,7 @@
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
-			c := &streamClient{nodes: nodes, path: streamPath + "catalogue", deadline: began.Add(streamWait), maxTries: 12, pause: time.Second}
+			c := &streamClient{nodes: nodes, path: streamPath + "catalogue", deadline: began.Add(streamWait), maxTries: 2, pause: comesBack}
 			taken[i] = c.run(fmt.Sprintf("s%d", i+1))
 		}()
 	}
@@ -136,5 +139,8 @@
 	if broken < streams || begun.wentOn < streams/2 {
 		cannotRun("%d of %d streams were broken off, %d new ones began", broken, streams, begun.wentOn)
 	}
-	return again.tried < minTakenUp || again.of() >= begun.of()/2
+	if again.tried < minTakenUp {
+		cannotRun("%d streams were taken up again at machines in touch", again.tried)
+	}
+	return again.of() >= begun.of()/2
 }
--- a/review/second/platform/unreadable.go
+++ b/review/second/platform/unreadable.go
@@ -18,6 +18,7 @@
 func runUnreadable(trouble bool, dir string) bool {
 	const (
 		goesAfter = 2 * time.Second
+		heartbeat = 1200 * time.Millisecond
 		serves    = 18 * time.Second
 	)
 	bounds = fleetSheet
@@ -45,17 +46,26 @@
 		k.callers.keepSending(ctx, n, callPath+"order", callWait, 400*time.Millisecond)
 	}
 	time.Sleep(goesAfter)
+	k.mustHaveRun(leaving)
 	if trouble {
-		k.store.PutRaw("servers", leaving.id, unreadableEntry)
+		k.store.PutRaw("servers", leaving.id, unreadableEntry+" 0")
+		go func() { // the other writer goes on, so that its entry doesn't lapse
+			for n := 1; ctx.Err() == nil; n++ {
+				time.Sleep(heartbeat)
+				k.store.PutRaw("servers", leaving.id, fmt.Sprint(unreadableEntry, " ", n))
+			}
+		}()
 		record.say("in the place of the entry of %s another writer has put one whose bytes cannot be read; the engine serves on for %s", leaving.id, serves)
 	} else {
 		k.store.Delete("servers", leaving.id)
 		record.say("the entry of %s has gone; it serves on for %s", leaving.id, serves)
 	}
 	gone := time.Now()
-	if reader := k.reader(); reader != nil {
-		record.say("%s reads the store for the others", reader.name)
+	reader := k.reader()
+	if reader == nil {
+		cannotRun("no node says that it reads the store")
 	}
+	record.say("%s reads the store for the others", reader.name)
 	time.Sleep(time.Until(gone.Add(serves)))
 	inWork := leaving.end()
 	record.say("%s has ended with %d calls under way: %s", leaving.id, len(inWork), strings.Join(inWork, " "))
@@ -63,6 +73,7 @@
 	stop()
 	k.callers.work.Wait()
 	killAll()
+	k.mustServe()
 	// All machines have been in touch all the while; to be safe they are given contactMs to learn of the entry, beside drainMs.
-	return !k.judge(leaving, gone.Add(bounds.contact+bounds.drain), inWork)
+	return !k.judge(leaving, "", gone.Add(bounds.contact+bounds.drain), inWork)
 }
--- a/review/second/platform/versions.go
+++ b/review/second/platform/versions.go
@@ -34,13 +34,18 @@
 	}
 }
 
-// runVersions has the last engines of a software version leave by plan, which serve their streams on, and then kills the processes of all nodes at the same moment.
+// runVersions has the last engine of a software version leave by plan, which serves its streams on, and then kills the processes of all nodes at the same moment.
 func runVersions(trouble bool, dir string) bool {
+	const (
+		others  = 7  // engines of v2 beside the one of v1: one in eight leaves
+		prompts = 56 // streams, so that some begin at v1
+	)
 	store := platformtest.NewStore()
 	store.Put("op", "config", streamConfig(1))
-	one := newStreamEngine("i-first1", streamService, "medina-hall", "v1", streamEvents, streamPace)
-	two := newStreamEngine("i-first2", streamService, "raqqada-hall", "v1", streamEvents, streamPace)
-	for _, e := range []*streamEngine{one, two} {
+	last := newStreamEngine("i-first", streamService, zones[0], "v1", streamEvents, streamPace)
+	store.Put("servers", last.id, last.entry("ready"))
+	for i := range others {
+		e := newStreamEngine(fmt.Sprintf("i-second%d", i+1), streamService, zones[i], "v2", streamEvents, streamPace)
 		store.Put("servers", e.id, e.entry("ready"))
 	}
 	var nodes []*node
@@ -52,29 +57,22 @@
 		n.start(true)
 	}
 	awaitReady(nodes, 10*time.Second)
-	record.say("%d nodes are ready; trouble: %t", len(nodes), trouble)
-	time.Sleep(3 * time.Second)
+	record.say("%d nodes are ready, one engine of v1 and %d of v2 serve; trouble: %t", len(nodes), others, trouble)
+	time.Sleep(bounds.contact)
 	began := time.Now()
-	taken := make([]*takenStream, streams)
+	taken := make([]*takenStream, prompts)
 	var clients sync.WaitGroup
 	for i := range taken {
 		clients.Add(1)
 		go func() {
 			defer clients.Done()
-			c := &streamClient{nodes: nodes, path: streamPath + "catalogue", deadline: began.Add(streamWait), maxTries: 12}
+			c := &streamClient{nodes: nodes, path: streamPath + "catalogue", deadline: began.Add(streamWait), maxTries: 2}
 			taken[i] = c.run(fmt.Sprintf("s%d", i+1))
 		}()
 	}
-	time.Sleep(time.Second)
-	three := newStreamEngine("i-second1", streamService, "sbikha-hall", "v2", streamEvents, streamPace)
-	store.Put("servers", three.id, three.entry("ready"))
-	record.say("release: %s of v2 has started, beside the two engines of v1", three.id)
-	time.Sleep(time.Second)
-	store.Delete("servers", one.id)
-	record.say("release: the entry of %s has gone; it serves on", one.id)
-	time.Sleep(500 * time.Millisecond)
-	store.Delete("servers", two.id)
-	record.say("taken away: the entry of %s has gone; it serves on", two.id)
+	time.Sleep(2 * time.Second)
+	store.Delete("servers", last.id)
+	record.say("the entry of %s, the last engine of v1, has gone; it serves its streams on", last.id)
 	time.Sleep(time.Second)
 	if trouble {
 		for _, n := range nodes {
@@ -97,7 +95,7 @@
 	}
 	clients.Wait()
 	killAll()
-	mixed, whole, refused := 0, 0, 0
+	mixed, whole, ofFirst, broken := 0, 0, 0, 0
 	for i, s := range taken {
 		if len(s.versions) > 1 {
 			mixed++
@@ -105,14 +103,22 @@
 		if s.ended {
 			whole++
 		}
-		if s.refused > 0 {
-			refused++
+		if s.brokenOff {
+			broken++
+		}
+		if s.versions["v1"] > 0 {
+			ofFirst++
 		}
 		record.printf("stream s%d: %d tries, %d refused, events to %d, by version %v, ended %t", i+1, s.tries, s.refused, s.last, s.versions, s.ended)
 	}
-	record.say("of %d streams %d hold events of two software versions (%d allowed), %d ended whole, %d met a refusal", streams, mixed, mixedAllowed, whole, refused)
-	if !trouble && whole < streams {
-		cannotRun("%d of %d streams did not end", streams-whole, streams)
+	record.say("of %d streams %d have events of v1, %d were broken off, %d hold events of two software versions (%d allowed), %d ended whole", prompts, ofFirst, broken, mixed, mixedAllowed, whole)
+	switch {
+	case ofFirst <= mixedAllowed:
+		cannotRun("%d streams began at v1", ofFirst)
+	case trouble && broken < prompts/2:
+		cannotRun("%d of %d streams were broken off", broken, prompts)
+	case !trouble && whole < prompts:
+		cannotRun("%d of %d streams did not end", prompts-whole, prompts)
 	}
 	return mixed <= mixedAllowed
 }
