--- a/review/second/platform/kept.go
+++ b/review/second/platform/kept.go
@@ -116,7 +116,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	for _, n := range k.nodes {
-		k.callers.keepSending(ctx, n, callPath+"order", callWait, 400*time.Millisecond)
+		k.callers.keepSending(ctx, n, callPath+"order", callWait, 250*time.Millisecond)
 	}
 	broken := false
 	for round := 1; round <= rounds && !broken; round++ {
