--- a/decide/pinning/lookup.go
+++ b/decide/pinning/lookup.go
@@ -26,7 +26,8 @@
 	waves      int
 	asked      []*asked
 	candidates []Software
-	isWatched  bool // whether a node that answered has known the list of upstreams for longer than the stream may be old
+	coverage   time.Duration // longest time for which a node that answered has known the list of upstreams
+	isWatched  bool          // whether that is longer than the stream may be old
 }
 
 // asked is a node that was asked.
@@ -61,6 +62,7 @@
 			l.candidates = append(l.candidates, c)
 		}
 	}
+	l.coverage = max(l.coverage, watched)
 	l.isWatched = l.isWatched || (watched >= l.MaxAge && len(candidates) > 0)
 }
 
@@ -142,10 +144,10 @@
 // decide decides a lookup that found no record: the stream goes on if only one version can have begun it.
 func (s *State) decide(l *lookup) {
 	if len(l.candidates) == 1 && s.isListCurrent(l) {
-		s.conclude(l, Origin{Basis: BasisOnlyVersion, Software: l.candidates[0]})
+		s.conclude(l, Origin{Basis: BasisOnlyVersion, Software: l.candidates[0], Coverage: l.coverage})
 		return
 	}
-	s.conclude(l, Origin{Candidates: l.candidates})
+	s.conclude(l, Origin{Candidates: l.candidates, Coverage: l.coverage})
 }
 
 // isListCurrent reports whether the versions that a lookup has learned of can be relied on: this node or another has watched them for long, another one has
--- a/decide/pinning/record.go
+++ b/decide/pinning/record.go
@@ -57,6 +57,7 @@
 	Candidates []Software    // that may have begun it, if the basis is BasisNone
 	Asked      int           // nodes that were asked
 	Answered   int           // nodes that answered
+	Coverage   time.Duration // for how long some node that was asked, or this one, has known all versions that began streams, if no record was found
 }
 
 // IsKnown reports whether the stream can go on.
--- a/decide/pinning/state_test.go
+++ b/decide/pinning/state_test.go
@@ -101,8 +101,8 @@
 		"version that was not known": {listing{nil, 0}, []pinning.Event{pinning.StreamBegun{Stream: id, Software: v2, VersionUnknown: true, Deadline: epoch.Add(time.Minute)}}, id, pinning.Origin{Basis: pinning.BasisAmbiguous, Software: v2}},
 		"unnamed, one version":       {listing{[]vaneyoke.SoftwareVersion{"v1"}, 0}, nil, "", pinning.Origin{Basis: pinning.BasisOnlyVersion, Software: v1}},
 		"unnamed, no stated version": {listing{[]vaneyoke.SoftwareVersion{""}, 0}, nil, "", pinning.Origin{Basis: pinning.BasisOnlyVersion, Software: pinning.Software{Service: "lm"}}},
-		"unnamed, two versions":      {listing{[]vaneyoke.SoftwareVersion{"v1", "v2"}, longWatch}, nil, "", pinning.Origin{Candidates: []pinning.Software{v1, v2}}},
-		"no upstream listed":         {listing{nil, longWatch}, nil, "", pinning.Origin{}},
+		"unnamed, two versions":      {listing{[]vaneyoke.SoftwareVersion{"v1", "v2"}, longWatch}, nil, "", pinning.Origin{Candidates: []pinning.Software{v1, v2}, Coverage: longWatch}},
+		"no upstream listed":         {listing{nil, longWatch}, nil, "", pinning.Origin{Coverage: longWatch}},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
--- a/shell/pins/node.go
+++ b/shell/pins/node.go
@@ -103,7 +103,7 @@
 	n.log.WithFields(logrus.Fields{
 		"request": lookup.Request, "resumes": lookup.Resumes, "after": lookup.After, "basis": origin.Basis, "service": origin.Software.Service,
 		"software": origin.Software.Version, "peer": origin.Peer, "asked": origin.Asked, "answered": origin.Answered, "candidates": origin.Candidates,
-		"ms": took.Milliseconds(),
+		"covered_ms": origin.Coverage.Milliseconds(), "max_age_ms": lookup.MaxAge.Milliseconds(), "ms": took.Milliseconds(),
 	}).Info("stream_looked_up")
 }
 
