--- a/api/gateway/continuation.go
+++ b/api/gateway/continuation.go
@@ -35,8 +35,8 @@
 		return pinning.Origin{}, err
 	case !origin.IsKnown():
 		retryAfter := time.Duration(0)
-		if origin.Basis == pinning.BasisNone && origin.Answered < origin.Asked {
-			retryAfter = randomRetryAfter(envelope.MaxWait, rand.Float64()) // a node that did not answer may have the record
+		if origin.Basis == pinning.BasisNone && (origin.Answered < origin.Asked || origin.StoreUnread) {
+			retryAfter = randomRetryAfter(envelope.MaxWait, rand.Float64()) // a node that did not answer, or the store, may have the record
 		}
 		return pinning.Origin{}, vaneyoke.ErrRetryAfter(vaneyoke.CodeOriginUnknown, retryAfter, "%d of %d nodes answered, none knows which software began the stream (%s)", origin.Answered, origin.Asked, origin.Basis)
 	case !slices.Contains(services, origin.Software.Service):
--- a/cmd/vaneyoked/soak_versions_test.go
+++ b/cmd/vaneyoked/soak_versions_test.go
@@ -192,11 +192,42 @@
 		seeds = append(seeds, 9) // which once had a stream go on at an engine that had restarted 0.25 s before
 	}
 	for _, seed := range seeds {
-		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { soakVersions(t, seed) })
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { soakVersions(t, seed, (*versionSoak).disrupt) })
 	}
 }
 
-func soakVersions(t *testing.T, seed uint64) {
+// TestSoakVersionsAllNodesEnd is like TestSoakVersions, but the processes of all nodes are killed at once, at any moment of a release, also twice in a row
+// and while the store is away.
+func TestSoakVersionsAllNodesEnd(t *testing.T) {
+	soakVersions(t, *soakSeed, (*versionSoak).endAll)
+}
+
+// endAll kills all nodes beside a release.
+func (s *versionSoak) endAll(rng *rand.Rand, round int) {
+	version := fmt.Sprint("v", 1+(round/3)%4)
+	var work sync.WaitGroup
+	defer work.Wait()
+	switch rng.IntN(6) {
+	case 0, 1:
+		s.release(rng, version)
+	case 2:
+		releaseRNG := rand.New(rand.NewPCG(rng.Uint64(), 1))
+		work.Go(func() { s.release(releaseRNG, version) })
+		time.Sleep(time.Duration(rng.Int64N(int64(time.Second))))
+		s.killAndRestartAll()
+	case 3:
+		s.killAndRestartAll()
+		time.Sleep(time.Duration(rng.Int64N(int64(1500 * time.Millisecond))))
+		s.killAndRestartAll()
+	case 4:
+		s.withoutStore(time.Duration(rng.Int64N(int64(time.Second))), s.killAndRestartAll)
+	case 5:
+		s.release(rng, version)
+		s.killAndRestartAll()
+	}
+}
+
+func soakVersions(t *testing.T, seed uint64, disrupt func(s *versionSoak, rng *rand.Rand, round int)) {
 	s := &versionSoak{soak: newSoak(t, orDefault(*soakNodes, versionNodes), shortLameDuck...), refused: map[string]int{}}
 	for _, zone := range []string{"a", "b"} {
 		for range 2 {
@@ -217,7 +248,7 @@
 	rng := rand.New(rand.NewPCG(seed, 7<<32))
 	for round := range versionRounds {
 		time.Sleep(time.Duration(rng.Int64N(int64(600 * time.Millisecond))))
-		s.disrupt(rng, round)
+		disrupt(s, rng, round)
 	}
 	stop()
 	callers.Wait()
--- a/decide/feed/member.go
+++ b/decide/feed/member.go
@@ -27,10 +27,11 @@
 	ProtocolShares                         // adds summaries of the demand, as datagrams of a type of their own, and sightings of shutdowns and of the pace of upstreams
 	ProtocolDetours                        // adds connections to upstreams through another node
 	ProtocolPins                           // adds records of the software versions that began streams, as datagrams of a type of their own
+	ProtocolRecords                        // such builds keep these records in the store, too, and let a version begin streams only once the store records it
 )
 
 // ProtocolCurrent is the version of this build.
-const ProtocolCurrent = ProtocolPins
+const ProtocolCurrent = ProtocolRecords
 
 // Outranks reports whether m ranks before other. Members of higher rank read the store for the others.
 func (m Member) Outranks(other Member) bool { return compareRanks(rankOf(m), rankOf(other)) < 0 }
--- a/decide/pinning/event.go
+++ b/decide/pinning/event.go
@@ -48,6 +48,19 @@
 // MessageReceived is a message of another node.
 type MessageReceived struct{ Message Message }
 
+// VersionsMixed holds the services of which several software versions may have begun streams.
+type VersionsMixed struct{ Services []vaneyoke.ServiceID }
+
+// RecordsWritten is the result of WriteRecords.
+type RecordsWritten struct{ OK bool }
+
+// RecordsRead is the result of ReadRecords.
+type RecordsRead struct {
+	Stream  StreamID
+	Records []Record // of all nodes that served the stream
+	OK      bool     // whether the store answered
+}
+
 // Tick says that the time returned by NextTick has come.
 type Tick struct{}
 
@@ -57,6 +70,9 @@
 func (Lookup) event()          {}
 func (LookupCancelled) event() {}
 func (MessageReceived) event() {}
+func (VersionsMixed) event()   {}
+func (RecordsWritten) event()  {}
+func (RecordsRead) event()     {}
 func (Tick) event()            {}
 
 // Effect is an action for the caller of Handle.
@@ -74,6 +90,17 @@
 	Origin Origin
 }
 
+// WriteRecords writes records of this node to the store, and drops others, in one transaction; RecordsWritten follows.
+type WriteRecords struct {
+	Put  []Record
+	Drop []RowKey
+}
+
+// ReadRecords reads all records of a stream from the store; RecordsRead follows.
+type ReadRecords struct{ Stream StreamID }
+
+func (WriteRecords) effect()  {}
+func (ReadRecords) effect()   {}
 func (Send) effect()          {}
 func (LookupDecided) effect() {}
 
--- a/decide/pinning/history.go
+++ b/decide/pinning/history.go
@@ -72,6 +72,22 @@
 	h.services = current
 }
 
+// SetRetired records versions that served before this node saw the list; they count as missing from when it knows of them.
+func (h *History) SetRetired(now time.Time, retired map[vaneyoke.ServiceID][]vaneyoke.SoftwareVersion) {
+	for service, versions := range retired {
+		key := offer{vaneyoke.KindService, service}
+		for _, version := range versions {
+			if h.services[key][version] != nil {
+				continue
+			}
+			if h.services[key] == nil {
+				h.services[key] = map[vaneyoke.SoftwareVersion]*listing{}
+			}
+			h.services[key][version] = &listing{unlisted: now}
+		}
+	}
+}
+
 // unlistedAt returns since when a version that is not listed now is missing.
 func (l *listing) unlistedAt(now time.Time) time.Time {
 	if l.listed {
--- a/decide/pinning/lookup.go
+++ b/decide/pinning/lookup.go
@@ -26,8 +26,9 @@
 	waves      int
 	asked      []*asked
 	candidates []Software
-	coverage   time.Duration // longest time for which a node that answered has known the list of upstreams
-	isWatched  bool          // whether that is longer than the stream may be old
+	coverage   time.Duration // longest time for which a node that answered, or this one, has known all versions that began streams
+	reading    bool          // whether the store is being asked
+	unread     bool          // whether the store did not answer
 }
 
 // asked is a node that was asked.
@@ -46,12 +47,16 @@
 	}
 	own, watched := s.listing.Software(ev.Services)
 	l.learn(own, watched)
-	if (s.membersKnown && len(s.members) == 0) || ev.Stream == "" || len(s.lookups) >= maxLookups {
-		s.decide(l)
+	if ev.Stream == "" || len(s.lookups) >= maxLookups {
+		s.concludeWithoutRecord(l)
 		return
 	}
 	s.lookups[ev.ID] = l
 	s.waiting[ev.Stream] = append(s.waiting[ev.Stream], l)
+	if s.membersKnown && len(s.members) == 0 {
+		s.decide(l)
+		return
+	}
 	s.advance(now, l)
 }
 
@@ -62,17 +67,20 @@
 			l.candidates = append(l.candidates, c)
 		}
 	}
-	l.coverage = max(l.coverage, watched)
-	l.isWatched = l.isWatched || (watched >= l.MaxAge && len(candidates) > 0)
+	if len(candidates) > 0 {
+		l.coverage = max(l.coverage, watched)
+	}
 }
 
-// isOnlyVersion reports whether only one version can have begun the stream.
-func (l *lookup) isOnlyVersion() bool { return len(l.candidates) == 1 && l.isWatched }
+// isOnlyVersion reports whether only one version can have begun the stream: all that began streams since then are known.
+func (l *lookup) isOnlyVersion() bool { return len(l.candidates) == 1 && l.coverage >= l.MaxAge }
 
 // advance asks the next nodes, or decides.
 func (s *State) advance(now time.Time, l *lookup) {
 	elapsed := now.Sub(l.startedAt)
 	switch {
+	case l.reading:
+		return
 	case elapsed >= lookupTimeout, l.waves > 0 && elapsed >= secondWave && l.isOnlyVersion():
 		s.decide(l)
 		return
@@ -141,20 +149,50 @@
 	s.conclude(l, origin)
 }
 
-// decide decides a lookup that found no record: the stream goes on if only one version can have begun it.
+// decide decides a lookup for which no node has a record: the stream goes on if only one version can have begun it, or if the store has the record.
 func (s *State) decide(l *lookup) {
-	if len(l.candidates) == 1 && s.isListCurrent(l) {
-		s.conclude(l, Origin{Basis: BasisOnlyVersion, Software: l.candidates[0], Coverage: l.coverage})
+	if l.isOnlyVersion() || !s.archive.isEnabled {
+		s.concludeWithoutRecord(l)
 		return
 	}
-	s.conclude(l, Origin{Candidates: l.candidates, Coverage: l.coverage})
+	isRead := slices.ContainsFunc(s.waiting[l.Stream], func(other *lookup) bool { return other.reading })
+	l.reading = true
+	if !isRead {
+		s.emit(ReadRecords{Stream: l.Stream})
+	}
 }
 
-// isListCurrent reports whether the versions that a lookup has learned of can be relied on: this node or another has watched them for long, another one has
-// answered, or there is none to ask.
-func (s *State) isListCurrent(l *lookup) bool {
-	isAlone := s.membersKnown && len(s.members) == 0
-	return l.isWatched || isAlone || l.Stream == "" || slices.ContainsFunc(l.asked, func(a *asked) bool { return a.answered })
+// recordsRead decides the lookups that wait for the store's records of a stream.
+func (s *State) recordsRead(now time.Time, ev RecordsRead) {
+	var kept *record
+	for _, r := range ev.Records {
+		if added := s.keep(now, r); added != nil {
+			kept = added
+		}
+	}
+	for _, l := range slices.Clone(s.waiting[ev.Stream]) {
+		if !l.reading {
+			continue
+		}
+		l.unread = !ev.OK
+		switch {
+		case kept == nil || !ev.OK:
+			s.concludeWithoutRecord(l)
+		case kept.Ambiguous:
+			s.conclude(l, Origin{Basis: BasisAmbiguous, Software: kept.Software})
+		default:
+			s.conclude(l, Origin{Basis: BasisStore, Software: kept.Software})
+		}
+	}
+}
+
+// concludeWithoutRecord concludes a lookup that found no record.
+func (s *State) concludeWithoutRecord(l *lookup) {
+	if l.isOnlyVersion() {
+		s.conclude(l, Origin{Basis: BasisOnlyVersion, Software: l.candidates[0], Coverage: l.coverage})
+		return
+	}
+	s.conclude(l, Origin{Candidates: l.candidates, Coverage: l.coverage, StoreUnread: l.unread})
 }
 
 func (s *State) conclude(l *lookup, origin Origin) {
--- a/decide/pinning/record.go
+++ b/decide/pinning/record.go
@@ -40,24 +40,26 @@
 	BasisNone        Basis = iota // it is not known which one began the stream
 	BasisOwn                      // this node holds a record of the stream
 	BasisPeer                     // another node holds a record of the stream
-	BasisOnlyVersion              // no node that answered knows of a second version
+	BasisOnlyVersion              // only one version can have begun the stream
 	BasisAmbiguous                // two streams with this id were begun by different versions, or by one that is not known
+	BasisStore                    // the store holds a record of the stream
 )
 
 // String returns the basis as it is logged.
 func (b Basis) String() string {
-	return names.Of(b, "none", "own_record", "peer_record", "only_version", "ambiguous")
+	return names.Of(b, "none", "own_record", "peer_record", "only_version", "ambiguous", "store_record")
 }
 
 // Origin is what is known of the software that began a stream.
 type Origin struct {
-	Basis      Basis
-	Software   Software      // if the basis is BasisOwn, BasisPeer or BasisOnlyVersion
-	Peer       vaneyoke.VMID // whose record it is; "" for this node
-	Candidates []Software    // that may have begun it, if the basis is BasisNone
-	Asked      int           // nodes that were asked
-	Answered   int           // nodes that answered
-	Coverage   time.Duration // for how long some node that was asked, or this one, has known all versions that began streams, if no record was found
+	Basis       Basis
+	Software    Software      // unless the basis is BasisNone or BasisAmbiguous
+	Peer        vaneyoke.VMID // whose record it is; "" for this node
+	Candidates  []Software    // that may have begun it, if the basis is BasisNone
+	Asked       int           // nodes that were asked
+	Answered    int           // nodes that answered
+	StoreUnread bool          // whether the store was asked for the record and did not answer
+	Coverage    time.Duration // for how long some node that was asked, or this one, has known all versions that began streams, if no record was found
 }
 
 // IsKnown reports whether the stream can go on.
--- /dev/null
+++ b/decide/pinning/registry.go
@@ -0,0 +1,134 @@
+package pinning
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/vaneyoke/vaneyoke"
+)
+
+// VersionRegistry combines the store's record of the versions that may have begun streams with the list of upstreams.
+type VersionRegistry struct {
+	rows     map[vaneyoke.ServiceID]ServiceVersions
+	isKnown  bool // whether the store's rows are known
+	listed   map[vaneyoke.ServiceID][]vaneyoke.SoftwareVersion
+	services map[vaneyoke.ServiceID]bool // that have streams
+}
+
+// NewVersionRegistry returns a registry that knows nothing.
+func NewVersionRegistry() *VersionRegistry {
+	return &VersionRegistry{rows: map[vaneyoke.ServiceID]ServiceVersions{}, listed: map[vaneyoke.ServiceID][]vaneyoke.SoftwareVersion{}, services: map[vaneyoke.ServiceID]bool{}}
+}
+
+// SetRows replaces the store's records.
+func (r *VersionRegistry) SetRows(rows []ServiceVersions) {
+	r.isKnown = true
+	clear(r.rows)
+	for _, row := range rows {
+		r.rows[row.Service] = row
+	}
+}
+
+// SetUpstreams replaces the list of upstreams.
+func (r *VersionRegistry) SetUpstreams(upstreams []vaneyoke.Upstream) {
+	clear(r.listed)
+	for i := range upstreams {
+		u := &upstreams[i]
+		if u.Kind == vaneyoke.KindService && !slices.Contains(r.listed[u.Service], u.Version) {
+			r.listed[u.Service] = append(r.listed[u.Service], u.Version)
+		}
+	}
+}
+
+// SetServices replaces the services that have streams.
+func (r *VersionRegistry) SetServices(services []vaneyoke.ServiceID) {
+	clear(r.services)
+	for _, service := range services {
+		r.services[service] = true
+	}
+}
+
+// Outdated returns the services whose record is to be written anew, or will be after a while, sorted.
+func (r *VersionRegistry) Outdated() (services []vaneyoke.ServiceID) {
+	if !r.isKnown {
+		return nil
+	}
+	for service := range r.services {
+		if len(r.listed[service]) > 0 && !r.rows[service].isCurrent(r.listed[service]) {
+			services = append(services, service)
+		}
+	}
+	slices.Sort(services)
+	return services
+}
+
+// Listed returns the versions of a service's upstreams that are listed.
+func (r *VersionRegistry) Listed(service vaneyoke.ServiceID) []vaneyoke.SoftwareVersion {
+	return r.listed[service]
+}
+
+// Candidates returns the versions that may have begun streams of a service, sorted; isComplete is false if others may have, too.
+func (r *VersionRegistry) Candidates(service vaneyoke.ServiceID) (versions []vaneyoke.SoftwareVersion, isComplete bool) {
+	row, ok := r.rows[service]
+	if !ok {
+		return nil, false
+	}
+	for _, v := range row.Versions {
+		if v.Stage != StageAnnounced {
+			versions = append(versions, v.Version)
+		}
+	}
+	if !row.hasListed(StageAdmitted, r.listed[service]) { // others begin streams where no admitted version can
+		versions = append(versions, r.listed[service]...)
+	}
+	slices.Sort(versions)
+	return slices.Compact(versions), row.Complete
+}
+
+// Retired returns the versions of services that began streams and are not listed any more.
+func (r *VersionRegistry) Retired() map[vaneyoke.ServiceID][]vaneyoke.SoftwareVersion {
+	return r.inStage(StageRetired)
+}
+
+// Announced returns the listed versions of services that are not to begin streams yet.
+func (r *VersionRegistry) Announced() map[vaneyoke.ServiceID][]vaneyoke.SoftwareVersion {
+	announced := r.inStage(StageAnnounced)
+	for service, row := range r.rows {
+		for _, version := range r.listed[service] {
+			if !row.has(version) {
+				announced[service] = append(announced[service], version)
+			}
+		}
+	}
+	return announced
+}
+
+func (r *VersionRegistry) inStage(stage VersionStage) map[vaneyoke.ServiceID][]vaneyoke.SoftwareVersion {
+	found := map[vaneyoke.ServiceID][]vaneyoke.SoftwareVersion{}
+	for service, row := range r.rows {
+		for _, v := range row.Versions {
+			if v.Stage == stage {
+				found[service] = append(found[service], v.Version)
+			}
+		}
+	}
+	return found
+}
+
+// Mixed returns the services of which several versions may have begun streams, or are about to, sorted.
+func (r *VersionRegistry) Mixed() []vaneyoke.ServiceID {
+	mixed := map[vaneyoke.ServiceID]bool{}
+	for service := range r.services {
+		known := map[vaneyoke.SoftwareVersion]bool{}
+		for _, v := range r.rows[service].Versions {
+			known[v.Version] = true
+		}
+		for _, version := range r.listed[service] {
+			known[version] = true
+		}
+		if len(known) > 1 {
+			mixed[service] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(mixed))
+}
--- a/decide/pinning/replication.go
+++ b/decide/pinning/replication.go
@@ -49,6 +49,9 @@
 	}
 	if r == nil { // there are too many; the others may keep it
 		r = &record{Record: begun}
+	} else {
+		r.isOwn = true
+		s.archiveRecord(now, r)
 	}
 	s.refresh(now, v, r.Record)
 }
--- a/decide/pinning/simulation_test.go
+++ b/decide/pinning/simulation_test.go
@@ -27,6 +27,8 @@
 	wrong            int
 	datagrams, bytes int
 	waited           time.Duration
+
+	store *worldStore // nil if nodes keep no records in the store
 }
 
 type worldNode struct {
@@ -43,6 +45,8 @@
 	ticks  time.Time
 	lookup map[pinning.LookupID]func(pinning.Origin)
 	lastID pinning.LookupID
+
+	registry *pinning.VersionRegistry // as the node knows it; used with a store only
 }
 
 type worldStream struct {
@@ -56,6 +60,9 @@
 
 // Software returns the versions that serve.
 func (n *worldNode) Software([]vaneyoke.ServiceID) (all []pinning.Software, watched time.Duration) {
+	if n.w.store != nil {
+		return n.recordedSoftware()
+	}
 	for _, v := range n.versions() {
 		all = append(all, pinning.Software{Service: "lm", Version: v})
 	}
@@ -63,6 +70,9 @@
 }
 
 func (n *worldNode) versions() []vaneyoke.SoftwareVersion {
+	if n.w.store != nil {
+		return n.admitted()
+	}
 	return slices.DeleteFunc(slices.Clone(n.w.versions), func(v vaneyoke.SoftwareVersion) bool { return v == n.late })
 }
 
@@ -111,6 +121,7 @@
 	n.up, n.since, n.ticks = true, n.w.now, time.Time{}
 	n.state, n.lookup = pinning.New(n.member(), n), map[pinning.LookupID]func(pinning.Origin){}
 	life := n.lives
+	n.startArchive()
 	n.w.after(300*time.Millisecond, func() {
 		if n.up && n.lives == life {
 			n.handle(pinning.MembersUpdated{All: n.w.members()})
@@ -170,6 +181,10 @@
 		switch e := effect.(type) {
 		case pinning.Send:
 			n.w.send(e)
+		case pinning.WriteRecords:
+			n.w.store.write(n, e)
+		case pinning.ReadRecords:
+			n.w.store.read(n, e.Stream)
 		case pinning.LookupDecided:
 			done := n.lookup[e.ID]
 			delete(n.lookup, e.ID)
@@ -208,6 +223,9 @@
 // begin begins a stream of a random version at a random node.
 func (w *world) begin() {
 	n := w.randomNode()
+	if n == nil || len(n.versions()) == 0 {
+		return
+	}
 	st := &worldStream{
 		id:       pinning.StreamID(fmt.Sprintf("%024x", len(w.streams))),
 		software: pinning.Software{Service: "lm", Version: n.versions()[w.rng.IntN(len(n.versions()))]},
@@ -230,7 +248,11 @@
 	}
 }
 
+// randomNode returns a node that is up; nil if there is none.
 func (w *world) randomNode() *worldNode {
+	if !slices.ContainsFunc(w.nodes, func(n *worldNode) bool { return n.up && !n.frozen.After(w.now) }) {
+		return nil
+	}
 	for {
 		if n := w.nodes[w.rng.IntN(len(w.nodes))]; n.up && !n.frozen.After(w.now) {
 			return n
@@ -256,6 +278,10 @@
 // resume has the caller of a stream come back at a random node that is up.
 func (w *world) resume(st *worldStream) {
 	n := w.randomNode()
+	if n == nil {
+		w.after(100*time.Millisecond, func() { w.resume(st) })
+		return
+	}
 	if n.old {
 		return
 	}
--- a/decide/pinning/state.go
+++ b/decide/pinning/state.go
@@ -40,19 +40,23 @@
 	next         time.Time // when Tick is due; zero for not at all
 	effects      []Effect
 	refused      int
+	archive      archive
 }
 
 // record is a record that this node keeps.
 type record struct {
 	Record
-	expires time.Time
+	expires       time.Time
+	isOwn         bool      // whether this node served the stream
+	archived      Record    // as it was last written to the store
+	archivedUntil time.Time // when that expires
 }
 
 // New returns the state of a node that knows no streams.
 func New(self Member, listing Listing) *State {
 	return &State{
 		self: self, listing: listing, peers: map[vaneyoke.VMID]vaneyoke.Incarnation{}, records: map[StreamID]*record{}, serving: map[StreamID]*serving{},
-		lookups: map[LookupID]*lookup{}, waiting: map[StreamID][]*lookup{},
+		lookups: map[LookupID]*lookup{}, waiting: map[StreamID][]*lookup{}, archive: newArchive(),
 	}
 }
 
@@ -65,11 +69,18 @@
 	Serving int // streams that this node serves
 	Unacked int // of these, those that no other node is known to hold a record of
 	Refused int // records that were not kept because there were too many
+
+	Archived     int // rows of this node in the store
+	Unarchived   int // records that are to be written to the store
+	FailedWrites int // transactions that failed
 }
 
 // Stats returns the figures of this node.
 func (s *State) Stats() Stats {
-	stats := Stats{Held: len(s.records), Serving: len(s.serving), Refused: s.refused}
+	stats := Stats{
+		Held: len(s.records), Serving: len(s.serving), Refused: s.refused,
+		Archived: len(s.archive.written), Unarchived: len(s.archive.unwritten), FailedWrites: s.archive.failed,
+	}
 	for _, v := range s.serving {
 		if !slices.ContainsFunc(v.holders, func(h *holder) bool { return h.acked }) {
 			stats.Unacked++
@@ -96,6 +107,12 @@
 		}
 	case MessageReceived:
 		s.receive(now, ev.Message)
+	case VersionsMixed:
+		s.setMixed(now, ev.Services)
+	case RecordsWritten:
+		s.recordsWritten(now, ev.OK)
+	case RecordsRead:
+		s.recordsRead(now, ev)
 	case Tick:
 		s.tick(now)
 	}
@@ -143,6 +160,7 @@
 		s.schedule(s.pruneAt)
 	}
 	s.resendRecords(now)
+	s.writeRows(now)
 	for _, l := range s.lookups {
 		s.advance(now, l)
 	}
@@ -164,6 +182,9 @@
 			return nil
 		}
 	}
+	if kept != nil {
+		s.forgetRow(now, r.Stream)
+	}
 	kept = &record{Record: r, expires: expires}
 	s.records[r.Stream] = kept
 	if s.pruneAt.IsZero() {
@@ -196,6 +217,7 @@
 	for stream, r := range s.records {
 		if !now.Before(r.expires) {
 			delete(s.records, stream)
+			s.forgetRow(now, stream)
 		}
 	}
 	s.pruneAt = time.Time{}
--- a/decide/pinning/state_test.go
+++ b/decide/pinning/state_test.go
@@ -98,11 +98,12 @@
 			pinning.StreamBegun{Stream: id, Software: v1, Deadline: epoch.Add(time.Minute)}, pinning.StreamEnded{Stream: id},
 			pinning.StreamBegun{Stream: id, Software: v2, Revision: 1, Deadline: epoch.Add(time.Minute)}, from(1, pinning.Message{Records: []pinning.Record{record}}),
 		}, id, pinning.Origin{Basis: pinning.BasisOwn, Software: v2}},
-		"version that was not known": {listing{nil, 0}, []pinning.Event{pinning.StreamBegun{Stream: id, Software: v2, VersionUnknown: true, Deadline: epoch.Add(time.Minute)}}, id, pinning.Origin{Basis: pinning.BasisAmbiguous, Software: v2}},
-		"unnamed, one version":       {listing{[]vaneyoke.SoftwareVersion{"v1"}, 0}, nil, "", pinning.Origin{Basis: pinning.BasisOnlyVersion, Software: v1}},
-		"unnamed, no stated version": {listing{[]vaneyoke.SoftwareVersion{""}, 0}, nil, "", pinning.Origin{Basis: pinning.BasisOnlyVersion, Software: pinning.Software{Service: "lm"}}},
-		"unnamed, two versions":      {listing{[]vaneyoke.SoftwareVersion{"v1", "v2"}, longWatch}, nil, "", pinning.Origin{Candidates: []pinning.Software{v1, v2}, Coverage: longWatch}},
-		"no upstream listed":         {listing{nil, longWatch}, nil, "", pinning.Origin{Coverage: longWatch}},
+		"version that was not known":       {listing{nil, 0}, []pinning.Event{pinning.StreamBegun{Stream: id, Software: v2, VersionUnknown: true, Deadline: epoch.Add(time.Minute)}}, id, pinning.Origin{Basis: pinning.BasisAmbiguous, Software: v2}},
+		"unnamed, one version for long":    {listing{[]vaneyoke.SoftwareVersion{"v1"}, longWatch}, nil, "", pinning.Origin{Basis: pinning.BasisOnlyVersion, Software: v1, Coverage: longWatch}},
+		"unnamed, one version for a while": {listing{[]vaneyoke.SoftwareVersion{"v1"}, time.Second}, nil, "", pinning.Origin{Candidates: []pinning.Software{v1}, Coverage: time.Second}},
+		"unnamed, no stated version":       {listing{[]vaneyoke.SoftwareVersion{""}, longWatch}, nil, "", pinning.Origin{Basis: pinning.BasisOnlyVersion, Software: pinning.Software{Service: "lm"}, Coverage: longWatch}},
+		"unnamed, two versions":            {listing{[]vaneyoke.SoftwareVersion{"v1", "v2"}, longWatch}, nil, "", pinning.Origin{Candidates: []pinning.Software{v1, v2}, Coverage: longWatch}},
+		"no upstream listed":               {listing{nil, longWatch}, nil, "", pinning.Origin{}},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -137,7 +138,8 @@
 		"none answers":                           {both, nil, 300 * time.Millisecond, pinning.BasisNone},
 		"none answers, one version for long":     {one, nil, 30 * time.Millisecond, pinning.BasisOnlyVersion},
 		"none answers, one version for a while":  {listing{one.versions, time.Second}, nil, 300 * time.Millisecond, pinning.BasisNone},
-		"one answers, one version for a while":   {listing{one.versions, time.Second}, map[int]pinning.Reply{1: none(time.Second, v1)}, 300 * time.Millisecond, pinning.BasisOnlyVersion},
+		"one answers, one version for a while":   {listing{one.versions, time.Second}, map[int]pinning.Reply{1: none(time.Second, v1)}, 300 * time.Millisecond, pinning.BasisNone},
+		"all answer, one version for a while":    {listing{one.versions, time.Second}, map[int]pinning.Reply{1: none(time.Second, v1), 2: none(time.Second, v1), 3: none(0, v1)}, 0, pinning.BasisNone},
 		"none answers, the list may be old":      {listing{one.versions, 0}, nil, 300 * time.Millisecond, pinning.BasisNone},
 		"another node knows a second version":    {one, map[int]pinning.Reply{1: none(time.Second, v2), 2: none(longWatch, v1), 3: none(longWatch, v1)}, 0, pinning.BasisNone},
 		"all know one version":                   {one, map[int]pinning.Reply{1: none(longWatch, v1), 2: none(longWatch, v1), 3: none(longWatch, v1)}, 0, pinning.BasisOnlyVersion},
--- a/decide/placement/pick.go
+++ b/decide/placement/pick.go
@@ -76,7 +76,7 @@
 
 // isAvoided reports whether an upstream is used only if there is no other.
 func isAvoided(e *entry, need Need) bool {
-	return slices.Contains(need.Avoid, e.upstream.ID) || (need.Continuable && e.upstream.VersionUnknown)
+	return slices.Contains(need.Avoid, e.upstream.ID) || (need.Continuable && (e.upstream.VersionUnknown || (e.isAnnounced && !need.Pin.IsSet)))
 }
 
 // breakerAllows reports whether the circuit breaker lets the request through.
--- a/decide/placement/state.go
+++ b/decide/placement/state.go
@@ -82,6 +82,7 @@
 	replaced           bool       // whether a newer upstream is listed at its address
 	replacedUntil      time.Time  // until when it gets no work because another upstream answered at its address
 	vmLeaving          bool       // whether its VM is being removed
+	isAnnounced        bool       // whether its version is not to begin streams yet
 	limit              vaneyoke.Limit
 	limitedUntil       time.Time      // until when its rate limit leaves this node no request
 	lastRetryAt        time.Time      // retry-after time given to the last caller refused for its limit
@@ -117,6 +118,7 @@
 	spread     Spread
 	uneven     map[vaneyoke.ServiceID]*unevenness
 	brittle    map[vaneyoke.ServiceID]brittleness
+	announced  map[vaneyoke.ServiceID][]vaneyoke.SoftwareVersion
 	fleet      Fleet
 }
 
@@ -155,6 +157,7 @@
 	s.entries = entries
 	s.sorted = order
 	s.refreshSplits()
+	s.refreshAnnounced()
 }
 
 // updateInPlace applies a list with the same upstreams as before, which is much cheaper than rebuilding, and reports whether it was such a list.
@@ -171,9 +174,23 @@
 		s.update(s.entries[upstreams[i].ID], true, upstreams[i])
 	}
 	s.refreshSplits()
+	s.refreshAnnounced()
 	return true
 }
 
+// SetAnnounced sets the versions that begin streams only where no other is available.
+func (s *State) SetAnnounced(versions map[vaneyoke.ServiceID][]vaneyoke.SoftwareVersion) {
+	s.announced = versions
+	s.refreshAnnounced()
+}
+
+// refreshAnnounced marks the upstreams whose version is announced.
+func (s *State) refreshAnnounced() {
+	for _, e := range s.sorted {
+		e.isAnnounced = slices.Contains(s.announced[e.upstream.Service], e.upstream.Version)
+	}
+}
+
 // refreshSplits recomputes the splits after the upstreams have changed.
 func (s *State) refreshSplits() {
 	for _, sp := range s.splits {
--- a/decide/rollout/deadline_test.go
+++ b/decide/rollout/deadline_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/rollout"
 )
 
@@ -18,16 +19,16 @@
 	for _, delay := range []time.Duration{0, 690 * time.Millisecond, 3 * time.Second, 9 * time.Second} {
 		t.Run(fmt.Sprint(delay), func(t *testing.T) {
 			now := time.Unix(1000, 0)
-			orderedAt := rollout.StoreTime(time.Hour)
+			orderedAt := vaneyoke.StoreTime(time.Hour)
 			s := rollout.New("vm-0", rollout.Config{Exposure: exposure})
 			s.Handle(now, rollout.RecordsUpdated{})
 			orders := rollout.OrdersUpdated{Orders: []rollout.Order{{Service: service, Target: "new", Within: within, Revision: 10}}}
 			s.Handle(now, orders)
 			s.Handle(now.Add(delay/2), orders) // the same list is delivered again with other changes
 			s.Handle(now.Add(delay), rollout.Tick{ReadsStore: true})
-			for _, effect := range s.Handle(now.Add(delay), rollout.ClockRead{At: orderedAt + rollout.StoreTime(delay)}) {
+			for _, effect := range s.Handle(now.Add(delay), rollout.ClockRead{At: orderedAt + vaneyoke.StoreTime(delay)}) {
 				if write, ok := effect.(rollout.Write); ok {
-					must.EqOp(t, orderedAt+rollout.StoreTime(within), write.Record.Deadline)
+					must.EqOp(t, orderedAt+vaneyoke.StoreTime(within), write.Record.Deadline)
 					return
 				}
 			}
--- a/decide/rollout/decide.go
+++ b/decide/rollout/decide.go
@@ -56,8 +56,8 @@
 }
 
 // storeTime returns the current time on the store's clock.
-func (s *State) storeTime(now time.Time) StoreTime {
-	return s.clock + StoreTime(now.Sub(s.clockReadAt))
+func (s *State) storeTime(now time.Time) vaneyoke.StoreTime {
+	return s.clock + vaneyoke.StoreTime(now.Sub(s.clockReadAt))
 }
 
 // advance writes the next stage of an order when it is due.
@@ -86,14 +86,14 @@
 
 // startRollout writes the first record of an order. The deadline counts from when this node learned of the order, however late the
 // record is written.
-func (s *State) startRollout(now time.Time, at StoreTime, order activeOrder, expect vaneyoke.Revision) {
+func (s *State) startRollout(now time.Time, at vaneyoke.StoreTime, order activeOrder, expect vaneyoke.Revision) {
 	p := s.rollouts[order.Service]
 	if p == nil {
 		p = &progress{ownTally: Tally{}, pendingLosses: map[vaneyoke.UpstreamID][]Answered{}, children: map[vaneyoke.VMID]childReport{}}
 		s.rollouts[order.Service] = p
 	}
 	record := Record{
-		Service: order.Service, Target: order.Target, Order: order.Revision, Stage: StageCanary, Deadline: at - StoreTime(now.Sub(order.learnedAt)) + StoreTime(order.Within), WrittenBy: s.self,
+		Service: order.Service, Target: order.Target, Order: order.Revision, Stage: StageCanary, Deadline: at - vaneyoke.StoreTime(now.Sub(order.learnedAt)) + vaneyoke.StoreTime(order.Within), WrittenBy: s.self,
 	}
 	if versions := s.upstreamCounts[order.Service]; versions[order.Target] > 0 && len(versions) == 1 {
 		record.Stage, record.Reason = StageCompleted, ReasonAlreadyDeployed
--- a/decide/rollout/event.go
+++ b/decide/rollout/event.go
@@ -33,7 +33,7 @@
 type StopsReceived struct{ Stops []ID }
 
 // ClockRead carries the time on the store's clock.
-type ClockRead struct{ At StoreTime }
+type ClockRead struct{ At vaneyoke.StoreTime }
 
 // Tick lets time pass. It carries the attempts in flight at this node, by service and version, and whether the node reads the store for
 // the others.
--- a/decide/rollout/ramp_test.go
+++ b/decide/rollout/ramp_test.go
@@ -6,13 +6,14 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/rollout"
 )
 
 // TestRampIsRevertedAtDeadlineWithoutVerdict reaches the deadline during the ramp while the deciding node knows too few answers, because the
 // node that had counted them has ended. The rollout must be reverted, since completing it would stop the old upstreams.
 func TestRampIsRevertedAtDeadlineWithoutVerdict(t *testing.T) {
-	const deadline = rollout.StoreTime(time.Hour)
+	const deadline = vaneyoke.StoreTime(time.Hour)
 	for name, tc := range map[string]struct {
 		left  time.Duration
 		known int // good answers of the target and of the baseline, each
@@ -41,7 +42,7 @@
 			}}})
 			s.Handle(now, rollout.Tick{ReadsStore: true})
 			var got rollout.Stage
-			for _, effect := range append(s.Handle(now, rollout.ClockRead{At: deadline - rollout.StoreTime(tc.left)}), s.Handle(now, rollout.Tick{ReadsStore: true})...) {
+			for _, effect := range append(s.Handle(now, rollout.ClockRead{At: deadline - vaneyoke.StoreTime(tc.left)}), s.Handle(now, rollout.Tick{ReadsStore: true})...) {
 				if write, ok := effect.(rollout.Write); ok {
 					got = write.Record.Stage
 				}
--- a/decide/rollout/record.go
+++ b/decide/rollout/record.go
@@ -35,9 +35,6 @@
 // Final reports whether no stage follows.
 func (s Stage) Final() bool { return s >= StageCompleted }
 
-// StoreTime is a time on the store's monotonic clock.
-type StoreTime time.Duration
-
 // Record is the state of a service's rollout in the store, which all nodes follow.
 type Record struct {
 	Service    vaneyoke.ServiceID
@@ -45,7 +42,7 @@
 	Order      vaneyoke.Revision // of the order that started the rollout
 	LastRepeat vaneyoke.Revision // revision of the last repeat of that order; 0 for none
 	Stage      Stage
-	Deadline   StoreTime
+	Deadline   vaneyoke.StoreTime
 	WrittenBy  vaneyoke.VMID // node that wrote the record
 	Reason     Reason        // of a final stage
 }
@@ -58,7 +55,7 @@
 
 // appliesTo reports whether the record belongs to an order. Repeating an order while its rollout is in progress changes nothing. An order
 // for another version starts a new rollout, and so does a repeat after a final stage whose deadline has passed.
-func (r *Record) appliesTo(o Order, now StoreTime) bool {
+func (r *Record) appliesTo(o Order, now vaneyoke.StoreTime) bool {
 	if o.Revision <= r.latestOrder() {
 		return true
 	}
--- a/decide/rollout/simulation_test.go
+++ b/decide/rollout/simulation_test.go
@@ -127,7 +127,7 @@
 			}
 		case rollout.ReadClock:
 			if !sim.storeDown && !n.partitioned {
-				sim.handle(i, rollout.ClockRead{At: rollout.StoreTime(sim.elapsed())})
+				sim.handle(i, rollout.ClockRead{At: vaneyoke.StoreTime(sim.elapsed())})
 			}
 		}
 	}
--- a/decide/rollout/state.go
+++ b/decide/rollout/state.go
@@ -35,7 +35,7 @@
 	readsStore bool
 
 	clockReadAt       time.Time // when the store's clock was read; zero if never
-	clock             StoreTime
+	clock             vaneyoke.StoreTime
 	clockRequestedAt  time.Time // when it was last requested
 	orders            map[vaneyoke.ServiceID]activeOrder
 	rows              map[vaneyoke.ServiceID]Row                                    // nil until they are known
--- a/decide/route/table.go
+++ b/decide/route/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"strings"
+	"time"
 
 	"github.com/vaneyoke/vaneyoke"
 )
@@ -94,6 +95,22 @@
 	return mixed
 }
 
+// LongestStream returns the longest time that the routes of streams allow for an answer; those that state none allow the default.
+func (t *Table) LongestStream(defaultTimeout time.Duration) (longest time.Duration) {
+	for _, routes := range t.byHost {
+		for _, r := range routes {
+			switch {
+			case r.Kind != KindStream:
+			case r.Timeout > 0:
+				longest = max(longest, r.Timeout)
+			default:
+				longest = max(longest, defaultTimeout)
+			}
+		}
+	}
+	return longest
+}
+
 // Workspace returns the workspace to which a request on a route is accounted.
 // An error carries CodeNoKey or CodeUnknownKey; a public route accepts any key, and requests without one.
 func (t *Table) Workspace(r *Route, key string) (Workspace, error) {
--- a/process/node/active_config.go
+++ b/process/node/active_config.go
@@ -28,6 +28,7 @@
 	rollouts    *rolloutTables
 	limits      *limitTables
 	duties      *dutyTables
+	versions    *versionTables
 	queue       *queueModes
 	dialer      *detours.Dialer
 	pins        *pins.Node
@@ -76,6 +77,7 @@
 		c.table.Store(table)
 		c.changes.configured.Store(new(time.Now()))
 		c.queue.apply(table)
+		c.versions.setServices(table)
 		for service, isRanked := range table.StreamServices() {
 			c.balancer.SetUneven(service, isRanked)
 		}
@@ -86,6 +88,7 @@
 func (c *activeConfig) setUpstreams(now time.Time, rows watch.Rows) {
 	upstreams := c.upstreams.update(rows, c.log)
 	c.rollouts.setUpstreams(now, upstreams) // first, so that a held version is held before the balancer can choose it
+	c.versions.setUpstreams(upstreams)      // likewise
 	c.balancer.SetUpstreams(upstreams, nil)
 	c.limits.setUpstreams(upstreams)
 	c.duties.setUpstreams(now, upstreams)
--- a/process/node/gateway.go
+++ b/process/node/gateway.go
@@ -51,6 +51,7 @@
 	shares   *shares.Node // nil without peers
 	detours  *detours.Server
 	pins     *pins.Node
+	versions *pins.Versions
 	active   *activeConfig
 	vars     *expvar.Map
 	panics   *panicRecorder
@@ -103,6 +104,7 @@
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	n.stop = stop
 	n.tasks.Go(func() { n.mesh.Run(run) })
+	n.tasks.Go(func() { runPins(run, n.pins, n.mesh) })
 	n.tasks.Go(func() { watchSuspensions(run, n.relay, n.log) })
 	if n.rollouts != nil {
 		n.tasks.Go(func() { n.rollouts.Run(run) })
@@ -242,6 +244,7 @@
 	n.crashes.Close()
 	n.limits.Close()
 	n.pins.Close()
+	n.versions.Close()
 	n.relay.Close()
 	n.detours.Close()
 	n.tasks.Wait()
--- a/process/node/gateway_wire.go
+++ b/process/node/gateway_wire.go
@@ -59,6 +59,7 @@
 	do.Provide(i, provideDuties)
 	do.Provide(i, provideCallers)
 	do.Provide(i, provideQueue)
+	do.Provide(i, provideVersionTables)
 	do.Provide(i, providePins)
 	do.Provide(i, providePlacer)
 	do.Provide(i, provideForwarder)
@@ -137,6 +138,7 @@
 		shares:   do.MustInvoke[*shares.Node](i),
 		detours:  do.MustInvoke[*detours.Server](i),
 		pins:     do.MustInvoke[*pins.Node](i),
+		versions: do.MustInvoke[*versionTables](i).versions,
 		active:   do.MustInvoke[*activeConfig](i),
 		vars:     do.MustInvoke[*expvar.Map](i),
 		panics:   newPanicRecorder(do.MustInvoke[*expvar.Map](i), do.MustInvoke[logrus.FieldLogger](i)),
@@ -167,6 +169,7 @@
 	limitUpdates := do.MustInvoke[*limitTables](i)
 	active.limits = limitUpdates
 	active.duties = do.MustInvoke[*dutyTables](i)
+	active.versions = do.MustInvoke[*versionTables](i)
 	active.dialer = do.MustInvoke[*detours.Dialer](i)
 	active.queue = newQueueModes(do.MustInvoke[*admissions.Node](i), s.Admission.Mode)
 	self := feed.Member{VM: vaneyoke.VMID(s.Node.VM), DataCentre: vaneyoke.DataCentreID(s.Node.DataCentre), Address: s.Gateway.Peers, Bandwidth: s.Node.Bandwidth, Protocol: feed.ProtocolCurrent}
@@ -185,6 +188,7 @@
 		}},
 	}
 	tables["limits"] = mesh.Table{Source: platform.NewLimits(client, s.Gateway.Store), MayLag: true, Optional: true, Apply: limitUpdates.setRows}
+	tables["versions"] = mesh.Table{Source: platform.NewServiceVersions(client, s.Gateway.Store), MayLag: true, Optional: true, Apply: active.versions.setRows}
 	tables["caps"] = mesh.Table{Source: platform.NewCaps(client, s.Gateway.Store), MayLag: true, Optional: true, Apply: do.MustInvoke[*capTables](i).setRows}
 	if s.Rollout.Exposure > 0 {
 		tables["rollouts"] = mesh.Table{Source: platform.NewRollouts(client, s.Gateway.Store), MayLag: true, Apply: rolloutUpdates.setRecords}
--- a/process/node/pins_wire.go
+++ b/process/node/pins_wire.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"context"
 	"expvar"
+	"slices"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -11,43 +13,116 @@
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/feed"
 	"github.com/vaneyoke/vaneyoke/decide/pinning"
+	"github.com/vaneyoke/vaneyoke/decide/route"
+	"github.com/vaneyoke/vaneyoke/platform"
 	"github.com/vaneyoke/vaneyoke/process/settings"
 	"github.com/vaneyoke/vaneyoke/shell/balancer"
 	"github.com/vaneyoke/vaneyoke/shell/mesh"
 	"github.com/vaneyoke/vaneyoke/shell/pins"
+	"github.com/vaneyoke/vaneyoke/shell/watch"
 )
 
-// pinListing tells the software versions that a node has seen listed.
+// completeCoverage is the coverage of a record in the store that lacks no version.
+const completeCoverage = 24 * time.Hour
+
+// pinListing tells which software versions may have begun streams.
 type pinListing struct {
 	balancer *balancer.Balancer
 	mesh     *mesh.Node
+	versions *pins.Versions
 }
 
-// Software returns the versions of services' upstreams, and for how long they have been watched; 0 while the node's tables are stale.
-func (l pinListing) Software(services []vaneyoke.ServiceID) ([]pinning.Software, time.Duration) {
-	all, watched := l.balancer.Software(services)
+// Software returns the versions that may have begun streams of services, and for how long before now these are known to be all: by the store's record where
+// that lacks none, otherwise for as long as this node has watched the list of upstreams; 0 while its tables are stale.
+func (l pinListing) Software(services []vaneyoke.ServiceID) (all []pinning.Software, coverage time.Duration) {
+	listed, watched := l.balancer.Software(services)
+	coverage = completeCoverage
+	for _, service := range services {
+		versions, isComplete := l.versions.Candidates(service)
+		all = append(all, lo.Map(versions, func(v vaneyoke.SoftwareVersion, _ int) pinning.Software {
+			return pinning.Software{Service: service, Version: v}
+		})...)
+		if !isComplete || l.hasEarlierBuilds() {
+			coverage = min(coverage, watched)
+			all = append(all, lo.Filter(listed, func(s pinning.Software, _ int) bool { return s.Service == service })...)
+		}
+	}
 	if l.mesh.Stale() {
-		return all, 0
+		coverage = 0
 	}
-	return all, watched
+	return lo.Uniq(all), coverage
+}
+
+// hasEarlierBuilds reports whether nodes run builds that do not wait for the store's record before a version begins streams.
+func (l pinListing) hasEarlierBuilds() bool {
+	return slices.ContainsFunc(l.mesh.Registered(), func(m feed.Member) bool { return m.Protocol < feed.ProtocolRecords })
+}
+
+// versionTables passes the rows of the store's tables to the component that records versions. It may be created before that component.
+type versionTables struct {
+	versions *pins.Versions
+	log      logrus.FieldLogger
+}
+
+// setRows passes on the rows of the versions table.
+func (t *versionTables) setRows(_ time.Time, rows watch.Rows) {
+	t.versions.SetRows(readRows(rows, t.log, platform.DecodeServiceVersions))
+}
+
+// setUpstreams passes on the list of upstreams.
+func (t *versionTables) setUpstreams(upstreams []vaneyoke.Upstream) {
+	t.versions.SetUpstreams(upstreams)
+}
+
+// setServices passes on the services that have streams.
+func (t *versionTables) setServices(table *route.Table) {
+	t.versions.SetServices(lo.Keys(table.StreamServices()))
+}
+
+func provideVersionTables(i do.Injector) (*versionTables, error) {
+	return &versionTables{log: do.MustInvoke[logrus.FieldLogger](i)}, nil
 }
 
 // providePins returns the component that keeps which software began streams.
 func providePins(i do.Injector) (*pins.Node, error) {
 	s := do.MustInvoke[settings.Settings](i)
-	member := do.MustInvoke[*mesh.Node](i)
+	member, active := do.MustInvoke[*mesh.Node](i), do.MustInvoke[*activeConfig](i)
+	client, log := do.MustInvoke[*storeClient](i).http, do.MustInvoke[logrus.FieldLogger](i)
 	self := pinning.Member{
 		VM: vaneyoke.VMID(s.Node.VM), DataCentre: vaneyoke.DataCentreID(s.Node.DataCentre), Address: s.Gateway.Peers,
 		Incarnation: vaneyoke.Incarnation(time.Now().UnixMilli()), //nolint:gosec // after 1970
 	}
-	node := pins.New(
-		self, pinListing{do.MustInvoke[*balancer.Balancer](i), member}, member, pins.NewMetrics(do.MustInvoke[*expvar.Map](i)), do.MustInvoke[logrus.FieldLogger](i),
+	listing := &pinListing{balancer: do.MustInvoke[*balancer.Balancer](i), mesh: member}
+	node := pins.New(self, listing, member, platform.NewStreamRecords(client, s.Gateway.Store, self.VM), pins.NewMetrics(do.MustInvoke[*expvar.Map](i)), log)
+	listing.versions = pins.NewVersions(
+		platform.NewServiceVersions(client, s.Gateway.Store), member, versionsConfig(s.Gateway, member, active), do.MustInvoke[*balancer.Balancer](i), node.SetMixed, log,
 	)
 	member.OnPins(node.HandleDatagram)
-	do.MustInvoke[*activeConfig](i).pins = node
+	active.pins = node
+	do.MustInvoke[*versionTables](i).versions = listing.versions
 	return node, nil
 }
 
+// retentionFactor is how many times the longest stream a version is remembered after its last upstream has left, since a configuration may allow longer ones.
+const retentionFactor = 2
+
+// versionsConfig returns the delays of the record of versions, which depend on the fleet and its routes.
+func versionsConfig(s settings.Gateway, member *mesh.Node, active *activeConfig) func() pinning.VersionsConfig {
+	startedAt := time.Now()
+	return func() pinning.VersionsConfig {
+		longest := s.MaxWait
+		if table := active.Routes(); table != nil {
+			longest = table.LongestStream(s.MaxWait)
+		}
+		return pinning.VersionsConfig{AdmissionDelay: pinning.AdmissionDelay(member.Members()), Retention: retentionFactor * longest, Uptime: time.Since(startedAt), FirstStart: s.FirstStart}
+	}
+}
+
+// runPins drops what others left behind, on the node of the highest rank.
+func runPins(ctx context.Context, node *pins.Node, member *mesh.Node) {
+	node.Run(ctx, member.IsFirstByRank)
+}
+
 // pinMembers returns the members whose builds keep records of streams.
 func pinMembers(members []feed.Member) []pinning.Member {
 	return lo.FilterMap(members, func(m feed.Member, _ int) (pinning.Member, bool) {
--- a/shell/balancer/pins.go
+++ b/shell/balancer/pins.go
@@ -45,3 +45,11 @@
 	}
 	return all, b.history.Watched(now)
 }
+
+// SetVersionStages sets which listed versions are not to begin streams yet while others are available, and which began streams and are not listed any more.
+func (b *Balancer) SetVersionStages(announced, retired map[vaneyoke.ServiceID][]vaneyoke.SoftwareVersion) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.history.SetRetired(time.Now(), retired)
+	b.state.SetAnnounced(announced)
+}
--- a/shell/mesh/fuzz_test.go
+++ b/shell/mesh/fuzz_test.go
@@ -34,7 +34,7 @@
 	summed := shares.New(n.self.VM, n, &demand{}, shares.NewMetrics(new(expvar.Map).Init()), log)
 	summed.SetTree("vm-1", []vaneyoke.VMID{"vm-2"})
 	n.OnShares(summed.HandleDatagram)
-	n.OnPins(pins.New(pinning.Member{VM: n.self.VM}, noVersions{}, n, pins.NewMetrics(new(expvar.Map).Init()), log).HandleDatagram)
+	n.OnPins(pins.New(pinning.Member{VM: n.self.VM}, noVersions{}, n, nil, pins.NewMetrics(new(expvar.Map).Init()), log).HandleDatagram)
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel() // no event loop reads the offers
 	return n, ctx
--- a/shell/mesh/prune.go
+++ b/shell/mesh/prune.go
@@ -47,6 +47,12 @@
 	return members
 }
 
+// IsFirstByRank reports whether this node has the highest rank of all members.
+func (n *Node) IsFirstByRank() bool {
+	members := n.membersByRank()
+	return len(members) > 0 && members[0].VM == n.self.VM
+}
+
 // higherRankReachable reports whether a member with a higher rank than this node is reachable; members must be sorted by rank.
 func (n *Node) higherRankReachable(ctx context.Context, members []feed.Member) bool {
 	for _, m := range members {
--- a/shell/pins/metrics.go
+++ b/shell/pins/metrics.go
@@ -23,6 +23,9 @@
 		"streams_served":        func(s pinning.Stats) int { return s.Serving },
 		"streams_unreplicated":  func(s pinning.Stats) int { return s.Unacked },
 		"records_refused_total": func(s pinning.Stats) int { return s.Refused },
+		"rows_in_store":         func(s pinning.Stats) int { return s.Archived },
+		"rows_unwritten":        func(s pinning.Stats) int { return s.Unarchived },
+		"writes_failed_total":   func(s pinning.Stats) int { return s.FailedWrites },
 	} {
 		m.counts.Set(name, expvar.Func(func() any { return figure(stats()) }))
 	}
--- a/shell/pins/node.go
+++ b/shell/pins/node.go
@@ -18,9 +18,26 @@
 	SendPins(address string, data []byte) bool
 }
 
+// Archive is the store's table of records, which outlast the processes of all nodes.
+type Archive interface {
+	// Write writes records and drops rows of this node in one transaction; after an error it may have been made.
+	Write(ctx context.Context, put []pinning.Record, drop []pinning.RowKey) error
+	// Read returns the records of a stream, of all nodes that served it.
+	Read(ctx context.Context, stream pinning.StreamID) ([]pinning.Record, error)
+	// Sweep deletes the rows that their nodes have not dropped in time, and returns how many.
+	Sweep(ctx context.Context) (int, error)
+}
+
+const (
+	storeTimeout  = 1500 * time.Millisecond // of a call to the store
+	maxStoreReads = 16                      // concurrent reads of the store; further ones wait for up to storeTimeout
+)
+
 // Node keeps the records of streams that this node and others serve.
 type Node struct {
 	messenger Messenger
+	archive   Archive
+	reads     chan struct{} // holds an element for each read of the store in flight
 	metrics   *Metrics
 	log       logrus.FieldLogger
 
@@ -33,10 +50,11 @@
 }
 
 // New returns a node that knows no streams.
-func New(self pinning.Member, listing pinning.Listing, messenger Messenger, metrics *Metrics, log logrus.FieldLogger) *Node {
+func New(self pinning.Member, listing pinning.Listing, messenger Messenger, archive Archive, metrics *Metrics, log logrus.FieldLogger) *Node {
 	n := &Node{
-		messenger: messenger, metrics: metrics, log: log, state: pinning.New(self, listing), waiting: map[pinning.LookupID]chan pinning.Origin{},
+		messenger: messenger, archive: archive, reads: make(chan struct{}, maxStoreReads), metrics: metrics, log: log, state: pinning.New(self, listing), waiting: map[pinning.LookupID]chan pinning.Origin{},
 	}
+	n.state.EnableArchive()
 	n.timer = time.AfterFunc(time.Hour, func() { n.handle(pinning.Tick{}) })
 	n.timer.Stop()
 	metrics.publish(n.stats)
@@ -60,6 +78,11 @@
 // SetMembers updates the nodes whose builds keep records.
 func (n *Node) SetMembers(all []pinning.Member) { n.handle(pinning.MembersUpdated{All: all}) }
 
+// SetMixed updates the services of which several software versions may have begun streams.
+func (n *Node) SetMixed(services []vaneyoke.ServiceID) {
+	n.handle(pinning.VersionsMixed{Services: services})
+}
+
 // StreamBegun has the record of a stream kept elsewhere. It returns when the record is on its way, so that it is called before the stream's first
 // event is given to the caller.
 func (n *Node) StreamBegun(begun pinning.StreamBegun) {
@@ -103,7 +126,7 @@
 	n.log.WithFields(logrus.Fields{
 		"request": lookup.Request, "resumes": lookup.Resumes, "after": lookup.After, "basis": origin.Basis, "service": origin.Software.Service,
 		"software": origin.Software.Version, "peer": origin.Peer, "asked": origin.Asked, "answered": origin.Answered, "candidates": origin.Candidates,
-		"covered_ms": origin.Coverage.Milliseconds(), "max_age_ms": lookup.MaxAge.Milliseconds(), "ms": took.Milliseconds(),
+		"store_unread": origin.StoreUnread, "covered_ms": origin.Coverage.Milliseconds(), "max_age_ms": lookup.MaxAge.Milliseconds(), "ms": took.Milliseconds(),
 	}).Info("stream_looked_up")
 }
 
@@ -121,31 +144,37 @@
 
 // handle passes an event to the state and applies the effects.
 func (n *Node) handle(ev pinning.Event) {
-	for _, e := range n.update(ev) {
-		n.send(e)
+	for _, effect := range n.update(ev) {
+		switch e := effect.(type) {
+		case pinning.Send:
+			n.send(e)
+		case pinning.WriteRecords:
+			go n.write(e)
+		case pinning.ReadRecords:
+			go n.read(e.Stream)
+		case pinning.LookupDecided: // delivered already
+		}
 	}
 }
 
-// update passes an event to the state and returns what is to be sent.
-func (n *Node) update(ev pinning.Event) (sends []pinning.Send) {
+// update passes an event to the state, delivers decided lookups, and returns the other effects.
+func (n *Node) update(ev pinning.Event) (others []pinning.Effect) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := steady.Now()
 	for _, effect := range n.state.Handle(now, ev) {
-		switch e := effect.(type) {
-		case pinning.Send:
-			sends = append(sends, e)
-		case pinning.LookupDecided:
-			if decided := n.waiting[e.ID]; decided != nil {
-				delete(n.waiting, e.ID)
-				decided <- e.Origin
-			}
+		decided, ok := effect.(pinning.LookupDecided)
+		if !ok {
+			others = append(others, effect)
+		} else if waiting := n.waiting[decided.ID]; waiting != nil {
+			delete(n.waiting, decided.ID)
+			waiting <- decided.Origin
 		}
 	}
 	if at := n.state.NextTick(); !at.IsZero() && !n.closed {
 		n.timer.Reset(at.Sub(now))
 	}
-	return sends
+	return others
 }
 
 func (n *Node) send(e pinning.Send) {
@@ -156,3 +185,33 @@
 	n.metrics.counts.Add("records_sent_total", int64(len(e.Message.Records)))
 	n.metrics.counts.Add("queries_sent_total", int64(len(e.Message.Queries)))
 }
+
+// write writes records to the store.
+func (n *Node) write(w pinning.WriteRecords) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	err := n.archive.Write(ctx, w.Put, w.Drop)
+	n.metrics.counts.Add("store_writes_total", 1)
+	if err != nil {
+		n.log.WithFields(logrus.Fields{"count": len(w.Put), "error": err}).Warn("stream_records_unwritten")
+	} else {
+		n.metrics.counts.Add("records_archived_total", int64(len(w.Put)))
+	}
+	n.handle(pinning.RecordsWritten{OK: err == nil})
+}
+
+// read reads the records of a stream from the store.
+func (n *Node) read(stream pinning.StreamID) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	select {
+	case n.reads <- struct{}{}:
+		defer func() { <-n.reads }()
+	case <-ctx.Done():
+		n.handle(pinning.RecordsRead{Stream: stream})
+		return
+	}
+	records, err := n.archive.Read(ctx, stream)
+	n.metrics.counts.Add("store_reads_total", 1)
+	n.handle(pinning.RecordsRead{Stream: stream, Records: records, OK: err == nil})
+}
--- a/shell/rollouts/node.go
+++ b/shell/rollouts/node.go
@@ -29,7 +29,7 @@
 	// CodeStoreRace means that the row has another revision; after any other error the record may have been written.
 	Write(ctx context.Context, record rollout.Record, expect vaneyoke.Revision) error
 	// Now returns the time on the store's clock.
-	Now(ctx context.Context) (rollout.StoreTime, error)
+	Now(ctx context.Context) (vaneyoke.StoreTime, error)
 }
 
 // Tree reports the node's place in the distribution tree.
