Rows that are kept past an outage end in time, whatever becomes of their source

Cause: a follower of the store merged rows that it kept for a moment into those of the store and handed the sum to the hub as the rows of that version. Their end was known to that follower alone. Once it was cancelled, because the node found a fresher source, nobody took the rows off: another source had learned of the removal at that version or before, and the next reader resumed from the same rows. The frames carried them to other nodes. Ruled out: the removal never reached the node (its version was current), the placement ignored it (the row was in the table).

Change: what the store has at a version and what is kept beside it until a time are two things. The hub owns the end of what is kept, uses only rows that it had until then, and never extends their time; frames name kept rows with the time left. Rows from nodes of an earlier build, which does not tell them apart, are read anew and not resumed from.

Test: TestHubsHoldTheRowsOfTheStoreAfterDisruptions, a model of the store and five hubs under random writes, removals, outages, cuts, changes of source and restarts. The sink of the follower's tests adds up rows and kept rows by time, so that they check what was checked before.

--- a/cmd/vaneyoked/soak_disruptions_test.go
+++ b/cmd/vaneyoked/soak_disruptions_test.go
@@ -44,8 +44,10 @@
 // withoutStore makes the store refuse all calls for d, and then until meanwhile returns.
 func (s *soak) withoutStore(d time.Duration, meanwhile func()) {
 	s.store.Refuse(http.StatusServiceUnavailable)
+	s.storeAway.Store(true)
 	time.Sleep(d)
 	meanwhile()
+	s.storeAway.Store(false)
 	s.store.Refuse(0)
 }
 
--- a/cmd/vaneyoked/soak_test.go
+++ b/cmd/vaneyoked/soak_test.go
@@ -65,6 +65,7 @@
 	atMostOnce     []atMostOnceCall
 	violations     []string
 	served         atomic.Int64
+	storeAway      atomic.Bool  // whether the store refuses all calls
 	unended        atomic.Int64 // streams of which the caller had all events, and did not get the end however often it asked
 }
 
--- a/decide/feed/member.go
+++ b/decide/feed/member.go
@@ -27,7 +27,7 @@
 	ProtocolShares                         // adds summaries of the demand, as datagrams of a type of their own, and sightings of shutdowns and of the pace of upstreams
 	ProtocolDetours                        // adds connections to upstreams through another node
 	ProtocolPins                           // adds records of the software versions that began streams, as datagrams of a type of their own
-	ProtocolRecords                        // such builds keep these records in the store, too, and let a version begin streams only once the store records it
+	ProtocolRecords                        // such builds keep these records in the store, too, let a version begin streams only once the store records it, and tell rows that are kept past an outage of the store apart from the store's
 )
 
 // ProtocolCurrent is the version of this build.
--- a/process/node/gateway_wire.go
+++ b/process/node/gateway_wire.go
@@ -194,6 +194,7 @@
 		tables["rollouts"] = mesh.Table{Source: platform.NewRollouts(client, s.Gateway.Store), MayLag: true, Apply: rolloutUpdates.setRecords}
 	}
 	hub := mesh.NewHub(tables)
+	hub.SetLog(do.MustInvoke[logrus.FieldLogger](i))
 	vars := do.MustInvoke[*expvar.Map](i)
 	vars.Set("build", expvar.Func(func() any { return vaneyoke.Build() }))
 	vars.Set("speaks", expvar.Func(func() any { return feed.ProtocolCurrent }))
--- a/shell/mesh/follow.go
+++ b/shell/mesh/follow.go
@@ -46,7 +46,7 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	defer n.neighbours.connected(m.VM, protocolOf(res.Header))()
-	return n.readFrames(ctx, m, bufio.NewReader(res.Body), timeout)
+	return n.readFrames(ctx, m, bufio.NewReader(res.Body), timeout, protocolOf(res.Header) >= feed.ProtocolRecords)
 }
 
 func (n *Node) get(ctx context.Context, m feed.Member, path string) (*http.Response, error) {
@@ -66,7 +66,7 @@
 	return res, nil
 }
 
-func (n *Node) readFrames(ctx context.Context, m feed.Member, r io.Reader, timeout *time.Timer) (wasFresh bool, err error) {
+func (n *Node) readFrames(ctx context.Context, m feed.Member, r io.Reader, timeout *time.Timer, isExact bool) (wasFresh bool, err error) {
 	for {
 		p, err := readPacket(r)
 		if err != nil {
@@ -77,7 +77,7 @@
 			return wasFresh, err
 		}
 		n.metrics.countReceived(len(p))
-		n.hub.applyFrame(steady.Now(), f, p)
+		n.hub.applyFrame(steady.Now(), f, p, isExact)
 		timeout.Reset(n.config.PeerTimeout)
 		if f.Status == nil {
 			continue
--- a/shell/mesh/frame.go
+++ b/shell/mesh/frame.go
@@ -48,6 +48,8 @@
 	Rows    []rowUpdate   `json:"rows,omitempty"`
 	// Removed lists the keys of the rows removed since the earlier version; it is used only if Keys is nil.
 	Removed []string `json:"gone,omitempty"`
+	// Kept lists rows that are not among those of the later version and that are still used for a while.
+	Kept []keptUpdate `json:"kept,omitempty"`
 	// Keys lists the keys of all rows of the later version; nil if the sender knows which rows were removed.
 	Keys []string `json:"keys"`
 }
@@ -74,7 +76,7 @@
 	defer h.mu.Unlock()
 	query := url.Values{}
 	for name, t := range h.tables {
-		if t.rows != nil {
+		if t.rows != nil && !t.isInexact {
 			query.Set(name, strconv.FormatUint(uint64(t.version), 10))
 		}
 	}
@@ -105,10 +107,12 @@
 	p, ok := h.packets[key]
 	if !ok {
 		var err error
-		if p, err = pack(frame{Tables: h.updatesFor(held)}); err != nil {
+		if p, err = pack(frame{Tables: h.updatesFor(now, held)}); err != nil {
 			return nil, status, h.changed, err
 		}
-		h.packets[key] = p
+		if !h.hasKept() {
+			h.packets[key] = p
+		}
 	}
 	for name, t := range h.tables {
 		if t.rows != nil && t.version >= held[name].version {
@@ -130,11 +134,11 @@
 }
 
 // updatesFor returns the updates for a node with the held versions.
-func (h *Hub) updatesFor(held heldVersions) []tableUpdate {
+func (h *Hub) updatesFor(now time.Time, held heldVersions) []tableUpdate {
 	var updates []tableUpdate
 	for _, name := range h.names {
 		if base, ok := held[name]; h.tables[name].hasUpdate(base, ok) {
-			updates = append(updates, h.tables[name].updateFrom(name, base))
+			updates = append(updates, h.tables[name].updateFrom(now, name, base))
 		}
 	}
 	return updates
@@ -151,8 +155,8 @@
 }
 
 // updateFrom returns the delta from a base version. For a base later than the table it has no rows.
-func (t *table) updateFrom(name string, base heldVersion) tableUpdate {
-	update := tableUpdate{Name: name, Version: t.version}
+func (t *table) updateFrom(now time.Time, name string, base heldVersion) tableUpdate {
+	update := tableUpdate{Name: name, Version: t.version, Kept: t.keptUpdates(now)}
 	baseVersion := base.version
 	if t.subversionDiffers(base) && baseVersion > 0 {
 		baseVersion--
@@ -174,15 +178,20 @@
 }
 
 // applyFrame applies a frame from another node. The packet that contained the frame is cached: followers that hold the versions which
-// this node held before need the same changes, and receive the same packet.
-func (h *Hub) applyFrame(now time.Time, f frame, p packet) {
+// this node held before need the same changes, and receive the same packet. isExact is false for a source of an earlier build, which does not tell rows that it
+// keeps apart from the store's.
+func (h *Hub) applyFrame(now time.Time, f frame, p packet, isExact bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	before, changed := h.heldVersions(), false
 	for _, update := range f.Tables {
-		changed = h.set(now, update.Name, h.mergedRows(update), update.Version) || changed // the next status carries the time of the confirmation
+		isApplied := h.set(now, update.Name, h.mergedRows(update), update.Version, decodeKept(now, update.Kept)) // the next status carries the time of the confirmation
+		changed = changed || isApplied
+		if t := h.tables[update.Name]; t != nil {
+			t.isInexact = (t.isInexact || (isApplied && !isExact)) && !(isExact && update.Keys != nil && update.Version >= t.version)
+		}
 	}
-	if changed && len(p) > 0 {
+	if changed && len(p) > 0 && !h.hasKept() {
 		h.packets[h.packetKey(before)] = p
 	}
 	if changed {
--- a/shell/mesh/hub.go
+++ b/shell/mesh/hub.go
@@ -1,11 +1,14 @@
 package mesh
 
 import (
+	"io"
 	"maps"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/feed"
 	"github.com/vaneyoke/vaneyoke/shell/watch"
@@ -22,23 +25,27 @@
 	changed chan struct{}     // closed at the next change
 	packets map[string]packet // cached updates to the current tables, by packetKey of their base versions
 	reader  vaneyoke.VMID     // the node to which the store last confirmed the tables
+	log     logrus.FieldLogger
+	expiry  *time.Timer // of kept rows; nil for none
 }
 
 // Table is a table of the store that is replicated between the nodes.
 type Table struct {
 	Source   watch.Source
-	Apply    func(now time.Time, rows watch.Rows) // called with all rows after a change; it must not retain or modify them
+	Apply    func(now time.Time, rows watch.Rows) // called with all rows in use after a change; it must not retain or modify them
 	MayLag   bool                                 // whether the table is ignored for the age of the tables
 	Optional bool                                 // whether a node counts as complete without the table if its source runs an earlier build that does not send it
-	Grace    time.Duration                        // how long rows that expired during an outage of the store are kept
+	Grace    time.Duration                        // how long rows that expired during an outage of the store are kept at most
 }
 
 type table struct {
 	Table
-	rows            watch.Rows
-	version         watch.Version // up to this version the rows are complete
-	changed         watch.Version // version of the last change
-	subversion      int           // counts the changes since then without a new version
+	rows            watch.Rows         // the store's, as of the version
+	kept            map[string]keptRow // rows that the store does not have any more and that are still used
+	isInexact       bool               // whether the rows came from an earlier build, which does not tell kept rows apart
+	version         watch.Version      // up to this version the rows are complete
+	changed         watch.Version      // version of the last change
+	subversion      int                // counts the changes since then without a new version
 	removals        removals
 	confirmed       time.Time // time at which the rows were the store's latest
 	missingAtSource bool      // whether the source is complete but does not send this table
@@ -46,8 +53,10 @@
 
 // NewHub returns a hub of empty tables.
 func NewHub(tables map[string]Table) *Hub {
+	silent := logrus.New()
+	silent.SetOutput(io.Discard)
 	h := &Hub{
-		tables: map[string]*table{}, names: slices.Sorted(maps.Keys(tables)), changed: make(chan struct{}), packets: map[string]packet{},
+		log: silent, tables: map[string]*table{}, names: slices.Sorted(maps.Keys(tables)), changed: make(chan struct{}), packets: map[string]packet{},
 	}
 	for name, t := range tables {
 		h.tables[name] = &table{Table: t}
@@ -55,17 +64,24 @@
 	return h
 }
 
-// Set updates a table's rows to a version and ignores versions older than the hub's. Confirm records when the rows were the latest.
-func (h *Hub) Set(now time.Time, name string, rows watch.Rows, version watch.Version) {
+// SetLog sets where the hub logs which rows it keeps.
+func (h *Hub) SetLog(log logrus.FieldLogger) { h.log = log }
+
+// Set updates a table's rows to those of the store at a version, and which rows are kept beside them. It ignores versions older than the hub's. Confirm records
+// when the rows were the latest.
+func (h *Hub) Set(now time.Time, name string, rows watch.Rows, version watch.Version, kept watch.Kept) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.set(now, name, rows, version) {
+	if h.set(now, name, rows, version, keepUntil(kept.Rows, kept.Until)) {
 		h.notify()
 	}
+	if t := h.tables[name]; t != nil && version >= t.version {
+		t.isInexact = false
+	}
 }
 
 // set updates a table's rows and reports whether they changed.
-func (h *Hub) set(now time.Time, name string, rows watch.Rows, version watch.Version) bool {
+func (h *Hub) set(now time.Time, name string, rows watch.Rows, version watch.Version, kept map[string]keptRow) bool {
 	t := h.tables[name]
 	if t == nil || version < t.version {
 		return false
@@ -76,13 +92,14 @@
 		t.removals.addSpan(version)
 		return false
 	}
+	h.keep(now, name, t, rows, kept)
 	t.removals.recordChange(t.rows, rows, version)
 	t.subversion++
 	if advanced {
 		t.subversion = 0
 	}
 	t.rows, t.changed = maps.Clone(rows), version
-	t.Apply(now, t.rows)
+	t.apply(now)
 	clear(h.packets)
 	return true
 }
@@ -100,12 +117,13 @@
 	h.confirm(confirmed, reader, t)
 }
 
-// Snapshot returns a copy of a table's rows and the version up to which they are complete; ok is false if the hub has no rows of it.
+// Snapshot returns a copy of the store's rows of a table and the version up to which they are complete; ok is false if the hub has none, or if they may hold
+// rows that the store does not have.
 func (h *Hub) Snapshot(name string) (rows watch.Rows, version watch.Version, ok bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	t := h.tables[name]
-	if t == nil || t.rows == nil {
+	if t == nil || t.rows == nil || t.isInexact {
 		return nil, 0, false
 	}
 	return maps.Clone(t.rows), t.version, true
--- a/shell/mesh/read.go
+++ b/shell/mesh/read.go
@@ -100,8 +100,8 @@
 }
 
 // Set updates all rows.
-func (s *hubSink) Set(now time.Time, rows watch.Rows, version watch.Version) {
-	s.node.hub.Set(now, s.table, rows, version)
+func (s *hubSink) Set(now time.Time, rows watch.Rows, version watch.Version, kept watch.Kept) {
+	s.node.hub.Set(now, s.table, rows, version, kept)
 	s.Confirm(now, version)
 }
 
--- a/shell/watch/removal_hold.go
+++ b/shell/watch/removal_hold.go
@@ -42,30 +42,14 @@
 	h.rows[key] = row
 }
 
-// remaining returns for how long missing rows are still kept; ok is false if there are none.
-func (h *removalHold) remaining(now time.Time) (left time.Duration, ok bool) {
-	return max(h.until.Sub(now), 0), len(h.rows) > 0
-}
-
-// expire drops the kept rows once the grace period is over, and reports whether there were any.
-func (h *removalHold) expire(now time.Time) bool {
-	if len(h.rows) == 0 || now.Before(h.until) {
-		return false
+// kept returns the rows that are kept beside the store's; one that the store has again is no longer kept.
+func (h *removalHold) kept(now time.Time, rows Rows) Kept {
+	if !now.Before(h.until) {
+		h.rows = nil
 	}
-	h.rows = nil
-	return true
-}
-
-// merge returns the store's rows together with the kept ones; a row that the store has again is no longer kept.
-func (h *removalHold) merge(rows Rows) Rows {
 	maps.DeleteFunc(h.rows, func(key string, _ Row) bool {
 		_, back := rows[key]
 		return back
 	})
-	if len(h.rows) == 0 {
-		return rows
-	}
-	all := maps.Clone(rows)
-	maps.Copy(all, h.rows)
-	return all
+	return Kept{Rows: h.rows, Until: h.until}
 }
--- a/shell/watch/watch.go
+++ b/shell/watch/watch.go
@@ -26,6 +26,13 @@
 // Rows holds a table's rows by key.
 type Rows map[string]Row
 
+// Kept holds rows that the store does not have any more and that are still used until a time, since their writers may write them again: they could not
+// reach the store either.
+type Kept struct {
+	Rows  Rows
+	Until time.Time
+}
+
 // Change is a row that was written or removed.
 type Change struct {
 	Key     string
@@ -44,8 +51,9 @@
 
 // Sink receives the contents of a followed table.
 type Sink interface {
-	// Set receives all rows as of a version; it must not keep or change them.
-	Set(now time.Time, rows Rows, version Version)
+	// Set receives all rows as of a version, and rows that went by it and are to be kept beside them; it must not keep or change either. The sink ends the use
+	// of kept rows in time, whether it hears from the follower again or not.
+	Set(now time.Time, rows Rows, version Version, kept Kept)
 	// Confirm reports that the rows have not changed up to a version.
 	Confirm(now time.Time, version Version)
 }
@@ -143,7 +151,7 @@
 	if !f.listed {
 		return true, f.list(ctx, config)
 	}
-	wait := f.pollWait(steady.Now(), config)
+	wait := f.pollWait(config)
 	ctx, cancel := context.WithTimeout(ctx, wait+config.PollSlack)
 	defer cancel()
 	changes, version, err := f.source.Changes(ctx, f.version, wait)
@@ -155,7 +163,7 @@
 	f.resumed = false
 	f.version = max(f.version, version)
 	f.applyChanges(now, changes)
-	if len(changes) > 0 || f.removals.expire(now) {
+	if len(changes) > 0 {
 		f.publish(now)
 		return true, nil
 	}
@@ -164,13 +172,10 @@
 }
 
 // pollWait returns how long the next call waits for changes.
-func (f *Follower) pollWait(now time.Time, config Config) time.Duration {
+func (f *Follower) pollWait(config Config) time.Duration {
 	if f.resumed || f.failures > 0 { // learn at once how old the rows are
 		return 0
 	}
-	if left, ok := f.removals.remaining(now); ok {
-		return min(left, config.PollWait)
-	}
 	return config.PollWait
 }
 
@@ -208,8 +213,7 @@
 
 // publish passes the rows to the sink.
 func (f *Follower) publish(now time.Time) {
-	f.removals.expire(now)
-	f.sink.Set(now, f.removals.merge(f.rows), f.version)
+	f.sink.Set(now, f.rows, f.version, f.removals.kept(now, f.rows))
 }
 
 // recordFailure counts a failure, and logs the first in a row.
