Rows that cannot be read end at followers, too

Cause: a frame left rows out that are no JSON, but neither named them as removed nor left their keys out, so that followers kept the row before. Ruled out: the placement (the reader, with the same rows, was right), the decoding of rows (followers never got the bytes).

Change: a row that is left out is told as gone. Its next readable form is a new row.

--- a/shell/mesh/frame.go
+++ b/shell/mesh/frame.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -161,18 +162,25 @@
 	if t.subversionDiffers(base) && baseVersion > 0 {
 		baseVersion--
 	}
+	var unreadable []string // left out, so that followers must not go on with the rows that they replaced
 	for key, row := range t.rows {
-		if row.Version > baseVersion && json.Valid(row.Data) {
+		switch {
+		case row.Version <= baseVersion:
+		case json.Valid(row.Data):
 			update.Rows = append(update.Rows, rowUpdate{Key: key, Data: row.Data, Version: row.Version})
+		default:
+			unreadable = append(unreadable, key)
 		}
 	}
 	if !t.subversionDiffers(base) && t.removals.covers(baseVersion) {
-		update.Removed = t.removals.removedSince(baseVersion)
+		update.Removed = append(t.removals.removedSince(baseVersion), unreadable...)
 		return update
 	}
 	update.Keys = make([]string, 0, len(t.rows))
 	for key := range t.rows {
-		update.Keys = append(update.Keys, key)
+		if !slices.Contains(unreadable, key) {
+			update.Keys = append(update.Keys, key)
+		}
 	}
 	return update
 }
--- a/shell/mesh/model_test.go
+++ b/shell/mesh/model_test.go
@@ -212,7 +212,7 @@
 	key := fmt.Sprint("k", rng.IntN(modelKeys))
 	h := hubs[rng.IntN(len(hubs))]
 	other := hubs[rng.IntN(len(hubs))]
-	switch rng.IntN(12) {
+	switch rng.IntN(13) {
 	case 0, 1:
 		store.write(key, fmt.Sprintf(`"%d"`, rng.Uint32()))
 	case 2, 3, 4:
@@ -230,5 +230,7 @@
 	case 11:
 		h.restart()
 		h.read(t)
+	case 12:
+		store.write(key, "\x00 unreadable")
 	}
 }
