A live upstream is not replaced by the row of an earlier one at its address

Cause: an upstream that was not listed before marked all others at its address as replaced, also if it was the earlier one and its row had only come back for a while, and nothing but a restart took the mark off. Ruled out: the route table (the route was in force), the circuit breakers (no attempt was made).

Change: which of several upstreams at one address is the latest is decided anew with each list, by the start that they state, otherwise by when they were first listed; one that is alone at its address is not replaced.

--- a/decide/placement/state.go
+++ b/decide/placement/state.go
@@ -79,7 +79,8 @@
 	lostAt             time.Time  // when this node last lost an attempt on it
 	sent               []sentWork // by time
 	slowness           *slowness  // nil if its pace is unknown
-	replaced           bool       // whether a newer upstream is listed at its address
+	listing            int        // position in the order in which upstreams were first listed
+	replaced           bool       // whether a later upstream is listed at its address
 	replacedUntil      time.Time  // until when it gets no work because another upstream answered at its address
 	vmLeaving          bool       // whether its VM is being removed
 	isAnnounced        bool       // whether its version is not to begin streams yet
@@ -119,6 +120,7 @@
 	uneven     map[vaneyoke.ServiceID]*unevenness
 	brittle    map[vaneyoke.ServiceID]brittleness
 	announced  map[vaneyoke.ServiceID][]vaneyoke.SoftwareVersion
+	listings   int // upstreams that were listed so far
 	fleet      Fleet
 }
 
@@ -137,17 +139,13 @@
 	if s.updateInPlace(upstreams) {
 		return
 	}
-	var byURL map[string][]*entry // known upstreams; built when the first unknown one is seen
 	entries := make(map[vaneyoke.UpstreamID]*entry, len(upstreams))
 	order := make([]*entry, 0, len(upstreams))
 	for _, u := range upstreams {
 		e, ok := s.entries[u.ID]
 		if !ok {
-			e = &entry{breaker: retry.NewBreaker(s.breaker), limit: s.limits[u.ID], hold: s.holds.Hold(u.ID)}
-			if byURL == nil {
-				byURL = lo.GroupBy(s.sorted, func(e *entry) string { return e.upstream.URL })
-			}
-			markReplaced(byURL[u.URL])
+			s.listings++
+			e = &entry{breaker: retry.NewBreaker(s.breaker), limit: s.limits[u.ID], hold: s.holds.Hold(u.ID), listing: s.listings}
 		}
 		s.update(e, ok, u)
 		entries[u.ID] = e
@@ -156,6 +154,7 @@
 	slices.SortFunc(order, func(a, b *entry) int { return cmp.Compare(a.upstream.ID, b.upstream.ID) })
 	s.entries = entries
 	s.sorted = order
+	s.refreshReplaced()
 	s.refreshSplits()
 	s.refreshAnnounced()
 }
@@ -170,8 +169,12 @@
 			return false
 		}
 	}
+	isMoved := false
 	for i := range upstreams {
-		s.update(s.entries[upstreams[i].ID], true, upstreams[i])
+		isMoved = s.update(s.entries[upstreams[i].ID], true, upstreams[i]) || isMoved
+	}
+	if isMoved {
+		s.refreshReplaced()
 	}
 	s.refreshSplits()
 	s.refreshAnnounced()
@@ -198,32 +201,55 @@
 	}
 }
 
-// update applies the list's entry for an upstream; known says whether the upstream was listed before.
-func (s *State) update(e *entry, known bool, u vaneyoke.Upstream) {
+// update applies the list's entry for an upstream, and reports whether the upstream has restarted or has another address; known says whether it was listed
+// before.
+func (s *State) update(e *entry, known bool, u vaneyoke.Upstream) (isMoved bool) {
 	if u.Incarnation < e.upstream.Incarnation { // the entry is older than the upstream's own report
 		u.VersionUnknown = e.upstream.VersionUnknown && u.Incarnation != 0 // an entry that states no incarnation may be of any
 		u.Incarnation = e.upstream.Incarnation
 	}
-	if known && (e.upstream.Incarnation != 0 && u.Incarnation > e.upstream.Incarnation || u.URL != e.upstream.URL) {
+	isMoved = known && (e.upstream.Incarnation != 0 && u.Incarnation > e.upstream.Incarnation || u.URL != e.upstream.URL)
+	if isMoved {
 		s.resetAfterRestart(e)
 	}
 	e.upstream = u
+	return isMoved
 }
 
 // resetAfterRestart drops the state of an upstream's earlier incarnation, except this node's attempts in flight, which end on their own.
 func (s *State) resetAfterRestart(e *entry) {
 	e.breaker = retry.NewBreaker(s.breaker)
 	e.firstToken, e.declines, e.report, e.replicaBytes = estimate{}, declines{}, vaneyoke.LoadReport{}, 0
-	e.replaced, e.replacedUntil, e.reportedAt, e.sent = false, time.Time{}, time.Time{}, nil
+	e.replacedUntil, e.reportedAt, e.sent = time.Time{}, time.Time{}, nil
 	e.slowness = nil
 	e.limit, e.limitedUntil, e.lastRetryAt = vaneyoke.Limit{}, time.Time{}, time.Time{}
 }
 
-// markReplaced marks the upstreams whose address is now used by a new upstream: they have ended, even if they are still listed.
-func markReplaced(previous []*entry) {
-	for _, e := range previous {
-		e.replaced = true
+// refreshReplaced marks the upstreams whose address a later one uses: they have ended, even if they are still listed.
+func (s *State) refreshReplaced() {
+	latest := make(map[string]*entry, len(s.sorted))
+	for _, e := range s.sorted {
+		e.replaced = false
+		other := latest[e.upstream.URL]
+		switch {
+		case e.upstream.URL == "":
+		case other == nil:
+			latest[e.upstream.URL] = e
+		case e.isLaterThan(other):
+			other.replaced = true
+			latest[e.upstream.URL] = e
+		default:
+			e.replaced = true
+		}
+	}
+}
+
+// isLaterThan reports whether an upstream started after another one at its address: by when they say that they did, otherwise by when they were listed.
+func (e *entry) isLaterThan(other *entry) bool {
+	if e.upstream.Incarnation != 0 && other.upstream.Incarnation != 0 && e.upstream.Incarnation != other.upstream.Incarnation {
+		return e.upstream.Incarnation > other.upstream.Incarnation
 	}
+	return e.listing > other.listing
 }
 
 // SetDrained sets which upstreams are drained by policy.
