The record of versions begins complete where no earlier build ran

Since the store records which versions began streams, callers who came back in the first moments of a fleet for a stream that nobody knows were refused although one version alone served: TestStreamOfUnknownOriginGoesOn (one version, unnamed, no stated version), TestCallerResumesStream, TestResumingCallerReachesThePromptHolder and TestStreamOfAStoppingNodeResumesElsewhere failed since.

Cause: a record counted as complete only at the fleet's first start as the settings state it, or two of the longest streams later. Change: what can be missing in a new record is what nodes of earlier builds began. Where none is registered, or has been within that time, the record is complete at once, and a service without one lacks nothing.

--- a/decide/pinning/archive_world_test.go
+++ b/decide/pinning/archive_world_test.go
@@ -96,7 +96,7 @@
 		s.w.after(100*time.Millisecond, s.advance)
 		return
 	}
-	config := pinning.VersionsConfig{AdmissionDelay: pinning.AdmissionDelay(len(s.w.nodes)), Retention: 50 * time.Second, Uptime: s.w.now.Sub(reader.since), FirstStart: s.first}
+	config := pinning.VersionsConfig{AdmissionDelay: pinning.AdmissionDelay(len(s.w.nodes)), Retention: 50 * time.Second, Uptime: s.w.now.Sub(reader.since), NoEarlierBuilds: s.first}
 	next, changed, due := s.versions.Advance(s.now(), s.listed, config)
 	s.first = false
 	if changed {
--- a/decide/pinning/registry.go
+++ b/decide/pinning/registry.go
@@ -67,11 +67,13 @@
 	return r.listed[service]
 }
 
-// Candidates returns the versions that may have begun streams of a service, sorted; isComplete is false if others may have, too.
+// Candidates returns the versions that may have begun streams of a service, sorted; isComplete is false if others may have, too. A service without a record has
+// only begun to be served by builds that write one.
 func (r *VersionRegistry) Candidates(service vaneyoke.ServiceID) (versions []vaneyoke.SoftwareVersion, isComplete bool) {
 	row, ok := r.rows[service]
 	if !ok {
-		return nil, false
+		versions = slices.Sorted(slices.Values(r.listed[service]))
+		return versions, r.isKnown && len(versions) > 0
 	}
 	for _, v := range row.Versions {
 		if v.Stage != StageAnnounced {
--- a/decide/pinning/service_versions.go
+++ b/decide/pinning/service_versions.go
@@ -49,7 +49,8 @@
 	AdmissionDelay time.Duration // from the announcement of a version until it is admitted
 	Retention      time.Duration // for which callers may come back for a stream
 	Uptime         time.Duration // of this node's process
-	FirstStart     bool          // whether the fleet starts for the first time, so that no earlier build began streams
+	// NoEarlierBuilds says that no node runs, or has run of late, a build that begins streams without a record.
+	NoEarlierBuilds bool
 }
 
 const (
@@ -67,7 +68,7 @@
 	next = s
 	next.Versions = nil
 	if s.Revision == 0 {
-		next.Complete, next.Since, changed = config.FirstStart, now, true
+		next.Complete, next.Since, changed = config.NoEarlierBuilds, now, true
 	}
 	if !next.Complete && now.Sub(next.Since) >= config.Retention {
 		next.Complete, changed = true, true
--- a/decide/pinning/service_versions_test.go
+++ b/decide/pinning/service_versions_test.go
@@ -78,7 +78,7 @@
 // Guards against a record that is held to name all versions although earlier builds may have begun streams before it was begun.
 func TestRecordIsCompleteOnceNoEarlierStreamIsLeft(t *testing.T) {
 	first := recordConfig
-	first.FirstStart = true
+	first.NoEarlierBuilds = true
 	s, _ := stagesAfter(pinning.ServiceVersions{Service: "lm"}, first, listedFor{versionList{"v1"}, time.Second})
 	must.True(t, s.Complete)
 	s, _ = stagesAfter(pinning.ServiceVersions{Service: "lm"}, recordConfig, listedFor{versionList{"v1"}, 49 * time.Second})
--- a/process/node/gateway_wire.go
+++ b/process/node/gateway_wire.go
@@ -182,6 +182,7 @@
 			node.SetMembers(mesh.DecodeMembers(rows))
 			limitUpdates.setMembers(node.Registered())
 			active.dialer.SetMembers(node.Registered())
+			active.versions.setMembers(node.Registered())
 			active.pins.SetMembers(pinMembers(node.Registered()))
 			active.balancer.SetFleet(fleetOf(self.VM, node.Registered()))
 			active.balancer.SetRetryBurst(fleetBudgetConfig(s.Retry, node.Members()).Burst)
--- a/process/node/pins_wire.go
+++ b/process/node/pins_wire.go
@@ -4,6 +4,7 @@
 	"context"
 	"expvar"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -29,7 +30,7 @@
 type pinListing struct {
 	balancer *balancer.Balancer
 	mesh     *mesh.Node
-	versions *pins.Versions
+	tables   *versionTables
 }
 
 // Software returns the versions that may have begun streams of services, and for how long before now these are known to be all: by the store's record where
@@ -38,11 +39,11 @@
 	listed, watched := l.balancer.Software(services)
 	coverage = completeCoverage
 	for _, service := range services {
-		versions, isComplete := l.versions.Candidates(service)
+		versions, isComplete := l.tables.versions.Candidates(service)
 		all = append(all, lo.Map(versions, func(v vaneyoke.SoftwareVersion, _ int) pinning.Software {
 			return pinning.Software{Service: service, Version: v}
 		})...)
-		if !isComplete || l.hasEarlierBuilds() {
+		if !isComplete || l.tables.hasEarlierBuilds(time.Now()) {
 			coverage = min(coverage, watched)
 			all = append(all, lo.Filter(listed, func(s pinning.Software, _ int) bool { return s.Service == service })...)
 		}
@@ -53,15 +54,25 @@
 	return lo.Uniq(all), coverage
 }
 
-// hasEarlierBuilds reports whether nodes run builds that do not wait for the store's record before a version begins streams.
-func (l pinListing) hasEarlierBuilds() bool {
-	return slices.ContainsFunc(l.mesh.Registered(), func(m feed.Member) bool { return m.Protocol < feed.ProtocolRecords })
-}
-
 // versionTables passes the rows of the store's tables to the component that records versions. It may be created before that component.
 type versionTables struct {
-	versions *pins.Versions
-	log      logrus.FieldLogger
+	versions    *pins.Versions
+	retention   func() time.Duration
+	earlierSeen atomic.Pointer[time.Time] // when nodes were last registered whose builds begin streams without a record; nil for never
+	log         logrus.FieldLogger
+}
+
+// setMembers notes whether earlier builds are registered.
+func (t *versionTables) setMembers(members []feed.Member) {
+	if slices.ContainsFunc(members, func(m feed.Member) bool { return m.Protocol < feed.ProtocolRecords }) {
+		t.earlierSeen.Store(new(time.Now()))
+	}
+}
+
+// hasEarlierBuilds reports whether callers may come back for streams that earlier builds began without a record.
+func (t *versionTables) hasEarlierBuilds(now time.Time) bool {
+	seen := t.earlierSeen.Load()
+	return seen != nil && now.Sub(*seen) < t.retention()
 }
 
 // setRows passes on the rows of the versions table.
@@ -92,29 +103,38 @@
 		VM: vaneyoke.VMID(s.Node.VM), DataCentre: vaneyoke.DataCentreID(s.Node.DataCentre), Address: s.Gateway.Peers,
 		Incarnation: vaneyoke.Incarnation(time.Now().UnixMilli()), //nolint:gosec // after 1970
 	}
-	listing := &pinListing{balancer: do.MustInvoke[*balancer.Balancer](i), mesh: member}
+	tables := do.MustInvoke[*versionTables](i)
+	tables.retention = func() time.Duration { return retention(s.Gateway, active) }
+	listing := pinListing{balancer: do.MustInvoke[*balancer.Balancer](i), mesh: member, tables: tables}
 	node := pins.New(self, listing, member, platform.NewStreamRecords(client, s.Gateway.Store, self.VM), pins.NewMetrics(do.MustInvoke[*expvar.Map](i)), log)
-	listing.versions = pins.NewVersions(
-		platform.NewServiceVersions(client, s.Gateway.Store), member, versionsConfig(s.Gateway, member, active), do.MustInvoke[*balancer.Balancer](i), node.SetMixed, log,
+	tables.versions = pins.NewVersions(
+		platform.NewServiceVersions(client, s.Gateway.Store), member, versionsConfig(member, tables), do.MustInvoke[*balancer.Balancer](i), node.SetMixed, log,
 	)
 	member.OnPins(node.HandleDatagram)
 	active.pins = node
-	do.MustInvoke[*versionTables](i).versions = listing.versions
 	return node, nil
 }
 
 // retentionFactor is how many times the longest stream a version is remembered after its last upstream has left, since a configuration may allow longer ones.
 const retentionFactor = 2
 
+// retention returns for how long callers may come back for a stream.
+func retention(s settings.Gateway, active *activeConfig) time.Duration {
+	if table := active.Routes(); table != nil {
+		return retentionFactor * table.LongestStream(s.MaxWait)
+	}
+	return retentionFactor * s.MaxWait
+}
+
 // versionsConfig returns the delays of the record of versions, which depend on the fleet and its routes.
-func versionsConfig(s settings.Gateway, member *mesh.Node, active *activeConfig) func() pinning.VersionsConfig {
+func versionsConfig(member *mesh.Node, tables *versionTables) func() pinning.VersionsConfig {
 	startedAt := time.Now()
 	return func() pinning.VersionsConfig {
-		longest := s.MaxWait
-		if table := active.Routes(); table != nil {
-			longest = table.LongestStream(s.MaxWait)
+		now := time.Now()
+		return pinning.VersionsConfig{
+			AdmissionDelay: pinning.AdmissionDelay(member.Members()), Retention: tables.retention(), Uptime: now.Sub(startedAt),
+			NoEarlierBuilds: !tables.hasEarlierBuilds(now),
 		}
-		return pinning.VersionsConfig{AdmissionDelay: pinning.AdmissionDelay(member.Members()), Retention: retentionFactor * longest, Uptime: time.Since(startedAt), FirstStart: s.FirstStart}
 	}
 }
 
