An upstream whose address another one took stays replaced until it restarts

Change: the mark stays until the upstream restarts, as before; which of two at an address is the later one goes by their starts, otherwise by the order in which they were first listed, which is remembered when an entry goes and comes back, so that a row that comes back marks nobody. TestLiveUpstreamIsNotReplacedByAnEarlierRow asks for more now: the live upstream is picked, and the earlier one is not, while the earlier row is there, also where no start is stated.

--- a/decide/placement/replaced_test.go
+++ b/decide/placement/replaced_test.go
@@ -38,15 +38,14 @@
 			s.SetUpstreams([]vaneyoke.Upstream{earlier})
 			s.SetUpstreams([]vaneyoke.Upstream{live})
 			s.SetUpstreams([]vaneyoke.Upstream{live, earlier})
-			if born != 0 {
-				u, _, ok := s.Pick(now, rng(), need)
-				must.True(t, ok)
-				must.EqOp(t, "live", u.ID)
-			}
-			s.SetUpstreams([]vaneyoke.Upstream{live})
+			must.False(t, s.AcceptsWork(now, "earlier"))
 			u, _, ok := s.Pick(now, rng(), need)
 			must.True(t, ok)
 			must.EqOp(t, "live", u.ID)
+			s.SetUpstreams([]vaneyoke.Upstream{live})
+			u, _, ok = s.Pick(now, rng(), need)
+			must.True(t, ok)
+			must.EqOp(t, "live", u.ID)
 		})
 	}
 }
--- a/decide/placement/state.go
+++ b/decide/placement/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -19,6 +20,7 @@
 	// replacedTTL is how long an upstream gets no work after another one answered at its address. It exceeds the time that an entry outlives
 	// its upstream, three heartbeats of about 1.2 s, and is limited because the upstream may restart under the same ID.
 	replacedTTL = 5 * time.Second
+	maxUnlisted = 4096 // upstreams that are not listed any more whose order of listing is kept
 )
 
 // Need describes the upstream that an attempt requires.
@@ -120,7 +122,8 @@
 	uneven     map[vaneyoke.ServiceID]*unevenness
 	brittle    map[vaneyoke.ServiceID]brittleness
 	announced  map[vaneyoke.ServiceID][]vaneyoke.SoftwareVersion
-	listings   int // upstreams that were listed so far
+	listings   map[vaneyoke.UpstreamID]int // order in which upstreams were first listed, including some that are not any more
+	lastListed int
 	fleet      Fleet
 }
 
@@ -130,7 +133,7 @@
 		dataCentre: dataCentre, breaker: breaker, entries: map[vaneyoke.UpstreamID]*entry{}, limits: map[vaneyoke.UpstreamID]vaneyoke.Limit{},
 		holds: pushback.NewTracker(), splits: map[vaneyoke.ServiceID]*serviceSplit{},
 		speeds: map[vaneyoke.ServiceID]*serviceSpeed{}, uneven: map[vaneyoke.ServiceID]*unevenness{},
-		brittle: map[vaneyoke.ServiceID]brittleness{},
+		brittle: map[vaneyoke.ServiceID]brittleness{}, listings: map[vaneyoke.UpstreamID]int{},
 	}
 }
 
@@ -144,8 +147,7 @@
 	for _, u := range upstreams {
 		e, ok := s.entries[u.ID]
 		if !ok {
-			s.listings++
-			e = &entry{breaker: retry.NewBreaker(s.breaker), limit: s.limits[u.ID], hold: s.holds.Hold(u.ID), listing: s.listings}
+			e = &entry{breaker: retry.NewBreaker(s.breaker), limit: s.limits[u.ID], hold: s.holds.Hold(u.ID), listing: s.listingOf(u.ID)}
 		}
 		s.update(e, ok, u)
 		entries[u.ID] = e
@@ -220,16 +222,28 @@
 func (s *State) resetAfterRestart(e *entry) {
 	e.breaker = retry.NewBreaker(s.breaker)
 	e.firstToken, e.declines, e.report, e.replicaBytes = estimate{}, declines{}, vaneyoke.LoadReport{}, 0
-	e.replacedUntil, e.reportedAt, e.sent = time.Time{}, time.Time{}, nil
+	e.replaced, e.replacedUntil, e.reportedAt, e.sent = false, time.Time{}, time.Time{}, nil
 	e.slowness = nil
 	e.limit, e.limitedUntil, e.lastRetryAt = vaneyoke.Limit{}, time.Time{}, time.Time{}
 }
 
-// refreshReplaced marks the upstreams whose address a later one uses: they have ended, even if they are still listed.
+// listingOf returns the position of an upstream in the order of first listing, also of one that was listed before and comes back.
+func (s *State) listingOf(id vaneyoke.UpstreamID) int {
+	if n, ok := s.listings[id]; ok {
+		return n
+	}
+	if len(s.listings) > len(s.entries)+maxUnlisted {
+		maps.DeleteFunc(s.listings, func(id vaneyoke.UpstreamID, _ int) bool { return s.entries[id] == nil })
+	}
+	s.lastListed++
+	s.listings[id] = s.lastListed
+	return s.lastListed
+}
+
+// refreshReplaced marks the upstreams whose address a later one uses: they have ended, even if they are still listed or listed alone again.
 func (s *State) refreshReplaced() {
 	latest := make(map[string]*entry, len(s.sorted))
 	for _, e := range s.sorted {
-		e.replaced = false
 		other := latest[e.upstream.URL]
 		switch {
 		case e.upstream.URL == "":
