--- a/process/node/versions_wire.go
+++ b/process/node/versions_wire.go
@@ -23,6 +23,7 @@
 // versionTables passes the rows of the store's tables to the component that records versions. It may be created before that component.
 type versionTables struct {
 	versions    *pins.Versions
+	node        *pins.Node
 	active      *activeConfig
 	maxWait     time.Duration             // of an answer whose route states none
 	startedAt   time.Time                 // of this process
@@ -46,6 +47,7 @@
 // setRows passes on the rows of the versions table.
 func (t *versionTables) setRows(_ time.Time, rows watch.Rows) {
 	t.versions.SetRows(readRows(rows, t.log, platform.DecodeServiceVersions))
+	t.node.VersionsKnown()
 }
 
 // setUpstreams passes on the list of upstreams.
@@ -86,5 +88,6 @@
 
 // connect creates the component, once those that it reads and tells exist.
 func (t *versionTables) connect(store pins.VersionStore, member *mesh.Node, listener pins.StageListener, node *pins.Node) {
+	t.node = node
 	t.versions = pins.NewVersions(store, member, func() pinning.VersionsConfig { return t.config(member) }, listener, node.SetMixed, t.log)
 }
--- a/shell/mesh/kept_rows_test.go
+++ b/shell/mesh/kept_rows_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,9 +14,27 @@
 )
 
 // newKeepingHub returns a hub that keeps rows, and those that it has in use.
-func newKeepingHub() (*Hub, *watch.Rows) {
-	got := &watch.Rows{}
-	return NewHub(map[string]Table{"t": {Grace: modelGrace, Apply: func(_ time.Time, rows watch.Rows) { *got = maps.Clone(rows) }}}), got
+func newKeepingHub() (*Hub, *usedRows) {
+	got := &usedRows{}
+	return NewHub(map[string]Table{"t": {Grace: modelGrace, Apply: func(_ time.Time, rows watch.Rows) { got.set(rows) }}}), got
+}
+
+// usedRows holds the rows that a hub has in use.
+type usedRows struct {
+	mu   sync.Mutex
+	rows watch.Rows
+}
+
+func (u *usedRows) set(rows watch.Rows) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.rows = maps.Clone(rows)
+}
+
+func (u *usedRows) get() watch.Rows {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.rows
 }
 
 // sendFrame passes what a hub has for a node with the held versions to that node.
@@ -58,13 +77,13 @@
 		sendFrame(t, near, far, farHeld, true)
 		sendFrame(t, far, starting, heldVersions{}, true)
 		sendFrame(t, reader, aware, heldVersions{"t": {version: 2}}, true)
-		for _, rows := range []*watch.Rows{inUse, nearInUse, farInUse, startingInUse} {
-			must.Eq(t, bothRows, *rows)
+		for _, rows := range []*usedRows{inUse, nearInUse, farInUse, startingInUse} {
+			must.Eq(t, bothRows, rows.get())
 		}
-		must.Eq(t, oneRow, *awareInUse) // it knew that the row is gone
+		must.Eq(t, oneRow, awareInUse.get()) // it knew that the row is gone
 		time.Sleep(time.Until(until) + 10*time.Millisecond)
-		for _, rows := range []*watch.Rows{inUse, nearInUse, farInUse, startingInUse} {
-			must.Eq(t, oneRow, *rows)
+		for _, rows := range []*usedRows{inUse, nearInUse, farInUse, startingInUse} {
+			must.Eq(t, oneRow, rows.get())
 		}
 	})
 }
@@ -81,7 +100,7 @@
 		must.False(t, ok) // it does not resume reading from these
 		later.Set(steady.Now(), "t", oneRow, 3, watch.Kept{})
 		sendFrame(t, later, follower, parseHeldVersions(follower.heldQuery()), true)
-		must.Eq(t, oneRow, *inUse)
+		must.Eq(t, oneRow, inUse.get())
 		_, _, ok = follower.Snapshot("t")
 		must.True(t, ok)
 	})
--- a/shell/mesh/model_test.go
+++ b/shell/mesh/model_test.go
@@ -9,6 +9,7 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,6 +36,7 @@
 
 // modelStore is a table of a store that keeps its history.
 type modelStore struct {
+	mu      sync.Mutex // guards all, and which hubs are cut
 	rows    watch.Rows
 	version watch.Version
 	log     []watch.Change
@@ -42,6 +44,8 @@
 }
 
 func (s *modelStore) write(key, data string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.version++
 	row := watch.Row{Data: []byte(data), Version: s.version}
 	s.rows[key] = row
@@ -49,6 +53,8 @@
 }
 
 func (s *modelStore) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if _, ok := s.rows[key]; !ok {
 		return
 	}
@@ -70,8 +76,8 @@
 type modelHub struct {
 	store  *modelStore
 	hub    *Hub
-	inUse  *watch.Rows // by the hub of the present life
-	cut    bool        // from the store
+	inUse  *usedRows // by the hub of the present life
+	cut    bool      // from the store
 	cancel context.CancelFunc
 }
 
@@ -84,9 +90,9 @@
 // restart empties the hub.
 func (h *modelHub) restart() {
 	h.cancel()
-	inUse := &watch.Rows{}
+	inUse := &usedRows{}
 	h.inUse = inUse
-	h.hub = NewHub(map[string]Table{modelTable: {Grace: modelGrace, Apply: func(_ time.Time, rows watch.Rows) { *inUse = maps.Clone(rows) }}})
+	h.hub = NewHub(map[string]Table{modelTable: {Grace: modelGrace, Apply: func(_ time.Time, rows watch.Rows) { inUse.set(rows) }}})
 }
 
 func (h *modelHub) down() error {
@@ -97,30 +103,42 @@
 }
 
 func (h *modelHub) List(context.Context) (watch.Rows, watch.Version, error) {
+	h.store.mu.Lock()
+	defer h.store.mu.Unlock()
 	return maps.Clone(h.store.rows), h.store.version, h.down()
 }
 
 func (h *modelHub) Changes(ctx context.Context, after watch.Version, wait time.Duration) ([]watch.Change, watch.Version, error) {
 	for end := time.Now().Add(wait); ; time.Sleep(modelPoll) {
-		if err := errors.Join(ctx.Err(), h.down()); err != nil {
+		changes, version, err := h.changesSince(after)
+		if err = errors.Join(ctx.Err(), err); err != nil {
 			return nil, 0, err
 		}
-		changes := slices.DeleteFunc(slices.Clone(h.store.log), func(c watch.Change) bool { return c.Row.Version <= after })
 		if len(changes) > 0 || !time.Now().Before(end) {
-			return changes, h.store.version, nil
+			return changes, version, nil
 		}
 	}
 }
 
+func (h *modelHub) changesSince(after watch.Version) ([]watch.Change, watch.Version, error) {
+	h.store.mu.Lock()
+	defer h.store.mu.Unlock()
+	changes := slices.DeleteFunc(slices.Clone(h.store.log), func(c watch.Change) bool { return c.Row.Version <= after })
+	return changes, h.store.version, h.down()
+}
+
+// modelSink passes on what a follower of the store reads to the hub of one life.
+type modelSink struct{ hub *Hub }
+
 // Set passes rows of the store to the hub.
-func (h *modelHub) Set(now time.Time, rows watch.Rows, version watch.Version, kept watch.Kept) {
-	h.hub.Set(now, modelTable, rows, version, kept)
-	h.Confirm(now, version)
+func (s modelSink) Set(now time.Time, rows watch.Rows, version watch.Version, kept watch.Kept) {
+	s.hub.Set(now, modelTable, rows, version, kept)
+	s.Confirm(now, version)
 }
 
 // Confirm passes a confirmation of the store to the hub.
-func (h *modelHub) Confirm(now time.Time, version watch.Version) {
-	h.hub.Confirm(modelTable, version, now, "reader")
+func (s modelSink) Confirm(now time.Time, version watch.Version) {
+	s.hub.Confirm(modelTable, version, now, "reader")
 }
 
 // read has the hub read the store.
@@ -135,7 +153,7 @@
 		c.RemovalGrace = modelGrace
 		return c
 	}
-	f := watch.New(modelTable, h, config, watch.NewRetryGate(), h, log)
+	f := watch.New(modelTable, h, config, watch.NewRetryGate(), modelSink{h.hub}, log)
 	if rows, version, ok := h.hub.Snapshot(modelTable); ok {
 		f.Resume(rows, version)
 	}
@@ -147,7 +165,7 @@
 	h.cancel()
 	ctx, cancel := context.WithCancel(t.Context())
 	h.cancel = cancel
-	held, from := parseHeldVersions(h.hub.heldQuery()), source.hub
+	held, from, to := parseHeldVersions(h.hub.heldQuery()), source.hub, h.hub
 	go func() {
 		for ctx.Err() == nil {
 			p, status, _, err := from.nextUpdate(steady.Now(), held)
@@ -158,7 +176,7 @@
 				must.NoError(t, err)
 			}
 			f.Status = &status
-			h.hub.applyFrame(steady.Now(), f, p, true)
+			to.applyFrame(steady.Now(), f, p, true)
 			time.Sleep(modelPoll)
 		}
 	}()
@@ -190,9 +208,13 @@
 		disruptModel(t, rng, store, hubs)
 		time.Sleep(time.Duration(rng.Int64N(int64(modelMaxStep))))
 	}
+	store.mu.Lock()
 	store.away = false
-	for i, h := range hubs {
+	for _, h := range hubs {
 		h.cut = false
+	}
+	store.mu.Unlock()
+	for i, h := range hubs {
 		if i == 0 || rng.IntN(3) == 0 {
 			h.read(t)
 		} else {
@@ -201,7 +223,7 @@
 	}
 	time.Sleep(calmAfter)
 	for i, h := range hubs {
-		must.Eq(t, store.readable(), readableRows(*h.inUse), must.Sprintf("seed %d, hub %d", seed, i))
+		must.Eq(t, store.readable(), readableRows(h.inUse.get()), must.Sprintf("seed %d, hub %d", seed, i))
 		h.cancel()
 	}
 	time.Sleep(calmAfter) // all goroutines end
@@ -218,9 +240,13 @@
 	case 2, 3, 4:
 		store.remove(key)
 	case 5:
+		store.mu.Lock()
 		store.away = !store.away
+		store.mu.Unlock()
 	case 6:
+		store.mu.Lock()
 		h.cut = !h.cut
+		store.mu.Unlock()
 	case 7, 8:
 		h.read(t)
 	case 9, 10:
--- a/shell/mesh/unreadable_row_test.go
+++ b/shell/mesh/unreadable_row_test.go
@@ -22,10 +22,10 @@
 				follower.Set(steady.Now(), "t", bothRows, 2, watch.Kept{})
 				reader.Set(steady.Now(), "t", watch.Rows{"a": row("1", 1), "b": unreadable}, 4, watch.Kept{})
 				sendFrame(t, reader, follower, held, true)
-				must.Eq(t, oneRow, *inUse)
+				must.Eq(t, oneRow, inUse.get())
 				reader.Set(steady.Now(), "t", watch.Rows{"a": row("1", 1), "b": row("3", 5)}, 5, watch.Kept{})
 				sendFrame(t, reader, follower, held, true)
-				must.Eq(t, watch.Rows{"a": row("1", 1), "b": row("3", 5)}, *inUse)
+				must.Eq(t, watch.Rows{"a": row("1", 1), "b": row("3", 5)}, inUse.get())
 			})
 		})
 	}
--- a/shell/pins/node.go
+++ b/shell/pins/node.go
@@ -31,6 +31,7 @@
 const (
 	storeTimeout  = 1500 * time.Millisecond // of a call to the store
 	maxStoreReads = 16                      // concurrent reads of the store; further ones wait for up to storeTimeout
+	maxStartWait  = 300 * time.Millisecond  // for the store's record of versions, at a node that has just started
 )
 
 // Node keeps the records of streams that this node and others serve.
@@ -38,6 +39,8 @@
 	messenger Messenger
 	archive   Archive
 	reads     chan struct{} // holds an element for each read of the store in flight
+	known     chan struct{} // closed once the store's record of versions is known, or was waited for in vain
+	knownOnce sync.Once
 	metrics   *Metrics
 	log       logrus.FieldLogger
 
@@ -52,7 +55,7 @@
 // New returns a node that knows no streams.
 func New(self pinning.Member, listing pinning.Listing, messenger Messenger, archive Archive, metrics *Metrics, log logrus.FieldLogger) *Node {
 	n := &Node{
-		messenger: messenger, archive: archive, reads: make(chan struct{}, maxStoreReads), metrics: metrics, log: log, state: pinning.New(self, listing), waiting: map[pinning.LookupID]chan pinning.Origin{},
+		messenger: messenger, archive: archive, reads: make(chan struct{}, maxStoreReads), known: make(chan struct{}), metrics: metrics, log: log, state: pinning.New(self, listing), waiting: map[pinning.LookupID]chan pinning.Origin{},
 	}
 	n.state.EnableArchive()
 	n.timer = time.AfterFunc(time.Hour, func() { n.handle(pinning.Tick{}) })
@@ -78,6 +81,21 @@
 // SetMembers updates the nodes whose builds keep records.
 func (n *Node) SetMembers(all []pinning.Member) { n.handle(pinning.MembersUpdated{All: all}) }
 
+// VersionsKnown says that the store's record of versions is known; lookups wait for that at the start.
+func (n *Node) VersionsKnown() { n.knownOnce.Do(func() { close(n.known) }) }
+
+// awaitVersions waits until the store's record of versions is known, for a while and once.
+func (n *Node) awaitVersions(ctx context.Context) {
+	timeout := time.NewTimer(maxStartWait)
+	defer timeout.Stop()
+	select {
+	case <-n.known:
+	case <-ctx.Done():
+	case <-timeout.C:
+		n.VersionsKnown()
+	}
+}
+
 // SetMixed updates the services of which several software versions may have begun streams.
 func (n *Node) SetMixed(services []vaneyoke.ServiceID) {
 	n.handle(pinning.VersionsMixed{Services: services})
@@ -96,6 +114,7 @@
 // Find returns what is known of the software that began a stream whose caller resumes it.
 func (n *Node) Find(ctx context.Context, lookup Lookup) (pinning.Origin, error) {
 	startedAt := steady.Now()
+	n.awaitVersions(ctx)
 	decided := make(chan pinning.Origin, 1)
 	n.mu.Lock()
 	n.lastID++
