The store is asked before a stream goes on by the only version, while another is about to begin some

A version that is announced begins streams where no other takes work, and such a stream is recorded in the store. Cause: 'only one version' was concluded from the record of versions alone, though the streams' rows say more. Now the store is read as long as the service has several versions, announced ones included; where it does not answer, the caller is refused and told to come back. With one version nothing is read, as before. Test, seen failing before in three of its cases: TestOriginAsTheStoreKnowsIt. New beside it: TestLookupsOfAStreamShareARead, TestRowsFollowTheirRecords.

--- a/decide/pinning/archive.go
+++ b/decide/pinning/archive.go
@@ -67,6 +67,11 @@
 	s.scheduleWrite(now)
 }
 
+// isMixed reports whether several versions of any of the services may have begun streams, or are about to.
+func (a *archive) isMixed(services []vaneyoke.ServiceID) bool {
+	return slices.ContainsFunc(services, func(service vaneyoke.ServiceID) bool { return slices.Contains(a.mixed, service) })
+}
+
 // archiveRecord has a record of this node written, unless its row has it already.
 func (s *State) archiveRecord(now time.Time, r *record) {
 	if !slices.Contains(s.archive.mixed, r.Software.Service) {
--- a/decide/pinning/lookup.go
+++ b/decide/pinning/lookup.go
@@ -28,7 +28,6 @@
 	candidates []Software
 	coverage   time.Duration // longest time for which a node that answered, or this one, has known all versions that began streams
 	reading    bool          // whether the store is being asked
-	unread     bool          // whether the store did not answer
 }
 
 // asked is a node that was asked.
@@ -149,9 +148,10 @@
 	s.conclude(l, origin)
 }
 
-// decide decides a lookup for which no node has a record: the stream goes on if only one version can have begun it, or if the store has the record.
+// decide decides a lookup for which no node has a record: the stream goes on if only one version can have begun it, or if the store has the record. The store
+// is asked, too, where another version is about to begin streams, since it does so early where no other takes work.
 func (s *State) decide(l *lookup) {
-	if l.isOnlyVersion() || !s.archive.isEnabled {
+	if !s.archive.isEnabled || (l.isOnlyVersion() && !s.archive.isMixed(l.Services)) {
 		s.concludeWithoutRecord(l)
 		return
 	}
@@ -174,9 +174,10 @@
 		if !l.reading {
 			continue
 		}
-		l.unread = !ev.OK
 		switch {
-		case kept == nil || !ev.OK:
+		case !ev.OK:
+			s.conclude(l, Origin{Candidates: l.candidates, Coverage: l.coverage, StoreUnread: true})
+		case kept == nil:
 			s.concludeWithoutRecord(l)
 		case kept.Ambiguous:
 			s.conclude(l, Origin{Basis: BasisAmbiguous, Software: kept.Software})
@@ -192,7 +193,7 @@
 		s.conclude(l, Origin{Basis: BasisOnlyVersion, Software: l.candidates[0], Coverage: l.coverage})
 		return
 	}
-	s.conclude(l, Origin{Candidates: l.candidates, Coverage: l.coverage, StoreUnread: l.unread})
+	s.conclude(l, Origin{Candidates: l.candidates, Coverage: l.coverage})
 }
 
 func (s *State) conclude(l *lookup, origin Origin) {
--- a/decide/pinning/record.go
+++ b/decide/pinning/record.go
@@ -58,7 +58,7 @@
 	Candidates  []Software    // that may have begun it, if the basis is BasisNone
 	Asked       int           // nodes that were asked
 	Answered    int           // nodes that answered
-	StoreUnread bool          // whether the store was asked for the record and did not answer
+	StoreUnread bool          // whether the store has not answered yet, so that the stream may be known later
 	Coverage    time.Duration // for how long some node that was asked, or this one, has known all versions that began streams, if no record was found
 }
 
