--- a/decide/pinning/service_versions.go
+++ b/decide/pinning/service_versions.go
@@ -65,6 +65,7 @@
 // Advance returns the record at a time at which the given versions are listed, whether it differs from s, and how long after that it changes next unless
 // the list does; 0 for not at all.
 func (s ServiceVersions) Advance(now vaneyoke.StoreTime, listed []vaneyoke.SoftwareVersion, config VersionsConfig) (next ServiceVersions, changed bool, due time.Duration) {
+	s, changed = s.notAfter(now)
 	next = s
 	next.Versions = nil
 	if s.Revision == 0 {
@@ -93,6 +94,20 @@
 	return next, changed, next.due(now, listed, config)
 }
 
+// notAfter returns the record with times of the future set to the present one, as a row of another writer or of another clock may have them, and whether there
+// were any.
+func (s ServiceVersions) notAfter(now vaneyoke.StoreTime) (adjusted ServiceVersions, changed bool) {
+	changed = s.Since > now
+	s.Since = min(s.Since, now)
+	s.Versions = slices.Clone(s.Versions)
+	for i := range s.Versions {
+		v := &s.Versions[i]
+		changed = changed || v.Since > now
+		v.Since = min(v.Since, now)
+	}
+	return s, changed
+}
+
 // advance returns the next state of a version; its stage is 0 if it is to be dropped.
 func (v ServiceVersion) advance(now vaneyoke.StoreTime, isListed bool, config VersionsConfig) ServiceVersion {
 	if stage, at := v.next(now, isListed, config); stage != v.Stage && now >= at {
--- a/shell/mesh/frame.go
+++ b/shell/mesh/frame.go
@@ -191,6 +191,7 @@
 func (h *Hub) applyFrame(now time.Time, f frame, p packet, isExact bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.expireLocked(now)
 	before, changed := h.heldVersions(), false
 	for _, update := range f.Tables {
 		isApplied := h.set(now, update.Name, h.mergedRows(update), update.Version, decodeKept(now, update.Kept)) // the next status carries the time of the confirmation
--- a/shell/mesh/hub.go
+++ b/shell/mesh/hub.go
@@ -72,6 +72,7 @@
 func (h *Hub) Set(now time.Time, name string, rows watch.Rows, version watch.Version, kept watch.Kept) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.expireLocked(now)
 	if h.set(now, name, rows, version, keepUntil(kept.Rows, kept.Until)) {
 		h.notify()
 	}
--- a/shell/mesh/kept_rows.go
+++ b/shell/mesh/kept_rows.go
@@ -95,6 +95,12 @@
 func (h *Hub) expireKept(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.expireLocked(now)
+	h.scheduleExpiry(now)
+}
+
+// expireLocked is called with each change, too, since timers stand still while a VM is suspended.
+func (h *Hub) expireLocked(now time.Time) {
 	for name, t := range h.tables {
 		before := len(t.kept)
 		maps.DeleteFunc(t.kept, func(_ string, k keptRow) bool { return !now.Before(k.until) })
@@ -103,7 +109,6 @@
 			t.apply(now)
 		}
 	}
-	h.scheduleExpiry(now)
 }
 
 // hasKept reports whether any table keeps rows; updates then hold times, so that they are not cached.
--- a/shell/pins/node.go
+++ b/shell/pins/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -39,8 +40,9 @@
 	messenger Messenger
 	archive   Archive
 	reads     chan struct{} // holds an element for each read of the store in flight
-	known     chan struct{} // closed once the store's record of versions is known, or was waited for in vain
+	known     chan struct{} // closed once the store's record of versions is known
 	knownOnce sync.Once
+	waited    atomic.Bool // whether that was waited for in vain
 	metrics   *Metrics
 	log       logrus.FieldLogger
 
@@ -84,15 +86,23 @@
 // VersionsKnown says that the store's record of versions is known; lookups wait for that at the start.
 func (n *Node) VersionsKnown() { n.knownOnce.Do(func() { close(n.known) }) }
 
-// awaitVersions waits until the store's record of versions is known, for a while and once.
-func (n *Node) awaitVersions(ctx context.Context) {
-	timeout := time.NewTimer(maxStartWait)
+// awaitVersions waits for a while until the store's record of versions is known, and reports whether it is. It waits once only, since a source of an earlier
+// build does not send it.
+func (n *Node) awaitVersions(ctx context.Context) bool {
+	wait := maxStartWait
+	if n.waited.Load() {
+		wait = 0
+	}
+	timeout := time.NewTimer(wait)
 	defer timeout.Stop()
 	select {
 	case <-n.known:
+		return true
 	case <-ctx.Done():
+		return false
 	case <-timeout.C:
-		n.VersionsKnown()
+		n.waited.Store(true)
+		return false
 	}
 }
 
@@ -114,7 +124,7 @@
 // Find returns what is known of the software that began a stream whose caller resumes it.
 func (n *Node) Find(ctx context.Context, lookup Lookup) (pinning.Origin, error) {
 	startedAt := steady.Now()
-	n.awaitVersions(ctx)
+	isKnown := n.awaitVersions(ctx)
 	decided := make(chan pinning.Origin, 1)
 	n.mu.Lock()
 	n.lastID++
@@ -125,6 +135,7 @@
 	n.handle(pinning.Lookup{ID: id, Stream: lookup.stream(), Services: lookup.Services, MaxAge: lookup.MaxAge})
 	select {
 	case origin := <-decided:
+		origin.StoreUnread = origin.StoreUnread || (origin.Basis == pinning.BasisNone && !isKnown)
 		n.record(lookup, origin, steady.Now().Sub(startedAt))
 		return origin, nil
 	case <-ctx.Done():
--- a/shell/pins/versions.go
+++ b/shell/pins/versions.go
@@ -34,7 +34,7 @@
 }
 
 const (
-	readerCheckInterval = 250 * time.Millisecond // until a node with an outdated record looks again whether it reads the store
+	readerCheckInterval = time.Second            // until a node with an outdated record looks again whether it reads the store
 	versionRetryDelay   = 500 * time.Millisecond // after a call to the store that failed
 	maxVersionJitter    = 20 * time.Millisecond  // spreads the writes of several readers
 )
