--- a/decide/placement/state.go
+++ b/decide/placement/state.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -20,7 +19,6 @@
 	// replacedTTL is how long an upstream gets no work after another one answered at its address. It exceeds the time that an entry outlives
 	// its upstream, three heartbeats of about 1.2 s, and is limited because the upstream may restart under the same ID.
 	replacedTTL = 5 * time.Second
-	maxUnlisted = 4096 // upstreams that are not listed any more whose order of listing is kept
 )
 
 // Need describes the upstream that an attempt requires.
@@ -183,19 +181,6 @@
 	return true
 }
 
-// SetAnnounced sets the versions that begin streams only where no other is available.
-func (s *State) SetAnnounced(versions map[vaneyoke.ServiceID][]vaneyoke.SoftwareVersion) {
-	s.announced = versions
-	s.refreshAnnounced()
-}
-
-// refreshAnnounced marks the upstreams whose version is announced.
-func (s *State) refreshAnnounced() {
-	for _, e := range s.sorted {
-		e.isAnnounced = slices.Contains(s.announced[e.upstream.Service], e.upstream.Version)
-	}
-}
-
 // refreshSplits recomputes the splits after the upstreams have changed.
 func (s *State) refreshSplits() {
 	for _, sp := range s.splits {
@@ -227,45 +212,6 @@
 	e.limit, e.limitedUntil, e.lastRetryAt = vaneyoke.Limit{}, time.Time{}, time.Time{}
 }
 
-// listingOf returns the position of an upstream in the order of first listing, also of one that was listed before and comes back.
-func (s *State) listingOf(id vaneyoke.UpstreamID) int {
-	if n, ok := s.listings[id]; ok {
-		return n
-	}
-	if len(s.listings) > len(s.entries)+maxUnlisted {
-		maps.DeleteFunc(s.listings, func(id vaneyoke.UpstreamID, _ int) bool { return s.entries[id] == nil })
-	}
-	s.lastListed++
-	s.listings[id] = s.lastListed
-	return s.lastListed
-}
-
-// refreshReplaced marks the upstreams whose address a later one uses: they have ended, even if they are still listed or listed alone again.
-func (s *State) refreshReplaced() {
-	latest := make(map[string]*entry, len(s.sorted))
-	for _, e := range s.sorted {
-		other := latest[e.upstream.URL]
-		switch {
-		case e.upstream.URL == "":
-		case other == nil:
-			latest[e.upstream.URL] = e
-		case e.isLaterThan(other):
-			other.replaced = true
-			latest[e.upstream.URL] = e
-		default:
-			e.replaced = true
-		}
-	}
-}
-
-// isLaterThan reports whether an upstream started after another one at its address: by when they say that they did, otherwise by when they were listed.
-func (e *entry) isLaterThan(other *entry) bool {
-	if e.upstream.Incarnation != 0 && other.upstream.Incarnation != 0 && e.upstream.Incarnation != other.upstream.Incarnation {
-		return e.upstream.Incarnation > other.upstream.Incarnation
-	}
-	return e.listing > other.listing
-}
-
 // SetDrained sets which upstreams are drained by policy.
 func (s *State) SetDrained(drained []vaneyoke.Selector) {
 	for _, e := range s.sorted {
