--- a/shell/mesh/fuzz_test.go
+++ b/shell/mesh/fuzz_test.go
@@ -73,7 +73,7 @@
 func FuzzFrames(f *testing.F) {
 	f.Fuzz(func(t *testing.T, data []byte) {
 		now := time.Unix(1000, 0)
-		hub, _ := newRecordingHub()
+		hub, _ := newKeepingHub()
 		setConfirmed(hub, now, "t", watch.Rows{"a": row("a", 5), "b": row("b", 4)}, 5, now)
 		read, err := packet(data).unpack()
 		if err != nil {
