--- a/decide/pinning/archive.go
+++ b/decide/pinning/archive.go
@@ -100,14 +100,16 @@
 		return
 	}
 	delete(a.written, stream)
-	if len(a.drops) >= maxPendingDrops {
-		return
-	}
+	a.drop(now, key)
+	s.scheduleWrite(now)
+}
+
+// drop has rows deleted with one of the next transactions.
+func (a *archive) drop(now time.Time, keys ...RowKey) {
 	if len(a.drops) == 0 {
 		a.dropsFrom = now
 	}
-	a.drops = append(a.drops, key)
-	s.scheduleWrite(now)
+	a.drops = append(a.drops, keys[:min(len(keys), max(maxPendingDrops-len(a.drops), 0))]...)
 }
 
 // scheduleWrite determines when the next transaction is due.
@@ -165,7 +167,7 @@
 		put.TTL = r.expires.Sub(now)
 		w.Put = append(w.Put, put)
 		if key, ok := a.written[stream]; ok && key != r.rowKey() {
-			a.drops = append(a.drops, key)
+			a.drop(now, key)
 		}
 	}
 	count := min(len(a.drops), maxWriteRows-len(w.Put))
@@ -192,7 +194,7 @@
 		for _, put := range w.Put {
 			a.unwritten[put.Stream] = true
 		}
-		a.drops = append(a.drops, w.Drop...)
+		a.drop(now, w.Drop...)
 		a.slot = later(a.slot, now.Add(min(minWriteBackoff<<min(a.failures-1, 8), maxWriteBackoff)+writeBurst*s.writeSpacing()))
 		s.scheduleWrite(now)
 		return
--- a/shell/watch/watch.go
+++ b/shell/watch/watch.go
@@ -51,8 +51,8 @@
 
 // Sink receives the contents of a followed table.
 type Sink interface {
-	// Set receives all rows as of a version, and rows that went by it and are to be kept beside them; it must not keep or change either. The sink ends the use
-	// of kept rows in time, whether it hears from the follower again or not.
+	// Set receives all rows as of a version, and removed ones that are to be kept beside them; it must not keep or change either. The sink ends the use of kept
+	// rows in time, whether it hears from the follower again or not.
 	Set(now time.Time, rows Rows, version Version, kept Kept)
 	// Confirm reports that the rows have not changed up to a version.
 	Confirm(now time.Time, version Version)
