Logs tell where two attempts of a stream are joined, and what framed the end of an answer

What callers saw: pieces out of order or a number that went back, by the report; its cause cannot be told from the logs. Cause of that: no line said which event of which attempt follows which, and none how the body of the last attempt ended. Numbers are parsed in one place (EventNumber). No decision changes.

--- a/decide/generation/config.go
+++ b/decide/generation/config.go
@@ -30,6 +30,8 @@
 	// Opaque says that the chunks are not token ids: an attempt continues from the number of the last chunk alone, and no engine
 	// can send a run's stream a second time.
 	Opaque bool
+	// ResumeAfter is the number of the last event of the stream that the caller has from before.
+	ResumeAfter vaneyoke.EventNumber
 	// UsefulOnly says that no further attempt, continuation or replica is begun that is not expected to end before the deadline.
 	UsefulOnly bool
 	Silence    Silence // when a silent attempt becomes suspect
--- a/decide/generation/effect.go
+++ b/decide/generation/effect.go
@@ -84,6 +84,14 @@
 	From     vaneyoke.Tokens  // index within the answer of the first token to send
 }
 
+// Spliced says that the first event of an attempt follows one of another attempt.
+type Spliced struct {
+	Attempt vaneyoke.Attempt
+	Splice  Splice
+	After   vaneyoke.EventNumber // of the last event before it
+	Number  vaneyoke.EventNumber
+}
+
 // Cancel ends an attempt; whatever it still sends is dropped.
 type Cancel struct {
 	Attempt  vaneyoke.Attempt
@@ -118,6 +126,7 @@
 func (QueryRun) effect()    {}
 func (Start) effect()       {}
 func (Resume) effect()      {}
+func (Spliced) effect()     {}
 func (Cancel) effect()      {}
 func (Deliver) effect()     {}
 func (Finish) effect()      {}
--- a/decide/generation/event.go
+++ b/decide/generation/event.go
@@ -63,10 +63,11 @@
 	IDs     []vaneyoke.TokenID
 }
 
-// Received is a batch of tokens from an attempt's stream.
+// Received is a batch of tokens from an attempt's stream, or an opaque event.
 type Received struct {
 	Attempt vaneyoke.Attempt
 	Batch   vaneyoke.Batch
+	Number  vaneyoke.EventNumber // of an opaque event of a stream
 }
 
 // Ended says that an attempt's stream ended normally.
--- a/decide/generation/state.go
+++ b/decide/generation/state.go
@@ -24,6 +24,7 @@
 	effects []Effect
 
 	answer            Transcript       // accepted tokens
+	events            sequence         // numbers of the accepted events of a stream
 	origin            vaneyoke.Attempt // that the answer began with; 0 before that
 	runs              []run
 	lastAttempt       vaneyoke.Attempt // the last number assigned
@@ -46,7 +47,7 @@
 
 // New returns a generation whose first event is Admitted.
 func New(cfg Config, rng *rand.Rand) *State {
-	return &State{cfg: cfg, rng: rng}
+	return &State{cfg: cfg, rng: rng, events: sequence{last: cfg.ResumeAfter}}
 }
 
 // Ended reports whether the generation has finished or failed.
@@ -214,6 +215,7 @@
 		s.loseRun(now, r, CauseMalformed)
 		return
 	}
+	s.numbered(r, ev)
 	r.stage = stageStreaming
 	r.recover()
 	r.gaps.add(now)
@@ -224,6 +226,15 @@
 	s.accept(now, r, ev.Batch)
 }
 
+// numbered records the number of an event that is accepted.
+func (s *State) numbered(r *run, ev *Received) {
+	isFirst := r.stage != stageStreaming
+	if isFirst && s.events.last.IsSet() {
+		s.emit(Spliced{Attempt: ev.Attempt, Splice: s.events.splice(ev.Number), After: s.events.last, Number: ev.Number})
+	}
+	s.events.add(ev.Number, isFirst)
+}
+
 // accept appends a batch to the answer and cancels all other runs.
 func (s *State) accept(now time.Time, r *run, b vaneyoke.Batch) {
 	attempt := r.attempt
--- a/shell/relay/attempt.go
+++ b/shell/relay/attempt.go
@@ -263,6 +263,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.recordEmptyEnd(now, s.links[attempt])
+	s.recordEnding(attempt)
 	s.reportOutcome(attempt, placement.OutcomeDone)
 	s.recordCompletion()
 	s.recordLength(now)
--- a/shell/relay/bounds.go
+++ b/shell/relay/bounds.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"time"
 
+	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/generation"
 )
 
@@ -56,6 +57,7 @@
 // applyTo adds the settings of the request's route and caller to the node's configuration.
 func (f *Forwarding) applyTo(config *generation.Config, now time.Time) {
 	config.Opaque = true
+	config.ResumeAfter, _ = vaneyoke.ParseEventNumber(f.ResumeAfter)
 	config.Deadline = f.Deadline
 	config.MaxWait = f.Deadline.Sub(now)
 	goal, eventInterval := cmp.Or(f.LatencyGoal, defaultLatencyGoal), cmp.Or(f.EventIntervalGoal, defaultEventInterval)
--- a/shell/relay/forwarded.go
+++ b/shell/relay/forwarded.go
@@ -242,6 +242,7 @@
 			return
 		}
 		received.Batch.Text = event.Data
+		received.Number, _ = vaneyoke.ParseEventNumber(event.ID)
 		s.handleEvent(received, m, event.ID)
 		received.Batch.First++
 		s.awaitReader(ctx, attempt, m.Buffer)
@@ -263,6 +264,7 @@
 	}
 	m.Buffer.buffered(now, len(received.Batch.Text))
 	m.lastEventID = id
+	s.lastAccepted = received.Attempt
 	if lenBefore == 0 {
 		s.pinTo(received.Attempt)
 		s.registerStream()
@@ -310,6 +312,7 @@
 func (s *Session) deliverResponse(attempt vaneyoke.Attempt, m *forwarded, resp response) {
 	now := time.Now()
 	s.recordFirstToken(now, attempt)
+	s.recordEnding(attempt)
 	s.reportOutcome(attempt, placement.OutcomeDone)
 	s.recordCompletion()
 	m.Buffer.delivering(now, len(resp.body))
--- a/shell/relay/metrics.go
+++ b/shell/relay/metrics.go
@@ -15,6 +15,8 @@
 	Discarded *expvar.Int // tokens received but not accepted
 	Reprefill *expvar.Int // tokens sent to engines again as a prefix
 	Continued *expvar.Map // attempts that continue a stream of which the caller has events, by how their software version compares with that of the events
+	Splices   *expvar.Map // attempts whose first event followed one of another attempt, by how the two events relate
+	Ends      *expvar.Map // attempts that ended well, by what framed their body
 	NotBegun  *expvar.Map // attempts not begun and replicas not kept, by reason
 	Panics    *expvar.Int // sessions that a panic ended
 	GivenUp   *expvar.Int // answers whose runs were ended because they could not complete them in time
@@ -38,6 +40,8 @@
 		Discarded: new(expvar.Int),
 		Reprefill: new(expvar.Int),
 		Continued: new(expvar.Map).Init(),
+		Splices:   new(expvar.Map).Init(),
+		Ends:      new(expvar.Map).Init(),
 		NotBegun:  new(expvar.Map).Init(),
 		Panics:    new(expvar.Int),
 		GivenUp:   new(expvar.Int),
@@ -57,6 +61,8 @@
 	vars.Set("discarded_tokens_total", m.Discarded)
 	vars.Set("reprefill_tokens_total", m.Reprefill)
 	vars.Set("continuations_total", m.Continued)
+	vars.Set("splices_total", m.Splices)
+	vars.Set("ends_total", m.Ends)
 	vars.Set("attempts_not_begun_total", m.NotBegun)
 	vars.Set("session_panics_total", m.Panics)
 	vars.Set("runs_given_up_total", m.GivenUp)
--- a/shell/relay/record.go
+++ b/shell/relay/record.go
@@ -100,6 +100,7 @@
 	if s.isUneventful() && s.relay.uneventful.Add(1)%s.relay.config.UneventfulLogEvery != 0 {
 		return
 	}
+	framing, lastEvent := s.ending()
 	s.relay.log.WithFields(logrus.Fields{
 		"route":     s.req.Kind,
 		"upstream":  s.lastUpstream,
@@ -115,6 +116,8 @@
 		"attempts":  stats.Attempts,
 		"losses":    stats.Losses,
 		"discarded": stats.DiscardedTokens,
+		"framing":   framing,
+		"event":     lastEvent,
 		"first_ms":  s.firstMs(),
 		"gap_ms":    s.pace.longestGap.Milliseconds(),
 		"ms":        time.Since(s.req.ReceivedAt).Milliseconds(),
--- a/shell/relay/session.go
+++ b/shell/relay/session.go
@@ -35,6 +35,8 @@
 	result       Result
 	answer       engine.Answer       // of a unary session
 	lastUpstream vaneyoke.UpstreamID // of the last attempt
+	lastEnded    vaneyoke.Attempt    // whose answer was last read to its end; 0 for none
+	lastAccepted vaneyoke.Attempt    // that gave the last accepted event of a stream; 0 before its first one
 	pace         pace                // of the accepted chunks
 	epoch        uint64              // counts the owners of the request from 1
 	pin          vaneyoke.Pin        // of its further attempts, set by the first output that may have reached the caller
@@ -259,6 +261,8 @@
 		s.start(e)
 	case generation.Resume:
 		s.resume(e)
+	case generation.Spliced:
+		s.recordSplice(e)
 	case generation.Cancel:
 		s.cancel(e)
 	case generation.Deliver:
