What follows a loss is compared with what came before

What callers saw: after a loss, an engine that begins anew, repeats or skips events gave 1 to 7, then 1 to 20, or 7 twice, or a gap, and the answer was closed as whole. The same for callers who come back with the id of their last event. Cause: event ids were compared within one attempt only; across attempts pieces were numbered by counting, from the place that was asked for, so that the core's check of their order could never fail. Change: the first event of an attempt that goes on has to be higher than the last accepted one, or the one that the caller names, and no further from it than the events of a stream that has shown three equal steps or more; else the attempt is lost as malformed and nothing of it is passed on. Fakes of tests that began anew at each attempt go on after the event that they are asked to.

--- a/decide/generation/sequence.go
+++ b/decide/generation/sequence.go
@@ -67,3 +67,14 @@
 	q.isIrregular = q.isIrregular || distance != q.step
 	q.steps++
 }
+
+// mayFollow reports whether the first event of a run can follow the last accepted one. Within a run events only have to rise, since what a run sends is what
+// its upstream made.
+func (s *State) mayFollow(r *run, number vaneyoke.EventNumber) bool {
+	if !s.events.last.IsSet() {
+		return true
+	}
+	splice := s.events.splice(number)
+	s.emit(Spliced{Attempt: r.attempt, Splice: splice, After: s.events.last, Number: number})
+	return splice == SpliceFollows || splice == SpliceUnknown
+}
--- a/decide/generation/state.go
+++ b/decide/generation/state.go
@@ -215,7 +215,12 @@
 		s.loseRun(now, r, CauseMalformed)
 		return
 	}
-	s.numbered(r, ev)
+	isSplice := r.stage != stageStreaming
+	if isSplice && !s.mayFollow(r, ev.Number) {
+		s.dropBatch(ev.Batch)
+		s.loseRun(now, r, CauseMalformed)
+		return
+	}
 	r.stage = stageStreaming
 	r.recover()
 	r.gaps.add(now)
@@ -223,18 +228,10 @@
 		r.pending = append(r.pending, ev.Batch.IDs...)
 		return
 	}
+	s.events.add(ev.Number, isSplice)
 	s.accept(now, r, ev.Batch)
 }
 
-// numbered records the number of an event that is accepted.
-func (s *State) numbered(r *run, ev *Received) {
-	isFirst := r.stage != stageStreaming
-	if isFirst && s.events.last.IsSet() {
-		s.emit(Spliced{Attempt: ev.Attempt, Splice: s.events.splice(ev.Number), After: s.events.last, Number: ev.Number})
-	}
-	s.events.add(ev.Number, isFirst)
-}
-
 // accept appends a batch to the answer and cancels all other runs.
 func (s *State) accept(now time.Time, r *run, b vaneyoke.Batch) {
 	attempt := r.attempt
--- a/shell/relay/forwarded_test.go
+++ b/shell/relay/forwarded_test.go
@@ -5,6 +5,7 @@
 	"expvar"
 	"io"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -70,8 +71,11 @@
 	events int
 	breaks bool // whether the connection breaks after the events
 	sent   int
+	after  int // number of the last event that the node has
 }
 
+func (s *lateExchange) goOnAfter(lastEventID string) { s.after, _ = strconv.Atoi(lastEventID) }
+
 func (s *lateExchange) Head() forward.Head {
 	return forward.Head{Status: http.StatusOK, Header: http.Header{"From": {s.from}}}
 }
@@ -87,7 +91,7 @@
 		return forward.Event{}, io.EOF
 	}
 	s.sent++
-	return forward.Event{ID: string(rune('0' + s.sent)), Data: []byte(s.from)}, nil
+	return forward.Event{ID: strconv.Itoa(s.after + s.sent), Data: []byte(s.from)}, nil
 }
 
 // fakeSender answers attempts with the exchanges of their upstreams.
@@ -102,6 +106,9 @@
 func (s *fakeSender) Send(_ context.Context, a *forward.Attempt) (forward.Response, error) {
 	time.Sleep(s.waits[a.Upstream.ID])
 	if exchange, ok := s.answers[a.Upstream.ID]; ok {
+		if e, ok := exchange.(interface{ goOnAfter(lastEventID string) }); ok {
+			e.goOnAfter(a.LastEventID)
+		}
 		return exchange, nil
 	}
 	return nil, &engine.NotSentError{Reason: "connection refused"}
