--- a/shell/failover/splice_test.go
+++ b/shell/failover/splice_test.go
@@ -95,3 +95,42 @@
 		})
 	}
 }
+
+// Guards against answers that lack tokens or hold some twice where two nodes go on with one answer, because its owner was silent as another node took it
+// over, and its caller goes from one to the other and back.
+func TestTwoOwnersMixTheirTokens(t *testing.T) {
+	for startName, start := range wrongTokens {
+		for _, silent := range []time.Duration{3 * time.Second, 6 * time.Second, time.Minute} {
+			t.Run(fmt.Sprint(startName, ", silent for ", silent), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					f := newTestFleet(t, "own", "other", "third")
+					defer f.close()
+					f.engine.fault.start = start
+					stays, moves := newTestCaller(f, true, true), newTestCaller(f, true, true)
+					codes := make(chan vaneyoke.Code)
+					go func() { codes <- stays.ask(t, "own", 25*time.Second) }()
+					must.EqOp(t, vaneyoke.CodeCallerGone, moves.ask(t, "own", 5*time.Second))
+					f.spoil("own", peerIsSilent)
+					time.AfterFunc(silent, func() { f.spoil("own", 0) })
+					code := moves.ask(t, "other", 4*time.Second)
+					for _, vm := range []vaneyoke.VMID{"own", "third", "other"} {
+						if code == vaneyoke.CodeCallerGone || code == vaneyoke.CodeInterrupted || code == vaneyoke.CodeSuperseded {
+							code = moves.ask(t, vm, 8*time.Second)
+						}
+					}
+					stayed := <-codes
+					t.Log(code, stayed, f.engine.count(), "runs", len(moves.text), len(stays.text))
+					for _, c := range []*testCaller{stays, moves} {
+						must.StrHasPrefix(t, c.text, answerText())
+					}
+					if code == vaneyoke.CodeOK {
+						must.EqOp(t, answerText(), moves.text)
+					}
+					if stayed == vaneyoke.CodeOK {
+						must.EqOp(t, answerText(), stays.text)
+					}
+				})
+			})
+		}
+	}
+}
