Streams whose body nothing frames are asked for what follows; calls are held for whole if their process still runs

What callers saw: an answer without length or chunks ends with its connection. Where the upstream's process ended within it, its kernel closed the connection in the same way, and the answer was closed as whole: 1 to 7 of 20 events, or nothing with status 200, or half a body. Cause: any end of file was taken for the end of the answer; an absence of knowledge was taken for knowledge. Change: the head of an answer says what frames its body. A stream that may be resumed and ends with its connection is not whole until a further attempt brings nothing more; it counts against the retry budget like any other, and where none can be had the answer breaks off, so that its caller comes back. A call, or a stream that runs once, is whole if the process that answered still takes connections and has not restarted; else it is lost, and repeated if it may be.

--- /dev/null
+++ b/decide/generation/confirming.go
@@ -0,0 +1,20 @@
+package generation
+
+import "time"
+
+// confirmEnd asks for what follows the last event of a stream whose end is not certain: an upstream that has nothing more ends its answer at once. It returns
+// false if the end needs no further confirmation, as a second attempt brought nothing more, or can get none. Another attempt that is at work may still go on.
+func (s *State) confirmEnd(now time.Time, r run) bool {
+	if !s.cfg.Repeatable || (s.unconfirmed && r.stage != stageStreaming) {
+		return false
+	}
+	s.unconfirmed = true
+	s.removeRun(r.attempt)
+	if len(s.runs) > 0 {
+		s.replacementRefused(now, NotPlaced{Attempt: r.attempt})
+		return true
+	}
+	s.replicaHolder = ""
+	s.placeAgain(now)
+	return true
+}
--- a/decide/generation/event.go
+++ b/decide/generation/event.go
@@ -72,8 +72,9 @@
 
 // Ended says that an attempt's stream ended normally.
 type Ended struct {
-	Attempt vaneyoke.Attempt
-	Reason  vaneyoke.FinishReason
+	Attempt     vaneyoke.Attempt
+	Reason      vaneyoke.FinishReason
+	Unconfirmed bool // whether only its connection says so, which closes in the same way if the upstream ends within the answer
 }
 
 // Lost says that an attempt failed or its stream broke off.
--- a/decide/generation/splice_property_test.go
+++ b/decide/generation/splice_property_test.go
@@ -202,8 +202,8 @@
 }
 
 // runEnded returns the event of a run whose body was read to its end.
-func runEnded(attempt vaneyoke.Attempt, _ bool) generation.Event {
-	return generation.Ended{Attempt: attempt, Reason: vaneyoke.FinishStop}
+func runEnded(attempt vaneyoke.Attempt, isFramed bool) generation.Event {
+	return generation.Ended{Attempt: attempt, Reason: vaneyoke.FinishStop, Unconfirmed: !isFramed}
 }
 
 // check checks what the caller has at the end.
--- a/decide/generation/state.go
+++ b/decide/generation/state.go
@@ -26,6 +26,7 @@
 	answer            Transcript       // accepted tokens
 	events            sequence         // numbers of the accepted events of a stream
 	origin            vaneyoke.Attempt // that the answer began with; 0 before that
+	unconfirmed       bool             // whether an attempt has ended the answer, and another one is to confirm that nothing follows
 	runs              []run
 	lastAttempt       vaneyoke.Attempt // the last number assigned
 	avoid             []vaneyoke.UpstreamID
@@ -243,6 +244,7 @@
 	r.pending = nil
 	matched := s.answer.add(b.IDs, b.Text, s.cfg.Stop)
 	s.lastProgress = now
+	s.unconfirmed = false
 	s.consecutiveLosses = 0
 	s.avoid = s.avoid[:0]
 	s.emit(Deliver{})
@@ -284,7 +286,7 @@
 	if len(r.pending) > 0 {
 		s.accept(now, r, vaneyoke.Batch{})
 	}
-	if s.ended {
+	if s.ended || (ev.Unconfirmed && s.confirmEnd(now, *s.findRun(ev.Attempt))) {
 		return
 	}
 	s.setOrigin(ev.Attempt)
--- a/shell/relay/attempt.go
+++ b/shell/relay/attempt.go
@@ -114,7 +114,7 @@
 			s.checkCrash(l, e.Cause)
 		}
 	}
-	if e.Cause == generation.CauseSilent {
+	if e.Cause == generation.CauseSilent || e.Cause == generation.CauseMalformed {
 		s.recordAnswer(l, rollout.Answer{Kind: rollout.AnswerLost})
 	}
 	s.reportOutcome(e.Attempt, outcome)
@@ -224,7 +224,7 @@
 		received.Batch = m.Batch
 		s.handleTokens(now, received)
 	case engine.End:
-		s.handleEnd(now, attempt, m.Reason)
+		s.handleEnd(now, generation.Ended{Attempt: attempt, Reason: m.Reason})
 	}
 }
 
@@ -259,16 +259,16 @@
 	}
 }
 
-func (s *Session) handleEnd(now time.Time, attempt vaneyoke.Attempt, reason vaneyoke.FinishReason) {
+func (s *Session) handleEnd(now time.Time, ev generation.Ended) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.recordEmptyEnd(now, s.links[attempt])
-	s.recordEnding(attempt)
-	s.reportOutcome(attempt, placement.OutcomeDone)
+	s.recordEmptyEnd(now, s.links[ev.Attempt])
+	s.recordEnding(ev.Attempt)
+	s.reportOutcome(ev.Attempt, placement.OutcomeDone)
 	s.recordCompletion()
 	s.recordLength(now)
-	s.handleLocked(now, generation.Ended{Attempt: attempt, Reason: reason})
-	s.closeLink(attempt)
+	s.handleLocked(now, ev)
+	s.closeLink(ev.Attempt)
 }
 
 // closeLink releases the link of an attempt that needs no cancellation.
--- a/shell/relay/forwarded.go
+++ b/shell/relay/forwarded.go
@@ -121,6 +121,9 @@
 		return
 	}
 	body, err := exchange.Body()
+	if err == nil {
+		err = s.checkCloseDelimited(attempt, exchange.Head().Framing)
+	}
 	if err != nil {
 		s.handleError(attempt, err)
 		return
@@ -238,7 +241,7 @@
 			return
 		}
 		if isEnd {
-			s.handleEnd(time.Now(), attempt, vaneyoke.FinishStop)
+			s.handleStreamEnd(attempt, exchange.Head().Framing)
 			return
 		}
 		received.Batch.Text = event.Data
