A step across an accepted splice counts as one that the stream has shown

What callers saw: with the first form of the check, right streams whose numbers rise unevenly just where attempts are joined (1 | 3 4 5 6 | 8) were taken for even and broke off after five refused attempts; a gap after 1 | 2 3 4 passed. Cause: only steps within one attempt were counted.

--- a/decide/generation/sequence.go
+++ b/decide/generation/sequence.go
@@ -33,7 +33,7 @@
 // sequence is what the accepted events of a stream show about their numbers.
 type sequence struct {
 	last        vaneyoke.EventNumber // of the last accepted event, or of the last one that the caller had
-	step        uint64               // between the numbers of two events of one attempt
+	step        uint64               // between the numbers of two events
 	steps       int                  // how often step was seen
 	isIrregular bool                 // whether other steps were seen, too
 }
@@ -54,11 +54,14 @@
 	}
 }
 
-// add records an accepted event; isSplice says that the event before it is of another attempt.
-func (q *sequence) add(number vaneyoke.EventNumber, isSplice bool) {
+// add records an accepted event.
+func (q *sequence) add(number vaneyoke.EventNumber) {
+	if !number.IsSet() {
+		return
+	}
 	distance, rises := number.Distance(q.last)
 	q.last = number
-	if isSplice || !rises {
+	if !rises {
 		return
 	}
 	if q.steps == 0 {
--- a/decide/generation/state.go
+++ b/decide/generation/state.go
@@ -216,8 +216,7 @@
 		s.loseRun(now, r, CauseMalformed)
 		return
 	}
-	isSplice := r.stage != stageStreaming
-	if isSplice && !s.mayFollow(r, ev.Number) {
+	if r.stage != stageStreaming && !s.mayFollow(r, ev.Number) {
 		s.dropBatch(ev.Batch)
 		s.loseRun(now, r, CauseMalformed)
 		return
@@ -229,7 +228,7 @@
 		r.pending = append(r.pending, ev.Batch.IDs...)
 		return
 	}
-	s.events.add(ev.Number, isSplice)
+	s.events.add(ev.Number)
 	s.accept(now, r, ev.Batch)
 }
 
