A caller who comes back after an event id that is no number is refused

What callers saw: with Last-Event-Id: +12 an answer that nothing could be compared with: an engine that reads the id in another way begins where it likes. No node has ever passed on an event with such an id. Cause: the id was passed on as text, whatever it was. Evidence: TestCallerResumesStreamAfterAnIDThatIsNoNumber failed in 4 of 7 cases (200 for +12, -1, 12a and a number past 64 bits).

--- a/api/gateway/continuation.go
+++ b/api/gateway/continuation.go
@@ -21,11 +21,14 @@
 }
 
 // findOrigin returns the software that began the stream of a caller who comes back for the rest, the zero value for any other caller. Errors carry
-// CodeOriginUnknown, CodeVersionGone or CodeCallerGone.
+// CodeBadRequest, CodeOriginUnknown, CodeVersionGone or CodeCallerGone.
 func (g *Gateway) findOrigin(c *call, r *route.Route, workspace route.Workspace, envelope Envelope) (pinning.Origin, error) {
 	if r.Kind != route.KindStream || envelope.LastEventID == "" {
 		return pinning.Origin{}, nil
 	}
+	if _, ok := vaneyoke.ParseEventNumber(envelope.LastEventID); !ok { // nothing that follows could be compared with it
+		return pinning.Origin{}, vaneyoke.Err(vaneyoke.CodeBadRequest, "the id of the last event is no number: %q", envelope.LastEventID)
+	}
 	services := lo.Map(r.Targets, func(t route.Target, _ int) vaneyoke.ServiceID { return t.Service })
 	origin, err := g.origins.Find(c.request.Context(), pins.Lookup{
 		Request: envelope.ID, Workspace: workspace.ID, Resumes: envelope.Resumes, After: envelope.LastEventID, Services: services, MaxAge: g.maxWait(r, 0),
