A reset of which a write is told no longer looks like the end of an answer

What callers saw: an answer without length or chunks counted as whole although its upstream reset the connection, if the upstream answered before it had read the request and the rest of that was still being sent.

Cause: the system tells of a reset once. If a write is told, a read then finds the end of the connection, as after a close by the upstream.

Change: a connection over the node's own path remembers an error that a write was told of, and returns it in place of the end if the connection is gone. A write after a close by the upstream is told EPIPE, and the answer before it stays whole (TestRequestBeyondAWholeAnswerLooksLikeAReset). One system call more for each connection that ends.

--- a/internal/cutline/cutline.go
+++ b/internal/cutline/cutline.go
@@ -134,6 +134,15 @@
 	return c.Conn.Write(p)
 }
 
+// SyscallConn gives access to the connection's socket.
+func (c *conn) SyscallConn() (syscall.RawConn, error) {
+	inner, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, syscall.EINVAL
+	}
+	return inner.SyscallConn()
+}
+
 // Close closes the connection.
 func (c *conn) Close() error {
 	c.closing.Do(func() { close(c.closed) })
--- a/shell/detours/dialer.go
+++ b/shell/detours/dialer.go
@@ -148,7 +148,10 @@
 	}
 	d.metrics.dials.Add("direct "+causeOf(err), 1)
 	d.recordDirect(began, address, err)
-	return conn, err
+	if err != nil {
+		return nil, err
+	}
+	return &ownConn{Conn: conn}, nil
 }
 
 // recordDirect records the outcome of a direct connection attempt, and logs a failure.
