A broken answer to a caller without chunks ends with a reset

What callers saw: an answer that broke off looked complete to callers of HTTP/1.0, for whom the end of the connection marks that of the body: after a loss, a panic, a stop at the end of its grace, a caller that read too slowly, and a kill of the process.

Cause: connections are closed plainly in all these cases, by package http or by the system.

Change: from the first byte of such an answer its connection is set to be reset when it is closed, which the system heeds for a killed process as well, until the whole answer has been handed to the system. Two system calls for each such answer; nothing changes for callers of HTTP/1.1.

--- a/api/serve/conn.go
+++ b/api/serve/conn.go
@@ -108,6 +108,20 @@
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // it fails only on a closed connection
 }
 
+// resetOnClose sets whether the connection is reset when it is closed, also by the system after the process has ended.
+func (c *conn) resetOnClose(reset bool) {
+	if c == nil {
+		return
+	}
+	seconds := -1 // the system goes on sending after a close
+	if reset {
+		seconds = 0
+	}
+	if tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = tcp.SetLinger(seconds) // it fails only on a closed connection
+	}
+}
+
 // CloseWrite closes the sending direction only, so that a caller that is still sending its request can read the response.
 func (c *conn) CloseWrite() error {
 	if closer, ok := c.Conn.(interface{ CloseWrite() error }); ok {
--- a/api/serve/panic.go
+++ b/api/serve/panic.go
@@ -20,19 +20,56 @@
 // response is a handler's response; it records whether it has begun and how much of it was written.
 type response struct {
 	http.ResponseWriter
+	request *http.Request
+	conn    *conn     // nil if it is unknown
 	started time.Time // when the handler began
 	begun   bool
+	flushed bool
 	sent    int64 // bytes of the body
+	// endsWithConn is set if the end of the body is marked by that of the connection only, as for callers of HTTP/1.0, who know no chunks.
+	endsWithConn bool
+}
+
+// bufferedBytes is up to which size of a body that was not flushed package http states its length.
+const bufferedBytes = 2048
+
+// begin records that the response begins. Where the end of the connection marks that of the body, the connection is to be reset unless finish is called, also
+// if the process is killed: a plain close would make the body look complete.
+func (r *response) begin(status int) {
+	if r.begun || status < http.StatusOK {
+		return
+	}
+	hasBody := r.request.Method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
+	if hasBody && !r.request.ProtoAtLeast(1, 1) && r.Header().Get("Content-Length") == "" {
+		r.endsWithConn = true
+		r.conn.resetOnClose(true)
+	}
+}
+
+// finish lets the connection of a whole response end plainly.
+func (r *response) finish() error {
+	if !r.endsWithConn {
+		return nil
+	}
+	if r.flushed || r.sent > bufferedBytes {
+		if err := r.FlushError(); err != nil {
+			return err
+		}
+	}
+	r.conn.resetOnClose(false)
+	return nil
 }
 
 // WriteHeader implements http.ResponseWriter.
 func (r *response) WriteHeader(status int) {
+	r.begin(status)
 	r.ResponseWriter.WriteHeader(status) // panics if the status is invalid
 	r.begun = r.begun || status >= http.StatusOK
 }
 
 // Write implements http.ResponseWriter.
 func (r *response) Write(p []byte) (int, error) {
+	r.begin(http.StatusOK)
 	r.begun = true
 	n, err := r.ResponseWriter.Write(p)
 	r.sent += int64(n)
@@ -44,7 +81,8 @@
 
 // FlushError is called by http.ResponseController.
 func (r *response) FlushError() error {
-	r.begun = true
+	r.begin(http.StatusOK)
+	r.begun, r.flushed = true, true
 	return http.NewResponseController(r.ResponseWriter).Flush()
 }
 
--- a/api/serve/server.go
+++ b/api/serve/server.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/vaneyoke/vaneyoke"
 )
 
 // Config holds a server's limits; a zero value means no limit.
@@ -97,7 +99,7 @@
 // handle passes a request to the handler.
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	caller := CallerOf(r.Context())
-	answer := &response{ResponseWriter: w, started: time.Now()}
+	answer := &response{ResponseWriter: w, request: r, conn: caller.conn, started: time.Now()}
 	s.startAnswering(caller.conn)
 	if caller.WillClose() {
 		w.Header().Set("Connection", "close")
@@ -106,6 +108,9 @@
 	copied := r.WithContext(r.Context()) // a copy, since net/http relies on the body of the original
 	copied.Body = tracked
 	s.run(answer, copied)
+	if err := answer.finish(); err != nil {
+		s.abort(answer, copied, AbortError{Cause: AbortWriteFailed, Code: vaneyoke.CodeCallerGone, Err: err})
+	}
 	tracked.discard(w, r)
 }
 
--- a/api/serve/server_test.go
+++ b/api/serve/server_test.go
@@ -31,12 +31,17 @@
 		<-s.release
 		fmt.Fprint(w, "answer")
 	}), serve.Config{})
+	s.listen(t)
+	return s
+}
+
+func (s *testServer) listen(t *testing.T) {
+	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // nothing to cancel
 	must.NoError(t, err)
 	s.address = l.Addr().String()
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = s.Close() })
-	return s
 }
 
 func (s *testServer) dial(t *testing.T) net.Conn {
