A stream whose last event the caller's connection does not take is aborted

What callers saw: nothing new where chunks frame the answer.

Cause: small events wait in the buffer of package http until they are flushed, and the error of the flush was dropped.

Evidence: TestLastEventThatWasNotTakenCountsAsDelivered failed before ("expected condition to be true; is false": the handler returned as after a whole answer).

Change: a flush that fails ends the stream as a write that fails does, and a time-out counts as a caller who is cut off.

--- a/api/gateway/answer.go
+++ b/api/gateway/answer.go
@@ -77,10 +77,25 @@
 	}
 	_ = a.control.SetWriteDeadline(time.Now().Add(a.writeTimeout))
 	_, err := a.http.Write(p)
+	a.recordTimeout(err)
+	return err
+}
+
+// writeNow writes events and hands them to the system.
+func (a *responder) writeNow(p []byte) error {
+	if err := a.writePiece(p); err != nil {
+		return err
+	}
+	err := a.control.Flush()
+	a.recordTimeout(err)
+	return err
+}
+
+// recordTimeout records that the caller is cut off if it did not take a part of the answer in time.
+func (a *responder) recordTimeout(err error) {
 	if errors.Is(err, os.ErrDeadlineExceeded) && !a.isCut.Load() {
 		a.buffer.CutOff(err)
 	}
-	return err
 }
 
 func (a *responder) callerGone(err error) serve.AbortError {
@@ -109,11 +124,10 @@
 			a.http.WriteHeader(a.session.Head().Status)
 		}
 		offset += len(text)
-		if err := a.writePiece(text); err != nil {
+		if err := a.writeNow(text); err != nil {
 			a.session.Abandon()
 			panic(a.writeFailed(err))
 		}
-		_ = a.control.Flush()
 		a.session.Delivered(offset)
 	}
 }
--- a/api/gateway/answer_test.go
+++ b/api/gateway/answer_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"slices"
 	"sync"
 	"testing"
@@ -32,6 +33,7 @@
 	return vaneyoke.Upstream{ID: "a", URL: "http://a"}, 0, nil
 }
 func (onePlacer) Ended(vaneyoke.UpstreamID, placement.Outcome, bool) {}
+func (onePlacer) FirstToken(vaneyoke.UpstreamID, time.Duration, int) {}
 
 // hangingSender answers no attempt until its context is cancelled.
 type hangingSender struct {
@@ -149,3 +151,54 @@
 		}()
 	}
 }
+
+// oneEvent is the answer of an upstream that sends one event.
+type oneEvent struct{ read bool }
+
+func (*oneEvent) Head() forward.Head    { return forward.Head{Status: http.StatusOK} }
+func (*oneEvent) IsEventStream() bool   { return true }
+func (*oneEvent) Body() ([]byte, error) { return nil, nil }
+func (*oneEvent) Close() error          { return nil }
+func (e *oneEvent) Next() (forward.Event, error) {
+	if e.read {
+		return forward.Event{}, io.EOF
+	}
+	e.read = true
+	return forward.Event{ID: "1", Data: []byte("id: 1\ndata: x\n\n")}, nil
+}
+
+// oneEventSender answers each attempt with one event.
+type oneEventSender struct{ forward.Sender }
+
+func (oneEventSender) Send(context.Context, *forward.Attempt) (forward.Response, error) {
+	return &oneEvent{}, nil
+}
+
+// stuckWriter takes a response into its buffer, which cannot be written to the connection.
+type stuckWriter struct{ *httptest.ResponseRecorder }
+
+func (stuckWriter) FlushError() error { return os.ErrDeadlineExceeded }
+
+// Guards against a stream that counts as delivered whole although the caller's connection did not take its last event.
+func TestLastEventThatWasNotTakenCountsAsDelivered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		config := relay.Config{Generation: generation.DefaultConfig()}
+		r := relay.New(nil, oneEventSender{}, onePlacer{}, noop.NewTracerProvider().Tracer(""), relay.NewMetrics(new(expvar.Map).Init()), log, config)
+		defer r.Close()
+		now := time.Now()
+		session := r.Forward(t.Context(), &vaneyoke.Request{ID: "r", ReceivedAt: now}, relay.Forwarding{
+			Message: &forward.Message{}, Service: "shop", Stream: true, Deadline: now.Add(time.Minute), LatencyGoal: time.Minute, MaxAttempts: 1,
+		})
+		w := stuckWriter{httptest.NewRecorder()}
+		a := &responder{call: &call{http: w}, writeTimeout: time.Second, control: http.NewResponseController(w), session: session, stream: true}
+		defer func() {
+			aborted, ok := recover().(serve.AbortError)
+			must.True(t, ok)
+			must.EqOp(t, serve.AbortWriteFailed, aborted.Cause)
+			must.ErrorIs(t, aborted.Err, os.ErrDeadlineExceeded)
+		}()
+		a.serve(t.Context())
+	})
+}
