A stopping node carries connections for nodes that have no other way

It ends once no detour is open and none was opened in the last second as the last resort, by its deadline at the latest. Builds of before take 412 for unusable, and refuse with 503 as before.

--- a/decide/overlay/helper.go
+++ b/decide/overlay/helper.go
@@ -14,7 +14,7 @@
 	maxKnown      = 64                     // helpers of which something is remembered
 	provenTTL     = 10 * time.Second       // for which a helper that connected is preferred
 	refusedPause  = 500 * time.Millisecond // without requests to a helper that is busy or slow, or to one for an upstream to which it may have no path
-	unhelpfulTTL  = 10 * time.Second       // the same for one that is stopping or gone, or does not offer detours
+	unhelpfulTTL  = 10 * time.Second       // the same for one that is stopping or gone, or does not offer detours; one that is stopping remains the last resort
 	confirmations = 2                      // helpers that must miss an upstream before it counts as down
 )
 
@@ -29,6 +29,7 @@
 	isLocal     bool
 	provenAt    time.Time // when it last connected this node to an upstream; zero if its last answer was none
 	pausedUntil time.Time
+	isStopping  bool // whether it said so before the pause
 }
 
 // helpers chooses the nodes that are asked for detours. What it remembers does not grow with the fleet.
@@ -99,16 +100,41 @@
 	return "", false
 }
 
-// recordConnected records that a helper connected this node to an upstream.
+// isStopping reports whether a helper has said that it is stopping.
+func (h *helpers) isStopping(now time.Time, vm vaneyoke.VMID) bool {
+	known, ok := h.known[vm]
+	return ok && known.isStopping && now.Before(known.pausedUntil)
+}
+
+// lastResort returns the helper that said last that it is stopping, if there is one.
+func (h *helpers) lastResort(now time.Time, p *path) (last vaneyoke.VMID, ok bool) {
+	for _, vm := range slices.Sorted(maps.Keys(h.known)) {
+		if h.isStopping(now, vm) && !p.isRefusedBy(now, vm) && (!ok || h.known[vm].pausedUntil.After(h.known[last].pausedUntil)) {
+			last, ok = vm, true
+		}
+	}
+	return last, ok
+}
+
+// recordConnected records that a helper connected this node to an upstream. One that is stopping remains the last resort.
 func (h *helpers) recordConnected(now time.Time, vm vaneyoke.VMID) {
 	known := h.get(now, vm)
-	known.provenAt, known.pausedUntil = now, time.Time{}
+	if known.isStopping && now.Before(known.pausedUntil) {
+		return
+	}
+	known.provenAt, known.pausedUntil, known.isStopping = now, time.Time{}, false
+}
+
+// recordStopping records that a helper is stopping.
+func (h *helpers) recordStopping(now time.Time, vm vaneyoke.VMID) {
+	h.recordRefused(now, vm, unhelpfulTTL)
+	h.known[vm].isStopping = true
 }
 
 // recordRefused records that a helper made no connection, for a reason of its own.
 func (h *helpers) recordRefused(now time.Time, vm vaneyoke.VMID, pause time.Duration) {
 	known := h.get(now, vm)
-	known.provenAt, known.pausedUntil = time.Time{}, now.Add(pause)
+	known.provenAt, known.pausedUntil, known.isStopping = time.Time{}, now.Add(pause), false
 }
 
 func (h *helpers) get(now time.Time, vm vaneyoke.VMID) *helper {
--- a/decide/overlay/state.go
+++ b/decide/overlay/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
@@ -31,7 +32,8 @@
 
 // Way is one way to connect to an upstream: the node's own path, or a detour of one hop.
 type Way struct {
-	Helper vaneyoke.VMID // the node that connects; "" for the node's own path
+	Helper     vaneyoke.VMID // the node that connects; "" for the node's own path
+	LastResort bool          // whether the helper is stopping, and is to connect only as no other way does
 }
 
 // IsDirect reports whether the way is the node's own path.
@@ -52,12 +54,13 @@
 	RefusalNoPath                  // its own path to the upstream may be lost
 	RefusalBusy                    // it keeps as many connections for others as it may
 	RefusalNoAnswer                // it did not answer in time
-	RefusalUnusable                // it is stopping or gone, or does not know the upstream or the request
+	RefusalUnusable                // it has stopped or is gone, or does not know the upstream or the request
+	RefusalStopping                // it is stopping, and connects only as the last resort
 )
 
 // String returns the reason's name in logs and metrics.
 func (r Refusal) String() string {
-	return names.Of(r, "missed", "no_path", "busy", "no_answer", "unusable")
+	return names.Of(r, "missed", "no_path", "busy", "no_answer", "unusable", "stopping")
 }
 
 // State tracks a node's paths and helpers.
@@ -97,7 +100,10 @@
 	s.trials = min(s.trials+trialRatio, maxTrials)
 	var detours []Way
 	for _, vm := range s.helpers.pick(now, s.rng, p) {
-		detours = append(detours, Way{Helper: vm})
+		detours = append(detours, Way{Helper: vm, LastResort: s.helpers.isStopping(now, vm)})
+	}
+	if vm, ok := s.helpers.lastResort(now, p); ok && !slices.ContainsFunc(detours, func(w Way) bool { return w.Helper == vm }) {
+		detours = append(detours, Way{Helper: vm, LastResort: true})
 	}
 	if !p.isLost() {
 		return Plan{Ways: append([]Way{{}}, detours...)}
@@ -178,6 +184,8 @@
 		s.helpers.recordRefused(now, vm, refusedPause)
 	case RefusalUnusable:
 		s.helpers.recordRefused(now, vm, unhelpfulTTL)
+	case RefusalStopping:
+		s.helpers.recordStopping(now, vm)
 	}
 	if !p.isLost() { // the upstream has noticed nothing of the trial
 		s.trials = min(s.trials+1, maxTrials)
--- a/decide/overlay/state_test.go
+++ b/decide/overlay/state_test.go
@@ -163,6 +163,7 @@
 		"busy":     {overlay.RefusalBusy, 500 * time.Millisecond, 500 * time.Millisecond},
 		"slow":     {overlay.RefusalNoAnswer, 500 * time.Millisecond, 500 * time.Millisecond},
 		"unusable": {overlay.RefusalUnusable, 10 * time.Second, 10 * time.Second},
+		"stopping": {overlay.RefusalStopping, 10 * time.Second, 10 * time.Second},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -192,6 +193,39 @@
 	}
 }
 
+// TestStoppingHelperIsTheLastResort checks that a helper which is stopping is asked after all others, as long as it says nothing else.
+func TestStoppingHelperIsTheLastResort(t *testing.T) {
+	last := overlay.Way{Helper: "h0", LastResort: true}
+	cases := map[string]struct {
+		observe func(s *overlay.State)
+		asked   bool // as the last of the helpers
+	}{
+		"stopping": {func(*overlay.State) {}, true},
+		"the others refuse": {func(s *overlay.State) {
+			s.DetourRefused(start, upstream, "h1", overlay.RefusalBusy)
+			s.DetourRefused(start, upstream, "h2", overlay.RefusalNoPath)
+		}, true},
+		"it has connected":             {func(s *overlay.State) { s.DetourConnected(start, upstream, "h0") }, true},
+		"its own path may be lost":     {func(s *overlay.State) { s.DetourRefused(start, upstream, "h0", overlay.RefusalNoPath) }, false},
+		"it has stopped":               {func(s *overlay.State) { s.DetourRefused(start, upstream, "h0", overlay.RefusalUnusable) }, false},
+		"another one began to stop":    {func(s *overlay.State) { s.DetourRefused(start.Add(1), upstream, "h1", overlay.RefusalStopping) }, false},
+		"another one stopped likewise": {func(s *overlay.State) { s.DetourRefused(start.Add(-1), upstream, "h1", overlay.RefusalStopping) }, true},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			s := newState(3)
+			s.DetourRefused(start, upstream, "h0", overlay.RefusalStopping)
+			tc.observe(s)
+			now := start.Add(2)
+			ways := s.Plan(now, upstream).Ways
+			must.EqOp(t, tc.asked, ways[len(ways)-1] == last)
+			must.False(t, slices.Contains(ways[:len(ways)-1], last))
+			must.False(t, slices.Contains(ways, overlay.Way{Helper: "h0"}))
+			must.False(t, slices.Contains(s.Plan(start.Add(10*time.Second), upstream).Ways, last))
+		})
+	}
+}
+
 // TestUpstreamWithoutWaysDelaysAttempts checks that after a search without success others for the same upstream are not held up by one for a while.
 func TestUpstreamWithoutWaysDelaysAttempts(t *testing.T) {
 	s := newState(3)
--- a/process/node/gateway.go
+++ b/process/node/gateway.go
@@ -195,7 +195,7 @@
 	n.changes.stopping.Store(&now)
 	n.gateway.Stop(gateway.StopPlan{Since: now, Deadline: deadline, ReroutingDelay: notReadyPropagation, LongRequestWindow: lameDuckStreams})
 	n.callers().DisableKeepAlives()
-	n.detours.Stop()
+	n.detours.EnterLameDuck(detours.LameDuck{Deadline: deadline, AnyUntil: now.Add(lameDuckStreams)})
 }
 
 // callers returns the server that callers use.
@@ -225,7 +225,7 @@
 		flush.Go(func() { flushCounts(ctx, drained, n.duties, ends) })
 	}
 	interrupted := drainServer(ctx, n.callers(), n.relay, deadline)
-	n.detours.WaitIdle(drained)
+	n.detours.Drain(drained)
 	cutOff := logCutOff(n.log, n.callers(), stopping)
 	drainedAt := time.Now()
 	stopWaiting()
--- a/shell/detours/client.go
+++ b/shell/detours/client.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -44,8 +45,9 @@
 // Unwrap returns the cause.
 func (e *refusedError) Unwrap() error { return e.err }
 
-// dialDetour connects through a helper, and records the outcome.
-func (d *Dialer) dialDetour(ctx context.Context, helper vaneyoke.VMID, address string) (net.Conn, error) {
+// dialDetour connects through the helper of a way, and records the outcome.
+func (d *Dialer) dialDetour(ctx context.Context, way overlay.Way, address string) (net.Conn, error) {
+	helper := way.Helper
 	d.mu.Lock()
 	member, ok := d.helpers[helper]
 	d.mu.Unlock()
@@ -53,7 +55,7 @@
 		return nil, &refusedError{helper, overlay.RefusalUnusable, errors.New("not a member")}
 	}
 	began := time.Now()
-	conn, err := openDetour(ctx, member.VM, member.Address, address)
+	conn, err := openDetour(ctx, way, member.Address, address)
 	d.recordDetour(ctx, began, address, helper, err)
 	if err != nil {
 		return nil, err
@@ -91,8 +93,18 @@
 	}
 }
 
-// openDetour asks a helper, at an address for other nodes, to connect to an upstream.
-func openDetour(ctx context.Context, helper vaneyoke.VMID, helperAddress, upstreamAddress string) (*detour, error) {
+// detourQuery returns the query of a request for a detour.
+func detourQuery(ctx context.Context, way overlay.Way, upstreamAddress string) string {
+	query := url.Values{addressKey: {upstreamAddress}}
+	if way.LastResort {
+		query.Set(lastResortKey, strconv.FormatInt(max(forward.RemainingOf(ctx), 0).Milliseconds(), 10))
+	}
+	return query.Encode()
+}
+
+// openDetour asks the helper of a way, at its address for other nodes, to connect to an upstream.
+func openDetour(ctx context.Context, way overlay.Way, helperAddress, upstreamAddress string) (*detour, error) {
+	helper, query := way.Helper, detourQuery(ctx, way, upstreamAddress)
 	ctx, cancel := context.WithTimeout(ctx, detourTimeout)
 	defer cancel()
 	dialer := net.Dialer{KeepAliveConfig: keepAlive}
@@ -101,7 +113,7 @@
 		return nil, &refusedError{helper, unreachedRefusal(err), err}
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Now()) })
-	c, err := requestDetour(conn, helper, upstreamAddress)
+	c, err := requestDetour(conn, helper, query)
 	if !stop() {
 		err = &refusedError{helper, overlay.RefusalNoAnswer, context.Cause(ctx)}
 	}
@@ -122,9 +134,9 @@
 }
 
 // requestDetour sends the request for a detour and reads the header of the response.
-func requestDetour(conn net.Conn, helper vaneyoke.VMID, upstreamAddress string) (*detour, error) {
+func requestDetour(conn net.Conn, helper vaneyoke.VMID, query string) (*detour, error) {
 	unusable := func(err error) error { return &refusedError{helper, overlay.RefusalUnusable, err} }
-	target := url.URL{Scheme: "http", Host: conn.RemoteAddr().String(), Path: Path, RawQuery: url.Values{addressKey: {upstreamAddress}}.Encode()}
+	target := url.URL{Scheme: "http", Host: conn.RemoteAddr().String(), Path: Path, RawQuery: query}
 	req, err := http.NewRequest(http.MethodPost, target.String(), http.NoBody) //nolint:noctx // the connection has a deadline
 	if err != nil {
 		return nil, unusable(err)
@@ -157,6 +169,8 @@
 		return overlay.RefusalNoPath
 	case http.StatusTooManyRequests:
 		return overlay.RefusalBusy
+	case http.StatusPreconditionFailed:
+		return overlay.RefusalStopping
 	default:
 		return overlay.RefusalUnusable
 	}
--- a/shell/detours/dialer.go
+++ b/shell/detours/dialer.go
@@ -108,7 +108,7 @@
 	case path == forward.AnyPath:
 		return d.DialContext(ctx, "tcp", address)
 	case isDetour:
-		return d.dialDetour(ctx, helper, address)
+		return d.dialDetour(ctx, overlay.Way{Helper: helper}, address)
 	default:
 		return d.dialDirect(ctx, "tcp", address)
 	}
--- a/shell/detours/fuzz_test.go
+++ b/shell/detours/fuzz_test.go
@@ -21,6 +21,7 @@
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffff\r\nhel",
 		"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc",
 		"HTTP/1.1 200 OK\r\n\r\nabc",
+		"HTTP/1.1 412 Precondition Failed\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 424 Failed Dependency\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 999 \r\n\r\n", "", "\x00\x01",
 	} {
--- a/shell/detours/race.go
+++ b/shell/detours/race.go
@@ -22,13 +22,14 @@
 }
 
 type result struct {
+	way  overlay.Way
 	conn net.Conn
 	err  error
 }
 
 // race returns the first connection that a way of the plan makes. The direct attempt goes on, to tell the state of the path.
 func (d *Dialer) race(ctx context.Context, network, address string, plan overlay.Plan) (net.Conn, error) {
-	r := &race{dialer: d, network: network, address: address, ways: plan.Ways, results: make(chan result, len(plan.Ways)+1)}
+	r := &race{dialer: d, network: network, address: address, ways: plan.Ways, results: make(chan result, 2*len(plan.Ways)+1)}
 	detoursCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer r.discard()
@@ -50,6 +51,9 @@
 				return res.conn, nil
 			}
 			r.errs = append(r.errs, res.err)
+			if refused, ok := errors.AsType[*refusedError](res.err); ok && refused.refusal == overlay.RefusalStopping && !res.way.LastResort {
+				r.ways = append(r.ways, overlay.Way{Helper: refused.helper, LastResort: true})
+			}
 			r.startNext(detoursCtx)
 		}
 	}
@@ -91,13 +95,13 @@
 func (r *race) start(ctx context.Context, way overlay.Way) {
 	r.pending++
 	go func() {
-		var res result
+		res := result{way: way}
 		if way.IsDirect() {
 			direct, cancel := context.WithTimeout(context.WithoutCancel(ctx), directTimeout)
 			defer cancel()
 			res.conn, res.err = r.dialer.dialDirect(direct, r.network, r.address)
 		} else {
-			res.conn, res.err = r.dialer.dialDetour(ctx, way.Helper, r.address)
+			res.conn, res.err = r.dialer.dialDetour(ctx, way, r.address)
 		}
 		r.results <- res
 	}()
--- a/shell/detours/server.go
+++ b/shell/detours/server.go
@@ -9,12 +9,14 @@
 	"net"
 	"net/http"
 	"net/http/httputil"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/vaneyoke/vaneyoke/decide/overlay"
+	"github.com/vaneyoke/vaneyoke/internal/pause"
 )
 
 // Path is the HTTP path at which a node opens a detour to an upstream for another node.
@@ -22,11 +24,14 @@
 
 const (
 	addressKey    = "address"             // query key of the upstream's address
+	lastResortKey = "last_resort"         // query key of the milliseconds in which an answer is due, set if no other way connects
 	helperTimeout = 60 * time.Millisecond // bound of the connection to the upstream
 	bufferBytes   = 8 << 10               // read at a time, in each direction
 	// lingerTimeout bounds how long the rest of what a node sends is read after the upstream has ended its connection: closing with unread bytes
 	// resets the connection and may lose the end of the answer.
 	lingerTimeout = time.Second
+	// lastResortTTL is for how long a node that got a detour as the last resort is taken to need the next one.
+	lastResortTTL = time.Second
 	responseHead  = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
 
@@ -42,6 +47,20 @@
 	open     map[*passage]struct{}
 	opening  int
 	stopping bool
+
+	lameDuck    *LameDuck // nil until the node stops
+	neededUntil time.Time // until when nodes that had no other way may ask again
+}
+
+// LameDuck says which detours a stopping node still opens for nodes that have no other way to an upstream.
+type LameDuck struct {
+	Deadline time.Time // when all answers must have been received
+	AnyUntil time.Time // until when it opens those whose answers may be due later as well
+}
+
+// mayOpen reports whether a detour over which an answer is due within a time may be opened.
+func (l *LameDuck) mayOpen(now time.Time, dueMs int64) bool {
+	return now.Before(l.AnyUntil) || dueMs >= 0 && dueMs <= l.Deadline.Sub(now).Milliseconds()
 }
 
 // NewServer returns a server that keeps at most the given number of detours open; its metrics are published under "detours" in vars.
@@ -60,11 +79,13 @@
 	return len(s.open)
 }
 
-// ServeHTTP opens a detour. It answers 404 for an address that no listed upstream has, 503 while the node stops, 429 if it keeps as many as it may, 424 if
-// its own path may be lost, and 502 if it reaches other upstreams but not this one.
+// ServeHTTP opens a detour. It answers 404 for an address that no listed upstream has, 412 while the node stops unless it is the last resort and the answer
+// is due in time, 503 once the node has stopped, 429 if it keeps as many as it may, 424 if its own path may be lost, and 502 if it reaches other upstreams
+// but not this one.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	address := r.URL.Query().Get(addressKey)
-	if status := s.reserve(address); status != http.StatusOK {
+	query := r.URL.Query()
+	address := query.Get(addressKey)
+	if status := s.reserve(address, query.Get(lastResortKey)); status != http.StatusOK {
 		s.refuse(w, status)
 		return
 	}
@@ -97,7 +118,8 @@
 }
 
 // reserve makes room for a detour, or returns the status with which it is refused.
-func (s *Server) reserve(address string) int {
+func (s *Server) reserve(address, lastResort string) int {
+	dueMs, err := strconv.ParseInt(lastResort, 10, 64)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -105,6 +127,8 @@
 		return http.StatusServiceUnavailable
 	case !s.dialer.isListed(address):
 		return http.StatusNotFound
+	case s.lameDuck != nil && (err != nil || !s.lameDuck.mayOpen(time.Now(), dueMs)):
+		return http.StatusPreconditionFailed
 	case len(s.open)+s.opening >= s.most:
 		return http.StatusTooManyRequests
 	}
@@ -141,6 +165,9 @@
 		return false
 	}
 	s.open[p] = struct{}{}
+	if s.lameDuck != nil {
+		s.neededUntil = p.opened.Add(lastResortTTL)
+	}
 	return true
 }
 
@@ -157,6 +184,13 @@
 	}).Debug("detour_ended")
 }
 
+// EnterLameDuck makes the server open detours only as the last resort.
+func (s *Server) EnterLameDuck(plan LameDuck) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lameDuck = &plan
+}
+
 // Stop refuses new detours.
 func (s *Server) Stop() {
 	s.mu.Lock()
@@ -164,6 +198,28 @@
 	s.stopping = true
 }
 
+// Drain waits until no detour is open and no node depends on this one, or ctx is done, and refuses new detours from then on.
+func (s *Server) Drain(ctx context.Context) {
+	for ended := false; !ended; {
+		s.WaitIdle(ctx)
+		var dependent time.Duration
+		if dependent, ended = s.endIntake(ctx); !ended {
+			pause.For(ctx, dependent)
+		}
+	}
+}
+
+// endIntake refuses new detours from now on unless one is open or a node depends on this one, and returns for how long it does.
+func (s *Server) endIntake(ctx context.Context) (dependent time.Duration, ended bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if dependent = time.Until(s.neededUntil); ctx.Err() == nil && (len(s.open)+s.opening > 0 || dependent > 0) {
+		return dependent, false
+	}
+	s.stopping = true
+	return 0, true
+}
+
 // WaitIdle waits until no detour is open, and reports whether that happened before ctx is done.
 func (s *Server) WaitIdle(ctx context.Context) bool {
 	stop := context.AfterFunc(ctx, func() {
--- a/wire/forward/forward.go
+++ b/wire/forward/forward.go
@@ -81,6 +81,19 @@
 	DialPath(ctx context.Context, path Path, address string) (net.Conn, error)
 }
 
+type remainingKey struct{}
+
+// WithRemaining returns a context for opening a connection over which an answer is to arrive within a time.
+func WithRemaining(ctx context.Context, remaining time.Duration) context.Context {
+	return context.WithValue(ctx, remainingKey{}, remaining)
+}
+
+// RemainingOf returns the time of a context of WithRemaining, 0 for any other context.
+func RemainingOf(ctx context.Context) time.Duration {
+	remaining, _ := ctx.Value(remainingKey{}).(time.Duration) //nolint:errcheck // 0 if there is none
+	return remaining
+}
+
 // DirectDialer is a Dialer that knows no paths but the node's own.
 type DirectDialer struct{ *net.Dialer }
 
