--- a/process/node/detours_wire.go
+++ b/process/node/detours_wire.go
@@ -13,6 +13,7 @@
 	"github.com/vaneyoke/vaneyoke/decide/overlay"
 	"github.com/vaneyoke/vaneyoke/process/settings"
 	"github.com/vaneyoke/vaneyoke/shell/detours"
+	"github.com/vaneyoke/vaneyoke/shell/mesh"
 )
 
 // Option changes how a node is assembled.
@@ -23,6 +24,15 @@
 	return func(i do.Injector) { do.OverrideValue(i, dialer) }
 }
 
+// WithPacketListener replaces what opens the socket for datagrams between nodes, for tests of a network that loses, repeats and delays them.
+func WithPacketListener(listen mesh.PacketListener) Option {
+	return func(i do.Injector) { do.OverrideValue(i, listen) }
+}
+
+func providePacketListener(do.Injector) (mesh.PacketListener, error) {
+	return new(net.ListenConfig).ListenPacket, nil
+}
+
 func provideNetDialer(i do.Injector) (detours.NetDialer, error) {
 	timeout := do.MustInvoke[settings.Settings](i).Gateway.DialWait
 	return &net.Dialer{Timeout: timeout, KeepAliveConfig: upstreamKeepAlive}, nil
--- a/shell/mesh/config.go
+++ b/shell/mesh/config.go
@@ -1,6 +1,8 @@
 package mesh
 
 import (
+	"context"
+	"net"
 	"time"
 
 	"github.com/vaneyoke/vaneyoke/decide/feed"
@@ -26,8 +28,13 @@
 	LivenessInterval   time.Duration // time between two checks of which members are reachable
 	RemoveAfter        time.Duration // a member is removed after it was unreachable for this long
 	MaxReregisterDelay time.Duration // upper bound of the random delay before a removed node registers again
+
+	ListenPacket PacketListener // nil for a socket of the system
 }
 
+// PacketListener opens the socket from which a node sends datagrams to others and receives theirs.
+type PacketListener func(ctx context.Context, network, address string) (net.PacketConn, error)
+
 // DefaultConfig returns the default configuration.
 func DefaultConfig() Config {
 	reader := watch.DefaultConfig()
--- a/shell/mesh/offer.go
+++ b/shell/mesh/offer.go
@@ -40,8 +40,11 @@
 	if n.self.Address == "" {
 		return
 	}
-	var config net.ListenConfig
-	conn, err := config.ListenPacket(ctx, "udp4", n.self.Address)
+	listen := n.config.ListenPacket
+	if listen == nil {
+		listen = new(net.ListenConfig).ListenPacket
+	}
+	conn, err := listen(ctx, "udp4", n.self.Address)
 	if err != nil {
 		n.log.WithField("error", err).Error("listen_failed")
 		return
