--- a/cmd/vaneyoked/soak_test.go
+++ b/cmd/vaneyoked/soak_test.go
@@ -43,6 +43,7 @@
 	if path := os.Getenv(nodeSettingsVar); path != "" {
 		os.Args = []string{"vaneyoked", "--config", path}
 		nodeOptions = append(nodeOptions, node.WithUpstreamDialer(cuttableDialer(path+cutsSuffix)))
+		nodeOptions = append(nodeOptions, datagramOptions()...)
 		main()
 		return
 	}
