--- a/decide/generation/event.go
+++ b/decide/generation/event.go
@@ -63,16 +63,18 @@
 	IDs     []vaneyoke.TokenID
 }
 
-// Received is a batch of tokens from an attempt's stream.
+// Received is a batch of tokens from an attempt's stream, or an opaque event.
 type Received struct {
 	Attempt vaneyoke.Attempt
 	Batch   vaneyoke.Batch
+	Number  vaneyoke.EventNumber // of an opaque event of a stream
 }
 
 // Ended says that an attempt's stream ended normally.
 type Ended struct {
-	Attempt vaneyoke.Attempt
-	Reason  vaneyoke.FinishReason
+	Attempt     vaneyoke.Attempt
+	Reason      vaneyoke.FinishReason
+	Unconfirmed bool // whether only its connection says so, which closes in the same way if the upstream ends within the answer
 }
 
 // Lost says that an attempt failed or its stream broke off.
