Soak of streams: engines go on at the wrong event, and send answers that nothing frames

Engines begin anew or repeat up to three events when they are to go on (12 in 100 runs), and end answers without length or chunks before their last piece (4 in 100) or after it (4 in 100).

--- a/cmd/vaneyoked/soak_streams_faults_test.go
+++ b/cmd/vaneyoked/soak_streams_faults_test.go
@@ -27,6 +27,7 @@
 	streamVersions    = 4
 	lostReplies       = 3
 	streamRoutesPause = 2500 * time.Millisecond
+	maxRepeatedEvents = 3 // by an engine that goes on wrongly
 )
 
 // randomDuration returns a duration below a limit.
@@ -68,6 +69,14 @@
 		fault.Delay, fault.HeadFirst = 10*eventInterval, rng.IntN(2) == 0
 	case n < 24:
 		fault.LongPause = 15 * eventInterval
+	case n < 30:
+		fault.ResumesAnew = true
+	case n < 36:
+		fault.ResumesShifted = -1 - rng.IntN(maxRepeatedEvents)
+	case n < 40:
+		fault.Unframed, fault.EndAt, fault.HalfEvent = true, 1+rng.IntN(platformtest.Events+1), rng.IntN(2) == 0
+	case n < 44:
+		fault.Unframed = true
 	}
 	return fault
 }
--- a/cmd/vaneyoked/soak_streams_test.go
+++ b/cmd/vaneyoked/soak_streams_test.go
@@ -44,10 +44,10 @@
 }
 
 // TestSoakStreams has real processes serve streams while nodes are killed, stopped, frozen for longer than their leases, and sent SIGHUP, in overlapping series
-// and all at once; engines break off, restart under their ids, are replaced by ones of other versions and fall silent; the store is unavailable, slow and loses
-// replies; the configuration changes; nodes are cut from engines; and datagrams between nodes are lost, repeated and late. Callers leave and come back, have two
-// tries of a stream at once, share an attempt id, and use a connection until its process is gone. No stream may lose, repeat or reorder a piece, hold pieces of
-// two versions or of another request, or be closed as whole before its last piece.
+// and all at once; engines break off, go on at the wrong event, send answers that nothing frames, restart under their ids, are replaced by ones of other versions
+// and fall silent; the store is unavailable, slow and loses replies; the configuration changes; nodes are cut from engines; and datagrams between nodes are lost,
+// repeated and late. Callers leave and come back, have two tries of a stream at once, share an attempt id, and use a connection until its process is gone. No
+// stream may lose, repeat or reorder a piece, hold pieces of two versions or of another request, or be closed as whole before its last piece.
 func TestSoakStreams(t *testing.T) { soakStreams(t, false) }
 
 // TestSoakStreamsOfEnginesThatRestartAsOthers is like TestSoakStreams, but engines also restart under their ids with another version.
