--- a/cmd/vaneyoked/soak_streams_moments_test.go
+++ b/cmd/vaneyoked/soak_streams_moments_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -12,173 +13,124 @@
 )
 
 const (
-	quickRestart  = 90 * time.Millisecond // longest downtime of an engine that restarts at once
-	burst         = 16                    // additional streams that begin at about the same moment
-	burstSpread   = 10 * time.Millisecond
-	maxMomentWait = 3 * time.Second // between two moments
-	unknownTime   = time.Second     // for which engines serve of whose version the store knows nothing
+	momentVersions = 3
+	momentPause    = 1500 * time.Millisecond // shortest pause between two moments
+	burst          = 16                      // additional streams that begin at about the same moment
+	burstSpread    = 10 * time.Millisecond
+	storeAbsence   = 2 * time.Second // longest time for which the store is away at a moment
 )
 
-// playMoments is a day of the moments at which little is known of a stream: it begins as all nodes are killed, its engine restarts under its id with
-// another version at once, or the store is away.
+// moment is a time at which little is known of a stream.
+type moment func(s *streamSoak, ctx context.Context, rng *rand.Rand, version string, callers *sync.WaitGroup)
+
+// playMoments is a day on which all nodes are killed at the moments at which the least is known of a stream: as it begins, as its version comes or goes, or while
+// the store is away. Each start of an engine has a new id.
 func (s *streamSoak) playMoments(ctx context.Context, seed uint64, callers *sync.WaitGroup) {
-	rng := rand.New(rand.NewPCG(seed, 1<<34))
-	order := rng.Perm(6)
-	for moment := 0; sleepContext(ctx, min(s.length/5, maxMomentWait/2+time.Duration(rng.Int64N(int64(maxMomentWait))))); moment++ {
-		version := fmt.Sprint("v", 1+moment%3)
-		switch order[moment%len(order)] {
-		case 0:
-			s.restartSome(ctx, rng, version, engineDowntime)
-			s.beginAndKill(ctx, rng, callers)
-		case 1:
-			s.beginAndRestart(ctx, rng, version, callers)
-		case 2:
-			s.killWithoutStore(ctx, rng, version)
-		case 3:
-			s.killBesideRelease(ctx, rng, version)
-		case 4:
-			s.killAsVersionGoes(ctx, rng)
-		case 5:
-			s.killAfterUnknownVersion(ctx, rng, moment)
-		}
+	s.playInTurn(ctx, rand.New(rand.NewPCG(seed, 1<<34)), callers,
+		(*streamSoak).killAsStreamsBegin, (*streamSoak).killWithoutStore, (*streamSoak).killBesideRelease, (*streamSoak).killAsVersionsGo, (*streamSoak).killAfterUnrecordedVersion)
+}
+
+// playInTurn plays moments in a random order, again and again, until ctx ends.
+func (s *streamSoak) playInTurn(ctx context.Context, rng *rand.Rand, callers *sync.WaitGroup, moments ...moment) {
+	rng.Shuffle(len(moments), func(i, j int) { moments[i], moments[j] = moments[j], moments[i] })
+	for i := 0; sleepContext(ctx, min(s.length/5, momentPause+randomTime(rng, 2*momentPause))); i++ {
+		moments[i%len(moments)](s, ctx, rng, fmt.Sprint("v", 1+rng.IntN(momentVersions)), callers)
 	}
 }
 
-// restartSome restarts up to half of the engines under their ids with a version, after a downtime that is at most the given one.
-func (s *streamSoak) restartSome(ctx context.Context, rng *rand.Rand, version string, downtime time.Duration) {
+func randomTime(rng *rand.Rand, upTo time.Duration) time.Duration {
+	return time.Duration(rng.Int64N(int64(upTo)))
+}
+
+// replaceSome has engines of a version take the place of some others, which end at once.
+func (s *streamSoak) replaceSome(rng *rand.Rand, version string, count int) {
 	models := s.models()
 	rng.Shuffle(len(models), func(i, j int) { models[i], models[j] = models[j], models[i] })
-	for _, e := range models[:1+rng.IntN(len(models)/2)] {
-		s.restart(ctx, e, version, time.Duration(rng.Int64N(int64(downtime))), time.Duration(rng.Int64N(int64(listingDelay)))/4)
+	for _, e := range models[:min(count, len(models))] {
+		s.addMarked(e.Zone, version)
+		s.endLeaving(e)
 	}
 }
 
-// beginMany has additional callers begin streams within some milliseconds.
+// beginMany has additional callers begin streams within some milliseconds, and returns within milliseconds of their first pieces.
 func (s *streamSoak) beginMany(ctx context.Context, rng *rand.Rand, callers *sync.WaitGroup) {
 	for range burst {
 		callerRNG := rand.New(rand.NewPCG(rng.Uint64(), 1))
 		callers.Go(func() {
-			if sleepContext(ctx, time.Duration(callerRNG.Int64N(int64(burstSpread)))) {
+			if sleepContext(ctx, randomTime(callerRNG, burstSpread)) {
 				s.take(ctx, callerRNG)
 			}
 		})
 	}
+	time.Sleep(pieceInterval + randomTime(rng, 3*burstSpread))
 }
 
-// beginAndKill kills all nodes within milliseconds of the first events of many streams; at times an engine restarts at once with another version meanwhile.
-func (s *streamSoak) beginAndKill(ctx context.Context, rng *rand.Rand, callers *sync.WaitGroup) {
-	s.beginMany(ctx, rng, callers)
-	time.Sleep(pieceInterval + time.Duration(rng.Int64N(int64(3*burstSpread))))
-	var restarts sync.WaitGroup
-	defer restarts.Wait()
-	if rng.IntN(2) == 0 {
-		restartRNG := rand.New(rand.NewPCG(rng.Uint64(), 2))
-		restarts.Go(func() { s.restartSome(ctx, restartRNG, fmt.Sprint("v", 1+restartRNG.IntN(3)), quickRestart) })
-	}
-	s.killAll(func() { time.Sleep(time.Duration(rng.Int64N(int64(quickRestart)))) })
-}
-
-// beginAndRestart restarts engines at once with another version, within milliseconds of the first events of many streams; some must not be asked for reports
-// then, since they have declared a limit or pushed back.
-func (s *streamSoak) beginAndRestart(ctx context.Context, rng *rand.Rand, version string, callers *sync.WaitGroup) {
-	models := s.models()
-	rng.Shuffle(len(models), func(i, j int) { models[i], models[j] = models[j], models[i] })
-	restarting := models[:1+rng.IntN(len(models)/2)]
-	for i, e := range restarting {
-		if i%3 == 0 {
-			e.DeclareLimit(20)
-		}
-	}
+// killAsStreamsBegin kills all nodes as many streams get their first pieces, while two versions serve; some engines may have ended as the nodes start again.
+func (s *streamSoak) killAsStreamsBegin(ctx context.Context, rng *rand.Rand, version string, callers *sync.WaitGroup) {
+	s.replaceSome(rng, version, len(s.models())/2)
+	sleepContext(ctx, randomTime(rng, momentPause))
 	s.beginMany(ctx, rng, callers)
-	time.Sleep(pieceInterval + time.Duration(rng.Int64N(int64(3*burstSpread))))
-	var restarts sync.WaitGroup
-	for i, e := range restarting {
-		if i%3 == 1 {
-			e.PushBack("0.5")
-			time.Sleep(burstSpread)
+	s.killAll(func() {
+		if rng.IntN(2) == 0 {
+			s.replaceSome(rng, fmt.Sprint("v", 1+rng.IntN(momentVersions)), 1+rng.IntN(3))
 		}
-		downtime, delay := time.Duration(rng.Int64N(int64(quickRestart))), time.Duration(rng.Int64N(int64(listingDelay)))
-		restarts.Go(func() { s.restart(ctx, e, version, downtime, delay) })
-	}
-	restarts.Wait()
-	for _, e := range restarting {
-		e.DeclareLimit(0)
-	}
+	})
 }
 
-// killWithoutStore kills all nodes while the store is away and engines change their version.
-func (s *streamSoak) killWithoutStore(ctx context.Context, rng *rand.Rand, version string) {
+// killWithoutStore kills all nodes while the store is away and engines of one version take the place of others.
+func (s *streamSoak) killWithoutStore(ctx context.Context, rng *rand.Rand, version string, _ *sync.WaitGroup) {
 	s.store.Refuse(http.StatusServiceUnavailable)
-	sleepContext(ctx, time.Duration(rng.Int64N(int64(time.Second))))
-	s.restartSome(ctx, rng, version, quickRestart)
-	sleepContext(ctx, time.Duration(rng.Int64N(int64(time.Second))))
+	sleepContext(ctx, randomTime(rng, storeAbsence))
+	s.replaceSome(rng, version, 1+rng.IntN(len(s.models())))
+	sleepContext(ctx, randomTime(rng, storeAbsence))
 	s.killAll(func() {})
-	sleepContext(ctx, time.Duration(rng.Int64N(int64(time.Second))))
+	sleepContext(ctx, randomTime(rng, storeAbsence))
 	s.store.Refuse(0)
 }
 
-// killBesideRelease kills all nodes, at times twice, while one engine comes and all of another version go.
-func (s *streamSoak) killBesideRelease(ctx context.Context, rng *rand.Rand, version string) {
+// killBesideRelease kills all nodes, at times twice, while all engines are replaced by ones of a version.
+func (s *streamSoak) killBesideRelease(ctx context.Context, rng *rand.Rand, version string, _ *sync.WaitGroup) {
 	var release sync.WaitGroup
 	defer release.Wait()
 	releaseRNG := rand.New(rand.NewPCG(rng.Uint64(), 3))
 	release.Go(func() { s.release(ctx, releaseRNG, version, time.Second) })
-	sleepContext(ctx, time.Duration(rng.Int64N(int64(2*time.Second))))
+	sleepContext(ctx, randomTime(rng, drainTime))
 	s.killAll(func() {})
 	if rng.IntN(2) == 0 {
-		sleepContext(ctx, time.Duration(rng.Int64N(int64(3*time.Second/2))))
+		sleepContext(ctx, randomTime(rng, momentPause))
 		s.killAll(func() {})
 	}
 }
 
-// killAsVersionGoes kills all nodes, and ends all engines of all versions but one until they start again.
-func (s *streamSoak) killAsVersionGoes(ctx context.Context, rng *rand.Rand) {
-	models := s.models()
-	stays := models[rng.IntN(len(models))].Version
-	if rng.IntN(2) == 0 {
-		stays = fmt.Sprint("v", 1+rng.IntN(3))
-	}
-	var gone []*platformtest.Engine
-	for _, e := range models {
-		if e.Version != stays {
-			gone = append(gone, e)
-		}
-	}
-	if len(gone) == len(models) {
+// killAsVersionsGo kills all nodes, and ends all engines of all versions but one before they start again.
+func (s *streamSoak) killAsVersionsGo(ctx context.Context, rng *rand.Rand, stays string, _ *sync.WaitGroup) {
+	gone := slices.DeleteFunc(s.models(), func(e *platformtest.Engine) bool { return e.Version == stays })
+	if len(gone) == len(s.models()) {
 		s.addMarked("a", stays)
 		s.addMarked("b", stays)
-		sleepContext(ctx, time.Duration(rng.Int64N(int64(maxMomentWait))))
+		sleepContext(ctx, randomTime(rng, 2*momentPause))
 	}
-	s.killAll(func() {
-		for _, e := range gone {
-			s.endLeaving(e)
-		}
-	})
+	s.killAll(func() { s.end(gone) })
 	for _, e := range gone {
 		s.addMarked(e.Zone, stays)
 	}
 }
 
-// killAfterUnknownVersion has all engines serve another version of which the store takes no record, kills all nodes, and has all engines restart with a third one
-// before the store answers again. In some of these moments the store has just listed the version.
-func (s *streamSoak) killAfterUnknownVersion(ctx context.Context, rng *rand.Rand, moment int) {
-	if rng.IntN(2) == 0 {
-		s.restartAll(ctx, fmt.Sprint("v", 10+moment))
-		time.Sleep(time.Duration(rng.Int64N(int64(listingDelay))))
-		s.store.Refuse(http.StatusServiceUnavailable)
-	} else {
-		s.store.Refuse(http.StatusServiceUnavailable)
-		s.restartAll(ctx, fmt.Sprint("v", 10+moment))
+func (s *streamSoak) end(engines []*platformtest.Engine) {
+	for _, e := range engines {
+		s.endLeaving(e)
 	}
-	sleepContext(ctx, unknownTime+time.Duration(rng.Int64N(int64(unknownTime))))
-	s.killAll(func() { s.restartAll(ctx, fmt.Sprint("v", 1+rng.IntN(3))) })
-	sleepContext(ctx, time.Duration(rng.Int64N(int64(unknownTime))))
-	s.store.Refuse(0)
 }
 
-// restartAll restarts all engines for streams at once with a version, which is listed.
-func (s *streamSoak) restartAll(ctx context.Context, version string) {
-	for _, e := range s.models() {
-		s.restart(ctx, e, version, 0, 0)
-	}
+// killAfterUnrecordedVersion has all engines be of a version that the nodes know and of which the store takes no record, and kills all nodes. As these start again,
+// all engines are of another version, and the store takes writes a little later.
+func (s *streamSoak) killAfterUnrecordedVersion(ctx context.Context, rng *rand.Rand, version string, callers *sync.WaitGroup) {
+	s.store.RefuseWrites(http.StatusServiceUnavailable)
+	s.replaceSome(rng, fmt.Sprint("v", s.ids.Add(1)+momentVersions), len(s.models()))
+	sleepContext(ctx, randomTime(rng, storeAbsence))
+	s.beginMany(ctx, rng, callers)
+	sleepContext(ctx, randomTime(rng, momentPause))
+	s.killAll(func() { s.replaceSome(rng, version, len(s.models())) })
+	sleepContext(ctx, randomTime(rng, storeAbsence))
+	s.store.RefuseWrites(0)
 }
--- a/cmd/vaneyoked/soak_streams_of_builds_test.go
+++ b/cmd/vaneyoked/soak_streams_of_builds_test.go
@@ -26,7 +26,7 @@
 
 var (
 	soakCommits = flag.String("soak.commits", "", "commits whose builds serve the same days of streams, by commas; \"present\" is the build under test, which runs alone and for a short time where it is empty")
-	soakDays    = flag.String("soak.days", "releases,moments", "days of streams, by commas: releases, moments, builds")
+	soakDays    = flag.String("soak.days", "releases,moments", "days of streams, by commas: releases, moments, restarts, builds")
 	soakSeeds   = flag.Uint64("soak.seeds", 1, "number of seeds of the days of streams, from that of -soak.seed on")
 )
 
@@ -74,7 +74,9 @@
 // nodes and connections fail. Each stream is judged piece by piece from what its caller got over all tries: no breach is allowed at the build under test; those
 // of other builds are counted.
 func TestSoakStreamsOfBuilds(t *testing.T) {
-	days := map[string]day{"releases": (*streamSoak).playReleases, "moments": (*streamSoak).playMoments, "builds": (*streamSoak).playBuilds}
+	days := map[string]day{
+		"releases": (*streamSoak).playReleases, "moments": (*streamSoak).playMoments, "restarts": (*streamSoak).playRestarts, "builds": (*streamSoak).playBuilds,
+	}
 	length := orDefault(*soakDuration, longDay)
 	if *soakCommits == "" {
 		length = orDefault(*soakDuration, shortDay)
