--- a/decide/generation/state.go
+++ b/decide/generation/state.go
@@ -24,7 +24,9 @@
 	effects []Effect
 
 	answer            Transcript       // accepted tokens
+	events            sequence         // numbers of the accepted events of a stream
 	origin            vaneyoke.Attempt // that the answer began with; 0 before that
+	unconfirmed       bool             // whether an attempt has ended the answer, and another one is to confirm that nothing follows
 	runs              []run
 	lastAttempt       vaneyoke.Attempt // the last number assigned
 	avoid             []vaneyoke.UpstreamID
@@ -46,7 +48,7 @@
 
 // New returns a generation whose first event is Admitted.
 func New(cfg Config, rng *rand.Rand) *State {
-	return &State{cfg: cfg, rng: rng}
+	return &State{cfg: cfg, rng: rng, events: sequence{last: cfg.ResumeAfter}}
 }
 
 // Ended reports whether the generation has finished or failed.
@@ -214,6 +216,12 @@
 		s.loseRun(now, r, CauseMalformed)
 		return
 	}
+	isSplice := r.stage != stageStreaming
+	if isSplice && !s.mayFollow(r, ev.Number) {
+		s.dropBatch(ev.Batch)
+		s.loseRun(now, r, CauseMalformed)
+		return
+	}
 	r.stage = stageStreaming
 	r.recover()
 	r.gaps.add(now)
@@ -221,6 +229,7 @@
 		r.pending = append(r.pending, ev.Batch.IDs...)
 		return
 	}
+	s.events.add(ev.Number, isSplice)
 	s.accept(now, r, ev.Batch)
 }
 
@@ -235,6 +244,7 @@
 	r.pending = nil
 	matched := s.answer.add(b.IDs, b.Text, s.cfg.Stop)
 	s.lastProgress = now
+	s.unconfirmed = false
 	s.consecutiveLosses = 0
 	s.avoid = s.avoid[:0]
 	s.emit(Deliver{})
@@ -276,7 +286,7 @@
 	if len(r.pending) > 0 {
 		s.accept(now, r, vaneyoke.Batch{})
 	}
-	if s.ended {
+	if s.ended || (ev.Unconfirmed && s.confirmEnd(now, *s.findRun(ev.Attempt))) {
 		return
 	}
 	s.setOrigin(ev.Attempt)
