The soaks of streams have names of their own

Two soaks that were written beside each other named their settings and their type alike; the one that runs any build is buildSoak now. No check changes.

--- a/cmd/vaneyoked/soak_streams_days_test.go
+++ b/cmd/vaneyoked/soak_streams_days_test.go
@@ -21,7 +21,7 @@
 )
 
 // playReleases is a day of two releases one after the other, on which engines and nodes crash, connections are reset, and all nodes are killed once.
-func (s *streamSoak) playReleases(ctx context.Context, seed uint64, _ *sync.WaitGroup) {
+func (s *buildSoak) playReleases(ctx context.Context, seed uint64, _ *sync.WaitGroup) {
 	var work sync.WaitGroup
 	defer work.Wait()
 	part := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1<<33+n)) }
@@ -41,7 +41,7 @@
 }
 
 // releaseTwice replaces all engines by ones of the next version, and these by ones of the one after.
-func (s *streamSoak) releaseTwice(ctx context.Context, rng *rand.Rand) {
+func (s *buildSoak) releaseTwice(ctx context.Context, rng *rand.Rand) {
 	for _, version := range []string{"v2", "v3"} {
 		if !sleepContext(ctx, s.length/8) {
 			return
@@ -51,7 +51,7 @@
 }
 
 // release replaces all engines for streams by ones of another version, spread over a time.
-func (s *streamSoak) release(ctx context.Context, rng *rand.Rand, version string, spread time.Duration) {
+func (s *buildSoak) release(ctx context.Context, rng *rand.Rand, version string, spread time.Duration) {
 	var leaving sync.WaitGroup
 	defer leaving.Wait()
 	models := s.models()
@@ -67,14 +67,14 @@
 }
 
 // models returns the live engines for streams.
-func (s *streamSoak) models() []*platformtest.Engine {
+func (s *buildSoak) models() []*platformtest.Engine {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return slices.DeleteFunc(slices.Clone(s.live), func(e *platformtest.Engine) bool { return e.Service != "lm" })
 }
 
 // retire ends an engine, after the time for which it serves on if that is announced.
-func (s *streamSoak) retire(ctx context.Context, e *platformtest.Engine, isAnnounced bool) {
+func (s *buildSoak) retire(ctx context.Context, e *platformtest.Engine, isAnnounced bool) {
 	s.engineMu.Lock()
 	s.leaving[e] = true
 	s.engineMu.Unlock()
@@ -88,7 +88,7 @@
 }
 
 // endLeaving ends an engine that is leaving.
-func (s *streamSoak) endLeaving(e *platformtest.Engine) {
+func (s *buildSoak) endLeaving(e *platformtest.Engine) {
 	s.engineMu.Lock()
 	defer s.engineMu.Unlock()
 	s.mu.Lock()
@@ -99,7 +99,7 @@
 }
 
 // failEngines crashes engines and resets their connections until ctx ends.
-func (s *streamSoak) failEngines(ctx context.Context, rng *rand.Rand) {
+func (s *buildSoak) failEngines(ctx context.Context, rng *rand.Rand) {
 	for sleepContext(ctx, time.Duration(rng.Int64N(int64(2*engineFaults)))) {
 		models := s.models()
 		e := models[rng.IntN(len(models))]
@@ -113,7 +113,7 @@
 
 // restart crashes an engine and restarts it under its id after a downtime, with another version unless that is "", which is listed after a delay.
 // An engine that is leaving ends.
-func (s *streamSoak) restart(ctx context.Context, e *platformtest.Engine, version string, downtime, delay time.Duration) {
+func (s *buildSoak) restart(ctx context.Context, e *platformtest.Engine, version string, downtime, delay time.Duration) {
 	s.engineMu.Lock()
 	isLeaving := s.leaving[e]
 	if !isLeaving {
@@ -141,7 +141,7 @@
 }
 
 // resetTwice resets all connections of engines and callers two times.
-func (s *streamSoak) resetTwice(ctx context.Context) {
+func (s *buildSoak) resetTwice(ctx context.Context) {
 	for range 2 {
 		if !sleepContext(ctx, s.length*3/10) {
 			return
@@ -154,7 +154,7 @@
 }
 
 // killAll kills all nodes at the same moment, and starts them again after meanwhile has returned.
-func (s *streamSoak) killAll(meanwhile func()) {
+func (s *buildSoak) killAll(meanwhile func()) {
 	for _, n := range s.allNodes() {
 		n.signal(syscall.SIGKILL)
 	}
@@ -169,7 +169,7 @@
 
 // playBuilds is a day of two releases before nodes of two builds, half and half at first. Callers come back to a node of the other build. Then all nodes are
 // upgraded, and in the end all go back, one after the other.
-func (s *streamSoak) playBuilds(ctx context.Context, seed uint64, _ *sync.WaitGroup) {
+func (s *buildSoak) playBuilds(ctx context.Context, seed uint64, _ *sync.WaitGroup) {
 	var work sync.WaitGroup
 	defer work.Wait()
 	part := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1<<35+n)) }
@@ -183,7 +183,7 @@
 }
 
 // replaceNodes replaces all nodes of another build by ones of this one, one after the other.
-func (s *streamSoak) replaceNodes(ctx context.Context, rng *rand.Rand, next *build) {
+func (s *buildSoak) replaceNodes(ctx context.Context, rng *rand.Rand, next *build) {
 	nodes := s.allNodes()
 	rng.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
 	for _, n := range nodes {
--- a/cmd/vaneyoked/soak_streams_moments_test.go
+++ b/cmd/vaneyoked/soak_streams_moments_test.go
@@ -21,17 +21,17 @@
 )
 
 // moment is a time at which little is known of a stream.
-type moment func(s *streamSoak, ctx context.Context, rng *rand.Rand, version string, callers *sync.WaitGroup)
+type moment func(s *buildSoak, ctx context.Context, rng *rand.Rand, version string, callers *sync.WaitGroup)
 
 // playMoments is a day on which all nodes are killed at the moments at which the least is known of a stream: as it begins, as its version comes or goes, or while
 // the store is away. Each start of an engine has a new id.
-func (s *streamSoak) playMoments(ctx context.Context, seed uint64, callers *sync.WaitGroup) {
+func (s *buildSoak) playMoments(ctx context.Context, seed uint64, callers *sync.WaitGroup) {
 	s.playInTurn(ctx, rand.New(rand.NewPCG(seed, 1<<34)), callers,
-		(*streamSoak).killAsStreamsBegin, (*streamSoak).killWithoutStore, (*streamSoak).killBesideRelease, (*streamSoak).killAsVersionsGo, (*streamSoak).killAfterUnrecordedVersion)
+		(*buildSoak).killAsStreamsBegin, (*buildSoak).killWithoutStore, (*buildSoak).killBesideRelease, (*buildSoak).killAsVersionsGo, (*buildSoak).killAfterUnrecordedVersion)
 }
 
 // playInTurn plays moments in a random order, again and again, until ctx ends.
-func (s *streamSoak) playInTurn(ctx context.Context, rng *rand.Rand, callers *sync.WaitGroup, moments ...moment) {
+func (s *buildSoak) playInTurn(ctx context.Context, rng *rand.Rand, callers *sync.WaitGroup, moments ...moment) {
 	rng.Shuffle(len(moments), func(i, j int) { moments[i], moments[j] = moments[j], moments[i] })
 	for i := 0; sleepContext(ctx, min(s.length/5, momentPause+randomTime(rng, 2*momentPause))); i++ {
 		moments[i%len(moments)](s, ctx, rng, fmt.Sprint("v", 1+rng.IntN(momentVersions)), callers)
@@ -43,7 +43,7 @@
 }
 
 // replaceSome has engines of a version take the place of some others, which end at once.
-func (s *streamSoak) replaceSome(rng *rand.Rand, version string, count int) {
+func (s *buildSoak) replaceSome(rng *rand.Rand, version string, count int) {
 	models := s.models()
 	rng.Shuffle(len(models), func(i, j int) { models[i], models[j] = models[j], models[i] })
 	for _, e := range models[:min(count, len(models))] {
@@ -53,7 +53,7 @@
 }
 
 // beginMany has additional callers begin streams within some milliseconds, and returns within milliseconds of their first pieces.
-func (s *streamSoak) beginMany(ctx context.Context, rng *rand.Rand, callers *sync.WaitGroup) {
+func (s *buildSoak) beginMany(ctx context.Context, rng *rand.Rand, callers *sync.WaitGroup) {
 	for range burst {
 		callerRNG := rand.New(rand.NewPCG(rng.Uint64(), 1))
 		callers.Go(func() {
@@ -66,7 +66,7 @@
 }
 
 // killAsStreamsBegin kills all nodes as many streams get their first pieces, while two versions serve; some engines may have ended as the nodes start again.
-func (s *streamSoak) killAsStreamsBegin(ctx context.Context, rng *rand.Rand, version string, callers *sync.WaitGroup) {
+func (s *buildSoak) killAsStreamsBegin(ctx context.Context, rng *rand.Rand, version string, callers *sync.WaitGroup) {
 	s.replaceSome(rng, version, len(s.models())/2)
 	sleepContext(ctx, randomTime(rng, momentPause))
 	s.beginMany(ctx, rng, callers)
@@ -78,7 +78,7 @@
 }
 
 // killWithoutStore kills all nodes while the store is away and engines of one version take the place of others.
-func (s *streamSoak) killWithoutStore(ctx context.Context, rng *rand.Rand, version string, _ *sync.WaitGroup) {
+func (s *buildSoak) killWithoutStore(ctx context.Context, rng *rand.Rand, version string, _ *sync.WaitGroup) {
 	s.store.Refuse(http.StatusServiceUnavailable)
 	sleepContext(ctx, randomTime(rng, storeAbsence))
 	s.replaceSome(rng, version, 1+rng.IntN(len(s.models())))
@@ -89,7 +89,7 @@
 }
 
 // killBesideRelease kills all nodes, at times twice, while all engines are replaced by ones of a version.
-func (s *streamSoak) killBesideRelease(ctx context.Context, rng *rand.Rand, version string, _ *sync.WaitGroup) {
+func (s *buildSoak) killBesideRelease(ctx context.Context, rng *rand.Rand, version string, _ *sync.WaitGroup) {
 	var release sync.WaitGroup
 	defer release.Wait()
 	releaseRNG := rand.New(rand.NewPCG(rng.Uint64(), 3))
@@ -103,7 +103,7 @@
 }
 
 // killAsVersionsGo kills all nodes, and ends all engines of all versions but one before they start again.
-func (s *streamSoak) killAsVersionsGo(ctx context.Context, rng *rand.Rand, stays string, _ *sync.WaitGroup) {
+func (s *buildSoak) killAsVersionsGo(ctx context.Context, rng *rand.Rand, stays string, _ *sync.WaitGroup) {
 	gone := slices.DeleteFunc(s.models(), func(e *platformtest.Engine) bool { return e.Version == stays })
 	if len(gone) == len(s.models()) {
 		s.addMarked("a", stays)
@@ -116,7 +116,7 @@
 	}
 }
 
-func (s *streamSoak) end(engines []*platformtest.Engine) {
+func (s *buildSoak) end(engines []*platformtest.Engine) {
 	for _, e := range engines {
 		s.endLeaving(e)
 	}
@@ -124,7 +124,7 @@
 
 // killAfterUnrecordedVersion has all engines be of a version that the nodes know and of which the store takes no record, and kills all nodes. As these start again,
 // all engines are of another version, and the store takes writes a little later.
-func (s *streamSoak) killAfterUnrecordedVersion(ctx context.Context, rng *rand.Rand, version string, callers *sync.WaitGroup) {
+func (s *buildSoak) killAfterUnrecordedVersion(ctx context.Context, rng *rand.Rand, version string, callers *sync.WaitGroup) {
 	s.store.RefuseWrites(http.StatusServiceUnavailable)
 	s.replaceSome(rng, fmt.Sprint("v", s.ids.Add(1)+momentVersions), len(s.models()))
 	sleepContext(ctx, randomTime(rng, storeAbsence))
--- a/cmd/vaneyoked/soak_streams_of_builds_test.go
+++ b/cmd/vaneyoked/soak_streams_of_builds_test.go
@@ -32,8 +32,8 @@
 
 const (
 	presentBuild     = "present"
-	streamNodes      = 6
-	streamCallers    = 16
+	dayNodes         = 6
+	dayCallers       = 16
 	pieceInterval    = 100 * time.Millisecond
 	shortDay         = 6 * time.Second
 	longDay          = 45 * time.Second
@@ -45,8 +45,8 @@
 	maxBreachesShown = 12                     // breached streams that are logged in full
 )
 
-// streamSoak drives nodes of any build, and judges each stream by the pieces that its caller got.
-type streamSoak struct {
+// buildSoak drives nodes of any build, and judges each stream by the pieces that its caller got.
+type buildSoak struct {
 	*soak
 	commit     string
 	present    *build        // what the commit's nodes run; nil for the build under test
@@ -68,14 +68,14 @@
 }
 
 // day is a series of disruptions that ends within the soak's length.
-type day func(s *streamSoak, ctx context.Context, seed uint64, callers *sync.WaitGroup)
+type day func(s *buildSoak, ctx context.Context, seed uint64, callers *sync.WaitGroup)
 
 // TestSoakStreamsOfBuilds has real processes of one or more builds serve the same days, on which software versions change while callers come back, and engines,
 // nodes and connections fail. Each stream is judged piece by piece from what its caller got over all tries: no breach is allowed at the build under test; those
 // of other builds are counted.
 func TestSoakStreamsOfBuilds(t *testing.T) {
 	days := map[string]day{
-		"releases": (*streamSoak).playReleases, "moments": (*streamSoak).playMoments, "restarts": (*streamSoak).playRestarts, "builds": (*streamSoak).playBuilds,
+		"releases": (*buildSoak).playReleases, "moments": (*buildSoak).playMoments, "restarts": (*buildSoak).playRestarts, "builds": (*buildSoak).playBuilds,
 	}
 	length := orDefault(*soakDuration, longDay)
 	if *soakCommits == "" {
@@ -99,8 +99,8 @@
 }
 
 // newStreamSoak starts nodes of a commit; where builds are side by side, every other node is of the one that ran before.
-func newStreamSoak(t *testing.T, commit string, length time.Duration, areMixed bool) *streamSoak {
-	s := &streamSoak{
+func newStreamSoak(t *testing.T, commit string, length time.Duration, areMixed bool) *buildSoak {
+	s := &buildSoak{
 		soak: newSoak(t, 0), commit: commit, length: length, conns: map[net.Conn]bool{}, leaving: map[*platformtest.Engine]bool{}, counts: newStreamCounts(), crossBuild: areMixed,
 	}
 	if commit != presentBuild {
@@ -116,7 +116,7 @@
 	for _, e := range s.live {
 		s.markRuns(e)
 	}
-	for i := range orDefault(*soakNodes, streamNodes) {
+	for i := range orDefault(*soakNodes, dayNodes) {
 		n, err := s.addNode(shortLameDuck...)
 		must.NoError(t, err)
 		next := s.present
@@ -133,7 +133,7 @@
 }
 
 // markRuns makes the events of an engine slow and name their runs; some runs break off.
-func (s *streamSoak) markRuns(e *platformtest.Engine) {
+func (s *buildSoak) markRuns(e *platformtest.Engine) {
 	e.MarkRuns()
 	e.HoldAllReplicas()
 	e.SpoilBy(func(string, string) platformtest.Fault {
@@ -146,7 +146,7 @@
 }
 
 // addMarked starts an engine of a version that marks its events from the first one on, and lists it.
-func (s *streamSoak) addMarked(zone, version string) {
+func (s *buildSoak) addMarked(zone, version string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := platformtest.NewEngine(fmt.Sprintf("i-%d", len(s.engines)), "lm", zone)
@@ -157,7 +157,7 @@
 }
 
 // dial connects a caller to a node.
-func (s *streamSoak) dial(ctx context.Context, network, address string) (net.Conn, error) {
+func (s *buildSoak) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
@@ -169,7 +169,7 @@
 }
 
 // resetCallers resets all connections of callers.
-func (s *streamSoak) resetCallers() {
+func (s *buildSoak) resetCallers() {
 	s.connMu.Lock()
 	defer s.connMu.Unlock()
 	for conn := range s.conns {
@@ -182,11 +182,11 @@
 }
 
 // play runs callers and a day until its end.
-func (s *streamSoak) play(d day, seed uint64) {
+func (s *buildSoak) play(d day, seed uint64) {
 	ctx, stop := context.WithTimeout(s.t.Context(), s.length)
 	defer stop()
 	var callers sync.WaitGroup
-	for c := range orDefault(*soakCallers, streamCallers) {
+	for c := range orDefault(*soakCallers, dayCallers) {
 		rng := rand.New(rand.NewPCG(seed, uint64(c)))
 		callers.Go(func() {
 			for sleepContext(ctx, time.Duration(rng.Int64N(int64(maxStreamPause)))) {
@@ -200,7 +200,7 @@
 }
 
 // take requests a stream until it is whole or refused for good, or its caller has come back often enough, and judges it.
-func (s *streamSoak) take(ctx context.Context, rng *rand.Rand) {
+func (s *buildSoak) take(ctx context.Context, rng *rand.Rand) {
 	var stream judgedStream
 	call := platformtest.Call{Path: "/tell/x", Stream: true, Prompt: fmt.Sprintf("%x", rng.Uint32()), Wait: 12 * time.Second, Host: soakHost, Key: soakKey}
 	var node *soakNode
@@ -233,7 +233,7 @@
 }
 
 // nextNode returns the node to which a caller turns after the one before, nil for none.
-func (s *streamSoak) nextNode(rng *rand.Rand, before *soakNode) *soakNode {
+func (s *buildSoak) nextNode(rng *rand.Rand, before *soakNode) *soakNode {
 	nodes := s.allNodes()
 	if before != nil && s.crossBuild {
 		others := slices.DeleteFunc(slices.Clone(nodes), func(n *soakNode) bool {
@@ -247,7 +247,7 @@
 }
 
 // try sends one request. retryAfter is the time after which a refused caller is to come back, negative for none.
-func (s *streamSoak) try(ctx context.Context, n *soakNode, call platformtest.Call) (try tryOfStream, retryAfter time.Duration) {
+func (s *buildSoak) try(ctx context.Context, n *soakNode, call platformtest.Call) (try tryOfStream, retryAfter time.Duration) {
 	try = tryOfStream{attempt: call.ID, node: n.name, build: s.commitOf(n), after: call.After, began: time.Now()}
 	defer func() { try.ended = time.Now() }()
 	req, err := call.Request(ctx, n.listen)
@@ -272,7 +272,7 @@
 }
 
 // commitOf returns the commit of the build that a node runs.
-func (s *streamSoak) commitOf(n *soakNode) string {
+func (s *buildSoak) commitOf(n *soakNode) string {
 	if b := n.currentIncarnation().build; b != nil {
 		return b.commit
 	}
@@ -280,7 +280,7 @@
 }
 
 // report logs the counts and some of the breached streams.
-func (s *streamSoak) report(title string) {
+func (s *buildSoak) report(title string) {
 	s.resultMu.Lock()
 	defer s.resultMu.Unlock()
 	s.t.Logf("%s: %s", title, s.counts)
--- a/cmd/vaneyoked/soak_streams_restarts_test.go
+++ b/cmd/vaneyoked/soak_streams_restarts_test.go
@@ -13,12 +13,12 @@
 
 // playRestarts is a day on which engines restart under their ids with another version, within less than a tenth of a second, at the moments at which the least is
 // known of a stream.
-func (s *streamSoak) playRestarts(ctx context.Context, seed uint64, callers *sync.WaitGroup) {
-	s.playInTurn(ctx, rand.New(rand.NewPCG(seed, 1<<36)), callers, (*streamSoak).restartAsStreamsBegin, (*streamSoak).killAndRestartSome, (*streamSoak).killAfterUnknownVersion)
+func (s *buildSoak) playRestarts(ctx context.Context, seed uint64, callers *sync.WaitGroup) {
+	s.playInTurn(ctx, rand.New(rand.NewPCG(seed, 1<<36)), callers, (*buildSoak).restartAsStreamsBegin, (*buildSoak).killAndRestartSome, (*buildSoak).killAfterUnknownVersion)
 }
 
 // restartSome restarts up to half of the engines with a version, one after the other.
-func (s *streamSoak) restartSome(ctx context.Context, rng *rand.Rand, version string) {
+func (s *buildSoak) restartSome(ctx context.Context, rng *rand.Rand, version string) {
 	models := s.models()
 	rng.Shuffle(len(models), func(i, j int) { models[i], models[j] = models[j], models[i] })
 	for _, e := range models[:1+rng.IntN(len(models)/2)] {
@@ -27,7 +27,7 @@
 }
 
 // restartAll restarts all engines with a version, which is listed at once.
-func (s *streamSoak) restartAll(ctx context.Context, version string) {
+func (s *buildSoak) restartAll(ctx context.Context, version string) {
 	for _, e := range s.models() {
 		s.restart(ctx, e, version, 0, 0)
 	}
@@ -35,7 +35,7 @@
 
 // restartAsStreamsBegin restarts engines together, as many streams get their first pieces; some must not be asked for reports then, since they have declared a
 // limit or pushed back.
-func (s *streamSoak) restartAsStreamsBegin(ctx context.Context, rng *rand.Rand, version string, callers *sync.WaitGroup) {
+func (s *buildSoak) restartAsStreamsBegin(ctx context.Context, rng *rand.Rand, version string, callers *sync.WaitGroup) {
 	models := s.models()
 	rng.Shuffle(len(models), func(i, j int) { models[i], models[j] = models[j], models[i] })
 	restarting := models[:1+rng.IntN(len(models)/2)]
@@ -61,7 +61,7 @@
 }
 
 // killAndRestartSome kills all nodes as many streams get their first pieces, while engines restart.
-func (s *streamSoak) killAndRestartSome(ctx context.Context, rng *rand.Rand, version string, callers *sync.WaitGroup) {
+func (s *buildSoak) killAndRestartSome(ctx context.Context, rng *rand.Rand, version string, callers *sync.WaitGroup) {
 	s.beginMany(ctx, rng, callers)
 	var restarts sync.WaitGroup
 	defer restarts.Wait()
@@ -72,7 +72,7 @@
 
 // killAfterUnknownVersion has all engines restart with a version that no node can read from the store, kills all nodes, and has all engines restart with a third
 // one before the store answers again. At times the store has just listed the version.
-func (s *streamSoak) killAfterUnknownVersion(ctx context.Context, rng *rand.Rand, version string, _ *sync.WaitGroup) {
+func (s *buildSoak) killAfterUnknownVersion(ctx context.Context, rng *rand.Rand, version string, _ *sync.WaitGroup) {
 	unknown := fmt.Sprint("v", s.ids.Add(1)+momentVersions)
 	if rng.IntN(2) == 0 {
 		s.restartAll(ctx, unknown)
