Tests of what is recorded of streams that nothing frames

With engines that end their streams with their connections, breakers that opened once never close again, so that each such engine gets one stream at a time, and no rollout judges a version whose streams have no event:

TestUnframedAnswersLeaveBreakersOpen: - s"done": 2, + s"dropped": 2 TestRolloutMissesUnframedStreamsWithoutAnEvent: - "a": {5}, - "b": {5} (nothing recorded)

--- /dev/null
+++ b/shell/relay/unframed_test.go
@@ -0,0 +1,71 @@
+package relay_test
+
+import (
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/placement"
+	"github.com/vaneyoke/vaneyoke/decide/rollout"
+	"github.com/vaneyoke/vaneyoke/shell/relay"
+	"github.com/vaneyoke/vaneyoke/wire/forward"
+)
+
+// unframedExchange is an answer that ends with its connection.
+type unframedExchange struct{ lateExchange }
+
+func (*unframedExchange) Head() forward.Head {
+	return forward.Head{Status: http.StatusOK, Framing: forward.CloseDelimited}
+}
+
+// outcomePlacer counts the outcomes of attempts.
+type outcomePlacer struct {
+	sequentialPlacer
+	outcomes map[placement.Outcome]int
+}
+
+// Ended counts an outcome.
+func (p *outcomePlacer) Ended(_ vaneyoke.UpstreamID, outcome placement.Outcome, _ bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.outcomes[outcome]++
+}
+
+// Guards against upstreams that frame nothing, whose whole answers never close their breakers again.
+func TestUnframedAnswersLeaveBreakersOpen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		placer := &outcomePlacer{outcomes: map[placement.Outcome]int{}}
+		answers := map[vaneyoke.UpstreamID]forward.Response{"a": &unframedExchange{lateExchange{from: "a", events: 2}}, "b": &unframedExchange{}}
+		r := newForwarderWith(&fakeSender{answers: answers, reachable: true}, placer)
+		result, err := forwardStream(t, r).Wait(t.Context())
+		must.NoError(t, err)
+		must.EqOp(t, vaneyoke.CodeOK, result.Code)
+		must.Eq(t, map[placement.Outcome]int{placement.OutcomeDone: 2}, placer.outcomes)
+		r.Close()
+		synctest.Wait()
+	})
+}
+
+// Guards against a version whose engines end all streams without an event, with their connections, and which no rollout judges.
+func TestRolloutMissesUnframedStreamsWithoutAnEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		placer := &rolloutPlacer{kinds: map[vaneyoke.UpstreamID][]rollout.AnswerKind{}}
+		answers := map[vaneyoke.UpstreamID]forward.Response{"a": &unframedExchange{}, "b": &unframedExchange{}}
+		r := newForwarderWith(&fakeSender{answers: answers, reachable: true}, placer)
+		now := time.Now()
+		session := r.Forward(t.Context(), &vaneyoke.Request{ID: "r", Repeatable: true, ReceivedAt: now}, relay.Forwarding{
+			Message: &forward.Message{}, Service: "lm", Stream: true, Deadline: now.Add(time.Minute),
+			LatencyGoal: 10 * time.Second, EventIntervalGoal: 10 * time.Second, MaxAttempts: 3,
+		})
+		result, err := session.Wait(t.Context())
+		must.NoError(t, err)
+		must.EqOp(t, vaneyoke.CodeOK, result.Code)
+		must.Eq(t, map[vaneyoke.UpstreamID][]rollout.AnswerKind{"a": {rollout.AnswerEmpty}, "b": {rollout.AnswerEmpty}}, placer.kinds)
+		r.Close()
+		synctest.Wait()
+	})
+}
