Streams that nothing frames count as answers of their upstreams

An end that another attempt is to confirm was reported as dropped, and not as an answer: breakers stayed open, rollouts missed streams without an event, and no forecast and no quarantine learned of completed ones. The attempt counts as done now, as it did before ends were confirmed; the answer counts as completed once.

--- a/shell/relay/close_delimited.go
+++ b/shell/relay/close_delimited.go
@@ -37,13 +37,18 @@
 	if l.fenced || s.result.Ended {
 		return
 	}
+	s.recordEmptyEnd(now, l)
 	s.recordEnding(attempt)
 	_, lastEvent := s.ending()
 	s.logAttempt(attempt, l.upstream.ID).WithFields(logrus.Fields{
 		"pieces": l.chunks, "event": lastEvent, "age_ms": time.Since(l.sentAt).Milliseconds(),
 	}).Info("end_unconfirmed")
-	s.reportOutcome(attempt, placement.OutcomeDropped)
+	s.reportOutcome(attempt, placement.OutcomeDone)
 	s.handleLocked(now, generation.Ended{Attempt: attempt, Reason: vaneyoke.FinishStop, Unconfirmed: true})
+	if s.result.Ended && s.result.Code == vaneyoke.CodeOK {
+		s.recordCompletion()
+		s.recordLength(now)
+	}
 	s.closeLink(attempt)
 }
 
