Test of a request that ends its engines, whose answers nothing frames

Each engine's process ends as it runs the request, and its system closes the connection as after a whole answer. Before ends were confirmed, one engine ended a try. Now the request is sent to as many engines as the route allows, none of which counts as crashed; and where two end before their first event, the caller gets an empty answer as whole:

--- a/shell/relay/unframed_test.go
+++ b/shell/relay/unframed_test.go
@@ -69,3 +69,29 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against a request that ends each engine which runs it, whose connections close as after a whole answer, and that is sent to all of them.
+func TestRequestWithUnframedAnswersIsNotQuarantined(t *testing.T) {
+	for name, events := range map[string]int{"without an event": 0, "after an event": 1} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := &crashRecorder{}
+				s := &crashingSender{fakeSender: fakeSender{answers: map[vaneyoke.UpstreamID]forward.Response{}}}
+				for id := 'a'; id <= 'z'; id++ {
+					s.answers[vaneyoke.UpstreamID(id)] = &unframedExchange{lateExchange{from: "x", events: events, delay: 50 * time.Millisecond}}
+					s.unreachable = append(s.unreachable, vaneyoke.UpstreamID(id))
+				}
+				r := newForwarderWith(s, g)
+				result, err := forwardRequest(t, r, true).Wait(t.Context())
+				must.NoError(t, err)
+				synctest.Wait()
+				must.NotEqOp(t, vaneyoke.CodeOK, result.Code)
+				must.EqOp(t, 3, s.sent.Load())
+				must.Len(t, 3, g.crashes)
+				r.Close()
+				time.Sleep(time.Minute)
+				synctest.Wait()
+			})
+		})
+	}
+}
