A stream that nothing frames is lost if the process of its engine has ended

The end is now checked as for calls first, and is a loss with the check for crashes if the process has ended. TestRequestWithUnframedAnswersIsNotQuarantined fails before.

--- a/shell/relay/close_delimited.go
+++ b/shell/relay/close_delimited.go
@@ -16,16 +16,17 @@
 // errProcessEnded says that the end of a close-delimited answer is the end of its upstream's process, whose connections close as those of a whole answer do.
 var errProcessEnded = errors.New("nothing but its connection's end frames the answer, and its process has ended or restarted")
 
-// handleStreamEnd handles the end of an attempt's stream. Where nothing frames it, a stream that may go on elsewhere has another attempt confirm it.
+// handleStreamEnd handles the end of an attempt's stream. Where nothing frames it, it is a loss if the upstream's process has ended; otherwise, a stream that
+// may go on elsewhere has another attempt confirm it.
 func (s *Session) handleStreamEnd(attempt vaneyoke.Attempt, framing forward.Framing) {
-	if framing == forward.CloseDelimited && s.req.Repeatable {
-		s.handleUnconfirmedEnd(time.Now(), attempt)
-		return
-	}
 	if err := s.checkCloseDelimited(attempt, framing); err != nil {
 		s.handleError(attempt, err)
 		return
 	}
+	if framing == forward.CloseDelimited && s.req.Repeatable {
+		s.handleUnconfirmedEnd(time.Now(), attempt)
+		return
+	}
 	s.handleEnd(time.Now(), generation.Ended{Attempt: attempt, Reason: vaneyoke.FinishStop})
 }
 
