A caller who comes back confirms the end of a stream where one engine is allowed

Where a route allows one engine a try, nobody could confirm an end that nothing frames, and the callers of right engines never got it (502 on each further try). An attempt that brings nothing to a caller who has come back, from a process that still runs, now ends the answer.

--- a/decide/generation/confirming.go
+++ b/decide/generation/confirming.go
@@ -5,7 +5,7 @@
 // confirmEnd asks for what follows the last event of a stream whose end is not certain: an upstream that has nothing more ends its answer at once. It returns
 // false if the end needs no further confirmation, as a second attempt brought nothing more, or can get none. Another attempt that is at work may still go on.
 func (s *State) confirmEnd(now time.Time, r run) bool {
-	if !s.cfg.Repeatable || (s.unconfirmed && r.stage != stageStreaming) {
+	if !s.cfg.Repeatable || (r.stage != stageStreaming && (s.unconfirmed || s.isConfirmedByCaller())) {
 		return false
 	}
 	s.unconfirmed = true
@@ -18,3 +18,6 @@
 	s.placeAgain(now)
 	return true
 }
+
+// isConfirmedByCaller reports whether a caller who has come back confirms an end by getting nothing more: its request may be sent to one upstream only.
+func (s *State) isConfirmedByCaller() bool { return s.cfg.MaxAttempts == 1 && s.cfg.ResumeAfter.IsSet() }
