--- a/shell/relay/attempt.go
+++ b/shell/relay/attempt.go
@@ -289,6 +289,9 @@
 	if err == nil && s.need.Kind == vaneyoke.KindEngine {
 		err = answer.Err()
 	}
+	if err == nil && answer.CloseDelimited && s.relay.hasExited(l.upstream) {
+		err = &engine.ClosedError{Err: errProcessEnded}
+	}
 	if err != nil {
 		s.handleError(attempt, err)
 		return
--- a/wire/engine/client.go
+++ b/wire/engine/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -169,6 +170,8 @@
 	MediaType string
 	Body      []byte
 	Pushback  time.Duration // how long the engine wants no further requests; 0 if it does not say
+	// CloseDelimited says that only the end of the connection frames the body, which is the same if the upstream's process ends within it.
+	CloseDelimited bool
 }
 
 // Call sends a body and returns the complete response, whatever its status.
@@ -196,7 +199,14 @@
 		return Answer{}, &MalformedError{Reason: "answer is too large"}
 	}
 	pushback, _ := Pushback(res.StatusCode, res.Header)
-	return Answer{Status: res.StatusCode, MediaType: res.Header.Get(headerMediaType), Body: answer, Pushback: pushback}, nil
+	return Answer{
+		Status: res.StatusCode, MediaType: res.Header.Get(headerMediaType), Body: answer, Pushback: pushback, CloseDelimited: isCloseDelimited(res),
+	}, nil
+}
+
+// isCloseDelimited reports whether only the end of its connection frames a response's body.
+func isCloseDelimited(res *http.Response) bool {
+	return res.ContentLength < 0 && !slices.Contains(res.TransferEncoding, "chunked") && res.ProtoMajor < 2 && !res.Uncompressed
 }
 
 func (c *Client) send(ctx context.Context, method, url string, header http.Header, body []byte) (*http.Response, error) {
