The memory of a body is given back if its call is lost after it was read

It stayed in the caller's account until the call ended, so that under pressure the next attempt waited for it. TestLostBodyOfAnEndedProcessStaysAccountedFor fails before.

--- a/shell/relay/forwarded.go
+++ b/shell/relay/forwarded.go
@@ -121,13 +121,15 @@
 		return
 	}
 	body, err := exchange.Body()
-	if err == nil {
-		err = s.checkCloseDelimited(attempt, exchange.Head().Framing)
-	}
 	if err != nil {
 		s.handleError(attempt, err)
 		return
 	}
+	if err := s.checkCloseDelimited(attempt, exchange.Head().Framing); err != nil {
+		m.Buffer.Shrink(cap(body) + len(body)) // and the copy
+		s.handleError(attempt, err)
+		return
+	}
 	s.handleResponse(attempt, m, response{head: exchange.Head(), body: body})
 }
 
