An attempt that confirms the end of a stream is begun near the deadline, too

It was taken for one that makes the rest of a usual answer, and whole streams broke off. TestConfirmationCountsAsTheRestOfTheAnswer fails before.

--- a/decide/generation/useful.go
+++ b/decide/generation/useful.go
@@ -85,9 +85,10 @@
 	return s.forecast.Chunks > 0 && float64(s.answer.Len()) >= nearlyWhole*float64(s.forecast.Chunks)
 }
 
-// refuseUseless ends the answer if a further attempt that starts at a time cannot end before the deadline. The first attempt is not its concern.
+// refuseUseless ends the answer if a further attempt that starts at a time cannot end before the deadline. The first attempt is not its concern, nor is one
+// that is to confirm an end, of which no more events are expected.
 func (s *State) refuseUseless(now, at time.Time, attempt vaneyoke.Attempt, fromReplica bool) bool {
-	if s.stats.Attempts == 0 {
+	if s.stats.Attempts == 0 || s.unconfirmed {
 		return false
 	}
 	w := s.expectedWork(fromReplica)
