--- a/decide/generation/confirming.go
+++ b/decide/generation/confirming.go
@@ -20,4 +20,6 @@
 }
 
 // isConfirmedByCaller reports whether a caller who has come back confirms an end by getting nothing more: its request may be sent to one upstream only.
-func (s *State) isConfirmedByCaller() bool { return s.cfg.MaxAttempts == 1 && s.cfg.ResumeAfter.IsSet() }
+func (s *State) isConfirmedByCaller() bool {
+	return s.cfg.MaxAttempts == 1 && s.cfg.ResumeAfter.IsSet()
+}
--- a/decide/generation/confirming_test.go
+++ b/decide/generation/confirming_test.go
@@ -39,3 +39,86 @@
 	must.True(t, s.Ended())
 	must.Eq(t, []generation.Effect{generation.Finish{Reason: vaneyoke.FinishStop, Usage: s.Transcript().Usage()}}, effects)
 }
+
+// silentRun plays a stream whose first run falls silent after seven events, until a second run was sent that is to replace it.
+func silentRun(t *testing.T) (now time.Time, handle func(now time.Time, ev generation.Event) []generation.Effect, received func(attempt vaneyoke.Attempt, n int) *generation.Received) {
+	t.Helper()
+	now = time.Unix(1000, 0)
+	config := generation.DefaultConfig()
+	config.Opaque, config.Repeatable, config.ProbeEvery = true, true, 0
+	config.MaxAttempts, config.MaxWait, config.Deadline = 9, time.Hour, now.Add(time.Hour)
+	s := generation.New(config, rand.New(rand.NewPCG(1, 2)))
+	handle = s.Handle
+	received = func(attempt vaneyoke.Attempt, n int) *generation.Received {
+		return &generation.Received{Attempt: attempt, Number: number(uint64(n)), Batch: vaneyoke.Batch{First: s.Transcript().Len(), IDs: []vaneyoke.TokenID{0}, Text: []byte("x")}}
+	}
+	handle(now, generation.Admitted{})
+	handle(now, generation.Placed{Attempt: 1, Upstream: "a"})
+	handle(now, generation.Sent{Attempt: 1})
+	for i := range 7 {
+		now = now.Add(10 * time.Millisecond)
+		handle(now, received(1, i+1))
+	}
+	for range 100 {
+		now = s.NextTick()
+		for _, effect := range handle(now, generation.Tick{}) {
+			if _, ok := effect.(generation.QueryRun); ok {
+				handle(now, generation.RunReported{Attempt: 1, State: vaneyoke.RunStateUnknown})
+			}
+		}
+		if s.LatestAttempt() == 2 {
+			handle(now, generation.Placed{Attempt: 2, Upstream: "b"})
+			handle(now, generation.Sent{Attempt: 2})
+			return now, handle, received
+		}
+	}
+	t.Fatal("nothing replaces the silent run")
+	return now, nil, nil
+}
+
+// hasEffect reports whether one of the effects is of a type.
+func hasEffect[E generation.Effect](effects []generation.Effect) bool {
+	for _, effect := range effects {
+		if _, ok := effect.(E); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a run that is ended, or is not the only one, because the one that was to replace it brought nothing that could follow.
+func TestUselessReplacementEndsTheRunThatItWasToReplace(t *testing.T) {
+	for name, end := range map[string]func(received func(vaneyoke.Attempt, int) *generation.Received) generation.Event{
+		"it ends unconfirmed": func(func(vaneyoke.Attempt, int) *generation.Received) generation.Event {
+			return generation.Ended{Attempt: 2, Reason: vaneyoke.FinishStop, Unconfirmed: true}
+		},
+		"it begins anew": func(received func(vaneyoke.Attempt, int) *generation.Received) generation.Event {
+			return received(2, 1)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now, handle, received := silentRun(t)
+			effects := handle(now, end(received))
+			must.False(t, hasEffect[generation.Place](effects) || hasEffect[generation.Finish](effects) || hasEffect[generation.Fail](effects), must.Sprintf("%#v", effects))
+			now = now.Add(250 * time.Millisecond) // longer than both runs would have worked on
+			handle(now, generation.Tick{})
+			must.True(t, hasEffect[generation.Deliver](handle(now, received(1, 8))))
+			must.True(t, hasEffect[generation.Finish](handle(now, generation.Ended{Attempt: 1, Reason: vaneyoke.FinishStop})))
+		})
+	}
+}
+
+// Guards against a stream that is closed as whole as a run brings nothing more, although the one before it was lost, or brought events after an unconfirmed end.
+func TestSecondEndInDoubtConfirmsAnotherOne(t *testing.T) {
+	now, handle, received := silentRun(t)
+	handle(now, generation.Ended{Attempt: 1, Reason: vaneyoke.FinishStop, Unconfirmed: true})
+	must.True(t, hasEffect[generation.Deliver](handle(now, received(2, 8))))
+	must.True(t, hasEffect[generation.Place](handle(now, generation.Ended{Attempt: 2, Reason: vaneyoke.FinishStop, Unconfirmed: true})))
+	handle(now, generation.Placed{Attempt: 3, Upstream: "c"})
+	handle(now, generation.Sent{Attempt: 3})
+	must.True(t, hasEffect[generation.Deliver](handle(now, received(3, 9))))
+	must.True(t, hasEffect[generation.Place](handle(now, generation.Lost{Attempt: 3, Cause: generation.CauseClosed})))
+	handle(now, generation.Placed{Attempt: 4, Upstream: "d"})
+	handle(now, generation.Sent{Attempt: 4})
+	must.True(t, hasEffect[generation.Place](handle(now, generation.Ended{Attempt: 4, Reason: vaneyoke.FinishStop, Unconfirmed: true})))
+}
