--- a/shell/relay/unframed_test.go
+++ b/shell/relay/unframed_test.go
@@ -95,3 +95,29 @@
 		})
 	}
 }
+
+// anewExchange is an answer that begins with the first event, whatever the node has.
+type anewExchange struct{ lateExchange }
+
+func (*anewExchange) goOnAfter(string) {}
+
+// Guards against a version whose engines go on with streams at wrong events, and that a rollout takes for good.
+func TestRolloutMissesWrongEvents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		placer := &rolloutPlacer{kinds: map[vaneyoke.UpstreamID][]rollout.AnswerKind{}}
+		r := newForwarderWith(&fakeSender{reachable: true, answers: map[vaneyoke.UpstreamID]forward.Response{
+			"a": &lateExchange{from: "a", events: 2, breaks: true}, "b": &anewExchange{lateExchange{from: "b", events: 4}}, "c": &lateExchange{from: "c", events: 2},
+		}}, placer)
+		session := forwardStream(t, r)
+		result, err := session.Wait(t.Context())
+		must.NoError(t, err)
+		must.EqOp(t, vaneyoke.CodeOK, result.Code)
+		must.EqOp(t, "aacc", string(session.Text()))
+		must.EqOp(t, "a", session.Head().Header.Get("From"))
+		must.Eq(t, map[vaneyoke.UpstreamID][]rollout.AnswerKind{
+			"a": {rollout.AnswerGood, rollout.AnswerLost}, "b": {rollout.AnswerGood, rollout.AnswerLost}, "c": {rollout.AnswerGood},
+		}, placer.kinds)
+		r.Close()
+		synctest.Wait()
+	})
+}
