Calls of the caller API are whole only if their process still answers where nothing frames the body

Cause: the client of the caller API took any end of the connection for the end of the body, as the one for opaque requests did. Evidence: TestAnswerOfAnEndedProcessCountsAsWhole failed in the case of an ended process (no error). Change: an answer without length or chunks is asked after with one request to its upstream, whose status does not matter; framed ones cost nothing. What frames a body is read in one place (forward.FramingOf).

--- a/wire/engine/client.go
+++ b/wire/engine/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/openai"
+	"github.com/vaneyoke/vaneyoke/wire/forward"
 )
 
 const (
@@ -195,10 +196,18 @@
 	if len(answer) > maxAnswerBytes {
 		return Answer{}, &MalformedError{Reason: "answer is too large"}
 	}
+	if forward.FramingOf(res) == forward.CloseDelimited && !c.Reachable(ctx, originOf(res)) { // the connections of a process that ends close as those of a whole answer do
+		return Answer{}, &ClosedError{Err: io.ErrUnexpectedEOF}
+	}
 	pushback, _ := Pushback(res.StatusCode, res.Header)
 	return Answer{Status: res.StatusCode, MediaType: res.Header.Get(headerMediaType), Body: answer, Pushback: pushback}, nil
 }
 
+// originOf returns the scheme and address to which a response's request was sent.
+func originOf(res *http.Response) string {
+	return res.Request.URL.Scheme + "://" + res.Request.URL.Host
+}
+
 func (c *Client) send(ctx context.Context, method, url string, header http.Header, body []byte) (*http.Response, error) {
 	return send(ctx, c.http, method, url, header, body)
 }
--- a/wire/forward/forward.go
+++ b/wire/forward/forward.go
@@ -125,28 +125,6 @@
 	MaxRejections int  // in a second for want of room; 0 if the upstream is not brittle
 }
 
-// Framing is what tells where the body of a response ends.
-type Framing int
-
-// The ways to frame a body.
-const (
-	FramedByLength Framing = iota // its length is stated, or it has none
-	FramedByChunks
-	CloseDelimited // it ends where its connection does, so that its end and a break of its upstream look the same
-)
-
-// String returns the framing as it is logged.
-func (f Framing) String() string {
-	switch f {
-	case FramedByChunks:
-		return "chunks"
-	case CloseDelimited:
-		return "close"
-	default:
-		return "length"
-	}
-}
-
 // Head is the status and header of an upstream's response.
 type Head struct {
 	Status  int
