An answer without an event ends a stream only where its process still runs

A route with one attempt never ended a stream of engines that frame nothing: each of four tries after event 20 broke off. Cause: the answer that was to confirm an end was itself believed without regard to whether its process had ended. Change: an unframed answer without an event is lost if its process has ended or restarted. Else it ends a stream that was to go on after an event, also one that its caller takes up again.

--- a/decide/generation/confirming.go
+++ b/decide/generation/confirming.go
@@ -3,9 +3,10 @@
 import "time"
 
 // confirmEnd asks for what follows the last event of a stream whose end is not certain: an upstream that has nothing more ends its answer at once. It returns
-// false if the end needs no further confirmation, as a second attempt brought nothing more, or can get none. Another attempt that is at work may still go on.
+// false if the end needs no further confirmation, as the run was itself to go on after an event, or after such an end, and brought nothing.
 func (s *State) confirmEnd(now time.Time, r run) bool {
-	if !s.cfg.Repeatable || (s.unconfirmed && r.stage != stageStreaming) {
+	broughtNothing := r.stage != stageStreaming
+	if !s.cfg.Repeatable || (broughtNothing && (s.unconfirmed || s.events.last.IsSet())) {
 		return false
 	}
 	s.unconfirmed = true
--- a/decide/generation/event.go
+++ b/decide/generation/event.go
@@ -74,7 +74,7 @@
 type Ended struct {
 	Attempt     vaneyoke.Attempt
 	Reason      vaneyoke.FinishReason
-	Unconfirmed bool // whether only its connection says so, which closes in the same way if the upstream ends within the answer
+	Unconfirmed bool // whether only its connection says so, which closes in the same way if the upstream ends within an answer; one that brought nothing has not ended
 }
 
 // Lost says that an attempt failed or its stream broke off.
--- a/shell/relay/close_delimited.go
+++ b/shell/relay/close_delimited.go
@@ -16,19 +16,30 @@
 // errProcessEnded says that the end of a close-delimited answer is the end of its upstream's process, whose connections close as those of a whole answer do.
 var errProcessEnded = errors.New("nothing but its connection's end frames the answer, and its process has ended or restarted")
 
-// handleStreamEnd handles the end of an attempt's stream. Where nothing frames it, a stream that may go on elsewhere has another attempt confirm it.
+// handleStreamEnd handles the end of an attempt's stream. Where nothing frames it, a stream that may go on elsewhere has another attempt confirm it, unless
+// this one had nothing to add.
 func (s *Session) handleStreamEnd(attempt vaneyoke.Attempt, framing forward.Framing) {
-	if framing == forward.CloseDelimited && s.req.Repeatable {
-		s.handleUnconfirmedEnd(time.Now(), attempt)
-		return
+	mayGoOn := framing == forward.CloseDelimited && s.req.Repeatable
+	if !mayGoOn || s.broughtNothing(attempt) {
+		if err := s.checkCloseDelimited(attempt, framing); err != nil {
+			s.handleError(attempt, err)
+			return
+		}
 	}
-	if err := s.checkCloseDelimited(attempt, framing); err != nil {
-		s.handleError(attempt, err)
+	if mayGoOn {
+		s.handleUnconfirmedEnd(time.Now(), attempt)
 		return
 	}
 	s.handleEnd(time.Now(), generation.Ended{Attempt: attempt, Reason: vaneyoke.FinishStop})
 }
 
+// broughtNothing reports whether no event of an attempt has arrived.
+func (s *Session) broughtNothing(attempt vaneyoke.Attempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.links[attempt].chunks == 0
+}
+
 // handleUnconfirmedEnd handles the end of a stream that another attempt is to confirm.
 func (s *Session) handleUnconfirmedEnd(now time.Time, attempt vaneyoke.Attempt) {
 	s.mu.Lock()
