A token stream is read event by event, and one that is read again states where it goes on

What callers of the caller API saw: tokens missing, twice or taken for others where an engine writes an event's id after its data, sends ids in keep-alives, counts anew on a stream that is read again, or goes on without ids at a wrong token. Change: an event is complete at its empty line, and the last value of a field counts; an id below the event's own tokens is malformed. A resumed stream whose first event does not state the token that was asked for is lost, and the answer goes on from its token ids.

--- a/wire/engine/client.go
+++ b/wire/engine/client.go
@@ -86,7 +86,9 @@
 	}
 	switch res.StatusCode {
 	case http.StatusOK:
-		return newStream(res.Body, base, from), nil
+		stream := newStream(res.Body, base, from)
+		stream.isResumed = true
+		return stream, nil
 	case http.StatusNotFound, http.StatusGone:
 		_ = res.Body.Close()
 		return nil, &StreamNotFoundError{}
--- a/wire/engine/stream.go
+++ b/wire/engine/stream.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"strconv"
 
@@ -32,8 +33,10 @@
 	parser    fastjson.Parser
 	base      vaneyoke.Tokens // index within the answer of the run's first token
 	next      vaneyoke.Tokens // index within the answer of the next token
+	isResumed bool            // whether its first event has to state that it goes on at next
 	line      []byte          // buffer for a line longer than the reader's buffer
-	lastID    []byte
+	id        []byte          // of the event that is read
+	data      []byte          // of the event that is read
 	tokens    Tokens
 	ids       []vaneyoke.TokenID
 	text      []byte
@@ -69,26 +72,39 @@
 	}
 }
 
-// readEvent returns the data of the next event.
+// readEvent returns the data of the next event that has some.
 func (s *Stream) readEvent() ([]byte, error) {
-	s.lastID = s.lastID[:0]
+	for {
+		if err := s.readFields(); err != nil {
+			return nil, err
+		}
+		switch {
+		case len(s.data) == 0:
+		case bytes.Equal(s.data, endOfData):
+			return nil, &ClosedError{Err: errNoEnd}
+		default:
+			return s.data, nil
+		}
+	}
+}
+
+// readFields reads the fields of the next event up to the empty line that ends it. Of a field that is repeated the last value counts.
+func (s *Stream) readFields() error {
+	s.id, s.data = s.id[:0], s.data[:0]
 	for {
 		line, err := s.readLine()
 		if err != nil {
-			return nil, err
+			return err
 		}
-		if value, ok := bytes.CutPrefix(line, fieldID); ok {
-			s.lastID = append(s.lastID, bytes.TrimSpace(value)...)
+		if len(bytes.TrimRight(line, "\r\n")) == 0 {
+			return nil
 		}
-		value, ok := bytes.CutPrefix(line, fieldData)
-		if !ok {
-			continue
+		if value, ok := bytes.CutPrefix(line, fieldID); ok {
+			s.id = append(s.id[:0], bytes.TrimSpace(value)...)
 		}
-		value = bytes.TrimSpace(value)
-		if bytes.Equal(value, endOfData) {
-			return nil, &ClosedError{Err: errNoEnd}
+		if value, ok := bytes.CutPrefix(line, fieldData); ok {
+			s.data = append(s.data[:0], bytes.TrimSpace(value)...)
 		}
-		return value, nil
 	}
 }
 
@@ -187,16 +203,25 @@
 }
 
 // firstIndex returns the index of the event's first token. The event id is the number of the run's tokens up to the event's
-// end; without one, the tokens are counted here.
+// end; without one, the tokens are counted here. The first event of a resumed stream has to state that it goes on where it was asked to.
 func (s *Stream) firstIndex(count vaneyoke.Tokens) (vaneyoke.Tokens, error) {
-	if len(s.lastID) == 0 {
+	mustFit := s.isResumed
+	s.isResumed = false
+	if len(s.id) == 0 {
+		if mustFit {
+			return 0, &MalformedError{Reason: "nothing tells at which token a resumed stream goes on"}
+		}
 		return s.next, nil
 	}
-	end, err := strconv.Atoi(string(s.lastID))
-	if err != nil {
-		return 0, &MalformedError{Reason: "event id is not a number"}
+	end, err := strconv.Atoi(string(s.id))
+	if err != nil || end < int(count) {
+		return 0, &MalformedError{Reason: fmt.Sprintf("event id %q is not the number of a run's tokens", s.id)}
+	}
+	first := s.base + vaneyoke.Tokens(end) - count
+	if mustFit && first != s.next {
+		return 0, &MalformedError{Reason: fmt.Sprintf("a resumed stream goes on at token %d, not at %d", first, s.next)}
 	}
-	return s.base + vaneyoke.Tokens(end) - count, nil
+	return first, nil
 }
 
 func appendIDs(ids []vaneyoke.TokenID, list []*fastjson.Value) ([]vaneyoke.TokenID, error) {
