--- a/shell/failover/open.go
+++ b/shell/failover/open.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/hex"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -273,6 +274,9 @@
 // caller holds.
 func applyCursorTail(d *journal.Delta, cur *cursor.Cursor) bool {
 	held := len(d.IDs)
+	if !overlapAgrees(d.IDs, int(cur.TailFrom), cur.TailIDs) {
+		return false // two runs may split one text into other tokens
+	}
 	if int(cur.TailFrom) <= len(d.IDs) && cur.TailTextFrom <= len(d.Text) {
 		if skip := len(d.IDs) - int(cur.TailFrom); skip < len(cur.TailIDs) {
 			d.IDs = append(d.IDs[:len(d.IDs):len(d.IDs)], cur.TailIDs[skip:]...)
@@ -287,6 +291,15 @@
 	return cur.Offset <= len(d.Text) && cursor.TextDigest(d.Text[:cur.Offset]) == cur.Digest
 }
 
+// overlapAgrees reports whether ids and a tail that follows the first from of them have the same ids where both have some.
+func overlapAgrees(ids []vaneyoke.TokenID, from int, tail []vaneyoke.TokenID) bool {
+	if from >= len(ids) {
+		return true
+	}
+	n := min(len(ids)-from, len(tail))
+	return slices.Equal(ids[from:from+n], tail[:n])
+}
+
 // pinOnly returns a stream without its run, which keeps the software version that began the answer; nil if that is not known.
 func pinOnly(s *journal.Stream) *journal.Stream {
 	if s == nil || !s.Pin.IsSet {
