--- a/cmd/vaneyoked/soak_streams_days_test.go
+++ b/cmd/vaneyoked/soak_pieces_days_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/vaneyoke/vaneyoke/internal/cutline"
 	"github.com/vaneyoke/vaneyoke/platform/platformtest"
 )
 
@@ -30,7 +31,7 @@
 	work.Go(func() { s.resetTwice(ctx) })
 	rng := part(3)
 	killAll := time.Now().Add(time.Duration((0.2 + 0.5*rng.Float64()) * float64(s.length)))
-	for sleepContext(ctx, time.Duration(rng.Int64N(int64(2*nodeFaults)))) {
+	for sleepContext(ctx, randomDuration(rng, 2*nodeFaults)) {
 		if !killAll.IsZero() && time.Now().After(killAll) {
 			killAll = time.Time{}
 			s.killAll(func() {})
@@ -100,7 +101,7 @@
 
 // failEngines crashes engines and resets their connections until ctx ends.
 func (s *buildSoak) failEngines(ctx context.Context, rng *rand.Rand) {
-	for sleepContext(ctx, time.Duration(rng.Int64N(int64(2*engineFaults)))) {
+	for sleepContext(ctx, randomDuration(rng, 2*engineFaults)) {
 		models := s.models()
 		e := models[rng.IntN(len(models))]
 		if rng.IntN(3) == 0 {
@@ -167,14 +168,43 @@
 	}
 }
 
+// goWrong makes some runs go on at the wrong event, and others end an answer early that nothing frames.
+func goWrong(fault *platformtest.Fault, run int) {
+	switch run % 12 {
+	case 2:
+		fault.ResumesAnew = true
+	case 5:
+		fault.ResumesShifted = -1
+	case 8:
+		fault.ResumesShifted = 1
+	case 11:
+		fault.Unframed, fault.EndAt = true, 2+run/12%platformtest.Events
+	}
+}
+
+// playFaults is a day of one version, on which engines and nodes crash, connections are reset, and some engines go on wrongly or end answers early.
+func (s *buildSoak) playFaults(ctx context.Context, seed uint64, _ *sync.WaitGroup) {
+	s.areWrong.Store(true)
+	var work sync.WaitGroup
+	defer work.Wait()
+	part := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1<<37+n)) }
+	work.Go(func() { s.failEngines(ctx, part(1)) })
+	work.Go(func() { s.resetTwice(ctx) })
+	rng := part(2)
+	for sleepContext(ctx, randomDuration(rng, 2*nodeFaults)) {
+		s.killAndRestart(s.randomNode(rng))
+	}
+}
+
 // playBuilds is a day of two releases before nodes of two builds, half and half at first. Callers come back to a node of the other build. Then all nodes are
-// upgraded, and in the end all go back, one after the other.
+// upgraded, and in the end all go back, one after the other. Nodes of the build under test are cut from engines, so that those of the other one help out.
 func (s *buildSoak) playBuilds(ctx context.Context, seed uint64, _ *sync.WaitGroup) {
 	var work sync.WaitGroup
 	defer work.Wait()
 	part := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1<<35+n)) }
 	work.Go(func() { s.releaseTwice(ctx, part(1)) })
 	work.Go(func() { s.failEngines(ctx, part(2)) })
+	work.Go(func() { s.cutNodes(ctx, part(4)) })
 	rng := part(3)
 	sleepContext(ctx, s.length*4/10)
 	s.replaceNodes(ctx, rng, s.present)
@@ -197,3 +227,13 @@
 		waitReady(s.t, n.readyURL())
 	}
 }
+
+// cutNodes cuts nodes from all engines for streams but one, for a while each. Only the build under test can be cut.
+func (s *buildSoak) cutNodes(ctx context.Context, rng *rand.Rand) {
+	for sleepContext(ctx, randomDuration(rng, maxCutPause)) {
+		n, models := s.randomNode(rng), s.models()
+		s.cut(n, cutline.Mode(rng.IntN(3)), models[1:])
+		sleepContext(ctx, randomDuration(rng, maxCutTime))
+		s.cut(n, 0, nil)
+	}
+}
--- a/cmd/vaneyoked/soak_streams_moments_test.go
+++ b/cmd/vaneyoked/soak_pieces_moments_test.go
@@ -33,15 +33,11 @@
 // playInTurn plays moments in a random order, again and again, until ctx ends.
 func (s *buildSoak) playInTurn(ctx context.Context, rng *rand.Rand, callers *sync.WaitGroup, moments ...moment) {
 	rng.Shuffle(len(moments), func(i, j int) { moments[i], moments[j] = moments[j], moments[i] })
-	for i := 0; sleepContext(ctx, min(s.length/5, momentPause+randomTime(rng, 2*momentPause))); i++ {
+	for i := 0; sleepContext(ctx, min(s.length/5, momentPause+randomDuration(rng, 2*momentPause))); i++ {
 		moments[i%len(moments)](s, ctx, rng, fmt.Sprint("v", 1+rng.IntN(momentVersions)), callers)
 	}
 }
 
-func randomTime(rng *rand.Rand, upTo time.Duration) time.Duration {
-	return time.Duration(rng.Int64N(int64(upTo)))
-}
-
 // replaceSome has engines of a version take the place of some others, which end at once.
 func (s *buildSoak) replaceSome(rng *rand.Rand, version string, count int) {
 	models := s.models()
@@ -57,18 +53,18 @@
 	for range burst {
 		callerRNG := rand.New(rand.NewPCG(rng.Uint64(), 1))
 		callers.Go(func() {
-			if sleepContext(ctx, randomTime(callerRNG, burstSpread)) {
+			if sleepContext(ctx, randomDuration(callerRNG, burstSpread)) {
 				s.take(ctx, callerRNG)
 			}
 		})
 	}
-	time.Sleep(pieceInterval + randomTime(rng, 3*burstSpread))
+	time.Sleep(pieceInterval + randomDuration(rng, 3*burstSpread))
 }
 
 // killAsStreamsBegin kills all nodes as many streams get their first pieces, while two versions serve; some engines may have ended as the nodes start again.
 func (s *buildSoak) killAsStreamsBegin(ctx context.Context, rng *rand.Rand, version string, callers *sync.WaitGroup) {
 	s.replaceSome(rng, version, len(s.models())/2)
-	sleepContext(ctx, randomTime(rng, momentPause))
+	sleepContext(ctx, randomDuration(rng, momentPause))
 	s.beginMany(ctx, rng, callers)
 	s.killAll(func() {
 		if rng.IntN(2) == 0 {
@@ -80,11 +76,11 @@
 // killWithoutStore kills all nodes while the store is away and engines of one version take the place of others.
 func (s *buildSoak) killWithoutStore(ctx context.Context, rng *rand.Rand, version string, _ *sync.WaitGroup) {
 	s.store.Refuse(http.StatusServiceUnavailable)
-	sleepContext(ctx, randomTime(rng, storeAbsence))
+	sleepContext(ctx, randomDuration(rng, storeAbsence))
 	s.replaceSome(rng, version, 1+rng.IntN(len(s.models())))
-	sleepContext(ctx, randomTime(rng, storeAbsence))
+	sleepContext(ctx, randomDuration(rng, storeAbsence))
 	s.killAll(func() {})
-	sleepContext(ctx, randomTime(rng, storeAbsence))
+	sleepContext(ctx, randomDuration(rng, storeAbsence))
 	s.store.Refuse(0)
 }
 
@@ -94,10 +90,10 @@
 	defer release.Wait()
 	releaseRNG := rand.New(rand.NewPCG(rng.Uint64(), 3))
 	release.Go(func() { s.release(ctx, releaseRNG, version, time.Second) })
-	sleepContext(ctx, randomTime(rng, drainTime))
+	sleepContext(ctx, randomDuration(rng, drainTime))
 	s.killAll(func() {})
 	if rng.IntN(2) == 0 {
-		sleepContext(ctx, randomTime(rng, momentPause))
+		sleepContext(ctx, randomDuration(rng, momentPause))
 		s.killAll(func() {})
 	}
 }
@@ -108,7 +104,7 @@
 	if len(gone) == len(s.models()) {
 		s.addMarked("a", stays)
 		s.addMarked("b", stays)
-		sleepContext(ctx, randomTime(rng, 2*momentPause))
+		sleepContext(ctx, randomDuration(rng, 2*momentPause))
 	}
 	s.killAll(func() { s.end(gone) })
 	for _, e := range gone {
@@ -127,10 +123,10 @@
 func (s *buildSoak) killAfterUnrecordedVersion(ctx context.Context, rng *rand.Rand, version string, callers *sync.WaitGroup) {
 	s.store.RefuseWrites(http.StatusServiceUnavailable)
 	s.replaceSome(rng, fmt.Sprint("v", s.ids.Add(1)+momentVersions), len(s.models()))
-	sleepContext(ctx, randomTime(rng, storeAbsence))
+	sleepContext(ctx, randomDuration(rng, storeAbsence))
 	s.beginMany(ctx, rng, callers)
-	sleepContext(ctx, randomTime(rng, momentPause))
+	sleepContext(ctx, randomDuration(rng, momentPause))
 	s.killAll(func() { s.replaceSome(rng, version, len(s.models())) })
-	sleepContext(ctx, randomTime(rng, storeAbsence))
+	sleepContext(ctx, randomDuration(rng, storeAbsence))
 	s.store.RefuseWrites(0)
 }
--- a/cmd/vaneyoked/soak_streams_restarts_test.go
+++ b/cmd/vaneyoked/soak_pieces_restarts_test.go
@@ -22,7 +22,7 @@
 	models := s.models()
 	rng.Shuffle(len(models), func(i, j int) { models[i], models[j] = models[j], models[i] })
 	for _, e := range models[:1+rng.IntN(len(models)/2)] {
-		s.restart(ctx, e, version, randomTime(rng, quickRestart), randomTime(rng, listingDelay/4))
+		s.restart(ctx, e, version, randomDuration(rng, quickRestart), randomDuration(rng, listingDelay/4))
 	}
 }
 
@@ -51,7 +51,7 @@
 			e.PushBack("0.5")
 			time.Sleep(burstSpread)
 		}
-		downtime, delay := randomTime(rng, quickRestart), randomTime(rng, listingDelay)
+		downtime, delay := randomDuration(rng, quickRestart), randomDuration(rng, listingDelay)
 		restarts.Go(func() { s.restart(ctx, e, version, downtime, delay) })
 	}
 	restarts.Wait()
@@ -67,7 +67,7 @@
 	defer restarts.Wait()
 	restartRNG := rand.New(rand.NewPCG(rng.Uint64(), 2))
 	restarts.Go(func() { s.restartSome(ctx, restartRNG, version) })
-	s.killAll(func() { time.Sleep(randomTime(rng, quickRestart)) })
+	s.killAll(func() { time.Sleep(randomDuration(rng, quickRestart)) })
 }
 
 // killAfterUnknownVersion has all engines restart with a version that no node can read from the store, kills all nodes, and has all engines restart with a third
@@ -76,14 +76,14 @@
 	unknown := fmt.Sprint("v", s.ids.Add(1)+momentVersions)
 	if rng.IntN(2) == 0 {
 		s.restartAll(ctx, unknown)
-		time.Sleep(randomTime(rng, listingDelay))
+		time.Sleep(randomDuration(rng, listingDelay))
 		s.store.Refuse(http.StatusServiceUnavailable)
 	} else {
 		s.store.Refuse(http.StatusServiceUnavailable)
 		s.restartAll(ctx, unknown)
 	}
-	sleepContext(ctx, storeAbsence/2+randomTime(rng, storeAbsence/2))
+	sleepContext(ctx, storeAbsence/2+randomDuration(rng, storeAbsence/2))
 	s.killAll(func() { s.restartAll(ctx, version) })
-	sleepContext(ctx, randomTime(rng, storeAbsence/2))
+	sleepContext(ctx, randomDuration(rng, storeAbsence/2))
 	s.store.Refuse(0)
 }
--- a/cmd/vaneyoked/soak_streams_of_builds_test.go
+++ b/cmd/vaneyoked/soak_pieces_test.go
@@ -26,7 +26,7 @@
 
 var (
 	soakCommits = flag.String("soak.commits", "", "commits whose builds serve the same days of streams, by commas; \"present\" is the build under test, which runs alone and for a short time where it is empty")
-	soakDays    = flag.String("soak.days", "releases,moments", "days of streams, by commas: releases, moments, restarts, builds")
+	soakDays    = flag.String("soak.days", "releases,moments", "days of streams, by commas: releases, moments, faults, restarts, builds")
 	soakSeeds   = flag.Uint64("soak.seeds", 1, "number of seeds of the days of streams, from that of -soak.seed on")
 )
 
@@ -54,7 +54,8 @@
 	length     time.Duration // of the day
 	transport  *http.Transport
 	runs       atomic.Int64
-	crossBuild bool // whether callers come back to a node of the other build
+	areWrong   atomic.Bool // whether engines go on at the wrong event, and end answers early that nothing frames
+	crossBuild bool        // whether callers come back to a node of the other build
 
 	connMu sync.Mutex
 	conns  map[net.Conn]bool // of callers
@@ -70,12 +71,13 @@
 // day is a series of disruptions that ends within the soak's length.
 type day func(s *buildSoak, ctx context.Context, seed uint64, callers *sync.WaitGroup)
 
-// TestSoakStreamsOfBuilds has real processes of one or more builds serve the same days, on which software versions change while callers come back, and engines,
+// TestSoakPiecesOutOfOrder has real processes of one or more builds serve the same days, on which software versions change while callers come back, and engines,
 // nodes and connections fail. Each stream is judged piece by piece from what its caller got over all tries: no breach is allowed at the build under test; those
 // of other builds are counted.
-func TestSoakStreamsOfBuilds(t *testing.T) {
+func TestSoakPiecesOutOfOrder(t *testing.T) {
 	days := map[string]day{
-		"releases": (*buildSoak).playReleases, "moments": (*buildSoak).playMoments, "restarts": (*buildSoak).playRestarts, "builds": (*buildSoak).playBuilds,
+		"releases": (*buildSoak).playReleases, "moments": (*buildSoak).playMoments, "restarts": (*buildSoak).playRestarts,
+		"faults": (*buildSoak).playFaults, "builds": (*buildSoak).playBuilds,
 	}
 	length := orDefault(*soakDuration, longDay)
 	if *soakCommits == "" {
@@ -86,7 +88,7 @@
 		for seed := *soakSeed; seed < *soakSeed+*soakSeeds; seed++ {
 			for _, commit := range strings.Split(cmp.Or(*soakCommits, presentBuild), ",") {
 				t.Run(fmt.Sprint(name, " ", commit, " ", seed), func(t *testing.T) {
-					s := newStreamSoak(t, commit, length, name == "builds")
+					s := newBuildSoak(t, commit, length, name == "builds")
 					s.play(days[name], seed)
 					s.report(fmt.Sprintf("%s, %s, seed %d", name, commit, seed))
 					if commit == presentBuild && s.before == nil {
@@ -98,8 +100,8 @@
 	}
 }
 
-// newStreamSoak starts nodes of a commit; where builds are side by side, every other node is of the one that ran before.
-func newStreamSoak(t *testing.T, commit string, length time.Duration, areMixed bool) *buildSoak {
+// newBuildSoak starts nodes of a commit; where builds are side by side, every other node is of the one that ran before.
+func newBuildSoak(t *testing.T, commit string, length time.Duration, areMixed bool) *buildSoak {
 	s := &buildSoak{
 		soak: newSoak(t, 0), commit: commit, length: length, conns: map[net.Conn]bool{}, leaving: map[*platformtest.Engine]bool{}, counts: newStreamCounts(), crossBuild: areMixed,
 	}
@@ -137,9 +139,12 @@
 	e.MarkRuns()
 	e.HoldAllReplicas()
 	e.SpoilBy(func(string, string) platformtest.Fault {
-		fault := platformtest.Fault{Pause: pieceInterval}
-		if run := int(s.runs.Add(1)); run%breakShare == 0 {
+		fault, run := platformtest.Fault{Pause: pieceInterval}, int(s.runs.Add(1))
+		switch {
+		case run%breakShare == 0:
 			fault.BreakAt, fault.HalfEvent = 2+run/breakShare%platformtest.Events, run/breakShare%2 == 0
+		case s.areWrong.Load():
+			goWrong(&fault, run)
 		}
 		return fault
 	})
@@ -189,7 +194,7 @@
 	for c := range orDefault(*soakCallers, dayCallers) {
 		rng := rand.New(rand.NewPCG(seed, uint64(c)))
 		callers.Go(func() {
-			for sleepContext(ctx, time.Duration(rng.Int64N(int64(maxStreamPause)))) {
+			for sleepContext(ctx, randomDuration(rng, maxStreamPause)) {
 				s.take(ctx, rng)
 			}
 		})
@@ -207,7 +212,7 @@
 	for comebacks := 0; comebacks <= maxComebacks && len(stream) < maxTriesOfStream && ctx.Err() == nil; {
 		tryCtx, leave := context.WithCancel(ctx)
 		if comebacks < maxComebacks && rng.IntN(4) == 0 { // the caller leaves, and comes back
-			time.AfterFunc(time.Duration(rng.Int64N(int64(platformtest.Events*pieceInterval))), leave)
+			time.AfterFunc(randomDuration(rng, platformtest.Events*pieceInterval), leave)
 		}
 		node = s.nextNode(rng, node)
 		call.ID, call.After = fmt.Sprintf("attempt-%d", s.ids.Add(1)), stream.last()
