--- a/decide/generation/confirming.go
+++ b/decide/generation/confirming.go
@@ -1,6 +1,10 @@
 package generation
 
-import "time"
+import (
+	"time"
+
+	"github.com/vaneyoke/vaneyoke"
+)
 
 // confirmEnd asks for what follows the last event of a stream whose end is not certain: an upstream that has nothing more ends its answer at once. It returns
 // false if the end needs no further confirmation, as the run was itself to go on after an event, or after such an end, and brought nothing.
@@ -19,3 +23,9 @@
 	s.placeAgain(now)
 	return true
 }
+
+// mustBelieveEnd reports whether an end that is not certain stands because no attempt may confirm it: the retry budget is used up, and an answer may end with
+// its connection.
+func (s *State) mustBelieveEnd(ev NotPlaced) bool {
+	return s.unconfirmed && s.answer.Len() > 0 && ev.Code == vaneyoke.CodeRetryExhausted
+}
