--- a/decide/generation/confirming.go
+++ b/decide/generation/confirming.go
@@ -1,11 +1,16 @@
 package generation
 
-import "time"
+import (
+	"time"
+
+	"github.com/vaneyoke/vaneyoke"
+)
 
 // confirmEnd asks for what follows the last event of a stream whose end is not certain: an upstream that has nothing more ends its answer at once. It returns
-// false if the end needs no further confirmation, as a second attempt brought nothing more, or can get none. Another attempt that is at work may still go on.
+// false if the end needs no further confirmation, as the run was itself to go on after an event, or after such an end, and brought nothing.
 func (s *State) confirmEnd(now time.Time, r run) bool {
-	if !s.cfg.Repeatable || (r.stage != stageStreaming && (s.unconfirmed || s.isConfirmedByCaller())) {
+	broughtNothing := r.stage != stageStreaming
+	if !s.cfg.Repeatable || (broughtNothing && (s.unconfirmed || s.events.last.IsSet())) {
 		return false
 	}
 	s.unconfirmed = true
@@ -19,7 +24,8 @@
 	return true
 }
 
-// isConfirmedByCaller reports whether a caller who has come back confirms an end by getting nothing more: its request may be sent to one upstream only.
-func (s *State) isConfirmedByCaller() bool {
-	return s.cfg.MaxAttempts == 1 && s.cfg.ResumeAfter.IsSet()
+// mustBelieveEnd reports whether an end that is not certain stands because no attempt may confirm it: the retry budget is used up, and an answer may end with
+// its connection.
+func (s *State) mustBelieveEnd(ev NotPlaced) bool {
+	return s.unconfirmed && s.answer.Len() > 0 && ev.Code == vaneyoke.CodeRetryExhausted
 }
--- a/wire/engine/client.go
+++ b/wire/engine/client.go
@@ -7,7 +7,6 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -15,6 +14,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/openai"
+	"github.com/vaneyoke/vaneyoke/wire/forward"
 )
 
 const (
@@ -86,7 +86,9 @@
 	}
 	switch res.StatusCode {
 	case http.StatusOK:
-		return newStream(res.Body, base, from), nil
+		stream := newStream(res.Body, base, from)
+		stream.isResumed = true
+		return stream, nil
 	case http.StatusNotFound, http.StatusGone:
 		_ = res.Body.Close()
 		return nil, &StreamNotFoundError{}
@@ -170,8 +172,6 @@
 	MediaType string
 	Body      []byte
 	Pushback  time.Duration // how long the engine wants no further requests; 0 if it does not say
-	// CloseDelimited says that only the end of the connection frames the body, which is the same if the upstream's process ends within it.
-	CloseDelimited bool
 }
 
 // Call sends a body and returns the complete response, whatever its status.
@@ -198,15 +198,16 @@
 	if len(answer) > maxAnswerBytes {
 		return Answer{}, &MalformedError{Reason: "answer is too large"}
 	}
+	if forward.FramingOf(res) == forward.CloseDelimited && !c.Reachable(ctx, originOf(res)) { // the connections of a process that ends close as those of a whole answer do
+		return Answer{}, &ClosedError{Err: io.ErrUnexpectedEOF}
+	}
 	pushback, _ := Pushback(res.StatusCode, res.Header)
-	return Answer{
-		Status: res.StatusCode, MediaType: res.Header.Get(headerMediaType), Body: answer, Pushback: pushback, CloseDelimited: isCloseDelimited(res),
-	}, nil
+	return Answer{Status: res.StatusCode, MediaType: res.Header.Get(headerMediaType), Body: answer, Pushback: pushback}, nil
 }
 
-// isCloseDelimited reports whether only the end of its connection frames a response's body.
-func isCloseDelimited(res *http.Response) bool {
-	return res.ContentLength < 0 && !slices.Contains(res.TransferEncoding, "chunked") && res.ProtoMajor < 2 && !res.Uncompressed
+// originOf returns the scheme and address to which a response's request was sent.
+func originOf(res *http.Response) string {
+	return res.Request.URL.Scheme + "://" + res.Request.URL.Host
 }
 
 func (c *Client) send(ctx context.Context, method, url string, header http.Header, body []byte) (*http.Response, error) {
