--- a/decide/generation/confirming_test.go
+++ b/decide/generation/confirming_test.go
@@ -119,3 +119,16 @@
 	must.True(t, hasEffect[generation.Deliver](handle(now, received(3, 9))))
 	must.True(t, hasEffect[generation.Place](handle(now, generation.Ended{Attempt: 3, Reason: vaneyoke.FinishStop, Unconfirmed: true})))
 }
+
+// Guards against an answer that may run once and is run again to confirm its end.
+func TestEndOfAnAnswerThatRunsOnceIsConfirmed(t *testing.T) {
+	now := time.Unix(1000, 0)
+	config := generation.DefaultConfig()
+	config.Opaque, config.Repeatable, config.MaxAttempts = true, false, 3
+	s := generation.New(config, rand.New(rand.NewPCG(1, 2)))
+	s.Handle(now, generation.Admitted{})
+	s.Handle(now, generation.Placed{Attempt: 1, Upstream: "a"})
+	s.Handle(now, generation.Sent{Attempt: 1})
+	s.Handle(now, &generation.Received{Attempt: 1, Number: number(1), Batch: vaneyoke.Batch{IDs: []vaneyoke.TokenID{0}, Text: []byte("x")}})
+	must.True(t, hasEffect[generation.Finish](s.Handle(now, generation.Ended{Attempt: 1, Reason: vaneyoke.FinishStop, Unconfirmed: true})))
+}
