--- a/decide/generation/confirming_test.go
+++ b/decide/generation/confirming_test.go
@@ -132,3 +132,31 @@
 	s.Handle(now, &generation.Received{Attempt: 1, Number: number(1), Batch: vaneyoke.Batch{IDs: []vaneyoke.TokenID{0}, Text: []byte("x")}})
 	must.True(t, hasEffect[generation.Finish](s.Handle(now, generation.Ended{Attempt: 1, Reason: vaneyoke.FinishStop, Unconfirmed: true})))
 }
+
+// Guards against an attempt that is to confirm an end and is sent with a replica that the run before it has used up.
+func TestConfirmationUsesAReplicaAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	config := generation.DefaultConfig()
+	config.Opaque, config.Repeatable, config.MaxAttempts = true, true, 9
+	s := generation.New(config, rand.New(rand.NewPCG(1, 2)))
+	received := func(attempt vaneyoke.Attempt, n int) *generation.Received {
+		return &generation.Received{Attempt: attempt, Number: number(uint64(n)), Batch: vaneyoke.Batch{First: s.Transcript().Len(), IDs: []vaneyoke.TokenID{0}, Text: []byte("x")}}
+	}
+	preferred := func(effects []generation.Effect) vaneyoke.UpstreamID {
+		for _, effect := range effects {
+			if place, ok := effect.(generation.Place); ok {
+				return place.Prefer
+			}
+		}
+		return "nothing is placed"
+	}
+	s.Handle(now, generation.Admitted{})
+	s.Handle(now, generation.Placed{Attempt: 1, Upstream: "a", Replica: "b"})
+	s.Handle(now, generation.Sent{Attempt: 1})
+	s.Handle(now, received(1, 1))
+	must.EqOp(t, "b", preferred(s.Handle(now, generation.Lost{Attempt: 1, Cause: generation.CauseClosed})))
+	s.Handle(now, generation.Placed{Attempt: 2, Upstream: "b", HoldsReplica: true})
+	s.Handle(now, generation.Sent{Attempt: 2})
+	s.Handle(now, received(2, 2))
+	must.EqOp(t, "", preferred(s.Handle(now, generation.Ended{Attempt: 2, Reason: vaneyoke.FinishStop, Unconfirmed: true})))
+}
