--- a/decide/generation/placing.go
+++ b/decide/generation/placing.go
@@ -88,6 +88,10 @@
 		s.replacementRefused(now, ev)
 		return
 	}
+	if s.mustBelieveEnd(ev) {
+		s.finish(vaneyoke.FinishStop)
+		return
+	}
 	s.lastCode, s.retryAfter = ev.Code, ev.RetryAfter
 	if ev.Code == vaneyoke.CodeQuarantined || ev.Code.IsFinal() {
 		s.failNow(now, s.failure())
