Events that waited in a connection are not taken for those of the process that runs now

Callers saw one answer with events of two versions: a node stood still for 2 to 4 s after it had sent a stream to an engine. Meanwhile the engine made the first events, ended, and started again under its id with another version.

Cause: output was taken to be that of the process that runs as it is read. It is so only if it came within the time that a restart takes after the attempt was sent.

Change: output that came later is held for that of a later process only once a chunk has come after that process told its incarnation; until then nobody may go on with the answer, and its record tells nothing. An upstream whose process was known as the attempt was sent is the one that took it.

TestEventsWaitUntilTheirProcessHasEnded, read late, and all at once: aaabb before, aaa and interrupted now.

--- a/shell/relay/confirm.go
+++ b/shell/relay/confirm.go
@@ -56,12 +56,20 @@
 	})
 }
 
-// handlePinReport corrects the pin if the upstream that gave the first output runs as a later incarnation than was known. A report that came late may be of a
-// process that has started since: until the attempt's next chunk shows that it gives the answer, nobody may go on with it.
+// handlePinReport corrects the pin if the upstream that gave the first output runs as a later incarnation than was known. Where it may have restarted since
+// the attempt was sent, as output waits in a connection whose process has ended, the attempt's next chunk has to show that it gives the answer; until then nobody
+// may go on with it.
 func (s *Session) handlePinReport(l *link, report vaneyoke.LoadReport) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if report.Incarnation <= l.upstream.Incarnation || time.Since(report.AskedAt) < minRestartTime {
+	if report.Incarnation <= l.upstream.Incarnation {
+		l.incarnation = report.Incarnation
+		if s.pinnedBy.Incarnation == l.upstream.Incarnation && s.pin != vaneyoke.PinTo(&l.upstream) && !s.result.Ended {
+			s.repin(l.upstream)
+		}
+		return
+	}
+	if time.Since(report.AskedAt) < minRestartTime && l.isPrompt() {
 		s.correctPin(l, report.Incarnation)
 		return
 	}
@@ -69,7 +77,17 @@
 	unsure := l.upstream
 	unsure.Incarnation, unsure.VersionUnknown = report.Incarnation, true
 	s.logRepinned(unsure)
-	s.setPin(vaneyoke.Pin{IsSet: true, Version: s.pin.Version, VersionUnknown: true})
+	s.setPin(pinToNobody(&l.upstream))
+}
+
+// isPrompt reports whether an attempt's first output came so soon that its upstream cannot have restarted since the attempt was sent.
+func (l *link) isPrompt() bool {
+	return !l.sentAt.IsZero() && !l.firstTokenAt.IsZero() && l.firstTokenAt.Sub(l.sentAt) < minRestartTime
+}
+
+// pinToNobody returns the pin of an answer of which it is not known which process of an upstream began it.
+func pinToNobody(u *vaneyoke.Upstream) vaneyoke.Pin {
+	return vaneyoke.Pin{IsSet: true, Version: u.Version, VersionUnknown: true}
 }
 
 // confirmLateReport corrects the pin by a report that came late, since a chunk of its attempt has come after it.
--- a/shell/relay/continuation.go
+++ b/shell/relay/continuation.go
@@ -19,7 +19,15 @@
 	if s.pin.IsSet || l == nil {
 		return
 	}
-	s.pinToProcess(s.currentProcess(l.upstream))
+	current := s.currentProcess(l.upstream)
+	switch {
+	case l.isConfirmed || current.Incarnation == l.upstream.Incarnation:
+		s.pinToProcess(l.upstream)
+	case l.isPrompt():
+		s.pinToProcess(current)
+	default: // the output may have waited in the connection since before the restart
+		s.pin, s.pinnedBy = pinToNobody(&l.upstream), l.upstream
+	}
 }
 
 func (s *Session) pinToProcess(u vaneyoke.Upstream) { s.pin, s.pinnedBy = vaneyoke.PinTo(&u), u }
