A node that has just started waits for the store's rows of crashes before it sends requests

Callers who repeat a request that ends engines, at nodes that had just started: the request went to engines again, although the third crash had blocked it everywhere.

Cause: a node serves once it has its routes. The table of crashes is read beside them, and until it was there the node sent what all others had blocked; after a start of all nodes nobody knew.

Change: the first attempt of a request waits until the rows are known, for a third of the request's time at most, and no longer than 1.5 s after the first that waited, as a source of an earlier build never sends them (TestRowsOfCrashesNeverCome). Nothing waits at a node that has them.

--- a/process/node/crash_guard.go
+++ b/process/node/crash_guard.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
@@ -31,6 +32,9 @@
 	return g.crashes.Blocked(content)
 }
 
+// AwaitCrashes waits until the store's rows of crashes are known, or until ctx is done.
+func (g crashGuard) AwaitCrashes(ctx context.Context) { g.crashes.AwaitRows(ctx) }
+
 // callerPlacer is the balancer of a node with the caller API, which counts crashes on its own, without other nodes.
 type callerPlacer struct {
 	*balancer.Balancer
--- a/shell/quarantines/node.go
+++ b/shell/quarantines/node.go
@@ -16,6 +16,7 @@
 
 const (
 	storeTimeout  = 1500 * time.Millisecond // of a call to the store
+	maxStartWait  = storeTimeout            // of the requests of a node that has just started, for the store's rows
 	maxStoreCalls = 4                       // concurrent calls to the store; calls beyond that are made at a later tick
 )
 
@@ -49,6 +50,9 @@
 	metrics     *Metrics
 	log         logrus.FieldLogger
 	calls       *background.Runner // to the store
+	known       chan struct{}      // closed once the store's rows are known, or have not come in time
+	knownOnce   sync.Once
+	awaited     sync.Once // by the first request
 
 	mu     sync.Mutex
 	state  *quarantine.State
@@ -70,7 +74,7 @@
 func New(config quarantine.Config, store Store, reader Reader, broadcaster Broadcaster, metrics *Metrics, log logrus.FieldLogger) *Node {
 	n := &Node{
 		store: store, reader: reader, broadcaster: broadcaster, onBlock: func(vaneyoke.ContentID) {}, metrics: metrics, log: log,
-		calls: background.New(maxStoreCalls, storeTimeout), state: quarantine.New(config),
+		calls: background.New(maxStoreCalls, storeTimeout), known: make(chan struct{}), state: quarantine.New(config),
 	}
 	n.timer = time.AfterFunc(time.Hour, func() { n.handle(quarantine.Tick{ReadsStore: n.reader.ReadsStore()}) })
 	n.timer.Stop()
@@ -79,7 +83,9 @@
 
 // NewStandalone returns a node that exchanges crashes with neither other nodes nor the store.
 func NewStandalone(config quarantine.Config, metrics *Metrics, log logrus.FieldLogger) *Node {
-	return New(config, standalone{}, standalone{}, standalone{}, metrics, log)
+	n := New(config, standalone{}, standalone{}, standalone{}, metrics, log)
+	n.stopWaits()
+	return n
 }
 
 // standalone implements Store, Reader and Broadcaster and does nothing.
@@ -134,7 +140,27 @@
 }
 
 // SetRows updates the store's rows.
-func (n *Node) SetRows(rows []quarantine.Row) { n.handle(quarantine.RowsUpdated{Rows: rows}) }
+func (n *Node) SetRows(rows []quarantine.Row) {
+	n.handle(quarantine.RowsUpdated{Rows: rows})
+	n.stopWaits()
+}
+
+// AwaitRows waits until the store's rows are known, or until ctx is done. It does not wait for maxStartWait after its first call, since a source of an
+// earlier build does not send the rows.
+func (n *Node) AwaitRows(ctx context.Context) {
+	select {
+	case <-n.known:
+		return
+	default:
+	}
+	n.awaited.Do(func() { time.AfterFunc(maxStartWait, n.stopWaits) })
+	select {
+	case <-n.known:
+	case <-ctx.Done():
+	}
+}
+
+func (n *Node) stopWaits() { n.knownOnce.Do(func() { close(n.known) }) }
 
 // Blocked reports whether a content is blocked, and for how much longer.
 func (n *Node) Blocked(content vaneyoke.ContentID) (remaining time.Duration, blocked bool) {
--- a/shell/relay/guard.go
+++ b/shell/relay/guard.go
@@ -33,6 +33,12 @@
 	Blocked(content vaneyoke.ContentID) (remaining time.Duration, blocked bool)
 }
 
+// CrashRecord tells when the crashes that other nodes observed are known.
+type CrashRecord interface {
+	// AwaitCrashes waits until they are known, or until ctx is done. It does not wait long after the start of the node.
+	AwaitCrashes(ctx context.Context)
+}
+
 // recordCompletion records that an upstream has answered the request completely, so that the request does not crash
 // upstreams.
 func (s *Session) recordCompletion() {
@@ -50,6 +56,20 @@
 	s.provenSafe = s.provenSafe || now.Sub(l.headAt) > startWindow
 }
 
+// crashWaitDivisor is the part of a request's time that may pass until the crashes that other nodes observed are known.
+const crashWaitDivisor = 3
+
+// awaitCrashes waits until the crashes that other nodes observed are known: a node that has just started would send what they have blocked.
+func (s *Session) awaitCrashes() {
+	m, ok := s.mode.(*forwarded)
+	if s.relay.crashes == nil || !ok || s.req.Content == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, s.timeLeft(m, time.Now())/crashWaitDivisor)
+	defer cancel()
+	s.relay.crashes.AwaitCrashes(ctx)
+}
+
 // blockedErr returns the error for a request that is sent to no upstream, nil for any other.
 func (s *Session) blockedErr() error {
 	if s.relay.guard == nil || s.req.Content == "" {
--- a/shell/relay/place.go
+++ b/shell/relay/place.go
@@ -22,6 +22,7 @@
 	s.awaitCrashCheck(s.ctx)
 	need := s.needOf(e)
 	if e.Attempt == 1 {
+		s.awaitCrashes()
 		need.Canary = s.relay.rollouts != nil && s.relay.rollouts.DrawCanary(need.Service)
 		need.Prefer = s.findPromptHolder(need)
 	}
--- a/shell/relay/relay.go
+++ b/shell/relay/relay.go
@@ -121,6 +121,7 @@
 	rollouts   RolloutPlacer     // nil if there are no rollouts
 	staleness  StalenessChecker  // nil if the list of upstreams is assumed to be current
 	guard      CrashGuard        // nil if crashes are not tracked
+	crashes    CrashRecord       // nil if no other nodes observe crashes
 	limiter    Limiter           // nil if upstreams declare no limits
 	pushbacks  PushbackTracker   // nil if pushbacks are not tracked
 	admitter   Admitter          // nil if prompts wait for room by themselves
@@ -160,6 +161,7 @@
 	rollouts, _ := placer.(RolloutPlacer)
 	staleness, _ := placer.(StalenessChecker)
 	guard, _ := placer.(CrashGuard)
+	crashes, _ := placer.(CrashRecord)
 	limiter, _ := placer.(Limiter)
 	pushbacks, _ := placer.(PushbackTracker)
 	admitter, _ := placer.(Admitter)
@@ -169,7 +171,7 @@
 	registry, _ := placer.(StreamRegistry)
 	suspicions, _ := placer.(SuspicionRecorder)
 	return &Relay{
-		engines: engines, sender: sender, placer: placer, rollouts: rollouts, staleness: staleness, guard: guard, limiter: limiter, pushbacks: pushbacks,
+		engines: engines, sender: sender, placer: placer, rollouts: rollouts, staleness: staleness, guard: guard, crashes: crashes, limiter: limiter, pushbacks: pushbacks,
 		admitter: admitter, processes: processes, meter: meter, speeds: speeds, registry: registry, suspicions: suspicions, tracer: tracer, metrics: metrics, log: log, config: config,
 		ctx: ctx, stop: stop, running: map[*Session]struct{}{}, forecasts: newForecasts(), buffers: newBuffers(config.Buffers),
 	}
