A lost upstream that takes connections is asked for its incarnation again until it tells

Callers who repeat a request that ends engines: a crash was not counted although the engine had restarted, so that the request was sent to more engines than the three that block it.

Cause: a loss counts as a crash if the upstream takes no connections, or tells a later incarnation. Where the loss is noticed only after the restart, that hangs on one question, with 60 ms to answer; a question without an answer counted as "has not crashed" for good.

Evidence: TestUnansweredQuestionHidesACrash failed for one and for three lost questions: guard_test.go:304: expected slice to be different length: len(slice): 0, expected: 1

Change: the upstream is asked up to four times, 60 ms and then 500 ms each, with pauses of 50, 100 and 200 ms between them. The next attempt waits for the first question only, as before. A crash that is found after another upstream has run the request for 1 s does not count.

--- a/shell/relay/guard.go
+++ b/shell/relay/guard.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/generation"
+	"github.com/vaneyoke/vaneyoke/internal/pause"
 	"github.com/vaneyoke/vaneyoke/wire/forward"
 )
 
@@ -83,7 +85,7 @@
 }
 
 // checkCrash checks whether the upstream of an attempt that was lost at its start has crashed, which the request may
-// have caused. The next attempt waits for the result.
+// have caused. The next attempt waits for the result, but not for an upstream that accepts connections and does not tell its incarnation.
 func (s *Session) checkCrash(l *link, cause generation.Cause) {
 	if s.relay.guard == nil || s.req.Content == "" || s.provenSafe || !l.lostAtStart(cause) {
 		return
@@ -92,9 +94,10 @@
 	s.crashChecked = checked
 	upstream := l.upstream
 	upstream.Incarnation = max(upstream.Incarnation, l.incarnation)
+	release := sync.OnceFunc(func() { close(checked) })
 	s.spawn(func() {
-		defer close(checked)
-		if s.relay.hasExited(upstream) {
+		defer release()
+		if s.relay.hasExited(upstream, release) && !s.isProvenSafe() {
 			s.relay.guard.RecordCrash(s.req.Content, upstream, l.sentAt)
 			return
 		}
@@ -102,8 +105,16 @@
 	})
 }
 
-// hasExited reports whether an upstream accepts no connections, or has restarted since an attempt was sent to it.
-func (r *Relay) hasExited(upstream vaneyoke.Upstream) bool {
+// isProvenSafe reports whether an upstream has run the request for so long that it is not one that crashes upstreams.
+func (s *Session) isProvenSafe() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.provenSafe
+}
+
+// hasExited reports whether an upstream accepts no connections, or has restarted since an attempt was sent to it, or another one now has its address. One that
+// accepts connections is asked for its incarnation again if it does not tell; onUnknown is called before that.
+func (r *Relay) hasExited(upstream vaneyoke.Upstream, onUnknown func()) bool {
 	if r.sender == nil {
 		ctx, cancel := context.WithTimeout(r.ctx, crashCheckTimeout)
 		defer cancel()
@@ -112,13 +123,29 @@
 	if !r.sender.Probe(r.ctx, upstream, forward.AnyPath) {
 		return true
 	}
-	if upstream.Incarnation == 0 || r.isLimited(upstream.ID) || r.isPushedBack(upstream.ID) {
-		return false
+	timeout := reportTimeout
+	for delay := confirmPause; delay < maxConfirmPause; delay *= 2 {
+		if upstream.Incarnation == 0 || r.isLimited(upstream.ID) || r.isPushedBack(upstream.ID) {
+			return false
+		}
+		if report, ok := r.queryIncarnation(upstream, timeout); ok {
+			return report > upstream.Incarnation
+		}
+		onUnknown()
+		if !pause.For(r.ctx, delay) {
+			return false
+		}
+		timeout = confirmTimeout
 	}
-	ctx, cancel := context.WithTimeout(r.ctx, reportTimeout)
+	return false
+}
+
+// queryIncarnation asks the process at an upstream's address for its incarnation.
+func (r *Relay) queryIncarnation(upstream vaneyoke.Upstream, timeout time.Duration) (vaneyoke.Incarnation, bool) {
+	ctx, cancel := context.WithTimeout(r.ctx, timeout)
 	defer cancel()
 	report, ok := r.sender.LoadReport(ctx, upstream)
-	return ok && report.Incarnation > upstream.Incarnation
+	return report.Incarnation, ok
 }
 
 // awaitCrashCheck waits until the check for a crash after the last loss is done.
--- a/shell/relay/guard_test.go
+++ b/shell/relay/guard_test.go
@@ -66,6 +66,7 @@
 	unreachable []vaneyoke.UpstreamID // upstreams that accept no connections
 	incarnation vaneyoke.Incarnation  // of each upstream now
 	errs        map[vaneyoke.UpstreamID]error
+	unanswered  atomic.Int64 // questions that get no answer
 	sent        atomic.Int64
 }
 
@@ -82,7 +83,11 @@
 	return !slices.Contains(d.unreachable, u.ID)
 }
 
-func (d *crashingSender) LoadReport(context.Context, vaneyoke.Upstream) (vaneyoke.LoadReport, bool) {
+func (d *crashingSender) LoadReport(ctx context.Context, _ vaneyoke.Upstream) (vaneyoke.LoadReport, bool) {
+	if d.unanswered.Add(-1) >= 0 {
+		<-ctx.Done()
+		return vaneyoke.LoadReport{}, false
+	}
 	return vaneyoke.LoadReport{Incarnation: d.incarnation}, true
 }
 
@@ -257,3 +262,50 @@
 		must.EqOp(t, 1, g.lossesWithoutCrash)
 	})
 }
+
+// TestUnansweredQuestionHidesACrash has an upstream restart as it begins to run a request, and then not tell its incarnation at once: the loss must be found to be
+// a crash, and the next attempt must not wait for that.
+func TestUnansweredQuestionHidesACrash(t *testing.T) {
+	cases := map[string]struct {
+		unanswered  int64
+		incarnation vaneyoke.Incarnation
+		interval    time.Duration // between the next upstream's events, which show that the request is safe once it has run for 1 s
+		crashes     int
+	}{
+		"restarted, told at once":          {0, 6, 3 * time.Second, 1},
+		"restarted, one lost question":     {1, 6, 3 * time.Second, 1},
+		"restarted, three lost questions":  {3, 6, 3 * time.Second, 1},
+		"lives, three lost questions":      {3, 5, 3 * time.Second, 0},
+		"never tells":                      {1 << 20, 6, 3 * time.Second, 0},
+		"restarted, but proven safe first": {3, 6, 150 * time.Millisecond, 0},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := &crashRecorder{}
+				g.incarnation = 5
+				next := &lateExchange{from: "b", events: 9, delay: tc.interval}
+				s := &crashingSender{fakeSender: fakeSender{answers: map[vaneyoke.UpstreamID]forward.Response{"a": &lateExchange{breaks: true}, "b": next}, reachable: true}, incarnation: tc.incarnation}
+				s.unanswered.Store(tc.unanswered)
+				r := newForwarderWith(s, g)
+				began := time.Now()
+				session := forwardRequest(t, r, true)
+				synctest.Wait()
+				for s.sent.Load() < 2 {
+					time.Sleep(time.Millisecond)
+				}
+				must.Less(t, 70*time.Millisecond, time.Since(began))
+				_, err := session.Wait(t.Context())
+				must.NoError(t, err)
+				time.Sleep(5 * time.Second)
+				synctest.Wait()
+				g.lock.Lock()
+				defer g.lock.Unlock()
+				must.Len(t, tc.crashes, g.crashes)
+				must.EqOp(t, 1-tc.crashes, g.lossesWithoutCrash)
+				r.Close()
+				synctest.Wait()
+			})
+		})
+	}
+}
