Soak of builds: what no node can know of wrong engines is counted, not demanded

A run that skips an event for a caller who has just come, and a framed answer that ends too early, look right to a node.

--- a/cmd/vaneyoked/soak_pieces_judge_test.go
+++ b/cmd/vaneyoked/soak_pieces_judge_test.go
@@ -157,6 +157,13 @@
 	return len(breaches) > 0
 }
 
+// kindsBut returns the numbers of all breaches but those of some kinds.
+func (c *streamCounts) kindsBut(kinds []breach) map[breach]int {
+	others := maps.Clone(c.kinds)
+	maps.DeleteFunc(others, func(kind breach, _ int) bool { return slices.Contains(kinds, kind) })
+	return others
+}
+
 func (c *streamCounts) String() string {
 	text := fmt.Sprintf("%d streams, %d began, %d whole, %d taken up, %d of them went on; %d breached", c.streams, c.began, c.whole, c.takenUp, c.wentOn, c.breached)
 	for _, kind := range slices.Sorted(maps.Keys(c.kinds)) {
