--- a/cmd/vaneyoked/soak_pieces_restarts_test.go
+++ b/cmd/vaneyoked/soak_pieces_restarts_test.go
@@ -87,3 +87,21 @@
 	sleepContext(ctx, randomDuration(rng, storeAbsence/2))
 	s.store.Refuse(0)
 }
+
+// playUnrecorded is a day on which the store refuses writes, again and again, as a release has replaced all engines, and all nodes are killed then.
+func (s *buildSoak) playUnrecorded(ctx context.Context, seed uint64, callers *sync.WaitGroup) {
+	s.playInTurn(ctx, rand.New(rand.NewPCG(seed, 1<<38)), callers, (*buildSoak).killAfterUnrecordedVersion)
+}
+
+// killAfterUnrecordedVersion has all engines be of a version that the nodes know and of which the store takes no record, and kills all nodes. As these start again,
+// all engines are of the first version, and the store takes writes a little later.
+func (s *buildSoak) killAfterUnrecordedVersion(ctx context.Context, rng *rand.Rand, _ string, callers *sync.WaitGroup) {
+	s.store.RefuseWrites(http.StatusServiceUnavailable)
+	s.replaceSome(rng, fmt.Sprint("v", s.ids.Add(1)+momentVersions), len(s.models()))
+	sleepContext(ctx, randomDuration(rng, storeAbsence))
+	s.beginMany(ctx, rng, callers)
+	sleepContext(ctx, randomDuration(rng, momentPause))
+	s.killAll(func() { s.replaceSome(rng, "v1", len(s.models())) })
+	sleepContext(ctx, randomDuration(rng, storeAbsence))
+	s.store.RefuseWrites(0)
+}
