--- a/shell/relay/guard.go
+++ b/shell/relay/guard.go
@@ -97,7 +97,7 @@
 	release := sync.OnceFunc(func() { close(checked) })
 	s.spawn(func() {
 		defer release()
-		if s.relay.hasExited(upstream, release) && !s.isProvenSafe() {
+		if s.relay.hasExited(upstream, crashQuestions, release) && !s.isProvenSafe() {
 			s.relay.guard.RecordCrash(s.req.Content, upstream, l.sentAt)
 			return
 		}
@@ -112,9 +112,12 @@
 	return s.provenSafe
 }
 
+// crashQuestions is how often an upstream that accepts connections is asked for its incarnation if it does not tell.
+const crashQuestions = 4
+
 // hasExited reports whether an upstream accepts no connections, or has restarted since an attempt was sent to it, or another one now has its address. One that
-// accepts connections is asked for its incarnation again if it does not tell; onUnknown is called before that.
-func (r *Relay) hasExited(upstream vaneyoke.Upstream, onUnknown func()) bool {
+// accepts connections is asked for its incarnation up to some number of times; onUnknown is called if it has not told at first.
+func (r *Relay) hasExited(upstream vaneyoke.Upstream, questions int, onUnknown func()) bool {
 	if r.sender == nil {
 		ctx, cancel := context.WithTimeout(r.ctx, crashCheckTimeout)
 		defer cancel()
@@ -123,19 +126,21 @@
 	if !r.sender.Probe(r.ctx, upstream, forward.AnyPath) {
 		return true
 	}
-	timeout := reportTimeout
-	for delay := confirmPause; delay < maxConfirmPause; delay *= 2 {
+	timeout, delay := reportTimeout, confirmPause
+	for question := range questions {
+		if question > 0 {
+			onUnknown()
+			if !pause.For(r.ctx, delay) {
+				return false
+			}
+			timeout, delay = confirmTimeout, 2*delay
+		}
 		if upstream.Incarnation == 0 || r.isLimited(upstream.ID) || r.isPushedBack(upstream.ID) {
 			return false
 		}
 		if report, ok := r.queryIncarnation(upstream, timeout); ok {
 			return report > upstream.Incarnation
 		}
-		onUnknown()
-		if !pause.For(r.ctx, delay) {
-			return false
-		}
-		timeout = confirmTimeout
 	}
 	return false
 }
