A complete response to a caller who names its last event is no splice

What operators saw: splices_total counted plain calls and failures as unknown splices. Cause: a piece without a number was compared with the caller's last event. Change: only numbered events are compared, so that the kind unknown is gone.

--- a/decide/generation/sequence.go
+++ b/decide/generation/sequence.go
@@ -7,8 +7,7 @@
 
 // The kinds of splices.
 const (
-	SpliceUnknown  Splice = iota + 1 // one of the two events has no number
-	SpliceFollows                    // the number rises
+	SpliceFollows  Splice = iota + 1 // the number rises
 	SpliceRepeated                   // the number does not rise: the attempt has begun anew, or repeats events
 	SpliceGap                        // the number rises by more than from event to event of this stream
 )
@@ -20,10 +19,8 @@
 		return "follows"
 	case SpliceRepeated:
 		return "repeated"
-	case SpliceGap:
-		return "gap"
 	default:
-		return "unknown"
+		return "gap"
 	}
 }
 
@@ -40,9 +37,6 @@
 
 // splice returns how the first event of an attempt relates to the last event before it.
 func (q *sequence) splice(number vaneyoke.EventNumber) Splice {
-	if !number.IsSet() || !q.last.IsSet() {
-		return SpliceUnknown
-	}
 	distance, rises := number.Distance(q.last)
 	switch {
 	case !rises:
@@ -74,10 +68,10 @@
 // mayFollow reports whether the first event of a run can follow the last accepted one. Within a run events only have to rise, since what a run sends is what
 // its upstream made.
 func (s *State) mayFollow(r *run, number vaneyoke.EventNumber) bool {
-	if !s.events.last.IsSet() {
+	if !number.IsSet() || !s.events.last.IsSet() {
 		return true
 	}
 	splice := s.events.splice(number)
 	s.emit(Spliced{Attempt: r.attempt, Splice: splice, After: s.events.last, Number: number})
-	return splice == SpliceFollows || splice == SpliceUnknown
+	return splice == SpliceFollows
 }
