--- a/cmd/vaneyoked/soak_pieces_test.go
+++ b/cmd/vaneyoked/soak_pieces_test.go
@@ -106,6 +106,8 @@
 					s.play(days[name], seed)
 					s.report(fmt.Sprintf("%s, %s, seed %d", name, commit, seed))
 					if commit == presentBuild && s.before == nil {
+						s.checkOutput()
+						must.SliceEmpty(t, s.violations)
 						must.MapEmpty(t, s.counts.kindsBut(unknowable[name]), must.Sprint("see the streams logged above"))
 					}
 				})
--- a/cmd/vaneyoked/soak_streams_verify_test.go
+++ b/cmd/vaneyoked/soak_streams_verify_test.go
@@ -177,7 +177,7 @@
 }
 
 // checkOutput records faults that the processes of nodes have written to their logs.
-func (s *streamSoak) checkOutput() {
+func (s *soak) checkOutput() {
 	paths, err := filepath.Glob(filepath.Join(s.logs, "*.log"))
 	must.NoError(s.t, err)
 	for _, path := range paths {
