--- a/shell/relay/guard.go
+++ b/shell/relay/guard.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/generation"
+	"github.com/vaneyoke/vaneyoke/internal/pause"
 	"github.com/vaneyoke/vaneyoke/wire/forward"
 )
 
@@ -33,6 +35,12 @@
 	Blocked(content vaneyoke.ContentID) (remaining time.Duration, blocked bool)
 }
 
+// CrashRecord tells when the crashes that other nodes observed are known.
+type CrashRecord interface {
+	// AwaitCrashes waits until they are known, or until ctx is done. It does not wait long after the start of the node.
+	AwaitCrashes(ctx context.Context)
+}
+
 // recordCompletion records that an upstream has answered the request completely, so that the request does not crash
 // upstreams.
 func (s *Session) recordCompletion() {
@@ -50,6 +58,20 @@
 	s.provenSafe = s.provenSafe || now.Sub(l.headAt) > startWindow
 }
 
+// crashWaitDivisor is the part of a request's time that may pass until the crashes that other nodes observed are known.
+const crashWaitDivisor = 3
+
+// awaitCrashes waits until the crashes that other nodes observed are known: a node that has just started would send what they have blocked.
+func (s *Session) awaitCrashes() {
+	m, ok := s.mode.(*forwarded)
+	if s.relay.crashes == nil || !ok || s.req.Content == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(s.ctx, s.timeLeft(m, time.Now())/crashWaitDivisor)
+	defer cancel()
+	s.relay.crashes.AwaitCrashes(ctx)
+}
+
 // blockedErr returns the error for a request that is sent to no upstream, nil for any other.
 func (s *Session) blockedErr() error {
 	if s.relay.guard == nil || s.req.Content == "" {
@@ -63,7 +85,7 @@
 }
 
 // checkCrash checks whether the upstream of an attempt that was lost at its start has crashed, which the request may
-// have caused. The next attempt waits for the result.
+// have caused. The next attempt waits for the result, but not for an upstream that accepts connections and does not tell its incarnation.
 func (s *Session) checkCrash(l *link, cause generation.Cause) {
 	if s.relay.guard == nil || s.req.Content == "" || s.provenSafe || !l.lostAtStart(cause) {
 		return
@@ -72,9 +94,10 @@
 	s.crashChecked = checked
 	upstream := l.upstream
 	upstream.Incarnation = max(upstream.Incarnation, l.incarnation)
+	release := sync.OnceFunc(func() { close(checked) })
 	s.spawn(func() {
-		defer close(checked)
-		if s.relay.hasExited(upstream) {
+		defer release()
+		if s.relay.hasExited(upstream, crashQuestions, release) && !s.isProvenSafe() {
 			s.relay.guard.RecordCrash(s.req.Content, upstream, l.sentAt)
 			return
 		}
@@ -82,8 +105,19 @@
 	})
 }
 
-// hasExited reports whether an upstream accepts no connections, or has restarted since an attempt was sent to it.
-func (r *Relay) hasExited(upstream vaneyoke.Upstream) bool {
+// isProvenSafe reports whether an upstream has run the request for so long that it is not one that crashes upstreams.
+func (s *Session) isProvenSafe() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.provenSafe
+}
+
+// crashQuestions is how often an upstream that accepts connections is asked for its incarnation if it does not tell.
+const crashQuestions = 4
+
+// hasExited reports whether an upstream accepts no connections, or has restarted since an attempt was sent to it, or another one now has its address. One that
+// accepts connections is asked for its incarnation up to some number of times; onUnknown is called if it has not told at first.
+func (r *Relay) hasExited(upstream vaneyoke.Upstream, questions int, onUnknown func()) bool {
 	if r.sender == nil {
 		ctx, cancel := context.WithTimeout(r.ctx, crashCheckTimeout)
 		defer cancel()
@@ -92,13 +126,31 @@
 	if !r.sender.Probe(r.ctx, upstream, forward.AnyPath) {
 		return true
 	}
-	if upstream.Incarnation == 0 || r.isLimited(upstream.ID) || r.isPushedBack(upstream.ID) {
-		return false
+	timeout, delay := reportTimeout, confirmPause
+	for question := range questions {
+		if question > 0 {
+			onUnknown()
+			if !pause.For(r.ctx, delay) {
+				return false
+			}
+			timeout, delay = confirmTimeout, 2*delay
+		}
+		if upstream.Incarnation == 0 || r.isLimited(upstream.ID) || r.isPushedBack(upstream.ID) {
+			return false
+		}
+		if report, ok := r.queryIncarnation(upstream, timeout); ok {
+			return report > upstream.Incarnation
+		}
 	}
-	ctx, cancel := context.WithTimeout(r.ctx, reportTimeout)
+	return false
+}
+
+// queryIncarnation asks the process at an upstream's address for its incarnation.
+func (r *Relay) queryIncarnation(upstream vaneyoke.Upstream, timeout time.Duration) (vaneyoke.Incarnation, bool) {
+	ctx, cancel := context.WithTimeout(r.ctx, timeout)
 	defer cancel()
 	report, ok := r.sender.LoadReport(ctx, upstream)
-	return ok && report.Incarnation > upstream.Incarnation
+	return report.Incarnation, ok
 }
 
 // awaitCrashCheck waits until the check for a crash after the last loss is done.
