--- a/decide/generation/sequence.go
+++ b/decide/generation/sequence.go
@@ -15,12 +15,12 @@
 // String returns the kind as it is logged.
 func (s Splice) String() string {
 	switch s {
+	case SpliceFollows:
+		return "follows"
 	case SpliceRepeated:
 		return "repeated"
-	case SpliceGap:
-		return "gap"
 	default:
-		return "follows"
+		return "gap"
 	}
 }
 
@@ -68,7 +68,7 @@
 // mayFollow reports whether the first event of a run can follow the last accepted one. Within a run events only have to rise, since what a run sends is what
 // its upstream made.
 func (s *State) mayFollow(r *run, number vaneyoke.EventNumber) bool {
-	if !s.events.last.IsSet() || !number.IsSet() { // a complete response has no number
+	if !number.IsSet() || !s.events.last.IsSet() {
 		return true
 	}
 	splice := s.events.splice(number)
--- a/shell/relay/close_delimited.go
+++ b/shell/relay/close_delimited.go
@@ -59,7 +59,7 @@
 		return nil
 	}
 	upstream, _ := s.connectionOf(attempt)
-	if !s.relay.hasExited(upstream) {
+	if !s.relay.hasExited(upstream, 1, func() {}) {
 		return nil
 	}
 	return &engine.ClosedError{Err: errProcessEnded}
