--- a/shell/detours/server.go
+++ b/shell/detours/server.go
@@ -30,9 +30,9 @@
 	// lingerTimeout bounds how long the rest of what a node sends is read after the upstream has ended its connection: closing with unread bytes
 	// resets the connection and may lose the end of the answer.
 	lingerTimeout = time.Second
-	// lastResortTTL is for how long a node that got a detour as the last resort is taken to need the next one.
-	lastResortTTL = time.Second
-	responseHead  = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	// dependentTTL is for how long a node that got a detour is taken to need the next one.
+	dependentTTL = time.Second
+	responseHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
 
 // Server opens detours for other nodes. It connects over the node's own paths only, and only to listed upstreams.
@@ -49,7 +49,7 @@
 	stopping bool
 
 	lameDuck    *LameDuck // nil until the node stops
-	neededUntil time.Time // until when nodes that had no other way may ask again
+	neededUntil time.Time // until when nodes that got a detour may ask again
 }
 
 // LameDuck says which detours a stopping node still opens for nodes that have no other way to an upstream.
@@ -165,9 +165,7 @@
 		return false
 	}
 	s.open[p] = struct{}{}
-	if s.lameDuck != nil {
-		s.neededUntil = p.opened.Add(lastResortTTL)
-	}
+	s.neededUntil = p.opened.Add(dependentTTL)
 	return true
 }
 
--- a/shell/detours/stop_test.go
+++ b/shell/detours/stop_test.go
@@ -118,7 +118,7 @@
 	return conn, bufio.NewReadWriter(bufio.NewReader(conn), bufio.NewWriter(conn)), nil
 }
 
-// Guards against a stopping helper that leaves between two calls of a node which has no other way, and against one that outlasts its grace.
+// Guards against a stopping helper that leaves between two calls of a node which may have no other way, and against one that outlasts its grace.
 func TestDrainLeavesDependentNodes(t *testing.T) {
 	ms := func(times ...int) (durations []time.Duration) {
 		for _, n := range times {
@@ -127,13 +127,16 @@
 		return durations
 	}
 	cases := map[string]struct {
+		before  time.Duration   // for which a detour was opened when the stop begins; 0 for none
 		opened  []time.Duration // when detours are opened, after the stop begins
 		drained time.Duration
 	}{
-		"never":           {nil, 0},
-		"once":            {ms(0), time.Second},
-		"again and again": {ms(0, 900, 1800), 2800 * time.Millisecond},
-		"to the end":      {ms(0, 900, 1800, 2700, 3600, 4500), 5 * time.Second},
+		"never":           {0, nil, 0},
+		"before the stop": {400 * time.Millisecond, nil, 600 * time.Millisecond},
+		"long before":     {time.Second, nil, 0},
+		"once":            {0, ms(0), time.Second},
+		"again and again": {0, ms(0, 900, 1800), 2800 * time.Millisecond},
+		"to the end":      {0, ms(0, 900, 1800, 2700, 3600, 4500), 5 * time.Second},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
@@ -142,12 +145,17 @@
 				log.SetOutput(io.Discard)
 				dialer := detours.NewDialer("helper", overlay.New("a", rand.New(rand.NewPCG(1, 1))), pipes{}, detours.NewMetrics(new(expvar.Map).Init()), log)
 				dialer.SetUpstreams(map[string]vaneyoke.UpstreamID{"up:80": "up"})
-				server, began := detours.NewServer(dialer, 8, new(expvar.Map).Init(), log), time.Now()
+				server := detours.NewServer(dialer, 8, new(expvar.Map).Init(), log)
 				ask := func() int {
 					res := pipeRecorder{httptest.NewRecorder()}
 					server.ServeHTTP(res, httptest.NewRequest(http.MethodPost, detours.Path+"?address=up:80&last_resort=0", nil))
 					return res.Code
 				}
+				if tc.before > 0 {
+					must.EqOp(t, http.StatusOK, ask())
+					time.Sleep(tc.before)
+				}
+				began := time.Now()
 				server.EnterLameDuck(lameDuck(5*time.Second, 0))
 				drained := make(chan time.Duration, 1)
 				go func() {
