Test of an end that stands without a confirmation

Where the retry budget is used up, a stream that nothing frames ends well, but no content counts as completed and no length is learned:

TestEndThatStandsUnconfirmedIsNoCompletion: expected 1 completion, got 0

--- a/shell/relay/unframed_test.go
+++ b/shell/relay/unframed_test.go
@@ -121,3 +121,29 @@
 		synctest.Wait()
 	})
 }
+
+// spentPlacer places no retry, as the budget is used up.
+type spentPlacer struct{ crashRecorder }
+
+func (p *spentPlacer) Place(need placement.Need, retry bool) (vaneyoke.Upstream, time.Duration, error) {
+	if retry {
+		return vaneyoke.Upstream{}, 0, vaneyoke.Err(vaneyoke.CodeRetryExhausted, "no retry is left")
+	}
+	return p.crashRecorder.Place(need, retry)
+}
+
+// Guards against contents of which no upstream's answer counts as complete, because the ends of their streams stand without a confirmation.
+func TestEndThatStandsUnconfirmedIsNoCompletion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &spentPlacer{}
+		s := &crashingSender{fakeSender: fakeSender{answers: map[vaneyoke.UpstreamID]forward.Response{"a": &unframedExchange{lateExchange{from: "a", events: 2}}}}}
+		r := newForwarderWith(s, g)
+		result, err := forwardRequest(t, r, true).Wait(t.Context())
+		must.NoError(t, err)
+		must.EqOp(t, vaneyoke.CodeOK, result.Code)
+		synctest.Wait()
+		must.EqOp(t, 1, g.completions)
+		r.Close()
+		synctest.Wait()
+	})
+}
