--- a/shell/relay/close_delimited.go
+++ b/shell/relay/close_delimited.go
@@ -45,12 +45,18 @@
 		"pieces": l.chunks, "event": lastEvent, "age_ms": time.Since(l.sentAt).Milliseconds(),
 	}).Info("end_unconfirmed")
 	s.reportOutcome(attempt, placement.OutcomeDone)
-	s.handleLocked(now, generation.Ended{Attempt: attempt, Reason: vaneyoke.FinishStop, Unconfirmed: true})
-	if s.result.Ended && s.result.Code == vaneyoke.CodeOK {
+	s.handleAndRecordCompletion(now, generation.Ended{Attempt: attempt, Reason: vaneyoke.FinishStop, Unconfirmed: true})
+	s.closeLink(attempt)
+}
+
+// handleAndRecordCompletion handles an event at which an answer whose end nothing frames may count as complete.
+func (s *Session) handleAndRecordCompletion(now time.Time, ev generation.Event) {
+	hadEnded := s.result.Ended
+	s.handleLocked(now, ev)
+	if !hadEnded && s.result.Ended && s.result.Code == vaneyoke.CodeOK {
 		s.recordCompletion()
 		s.recordLength(now)
 	}
-	s.closeLink(attempt)
 }
 
 // checkCloseDelimited returns an error if an answer that only the end of its connection frames may be cut off, since the process that gave it has ended.
--- a/shell/relay/place.go
+++ b/shell/relay/place.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		s.recordNotContinued(e, err)
 		s.reportSuspects()
-		s.handleLocked(now, generation.NotPlaced{
+		s.handleAndRecordCompletion(now, generation.NotPlaced{
 			Attempt:    e.Attempt,
 			Code:       vaneyoke.CodeOf(err),
 			RetryAfter: s.capRetryAfter(vaneyoke.CodeOf(err), vaneyoke.RetryAfterOf(err)),
