A version that began streams alone is admitted, also if the other one comes back

Cause: all nodes had been killed before, while v3 was announced. v1 left the list, so that v3 began all streams for 2 s with the record v1:retired v3:announced (a version announced before the start is admitted 6 s after it at the earliest). Then v1 was listed again, the record was v1:admitted v3:announced, and a lookup without a row had v1 for the only version (basis=only_version, covered_ms=): that an announced version counts where no admitted one is listed was forgotten as soon as one was. Change: where no admitted version is listed, the announced ones that are listed are admitted. Streams without a row are refused then, as with two versions.

--- a/decide/pinning/service_versions.go
+++ b/decide/pinning/service_versions.go
@@ -81,9 +81,10 @@
 			next.Versions = append(next.Versions, advanced)
 		}
 	}
-	stage := StageAdmitted
-	if next.hasListed(StageAdmitted, listed) {
-		stage = StageAnnounced
+	stage := StageAnnounced
+	if !next.hasListed(StageAdmitted, listed) { // the others begin streams then, which their callers may take up when an admitted one is back
+		stage = StageAdmitted
+		changed = next.admit(now, listed) || changed
 	}
 	for _, version := range listed {
 		if !next.has(version) && len(next.Versions) < maxVersions {
@@ -94,6 +95,16 @@
 	return next, changed, next.due(now, listed, config)
 }
 
+// admit admits the announced versions that are listed, and reports whether there were any.
+func (s ServiceVersions) admit(now vaneyoke.StoreTime, listed []vaneyoke.SoftwareVersion) (changed bool) {
+	for i, v := range s.Versions {
+		if v.Stage == StageAnnounced && slices.Contains(listed, v.Version) {
+			s.Versions[i], changed = ServiceVersion{Version: v.Version, Stage: StageAdmitted, Since: now}, true
+		}
+	}
+	return changed
+}
+
 // notAfter returns the record with times of the future set to the present one, as a row of another writer or of another clock may have them, and whether there
 // were any.
 func (s ServiceVersions) notAfter(now vaneyoke.StoreTime) (adjusted ServiceVersions, changed bool) {
--- a/decide/pinning/service_versions_test.go
+++ b/decide/pinning/service_versions_test.go
@@ -67,6 +67,8 @@
 		"one that comes back":                           {recorded, recordConfig, []listedFor{{both, 10 * time.Second}, {versionList{"v2"}, 10 * time.Second}, {both, 3 * time.Second}}, []string{"v1:admitted", "v2:admitted"}},
 		"one that replaces all others":                  {recorded, recordConfig, []listedFor{{versionList{"v2"}, 100 * time.Millisecond}}, []string{"v1:retired", "v2:admitted"}},
 		"admitted late by a process that just started":  {announced, restarted, []listedFor{{both, 5 * time.Millisecond}}, []string{"v1:admitted", "v2:announced"}},
+		"one that began streams while no other could":   {announced, restarted, []listedFor{{versionList{"v2"}, 5 * time.Millisecond}, {both, 5 * time.Millisecond}}, []string{"v1:retired", "v2:admitted"}},
+		"and the other is back":                         {announced, restarted, []listedFor{{versionList{"v2"}, 2 * time.Second}, {both, 3 * time.Second}}, []string{"v1:admitted", "v2:admitted"}},
 		"admitted at once by one that has run for long": {announced, recordConfig, []listedFor{{both, 1100 * time.Millisecond}}, []string{"v1:admitted", "v2:admitted"}},
 	}
 	for name, tc := range cases {
