Names: checkSplice, isEndFinal, directConn, writeAndFlush, isCloseDelimited

As a review of the change suggested: predicates that only report, the words of the other path (direct), and one term for answers that end with their connection.

--- a/api/gateway/answer.go
+++ b/api/gateway/answer.go
@@ -81,8 +81,8 @@
 	return err
 }
 
-// writeNow writes events and hands them to the system.
-func (a *responder) writeNow(p []byte) error {
+// writeAndFlush writes events and hands them to the system.
+func (a *responder) writeAndFlush(p []byte) error {
 	if err := a.writePiece(p); err != nil {
 		return err
 	}
@@ -124,7 +124,7 @@
 			a.http.WriteHeader(a.session.Head().Status)
 		}
 		offset += len(text)
-		if err := a.writeNow(text); err != nil {
+		if err := a.writeAndFlush(text); err != nil {
 			a.session.Abandon()
 			panic(a.writeFailed(err))
 		}
--- a/api/serve/panic.go
+++ b/api/serve/panic.go
@@ -26,8 +26,8 @@
 	begun   bool
 	flushed bool
 	sent    int64 // bytes of the body
-	// endsWithConn is set if the end of the body is marked by that of the connection only, as for callers of HTTP/1.0, who know no chunks.
-	endsWithConn bool
+	// isCloseDelimited is set if the end of the body is marked by that of the connection only, as for callers of HTTP/1.0, who know no chunks.
+	isCloseDelimited bool
 }
 
 // bufferedBytes is up to which size of a body that was not flushed package http states its length.
@@ -41,14 +41,14 @@
 	}
 	hasBody := r.request.Method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 	if hasBody && !r.request.ProtoAtLeast(1, 1) && r.Header().Get("Content-Length") == "" {
-		r.endsWithConn = true
+		r.isCloseDelimited = true
 		r.conn.resetOnClose(true)
 	}
 }
 
 // finish lets the connection of a whole response end plainly.
 func (r *response) finish() error {
-	if !r.endsWithConn {
+	if !r.isCloseDelimited {
 		return nil
 	}
 	if r.flushed || r.sent > bufferedBytes {
--- a/decide/generation/confirming.go
+++ b/decide/generation/confirming.go
@@ -24,9 +24,9 @@
 	return true
 }
 
-// mustBelieveEnd reports whether an end that is not certain stands because no attempt may confirm it: the retry budget is used up, and an answer may end with
-// its connection.
-func (s *State) mustBelieveEnd(ev NotPlaced) bool {
+// isEndFinal reports whether an end that is not certain stands, as the retry budget leaves no attempt that could confirm it: the process that gave the answer
+// still runs, and an answer may end with its connection.
+func (s *State) isEndFinal(ev NotPlaced) bool {
 	return s.unconfirmed && s.answer.Len() > 0 && ev.Code == vaneyoke.CodeRetryExhausted
 }
 
--- a/decide/generation/placing.go
+++ b/decide/generation/placing.go
@@ -88,7 +88,7 @@
 		s.replacementRefused(now, ev)
 		return
 	}
-	if s.mustBelieveEnd(ev) {
+	if s.isEndFinal(ev) {
 		s.finish(vaneyoke.FinishStop)
 		return
 	}
--- a/decide/generation/sequence.go
+++ b/decide/generation/sequence.go
@@ -65,9 +65,9 @@
 	q.steps++
 }
 
-// mayFollow reports whether the first event of a run can follow the last accepted one. Within a run events only have to rise, since what a run sends is what
+// checkSplice reports how the first event of a run relates to the last accepted one, and returns whether it can follow it. Within a run events only have to rise, since what a run sends is what
 // its upstream made.
-func (s *State) mayFollow(r *run, number vaneyoke.EventNumber) bool {
+func (s *State) checkSplice(r *run, number vaneyoke.EventNumber) bool {
 	if !number.IsSet() || !s.events.last.IsSet() {
 		return true
 	}
--- a/decide/generation/state.go
+++ b/decide/generation/state.go
@@ -216,7 +216,7 @@
 		s.loseRun(now, r, CauseMalformed)
 		return
 	}
-	if r.stage != stageStreaming && !s.mayFollow(r, ev.Number) {
+	if r.stage != stageStreaming && !s.checkSplice(r, ev.Number) {
 		s.dropBatch(ev.Batch)
 		s.loseRun(now, r, CauseMalformed)
 		return
--- a/shell/detours/conn.go
+++ b/shell/detours/conn.go
@@ -8,9 +8,9 @@
 	"syscall"
 )
 
-// ownConn is a connection over the node's own path. The system tells of a reset once: when it tells a write, a read finds the connection ended, as after a
+// directConn is a connection over the node's own path. The system tells of a reset once: when it tells a write, a read finds the connection ended, as after a
 // close by the upstream.
-type ownConn struct {
+type directConn struct {
 	net.Conn
 
 	mu   sync.Mutex // held while writing
@@ -18,7 +18,7 @@
 }
 
 // Write implements net.Conn.
-func (c *ownConn) Write(p []byte) (int, error) {
+func (c *directConn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n, err := c.Conn.Write(p)
@@ -29,7 +29,7 @@
 }
 
 // Read implements net.Conn. It returns io.EOF only if the upstream closed the connection.
-func (c *ownConn) Read(p []byte) (int, error) {
+func (c *directConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if err != io.EOF || !isDisconnected(c.Conn) { //nolint:errorlint // net.Conn returns it as it is
 		return n, err
--- a/shell/detours/dialer.go
+++ b/shell/detours/dialer.go
@@ -151,7 +151,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &ownConn{Conn: conn}, nil
+	return &directConn{Conn: conn}, nil
 }
 
 // recordDirect records the outcome of a direct connection attempt, and logs a failure.
