Nodes that start while the rows of crashes come late are tested on a fake clock, too

TestBlockedRequestIsSentAtTheStart checks the wait itself on a fake clock, and fails in three of four cases without it.

--- a/shell/relay/guard_test.go
+++ b/shell/relay/guard_test.go
@@ -309,3 +309,37 @@
 		})
 	}
 }
+
+// lateRecorder knows only after a time what other nodes have blocked.
+type lateRecorder struct {
+	crashRecorder
+	knownAfter time.Duration
+}
+
+func (g *lateRecorder) AwaitCrashes(ctx context.Context) {
+	select {
+	case <-time.After(g.knownAfter):
+		g.lock.Lock()
+		defer g.lock.Unlock()
+		g.blocked = true
+	case <-ctx.Done():
+	}
+}
+
+// TestBlockedRequestIsSentAtTheStart checks that a node which does not know yet what other nodes have blocked waits for that before it sends a request, for a third
+// of the request's time.
+func TestBlockedRequestIsSentAtTheStart(t *testing.T) {
+	for knownAfter, sent := range map[time.Duration]int64{0: 0, time.Second: 0, 19 * time.Second: 0, 21 * time.Second: 1} {
+		t.Run(knownAfter.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &crashingSender{fakeSender: fakeSender{answers: map[vaneyoke.UpstreamID]forward.Response{"a": &lateExchange{from: "a", events: 3}}, reachable: true}}
+				r := newForwarderWith(s, &lateRecorder{knownAfter: knownAfter})
+				_, err := forwardRequest(t, r, true).Wait(t.Context())
+				must.NoError(t, err)
+				must.EqOp(t, sent, s.sent.Load())
+				r.Close()
+				synctest.Wait()
+			})
+		})
+	}
+}
