--- a/cmd/vaneyoked/soak_streams_test.go
+++ b/cmd/vaneyoked/soak_streams_test.go
@@ -4,11 +4,14 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/shoenig/test/must"
+
 	"github.com/vaneyoke/vaneyoke/platform/platformtest"
 )
 
@@ -72,6 +75,7 @@
 	}
 	rng := rand.New(rand.NewPCG(seed, 9<<32))
 	s.addVersions(rng)
+	s.awaitRoutes()
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	var callers sync.WaitGroup
@@ -101,6 +105,14 @@
 	s.changeRoute(func() {})
 }
 
+// awaitRoutes waits until the configuration is in force at all nodes, so that the route of streams does not move while these run.
+func (s *streamSoak) awaitRoutes() {
+	lacks := func(n *soakNode) bool { return !n.hasActiveVersion(s.version) }
+	for began := time.Now(); slices.ContainsFunc(s.allNodes(), lacks); time.Sleep(resumePause) {
+		must.Less(s.t, maxWait, time.Since(began))
+	}
+}
+
 // disruptAll runs all series of disruptions beside each other for a while, and ends them all.
 func (s *streamSoak) disruptAll(ctx context.Context, seed uint64) {
 	ctx, stop := context.WithTimeout(ctx, orDefault(*soakDuration, streamsLast))
