--- a/decide/generation/sequence.go
+++ b/decide/generation/sequence.go
@@ -65,8 +65,8 @@
 	q.steps++
 }
 
-// checkSplice reports how the first event of a run relates to the last accepted one, and returns whether it can follow it. Within a run events only have to rise, since what a run sends is what
-// its upstream made.
+// checkSplice reports how the first event of a run relates to the last accepted one, and returns whether it can follow it. Within a run events only have to
+// rise, since what a run sends is what its upstream made.
 func (s *State) checkSplice(r *run, number vaneyoke.EventNumber) bool {
 	if !number.IsSet() || !s.events.last.IsSet() {
 		return true
