Logs: when the body of a request came, how its reading ended, and why nothing went on

What on-call could not tell: whether a request that ends without a whole answer around a stop was decided on at its head and acted on at its body, whether its caller or the node ended its body, whether the upstreams had done their part, and why no attempt went on after a loss.

One line a decision, as before: none is new.

No decision is changed.

--- a/api/gateway/answer.go
+++ b/api/gateway/answer.go
@@ -22,6 +22,7 @@
 	control      *http.ResponseController
 	session      *relay.Session
 	stream       bool // whether the answer is an event stream
+	sent         int  // bytes of the answer that were written
 }
 
 // serve forwards the answer until it ends or the caller disconnects.
@@ -60,6 +61,7 @@
 			panic(a.writeFailed(err))
 		}
 		offset += n
+		a.sent = offset
 		a.session.Delivered(offset)
 	}
 }
@@ -103,42 +105,43 @@
 }
 
 func (a *responder) writeFailed(err error) serve.AbortError {
-	return serve.AbortError{Cause: serve.AbortWriteFailed, Code: vaneyoke.CodeCallerGone, Err: err}
+	unread, whole := a.session.Unread(a.sent)
+	return serve.AbortError{Cause: serve.AbortWriteFailed, Code: vaneyoke.CodeCallerGone, Err: err, Unread: unread, Whole: whole}
 }
 
 // writeEvents forwards events as they arrive.
 func (a *responder) writeEvents(ctx context.Context) {
-	offset := 0
 	for {
-		text, result, err := a.session.Read(ctx, offset)
+		text, result, err := a.session.Read(ctx, a.sent)
 		if err != nil {
 			panic(a.callerGone(err))
 		}
 		if result.Ended {
-			a.endStream(result, offset)
+			a.endStream(result)
 			return
 		}
-		if offset == 0 {
+		if a.sent == 0 {
 			copyHeader(a.http.Header(), a.session.Head().Header)
 			a.announceClose()
 			a.http.WriteHeader(a.session.Head().Status)
 		}
-		offset += len(text)
 		if err := a.writeAndFlush(text); err != nil {
+			aborted := a.writeFailed(err)
 			a.session.Abandon()
-			panic(a.writeFailed(err))
+			panic(aborted)
 		}
-		a.session.Delivered(offset)
+		a.sent += len(text)
+		a.session.Delivered(a.sent)
 	}
 }
 
 // endStream ends a stream. An incomplete one is aborted, so that the caller does not take it for complete.
-func (a *responder) endStream(result relay.Result, sent int) {
+func (a *responder) endStream(result relay.Result) {
 	switch {
-	case result.Code == vaneyoke.CodeOK && sent == 0:
+	case result.Code == vaneyoke.CodeOK && a.sent == 0:
 		a.write(a.session.Head(), nil)
 	case result.Code == vaneyoke.CodeOK:
-	case sent == 0:
+	case a.sent == 0:
 		a.writeError(result)
 	case result.Code == vaneyoke.CodeCallerGone: // the session may end before Read notices that the caller left
 		panic(a.callerGone(result.Err()))
--- a/api/gateway/answer_test.go
+++ b/api/gateway/answer_test.go
@@ -147,7 +147,7 @@
 				must.EqOp(t, cause, aborted.Cause)
 				must.EqOp(t, code, aborted.Code)
 			}()
-			(&responder{stream: true}).endStream(relay.Result{Ended: true, Code: code}, 1)
+			(&responder{stream: true, sent: 1}).endStream(relay.Result{Ended: true, Code: code})
 		}()
 	}
 }
--- a/api/gateway/body.go
+++ b/api/gateway/body.go
@@ -5,6 +5,7 @@
 	"io"
 	"math"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -15,6 +16,49 @@
 	"github.com/vaneyoke/vaneyoke/shell/relay"
 )
 
+// bodyEnd is how the reading of a request's body ended; its text is logged and counted.
+type bodyEnd string
+
+// How the reading of a body ended.
+const (
+	bodyUnread   bodyEnd = "unread" // it was not begun
+	bodyWhole    bodyEnd = "whole"
+	bodyByCaller bodyEnd = "caller" // the caller ended it, or sent no proper body
+	bodyLate     bodyEnd = "late"   // it did not come in its time
+	bodyByNode   bodyEnd = "node"   // this node closed the connection
+	bodyTooLarge bodyEnd = "too_large"
+	bodyNoMemory bodyEnd = "no_memory"
+)
+
+// bodyEndOf returns how the reading of a body ended.
+func bodyEndOf(err error) bodyEnd {
+	switch {
+	case err == nil:
+		return bodyWhole
+	case errors.Is(err, net.ErrClosed):
+		return bodyByNode
+	case vaneyoke.CodeOf(err) == vaneyoke.CodeBodyTooLarge:
+		return bodyTooLarge
+	case vaneyoke.CodeOf(err) == vaneyoke.CodeNoMemory:
+		return bodyNoMemory
+	case vaneyoke.CodeOf(err) == vaneyoke.CodeWaitExceeded:
+		return bodyLate
+	default:
+		return bodyByCaller
+	}
+}
+
+// receiveBody reads the whole body and records how that ended.
+func (g *Gateway) receiveBody(c *call, limits route.Limits, maxWait time.Duration) ([]byte, error) {
+	body, err := g.readBody(c, limits, maxWait)
+	c.bodyEnd = bodyEndOf(err)
+	if err == nil {
+		c.bodyReceived = time.Now()
+	}
+	g.metrics.Bodies.Add(string(c.bodyEnd), 1)
+	return body, err
+}
+
 // readBody reads the whole body, which must arrive before the deadline of the answer. Its errors carry CodeBodyTooLarge, CodeNoMemory, CodeWaitExceeded or
 // CodeBadRequest.
 func (g *Gateway) readBody(c *call, limits route.Limits, maxWait time.Duration) ([]byte, error) {
--- a/api/gateway/gateway.go
+++ b/api/gateway/gateway.go
@@ -86,13 +86,23 @@
 
 // call is a request as received, with the caller of its connection.
 type call struct {
-	http     http.ResponseWriter
-	request  *http.Request // its context is cancelled when the caller disconnects
-	caller   serve.Caller
-	received time.Time
-	buffer   *relay.Buffer // accounts for what the node holds for the caller
-	session  atomic.Pointer[relay.Session]
-	isCut    atomic.Bool // whether the caller is cut off because it does not read
+	http         http.ResponseWriter
+	request      *http.Request // its context is cancelled when the caller disconnects
+	caller       serve.Caller
+	received     time.Time // when its header had come
+	bodyEnd      bodyEnd
+	bodyReceived time.Time     // when the last byte of its body had come; zero if it has not
+	buffer       *relay.Buffer // accounts for what the node holds for the caller
+	session      atomic.Pointer[relay.Session]
+	isCut        atomic.Bool // whether the caller is cut off because it does not read
+}
+
+// bodyAge returns how long after the header the last byte of the body had come in milliseconds, -1 if it has not.
+func (c *call) bodyAge() int64 {
+	if c.bodyReceived.IsZero() {
+		return -1
+	}
+	return c.bodyReceived.Sub(c.received).Milliseconds()
 }
 
 // cut ends what is done for a caller that does not read.
@@ -106,7 +116,7 @@
 
 // ServeHTTP serves one request.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{http: w, request: r, caller: serve.CallerOf(r.Context()), received: time.Now()}
+	c := &call{http: w, request: r, caller: serve.CallerOf(r.Context()), received: time.Now(), bodyEnd: bodyUnread}
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	if len(r.TransferEncoding) > 0 { // against request smuggling: with a Content-Length too, the following bytes may be meant as body
@@ -120,9 +130,11 @@
 	}
 	if s := g.stopping.Load(); s != nil {
 		g.metrics.AcceptedWhileStopping.Add(1)
+		now := time.Now()
 		g.log.WithFields(logrus.Fields{
-			"request": req.ID, "stopping_ms": c.received.Sub(s.Since).Milliseconds(), "grace_left_ms": s.Deadline.Sub(c.received).Milliseconds(),
-			"wait_ms": f.Deadline.Sub(c.received).Milliseconds(), "opened_ms": c.received.Sub(c.caller.OpenedAt()).Milliseconds(),
+			"request": req.ID, "stopping_ms": s.ageMilliseconds(now), "grace_left_ms": s.Deadline.Sub(now).Milliseconds(),
+			"wait_ms": f.Deadline.Sub(now).Milliseconds(), "age_ms": now.Sub(c.received).Milliseconds(), "body_ms": c.bodyAge(),
+			"opened_ms": now.Sub(c.caller.OpenedAt()).Milliseconds(),
 		}).Info("taken_while_stopping")
 	}
 	session := g.relay.Forward(r.Context(), req, f)
@@ -161,7 +173,7 @@
 	if retryAfter, refused := g.stopping.Load().refusal(a); refused {
 		return req, relay.Forwarding{}, vaneyoke.ErrRetryAfter(vaneyoke.CodeStopping, retryAfter, "the node is stopping")
 	}
-	body, err := g.readBody(c, table.Limits(), maxWait)
+	body, err := g.receiveBody(c, table.Limits(), maxWait)
 	if err != nil {
 		return req, relay.Forwarding{}, err
 	}
@@ -237,11 +249,12 @@
 
 // refuse writes the error response to a request that was not sent to an upstream.
 func (g *Gateway) refuse(c *call, req *vaneyoke.Request, err error) {
-	code := vaneyoke.CodeOf(err)
+	code, now := vaneyoke.CodeOf(err), time.Now()
 	g.metrics.countRefused(code)
 	g.log.WithFields(logrus.Fields{
-		"request": req.ID, "code": int(code), "host": c.request.Host, "path": c.request.URL.Path, "error": err,
-		"retry_after_ms": vaneyoke.RetryAfterOf(err).Milliseconds(), "opened_ms": time.Since(c.caller.OpenedAt()).Milliseconds(),
+		"request": req.ID, "code": int(code), "host": c.request.Host, "path": c.request.URL.Path, "error": err, "body": string(c.bodyEnd),
+		"retry_after_ms": vaneyoke.RetryAfterOf(err).Milliseconds(), "age_ms": now.Sub(c.received).Milliseconds(), "body_ms": c.bodyAge(),
+		"opened_ms": now.Sub(c.caller.OpenedAt()).Milliseconds(), "stopping_ms": g.stopping.Load().ageMilliseconds(now),
 	}).Info("request_refused")
 	writeFailure(c.http, code, vaneyoke.RetryAfterOf(err), err.Error())
 }
--- a/api/gateway/stopping.go
+++ b/api/gateway/stopping.go
@@ -12,6 +12,14 @@
 	LongRequestWindow time.Duration
 }
 
+// ageMilliseconds returns the time since the stop was requested in milliseconds, -1 for a node that does not stop.
+func (s *StopPlan) ageMilliseconds(now time.Time) int64 {
+	if s == nil {
+		return -1
+	}
+	return now.Sub(s.Since).Milliseconds()
+}
+
 // incomingRequest holds what decides whether a stopping node accepts a request.
 type incomingRequest struct {
 	receivedAt   time.Time
--- a/api/serve/abort.go
+++ b/api/serve/abort.go
@@ -24,6 +24,9 @@
 	Cause AbortCause
 	Code  vaneyoke.Code // with which the answer ended; CodeOK for none
 	Err   error         // nil for none
+	// Unread is how many bytes of the answer the node still held for the caller, and Whole whether it had received the whole of it.
+	Unread int
+	Whole  bool
 }
 
 // Error implements error.
@@ -46,6 +49,7 @@
 	Path      string
 	SentBytes int64         // of the body that were written
 	Age       time.Duration // since the handler began
+	BodyAge   time.Duration // from then until the last byte of the request's body was read, -1 if it was not
 	ConnAge   time.Duration // since the connection was opened; 0 if that is unknown
 }
 
@@ -53,7 +57,7 @@
 func (s *Server) abort(w *response, r *http.Request, err AbortError) {
 	if s.config.OnAbort != nil {
 		caller, now := CallerOf(r.Context()), time.Now()
-		a := Abort{AbortError: err, Request: caller.requestID(), Host: r.Host, Path: r.URL.Path, SentBytes: w.sent, Age: now.Sub(w.started)}
+		a := Abort{AbortError: err, Request: caller.requestID(), Host: r.Host, Path: r.URL.Path, SentBytes: w.sent, Age: now.Sub(w.started), BodyAge: w.requestBody.age(w.started)}
 		if opened := caller.OpenedAt(); !opened.IsZero() {
 			a.ConnAge = now.Sub(opened)
 		}
--- a/api/serve/conn.go
+++ b/api/serve/conn.go
@@ -10,10 +10,12 @@
 
 // The phases of a connection; String gives their names in logs.
 const (
-	PhaseNew       Phase = iota // opened, no data received yet
-	PhaseReading                // a request has been received in part
-	PhaseAnswering              // a handler runs, or its response is being written
-	PhaseIdle                   // the last response has been written
+	PhaseNew        Phase = iota // opened, no data received yet
+	PhaseReading                 // the header of a request has been received in part
+	PhaseReceiving               // a handler waits for the rest of a request's body
+	PhaseAnswering               // a handler runs, or its response is being written
+	PhaseDiscarding              // the response has been written before the rest of the request came
+	PhaseIdle                    // the last response has been written
 )
 
 // String returns the phase's name in logs.
@@ -23,8 +25,12 @@
 		return "fresh"
 	case PhaseReading:
 		return "reading"
+	case PhaseReceiving:
+		return "receiving"
 	case PhaseAnswering:
 		return "answering"
+	case PhaseDiscarding:
+		return "discarding"
 	case PhaseIdle:
 		return "idle"
 	default:
@@ -32,8 +38,13 @@
 	}
 }
 
-// Busy reports whether closing the connection would cut off a request.
-func (p Phase) Busy() bool { return p == PhaseReading || p == PhaseAnswering }
+// Busy reports whether closing the connection would cut off a request, or a response that its caller reads only after sending.
+func (p Phase) Busy() bool { return p == PhaseReading || p.handling() }
+
+// handling reports whether the request has been passed to a handler.
+func (p Phase) handling() bool {
+	return p == PhaseReceiving || p == PhaseAnswering || p == PhaseDiscarding
+}
 
 // Conn describes one connection.
 type Conn struct {
@@ -83,7 +94,7 @@
 
 // extend returns when a read has to end that package http gives until t, by the timeout of the phase.
 func (s *Server) extend(t time.Time, phase Phase) time.Time {
-	if s.config.LongerTimeouts == nil || t.IsZero() || phase == PhaseAnswering {
+	if s.config.LongerTimeouts == nil || t.IsZero() || phase.handling() {
 		return t
 	}
 	longer := s.config.LongerTimeouts()
@@ -132,8 +143,8 @@
 
 // setPhase starts a phase. A phase with a new request clears the id of the one before.
 func (c *conn) setPhase(p Phase) {
-	c.info.Phase, c.info.Since = p, time.Now()
-	if p.Busy() {
+	if p.Busy() && !c.info.Phase.handling() {
 		c.info.Request = ""
 	}
+	c.info.Phase, c.info.Since = p, time.Now()
 }
--- a/api/serve/discard.go
+++ b/api/serve/discard.go
@@ -13,23 +13,49 @@
 	maxDiscardBytes = 128 << 20
 )
 
-// body tracks whether a request's body was read to its end.
+// body tracks whether a request's body was read to its end, and records in the phase of its connection that a handler waits for it.
 type body struct {
 	io.ReadCloser
+	server      *Server
+	conn        *conn // nil if it is unknown
 	readStarted bool
-	exhausted   bool // also set after an error, since nothing more can be read then
+	exhausted   bool      // also set after an error, since nothing more can be read then
+	received    time.Time // when its end was read; zero if it has not been
+}
+
+func newBody(s *Server, c *conn, r *http.Request) *body {
+	b := &body{ReadCloser: r.Body, server: s, conn: c}
+	if r.ContentLength == 0 {
+		b.received = time.Now()
+	}
+	return b
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
-	b.readStarted = true
+	if !b.readStarted {
+		b.readStarted = true
+		b.server.enter(b.conn, PhaseReceiving)
+	}
 	n, err := b.ReadCloser.Read(p)
-	if err != nil {
+	if err != nil && !b.exhausted {
 		b.exhausted = true
+		b.server.enter(b.conn, PhaseAnswering)
+		if err == io.EOF { //nolint:errorlint // package http returns it as it is
+			b.received = time.Now()
+		}
 	}
 	return n, err
 }
 
+// age returns how long after a moment the end of the body was read, -1 if it has not been.
+func (b *body) age(since time.Time) time.Duration {
+	if b == nil || b.received.IsZero() {
+		return -1
+	}
+	return max(b.received.Sub(since), 0)
+}
+
 // Close leaves the body open for discard, since a handler may close a body that it has not read; net/http closes it in the end.
 func (b *body) Close() error { return nil }
 
@@ -39,6 +65,7 @@
 	if b.exhausted || r.ContentLength == 0 || (!b.readStarted && r.Header.Get("Expect") != "") {
 		return
 	}
+	b.server.enter(b.conn, PhaseDiscarding)
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(discardTimeout))               // cleared by package http once the body is read, and not to be set after that
 	_ = control.Flush()                                                       // which may read the rest, too
--- a/api/serve/panic.go
+++ b/api/serve/panic.go
@@ -20,12 +20,13 @@
 // response is a handler's response; it records whether it has begun and how much of it was written.
 type response struct {
 	http.ResponseWriter
-	request *http.Request
-	conn    *conn     // nil if it is unknown
-	started time.Time // when the handler began
-	begun   bool
-	flushed bool
-	sent    int64 // bytes of the body
+	request     *http.Request
+	conn        *conn     // nil if it is unknown
+	started     time.Time // when the handler began
+	requestBody *body
+	begun       bool
+	flushed     bool
+	sent        int64 // bytes of the body
 	// isCloseDelimited is set if the end of the body is marked by that of the connection only, as for callers of HTTP/1.0, who know no chunks.
 	isCloseDelimited bool
 }
--- a/api/serve/server.go
+++ b/api/serve/server.go
@@ -100,11 +100,12 @@
 func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	caller := CallerOf(r.Context())
 	answer := &response{ResponseWriter: w, request: r, conn: caller.conn, started: time.Now()}
-	s.startAnswering(caller.conn)
+	s.enter(caller.conn, PhaseAnswering)
 	if caller.WillClose() {
 		w.Header().Set("Connection", "close")
 	}
-	tracked := &body{ReadCloser: r.Body}
+	tracked := newBody(s, caller.conn, r)
+	answer.requestBody = tracked
 	copied := r.WithContext(r.Context()) // a copy, since net/http relies on the body of the original
 	copied.Body = tracked
 	s.run(answer, copied)
@@ -114,13 +115,14 @@
 	tracked.discard(w, r)
 }
 
-// startAnswering records that a handler runs for a connection.
-func (s *Server) startAnswering(c *conn) {
+// enter records that a connection whose request a handler was given enters a phase.
+func (s *Server) enter(c *conn, p Phase) {
+	if c == nil {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c != nil {
-		c.setPhase(PhaseAnswering)
-	}
+	c.setPhase(p)
 }
 
 // startReading records that part of a request was received.
--- a/decide/generation/deadlines.go
+++ b/decide/generation/deadlines.go
@@ -83,7 +83,7 @@
 	f := Fail{Code: vaneyoke.CodeUpstream, RetryAfter: s.retryAfter}
 	switch {
 	case s.answer.Len() > 0:
-		f.Code = vaneyoke.CodeInterrupted
+		f.Code, f.Detail = vaneyoke.CodeInterrupted, s.whyNotContinued()
 	case !s.mayHaveRunIfEnded() && s.lastCode != vaneyoke.CodeOK:
 		f.Code = s.lastCode
 	case !s.mayHaveRunIfEnded():
@@ -92,11 +92,26 @@
 	return f
 }
 
+// whyNotContinued returns why no further attempt goes on with an answer, "" if that is not known.
+func (s *State) whyNotContinued() string {
+	switch {
+	case s.lastCode != vaneyoke.CodeOK:
+		return "no attempt was placed: " + s.lastCode.Info().Name
+	case s.cfg.MaxAttempts > 0 && s.countedAttempts >= s.cfg.MaxAttempts:
+		return "no attempt is left"
+	case s.consecutiveLosses > s.cfg.MaxLosses:
+		return "too many losses in a row"
+	default:
+		return ""
+	}
+}
+
 // deadlineFailure returns the failure of an answer whose deadline has passed.
 func (s *State) deadlineFailure() Fail {
 	f := s.failure()
 	switch {
 	case s.answer.Len() > 0:
+		f.Detail = "its time is over"
 	case s.mayHaveRunIfEnded():
 		f.Code = vaneyoke.CodeTimedOut
 	default:
--- a/process/node/aborts.go
+++ b/process/node/aborts.go
@@ -23,6 +23,14 @@
 	return now.Sub(*since).Milliseconds()
 }
 
+// wholeMilliseconds returns a time in milliseconds, -1 for a negative one.
+func wholeMilliseconds(d time.Duration) int64 {
+	if d < 0 {
+		return -1
+	}
+	return d.Milliseconds()
+}
+
 // abortRecorder logs and counts the requests whose callers got no complete response.
 type abortRecorder struct {
 	total   *expvar.Map // by cause
@@ -41,7 +49,8 @@
 	now := time.Now()
 	r.log.WithFields(logrus.Fields{
 		"request": a.Request, "host": a.Host, "path": a.Path, "cause": string(a.Cause), "code": int(a.Code), "error": a.Err,
-		"sent_bytes": a.SentBytes, "age_ms": a.Age.Milliseconds(), "opened_ms": a.ConnAge.Milliseconds(),
+		"sent_bytes": a.SentBytes, "unread_bytes": a.Unread, "whole": a.Whole,
+		"age_ms": a.Age.Milliseconds(), "body_ms": wholeMilliseconds(a.BodyAge), "opened_ms": a.ConnAge.Milliseconds(),
 		"configured_ms": millisecondsSince(now, r.changes.configured.Load()), "reloaded_ms": millisecondsSince(now, r.changes.reloaded.Load()),
 		"stopping_ms": millisecondsSince(now, r.changes.stopping.Load()),
 	}).Warn("answer_aborted")
--- a/shell/relay/session.go
+++ b/shell/relay/session.go
@@ -182,6 +182,14 @@
 	return s.state.Transcript().Text
 }
 
+// Unread returns how many bytes of the answer are held beyond an offset, and whether the answer has been received as a whole.
+func (s *Session) Unread(offset int) (bytes int, whole bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.state.Transcript()
+	return max(t.Forgotten+t.Visible-offset, 0), s.result.Ended && s.result.Code == vaneyoke.CodeOK
+}
+
 // Answer returns the upstream's answer of a session that was not streamed.
 func (s *Session) Answer() engine.Answer {
 	s.mu.Lock()
