--- a/tools/fleet/leave_test.go
+++ b/tools/fleet/leave_test.go
@@ -126,7 +126,7 @@
 	raw, _ := rawReserve("a")
 	_, err = l.Write(raw)
 	must.NoError(t, err)
-	waitRunning(t, f, 0)
+	waitRunning(t, f)
 	began := time.Now()
 	_ = stopFirstNode(t, f)()
 	must.LessEq(t, grace+time.Second, time.Since(began))
--- a/tools/fleet/stop_test.go
+++ b/tools/fleet/stop_test.go
@@ -42,11 +42,11 @@
 	}
 }
 
-// waitRunning waits until a node handles a request.
-func waitRunning(t *testing.T, f *fleet.Fleet, node int) {
+// waitRunning waits until the first node handles a request.
+func waitRunning(t *testing.T, f *fleet.Fleet) {
 	t.Helper()
 	for {
-		res, err := http.Get(f.Nodes[node].AdminURL() + "/debug/vars")
+		res, err := http.Get(f.Nodes[0].AdminURL() + "/debug/vars")
 		must.NoError(t, err)
 		var vars struct {
 			Open int `json:"sessions_open"`
@@ -185,7 +185,7 @@
 			result := make(chan error, 1)
 			c := client.New(&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}, f.Nodes[0].URL(), fleet.CallerKey)
 			go func() { result <- tc.send(t.Context(), c) }()
-			waitRunning(t, f, 0)
+			waitRunning(t, f)
 			stopped := stopFirstNode(t, f)
 			failed, ok := errors.AsType[*client.FailedError](<-result)
 			_ = stopped() // whether the stop reports the request as cut off is not checked here
@@ -261,7 +261,7 @@
 	raw, _ := rawReserve("a")
 	_, err = l.Write(raw)
 	must.NoError(t, err)
-	waitRunning(t, f, 0)
+	waitRunning(t, f)
 	_ = stopFirstNode(t, f)()
 	must.StrContains(t, log.String(), "session_ended")
 }
