A request whose body comes late is decided on by what holds then

What callers saw: streams whose header came before a planned stop and whose body came 2.6 s and more into it began, and were cut at its end; calls got 502, "its outcome is unknown". A key that was revoked, or a route that was removed or moved, while a body was sent still ran the request.

Cause: time of check to time of use. The route, the key, the time-out and the stop plan were read when the header had come, and used when the body had, up to a minute later. Nothing asked again.

Change: one function decides, by the present time, table and stop plan. It is asked at the header, so that what is hopeless is refused before its body is sent, and again when the last byte has come. What is refused has not been sent to an upstream. The bounds of a stop are the same as for requests without a body: in the first third of the grace whatever can go on elsewhere is taken, after that what is due before the end. The other side of it: a stream that is complete late and would still have ended in time is refused with 20 ms to come back elsewhere, as one is whose header comes then.

The limit on a body's size stays that of its header, since it bounds what is read and not what is run.

The matrix of requests that are received while the configuration changes expected 200 for a dropped route if the header had come before; it expects 404 now, as for a second request, and still that each gets a whole answer. TestRequiredRunTime became TestExpectedAnswerTime, as the remaining wait is part of the decision now; its row "soon due" is a row of the table of the stop.

--- a/api/gateway/gateway.go
+++ b/api/gateway/gateway.go
@@ -143,7 +143,8 @@
 	a.serve(r.Context())
 }
 
-// buildRequest builds the request for the relay and its forwarding parameters.
+// buildRequest builds the request for the relay and its forwarding parameters. It decides at the header, so that a hopeless request is refused before its
+// body is sent, and anew once the body has come: meanwhile the configuration may have changed, or the node may have begun to stop.
 func (g *Gateway) buildRequest(c *call) (*vaneyoke.Request, relay.Forwarding, error) {
 	r := c.request
 	envelope, err := g.codec.Decode(r)
@@ -153,38 +154,25 @@
 	if err != nil {
 		return req, relay.Forwarding{}, err
 	}
-	table := g.routeSource.Routes()
-	if table == nil {
-		return req, relay.Forwarding{}, vaneyoke.ErrRetryAfter(vaneyoke.CodeNotFresh, randomRetryAfter(envelope.MaxWait, rand.Float64()), "no configuration is known yet")
-	}
-	matched, ok := table.Find(r.Host, r.URL.Path)
-	if !ok {
-		return req, relay.Forwarding{}, vaneyoke.Err(vaneyoke.CodeNotFound, "no route for %s%s", r.Host, r.URL.Path)
-	}
-	workspace, err := table.Workspace(matched, envelope.APIKey)
+	d, err := g.decide(c.received, c, envelope)
 	if err != nil {
 		return req, relay.Forwarding{}, err
 	}
-	maxWait := g.maxWait(matched, envelope.MaxWait)
-	a := incomingRequest{
-		receivedAt: c.received, connOpenedAt: c.caller.OpenedAt(), timeNeeded: requiredRunTime(matched, maxWait),
-		stream: matched.Kind == route.KindStream, resumable: matched.Repeatable(),
-	}
-	if retryAfter, refused := g.stopping.Load().refusal(a); refused {
-		return req, relay.Forwarding{}, vaneyoke.ErrRetryAfter(vaneyoke.CodeStopping, retryAfter, "the node is stopping")
-	}
-	body, err := g.receiveBody(c, table.Limits(), maxWait)
+	body, err := g.receiveBody(c, d.table.Limits(), d.deadline.Sub(c.received))
 	if err != nil {
 		return req, relay.Forwarding{}, err
 	}
-	setRequestFields(req, matched, workspace, envelope)
-	req.Content = vaneyoke.NewContentID([]byte(workspace.ID), []byte(r.Method), []byte(r.Host), []byte(r.RequestURI), body)
-	origin, err := g.findOrigin(c, matched, workspace, envelope)
+	if d, err = g.decide(time.Now(), c, envelope); err != nil {
+		return req, relay.Forwarding{}, err
+	}
+	setRequestFields(req, d.route, d.workspace, envelope)
+	req.Content = vaneyoke.NewContentID([]byte(d.workspace.ID), []byte(r.Method), []byte(r.Host), []byte(r.RequestURI), body)
+	origin, err := g.findOrigin(c, d.route, d.workspace, envelope)
 	if err != nil {
 		return req, relay.Forwarding{}, err
 	}
-	f := newForwarding(table, matched, envelope, origin)
-	f.Deadline = c.received.Add(maxWait)
+	f := newForwarding(d.table, d.route, envelope, origin)
+	f.Deadline = d.deadline
 	f.Buffer = c.buffer
 	f.Message = &forward.Message{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: envelope.Header, Body: body}
 	return req, f, nil
@@ -226,27 +214,6 @@
 	}
 }
 
-// requiredRunTime returns how long a stopping node must keep running to accept a request that may take maxWait. For a
-// repeatable call a failure is no worse than a refusal, so the time in which it is likely to be answered suffices.
-func requiredRunTime(r *route.Route, maxWait time.Duration) time.Duration {
-	if suspect := relay.SuspectAfter(r.LatencyGoal); r.Kind == route.KindRepeatable && suspect > 0 {
-		return min(maxWait, suspect)
-	}
-	return maxWait
-}
-
-// maxWait returns the longest time for answering a request.
-func (g *Gateway) maxWait(r *route.Route, wait time.Duration) time.Duration {
-	maxWait := g.config.MaxWait
-	if r.Timeout > 0 {
-		maxWait = r.Timeout
-	}
-	if wait > 0 {
-		maxWait = min(maxWait, wait)
-	}
-	return maxWait
-}
-
 // refuse writes the error response to a request that was not sent to an upstream.
 func (g *Gateway) refuse(c *call, req *vaneyoke.Request, err error) {
 	code, now := vaneyoke.CodeOf(err), time.Now()
--- a/api/gateway/stopping.go
+++ b/api/gateway/stopping.go
@@ -22,24 +22,29 @@
 
 // incomingRequest holds what decides whether a stopping node accepts a request.
 type incomingRequest struct {
-	receivedAt   time.Time
 	connOpenedAt time.Time     // zero if unknown
-	timeNeeded   time.Duration // how long the node must keep running to answer it
+	deadline     time.Time     // when its caller stops waiting
+	answerTime   time.Duration // how long after it was sent on an answer is due; 0 for until the deadline
 	stream       bool
 	resumable    bool // whether another node can resume the stream
 }
 
-// refusal reports whether a stopping node refuses a request, and when the caller should retry. Late in the stop, a request is
+// isDue reports whether the answer to a request that is sent on now is due before the stop's deadline.
+func (s *StopPlan) isDue(now time.Time, a incomingRequest) bool {
+	return !a.deadline.After(s.Deadline) || a.answerTime > 0 && !now.Add(a.answerTime).After(s.Deadline)
+}
+
+// refusal reports whether a stopping node refuses a request that is complete now, and when the caller should retry. Late in the stop, a request is
 // accepted only if its answer is due before the deadline, so that it cannot be cut off.
-func (s *StopPlan) refusal(a incomingRequest) (retryAfter time.Duration, refused bool) {
-	if s == nil || !a.receivedAt.Add(a.timeNeeded).After(s.Deadline) {
+func (s *StopPlan) refusal(now time.Time, a incomingRequest) (retryAfter time.Duration, refused bool) {
+	if s == nil || s.isDue(now, a) {
 		return 0, false
 	}
-	if (a.resumable || !a.stream) && a.receivedAt.Before(s.Since.Add(s.LongRequestWindow)) {
+	if (a.resumable || !a.stream) && now.Before(s.Since.Add(s.LongRequestWindow)) {
 		return 0, false
 	}
 	if a.connOpenedAt.After(s.Since.Add(s.ReroutingDelay)) { // new connections still arrive here: no other node accepts them
-		return max(s.Deadline.Sub(a.receivedAt), retryAfterOtherNode), true
+		return max(s.Deadline.Sub(now), retryAfterOtherNode), true
 	}
 	return retryAfterOtherNode, true
 }
--- a/api/gateway/stopping_test.go
+++ b/api/gateway/stopping_test.go
@@ -9,6 +9,18 @@
 	"github.com/vaneyoke/vaneyoke/decide/route"
 )
 
+// waiting is a request whose caller waits for a time.
+type waiting struct {
+	stream, resumable bool
+	wait              time.Duration
+	answerTime        time.Duration
+}
+
+// incoming returns the request as one that was received at a time over a connection.
+func (w waiting) incoming(received, opened time.Time) incomingRequest {
+	return incomingRequest{connOpenedAt: opened, deadline: received.Add(w.wait), answerTime: w.answerTime, stream: w.stream, resumable: w.resumable}
+}
+
 // TestStoppingNodeRefusesRequests checks which requests a stopping node accepts, and when it tells the others to retry.
 func TestStoppingNodeRefusesRequests(t *testing.T) {
 	const (
@@ -18,14 +30,12 @@
 	since := time.Unix(1000, 0)
 	s := &StopPlan{Since: since, Deadline: since.Add(7700 * time.Millisecond), ReroutingDelay: 2200 * time.Millisecond, LongRequestWindow: 2500 * time.Millisecond}
 	before := since.Add(-time.Minute)
-	stream := incomingRequest{stream: true, timeNeeded: long}
-	resumable := incomingRequest{stream: true, resumable: true, timeNeeded: long}
-	call := incomingRequest{timeNeeded: short}
-	longCall := incomingRequest{timeNeeded: long}
-	shortStream := incomingRequest{stream: true, timeNeeded: short}
+	stream, resumable, call, longCall, shortStream := waiting{true, false, long, 0}, waiting{true, true, long, 0}, waiting{false, false, short, 0},
+		waiting{false, false, long, 0}, waiting{true, false, short, 0}
+	repeatable := waiting{false, true, long, short}
 	cases := map[string]struct {
 		stopping *StopPlan
-		request  incomingRequest
+		request  waiting
 		at       time.Duration // after the stop was requested
 		opened   time.Time
 		refused  bool
@@ -47,32 +57,60 @@
 		"long call, early":                  {s, longCall, 2 * time.Second, before, false, 0},
 		"long call, late":                   {s, longCall, 2500 * time.Millisecond, before, true, retryAfterOtherNode},
 		"short stream, not resumable":       {s, shortStream, 5 * time.Second, before, false, 0},
+		"repeatable, likely to be answered": {s, repeatable, 6900 * time.Millisecond, before, false, 0},
+		"repeatable, due after the end":     {s, repeatable, 6901 * time.Millisecond, before, true, retryAfterOtherNode},
 	}
 	for name, tc := range cases {
 		t.Run(name, func(t *testing.T) {
-			a := tc.request
-			a.receivedAt, a.connOpenedAt = since.Add(tc.at), tc.opened
-			after, refused := tc.stopping.refusal(a)
+			now := since.Add(tc.at)
+			after, refused := tc.stopping.refusal(now, tc.request.incoming(now, tc.opened))
 			must.EqOp(t, tc.refused, refused)
 			must.EqOp(t, tc.after, after)
 		})
 	}
 }
 
-// TestRequiredRunTime checks how long a stopping node must keep running to accept a request.
-func TestRequiredRunTime(t *testing.T) {
-	const maxWait, goal = 800 * time.Millisecond, 100 * time.Millisecond
+// Guards against a request that a stopping node accepts when its body is complete as if it had been complete with its header, and cuts off at its end.
+func TestStoppingNodeDecidesByTheTimeOfTheHeader(t *testing.T) {
+	since := time.Unix(1000, 0)
+	s := &StopPlan{Since: since, Deadline: since.Add(7700 * time.Millisecond), ReroutingDelay: 2200 * time.Millisecond, LongRequestWindow: 2500 * time.Millisecond}
+	before := since.Add(-time.Second) // header and connection
+	cases := map[string]struct {
+		request  waiting
+		complete time.Duration // after the stop was requested
+		refused  bool
+	}{
+		"stream, early":                      {waiting{true, true, 25 * time.Second, 0}, 2499 * time.Millisecond, false},
+		"stream, late":                       {waiting{true, true, 25 * time.Second, 0}, 2500 * time.Millisecond, true},
+		"stream that cannot go on elsewhere": {waiting{true, false, 25 * time.Second, 0}, time.Millisecond, true},
+		"stream that is due before the end":  {waiting{true, false, 8700 * time.Millisecond, 0}, 7 * time.Second, false},
+		"call, late":                         {waiting{false, false, 25 * time.Second, 0}, 2500 * time.Millisecond, true},
+		"call that is due before the end":    {waiting{false, false, 8700 * time.Millisecond, 0}, 7 * time.Second, false},
+		"repeatable call, early enough":      {waiting{false, true, 25 * time.Second, 300 * time.Millisecond}, 7400 * time.Millisecond, false},
+		"repeatable call, too late":          {waiting{false, true, 25 * time.Second, 300 * time.Millisecond}, 7401 * time.Millisecond, true},
+		"repeatable call that is due anyway": {waiting{false, true, 8 * time.Second, 300 * time.Millisecond}, 7401 * time.Millisecond, false},
+	}
+	for name, tc := range cases {
+		t.Run(name, func(t *testing.T) {
+			_, refused := s.refusal(since.Add(tc.complete), tc.request.incoming(before, before))
+			must.EqOp(t, tc.refused, refused)
+		})
+	}
+}
+
+// TestExpectedAnswerTime checks which requests a stopping node may accept by the time in which they are likely to be answered.
+func TestExpectedAnswerTime(t *testing.T) {
+	const goal = 100 * time.Millisecond
 	cases := map[string]struct {
 		route route.Route
 		want  time.Duration
 	}{
-		"at most once":              {route.Route{Kind: route.KindOnce, LatencyGoal: goal}, maxWait},
+		"at most once":              {route.Route{Kind: route.KindOnce, LatencyGoal: goal}, 0},
 		"repeatable":                {route.Route{Kind: route.KindRepeatable, LatencyGoal: goal}, 3 * goal},
-		"repeatable without a goal": {route.Route{Kind: route.KindRepeatable}, maxWait},
-		"repeatable, soon due":      {route.Route{Kind: route.KindRepeatable, LatencyGoal: maxWait}, maxWait},
-		"stream":                    {route.Route{Kind: route.KindStream, LatencyGoal: goal, Resumable: true}, maxWait},
+		"repeatable without a goal": {route.Route{Kind: route.KindRepeatable}, 0},
+		"stream":                    {route.Route{Kind: route.KindStream, LatencyGoal: goal, Resumable: true}, 0},
 	}
 	for name, tc := range cases {
-		t.Run(name, func(t *testing.T) { must.EqOp(t, tc.want, requiredRunTime(&tc.route, maxWait)) })
+		t.Run(name, func(t *testing.T) { must.EqOp(t, tc.want, expectedAnswerTime(&tc.route)) })
 	}
 }
--- a/process/node/connections_test.go
+++ b/process/node/connections_test.go
@@ -79,10 +79,10 @@
 		// that, and none sends a request before it has the answer to the one before.
 		return []int{http.StatusOK, closed}
 	case state == "a second request" && event == "the route is dropped":
-		return []int{http.StatusOK, http.StatusNotFound} // the configuration that is in force when the head is complete decides
+		return []int{http.StatusOK, http.StatusNotFound}
 	case state == "a second request":
 		return []int{http.StatusOK, http.StatusOK}
-	case state == "half a head" && event == "the route is dropped":
+	case event == "the route is dropped": // the configuration that is in force when the request is complete decides
 		return []int{http.StatusNotFound}
 	default:
 		return []int{http.StatusOK}
