Tests: a rest that is never sent does not outlive its test; a name is freed

The goroutines that send the rest of a body outlived cases which are refused before; they are timers that end with their case now. A type of the tests of signals has a name of its own, since the soak of bodies held back has one like it. No case and no bound is changed.

--- a/cmd/vaneyoked/held_body_test.go
+++ b/cmd/vaneyoked/held_body_test.go
@@ -18,8 +18,8 @@
 	"github.com/vaneyoke/vaneyoke/platform/platformtest"
 )
 
-// heldCaller is a caller who holds back the body of a stream.
-type heldCaller struct {
+// rawHeldCaller is a caller who holds back the body of a stream.
+type rawHeldCaller struct {
 	rest  time.Duration // after the stop was asked for; 0 for never
 	conn  net.Conn
 	reply *http.Response
@@ -30,7 +30,7 @@
 const heldHost, heldKey = "stall.example", "key"
 
 // sendHead sends the head and a part of the body.
-func (c *heldCaller) sendHead(t *testing.T, address, id string) {
+func (c *rawHeldCaller) sendHead(t *testing.T, address, id string) {
 	conn, err := net.Dial("tcp", address) //nolint:noctx // nothing to cancel
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
@@ -42,7 +42,7 @@
 }
 
 // play sends the rest of the body at its time, and reads the answer.
-func (c *heldCaller) play(stop time.Time) {
+func (c *rawHeldCaller) play(stop time.Time) {
 	if c.rest > 0 {
 		time.AfterFunc(time.Until(stop.Add(c.rest)), func() { _, _ = io.WriteString(c.conn, "body") })
 	}
@@ -71,8 +71,8 @@
 	sigs := catchForTest(t)
 	go func() { ended <- command(sigs).Run(t.Context(), []string{"vaneyoked", "--config", path}) }()
 	waitReady(t, "http://"+readiness+"/readyz")
-	early, late, never := &heldCaller{rest: 1200 * time.Millisecond}, &heldCaller{rest: 4500 * time.Millisecond}, &heldCaller{}
-	callers := []*heldCaller{early, late, never}
+	early, late, never := &rawHeldCaller{rest: 1200 * time.Millisecond}, &rawHeldCaller{rest: 4500 * time.Millisecond}, &rawHeldCaller{}
+	callers := []*rawHeldCaller{early, late, never}
 	for i, c := range callers {
 		c.sendHead(t, listen, fmt.Sprint("held-", i))
 	}
@@ -94,7 +94,7 @@
 	must.NoError(t, early.err)
 	must.EqOp(t, http.StatusOK, early.reply.StatusCode, must.Sprint(early.text))
 	must.EqOp(t, platformtest.StreamText(0), early.text)
-	for _, c := range []*heldCaller{late, never} {
+	for _, c := range []*rawHeldCaller{late, never} {
 		must.NoError(t, c.err)
 		must.EqOp(t, http.StatusServiceUnavailable, c.reply.StatusCode, must.Sprint(c.text))
 		must.NotEqOp(t, "", c.reply.Header.Get("Retry-After"))
--- a/process/node/held_body_test.go
+++ b/process/node/held_body_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -141,7 +140,8 @@
 	time.Sleep(time.Until(stop.Add(h.head)))
 	conn := s.dial(t, first)
 	if h.rest != noRest {
-		go sendAt(conn, stop.Add(h.rest), parts[2])
+		rest := time.AfterFunc(time.Until(stop.Add(h.rest)), func() { _, _ = io.WriteString(conn, parts[2]) })
+		defer rest.Stop()
 	}
 	res, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	must.NoError(t, err, must.Sprintf("after %v, %d runs", time.Since(stop), sender.sent.Load()))
@@ -158,8 +158,3 @@
 	must.EqOp(t, 0, sender.sent.Load())
 	must.Between(t, h.refusedAt, time.Since(stop), h.refusedAt+tick)
 }
-
-func sendAt(conn net.Conn, at time.Time, text string) {
-	time.Sleep(time.Until(at))
-	_, _ = io.WriteString(conn, text)
-}
