A body that comes too late for a stopping node is refused, not cut

What callers saw: a request whose body was held back over a planned stop was closed without an answer 7.85 s into it (connection_cut_off phase=answering), and a stream that may not go on elsewhere began in the stop and was cut.

Cause: a body was waited for as long as its caller waits, whatever became of the node; the end of the grace closed the connection.

Change: the wait for a body ends when the stopping node can no longer send the request on: at the end of the first third of the grace for what may go on elsewhere, at the beginning of the stop for a stream that may not, at the likely time of an answer before the end for a call that may run again.

--- a/api/gateway/gateway.go
+++ b/api/gateway/gateway.go
@@ -61,18 +61,26 @@
 	log         logrus.FieldLogger
 	inFlight    atomic.Int64
 	stopping    atomic.Pointer[StopPlan] // nil unless the node is stopping
+	stopBegun   context.Context          // done once stopping is set
+	beginStop   context.CancelFunc
 }
 
 // New returns a gateway.
 func New(config Config, codec Codec, routes RouteSource, r *relay.Relay, origins OriginFinder, metrics *Metrics, log logrus.FieldLogger) *Gateway {
-	return &Gateway{config: config, codec: codec, routeSource: routes, relay: r, origins: origins, metrics: metrics, log: log}
+	stopBegun, beginStop := context.WithCancel(context.Background())
+	return &Gateway{
+		config: config, codec: codec, routeSource: routes, relay: r, origins: origins, metrics: metrics, log: log, stopBegun: stopBegun, beginStop: beginStop,
+	}
 }
 
 // InFlight returns the number of requests being answered.
 func (g *Gateway) InFlight() int { return int(g.inFlight.Load()) }
 
 // Stop makes the node report that it is not ready and refuse requests that would be cut off.
-func (g *Gateway) Stop(s StopPlan) { g.stopping.Store(&s) }
+func (g *Gateway) Stop(s StopPlan) {
+	g.stopping.Store(&s)
+	g.beginStop()
+}
 
 // Ready reports whether the node accepts new connections.
 func (g *Gateway) Ready() bool { return g.stopping.Load() == nil && g.routeSource.Routes() != nil }
@@ -158,7 +166,7 @@
 	if err != nil {
 		return req, relay.Forwarding{}, err
 	}
-	body, err := g.receiveBody(c, d.table.Limits(), d.deadline.Sub(c.received))
+	body, err := g.receiveBody(c, d)
 	if err != nil {
 		return req, relay.Forwarding{}, err
 	}
