The caller of a refused request who is still sending can read the refusal

What callers saw: one who was refused while it sent its body, and who read only after that, found its connection reset more than 2 s after the refusal.

Cause: the rest of a body was read for 2 s. After that the connection was closed with bytes unread, which resets it, and the system drops what the caller has not read.

Change: lingering close. Where a request was refused before all of it had come, the connection is closed for sending, and what comes is read and dropped until the caller closes it, the caller's time for the answer is over, 128 MiB have come, or the server is closed. Nothing is held for it but the connection. A connection that lingers as a node ends is logged with phase=discarding and not counted as cut off, since its caller has been sent an answer.

--- a/api/gateway/decision.go
+++ b/api/gateway/decision.go
@@ -59,10 +59,10 @@
 	return 0
 }
 
-// maxWait returns the longest time for answering a request.
+// maxWait returns the longest time for answering a request on a route, nil if that is not known.
 func (g *Gateway) maxWait(r *route.Route, wait time.Duration) time.Duration {
 	maxWait := g.config.MaxWait
-	if r.Timeout > 0 {
+	if r != nil && r.Timeout > 0 {
 		maxWait = r.Timeout
 	}
 	if wait > 0 {
--- a/api/gateway/gateway.go
+++ b/api/gateway/gateway.go
@@ -98,6 +98,7 @@
 	request      *http.Request // its context is cancelled when the caller disconnects
 	caller       serve.Caller
 	received     time.Time // when its header had come
+	deadline     time.Time // when the caller stops waiting
 	bodyEnd      bodyEnd
 	bodyReceived time.Time     // when the last byte of its body had come; zero if it has not
 	buffer       *relay.Buffer // accounts for what the node holds for the caller
@@ -159,6 +160,7 @@
 	req := &vaneyoke.Request{ID: envelope.ID, ReceivedAt: c.received}
 	c.caller.SetRequestID(string(req.ID))
 	c.buffer = g.relay.OpenBuffer(req.ID, c.cut)
+	c.deadline = c.received.Add(g.maxWait(nil, envelope.MaxWait))
 	if err != nil {
 		return req, relay.Forwarding{}, err
 	}
@@ -166,6 +168,7 @@
 	if err != nil {
 		return req, relay.Forwarding{}, err
 	}
+	c.deadline = d.deadline
 	body, err := g.receiveBody(c, d)
 	if err != nil {
 		return req, relay.Forwarding{}, err
@@ -231,6 +234,7 @@
 		"retry_after_ms": vaneyoke.RetryAfterOf(err).Milliseconds(), "age_ms": now.Sub(c.received).Milliseconds(), "body_ms": c.bodyAge(),
 		"opened_ms": now.Sub(c.caller.OpenedAt()).Milliseconds(), "stopping_ms": g.stopping.Load().ageMilliseconds(now),
 	}).Info("request_refused")
+	c.caller.ReadUntil(c.deadline)
 	writeFailure(c.http, code, vaneyoke.RetryAfterOf(err), err.Error())
 }
 
--- a/api/serve/caller.go
+++ b/api/serve/caller.go
@@ -27,6 +27,17 @@
 	c.conn.info.Request = id
 }
 
+// ReadUntil has the connection read what the caller still sends until a time, if the response is complete before the request: a caller that reads only after
+// sending would not get it otherwise.
+func (c Caller) ReadUntil(t time.Time) {
+	if c.conn == nil {
+		return
+	}
+	c.conn.server.mu.Lock()
+	defer c.conn.server.mu.Unlock()
+	c.conn.reading = t
+}
+
 // requestID returns the id of the current request, "" if it is not known.
 func (c Caller) requestID() string {
 	if c.conn == nil {
--- a/api/serve/conn.go
+++ b/api/serve/conn.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"io"
 	"net"
 	"time"
 )
@@ -62,6 +63,8 @@
 
 	info     Conn
 	deadline time.Time // by which package http wants to read the next data; zero for none
+	reading  time.Time // until when what the caller still sends is read after its response; zero if the connection is closed at once
+	lingers  bool      // whether closing the connection waits for that
 	closing  bool      // the read deadline has been moved to the past, so that package http closes the connection unless a request has begun
 	resting  bool      // package http has not set the deadline of the idle connection yet
 }
@@ -119,6 +122,34 @@
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // it fails only on a closed connection
 }
 
+// lingerOnClose has Close read on if the handler has said until when.
+func (c *conn) lingerOnClose() {
+	if c == nil {
+		return
+	}
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.lingers = !c.reading.IsZero()
+}
+
+// Close closes the connection. One that lingers is closed for sending only until its caller closes it: closing with unread bytes resets a connection, and a
+// caller that reads the response only after it has sent its request would not get it.
+func (c *conn) Close() error {
+	if until, ok := c.lingerTime(); ok && c.CloseWrite() == nil && c.Conn.SetReadDeadline(until) == nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(c.Conn, maxDiscardBytes))
+	}
+	return c.Conn.Close()
+}
+
+// lingerTime returns until when a connection that is to be closed lingers; ok is false if it does not.
+func (c *conn) lingerTime() (until time.Time, ok bool) {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	ok = c.lingers && !c.server.closed
+	c.lingers = false
+	return c.reading, ok
+}
+
 // resetOnClose sets whether the connection is reset when it is closed, also by the system after the process has ended.
 func (c *conn) resetOnClose(reset bool) {
 	if c == nil {
@@ -144,7 +175,7 @@
 // setPhase starts a phase. A phase with a new request clears the id of the one before.
 func (c *conn) setPhase(p Phase) {
 	if p.Busy() && !c.info.Phase.handling() {
-		c.info.Request = ""
+		c.info.Request, c.reading = "", time.Time{}
 	}
 	c.info.Phase, c.info.Since = p, time.Now()
 }
--- a/api/serve/discard.go
+++ b/api/serve/discard.go
@@ -6,8 +6,7 @@
 	"time"
 )
 
-// Limits for reading the rest of a request body that the handler did not read. Closing a connection with unread bytes
-// resets it, and the caller would not get the response.
+// Limits for reading the rest of a request body that the handler did not read, so that the connection can be used again.
 const (
 	discardTimeout  = 2 * time.Second
 	maxDiscardBytes = 128 << 20
@@ -62,12 +61,20 @@
 // discard reads the rest of the body, up to the limits above. It skips a caller that sent Expect: 100-continue and was never
 // asked for its body, since such a caller sends none after it has received the response.
 func (b *body) discard(w http.ResponseWriter, r *http.Request) {
-	if b.exhausted || r.ContentLength == 0 || (!b.readStarted && r.Header.Get("Expect") != "") {
+	if !b.received.IsZero() || (!b.readStarted && r.Header.Get("Expect") != "") {
 		return
 	}
 	b.server.enter(b.conn, PhaseDiscarding)
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(discardTimeout))               // cleared by package http once the body is read, and not to be set after that
-	_ = control.Flush()                                                       // which may read the rest, too
-	_, _ = io.Copy(io.Discard, io.LimitReader(b.ReadCloser, maxDiscardBytes)) // the connection is closed with what is left
+	if !b.exhausted && b.discardInTime(http.NewResponseController(w)) {
+		return
+	}
+	b.conn.lingerOnClose()
+}
+
+// discardInTime reads the rest of the body, and reports whether it came to its end.
+func (b *body) discardInTime(control *http.ResponseController) bool {
+	_ = control.SetReadDeadline(time.Now().Add(discardTimeout)) // cleared by package http once the body is read, and not to be set after that
+	_ = control.Flush()                                         // which may read the rest, too
+	n, err := io.Copy(io.Discard, io.LimitReader(b.ReadCloser, maxDiscardBytes))
+	return err == nil && n < maxDiscardBytes
 }
--- a/api/serve/server.go
+++ b/api/serve/server.go
@@ -46,6 +46,7 @@
 	conns              map[*conn]struct{}
 	keepAlivesDisabled bool // responses ask callers to close the connection
 	closingIdle        bool // connections are closed when they become idle
+	closed             bool // connections are closed at once
 	shuttingDown       bool // no new connection is accepted
 }
 
@@ -83,7 +84,17 @@
 }
 
 // Close closes the listener and all connections at once.
-func (s *Server) Close() error { return s.http.Close() }
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.closed = true
+	for c := range s.conns {
+		if c.info.Phase == PhaseDiscarding {
+			_ = c.Conn.Close() // it may linger already
+		}
+	}
+	s.mu.Unlock()
+	return s.http.Close()
+}
 
 // Conns describes each open connection.
 func (s *Server) Conns() []Conn {
--- a/process/node/stop.go
+++ b/process/node/stop.go
@@ -95,7 +95,9 @@
 		if !c.Phase.Busy() {
 			continue
 		}
-		cutOff++
+		if c.Phase != serve.PhaseDiscarding { // its caller has been sent an answer
+			cutOff++
+		}
 		log.WithFields(logrus.Fields{
 			"request": c.Request, "phase": c.Phase, "age_ms": now.Sub(c.Since).Milliseconds(),
 			"opened_ms": now.Sub(c.Opened).Milliseconds(), "stopping_ms": now.Sub(stopping).Milliseconds(),
