A connection that the node closed is not put down to its caller

What on-call saw: request_refused code=20 "read body: use of closed network connection", a bad request, for what the node did.

Change: a connection that this node closed gives code 60, and body=node in the line. Test: the table of errors and codes; with the error of the record it gave 20 before.

--- a/api/gateway/body.go
+++ b/api/gateway/body.go
@@ -83,13 +83,22 @@
 		return nil, g.lateBody(time.Now(), c, d)
 	}
 	wait.reset()
+	return body, bodyError(err, maxBytes, d.deadline.Sub(c.received))
+}
+
+// bodyError returns the error with which a request is refused whose body could not be read, nil for nil.
+func bodyError(err error, maxBytes int64, maxWait time.Duration) error {
 	if _, ok := errors.AsType[*http.MaxBytesError](err); ok {
-		return nil, vaneyoke.Err(vaneyoke.CodeBodyTooLarge, "the body is larger than %d bytes", maxBytes)
+		return vaneyoke.Err(vaneyoke.CodeBodyTooLarge, "the body is larger than %d bytes", maxBytes)
 	}
-	if vaneyoke.CodeOf(err) == vaneyoke.CodeNoMemory {
-		return nil, vaneyoke.ErrRetryAfter(vaneyoke.CodeNoMemory, randomRetryAfter(d.deadline.Sub(c.received), rand.Float64()), "%s", err)
+	switch {
+	case vaneyoke.CodeOf(err) == vaneyoke.CodeNoMemory:
+		return vaneyoke.ErrRetryAfter(vaneyoke.CodeNoMemory, randomRetryAfter(maxWait, rand.Float64()), "%s", err)
+	case errors.Is(err, net.ErrClosed):
+		return vaneyoke.WrapErr(vaneyoke.CodeStopping, err, "the node closed the connection before the body had come")
+	default:
+		return vaneyoke.WrapErr(vaneyoke.CodeBadRequest, err, "read body")
 	}
-	return body, vaneyoke.WrapErr(vaneyoke.CodeBadRequest, err, "read body")
 }
 
 // lateBody returns the error for a body that has not come in time.
--- a/api/gateway/body_test.go
+++ b/api/gateway/body_test.go
@@ -5,9 +5,12 @@
 	"errors"
 	"expvar"
 	"io"
+	"net"
+	"net/http"
 	"runtime"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"github.com/sirupsen/logrus"
@@ -67,6 +70,20 @@
 	must.True(t, errors.Is(err, io.ErrUnexpectedEOF))
 }
 
+// Guards against a log that blames the caller for a connection that the node closed.
+func TestCallerIsBlamedForAConnectionThatTheNodeClosed(t *testing.T) {
+	for code, err := range map[vaneyoke.Code]error{
+		vaneyoke.CodeOK:           nil,
+		vaneyoke.CodeStopping:     &net.OpError{Op: "read", Err: net.ErrClosed},
+		vaneyoke.CodeBadRequest:   io.ErrUnexpectedEOF,
+		vaneyoke.CodeBodyTooLarge: &http.MaxBytesError{Limit: 9},
+		vaneyoke.CodeNoMemory:     vaneyoke.Err(vaneyoke.CodeNoMemory, "no room"),
+	} {
+		must.EqOp(t, code, vaneyoke.CodeOf(bodyError(err, 9, time.Second)))
+	}
+	must.EqOp(t, bodyByNode, bodyEndOf(bodyError(&net.OpError{Op: "read", Err: net.ErrClosed}, 9, time.Second)))
+}
+
 type readerFunc func(p []byte) (int, error)
 
 func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
