Caller API: a request whose body is not complete when the node stops is refused

A caller of the caller API who held back its body at a stop got no answer: its connection was closed at the end of the grace, which is 15 min by default, and the stop took that long because of it.

Cause: the API reads bodies without a bound, and asks whether the node takes requests only after the last byte. A stop does not end the reading.

Change: a stop ends the reading of bodies that are not complete, with 503 and code 60 at once; so does a request whose head comes later. What is complete is handled as before.

--- a/api/callerapi/api.go
+++ b/api/callerapi/api.go
@@ -1,6 +1,7 @@
 package callerapi
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -48,12 +49,17 @@
 	claims    *claims.Claims
 	tracer    trace.Tracer
 	log       logrus.FieldLogger
-	inFlight  atomic.Int64 // requests being answered
+	inFlight  atomic.Int64    // requests being answered
+	stopBegun context.Context // done once Stop is called
+	beginStop context.CancelFunc
 }
 
 // New returns an API; its Handler method returns the HTTP handler.
 func New(config Config, directory Directory, r *relay.Relay, f *failover.Manager, c *claims.Claims, tracer trace.Tracer, log logrus.FieldLogger) *API {
-	return &API{config: config, directory: directory, relay: r, failover: f, claims: c, tracer: tracer, log: log}
+	stopBegun, beginStop := context.WithCancel(context.Background())
+	return &API{
+		config: config, directory: directory, relay: r, failover: f, claims: c, tracer: tracer, log: log, stopBegun: stopBegun, beginStop: beginStop,
+	}
 }
 
 // InFlight returns the number of requests being answered.
@@ -73,7 +79,7 @@
 	a.registerModels(api)
 	a.registerHealth(api)
 	mux.HandleFunc("/", a.notFound)
-	return a.countInFlight(mux)
+	return a.countInFlight(a.refuseIncomplete(mux))
 }
 
 // countInFlight counts the requests being answered.
--- a/api/callerapi/error.go
+++ b/api/callerapi/error.go
@@ -85,6 +85,9 @@
 	code := codeOfStatus(status)
 	var field string
 	for _, err := range errs {
+		if vaneyoke.CodeOf(err) == vaneyoke.CodeStopping { // of a body that was not complete
+			return NewErrorBody(err)
+		}
 		if detail, ok := errors.AsType[*huma.ErrorDetail](err); ok && field == "" {
 			field = detail.Location
 		}
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -183,6 +183,7 @@
 func (n *Node) Stop(ctx context.Context) error {
 	stopping := time.Now()
 	n.stopping.Store(true)
+	n.api.Stop()
 	for _, server := range n.servers {
 		server.DisableKeepAlives()
 	}
