Tests: crowds of callers that send headers without end, nothing, or do not read

Callers that are not the users' own ended a process, which ran out of memory. The tests keep crowds of 200 to 1,000 such callers at real processes, one crowd at a time, and check that the process lives, that its resident bytes and the unread bytes in its sockets (accepted or not) stay under `[limits] memory`, here 96 MB, that of 300 descriptors a quarter stays free, and that one request beside the crowd and one after it are answered whole. A closed connection is opened again after a second. The processes are built without the race detector, which multiplies their memory.

--- a/cmd/vaneyoked/soak_nodes_test.go
+++ b/cmd/vaneyoked/soak_nodes_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -20,7 +21,8 @@
 type soakNode struct {
 	name, listen, readiness, settings, log string
 
-	replace []string // replacements in the deployed settings
+	replace     []string // replacements in the deployed settings
+	descriptors int      // limit of its processes that run a build; 0 for that of the test
 
 	process *process // used only by the goroutine that disrupts the node
 
@@ -136,6 +138,9 @@
 	p := &process{cmd: exec.Command(os.Args[0]), ended: make(chan struct{})}
 	if b := n.currentIncarnation().build; b != nil {
 		p.cmd = exec.Command(b.program, "--config", n.settings)
+		if n.descriptors > 0 {
+			p.cmd = exec.Command("/bin/sh", "-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(n.descriptors), b.program, "--config", n.settings)
+		}
 	}
 	// By default the race detector delays the exit of a process.
 	p.cmd.Env = append(os.Environ(), nodeSettingsVar+"="+n.settings, "GORACE=atexit_sleep_ms=0")
--- a/cmd/vaneyoked/soak_test.go
+++ b/cmd/vaneyoked/soak_test.go
@@ -47,7 +47,9 @@
 		main()
 		return
 	}
-	os.Exit(m.Run())
+	status := m.Run()
+	removeCrowdBuild()
+	os.Exit(status)
 }
 
 // soak is a fleet of real node processes with stand-in engines and a stand-in store, and callers that check their answers.
