A connection that is kept after a refused request does not linger at its end

What callers would see: after a refused request whose rest came within the 2 s in which it is read, a later request on the same connection: its connection stayed open without a bound, and an answer that broke off ended like a whole one for callers of HTTP/1.0.

Cause: package http may read the rest of the body as the refusal is flushed, and reports its end as ErrBodyReadAfterClose; that was taken for a body that did not come, and the connection was marked to linger. The mark outlived the request.

Change: that error is the end of the body, and a new request clears the mark.

--- a/api/serve/conn.go
+++ b/api/serve/conn.go
@@ -175,7 +175,7 @@
 // setPhase starts a phase. A phase with a new request clears the id of the one before.
 func (c *conn) setPhase(p Phase) {
 	if p.Busy() && !c.info.Phase.handling() {
-		c.info.Request, c.reading = "", time.Time{}
+		c.info.Request, c.reading, c.lingers = "", time.Time{}, false
 	}
 	c.info.Phase, c.info.Since = p, time.Now()
 }
--- a/api/serve/discard.go
+++ b/api/serve/discard.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -76,5 +77,5 @@
 	_ = control.SetReadDeadline(time.Now().Add(discardTimeout)) // cleared by package http once the body is read, and not to be set after that
 	_ = control.Flush()                                         // which may read the rest, too
 	n, err := io.Copy(io.Discard, io.LimitReader(b.ReadCloser, maxDiscardBytes))
-	return err == nil && n < maxDiscardBytes
+	return err == nil && n < maxDiscardBytes || errors.Is(err, http.ErrBodyReadAfterClose) // flushing has read the rest
 }
