--- a/shell/relay/loss.go
+++ b/shell/relay/loss.go
@@ -54,7 +54,10 @@
 
 // recordLoss logs and counts a lost attempt; err is nil if the attempt was abandoned.
 func (s *Session) recordLoss(attempt vaneyoke.Attempt, l *link, cause generation.Cause, err error) {
-	helper, _ := l.path.Helper()
+	var helper vaneyoke.VMID
+	if name, ok := l.path.Helper(); ok {
+		helper = name
+	}
 	s.logAttempt(attempt, l.upstream.ID).WithFields(logrus.Fields{
 		"cause": cause, "error": err, "content": s.req.Content, "begun": l.gotFirstToken, "pieces": l.chunks, "peer": helper,
 		"head_ms": l.headMs(), "age_ms": time.Since(l.sentAt).Milliseconds(),
