A refusal of a body whose time is over can be read by a caller who still sends

What callers saw: a body that did not come within its route's time-out was refused with 62, and a caller who waits longer and still sends found its connection closed 0.5 s later. Cause: the rest is read until the time for the answer is over, which is the moment of this refusal. Change: for 2 s at the least, as for other refusals.

--- a/api/serve/conn.go
+++ b/api/serve/conn.go
@@ -130,6 +130,9 @@
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	c.lingers = !c.reading.IsZero()
+	if least := time.Now().Add(discardTimeout); c.reading.Before(least) { // the time for its answer may be over as it is refused
+		c.reading = least
+	}
 }
 
 // Close closes the connection. One that lingers is closed for sending only until its caller closes it: closing with unread bytes resets a connection, and a
