Caller API: a caller who is still sending as the node stops can read its refusal

What callers saw: a request whose body was not complete as the node stopped was refused, and its connection closed with the refusal; a caller who sent on and read after that found it reset. Cause: the API did not say for how long the rest is read. Change: for 30 s, until the caller closes or the stop ends.

--- a/api/callerapi/body.go
+++ b/api/callerapi/body.go
@@ -8,8 +8,13 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/vaneyoke/vaneyoke/api/serve"
 )
 
+// refusedReadTime is for how long the node reads what the caller of a refused request still sends.
+const refusedReadTime = 30 * time.Second
+
 // Stop refuses the requests whose bodies are not complete. The directory must not be ready any more.
 func (a *API) Stop() { a.beginStop() }
 
@@ -21,7 +26,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		b := &body{ReadCloser: r.Body, control: http.NewResponseController(w), ready: a.directory.Ready}
+		b := &body{ReadCloser: r.Body, caller: serve.CallerOf(r.Context()), control: http.NewResponseController(w), ready: a.directory.Ready}
 		defer context.AfterFunc(a.stopBegun, b.interrupt)()
 		copied := r.WithContext(r.Context()) // a copy, since the server relies on the body of the original
 		copied.Body = b
@@ -32,6 +37,7 @@
 // body is the body of a request, whose reading ends when the node stops.
 type body struct {
 	io.ReadCloser
+	caller  serve.Caller
 	control *http.ResponseController
 	ready   func() error
 
@@ -51,6 +57,7 @@
 	b.ended = true
 	if b.isInterrupted && errors.Is(err, os.ErrDeadlineExceeded) {
 		if refusal := b.ready(); refusal != nil {
+			b.caller.ReadUntil(time.Now().Add(refusedReadTime))
 			return n, refusal
 		}
 	}
