Relay: a request that has waited for an upstream is decided anew before it is sent

Prompts that waited for an engine with room began late in a stop and were cut at its end, and ran with keys that had been revoked and on routes that had been removed or moved while they waited.

Cause: a session keeps what was decided before it began. It may wait in a queue, or for an upstream, for most of its caller's time.

Change: a forwarded request can carry a function that decides anew. It is asked each time before an upstream is chosen, until the request may have run anywhere; its error ends the session with that code and time to come back, and nothing is sent.

--- a/decide/generation/event.go
+++ b/decide/generation/event.go
@@ -39,6 +39,7 @@
 	Attempt    vaneyoke.Attempt
 	Code       vaneyoke.Code
 	RetryAfter time.Duration // 0 if the placement gives no time
+	IsRefused  bool          // whether the request may not be sent to any upstream any more
 }
 
 // Sent says that an attempt has got to its upstream: an opaque one is connected and about to be sent, a stream of tokens is open, a unary call is begun.
--- a/decide/generation/placing.go
+++ b/decide/generation/placing.go
@@ -93,7 +93,7 @@
 		return
 	}
 	s.lastCode, s.retryAfter = ev.Code, ev.RetryAfter
-	if ev.Code == vaneyoke.CodeQuarantined || ev.Code.IsFinal() {
+	if ev.IsRefused || ev.Code == vaneyoke.CodeQuarantined || ev.Code.IsFinal() {
 		s.failNow(now, s.failure())
 		return
 	}
--- a/shell/relay/forwarded.go
+++ b/shell/relay/forwarded.go
@@ -36,6 +36,8 @@
 	Origin            pinning.Origin    // of the events that the caller has; the zero value if it has none
 	ConfigRevision    vaneyoke.Revision // revision of the configuration with these settings
 	Buffer            *Buffer           // accounts for what is held for the caller; nil for no account
+	// Recheck decides anew whether the request may be sent on, once it has waited for an upstream: its error refuses it. nil if it always may.
+	Recheck func(now time.Time) error
 }
 
 // forwarded answers are passed on as they arrive; after a loss, a stream resumes after its last event.
--- a/shell/relay/place.go
+++ b/shell/relay/place.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -48,6 +49,7 @@
 			Attempt:    e.Attempt,
 			Code:       vaneyoke.CodeOf(err),
 			RetryAfter: s.capRetryAfter(vaneyoke.CodeOf(err), vaneyoke.RetryAfterOf(err)),
+			IsRefused:  isRefusal(err),
 		})
 		return
 	}
@@ -92,8 +94,41 @@
 	return candidates[i]
 }
 
-// chooseUpstream returns an upstream, unless the request content is blocked.
+// refusedError refuses a request that has waited.
+type refusedError struct{ error }
+
+// Unwrap returns the reason.
+func (e *refusedError) Unwrap() error { return e.error }
+
+func isRefusal(err error) bool {
+	_, ok := errors.AsType[*refusedError](err)
+	return ok
+}
+
+// recheck returns the error of a request that has been sent to no upstream and may not be any more, because the node stops or the configuration has changed
+// while it waited.
+func (s *Session) recheck(now time.Time) error {
+	m, ok := s.mode.(*forwarded)
+	if !ok || m.Recheck == nil || s.mayHaveRun() {
+		return nil
+	}
+	if err := m.Recheck(now); err != nil {
+		return &refusedError{err}
+	}
+	return nil
+}
+
+func (s *Session) mayHaveRun() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.state.MayHaveRun()
+}
+
+// chooseUpstream returns an upstream, unless the request is refused or its content is blocked.
 func (s *Session) chooseUpstream(need placement.Need, retry bool) (vaneyoke.Upstream, time.Duration, error) {
+	if err := s.recheck(time.Now()); err != nil {
+		return vaneyoke.Upstream{}, 0, err
+	}
 	if err := s.blockedErr(); err != nil {
 		return vaneyoke.Upstream{}, 0, err
 	}
