Tests: prompts that wait for room at a stop and while the configuration changes, on a clock of their own

The tests over the wire depended on the machine: a prompt waits only as long as its node has a load report of less than 0.4 s ago, which an engine has 60 ms to send. At load 38 to 54, four at once with the race detector, 2 of 48 runs failed: one because a prompt had been sent before the change was made, the other's cause was not recorded. They are replaced by tests that play the same cases, and four more, on a clock of their own, with an upstream whose room is set: room before and after the bound of the stop and at its end, for streams that may go on elsewhere and that may not; a key revoked, a route removed, moved, not repeatable any more, its time over, the key another workspace's, and changes that are not the request's.

10 of 14 rows fail without a fix, as before: the prompt is sent.

--- a/process/node/stop_test.go
+++ b/process/node/stop_test.go
@@ -163,15 +163,20 @@
 
 // set makes a table with the given routes the newest.
 func (s *tableSource) set(version vaneyoke.Revision, routes ...route.Route) {
-	s.table.Store(route.NewTable(version, routes, []route.Service{{ID: "s"}, {ID: "s2"}}, nil, route.Limits{}))
+	s.setWith(version, nil, routes...)
 }
 
-// plainCodec reads a request's id and how long its caller waits.
+// setWith makes a table with the given workspaces and routes the newest.
+func (s *tableSource) setWith(version vaneyoke.Revision, workspaces []route.Workspace, routes ...route.Route) {
+	s.table.Store(route.NewTable(version, routes, []route.Service{{ID: "s"}, {ID: "s2"}}, workspaces, route.Limits{}))
+}
+
+// plainCodec reads a request's id, key and prompt, and how long its caller waits.
 type plainCodec struct{}
 
 func (plainCodec) Decode(r *http.Request) (gateway.Envelope, error) {
 	wait, err := time.ParseDuration(r.Header.Get("Wait"))
-	return gateway.Envelope{ID: vaneyoke.RequestID(r.Header.Get("Id")), MaxWait: wait}, err
+	return gateway.Envelope{ID: vaneyoke.RequestID(r.Header.Get("Id")), MaxWait: wait, APIKey: r.Header.Get("Key"), PromptParts: r.Header["Prompt"]}, err
 }
 
 // Times of the server of a drainSetup.
@@ -197,13 +202,17 @@
 )
 
 func newDrainSetup(t *testing.T, sender forward.Sender, onAbort func(serve.Abort)) *drainSetup {
+	return newDrainSetupWith(t, sender, oneUpstream{}, onAbort)
+}
+
+func newDrainSetupWith(t *testing.T, sender forward.Sender, placer relay.Placer, onAbort func(serve.Abort)) *drainSetup {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	tables := &tableSource{}
 	tables.set(1, tellRoute, buyRoute)
 	config := generation.DefaultConfig()
 	config.Silence = generation.Silence{FirstToken: time.Hour, Floor: time.Hour, Ceiling: time.Hour}
-	r := relay.New(nil, sender, oneUpstream{}, noop.NewTracerProvider().Tracer(""), relay.NewMetrics(new(expvar.Map).Init()), log, relay.Config{Generation: config, CallSilence: time.Hour})
+	r := relay.New(nil, sender, placer, noop.NewTracerProvider().Tracer(""), relay.NewMetrics(new(expvar.Map).Init()), log, relay.Config{Generation: config, CallSilence: time.Hour})
 	g := gateway.New(gateway.Config{MaxBodyBytes: maxBody, MaxWait: time.Hour, WriteTimeout: time.Hour}, plainCodec{}, tables, r, nil, gateway.NewMetrics(new(expvar.Map).Init()), log)
 	s := &drainSetup{pipeListener: &pipeListener{conns: make(chan net.Conn), closed: make(chan struct{})}, relay: r, gateway: g, tables: tables}
 	s.server = serve.New(g, serve.Config{ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, ErrorLog: serverErrors(log), OnAbort: onAbort})
