A prompt that has waited for an upstream is decided on by what holds then

Prompts that waited for an engine with room began late in a stop and were cut at its end, and ran with keys that had been revoked and on routes that had been removed or moved meanwhile.

Cause: the gateway decides before the request goes to the relay, where it may wait for most of its caller's time.

Change: the gateway has the relay ask again before it chooses an upstream, by the same decision as after the body.

--- a/api/gateway/decision.go
+++ b/api/gateway/decision.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
@@ -42,6 +43,19 @@
 	return d, nil
 }
 
+// recheck returns an error if a request that has waited for an upstream of a service may not be sent any more as it was decided.
+func (g *Gateway) recheck(now time.Time, c *call, envelope Envelope, before decision, service vaneyoke.ServiceID) error {
+	d, err := g.decide(now, c, envelope)
+	if err != nil || d.table == before.table {
+		return err
+	}
+	leads := slices.ContainsFunc(d.route.Targets, func(t route.Target) bool { return t.Service == service })
+	if !leads || d.workspace.ID != before.workspace.ID || d.route.Repeatable() != before.route.Repeatable() {
+		return vaneyoke.ErrRetryAfter(vaneyoke.CodeNoUpstream, retryAfterOtherNode, "the configuration of the request has changed while it waited")
+	}
+	return nil
+}
+
 // incoming returns what a stopping node has to know of the request.
 func (c *call) incoming(d decision) incomingRequest {
 	return incomingRequest{
--- a/api/gateway/gateway.go
+++ b/api/gateway/gateway.go
@@ -185,6 +185,7 @@
 	f := newForwarding(d.table, d.route, envelope, origin)
 	f.Deadline = d.deadline
 	f.Buffer = c.buffer
+	f.Recheck = func(now time.Time) error { return g.recheck(now, c, envelope, d, f.Service) }
 	f.Message = &forward.Message{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: envelope.Header, Body: body}
 	return req, f, nil
 }
