Streams of a route that moved do not go on at the service to which it leads now

Callers who came back for the rest of a stream after its route had moved to another service, and whose record no node had any more, got the rest from the other service, as one whole answer.

Cause: where no node has a record, a stream goes on if only one version can have begun it. The versions that were looked at were those of the services to which the route leads now; the one that had begun the stream was not among them (basis=only_version).

Change: a node remembers for twice the longest stream to which services each route of streams led. It counts their versions among those that may have begun a stream of that route, and has the streams of both services recorded in the store while callers may come back, as it does for two versions of one service. A node that started after the move finds the service in the store's record of versions: one that has admitted versions there, and no route of streams, was left by some route. The reader drops its versions from that record like ones that are not listed any more.

Refused where they went on before: streams that began at the new service and whose caller names no attempt, or of which no node and no row in the store has a record, for twice the longest stream after a move.

--- a/decide/pinning/archive_world_test.go
+++ b/decide/pinning/archive_world_test.go
@@ -51,7 +51,7 @@
 	}
 	n.state.EnableArchive()
 	n.registry = pinning.NewVersionRegistry()
-	n.registry.SetServices([]vaneyoke.ServiceID{"lm"})
+	n.registry.SetRoutes(n.w.now, map[pinning.RouteName][]vaneyoke.ServiceID{"tell": {"lm"}})
 	n.learn(100 * time.Millisecond)
 }
 
--- a/decide/pinning/registry.go
+++ b/decide/pinning/registry.go
@@ -13,11 +13,17 @@
 	isKnown  bool // whether the store's rows are known
 	listed   map[vaneyoke.ServiceID][]vaneyoke.SoftwareVersion
 	services map[vaneyoke.ServiceID]bool // that have streams
+	routes   map[RouteName]*streamRoute
+
+	areRoutesKnown bool
 }
 
 // NewVersionRegistry returns a registry that knows nothing.
 func NewVersionRegistry() *VersionRegistry {
-	return &VersionRegistry{rows: map[vaneyoke.ServiceID]ServiceVersions{}, listed: map[vaneyoke.ServiceID][]vaneyoke.SoftwareVersion{}, services: map[vaneyoke.ServiceID]bool{}}
+	return &VersionRegistry{
+		rows: map[vaneyoke.ServiceID]ServiceVersions{}, listed: map[vaneyoke.ServiceID][]vaneyoke.SoftwareVersion{}, services: map[vaneyoke.ServiceID]bool{},
+		routes: map[RouteName]*streamRoute{},
+	}
 }
 
 // SetRows replaces the store's records.
@@ -40,14 +46,6 @@
 	}
 }
 
-// SetServices replaces the services that have streams.
-func (r *VersionRegistry) SetServices(services []vaneyoke.ServiceID) {
-	clear(r.services)
-	for _, service := range services {
-		r.services[service] = true
-	}
-}
-
 // Outdated returns the services whose record is to be written anew, or will be after a while, sorted.
 func (r *VersionRegistry) Outdated() (services []vaneyoke.ServiceID) {
 	if !r.isKnown {
@@ -58,12 +56,20 @@
 			services = append(services, service)
 		}
 	}
+	for service, row := range r.rows {
+		if r.areRoutesKnown && !r.services[service] && len(row.Versions) > 0 {
+			services = append(services, service)
+		}
+	}
 	slices.Sort(services)
 	return services
 }
 
-// Listed returns the versions of a service's upstreams that are listed.
+// Listed returns the versions of a service's upstreams that are listed, none if the service has no streams.
 func (r *VersionRegistry) Listed(service vaneyoke.ServiceID) []vaneyoke.SoftwareVersion {
+	if r.areRoutesKnown && !r.services[service] {
+		return nil
+	}
 	return r.listed[service]
 }
 
@@ -97,7 +103,7 @@
 	announced := r.inStage(StageAnnounced)
 	for service, row := range r.rows {
 		for _, version := range r.listed[service] {
-			if !row.has(version) {
+			if len(row.Versions) > 0 && !row.has(version) {
 				announced[service] = append(announced[service], version)
 			}
 		}
@@ -132,5 +138,6 @@
 			mixed[service] = true
 		}
 	}
+	r.addMoved(mixed)
 	return slices.Sorted(maps.Keys(mixed))
 }
--- a/decide/pinning/service_versions.go
+++ b/decide/pinning/service_versions.go
@@ -178,6 +178,11 @@
 	return slices.ContainsFunc(s.Versions, func(v ServiceVersion) bool { return v.Stage == stage && slices.Contains(listed, v.Version) })
 }
 
+// hasBegunStreams reports whether any version may have begun streams.
+func (s ServiceVersions) hasBegunStreams() bool {
+	return slices.ContainsFunc(s.Versions, func(v ServiceVersion) bool { return v.Stage != StageAnnounced })
+}
+
 // isCurrent reports whether the record agrees with the versions that are listed, and nothing in it is to change.
 func (s ServiceVersions) isCurrent(listed []vaneyoke.SoftwareVersion) bool {
 	return s.Complete && len(s.Versions) == len(listed) && !slices.ContainsFunc(s.Versions, func(v ServiceVersion) bool {
--- a/decide/pinning/service_versions_test.go
+++ b/decide/pinning/service_versions_test.go
@@ -94,7 +94,7 @@
 // Guards against a version that is not recorded yet and counts for none that may have begun streams, though no other could begin them.
 func TestVersionThatServesAloneCounts(t *testing.T) {
 	r := pinning.NewVersionRegistry()
-	r.SetServices([]vaneyoke.ServiceID{"lm"})
+	r.SetRoutes(epoch, map[pinning.RouteName][]vaneyoke.ServiceID{"tell": {"lm"}})
 	r.SetRows([]pinning.ServiceVersions{{Service: "lm", Complete: true, Versions: []pinning.ServiceVersion{{Version: "v1", Stage: pinning.StageAdmitted}}}})
 	r.SetUpstreams(listed(vaneyoke.StateLive, "v1", "v2"))
 	versions, isComplete := r.Candidates("lm")
--- a/decide/route/table.go
+++ b/decide/route/table.go
@@ -95,6 +95,23 @@
 	return mixed
 }
 
+// StreamTargets returns the services to which each route of streams leads, by host and prefix.
+func (t *Table) StreamTargets() map[string][]vaneyoke.ServiceID {
+	targets := map[string][]vaneyoke.ServiceID{}
+	for host, routes := range t.byHost {
+		for _, r := range routes {
+			if r.Kind != KindStream {
+				continue
+			}
+			name := host + r.Prefix
+			for _, target := range r.Targets {
+				targets[name] = append(targets[name], target.Service)
+			}
+		}
+	}
+	return targets
+}
+
 // LongestStream returns the longest time that the routes of streams allow for an answer; those that state none allow the default.
 func (t *Table) LongestStream(defaultTimeout time.Duration) (longest time.Duration) {
 	for _, routes := range t.byHost {
--- a/decide/route/table_test.go
+++ b/decide/route/table_test.go
@@ -118,6 +118,7 @@
 		{ID: "same", Host: "c", Kind: route.KindStream, Priority: 3, Targets: to("small")},
 		{ID: "same too", Host: "d", Kind: route.KindStream, Priority: 3, Targets: to("small")},
 	}
-	mixed := route.NewTable(1, routes, nil, nil, route.Limits{}).StreamServices()
-	must.Eq(t, map[vaneyoke.ServiceID]bool{"lm": true, "large": false, "small": false}, mixed)
+	table := route.NewTable(1, routes, nil, nil, route.Limits{})
+	must.Eq(t, map[vaneyoke.ServiceID]bool{"lm": true, "large": false, "small": false}, table.StreamServices())
+	must.Eq(t, map[string][]vaneyoke.ServiceID{"a": {"lm", "large"}, "b": {"lm"}, "c": {"small"}, "d": {"small"}}, table.StreamTargets())
 }
--- a/process/node/active_config.go
+++ b/process/node/active_config.go
@@ -74,10 +74,10 @@
 			continue
 		}
 		c.log.WithFields(logrus.Fields{"version": table.Version(), "before": c.version()}).Info("configuration_in_force")
+		c.versions.setRoutes(table) // first, so that no caller takes up a stream by a route of which it is not known that it moved
 		c.table.Store(table)
 		c.changes.configured.Store(new(time.Now()))
 		c.queue.apply(table)
-		c.versions.setServices(table)
 		for service, isRanked := range table.StreamServices() {
 			c.balancer.SetUneven(service, isRanked)
 		}
--- a/process/node/pins_wire.go
+++ b/process/node/pins_wire.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"expvar"
+	"slices"
 	"time"
 
 	"github.com/samber/do/v2"
@@ -29,9 +30,10 @@
 	tables   *versionTables
 }
 
-// Software returns the versions that may have begun streams of services, and for how long before now these are known to be all: by the store's record where
-// that lacks none, otherwise for as long as this node has watched the list of upstreams; 0 while its tables are stale.
+// Software returns the versions that may have begun streams of a route to services, and for how long before now these are known to be all: by the store's record
+// where that lacks none, otherwise for as long as this node has watched the list of upstreams; 0 while its tables are stale.
 func (l pinListing) Software(services []vaneyoke.ServiceID) (all []pinning.Software, coverage time.Duration) {
+	services = slices.Concat(services, l.tables.versions.Former(services))
 	listed, watched := l.balancer.Software(services)
 	coverage = completeCoverage
 	for _, service := range services {
--- a/process/node/versions_wire.go
+++ b/process/node/versions_wire.go
@@ -55,9 +55,9 @@
 	t.versions.SetUpstreams(upstreams)
 }
 
-// setServices passes on the services that have streams.
-func (t *versionTables) setServices(table *route.Table) {
-	t.versions.SetServices(lo.Keys(table.StreamServices()))
+// setRoutes passes on the services to which the routes of streams lead.
+func (t *versionTables) setRoutes(table *route.Table) {
+	t.versions.SetRoutes(lo.MapKeys(table.StreamTargets(), func(_ []vaneyoke.ServiceID, name string) pinning.RouteName { return pinning.RouteName(name) }))
 }
 
 func provideVersionTables(i do.Injector) (*versionTables, error) {
--- a/shell/pins/versions.go
+++ b/shell/pins/versions.go
@@ -12,6 +12,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/pinning"
+	"github.com/vaneyoke/vaneyoke/internal/steady"
 )
 
 // VersionStore stores which software versions may have begun streams.
@@ -89,9 +90,18 @@
 	v.apply(func(r *pinning.VersionRegistry) { r.SetUpstreams(upstreams) })
 }
 
-// SetServices updates the services that have streams.
-func (v *Versions) SetServices(services []vaneyoke.ServiceID) {
-	v.apply(func(r *pinning.VersionRegistry) { r.SetServices(services) })
+// SetRoutes updates the services to which the routes of streams lead.
+func (v *Versions) SetRoutes(routes map[pinning.RouteName][]vaneyoke.ServiceID) {
+	v.apply(func(r *pinning.VersionRegistry) { r.SetRoutes(steady.Now(), routes) })
+}
+
+// Former returns the services that may have begun streams of a route which leads to the given ones and no others.
+func (v *Versions) Former(services []vaneyoke.ServiceID) []vaneyoke.ServiceID {
+	retention := v.config().Retention
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.registry.ForgetRoutes(steady.Now(), retention)
+	return v.registry.Former(services)
 }
 
 // Candidates returns the versions that may have begun streams of a service; isComplete is false if others may have, too.
@@ -105,8 +115,10 @@
 func (v *Versions) apply(change func(*pinning.VersionRegistry)) {
 	v.changes.Lock()
 	defer v.changes.Unlock()
+	retention := v.config().Retention
 	v.mu.Lock()
 	change(v.registry)
+	v.registry.ForgetRoutes(steady.Now(), retention)
 	mixed, announced, retired := v.registry.Mixed(), v.registry.Announced(), v.registry.Retired()
 	if len(v.registry.Outdated()) > 0 {
 		v.scheduleLocked(rand.N(maxVersionJitter))
--- a/shell/pins/versions_test.go
+++ b/shell/pins/versions_test.go
@@ -110,7 +110,7 @@
 	}
 	v := pins.NewVersions(s, s, config, s, s.setMixed, log)
 	t.Cleanup(v.Close)
-	v.SetServices([]vaneyoke.ServiceID{"lm"})
+	v.SetRoutes(map[pinning.RouteName][]vaneyoke.ServiceID{"tell": {"lm"}})
 	v.SetRows([]pinning.ServiceVersions{s.row})
 	v.SetUpstreams(upstreamsOf("v1"))
 	return v, s
