Soak of bodies held back: the rest of a body comes in up to four pieces

The first write to a connection that the node has closed succeeds, and only the next one fails: with the rest in one piece no caller who reads after sending could miss its refusal.

--- a/cmd/vaneyoked/soak_held_callers_test.go
+++ b/cmd/vaneyoked/soak_held_callers_test.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -24,6 +25,8 @@
 	maxHeldWait     = 22 * time.Second
 	minHeldCallWait = 2 * time.Second
 	maxHeldCallWait = 8 * time.Second
+	maxPieces       = 4
+	piecePause      = 30 * time.Millisecond
 	slowChunk       = 8 << 10
 	slowSocketBytes = 64 << 10
 	minSlowPause    = 10 * time.Millisecond // between two reads of a slow caller
@@ -41,6 +44,7 @@
 	hold       time.Duration // for which the rest of the body is held back; 0 for none
 	isEndless  bool          // whether the rest never comes
 	isChunked  bool
+	pieces     int           // in which the rest is sent
 	readsLate  bool          // whether the caller reads only once it has sent all, and gives up if it cannot
 	slowPause  time.Duration // before each read; 0 for a caller that reads at once
 	eventBytes int
@@ -152,6 +156,7 @@
 	default:
 		p.hold = s.scaled(minHold + randomDuration(rng, maxHold-minHold))
 		p.readsLate = rng.IntN(3) == 0
+		p.pieces = 1 + rng.IntN(maxPieces)
 	}
 	return p
 }
@@ -244,9 +249,17 @@
 			return false
 		}
 	}
-	if c.send(a, rest) {
-		a.written = a.lastSent
+	sent := 0
+	for piece := range slices.Chunk(rest, len(rest)/max(a.plan.pieces, 1)+1) {
+		if sent > 0 {
+			time.Sleep(piecePause)
+		}
+		if !c.send(a, piece) {
+			return true
+		}
+		sent += len(piece)
 	}
+	a.written = a.lastSent
 	return true
 }
 
