Soak of bodies held back: why requests were refused that would have ended in time

The summary of a run counts them by what the node said and how the reading of their bodies had ended, so that a rule which refuses too much shows.

--- a/cmd/vaneyoked/soak_held_judge_test.go
+++ b/cmd/vaneyoked/soak_held_judge_test.go
@@ -230,6 +230,16 @@
 	})
 }
 
+// refusal returns what a node said as it refused a request, and how the reading of its body had ended.
+func (j *heldJudge) refusal(id string) string {
+	for _, line := range j.logs.lines[id] {
+		if strings.Contains(line, "msg=request_refused ") {
+			return field(line, "error") + ", body " + field(line, "body")
+		}
+	}
+	return "no line"
+}
+
 var reasonPattern = regexp.MustCompile(`continued\. \(([^)]*)\)`)
 
 // reason returns why nothing went on with an answer that an engine broke off, as the nodes' logs say.
--- a/cmd/vaneyoked/soak_held_report_test.go
+++ b/cmd/vaneyoked/soak_held_report_test.go
@@ -23,7 +23,7 @@
 // judge classes all requests, and reports those that no rule allows.
 func (s *heldSoak) judge(seed uint64) map[heldClass]int {
 	j := &heldJudge{verifier: newVerifier(s.grace, s.engines), logs: s.readLogs(), cuts: s.cuts}
-	counts, examples, reasons := map[heldClass]int{}, map[heldClass][]*heldAttempt{}, map[string]int{}
+	counts, examples, reasons, refusals := map[heldClass]int{}, map[heldClass][]*heldAttempt{}, map[string]int{}, map[string]int{}
 	held, slow, cut := 0, 0, 0
 	for _, a := range s.taken {
 		if a.plan.isHeld() {
@@ -41,9 +41,12 @@
 		if class == allowedBroke {
 			reasons[j.reason(a.id)]++
 		}
+		if class == heldRefusedDue {
+			refusals[j.refusal(a.id)]++
+		}
 	}
-	s.t.Logf("%s, seed %d: %d stops (longest %v, ends %v), %d SIGHUP, %d configurations, %d requests, of which %d held back, %d read slowly, %d ran from nodes that lost their paths; after engines broke off: %v",
-		s.commit, seed, s.stops.Load(), s.longestStop, s.processEnds, s.hangups, s.version, len(s.taken), held, slow, cut, reasons)
+	s.t.Logf("%s, seed %d: %d stops (longest %v, ends %v), %d SIGHUP, %d configurations, %d requests, of which %d held back, %d read slowly, %d ran from nodes that lost their paths; after engines broke off: %v; refused and would have ended in time: %v",
+		s.commit, seed, s.stops.Load(), s.longestStop, s.processEnds, s.hangups, s.version, len(s.taken), held, slow, cut, reasons, refusals)
 	for _, violation := range s.violations {
 		s.t.Log(violation)
 	}
