Connections: each listener counts them, and closes those without a request first

Callers saw no answer for 20 s while 600 connections that rested, or 900 at readiness, metrics and the address for nodes, held all 300 descriptors of a process, since connections were bounded by descriptors only, and a node without descriptors dials no engine and no store.

When there is no room, a new connection takes the place of the oldest that has had no complete header for 250 ms, then of the one that is idle for longest, then of the oldest without a header. One whose request is handled is never closed for another; if nothing else is left, the new one is closed unread. An idle one is closed as at the end of its time, so that a request that has begun to arrive is still answered. No bound for an address, since all callers may come through one balancer. Readiness stays as it is: it answers within its own share, and a node whose callers all have a request under way says that it is ready, because its state changes with each answer, and the platform follows after two misses.

Metrics: `connections_<listener>` by phase with the memory they are accounted for, `connections_evicted_total` by listener and reason; event `connection_evicted`, five lines a second at most. Setting `[limits] descriptors`, by default the limit of the system.

--- a/api/serve/conn.go
+++ b/api/serve/conn.go
@@ -180,5 +180,7 @@
 	if p.Busy() && !c.info.Phase.handling() {
 		c.info.Request, c.reading, c.lingers = "", time.Time{}, false
 	}
-	c.info.Phase, c.info.Since = p, time.Now()
+	now := time.Now()
+	c.info.Phase, c.info.Since = p, now
+	c.account(now, p)
 }
--- a/api/serve/server.go
+++ b/api/serve/server.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/decide/intake"
 )
 
 // Config holds a server's limits; a zero value means no limit.
@@ -17,10 +18,12 @@
 	ReadHeaderTimeout time.Duration // longest time for receiving a request's header
 	IdleTimeout       time.Duration // how long an idle connection is kept open
 	MaxHeaderBytes    int           // largest request header
+	Intake            intake.Limits // bounds on connections and the headers of their requests
 	WriteBufferBytes  int           // size of a connection's send buffer in the kernel; 0 for the system's own choice
 	ErrorLog          *log.Logger   // for accept errors; nil means standard error
 	OnPanic           func(Panic)   // is told of each handler that panics; nil for none
 	OnAbort           func(Abort)   // is told of each request whose caller gets no complete response; nil for none
+	OnEvict           func(Evicted) // is told of each connection that is closed before its request is handled, and must not block; nil for none
 	// LongerTimeouts returns timeouts that apply in place of those above where they are longer; nil for none.
 	LongerTimeouts func() Timeouts
 	// WriteError writes the error response for a handler that panicked before its response began; nil means plain text.
@@ -44,6 +47,7 @@
 	changed            *sync.Cond // signalled when a connection becomes idle or is closed
 	listener           net.Listener
 	conns              map[*conn]struct{}
+	intake             *intake.Ledger[*conn]
 	keepAlivesDisabled bool // responses ask callers to close the connection
 	closingIdle        bool // connections are closed when they become idle
 	closed             bool // connections are closed at once
@@ -52,7 +56,7 @@
 
 // New returns a server that passes requests to the handler.
 func New(handler http.Handler, config Config) *Server {
-	s := &Server{handler: handler, config: config, conns: map[*conn]struct{}{}}
+	s := &Server{handler: handler, config: config, conns: map[*conn]struct{}{}, intake: intake.New[*conn](config.Intake)}
 	s.changed = sync.NewCond(&s.mu)
 	s.http = &http.Server{
 		Handler:           http.HandlerFunc(s.handle),
@@ -162,6 +166,7 @@
 		}
 	case http.StateClosed, http.StateHijacked:
 		delete(s.conns, c)
+		s.intake.Close(c)
 	case http.StateNew, http.StateActive:
 		return
 	}
@@ -174,22 +179,16 @@
 	server *Server
 }
 
-// Accept accepts a connection and registers it with the server.
+// Accept accepts a connection for which there is room, and registers it with the server.
 func (l *listener) Accept() (net.Conn, error) {
-	inner, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	if tcp, ok := inner.(*net.TCPConn); ok && l.server.config.WriteBufferBytes > 0 {
-		_ = tcp.SetWriteBuffer(l.server.config.WriteBufferBytes) // the connection works without
-	}
-	now := time.Now()
-	c := &conn{Conn: inner, server: l.server, opened: now, info: Conn{Since: now, Opened: now}}
-	l.server.mu.Lock()
-	defer l.server.mu.Unlock()
-	if l.server.shuttingDown { // Shutdown no longer waits for it
-		return c, inner.Close()
+	for {
+		inner, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c, ok := l.server.admit(inner); ok {
+			return c, nil
+		}
+		_ = inner.Close()
 	}
-	l.server.conns[c] = struct{}{}
-	return c, nil
 }
--- a/process/node/gateway.go
+++ b/process/node/gateway.go
@@ -56,6 +56,7 @@
 	vars     *expvar.Map
 	panics   *panicRecorder
 	aborts   *abortRecorder
+	evicted  *evictionRecorder
 	changes  *plannedChanges
 	tracing  *telemetry.Tracing
 	log      logrus.FieldLogger
@@ -68,6 +69,7 @@
 
 // endpoint is an address that the node listens on, with its handler.
 type endpoint struct {
+	name     listenerName
 	address  string
 	handler  http.Handler
 	optional bool // whether the node starts without it
@@ -80,13 +82,13 @@
 	ready := http.NewServeMux()
 	ready.HandleFunc("GET /readyz", n.gateway.ServeReadiness)
 	endpoints := []endpoint{
-		{address: s.Gateway.Listen, handler: n.gateway},
-		{address: s.Gateway.Readiness, handler: ready},
-		{address: s.Node.Admin, handler: n.adminHandler(), optional: true},
+		{name: atCallers, address: s.Gateway.Listen, handler: n.gateway},
+		{name: atReadiness, address: s.Gateway.Readiness, handler: ready},
+		{name: atAdmin, address: s.Node.Admin, handler: n.adminHandler(), optional: true},
 	}
-	var handlers []http.Handler
+	var opened []endpoint
 	if s.Gateway.Peers != "" {
-		endpoints = append(endpoints, endpoint{address: s.Gateway.Peers, handler: n.peerHandler()})
+		endpoints = append(endpoints, endpoint{name: atPeers, address: s.Gateway.Peers, handler: n.peerHandler()})
 	}
 	for _, e := range endpoints {
 		l, err := listen(ctx, e.address)
@@ -99,7 +101,7 @@
 			return err
 		}
 		n.listeners = append(n.listeners, l)
-		handlers = append(handlers, e.handler)
+		opened = append(opened, e)
 	}
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
 	n.stop = stop
@@ -116,7 +118,7 @@
 		n.tasks.Go(func() { n.shares.Run(run) })
 	}
 	for i, l := range n.listeners {
-		n.serve(l, handlers[i])
+		n.serve(l, opened[i])
 	}
 	n.log.WithFields(logrus.Fields{
 		"vm": s.Node.VM, "data_centre": s.Node.DataCentre, "listen": s.Gateway.Listen, "admin": s.Node.Admin,
@@ -142,12 +144,14 @@
 // AdminURL returns the base URL of the metrics, which must have been opened.
 func (n *GatewayNode) AdminURL() string { return "http://" + n.listeners[2].Addr().String() }
 
-func (n *GatewayNode) serve(l net.Listener, handler http.Handler) {
+func (n *GatewayNode) serve(l net.Listener, e endpoint) {
 	s := n.settings.Gateway
-	server := serve.New(handler, serve.Config{
+	server := serve.New(e.handler, serve.Config{
 		ReadHeaderTimeout: s.HeaderWait, IdleTimeout: s.IdleWait, MaxHeaderBytes: s.HeaderBytes, ErrorLog: serverErrors(n.log),
 		WriteBufferBytes: n.settings.Limits.SocketBytes, OnPanic: n.panics.record, OnAbort: n.aborts.record, LongerTimeouts: n.active.callerTimeouts, WriteError: gateway.WriteError,
+		Intake: connLimits(n.settings.Limits, e.name), OnEvict: n.evicted.of(e.name),
 	})
+	registerConnMetrics(n.vars, e.name, server)
 	n.servers = append(n.servers, server)
 	n.tasks.Go(func() {
 		if err := server.Serve(l); err != nil {
--- a/process/node/gateway_wire.go
+++ b/process/node/gateway_wire.go
@@ -144,6 +144,7 @@
 		vars:     do.MustInvoke[*expvar.Map](i),
 		panics:   newPanicRecorder(do.MustInvoke[*expvar.Map](i), do.MustInvoke[logrus.FieldLogger](i)),
 		aborts:   newAbortRecorder(do.MustInvoke[*expvar.Map](i), do.MustInvoke[*plannedChanges](i), do.MustInvoke[logrus.FieldLogger](i)),
+		evicted:  newEvictionRecorder(do.MustInvoke[*expvar.Map](i), do.MustInvoke[logrus.FieldLogger](i)),
 		changes:  do.MustInvoke[*plannedChanges](i),
 		tracing:  do.MustInvoke[*telemetry.Tracing](i),
 		log:      do.MustInvoke[logrus.FieldLogger](i),
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -58,6 +58,7 @@
 	peerAPI  http.Handler
 	vars     *expvar.Map
 	panics   *panicRecorder
+	evicted  *evictionRecorder
 	tracing  *telemetry.Tracing
 	log      logrus.FieldLogger
 
@@ -86,9 +87,9 @@
 	n.tasks.Go(func() { n.policies.run(run) })
 	n.tasks.Go(func() { n.failover.Run(run) })
 	n.tasks.Go(func() { n.claims.Run(run) })
-	n.serve(n.api.Handler(), n.callerListener)
-	n.serve(n.adminHandler(), n.adminListener)
-	n.serve(http.MaxBytesHandler(n.peerAPI, maxControlBytes), n.control.countListener(n.peerListener))
+	n.serve(atCallers, n.api.Handler(), n.callerListener)
+	n.serve(atAdmin, n.adminHandler(), n.adminListener)
+	n.serve(atPeers, http.MaxBytesHandler(n.peerAPI, maxControlBytes), n.control.countListener(n.peerListener))
 	n.log.WithFields(logrus.Fields{
 		"vm": n.settings.Node.VM, "data_centre": n.settings.Node.DataCentre,
 		"listen": n.callerListener.Addr(), "admin": n.adminListener.Addr(), "peer": n.peerListener.Addr(),
@@ -121,10 +122,12 @@
 	return l, vaneyoke.WrapErr(vaneyoke.CodeListen, err, "listen on %s", address)
 }
 
-func (n *Node) serve(handler http.Handler, l net.Listener) {
+func (n *Node) serve(name listenerName, handler http.Handler, l net.Listener) {
 	server := serve.New(handler, serve.Config{
 		ReadHeaderTimeout: headerTimeout, ErrorLog: serverErrors(n.log), OnPanic: n.panics.record, WriteError: callerapi.WriteError,
+		Intake: connLimits(n.settings.Limits, name), OnEvict: n.evicted.of(name),
 	})
+	registerConnMetrics(n.vars, name, server)
 	n.servers = append(n.servers, server)
 	n.tasks.Go(func() {
 		if err := server.Serve(l); err != nil {
--- a/process/node/wire.go
+++ b/process/node/wire.go
@@ -220,6 +220,7 @@
 		peerAPI:  peer.Handler(do.MustInvoke[*peer.Journals](i), manager, follower, s.Peers.KeyList(), do.MustInvoke[*telemetry.Tracing](i).Tracer),
 		vars:     do.MustInvoke[*expvar.Map](i),
 		panics:   newPanicRecorder(do.MustInvoke[*expvar.Map](i), do.MustInvoke[logrus.FieldLogger](i)),
+		evicted:  newEvictionRecorder(do.MustInvoke[*expvar.Map](i), do.MustInvoke[logrus.FieldLogger](i)),
 		tracing:  do.MustInvoke[*telemetry.Tracing](i),
 		log:      do.MustInvoke[logrus.FieldLogger](i),
 		stopping: do.MustInvoke[*atomic.Bool](i),
