Headers: measured as they arrive, against memory and the limit in force

Callers with headers that do not end took 139.5 MB (400 of them, 11,000 lines each) of a process that may have 96, and 392.0 at the caller API, whose headers had package http's limit of 1 MiB. Package http keeps a header until it is complete, a line of 5 bytes takes some 200 once it is parsed, and nobody accounted for that. Its limit is fixed when the server starts and has 4 KiB more, so that 60,000 bytes were taken where the configuration says 16,384.

The connection measures a header as it is read, up to the empty line after it: twice its bytes, since a line is copied as it grows, and 256 bytes a line; 4 KiB of that are part of what a connection is taken for. It counts in the account of its listener until its request is answered. Where that is full, the connections that have waited longest go first, as for a new connection. The limit is the configuration's `maxHeaderBytes`, as it rises and falls, else `header_bytes`, on all listeners and at the caller API, too. It bounds the request line and the lines after it separately, so that no header that is itself inside the limit is refused for the line before it. A request beyond it is answered with 431, what it still sends is discarded for 500 ms, and the connection is closed.

--- a/api/serve/account.go
+++ b/api/serve/account.go
@@ -1,7 +1,9 @@
 package serve
 
 import (
+	"cmp"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/vaneyoke/vaneyoke/decide/intake"
@@ -12,21 +14,27 @@
 
 // The reasons.
 const (
-	EvictForConn EvictReason = "for_connection" // a new connection needs its room
-	EvictRefused EvictReason = "refused"        // it is new, and requests are being handled on all others
+	EvictForConn   EvictReason = "for_connection" // a new connection needs its room
+	EvictForHeader EvictReason = "for_header"     // the header of another connection's request needs its room
+	EvictNoRoom    EvictReason = "no_room"        // there is no room for the header of its request
+	EvictRefused   EvictReason = "refused"        // it is new, and requests are being handled on all others
+	EvictTooLarge  EvictReason = "too_large"      // the header of its request is larger than the limit, and is answered with status 431
 )
 
 // Evicted describes a connection that is closed before its request is handled.
 type Evicted struct {
-	Reason EvictReason
-	Conn   Conn
-	Open   int // connections that are open
+	Reason      EvictReason
+	Conn        Conn
+	HeaderBytes int // of the current request that were received
+	HeaderLines int
+	Open        int // connections that are open
 }
 
-// Stats counts the open connections of a server, and the memory that they are accounted for.
+// Stats counts the open connections of a server, and the memory that they and the headers of their requests are accounted for.
 type Stats struct {
 	Unfinished, Idle, Handling int
 	Bytes                      int64
+	HeaderBytes                int64 // of it
 }
 
 // Stats returns the server's current figures.
@@ -35,7 +43,7 @@
 	defer s.mu.Unlock()
 	return Stats{
 		Unfinished: s.intake.Count(intake.Unfinished), Idle: s.intake.Count(intake.Idle), Handling: s.intake.Count(intake.Handling),
-		Bytes: int64(s.intake.Total()),
+		Bytes: int64(s.intake.Total()), HeaderBytes: int64(s.intake.HeaderBytes()),
 	}
 }
 
@@ -68,6 +76,7 @@
 	case PhaseReading:
 		c.server.intake.Begin(now, c)
 	case PhaseIdle:
+		c.header = headerMeter{}
 		c.server.intake.Rest(now, c)
 	case PhaseReceiving, PhaseAnswering, PhaseDiscarding:
 		c.server.intake.Handle(now, c)
@@ -75,6 +84,46 @@
 	}
 }
 
+// receive records that bytes were received, and accounts for those of a header. It returns an error if no more of them are to be read.
+func (s *Server) receive(c *conn, p []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !c.info.Phase.Busy() {
+		c.reopen()
+	}
+	if c.info.Phase.handling() || c.header.ended {
+		return nil
+	}
+	before := c.header.memory()
+	c.header.add(p)
+	if c.header.exceeds(s.maxHeaderBytes()) {
+		s.report(c, EvictTooLarge)
+		return errHeaderTooLarge
+	}
+	if grown := c.header.memory() - before; grown > 0 {
+		evicted, ok := s.intake.Grow(time.Now(), c, grown)
+		s.evict(evicted, EvictForHeader)
+		if !ok {
+			s.report(c, EvictNoRoom)
+			return errNoRoom
+		}
+	}
+	if c.header.ended {
+		s.intake.Handle(time.Now(), c)
+	}
+	return nil
+}
+
+// maxHeaderBytes returns the largest header of a request that is taken now.
+func (s *Server) maxHeaderBytes() int {
+	if s.config.HeaderLimit != nil {
+		if limit := s.config.HeaderLimit(); limit > 0 {
+			return limit
+		}
+	}
+	return cmp.Or(s.config.MaxHeaderBytes, http.DefaultMaxHeaderBytes)
+}
+
 // evict closes connections. Those that are idle stay open if a request has begun to arrive, which is then answered. The server's mutex is held.
 func (s *Server) evict(conns []*conn, reason EvictReason) {
 	for _, c := range conns {
@@ -90,6 +139,6 @@
 // report tells of a connection that is closed. The server's mutex is held.
 func (s *Server) report(c *conn, reason EvictReason) {
 	if s.config.OnEvict != nil {
-		s.config.OnEvict(Evicted{Reason: reason, Conn: c.info, Open: len(s.conns)})
+		s.config.OnEvict(Evicted{Reason: reason, Conn: c.info, HeaderBytes: c.header.first + c.header.bytes, HeaderLines: c.header.lines, Open: len(s.conns)})
 	}
 }
--- a/api/serve/conn.go
+++ b/api/serve/conn.go
@@ -62,18 +62,25 @@
 	opened time.Time
 
 	info     Conn
-	deadline time.Time // by which package http wants to read the next data; zero for none
-	reading  time.Time // until when what the caller still sends is read after its response; zero if the connection is closed at once
-	lingers  bool      // whether closing the connection waits for that
-	closing  bool      // the read deadline has been moved to the past, so that package http closes the connection unless a request has begun
-	resting  bool      // package http has not set the deadline of the idle connection yet
+	header   headerMeter // of the request that is arriving or being handled
+	deadline time.Time   // by which package http wants to read the next data; zero for none
+	reading  time.Time   // until when what the caller still sends is read after its response; zero if the connection is closed at once
+	lingers  bool        // whether closing the connection waits for that
+	closing  bool        // the read deadline has been moved to the past, so that package http closes the connection unless a request has begun
+	resting  bool        // package http has not set the deadline of the idle connection yet
 }
 
-// Read reads from the connection and records that a request has begun to arrive.
+// Read reads from the connection, and records that a request has begun to arrive and how large its header is.
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.server.startReading(c)
+	if n == 0 {
+		return 0, err
+	}
+	if failed := c.server.receive(c, p[:n]); failed != nil {
+		if failed == errHeaderTooLarge { //nolint:errorlint // it is returned as it is
+			c.refuseHeader()
+		}
+		return 0, failed
 	}
 	return n, err
 }
--- a/api/serve/server.go
+++ b/api/serve/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -17,7 +18,7 @@
 type Config struct {
 	ReadHeaderTimeout time.Duration // longest time for receiving a request's header
 	IdleTimeout       time.Duration // how long an idle connection is kept open
-	MaxHeaderBytes    int           // largest request header
+	MaxHeaderBytes    int           // largest request header, without the request line, and largest request line; 0 for 1 MiB
 	Intake            intake.Limits // bounds on connections and the headers of their requests
 	WriteBufferBytes  int           // size of a connection's send buffer in the kernel; 0 for the system's own choice
 	ErrorLog          *log.Logger   // for accept errors; nil means standard error
@@ -26,6 +27,8 @@
 	OnEvict           func(Evicted) // is told of each connection that is closed before its request is handled, and must not block; nil for none
 	// LongerTimeouts returns timeouts that apply in place of those above where they are longer; nil for none.
 	LongerTimeouts func() Timeouts
+	// HeaderLimit returns what applies in place of MaxHeaderBytes, 0 for nothing; nil for never.
+	HeaderLimit func() int
 	// WriteError writes the error response for a handler that panicked before its response began; nil means plain text.
 	WriteError func(http.ResponseWriter, error)
 }
@@ -64,7 +67,7 @@
 		ConnState:         s.onStateChange,
 		ReadHeaderTimeout: config.ReadHeaderTimeout,
 		IdleTimeout:       config.IdleTimeout,
-		MaxHeaderBytes:    config.MaxHeaderBytes,
+		MaxHeaderBytes:    math.MaxInt32, // conn measures headers itself, since the limit may change
 		ErrorLog:          config.ErrorLog,
 	}
 	return s
@@ -140,15 +143,6 @@
 	c.setPhase(p)
 }
 
-// startReading records that part of a request was received.
-func (s *Server) startReading(c *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !c.info.Phase.Busy() {
-		c.reopen()
-	}
-}
-
 // onStateChange is the http.Server's ConnState hook; a connection becomes idle after the last byte of a response was written.
 func (s *Server) onStateChange(inner net.Conn, state http.ConnState) {
 	c, ok := inner.(*conn)
--- a/decide/route/route.go
+++ b/decide/route/route.go
@@ -94,6 +94,7 @@
 // Limits holds the limits on callers' requests.
 type Limits struct {
 	BodyBytes     int64         // maximum size of a body; 0 for no limit
+	HeaderBytes   int           // maximum size of a request's header; 0 if not set
 	HeaderTimeout time.Duration // how long a request's header may take to arrive; 0 if not set
 	IdleTimeout   time.Duration // how long a connection may rest before its next request; 0 if not set
 }
--- a/process/node/active_config.go
+++ b/process/node/active_config.go
@@ -65,6 +65,14 @@
 	return serve.Timeouts{Header: limits.HeaderTimeout, Idle: limits.IdleTimeout}
 }
 
+// headerBytes returns the largest header that the configuration gives callers, 0 if it gives none.
+func (c *activeConfig) headerBytes() int {
+	if table := c.table.Load(); table != nil {
+		return table.Limits().HeaderBytes
+	}
+	return 0
+}
+
 // setRoutes activates the newest of the route tables. It must not be called concurrently.
 func (c *activeConfig) setRoutes(now time.Time, rows watch.Rows) {
 	c.rollouts.setOrders(now, rows)
--- a/process/node/evictions.go
+++ b/process/node/evictions.go
@@ -44,7 +44,7 @@
 	}
 	r.log.WithFields(logrus.Fields{
 		"listener": string(listener), "reason": string(e.Reason), "phase": e.Conn.Phase, "age_ms": now.Sub(e.Conn.Since).Milliseconds(),
-		"opened_ms": now.Sub(e.Conn.Opened).Milliseconds(), "open": e.Open, "left_out": leftOut,
+		"opened_ms": now.Sub(e.Conn.Opened).Milliseconds(), "header_bytes": e.HeaderBytes, "header_lines": e.HeaderLines, "open": e.Open, "left_out": leftOut,
 	}).Warn("connection_evicted")
 }
 
--- a/process/node/gateway.go
+++ b/process/node/gateway.go
@@ -146,11 +146,15 @@
 
 func (n *GatewayNode) serve(l net.Listener, e endpoint) {
 	s := n.settings.Gateway
-	server := serve.New(e.handler, serve.Config{
+	config := serve.Config{
 		ReadHeaderTimeout: s.HeaderWait, IdleTimeout: s.IdleWait, MaxHeaderBytes: s.HeaderBytes, ErrorLog: serverErrors(n.log),
 		WriteBufferBytes: n.settings.Limits.SocketBytes, OnPanic: n.panics.record, OnAbort: n.aborts.record, LongerTimeouts: n.active.callerTimeouts, WriteError: gateway.WriteError,
 		Intake: connLimits(n.settings.Limits, e.name), OnEvict: n.evicted.of(e.name),
-	})
+	}
+	if e.name == atCallers {
+		config.HeaderLimit = n.active.headerBytes
+	}
+	server := serve.New(e.handler, config)
 	registerConnMetrics(n.vars, e.name, server)
 	n.servers = append(n.servers, server)
 	n.tasks.Go(func() {
--- a/process/node/intake.go
+++ b/process/node/intake.go
@@ -70,7 +70,7 @@
 		stats := server.Stats()
 		return map[string]int64{
 			"unfinished": int64(stats.Unfinished), "idle": int64(stats.Idle), "handling": int64(stats.Handling),
-			"bytes": stats.Bytes,
+			"bytes": stats.Bytes, "header_bytes": stats.HeaderBytes,
 		}
 	}))
 }
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -124,7 +124,7 @@
 
 func (n *Node) serve(name listenerName, handler http.Handler, l net.Listener) {
 	server := serve.New(handler, serve.Config{
-		ReadHeaderTimeout: headerTimeout, ErrorLog: serverErrors(n.log), OnPanic: n.panics.record, WriteError: callerapi.WriteError,
+		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: n.settings.Gateway.HeaderBytes, ErrorLog: serverErrors(n.log), OnPanic: n.panics.record, WriteError: callerapi.WriteError,
 		Intake: connLimits(n.settings.Limits, name), OnEvict: n.evicted.of(name),
 	})
 	registerConnMetrics(n.vars, name, server)
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -43,7 +43,7 @@
 	MaxWait         time.Duration `ini:"max_wait" default:"60s" min:"10ms" doc:"Longest time for an answer where neither the route nor the caller names one."`
 	HeaderWait      time.Duration `ini:"header_wait" default:"10s" min:"100ms" doc:"Longest time that a caller may take to send a request's header; the configuration may give callers more."`
 	IdleWait        time.Duration `ini:"idle_wait" default:"60s" min:"1s" doc:"How long a connection without a request is kept; the configuration may give callers more."`
-	HeaderBytes     int           `ini:"header_bytes" default:"65536" min:"1024" doc:"Largest header of a request in bytes."`
+	HeaderBytes     int           `ini:"header_bytes" default:"65536" min:"1024" doc:"Largest header of a request in bytes, and largest request line, where the configuration gives callers no limit; a request beyond it is answered with status 431."`
 	Detours         int           `ini:"detours" default:"256" min:"0" doc:"Most connections to upstreams that the node keeps open for other nodes which have lost their own path there; 0 for none."`
 	DialWait        time.Duration `ini:"dial_wait" default:"120ms" min:"1ms" doc:"Longest wait for a connection to an upstream."`
 	PollWait        time.Duration `ini:"feed_wait" default:"3s" min:"100ms" max:"30s" doc:"How long one call to the store waits for changes, by a node that has no others to ask."`
