--- a/cmd/vaneyoked/held_body_test.go
+++ b/cmd/vaneyoked/held_body_test.go
@@ -35,8 +35,13 @@
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
 	must.NoError(t, conn.SetDeadline(time.Now().Add(maxWait)))
-	_, err = fmt.Fprintf(conn, "POST /tell/x HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Api-Key: %s\r\nX-Deadline-Ms: 18000\r\nX-Token-Usage: 900,80\r\n"+
-		"X-Model-Id: m\r\nContent-Length: 6\r\n\r\na ", heldHost, id, heldKey)
+	const body = "a body"
+	call := platformtest.Call{ID: id, Key: heldKey, Stream: true, Prompt: fmt.Sprintf("%x", id), Wait: 18 * time.Second, Host: heldHost, Path: "/tell/x", Body: body}
+	req, err := call.Request(t.Context(), address)
+	must.NoError(t, err)
+	var text strings.Builder
+	must.NoError(t, req.Write(&text))
+	_, err = io.WriteString(conn, strings.TrimSuffix(text.String(), body[len("a "):]))
 	must.NoError(t, err)
 	c.conn = conn
 }
