--- a/cmd/vaneyoked/soak_pieces_judge_test.go
+++ b/cmd/vaneyoked/soak_pieces_judge_test.go
@@ -20,7 +20,9 @@
 	mixedVersions breach = "mixed versions"
 	repeatedPiece breach = "repeated"
 	missingPiece  breach = "gap"
+	hiddenGap     breach = "gap before any step was seen" // which looks right to the node
 	closedEarly   breach = "closed early"
+	misledEnd     breach = "closed early as a run that skips the rest confirms it"
 	joinedRuns    breach = "joined runs" // a run was not asked to continue after the piece before its first one
 	wrongPiece    breach = "wrong piece" // none that an engine made
 )
@@ -36,6 +38,7 @@
 	pieces        []platformtest.Piece
 	rest          string // what follows the last complete piece
 	isWhole       bool   // whether the answer ended as a complete one
+	isMisled      bool   // whether a run that was asked for what follows the last piece skipped it, and so brought nothing
 }
 
 // judgedStream is a stream over all of a caller's tries.
@@ -51,6 +54,9 @@
 	return number
 }
 
+// minSteps is how many steps between the events of a stream a node has to have seen, all of them equal, to know one that is larger.
+const minSteps = 3
+
 // breaches returns what is wrong with the stream, and where that came to the caller first.
 func (s judgedStream) breaches() map[breach]string {
 	found := map[breach]string{}
@@ -58,7 +64,11 @@
 	buildBefore := ""
 	for _, try := range s {
 		place := "in an answer of " + try.build
+		hasGap := false
 		for i, p := range try.pieces {
+			isGap := p.Number > before.Number+1
+			knowsStep := i > minSteps && !hasGap
+			hasGap = hasGap || isGap
 			at := place
 			if i == 0 && before.Run != "" {
 				at = fmt.Sprintf("from %s to %s", buildBefore, try.build)
@@ -66,7 +76,8 @@
 			for kind, isSeen := range map[breach]bool{
 				mixedVersions: before.Run != "" && p.Version != before.Version,
 				repeatedPiece: p.Number <= before.Number,
-				missingPiece:  p.Number > before.Number+1,
+				missingPiece:  isGap && knowsStep,
+				hiddenGap:     isGap && !knowsStep,
 				joinedRuns:    p.Run != before.Run && p.After != before.Number,
 				wrongPiece:    !p.IsRight || p.Number > platformtest.Events,
 			} {
@@ -76,7 +87,10 @@
 			}
 			before, buildBefore = p, try.build
 		}
-		if try.isWhole && before.Number < platformtest.Events {
+		switch isEarly := try.isWhole && before.Number < platformtest.Events; {
+		case isEarly && try.isMisled:
+			found[misledEnd] = place
+		case isEarly:
 			found[closedEarly] = place
 		}
 		if try.isWhole && try.rest != "" {
@@ -190,6 +204,11 @@
 		try.build, try.isWhole = "old", false
 		return try
 	}
+	misled := func(text string) tryOfStream {
+		try := whole(text)
+		try.isMisled = true
+		return try
+	}
 	first := run("v1", "a", 0, 1, 7)
 	cases := map[string]struct {
 		stream judgedStream
@@ -205,7 +224,11 @@
 		"begun anew":                       {judgedStream{whole(first + run("v1", "b", 0, 1, 20))}, map[breach]string{repeatedPiece: "in an answer of new", joinedRuns: "in an answer of new"}},
 		"one piece twice":                  {judgedStream{whole(first + run("v1", "b", 7, 7, 20))}, map[breach]string{repeatedPiece: "in an answer of new"}},
 		"one piece left out":               {judgedStream{whole(first + run("v1", "b", 7, 9, 20))}, map[breach]string{missingPiece: "in an answer of new"}},
-		"one piece left out between tries": {judgedStream{cut(first), whole(run("v1", "b", 8, 9, 20))}, map[breach]string{missingPiece: "from old to new", joinedRuns: "from old to new"}},
+		"one piece left out between tries": {judgedStream{cut(first), whole(run("v1", "b", 8, 9, 20))}, map[breach]string{hiddenGap: "from old to new", joinedRuns: "from old to new"}},
+		"closed early, confirmed wrongly":  {judgedStream{misled(first)}, map[breach]string{misledEnd: "in an answer of new"}},
+		"left out after three steps":       {judgedStream{whole(run("v1", "a", 0, 1, 4) + run("v1", "b", 4, 6, 20))}, map[breach]string{missingPiece: "in an answer of new"}},
+		"left out after two steps":         {judgedStream{whole(run("v1", "a", 0, 1, 3) + run("v1", "b", 3, 5, 20))}, map[breach]string{hiddenGap: "in an answer of new"}},
+		"left out after unlike steps":      {judgedStream{cut(first), whole(run("v1", "b", 7, 9, 14) + run("v1", "c", 14, 16, 20))}, map[breach]string{hiddenGap: "from old to new"}},
 		"run that was asked for others":    {judgedStream{whole(first + run("v1", "b", 3, 8, 20))}, map[breach]string{joinedRuns: "in an answer of new"}},
 		"closed too early":                 {judgedStream{whole(first)}, map[breach]string{closedEarly: "in an answer of new"}},
 		"closed without a piece":           {judgedStream{whole("")}, map[breach]string{closedEarly: "in an answer of new"}},
--- a/cmd/vaneyoked/soak_pieces_test.go
+++ b/cmd/vaneyoked/soak_pieces_test.go
@@ -68,8 +68,8 @@
 	examples []judgedStream
 }
 
-// unknowable are the breaches of a day that look right to a node: a gap where it has seen no step of the stream, and an end that the engine itself states too early.
-var unknowable = map[string][]breach{"faults": {missingPiece, closedEarly}}
+// unknowable are the breaches of a day that look right to a node.
+var unknowable = map[string][]breach{"faults": {hiddenGap, misledEnd}}
 
 // day is a series of disruptions that ends within the soak's length.
 type day func(s *buildSoak, ctx context.Context, seed uint64, callers *sync.WaitGroup)
@@ -238,6 +238,9 @@
 			call.Resume = call.ID
 		}
 		stream = append(stream, try)
+		if last := stream.last(); try.isWhole && last < platformtest.Events {
+			stream[len(stream)-1].isMisled = s.isSkipped(try.attempt, last)
+		}
 		if try.isWhole || (try.status == http.StatusServiceUnavailable && retryAfter < 0 && stream.last() > 0) {
 			break
 		}
@@ -253,6 +256,18 @@
 	}
 }
 
+// isSkipped reports whether a run of an attempt that was to go on after a piece began beyond the last one, and so brought nothing.
+func (s *buildSoak) isSkipped(attempt string, after int) bool {
+	s.mu.Lock()
+	engines := slices.Clone(s.engines)
+	s.mu.Unlock()
+	return slices.ContainsFunc(engines, func(e *platformtest.Engine) bool {
+		return slices.ContainsFunc(e.Runs(), func(run *platformtest.Run) bool {
+			return run.ID() == attempt && run.Header.Get("Last-Event-Id") == strconv.Itoa(after) && after+1+run.Fault.ResumesShifted > platformtest.Events
+		})
+	})
+}
+
 // nextNode returns the node to which a caller turns after the one before, nil for none.
 func (s *buildSoak) nextNode(rng *rand.Rand, before *soakNode) *soakNode {
 	nodes := s.allNodes()
