--- a/cmd/vaneyoked/soak_versions_test.go
+++ b/cmd/vaneyoked/soak_versions_test.go
@@ -77,7 +77,7 @@
 		leave()
 		added := ""
 		if status == http.StatusOK {
-			added = string(body[:strings.LastIndex(string(body), "\n\n")+len("\n\n")*min(1, strings.Count(string(body), "\n\n"))])
+			added = completeEvents(string(body))
 		}
 		if events > 0 && status != 0 && !s.storeAway.Load() {
 			takenUp, wentOn = true, wentOn || status == http.StatusOK
