--- a/api/serve/header.go
+++ b/api/serve/header.go
@@ -78,7 +78,7 @@
 
 // refuseHeader tells the caller that its header is too large. Closing the connection at once would reset it, and the caller would not get the answer.
 func (c *conn) refuseHeader() {
-	_ = c.Conn.SetDeadline(time.Now().Add(refusalTimeout))
+	_ = c.SetDeadline(time.Now().Add(refusalTimeout))
 	if _, err := io.WriteString(c.Conn, tooLargeAnswer); err != nil {
 		return
 	}
