Unread bytes and bodies that wait: bounded, and closed before a request that is handled

The system's receive buffer grows to megabytes for each connection, also for one that is not accepted; and connections with a body that does not come, or whose answer was sent before the body came, counted as handled.

- `[limits] receive_bytes` (16 KiB) bounds the receive buffer of each connection from the listening socket on.
The lock that comes with it there is taken off again, so that the window scale allows more: for a body it grows to a quarter of what has been read and accounted for, 256 KiB at most.
A connection is taken for 24 KiB and this; callers' share of memory is 0.3 in place of 0.2, as what is counted now is nearer to what it costs.
- The garbage collector works against growth from 0.85 of memory less 12 MiB on where that is less than four fifths: in a small process the program itself is a larger part. 256 MB and more are as before.
- When there is no room, headers with memory of their own go first, then connections that wait, answered ones that discard a body, idle ones, and last bodies that are waited for; never a request that is complete.
A new connection whose first bytes this node was late to read is spared once.

--- a/api/serve/account.go
+++ b/api/serve/account.go
@@ -21,7 +21,7 @@
 	EvictTooLarge  EvictReason = "too_large"      // the header of its request is larger than the limit, and is answered with status 431
 )
 
-// Evicted describes a connection that is closed before its request is handled.
+// Evicted describes a connection that is closed before its request is handled, or after it was answered.
 type Evicted struct {
 	Reason      EvictReason
 	Conn        Conn
@@ -32,19 +32,20 @@
 
 // Stats counts the open connections of a server, and the memory that they and the headers of their requests are accounted for.
 type Stats struct {
-	Unfinished, Idle, Handling int
-	Bytes                      int64
-	HeaderBytes                int64 // of it
+	Conns       map[string]int // by phase
+	Bytes       int64
+	HeaderBytes int64 // of it
 }
 
 // Stats returns the server's current figures.
 func (s *Server) Stats() Stats {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Stats{
-		Unfinished: s.intake.Count(intake.Unfinished), Idle: s.intake.Count(intake.Idle), Handling: s.intake.Count(intake.Handling),
-		Bytes: int64(s.intake.Total()), HeaderBytes: int64(s.intake.HeaderBytes()),
+	stats := Stats{Conns: map[string]int{}, Bytes: int64(s.intake.Total()), HeaderBytes: int64(s.intake.HeaderBytes())}
+	for _, p := range []intake.Phase{intake.Unfinished, intake.Growing, intake.Idle, intake.Receiving, intake.Answered, intake.Handling} {
+		stats.Conns[p.String()] = s.intake.Count(p)
 	}
+	return stats
 }
 
 // admit registers an accepted connection; ok is false if there is no room for it.
@@ -54,6 +55,7 @@
 	}
 	now := time.Now()
 	c = &conn{Conn: inner, server: s, opened: now, info: Conn{Since: now, Opened: now}}
+	c.setWindow(s.config.ReadBufferBytes)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.shuttingDown { // Shutdown no longer waits for it
@@ -74,16 +76,27 @@
 func (c *conn) account(now time.Time, p Phase) {
 	switch p {
 	case PhaseReading:
-		c.server.intake.Begin(now, c)
+		c.server.intake.Enter(now, c, intake.Unfinished)
 	case PhaseIdle:
 		c.header = headerMeter{}
-		c.server.intake.Rest(now, c)
-	case PhaseReceiving, PhaseAnswering, PhaseDiscarding:
-		c.server.intake.Handle(now, c)
+		c.server.intake.Enter(now, c, intake.Idle)
+	case PhaseDiscarding:
+		c.server.intake.Enter(now, c, intake.Answered)
+	case PhaseReceiving, PhaseAnswering: // until more of the body is waited for
+		c.server.intake.Enter(now, c, intake.Handling)
 	case PhaseNew:
 	}
 }
 
+// awaitBody records that a handler waits for more of a request's body than has arrived with its header.
+func (c *conn) awaitBody() {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	if c.info.Phase == PhaseReceiving {
+		c.server.intake.Enter(time.Now(), c, intake.Receiving)
+	}
+}
+
 // receive records that bytes were received, and accounts for those of a header. It returns an error if no more of them are to be read.
 func (s *Server) receive(c *conn, p []byte) error {
 	s.mu.Lock()
@@ -109,7 +122,7 @@
 		}
 	}
 	if c.header.ended {
-		s.intake.Handle(time.Now(), c)
+		s.intake.Enter(time.Now(), c, intake.Handling)
 	}
 	return nil
 }
@@ -124,15 +137,25 @@
 	return cmp.Or(s.config.MaxHeaderBytes, http.DefaultMaxHeaderBytes)
 }
 
-// evict closes connections. Those that are idle stay open if a request has begun to arrive, which is then answered. The server's mutex is held.
+// evict closes connections. Those that are idle stay open if a request has begun to arrive, which is then answered. A new one whose first bytes this node has
+// been late to read is spared once, and others go in its place. The server's mutex is held.
 func (s *Server) evict(conns []*conn, reason EvictReason) {
-	for _, c := range conns {
-		s.report(c, reason)
-		if c.info.Phase == PhaseIdle {
-			c.close()
-		} else {
-			_ = c.Conn.Close() // package http finds it closed
+	for len(conns) > 0 {
+		now := time.Now()
+		for _, c := range conns {
+			switch {
+			case c.info.Phase == PhaseNew && !c.spared && (c.arrived.Load() || hasUnreadData(c.Conn)):
+				c.spared = true
+				s.intake.Enter(now, c, intake.Unfinished)
+			case c.info.Phase == PhaseIdle:
+				s.report(c, reason)
+				c.close()
+			default:
+				s.report(c, reason)
+				_ = c.Conn.Close() // package http finds it closed
+			}
 		}
+		conns = s.intake.Trim(now)
 	}
 }
 
--- a/api/serve/conn.go
+++ b/api/serve/conn.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net"
+	"sync/atomic"
 	"time"
 )
 
@@ -58,24 +59,29 @@
 // conn is a caller's connection. The server's mutex guards the fields below it.
 type conn struct {
 	net.Conn
-	server *Server
-	opened time.Time
+	server  *Server
+	opened  time.Time
+	arrived atomic.Bool  // whether the first bytes have been read, which may not have been recorded yet
+	window  atomic.Int64 // bytes that the system receives ahead of reads; 0 for its own choice
 
 	info     Conn
 	header   headerMeter // of the request that is arriving or being handled
 	deadline time.Time   // by which package http wants to read the next data; zero for none
 	reading  time.Time   // until when what the caller still sends is read after its response; zero if the connection is closed at once
 	lingers  bool        // whether closing the connection waits for that
+	spared   bool        // whether it was not evicted as it had unread data
 	closing  bool        // the read deadline has been moved to the past, so that package http closes the connection unless a request has begun
 	resting  bool        // package http has not set the deadline of the idle connection yet
 }
 
 // Read reads from the connection, and records that a request has begun to arrive and how large its header is.
 func (c *conn) Read(p []byte) (int, error) {
+	c.awaitBody()
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return 0, err
 	}
+	c.arrived.Store(true)
 	if failed := c.server.receive(c, p[:n]); failed != nil {
 		if failed == errHeaderTooLarge { //nolint:errorlint // it is returned as it is
 			c.refuseHeader()
--- a/api/serve/discard.go
+++ b/api/serve/discard.go
@@ -19,6 +19,7 @@
 	server      *Server
 	conn        *conn // nil if it is unknown
 	readStarted bool
+	bytes       int       // that were read
 	exhausted   bool      // also set after an error, since nothing more can be read then
 	received    time.Time // when its end was read; zero if it has not been
 }
@@ -38,8 +39,11 @@
 		b.server.enter(b.conn, PhaseReceiving)
 	}
 	n, err := b.ReadCloser.Read(p)
+	b.bytes += n
+	b.conn.widen(b.bytes)
 	if err != nil && !b.exhausted {
 		b.exhausted = true
+		b.conn.narrow()
 		b.server.enter(b.conn, PhaseAnswering)
 		if err == io.EOF { //nolint:errorlint // package http returns it as it is
 			b.received = time.Now()
@@ -66,6 +70,7 @@
 		return
 	}
 	b.server.enter(b.conn, PhaseDiscarding)
+	b.conn.narrow()
 	if !b.exhausted && b.discardInTime(http.NewResponseController(w)) {
 		return
 	}
--- a/api/serve/header.go
+++ b/api/serve/header.go
@@ -14,7 +14,7 @@
 	// lineOverhead is the memory that a line of a header takes beside its text: its entries in the header and in the copy that is sent on.
 	lineOverhead = 256
 	// smallHeaderBytes is the memory of a header that is part of what each connection is accounted for.
-	smallHeaderBytes = 4 << 10
+	smallHeaderBytes = 8 << 10
 )
 
 // headerMeter measures the header of a request while it arrives. The bytes that follow it are not measured.
--- a/api/serve/server.go
+++ b/api/serve/server.go
@@ -20,6 +20,7 @@
 	IdleTimeout       time.Duration // how long an idle connection is kept open
 	MaxHeaderBytes    int           // largest request header, without the request line, and largest request line; 0 for 1 MiB
 	Intake            intake.Limits // bounds on connections and the headers of their requests
+	ReadBufferBytes   int           // what the system receives for a connection ahead of reads, at first; 0 for the system's own choice
 	WriteBufferBytes  int           // size of a connection's send buffer in the kernel; 0 for the system's own choice
 	ErrorLog          *log.Logger   // for accept errors; nil means standard error
 	OnPanic           func(Panic)   // is told of each handler that panics; nil for none
--- a/decide/intake/intake.go
+++ b/decide/intake/intake.go
@@ -13,7 +13,7 @@
 	Conns     int           // most connections
 	Bytes     Bytes         // memory for connections and headers
 	ConnBytes Bytes         // memory that a connection takes without a header
-	Patience  time.Duration // time from which a connection without a complete header is evicted before those that are idle
+	Patience  time.Duration // time from which a connection that keeps the node waiting is evicted before those that are idle
 }
 
 // Phase says what an open connection is doing.
@@ -22,8 +22,12 @@
 // The phases; String gives their names in metrics.
 const (
 	Unfinished Phase = iota // its next request's header is not complete, or none of it has come since it was opened
+	Growing                 // the same, with a header that takes memory of its own
 	Idle                    // it waits for its next request
+	Receiving               // the body of its request is not complete, so that nothing has been done for it
+	Answered                // its request has been answered before the rest of the body came
 	Handling                // its request is being handled; it is not evicted
+	phases
 )
 
 // String returns the phase's name.
@@ -31,8 +35,14 @@
 	switch p {
 	case Unfinished:
 		return "unfinished"
+	case Growing:
+		return "growing"
 	case Idle:
 		return "idle"
+	case Receiving:
+		return "receiving"
+	case Answered:
+		return "answered"
 	case Handling:
 		return "handling"
 	default:
@@ -46,21 +56,24 @@
 	phase  Phase
 	since  time.Time // start of the phase
 	header Bytes
-	place  *list.Element // in the list of its phase, oldest first; nil while it is handling
+	place  *list.Element // in the list of its phase
 }
 
 // Ledger holds the accounts of a listener's connections, which keys name.
 type Ledger[K comparable] struct {
-	limits     Limits
-	entries    map[K]*entry[K]
-	unfinished *list.List // of *entry[K], the oldest first
-	idle       *list.List
-	headers    Bytes
+	limits  Limits
+	entries map[K]*entry[K]
+	byPhase [phases]*list.List // of *entry[K], the one that entered the phase first at the front
+	headers Bytes
 }
 
 // New returns a ledger without connections.
 func New[K comparable](limits Limits) *Ledger[K] {
-	return &Ledger[K]{limits: limits, entries: map[K]*entry[K]{}, unfinished: list.New(), idle: list.New()}
+	l := &Ledger[K]{limits: limits, entries: map[K]*entry[K]{}}
+	for p := range l.byPhase {
+		l.byPhase[p] = list.New()
+	}
+	return l
 }
 
 // Open adds a connection and returns which others are to be closed for it; ok is false if it has no room.
@@ -71,11 +84,23 @@
 	return evicted, ok
 }
 
-// Begin records that a request begins to arrive on a connection. One that was evicted, and got a request before it was closed, is added again.
-func (l *Ledger[K]) Begin(now time.Time, key K) {
-	if e := l.getOrAdd(now, key); e.phase != Unfinished {
-		l.enter(now, e, Unfinished)
+// Enter records that a connection enters a phase. A request's header stays in memory until its connection is idle. One that was evicted, and got a request
+// before it was closed, is added again.
+func (l *Ledger[K]) Enter(now time.Time, key K, p Phase) {
+	e := l.entries[key]
+	switch {
+	case e == nil:
+		e = l.add(now, key)
+	case e.phase == p, p == Unfinished && e.phase == Growing:
+		return
+	}
+	if p == Idle {
+		l.headers -= e.header
+		e.header = 0
 	}
+	l.byPhase[e.phase].Remove(e.place)
+	e.phase, e.since = p, now
+	e.place = l.byPhase[p].PushBack(e)
 }
 
 // Grow records that a header takes more memory, and returns which other connections are to be closed for it; ok is false if this one is to be closed.
@@ -93,25 +118,25 @@
 	}
 	e.header += n
 	l.headers += n
+	if e.phase == Unfinished {
+		l.byPhase[Unfinished].Remove(e.place)
+		e.phase = Growing
+		e.place = l.byPhase[Growing].PushBack(e)
+	}
 	return evicted, true
 }
 
-// Handle records that a request is handled; its header stays in memory. A connection that was evicted is added again, as by Begin.
-func (l *Ledger[K]) Handle(now time.Time, key K) { l.enter(now, l.getOrAdd(now, key), Handling) }
-
-// Rest records that a request has been answered.
-func (l *Ledger[K]) Rest(now time.Time, key K) {
-	if e := l.entries[key]; e != nil {
-		l.headers -= e.header
-		e.header = 0
-		l.enter(now, e, Idle)
-	}
+// Trim returns which connections are to be closed because evicted ones were added again.
+func (l *Ledger[K]) Trim(now time.Time) (evicted []K) {
+	var none K
+	evicted, _ = l.makeRoom(now, none, 0, 0)
+	return evicted
 }
 
 // Close removes a connection.
 func (l *Ledger[K]) Close(key K) {
 	if e := l.entries[key]; e != nil {
-		l.leave(e)
+		l.byPhase[e.phase].Remove(e.place)
 		l.headers -= e.header
 		delete(l.entries, key)
 	}
@@ -124,57 +149,15 @@
 func (l *Ledger[K]) HeaderBytes() Bytes { return l.headers }
 
 // Count returns the number of connections in a phase.
-func (l *Ledger[K]) Count(p Phase) int {
-	switch p {
-	case Unfinished:
-		return l.unfinished.Len()
-	case Idle:
-		return l.idle.Len()
-	case Handling:
-		return len(l.entries) - l.unfinished.Len() - l.idle.Len()
-	default:
-		return 0
-	}
-}
-
-func (l *Ledger[K]) getOrAdd(now time.Time, key K) *entry[K] {
-	if e := l.entries[key]; e != nil {
-		return e
-	}
-	return l.add(now, key)
-}
+func (l *Ledger[K]) Count(p Phase) int { return l.byPhase[p].Len() }
 
 func (l *Ledger[K]) add(now time.Time, key K) *entry[K] {
 	e := &entry[K]{key: key, phase: Unfinished, since: now}
-	e.place = l.unfinished.PushBack(e)
+	e.place = l.byPhase[Unfinished].PushBack(e)
 	l.entries[key] = e
 	return e
 }
 
-func (l *Ledger[K]) enter(now time.Time, e *entry[K], p Phase) {
-	l.leave(e)
-	e.phase, e.since = p, now
-	switch p {
-	case Unfinished:
-		e.place = l.unfinished.PushBack(e)
-	case Idle:
-		e.place = l.idle.PushBack(e)
-	case Handling:
-	}
-}
-
-// leave takes a connection out of the list of its phase.
-func (l *Ledger[K]) leave(e *entry[K]) {
-	switch e.phase {
-	case Unfinished:
-		l.unfinished.Remove(e.place)
-	case Idle:
-		l.idle.Remove(e.place)
-	case Handling:
-	}
-	e.place = nil
-}
-
 // makeRoom evicts connections until there is room for a number of connections and of bytes. ok is false if there is none, or if the connection that
 // needs it would be the next to go.
 func (l *Ledger[K]) makeRoom(now time.Time, key K, conns int, n Bytes) (evicted []K, ok bool) {
@@ -194,19 +177,30 @@
 	return hasConns && (l.limits.Bytes <= 0 || l.Total()+n <= l.limits.Bytes)
 }
 
-// next returns the connection to evict next, nil for none: the oldest that is unfinished for longer than the patience, the longest idle, or the oldest
-// that is unfinished.
+// next returns the connection to evict next, nil for none. What nobody waits for goes first: connections that have kept the node waiting for longer than the
+// patience, and idle ones; then those with a header that grows, and the oldest of the others on which no request is being handled.
 func (l *Ledger[K]) next(now time.Time) *entry[K] {
-	unfinished, idle := front[K](l.unfinished), front[K](l.idle)
-	if idle == nil || (unfinished != nil && now.Sub(unfinished.since) >= l.limits.Patience) {
-		return unfinished
+	for _, p := range []Phase{Growing, Unfinished, Answered, Idle, Receiving} {
+		if e := l.oldest(p); e != nil && (p == Idle || now.Sub(e.since) >= l.limits.Patience) {
+			return e
+		}
+	}
+	if e := l.oldest(Growing); e != nil {
+		return e
+	}
+	var first *entry[K]
+	for _, p := range []Phase{Unfinished, Answered, Receiving} {
+		if e := l.oldest(p); e != nil && (first == nil || e.since.Before(first.since)) {
+			first = e
+		}
 	}
-	return idle
+	return first
 }
 
-func front[K comparable](l *list.List) *entry[K] {
-	if l.Len() == 0 {
-		return nil
+// oldest returns the connection that entered a phase first, nil for none.
+func (l *Ledger[K]) oldest(p Phase) *entry[K] {
+	if first := l.byPhase[p].Front(); first != nil {
+		return first.Value.(*entry[K])
 	}
-	return l.Front().Value.(*entry[K])
+	return nil
 }
--- a/process/node/gateway.go
+++ b/process/node/gateway.go
@@ -91,7 +91,7 @@
 		endpoints = append(endpoints, endpoint{name: atPeers, address: s.Gateway.Peers, handler: n.peerHandler()})
 	}
 	for _, e := range endpoints {
-		l, err := listen(ctx, e.address)
+		l, err := listen(ctx, e.address, s.Limits.ReceiveBytes)
 		if err != nil && e.optional {
 			n.log.WithField("error", err).Error("listen_failed")
 			continue
@@ -148,7 +148,7 @@
 	s := n.settings.Gateway
 	config := serve.Config{
 		ReadHeaderTimeout: s.HeaderWait, IdleTimeout: s.IdleWait, MaxHeaderBytes: s.HeaderBytes, ErrorLog: serverErrors(n.log),
-		WriteBufferBytes: n.settings.Limits.SocketBytes, OnPanic: n.panics.record, OnAbort: n.aborts.record, LongerTimeouts: n.active.callerTimeouts, WriteError: gateway.WriteError,
+		ReadBufferBytes: n.settings.Limits.ReceiveBytes, WriteBufferBytes: n.settings.Limits.SocketBytes, OnPanic: n.panics.record, OnAbort: n.aborts.record, LongerTimeouts: n.active.callerTimeouts, WriteError: gateway.WriteError,
 		Intake: connLimits(n.settings.Limits, e.name), OnEvict: n.evicted.of(e.name),
 	}
 	if e.name == atCallers {
--- a/process/node/intake.go
+++ b/process/node/intake.go
@@ -1,10 +1,13 @@
 package node
 
 import (
+	"context"
 	"expvar"
+	"net"
 	"syscall"
 	"time"
 
+	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/api/serve"
 	"github.com/vaneyoke/vaneyoke/decide/intake"
 	"github.com/vaneyoke/vaneyoke/process/settings"
@@ -27,7 +30,7 @@
 // connShares leaves most memory to bodies and answers, and half of the descriptors to upstreams, the store and other nodes: a request that is handled may have a
 // connection to an upstream, and another one while it goes on elsewhere.
 var connShares = map[listenerName]connShare{
-	atCallers:   {memory: 0.2, descriptors: 0.3},
+	atCallers:   {memory: 0.3, descriptors: 0.3},
 	atPeers:     {memory: 0.05, descriptors: 0.1},
 	atReadiness: {memory: 0.02, descriptors: 0.03},
 	atAdmin:     {memory: 0.02, descriptors: 0.03},
@@ -44,7 +47,7 @@
 	return intake.Limits{
 		Conns:     int(share.descriptors * float64(maxDescriptors(s))),
 		Bytes:     intake.Bytes(share.memory * float64(s.MemoryBytes())),
-		ConnBytes: connMemory,
+		ConnBytes: intake.Bytes(connMemory + s.ReceiveBytes),
 		Patience:  headerPatience,
 	}
 }
@@ -64,13 +67,27 @@
 // maxKnownDescriptors stands for a limit that is not a bound.
 const maxKnownDescriptors = 1 << 20
 
+// soBufLock is SO_BUF_LOCK, which package syscall lacks.
+const soBufLock = 72
+
+// listen opens a listener. The system receives few bytes for connections that are not accepted yet.
+func listen(ctx context.Context, address string, receiveBytes int) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			if receiveBytes > 0 { // connections work without
+				_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBytes/2) // the system doubles it
+				_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, soBufLock, 0)                      // with it, the window could not grow for a large body later
+			}
+		})
+	}}
+	l, err := config.Listen(ctx, "tcp", address)
+	return l, vaneyoke.WrapErr(vaneyoke.CodeListen, err, "listen on %s", address)
+}
+
 // registerConnMetrics adds the figures of a listener's connections.
 func registerConnMetrics(vars *expvar.Map, listener listenerName, server *serve.Server) {
 	vars.Set("connections_"+string(listener), expvar.Func(func() any {
 		stats := server.Stats()
-		return map[string]int64{
-			"unfinished": int64(stats.Unfinished), "idle": int64(stats.Idle), "handling": int64(stats.Handling),
-			"bytes": stats.Bytes, "header_bytes": stats.HeaderBytes,
-		}
+		return map[string]any{"open": stats.Conns, "bytes": stats.Bytes, "header_bytes": stats.HeaderBytes}
 	}))
 }
--- a/process/node/node.go
+++ b/process/node/node.go
@@ -99,13 +99,13 @@
 
 func (n *Node) open(ctx context.Context) error {
 	var err error
-	if n.callerListener, err = listen(ctx, n.settings.Node.Listen); err != nil {
+	if n.callerListener, err = listen(ctx, n.settings.Node.Listen, n.settings.Limits.ReceiveBytes); err != nil {
 		return err
 	}
-	if n.adminListener, err = listen(ctx, n.settings.Node.Admin); err != nil {
+	if n.adminListener, err = listen(ctx, n.settings.Node.Admin, n.settings.Limits.ReceiveBytes); err != nil {
 		return err
 	}
-	n.peerListener, err = listen(ctx, n.settings.Peers.Listen)
+	n.peerListener, err = listen(ctx, n.settings.Peers.Listen, n.settings.Limits.ReceiveBytes)
 	return err
 }
 
@@ -117,15 +117,10 @@
 	}
 }
 
-func listen(ctx context.Context, address string) (net.Listener, error) {
-	l, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
-	return l, vaneyoke.WrapErr(vaneyoke.CodeListen, err, "listen on %s", address)
-}
-
 func (n *Node) serve(name listenerName, handler http.Handler, l net.Listener) {
 	server := serve.New(handler, serve.Config{
 		ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: n.settings.Gateway.HeaderBytes, ErrorLog: serverErrors(n.log), OnPanic: n.panics.record, WriteError: callerapi.WriteError,
-		Intake: connLimits(n.settings.Limits, name), OnEvict: n.evicted.of(name),
+		ReadBufferBytes: n.settings.Limits.ReceiveBytes, Intake: connLimits(n.settings.Limits, name), OnEvict: n.evicted.of(name),
 	})
 	registerConnMetrics(n.vars, name, server)
 	n.servers = append(n.servers, server)
--- a/process/settings/settings.go
+++ b/process/settings/settings.go
@@ -92,13 +92,14 @@
 
 // Limits bounds the requests of callers.
 type Limits struct {
-	Memory       float64       `ini:"memory" default:"256" min:"0" doc:"Megabytes of memory that the process may have: at four fifths of it the garbage collector works against its growth, and buffer_bytes and the number of connections follow from it; 0 for no bound."`
+	Memory       float64       `ini:"memory" default:"256" min:"0" doc:"Megabytes of memory that the process may have: at four fifths of it, less for a small one, the garbage collector works against its growth, and buffer_bytes and the number of connections follow from it; 0 for no bound."`
 	BodyBytes    int64         `ini:"body_bytes" default:"4194304" min:"1024" doc:"Largest request body in bytes."`
 	HeadBytes    int           `ini:"head_bytes" default:"131072" min:"16384" max:"1048576" doc:"Largest head of an answer in bytes, from an upstream, another node or the store, together with the heads of status 1xx before it. One in trouble may send a head without end, which takes the node's memory; twice as much as header_bytes by default, since an answer may repeat the request's header."`
 	MaxWait      time.Duration `ini:"max_wait" default:"30s" min:"10ms" doc:"Longest time without progress before a request is given up."`
 	WriteTimeout time.Duration `ini:"write_timeout" default:"30s" min:"100ms" doc:"Longest time that a caller may take to read a piece of its answer."`
 	UnreadBytes  int64         `ini:"unread_bytes" default:"1048576" min:"0" doc:"Bytes of a streamed answer that its caller has not read, from which the node reads no more of it from the upstream; 0 for no bound."`
 	SocketBytes  int           `ini:"socket_bytes" default:"262144" min:"0" doc:"Size in bytes of the send buffer that the system keeps for a connection of a caller of opaque requests; 0 for the system's own choice, which may be megabytes."`
+	ReceiveBytes int           `ini:"receive_bytes" default:"16384" min:"0" doc:"Bytes that the system receives for a connection that the node has accepted, or not yet, before the node reads them. For a large body it grows with what has been read of it, to 256 KiB, so that a caller far away is not held up; 0 for the system's own choice, which may be megabytes."`
 	BufferBytes  int64         `ini:"buffer_bytes" default:"0" min:"0" doc:"Bytes of bodies and unread answers that the node holds for all callers of opaque requests, at most half of memory: a request whose body has no room is refused before it is read, and from half of what bodies leave, who holds more than an equal share of answers waits; an answer that is not streamed may have a quarter of it, and 32 MiB at the most; 0 for half of memory."`
 	Descriptors  int           `ini:"descriptors" default:"0" min:"0" doc:"File descriptors that the process may have open; 0.3 of them are for connections of callers, 0.1 for those of other nodes, 0.06 for readiness and metrics, and the rest for those to upstreams, the store and other nodes. Beyond that a new connection takes the place of one on which no request is being handled; 0 for the limit of the system."`
 	StalledAfter time.Duration `ini:"stalled_after" default:"5s" min:"100ms" doc:"How long a caller that holds more than its share of buffer_bytes may read nothing before it is cut off, while others wait for memory."`
@@ -173,15 +174,18 @@
 
 const (
 	megabyte       = 1_000_000
-	collectorShare = 0.8 // of the memory; the rest is for the program, what waits in sockets, and what the collector is late for
-	bufferShare    = 0.5 // of the memory
-	answerShare    = 4   // one part in so many of what may be held for callers, so that an answer and the copy that is delivered fit into the half which is beyond pressure
+	collectorShare = 0.8      // of the memory, at most; the rest is for the program, what waits in sockets, and what the collector is late for
+	socketShare    = 0.15     // of the memory, for what waits in sockets
+	programBytes   = 12 << 20 // of the executable that are in memory
+	bufferShare    = 0.5      // of the memory
+	answerShare    = 4        // one part in so many of what may be held for callers, so that an answer and the copy that is delivered fit into the half which is beyond pressure
 	maxAnswerBytes = 32 << 20
 )
 
 // CollectorBytes returns the memory from which the garbage collector works against the growth of the process; ok is false if there is no bound.
 func (l Limits) CollectorBytes() (bytes int64, ok bool) {
-	return int64(l.Memory * megabyte * collectorShare), l.Memory > 0
+	memory := l.Memory * megabyte
+	return int64(max(min(memory*collectorShare, memory*(1-socketShare)-programBytes), memory*bufferShare)), l.Memory > 0
 }
 
 // MemoryBytes returns the memory that the process may have; 0 for no bound.
