Deployment: the platform's limit on descriptors is told to the node

A process is not told by the system which limit the platform sets, so that a listener's share of descriptors followed from a number that is too large. The setting is given where the platform names the limit, and bounds together with the system's.

--- a/cmd/vaneyoked/gateway_test.go
+++ b/cmd/vaneyoked/gateway_test.go
@@ -43,6 +43,7 @@
 		"{{bootstrap}}", "false", "{{#cloud.address}}", "", "{{cloud.address}}", store, "{{/cloud.address}}", "", "{{bounds.leaseMs}}", "1000", "{{#bounds.fencing}}", "", "{{/bounds.fencing}}", "",
 		"{{#bounds.reportWindowS}}", "", "{{bounds.reportWindowS}}", "1", "{{/bounds.reportWindowS}}", "", "{{#bounds.usageLateS}}", "", "{{bounds.usageLateS}}", "6", "{{/bounds.usageLateS}}", "",
 		"{{#limits.memoryMb}}", "", "memory = {{.}}", "memory = 284", "{{/limits.memoryMb}}", "",
+		"{{#limits.maxFds}}", "", "descriptors = {{.}}", "descriptors = 4100", "{{/limits.maxFds}}", "",
 		"{{#bounds.exposureShare}}", "", "{{.}}", "0.1", "{{/bounds.exposureShare}}", "",
 		"{{listen.frontend}}", listen, "{{listen.readiness}}", readiness, "{{platform.address}}", store,
 	).Replace(string(text))
--- a/process/node/intake.go
+++ b/process/node/intake.go
@@ -54,14 +54,15 @@
 
 // maxDescriptors returns how many descriptors the process may have, 0 if that is not known.
 func maxDescriptors(s settings.Limits) int {
-	if s.Descriptors > 0 {
-		return s.Descriptors
-	}
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
-		return 0
+		return s.Descriptors
+	}
+	system := int(min(limit.Cur, maxKnownDescriptors))
+	if s.Descriptors > 0 {
+		return min(s.Descriptors, system)
 	}
-	return int(min(limit.Cur, maxKnownDescriptors))
+	return system
 }
 
 // maxKnownDescriptors stands for a limit that is not a bound.
