A refused caller with a large body can send it in time

What callers would see: one who sends 64 MiB over the limit of a body, and reads after that, found its connection reset in place of the refusal.

Change: 64 KiB ahead while a body is dropped.

--- a/api/serve/discard.go
+++ b/api/serve/discard.go
@@ -11,6 +11,7 @@
 const (
 	discardTimeout  = 2 * time.Second
 	maxDiscardBytes = 128 << 20
+	discardWindow   = 64 << 10 // that the system receives ahead, so that a large body comes to its end in time
 )
 
 // body tracks whether a request's body was read to its end, and records in the phase of its connection that a handler waits for it.
@@ -70,7 +71,7 @@
 		return
 	}
 	b.server.enter(b.conn, PhaseDiscarding)
-	b.conn.narrow()
+	b.conn.openWindow(discardWindow)
 	if !b.exhausted && b.discardInTime(http.NewResponseController(w)) {
 		return
 	}
--- a/api/serve/window.go
+++ b/api/serve/window.go
@@ -7,6 +7,9 @@
 
 // setWindow bounds the memory in which the system receives for the connection ahead of the node's reads; 0 leaves that to the system.
 func (c *conn) setWindow(n int) {
+	if c == nil {
+		return
+	}
 	inner, ok := c.Conn.(syscall.Conn)
 	if n <= 0 || !ok || c.window.Swap(int64(n)) == int64(n) {
 		return
@@ -36,3 +39,10 @@
 		c.setWindow(c.server.config.ReadBufferBytes)
 	}
 }
+
+// openWindow is like setWindow, for a connection whose window is bounded.
+func (c *conn) openWindow(n int) {
+	if c != nil && c.server.config.ReadBufferBytes > 0 {
+		c.setWindow(n)
+	}
+}
