Tests: the race detector's pause at an exit is no time of the node's

The stop itself ends as before; since the half call is refused and not cut off any more, the process ends with status 0, and the race detector makes such an exit a second longer (atexit_sleep_ms).

--- a/cmd/vaneyoked/log_test.go
+++ b/cmd/vaneyoked/log_test.go
@@ -65,7 +65,7 @@
 			text = strings.Replace(text, "grace = 8s", fmt.Sprint("grace = ", grace), 1) + trace
 			must.NoError(t, os.WriteFile(path, []byte(text), 0o600))
 			cmd := exec.Command(os.Args[0])
-			cmd.Env = append(os.Environ(), nodeSettingsVar+"="+path)
+			cmd.Env = append(os.Environ(), nodeSettingsVar+"="+path, "GORACE=atexit_sleep_ms=0") // the race detector delays an exit with status 0 by a second
 			cmd.Stdout, cmd.Stderr = fullPipe(t), os.Stderr
 			must.NoError(t, cmd.Start())
 			t.Cleanup(func() { _ = cmd.Process.Kill() })
@@ -76,7 +76,7 @@
 			must.NoError(t, cmd.Process.Signal(syscall.SIGTERM))
 			go func() {
 				defer close(ended)
-				_ = cmd.Wait() // the half call is cut off
+				_ = cmd.Wait()
 			}()
 			select {
 			case <-ended:
