The end of a header does not depend on how its bytes arrive

Cause: the meter of headers took carriage returns off each read, not off each line. A line of nothing but returns, cut between two reads, ended the header for the meter and not for package http, so that what followed would have been neither measured nor bounded. No caller could use it, since package http answers such a line with 400.

Change: the line is judged as a whole.

--- a/api/serve/header.go
+++ b/api/serve/header.go
@@ -19,9 +19,10 @@
 
 // headerMeter measures the header of a request while it arrives. The bytes that follow it are not measured.
 type headerMeter struct {
-	lineBytes int // of the current line
-	bytes     int // of the lines after the request line
-	first     int // bytes of the request line, and of empty lines before it
+	lineBytes int  // of the current line
+	isCRLast  bool // whether the last of them is a carriage return
+	bytes     int  // of the lines after the request line
+	first     int  // bytes of the request line, and of empty lines before it
 	lines     int
 	ended     bool
 }
@@ -39,17 +40,26 @@
 		} else {
 			m.bytes += n
 		}
-		m.lineBytes += len(bytes.TrimSuffix(bytes.TrimSuffix(p[:n], []byte{'\n'}), []byte{'\r'}))
+		if text := bytes.TrimSuffix(p[:n], []byte{'\n'}); len(text) > 0 {
+			m.lineBytes += len(text)
+			m.isCRLast = text[len(text)-1] == '\r'
+		}
 		p = p[n:]
 		if end < 0 {
 			return
 		}
-		m.ended = m.lineBytes == 0 && m.lines > 0
-		if m.lineBytes > 0 {
-			m.lines++
-		}
-		m.lineBytes = 0
+		m.endLine()
+	}
+}
+
+// endLine records that a line has ended.
+func (m *headerMeter) endLine() {
+	isEmpty := m.lineBytes == 0 || m.lineBytes == 1 && m.isCRLast
+	m.ended = isEmpty && m.lines > 0
+	if !isEmpty {
+		m.lines++
 	}
+	m.lineBytes, m.isCRLast = 0, false
 }
 
 // isFirstLine reports whether the request line has not ended yet.
