Answers of engines whose head is no HTTP are failures of the attempt

What callers saw: an engine's answer in whose head the name of a field held a blank, or stood behind one, came as 200, 410 or 500, signed, the line dropped. Where the line was to frame the body ("Content-Length : 5", "Transfer-Encoding : chunked"), the body was not the engine's: it ended with the connection, with the sizes of chunks in it. A refusal with X-Not-Processed in such a head counted as "not run", so that a request that may run once went to another engine.

Cause: package net/http keeps a name with a blank as it came, joins a line that begins with one to the line before it, and judges no status. Whoever reads an answer has to judge its head alone; attempts judged the status, after their signals had been taken, and status queries nothing.

Change: internal/httpcheck reads the bytes of a connection before package net/http has the whole head, and fails the request where they are no HTTP: the status, names of fields, lines that begin with a blank (RFC 9112 has a gateway answer those with 502 or join them), in interim answers too. What is returned is a MalformedError, so that attempts go on as after any broken answer: a request that may run once ends with 502, others and streams go on elsewhere. Nothing is read from the head, signals included.

Why on the connection: package net/http returns a connection to its pool before anyone has the head of an answer without a body.

Ways not taken: a check of http.Response alone (the pool, lines joined, interim answers); one connection for each query (priced).

--- a/wire/engine/failure.go
+++ b/wire/engine/failure.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/vaneyoke/vaneyoke/internal/httpcheck"
 )
 
 // NotSentError reports that the engine did not run the request.
@@ -77,8 +79,12 @@
 // Unwrap returns the cause.
 func (e *UnconfirmedError) Unwrap() error { return e.Err }
 
-// ClassifySendError returns a NotSentError if the request cannot have reached the engine, and otherwise a ClosedError.
+// ClassifySendError returns a NotSentError if the request cannot have reached the engine, a MalformedError if its response violates HTTP, and otherwise a
+// ClosedError.
 func ClassifySendError(err error) error {
+	if violation, ok := errors.AsType[*httpcheck.ViolationError](err); ok {
+		return &MalformedError{Reason: violation.Reason}
+	}
 	if op, ok := errors.AsType[*net.OpError](err); ok && op.Op == "dial" {
 		_, unconfirmed := errors.AsType[*UnconfirmedError](err)
 		return &NotSentError{Reason: op.Err.Error(), Unconfirmed: unconfirmed}
