The caller API takes no engine's answer whose head is no HTTP

What callers saw: where an engine sent status 000, 042 or 101, they got a refusal with that status. A blank in the name of a field of a 200 was passed over: success, with a body that was not the engine's where the field was to frame it. A 410 or 404 with one said "not known" on resuming; a 429 or 503 said "not run", so that a call that may run once ran at a second engine. The refusal of a redirect with one was followed. Reachable took any of them for a sign that the process runs.

Change: engine.New has the connections of its clients checked by internal/httpcheck, and send returns a MalformedError for what is no HTTP, also where the request has been written.

A kept connection on which such an answer came is closed, and the request is not sent again on a new one, which package net/http does where the first byte of a response is missing.

--- a/wire/engine/client.go
+++ b/wire/engine/client.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
@@ -14,6 +15,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/openai"
+	"github.com/vaneyoke/vaneyoke/internal/httpcheck"
 	"github.com/vaneyoke/vaneyoke/wire/forward"
 )
 
@@ -44,9 +46,9 @@
 
 // New returns a client that uses the given HTTP clients, which must not retry or time out streams. noKeepAlive must open a
 // connection for each request: on a reused one that the other side has closed, a request that was not run could not be told
-// from one that may have run.
+// from one that may have run. Responses that violate HTTP are errors, whatever they say.
 func New(client, noKeepAlive *http.Client) *Client {
-	return &Client{http: client, noKeepAlive: noKeepAlive}
+	return &Client{http: httpcheck.Client(client), noKeepAlive: httpcheck.Client(noKeepAlive)}
 }
 
 // StreamName returns the name of a run on an engine. The epoch is part of it, since each owner of a request counts its
@@ -227,13 +229,14 @@
 	var written atomic.Bool
 	req = req.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{WroteHeaders: func() { written.Store(true) }}))
 	res, err := client.Do(req)
-	if err != nil && written.Load() { // a refused connection may be that of the transport's replay
-		return nil, &ClosedError{Err: err}
+	if err == nil {
+		return res, nil
 	}
-	if err != nil {
-		return nil, ClassifySendError(err)
+	failure := ClassifySendError(err)
+	if _, notSent := errors.AsType[*NotSentError](failure); notSent && written.Load() { // a refused connection may be that of the transport's replay
+		return nil, &ClosedError{Err: err}
 	}
-	return res, nil
+	return nil, failure
 }
 
 // Err returns the error that the answer's status stands for, or nil for 200.
