Answers of the store and the platform whose head is no HTTP are no facts

What could come of it: rows, a lost history (410), a race (412), a write as done (200), or as not done (status 000 and any other), an order as accepted or refused, from an answer that is no HTTP. At the table service and the object store: a row or an object that "does not exist", a transaction as not applied, a list of VMs as unchanged. A blank before a field that frames the body gave another body, but JSON that does not decode was an error before.

Change: the constructors have the connections of their clients checked (internal/httpcheck); those that a node shares are checked where they are opened, so that the tables go on sharing them. A read fails as if the store were down, a write has an unknown outcome, an order no reply. The command line's clients of the store are the same.

--- a/process/node/control.go
+++ b/process/node/control.go
@@ -8,6 +8,7 @@
 
 	"github.com/samber/do/v2"
 
+	"github.com/vaneyoke/vaneyoke/internal/httpcheck"
 	"github.com/vaneyoke/vaneyoke/process/settings"
 )
 
@@ -31,7 +32,7 @@
 		return &countedConn{Conn: conn, sent: sent, received: received}, nil
 	})
 	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout = maxIdleConnsPerHost, idleTimeout
-	return &controlClient{http: &http.Client{Transport: boundedBodies{transport}, Timeout: platformTimeout}, sent: sent, received: received}, nil
+	return &controlClient{http: &http.Client{Transport: boundedBodies{httpcheck.NewTransport(transport)}, Timeout: platformTimeout}, sent: sent, received: received}, nil
 }
 
 // countListener returns a listener whose connections are included in the byte counts.
--- a/process/node/gateway_wire.go
+++ b/process/node/gateway_wire.go
@@ -14,6 +14,7 @@
 	"github.com/vaneyoke/vaneyoke/api/gateway"
 	"github.com/vaneyoke/vaneyoke/decide/feed"
 	"github.com/vaneyoke/vaneyoke/decide/placement"
+	"github.com/vaneyoke/vaneyoke/internal/httpcheck"
 	"github.com/vaneyoke/vaneyoke/internal/steady"
 	"github.com/vaneyoke/vaneyoke/platform"
 	"github.com/vaneyoke/vaneyoke/process/settings"
@@ -89,7 +90,7 @@
 	transport.MaxIdleConnsPerHost, transport.IdleConnTimeout = 2, idleTimeout
 	total := new(expvar.Map).Init()
 	do.MustInvoke[*expvar.Map](i).Set("store_calls_total", total)
-	return &storeClient{http: &http.Client{Transport: &storeCallCounter{next: transport, total: total}}}, nil
+	return &storeClient{http: &http.Client{Transport: &storeCallCounter{next: httpcheck.NewTransport(transport), total: total}}}, nil
 }
 
 func provideActiveConfig(i do.Injector) (*activeConfig, error) {
--- a/process/node/transport_test.go
+++ b/process/node/transport_test.go
@@ -93,3 +93,30 @@
 	must.ErrorContains(t, err, "not complete")
 	must.NoError(t, res.Body.Close())
 }
+
+// Guards against clients of the store and of other nodes, and of the platform, that take a response for an answer which is no HTTP.
+func TestBrokenHeadPasses(t *testing.T) {
+	i := do.New()
+	do.ProvideValue(i, settings.Settings{Limits: settings.Limits{HeadBytes: 32 << 10}})
+	do.ProvideValue(i, new(expvar.Map).Init())
+	do.Provide(i, provideStoreClient)
+	do.Provide(i, provideControlClient)
+	clients := map[string]*http.Client{"store": do.MustInvoke[*storeClient](i).http, "control": do.MustInvoke[*controlClient](i).http}
+	for name, client := range clients {
+		for _, head := range []string{"000 None\r\n", "200 OK\r\nX Note: y\r\n"} {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			must.NoError(t, err)
+			go func() {
+				if conn, err := l.Accept(); err == nil {
+					_, _ = io.WriteString(conn, "HTTP/1.1 "+head+"Content-Length: 0\r\n\r\n")
+				}
+			}()
+			res, err := client.Get("http://" + l.Addr().String()) //nolint:noctx // it ends by itself
+			if err == nil {
+				_ = res.Body.Close()
+			}
+			must.ErrorContains(t, err, "violates HTTP", must.Sprint(name, head))
+			must.NoError(t, l.Close())
+		}
+	}
+}
--- a/wire/store/aws/client.go
+++ b/wire/store/aws/client.go
@@ -9,6 +9,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb"
 	"github.com/aws/aws-sdk-go-v2/service/s3"
 
+	"github.com/vaneyoke/vaneyoke/internal/httpcheck"
 	"github.com/vaneyoke/vaneyoke/wire/store"
 )
 
@@ -36,8 +37,9 @@
 	etag  string     // ETag of the last received list
 }
 
-// New returns a client that uses the given HTTP client. It does not retry.
+// New returns a client that uses the given HTTP client. It does not retry. Responses that violate HTTP are errors, whatever they say.
 func New(config Config, client *http.Client) *Client {
+	client = httpcheck.Client(client)
 	keys := credentials.NewStaticCredentialsProvider(config.AccessKey, config.SecretKey, "")
 	table := dynamodb.New(dynamodb.Options{
 		BaseEndpoint: aws.String(config.TableURL),
