Tests: one stand-in server for answers that are no HTTP

The tests of the engine client, the relay and the platform's client each had a server of raw bytes of their own; the tests of other nodes' answers need one too. Package rawserver replaces the three; no check changes, and the three tests pass as before.

--- a/shell/relay/broken_head_test.go
+++ b/shell/relay/broken_head_test.go
@@ -1,7 +1,6 @@
 package relay_test
 
 import (
-	"bufio"
 	"context"
 	"expvar"
 	"fmt"
@@ -18,34 +17,20 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/generation"
+	"github.com/vaneyoke/vaneyoke/internal/rawserver"
 	"github.com/vaneyoke/vaneyoke/shell/relay"
 	"github.com/vaneyoke/vaneyoke/wire/engine"
 )
 
 // answerHTTP returns the address of an upstream that answers each request with raw bytes, and the count of requests but for those that end a run.
 func answerHTTP(t *testing.T, answer func(r *http.Request) string) (address string, requests *atomic.Int64) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
 	requests = new(atomic.Int64)
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					if req.Method == http.MethodPost {
-						requests.Add(1)
-					}
-					_, _ = io.WriteString(conn, answer(req))
-				}
-			}()
+	return rawserver.Start(t, func(r *http.Request) (string, bool) {
+		if r.Method == http.MethodPost {
+			requests.Add(1)
 		}
-	}()
-	return l.Addr().String(), requests
+		return answer(r), false
+	}), requests
 }
 
 // newBrokenRelay returns a relay whose first upstream is at one address, and all further ones at another.
--- a/wire/engine/broken_head_test.go
+++ b/wire/engine/broken_head_test.go
@@ -1,10 +1,7 @@
 package engine
 
 import (
-	"bufio"
 	"errors"
-	"io"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -13,6 +10,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/openai"
+	"github.com/vaneyoke/vaneyoke/internal/rawserver"
 )
 
 // brokenHeads are the first bytes of answers that are no HTTP.
@@ -37,31 +35,12 @@
 
 // startBroken starts an engine whose answers have a broken head, no body, and what would be a sound answer behind them.
 func startBroken(t *testing.T, head string) (url string, requests *atomic.Int64) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
 	requests = new(atomic.Int64)
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				for r := bufio.NewReader(conn); ; {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					_, _ = io.Copy(io.Discard, req.Body)
-					requests.Add(1)
-					_, _ = io.WriteString(conn, head+"Content-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
-				}
-			}()
-		}
-	}()
-	return "http://" + l.Addr().String(), requests
+	address := rawserver.Start(t, func(*http.Request) (string, bool) {
+		requests.Add(1)
+		return head + "Content-Length: 0\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", true
+	})
+	return "http://" + address, requests
 }
 
 // Guards against an engine's answer that is no HTTP and is taken for an answer, a refusal, "not run" or "not known", or for a sign that its process runs.
--- a/wire/store/contract/broken_head_test.go
+++ b/wire/store/contract/broken_head_test.go
@@ -1,43 +1,18 @@
 package contract_test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 
 	"github.com/shoenig/test/must"
 
 	"github.com/vaneyoke/vaneyoke"
+	"github.com/vaneyoke/vaneyoke/internal/rawserver"
 	"github.com/vaneyoke/vaneyoke/wire/store"
 	"github.com/vaneyoke/vaneyoke/wire/store/aws"
 )
 
-// startBroken returns the URL of a store whose answers have a broken head, and a body.
-func startBroken(t *testing.T, head, body string) (url string) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	must.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = conn.Close() }()
-				if req, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.Copy(io.Discard, req.Body)
-					_, _ = fmt.Fprintf(conn, "%sContent-Type: application/x-amz-json-1.0\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", head, len(body), body)
-				}
-			}()
-		}
-	}()
-	return "http://" + l.Addr().String()
-}
-
 // Guards against an answer of the platform that is no HTTP and is taken for a row, an object or a list, for none, or for what became of a transaction.
 func TestBrokenHeadIsTakenForAFact(t *testing.T) {
 	const (
@@ -56,7 +31,8 @@
 		"blank, no such object": {"HTTP/1.1 404 None\r\nX-Note : y\r\n", noObject},
 	} {
 		t.Run(name, func(t *testing.T) {
-			url := startBroken(t, tc.head, tc.body)
+			url := "http://" + rawserver.Start(t, rawserver.Once(fmt.Sprintf(
+				"%sContent-Type: application/x-amz-json-1.0\r\nContent-Length: %d\r\nConnection: close\r\n\r\n%s", tc.head, len(tc.body), tc.body)))
 			client := aws.New(aws.Config{TableURL: url, ObjectURL: url, VMsURL: url, Region: "local", AccessKey: "a", SecretKey: "b", Table: "t", Bucket: "b"}, &http.Client{Transport: &http.Transport{}})
 			mustBe := func(want vaneyoke.Code, err error) {
 				t.Helper()
