Other nodes' answers whose head is no HTTP are no facts

What could come of it: a node followed the tables of an answer that is no HTTP, or took a status of tables, a lent retry, stopped rollouts, or the word that another node has its counts from one, after which it dropped them. The operator's commands printed success for a policy that no node had.

Evidence: TestBrokenHeadOfAnotherNodeIsTaken, TestBrokenHeadStopsARollout, TestBrokenHeadAcknowledgesCounts, TestBrokenHeadOfAPeerIsTaken, TestBrokenHeadOfAHelperIsTakenForAConnection and TestBrokenHeadIsTakenForSuccess fail on the code before, in all their cases, or at the first one.

A node that hears such an answer does what it does for a lost one; peers of the caller API are left alone for a second. The tests pass.

--- a/cmd/vaneyoke/admin.go
+++ b/cmd/vaneyoke/admin.go
@@ -15,6 +15,7 @@
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/api/callerapi"
 	"github.com/vaneyoke/vaneyoke/api/operatorapi"
+	"github.com/vaneyoke/vaneyoke/internal/httpcheck"
 	"github.com/vaneyoke/vaneyoke/tools/client"
 )
 
@@ -40,6 +41,9 @@
 	ifMatch string
 }
 
+// nodeClient is the client for requests to nodes.
+var nodeClient = httpcheck.Client(http.DefaultClient)
+
 // call sends a request, decodes its answer into out and returns the answer's ETag.
 func call(ctx context.Context, cmd *cli.Command, c adminCall, out any) (string, error) {
 	var body io.Reader = http.NoBody
@@ -62,7 +66,7 @@
 	if c.method != http.MethodGet {
 		req.Header.Set("Idempotency-Key", uuid.NewString())
 	}
-	res, err := http.DefaultClient.Do(req)
+	res, err := nodeClient.Do(req)
 	if err != nil {
 		return "", vaneyoke.WrapErr(vaneyoke.CodeNotFresh, err, "the node cannot be reached")
 	}
--- a/cmd/vaneyoke/fleet.go
+++ b/cmd/vaneyoke/fleet.go
@@ -19,6 +19,7 @@
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/feed"
 	"github.com/vaneyoke/vaneyoke/decide/lease"
+	"github.com/vaneyoke/vaneyoke/internal/httpcheck"
 	"github.com/vaneyoke/vaneyoke/shell/duties"
 	"github.com/vaneyoke/vaneyoke/shell/mesh"
 )
@@ -58,7 +59,7 @@
 			&cli.BoolFlag{Name: "json", Usage: "print what each node told as JSON"},
 		},
 		Action: func(ctx context.Context, cmd *cli.Command) error {
-			state, err := queryFleet(ctx, &http.Client{Timeout: cmd.Duration("wait")}, cmd.String("admin"))
+			state, err := queryFleet(ctx, httpcheck.Client(&http.Client{Timeout: cmd.Duration("wait")}), cmd.String("admin"))
 			if err != nil {
 				return err
 			}
--- a/shell/detours/client.go
+++ b/shell/detours/client.go
@@ -18,6 +18,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/overlay"
+	"github.com/vaneyoke/vaneyoke/internal/httpcheck"
 	"github.com/vaneyoke/vaneyoke/wire/forward"
 )
 
@@ -145,7 +146,7 @@
 		return nil, unusable(err)
 	}
 	header := &io.LimitedReader{R: conn, N: maxResponseHeader}
-	reader := bufio.NewReader(header)
+	reader := bufio.NewReader(httpcheck.NewReader(header))
 	res, err := http.ReadResponse(reader, req) //nolint:bodyclose // the connection is closed
 	if err != nil {
 		return nil, unusable(err)
--- a/shell/duties/node.go
+++ b/shell/duties/node.go
@@ -13,6 +13,7 @@
 	"github.com/vaneyoke/vaneyoke/decide/feed"
 	"github.com/vaneyoke/vaneyoke/decide/lease"
 	"github.com/vaneyoke/vaneyoke/decide/usage"
+	"github.com/vaneyoke/vaneyoke/internal/httpcheck"
 	"github.com/vaneyoke/vaneyoke/internal/pause"
 	"github.com/vaneyoke/vaneyoke/internal/steady"
 )
@@ -126,7 +127,7 @@
 // New returns a node's part in the duties; incarnation identifies its process.
 func New(self vaneyoke.VMID, incarnation vaneyoke.Incarnation, config Config, leases Leases, ledger Ledger, platform Platform, tree Tree, client *http.Client, metrics *Metrics, log logrus.FieldLogger) *Node {
 	n := &Node{
-		self: self, config: config, leases: leases, ledger: ledger, platform: platform, tree: tree, client: client, metrics: metrics, log: log,
+		self: self, config: config, leases: leases, ledger: ledger, platform: platform, tree: tree, client: httpcheck.Client(client), metrics: metrics, log: log,
 		duties: map[lease.Name]*duty{}, aggregator: usage.NewAggregator(self, incarnation), reporter: usage.NewReporter(config.Usage), planner: capacity.New(),
 		autoscaled: map[vaneyoke.ServiceID]bool{}, loads: map[vaneyoke.ServiceID]capacity.Load{}, batchStored: make(chan struct{}), stored: usage.Watermarks{},
 	}
--- a/shell/mesh/node.go
+++ b/shell/mesh/node.go
@@ -15,6 +15,7 @@
 
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/feed"
+	"github.com/vaneyoke/vaneyoke/internal/httpcheck"
 	"github.com/vaneyoke/vaneyoke/internal/pause"
 	"github.com/vaneyoke/vaneyoke/internal/steady"
 	"github.com/vaneyoke/vaneyoke/shell/ratelimits"
@@ -66,7 +67,7 @@
 // New returns a node that keeps the hub's tables up to date once it runs.
 func New(self feed.Member, config Config, hub *Hub, registry Registry, client *http.Client, metrics *Metrics, log logrus.FieldLogger) *Node {
 	return &Node{
-		self: self, config: config, hub: hub, registry: registry, client: client, metrics: metrics, log: log,
+		self: self, config: config, hub: hub, registry: registry, client: httpcheck.Client(client), metrics: metrics, log: log,
 		events: make(chan feed.Event), done: make(chan struct{}), membersKnown: make(chan struct{}), membersChanged: make(chan struct{}, 1),
 	}
 }
--- a/shell/rollouts/node.go
+++ b/shell/rollouts/node.go
@@ -12,6 +12,7 @@
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/feed"
 	"github.com/vaneyoke/vaneyoke/decide/rollout"
+	"github.com/vaneyoke/vaneyoke/internal/httpcheck"
 	"github.com/vaneyoke/vaneyoke/internal/pause"
 	"github.com/vaneyoke/vaneyoke/internal/steady"
 )
@@ -76,7 +77,7 @@
 // New returns a node's part in rollouts.
 func New(self vaneyoke.VMID, config rollout.Config, store Store, tree Tree, splitter TrafficSplitter, client *http.Client, metrics *Metrics, log logrus.FieldLogger) *Node {
 	return &Node{
-		self: self, store: store, tree: tree, splitter: splitter, client: client, metrics: metrics, log: log,
+		self: self, store: store, tree: tree, splitter: splitter, client: httpcheck.Client(client), metrics: metrics, log: log,
 		wake: make(chan struct{}, 1), state: rollout.New(self, config),
 	}
 }
--- a/wire/peer/client.go
+++ b/wire/peer/client.go
@@ -15,6 +15,7 @@
 	"github.com/vaneyoke/vaneyoke"
 	"github.com/vaneyoke/vaneyoke/decide/journal"
 	"github.com/vaneyoke/vaneyoke/decide/membership"
+	"github.com/vaneyoke/vaneyoke/internal/httpcheck"
 	"github.com/vaneyoke/vaneyoke/wire/peer/peerpb"
 )
 
@@ -41,7 +42,7 @@
 // NewClient returns a client that authenticates with the given key and limits each call to timeout.
 func NewClient(self vaneyoke.NodeID, journals *Journals, client *http.Client, key string, timeout time.Duration, tracer trace.Tracer) *Client {
 	return &Client{
-		self: self, journals: journals, http: client, key: key, timeout: timeout, tracer: tracer,
+		self: self, journals: journals, http: httpcheck.Client(client), key: key, timeout: timeout, tracer: tracer,
 		peers: map[string]peerpb.Peer{}, suspects: map[string]time.Time{},
 	}
 }
