Answers whose trailer is no HTTP are not whole

What callers saw: an answer in chunks with a blank in the name of a field of its trailer was passed on as whole, calls and streams alike; with a control byte there a call failed, and a stream broke off after its events. The caller API passed on the first, and a refusal with either.

Cause: package net/http keeps such a name in the trailer as it does in a head. The trailer is known at the end of the body only, where nobody looked at it. The error of reading a refusal's body was dropped.

Change: the body of a response in chunks ends with an error in place of its end if its trailer violates HTTP. What has a body still to be delivered is refused: a call ends with 502, or goes on elsewhere. The events of a stream are out by then: its end is that of a lost connection, so that a stream that may resume is asked for what follows at another engine, and any other breaks off. A refusal of the caller API's engines with such a trailer is a closed answer, not "not run". Bodies of which only a document at their start is read (status queries, the store) are not read to the trailer, and their document counts.

--- a/internal/httpcheck/transport.go
+++ b/internal/httpcheck/transport.go
@@ -9,7 +9,8 @@
 	"sync/atomic"
 )
 
-// Transport is an http.RoundTripper for HTTP/1 whose requests fail with a ViolationError if the heads of their responses violate HTTP.
+// Transport is an http.RoundTripper for HTTP/1 whose requests fail with a ViolationError if their responses violate HTTP. A violation in a trailer is an
+// error at the end of the body.
 type Transport struct{ *http.Transport }
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
@@ -78,6 +79,9 @@
 		return nil, used.errorOf(err)
 	}
 	res.Request = req
+	if len(res.TransferEncoding) > 0 && res.Body != http.NoBody {
+		res.Body = &trailedBody{ReadCloser: res.Body, res: res}
+	}
 	return res, nil
 }
 
--- a/internal/httpcheck/transport_test.go
+++ b/internal/httpcheck/transport_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -214,3 +215,26 @@
 		must.ErrorContains(t, err, "certificate")
 	}
 }
+
+// Guards against trailers that are no HTTP and pass, and against long ones that take an error's text.
+func TestBrokenTrailerPasses(t *testing.T) {
+	for trailer, broken := range map[string]bool{
+		"": false, "X-Note: y\r\n": false, "X Note: y\r\n": true, "X-Note : y\r\n": true, "X-\x01Note: y\r\n": true,
+		strings.Repeat("x", 1000) + " : y\r\n": true, "X-Note: " + strings.Repeat("y", 1000) + "\x01\r\n": true,
+	} {
+		server := startServer(t, func(_ int, send func(string)) {
+			send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nsound\r\n0\r\n" + trailer + "\r\n")
+		})
+		client := newClient()
+		for range 2 {
+			body, err := get(client, server.url)
+			must.EqOp(t, "sound", body)
+			if !broken {
+				must.NoError(t, err)
+				continue
+			}
+			mustViolate(t, err)
+			must.Less(t, 200, len(err.Error()))
+		}
+	}
+}
--- a/wire/engine/broken_head_test.go
+++ b/wire/engine/broken_head_test.go
@@ -79,3 +79,24 @@
 		})
 	}
 }
+
+// Guards against an engine's answer whose trailer is no HTTP and is taken for an answer, or for a refusal.
+func TestBrokenTrailerIsTakenForAnAnswer(t *testing.T) {
+	for _, status := range []string{"200 OK", "400 Bad", "410 Gone", "503 Full"} {
+		for _, trailer := range []string{"X Note: y", "X-Note : y", "X-\x01Note: y"} {
+			t.Run(status+", "+trailer, func(t *testing.T) {
+				url := "http://" + rawserver.Start(t, rawserver.Once("HTTP/1.1 "+status+"\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n"+trailer+"\r\n\r\n"))
+				client := New(http.DefaultClient, http.DefaultClient)
+				_, err := client.CallOnce(t.Context(), url, "r", nil)
+				_, closed := errors.AsType[*ClosedError](err)
+				must.True(t, closed, must.Sprint(err))
+				if status == "200 OK" || status == "410 Gone" {
+					return // no body is read of a stream that is not known
+				}
+				_, err = client.Resume(t.Context(), url, "r.1.1", 0, 0)
+				_, closed = errors.AsType[*ClosedError](err)
+				must.True(t, closed, must.Sprint(err))
+			})
+		}
+	}
+}
--- a/wire/engine/client.go
+++ b/wire/engine/client.go
@@ -249,7 +249,10 @@
 
 func readStatusError(res *http.Response) error {
 	defer func() { _ = res.Body.Close() }()
-	body, _ := io.ReadAll(io.LimitReader(res.Body, maxRefusalBytes))
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxRefusalBytes))
+	if _, ok := errors.AsType[*httpcheck.ViolationError](err); ok {
+		return &ClosedError{Err: err}
+	}
 	pushback, _ := Pushback(res.StatusCode, res.Header)
 	return newStatusError(res.StatusCode, pushback, body)
 }
