Log and count answers to status queries that are no HTTP

Attempts tell of such an answer by attempt_lost (upstream, malformed, what was wrong) and losses_total, the store and other nodes by the errors of their lines. A status query failed without a word, so that nobody could tell an engine in trouble from one that does not answer.

Change: query_malformed with upstream, error and left_out, five lines a second at most, and queries_malformed_total. The limit of lines is that of connection_evicted, now a type of its own.

--- a/process/node/evictions.go
+++ b/process/node/evictions.go
@@ -2,7 +2,6 @@
 
 import (
 	"expvar"
-	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -10,18 +9,11 @@
 	"github.com/vaneyoke/vaneyoke/api/serve"
 )
 
-// maxEvictionLines is how many closed connections are logged in a second, of all listeners.
-const maxEvictionLines = 5
-
 // evictionRecorder logs and counts the connections that are closed before their request is handled.
 type evictionRecorder struct {
 	total *expvar.Map // by listener and reason
 	log   logrus.FieldLogger
-
-	mu      sync.Mutex
-	second  time.Time // start of the second in which lines are counted
-	lines   int
-	leftOut int // since the last line
+	lines lineLimit // of all listeners
 }
 
 func newEvictionRecorder(vars *expvar.Map, log logrus.FieldLogger) *evictionRecorder {
@@ -38,7 +30,7 @@
 func (r *evictionRecorder) record(listener listenerName, e serve.Evicted) {
 	r.total.Add(string(listener)+"_"+string(e.Reason), 1)
 	now := time.Now()
-	leftOut, ok := r.next(now)
+	leftOut, ok := r.lines.next(now)
 	if !ok {
 		return
 	}
@@ -47,19 +39,3 @@
 		"opened_ms": now.Sub(e.Conn.Opened).Milliseconds(), "header_bytes": e.HeaderBytes, "header_lines": e.HeaderLines, "open": e.Open, "left_out": leftOut,
 	}).Warn("connection_evicted")
 }
-
-// next reports whether a line may be written now, and how many have been left out before it.
-func (r *evictionRecorder) next(now time.Time) (leftOut int, ok bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if now.Sub(r.second) >= time.Second {
-		r.second, r.lines = now, 0
-	}
-	if r.lines >= maxEvictionLines {
-		r.leftOut++
-		return 0, false
-	}
-	leftOut, r.leftOut = r.leftOut, 0
-	r.lines++
-	return leftOut, true
-}
--- a/process/node/pushbacks_wire.go
+++ b/process/node/pushbacks_wire.go
@@ -21,6 +21,7 @@
 type signalListener struct {
 	limits    *ratelimits.Node
 	pushbacks *pushbacks.Node
+	malformed *malformedRecorder
 	gossip    *mesh.Gossip // set before the node runs
 }
 
@@ -44,12 +45,20 @@
 	l.pushbacks.RecordAnswered(upstream.ID, sentAt)
 }
 
+// RecordMalformed records an answer to a query that violates HTTP.
+func (l *signalListener) RecordMalformed(upstream vaneyoke.Upstream, err error) {
+	l.malformed.record(upstream.ID, err)
+}
+
 func providePushbacks(i do.Injector) (*pushbacks.Node, error) {
 	return pushbacks.New(do.MustInvoke[*balancer.Balancer](i), do.MustInvoke[*expvar.Map](i), do.MustInvoke[logrus.FieldLogger](i)), nil
 }
 
 func provideSignalListener(i do.Injector) (*signalListener, error) {
-	return &signalListener{limits: do.MustInvoke[*ratelimits.Node](i), pushbacks: do.MustInvoke[*pushbacks.Node](i)}, nil
+	return &signalListener{
+		limits: do.MustInvoke[*ratelimits.Node](i), pushbacks: do.MustInvoke[*pushbacks.Node](i),
+		malformed: newMalformedRecorder(do.MustInvoke[*expvar.Map](i), do.MustInvoke[logrus.FieldLogger](i)),
+	}, nil
 }
 
 // fleetOf returns a node's part of a fleet; of one whose members do not include it, the last.
--- a/process/telemetry/events.go
+++ b/process/telemetry/events.go
@@ -82,6 +82,7 @@
 	{"process_ending", []string{"ms", "log_ms"}, "The process has nothing left to do but to write out its log, for log_ms at the longest; ms is the time since its stop began. What it runs on after that is the kernel's."},
 	{"prompt_found", []string{"request", "attempt", "upstream"}, "A caller came back for the rest of its answer, and its prompt is still kept by an upstream, which gets the attempt."},
 	{"push_failed", []string{"peer", "sessions", "error"}, "Journals could not be pushed to their backup."},
+	{"query_malformed", []string{"upstream", "error", "left_out"}, "An upstream's answer to a status query violates HTTP, and nothing was read from it; error says what was wrong. left_out counts such lines that were not written since the last one, of which there are five a second at most."},
 	{"reads_store", []string{"reading", "members"}, "The node reads the store itself: all tables, the members alone, or once, to find out whether the store answers."},
 	{"register_failed", []string{"error"}, "The node could not register itself among the members."},
 	{"report_failed", []string{"peer", "error"}, "What was counted of a roll-out could not be told to the node above."},
--- a/wire/forward/forward.go
+++ b/wire/forward/forward.go
@@ -108,6 +108,8 @@
 	RecordSent(upstream vaneyoke.Upstream, kind Kind)
 	// RecordSignals records the signals in the response to a request that was sent at sentAt.
 	RecordSignals(upstream vaneyoke.Upstream, signals Signals, sentAt time.Time)
+	// RecordMalformed records that the response to a query violates HTTP. Nothing is read from it.
+	RecordMalformed(upstream vaneyoke.Upstream, err error)
 }
 
 // Signals holds what an upstream reports about itself in the header of a response.
