The scanner of heads leaves to package net/http what that rejects

Cause: the scanner also judged what package net/http rejects by itself: a status of other than three digits, control bytes in a name, lines without a colon. Such an answer was a closed one before and became a malformed one, and the loss of a call whose head has not come is checked for a crash of its engine only if it was closed: an engine that sends a few wrong bytes and ends would not have counted.

Change: it finds just what package net/http accepts (a status of three characters outside of 100 to 599, or 101; a name with a blank; a line that begins with one). What was handled before is handled as before. An error quotes the name.

--- a/internal/httpcheck/scanner.go
+++ b/internal/httpcheck/scanner.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -21,7 +22,6 @@
 
 const (
 	phaseProtocol phase = iota
-	phaseBeforeStatus
 	phaseStatus
 	phaseReason
 	phaseLineStart
@@ -36,21 +36,22 @@
 	minFinalStatus     = 200
 	maxStatus          = 599
 	switchingProtocols = 101 // no request asks for it
-	statusDigits       = 3
+	statusLength       = 3
 	maxQuotedBytes     = 40 // of a name in an error
 )
 
-// headScanner scans the head of a response as its bytes arrive, and the heads of the interim responses before it. It accepts more than package net/http
-// does, which parses the head afterwards, but for what that accepts although it is no HTTP: statuses outside of 100 to 599, names with blanks, and lines
-// that begin with a blank, which continue the line before them and so hide a field.
+// headScanner scans the head of a response as its bytes arrive, and the heads of the interim responses before it. It finds what package net/http accepts
+// although it is no HTTP: statuses outside of 100 to 599, names with blanks, and lines that begin with a blank, which continue the line before them and so
+// hide a field. It lets pass what package net/http rejects.
 type headScanner struct {
-	phase  phase
-	status int
-	digits int
-	name   []byte // start of the name of the current field
+	phase    phase
+	status   []byte // start of it
+	name     []byte // start of the name of the current field
+	isBlank  bool   // whether the name has a blank
+	isTokens bool   // whether the name has nothing else that no name may have
 }
 
-// scan scans the next bytes. With an error it returns how many bytes precede the violation; the scanner must not be used any more.
+// scan scans the next bytes. With an error it returns how many bytes precede the end of the violation; the scanner must not be used any more.
 func (s *headScanner) scan(p []byte) (int, error) {
 	for i, b := range p {
 		if s.phase == phaseBody {
@@ -65,7 +66,11 @@
 
 func (s *headScanner) scanByte(b byte) *ViolationError {
 	switch s.phase {
-	case phaseProtocol, phaseBeforeStatus, phaseStatus:
+	case phaseProtocol:
+		if b == ' ' {
+			s.phase = phaseStatus
+		}
+	case phaseStatus:
 		return s.scanStatus(b)
 	case phaseReason, phaseValue:
 		if b == '\n' {
@@ -74,10 +79,11 @@
 	case phaseLineStart:
 		return s.startLine(b)
 	case phaseLastLine:
-		if b != '\n' {
-			return violationf("a line begins with a carriage return")
+		if b == '\n' {
+			s.endHead()
+			return nil
 		}
-		s.endHead()
+		s.phase, s.isTokens = phaseName, false
 	case phaseName:
 		return s.scanName(b)
 	case phaseBody:
@@ -85,36 +91,30 @@
 	return nil
 }
 
-// scanStatus scans the status line up to the end of the status.
+// scanStatus scans the status, and the blanks before it.
 func (s *headScanner) scanStatus(b byte) *ViolationError {
-	isEnd := b == ' ' || b == '\r' || b == '\n'
 	switch {
-	case s.phase == phaseProtocol && b == '\n', s.phase == phaseBeforeStatus && isEnd && b != ' ':
-		return violationf("it has no status")
-	case s.phase == phaseProtocol:
-		if b == ' ' {
-			s.phase = phaseBeforeStatus
+	case b == ' ' && len(s.status) == 0:
+	case b == ' ', b == '\r', b == '\n':
+		s.phase = phaseReason
+		if b == '\n' {
+			s.phase = phaseLineStart
 		}
-	case s.phase == phaseBeforeStatus && b == ' ':
-	case isEnd:
-		return s.endStatus(b)
-	case b < '0' || b > '9' || s.digits == statusDigits:
-		return violationf("its status is not a number of %d digits", statusDigits)
-	default:
-		s.phase = phaseStatus
-		s.status, s.digits = 10*s.status+int(b-'0'), s.digits+1
+		return s.checkStatus()
+	case len(s.status) <= statusLength:
+		s.status = append(s.status, b)
 	}
 	return nil
 }
 
-// endStatus checks the status; end is the byte that follows it.
-func (s *headScanner) endStatus(end byte) *ViolationError {
-	if s.digits != statusDigits || s.status < minStatus || s.status > maxStatus || s.status == switchingProtocols {
-		return violationf("its status is %0*d", s.digits, s.status)
+// checkStatus checks a status of three bytes; package net/http rejects any other one.
+func (s *headScanner) checkStatus() *ViolationError {
+	status, err := strconv.Atoi(string(s.status))
+	if len(s.status) != statusLength || err != nil {
+		return nil
 	}
-	s.phase = phaseReason
-	if end == '\n' {
-		s.phase = phaseLineStart
+	if status < minStatus || status > maxStatus || status == switchingProtocols {
+		return violationf("its status is %s", s.status)
 	}
 	return nil
 }
@@ -127,9 +127,9 @@
 	case '\n':
 		s.endHead()
 	case ' ', '\t':
-		return violationf("a line of the head begins with a blank")
+		return violationf("a line of its head begins with a blank")
 	default:
-		s.phase, s.name = phaseName, s.name[:0]
+		s.phase, s.name, s.isBlank, s.isTokens = phaseName, s.name[:0], false, true
 		return s.scanName(b)
 	}
 	return nil
@@ -137,11 +137,20 @@
 
 func (s *headScanner) scanName(b byte) *ViolationError {
 	switch {
-	case b == ':' && len(s.name) > 0:
+	case b == ':' && s.isBlank && s.isTokens:
+		return violationf("the name of a field is %q", s.name)
+	case b == ':':
 		s.phase = phaseValue
+		return nil
+	case b == '\n':
+		s.phase = phaseLineStart
+		return nil
+	case b == ' ':
+		s.isBlank = true
 	case !httpguts.IsTokenRune(rune(b)):
-		return violationf("the name of a field has the byte %q after %q", b, s.name)
-	case len(s.name) < maxQuotedBytes:
+		s.isTokens = false
+	}
+	if len(s.name) < maxQuotedBytes {
 		s.name = append(s.name, b)
 	}
 	return nil
@@ -149,12 +158,12 @@
 
 // endHead ends a head: that of the response, or of an interim response, after which another one follows.
 func (s *headScanner) endHead() {
-	if s.status >= minFinalStatus {
-		s.phase = phaseBody
+	if status, err := strconv.Atoi(string(s.status)); err == nil && status < minFinalStatus {
+		s.expectHead()
 		return
 	}
-	s.expectHead()
+	s.phase = phaseBody
 }
 
 // expectHead prepares for the next response.
-func (s *headScanner) expectHead() { *s = headScanner{name: s.name[:0]} }
+func (s *headScanner) expectHead() { *s = headScanner{status: s.status[:0], name: s.name[:0]} }
