Tests: the stand-in engine of failover sets a run's start before others find the run

Cause: the stand-in published a run and then wrote the number of tokens that its prompt brings, without its lock. Where a session is abandoned as its run starts, the request that ends the run reads that number at the same time. The race detector names both lines (engine_test.go:75 and 115). Neither the node nor this change has a part in it: the stand-in takes the client's place of a transport.

Change: the body is read before the run is published, which then has its start. No check changes.

--- a/shell/failover/engine_test.go
+++ b/shell/failover/engine_test.go
@@ -62,7 +62,11 @@
 
 // RoundTrip answers a request to the engine.
 func (e *testEngine) RoundTrip(r *http.Request) (*http.Response, error) {
-	run, from := e.find(r)
+	var body []byte
+	if r.Method == http.MethodPost {
+		body, _ = io.ReadAll(r.Body)
+	}
+	run, from := e.find(r, body)
 	if run == nil {
 		return &http.Response{StatusCode: http.StatusNotFound, Body: http.NoBody}, nil
 	}
@@ -70,11 +74,6 @@
 		close(run.canceled)
 		return &http.Response{StatusCode: http.StatusOK, Body: http.NoBody}, nil
 	}
-	body, _ := io.ReadAll(r.Body)
-	if r.Method == http.MethodPost {
-		run.base = prefixTokens(body)
-		from = run.base
-	}
 	if r.Method == http.MethodPost && !strings.Contains(string(body), `"stream":true`) {
 		select {
 		case <-time.After(engineWholeTime):
@@ -91,15 +90,15 @@
 	return &http.Response{StatusCode: http.StatusOK, Body: out}, nil
 }
 
-// find returns the run that a request begins, or names, and the number of tokens that its sender has. It forgets one that is canceled.
-func (e *testEngine) find(r *http.Request) (run *testRun, from int) {
+// find returns the run that a request begins with its body, or names, and the number of tokens that its sender has. It forgets one that is canceled.
+func (e *testEngine) find(r *http.Request, body []byte) (run *testRun, from int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if r.Method == http.MethodPost {
-		run = &testRun{began: time.Now(), canceled: make(chan struct{})}
+		run = &testRun{base: prefixTokens(body), began: time.Now(), canceled: make(chan struct{})}
 		e.runs[r.Header.Get(engine.HeaderRequestID)] = run
 		e.begun++
-		return run, 0
+		return run, run.base
 	}
 	name := r.URL.Path[strings.LastIndex(r.URL.Path, "/")+1:]
 	for key, values := range r.Header { // Get would look for the canonical form, which no server has made yet
